Lay out the workspace, the borders' types and the life of a request

Cause: the project starts empty; the packages need a place to meet before they can be built side by side. Conclusion: the borders are fixed enough to build both sides of each.

--- /dev/null
+++ b/crates/godwit-core/src/lib.rs
@@ -0,0 +1,17 @@
+//! Every decision of the router, pure: (state, input, now) -> actions. No I/O, no clock, no threads, no globals.
+
+mod admission;
+mod code;
+mod hint;
+mod lifecycle;
+mod reading;
+mod time;
+
+pub use admission::{Admission, Target};
+pub use code::{Code, Verdict};
+pub use hint::Hint;
+pub use lifecycle::{
+    Admitted, Answered, Claimed, Dispatched, Life, NeverSent, NotRun, Received, Unknown,
+};
+pub use reading::Reading;
+pub use time::UnixMs;
--- /dev/null
+++ b/crates/godwit-ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command, with demo and bench.
--- /dev/null
+++ b/crates/godwit-ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The process of an entry host; everything it does is in `godwit-host`.
+
+fn main() {}
--- /dev/null
+++ b/crates/godwit-host/src/lib.rs
@@ -0,0 +1,5 @@
+//! An entry host: settings, wiring, life cycle and the path of a request.
+
+mod clock;
+
+pub use clock::{Clock, ManualClock, SystemClock};
--- /dev/null
+++ b/crates/godwit-operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The border towards operators: state dump, metrics, readiness.
--- /dev/null
+++ b/crates/godwit-peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocol between entry hosts: postcard over UDP and TCP.
--- /dev/null
+++ b/crates/godwit-service/src/lib.rs
@@ -0,0 +1,1 @@
+//! The border towards plain services.
--- /dev/null
+++ b/crates/godwit-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the platform, of model engines and of plain services.
