Choose servers by estimated finish and let requests wait for them

Cause: nothing decided which backend server runs a request, nor who waits. Change: core::route (estimate from lagging readings and own dispatches, sampled choice, cached prefixes, ejection, slow start), core::queue (priority, weighted turns, deadline, shedding by value), core::limit (rates, retry budget), and host::placement, which blocks a request until it may start or is refused. Sampling every server for each request was ruled out as the usual path; all candidates are looked at only when the samples offer nothing.

--- a/crates/godwit-core/src/admission.rs
+++ b/crates/godwit-core/src/admission.rs
@@ -3,7 +3,7 @@
 use crate::UnixMs;
 
 /// Where an admitted request goes.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Target {
     /// A model, with an optional adapter.
     Model {
--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -4,7 +4,10 @@
 mod code;
 mod hint;
 mod lifecycle;
+pub mod limit;
+pub mod queue;
 mod reading;
+pub mod route;
 mod time;
 
 pub use admission::{Admission, Target};
--- /dev/null
+++ b/crates/godwit-core/src/route/estimate.rs
@@ -0,0 +1,82 @@
+//! Estimate of when a request would finish on a server.
+
+use super::fleet::Traits;
+use super::load::LoadNow;
+use crate::UnixMs;
+
+/// Bytes of a prompt taken for one token.
+pub(crate) const PROMPT_BYTES_PER_TOKEN: f64 = 4.0;
+
+/// Time of one call of a plain service before any was seen, in milliseconds.
+pub(crate) const FIRST_SERVICE_CALL_MS: f64 = 20.0;
+
+/// When a request would bring its first token and finish on a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Estimate {
+    /// Wait for a slot, in milliseconds.
+    pub queue_ms: f64,
+    /// Time until the first token, in milliseconds.
+    pub first_token_ms: f64,
+    /// Time until the whole answer, in milliseconds.
+    pub finish_ms: f64,
+}
+
+impl Estimate {
+    /// When the whole answer is expected by a request that starts at `now`.
+    pub fn finish_at(&self, now: UnixMs) -> UnixMs {
+        now.plus_ms(self.finish_ms.max(0.0).ceil() as u64)
+    }
+}
+
+/// What the estimate needs to know of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Work {
+    pub(crate) prompt_bytes: f64,
+    pub(crate) cached_bytes: f64,
+    pub(crate) max_tokens: f64,
+}
+
+/// Speed of a server as expected now.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Speed {
+    pub(crate) slots: f64,
+    pub(crate) tokens_per_ms: f64,
+    pub(crate) call_ms: f64,
+}
+
+/// The estimate for a request on a server under `load`.
+pub(crate) fn estimate(traits: &Traits, speed: &Speed, load: &LoadNow, work: &Work) -> Estimate {
+    let queue_ms = queue_ms(speed, load);
+    let link_ms = traits.link_latency_ms + work.prompt_bytes / traits.link_bytes_per_ms;
+    let before_ms = link_ms + queue_ms + prefill_ms(traits, work);
+    let decode_ms = decode_ms(speed, work.max_tokens);
+    let first_ms = if speed.tokens_per_ms > 0.0 { 1.0 / speed.tokens_per_ms } else { decode_ms };
+    Estimate {
+        queue_ms,
+        first_token_ms: before_ms + first_ms + traits.link_latency_ms,
+        finish_ms: before_ms + decode_ms.max(first_ms) + traits.link_latency_ms,
+    }
+}
+
+/// Time for which a request occupies a slot.
+pub(crate) fn decode_ms(speed: &Speed, tokens: f64) -> f64 {
+    if speed.tokens_per_ms > 0.0 { tokens / speed.tokens_per_ms } else { speed.call_ms }
+}
+
+fn prefill_ms(traits: &Traits, work: &Work) -> f64 {
+    if traits.prefill_tokens_per_s <= 0.0 {
+        return 0.0;
+    }
+    let tokens = (work.prompt_bytes - work.cached_bytes).max(0.0) / PROMPT_BYTES_PER_TOKEN;
+    tokens * 1_000.0 / traits.prefill_tokens_per_s
+}
+
+/// Time until as many requests have left the server as are in the way of one more.
+pub(crate) fn queue_ms(speed: &Speed, load: &LoadNow) -> f64 {
+    let in_the_way = load.requests + 1.0 - speed.slots;
+    if in_the_way <= 0.0 || load.requests <= 0.0 {
+        return 0.0;
+    }
+    let mean_tokens = load.tokens / load.requests;
+    in_the_way * decode_ms(speed, mean_tokens) / speed.slots
+}
--- /dev/null
+++ b/crates/godwit-core/src/route/fleet.rs
@@ -0,0 +1,185 @@
+//! The backend servers by number, and the candidates for each model and service.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use godwit_schema::config::{BackendServer, Fleet, Link, ServerRole};
+
+use crate::Target;
+
+/// Latency taken for two failure domains without a link entry, in microseconds.
+const DEFAULT_CROSS_DOMAIN_LATENCY_US: u64 = 1_000;
+
+/// Number of a server in the tables of one [`FleetTable`].
+pub(crate) type ServerIndex = u32;
+
+/// What the configuration says of one server, seen from one failure domain.
+#[derive(Clone, Debug)]
+pub(crate) struct Traits {
+    pub(crate) name: String,
+    pub(crate) failure_domain: String,
+    pub(crate) is_local: bool,
+    pub(crate) is_engine: bool,
+    pub(crate) holds_whole_model: bool,
+    pub(crate) drained: bool,
+    pub(crate) slots: u32,
+    pub(crate) reserved_slots: u32,
+    pub(crate) tokens_per_s: f64,
+    pub(crate) prefill_tokens_per_s: f64,
+    pub(crate) link_latency_ms: f64,
+    pub(crate) link_bytes_per_ms: f64,
+}
+
+/// The servers that can run one target, the own failure domain's apart from the others.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Candidates {
+    pub(crate) local: Pool,
+    pub(crate) remote: Pool,
+}
+
+impl Candidates {
+    /// All servers, local ones first.
+    pub(crate) fn all(&self) -> impl Iterator<Item = ServerIndex> + '_ {
+        self.local.servers.iter().chain(self.remote.servers.iter()).copied()
+    }
+
+    /// Count of servers.
+    pub(crate) fn len(&self) -> usize {
+        self.local.servers.len() + self.remote.servers.len()
+    }
+
+    fn add(&mut self, index: ServerIndex, traits: &Traits) {
+        let pool = if traits.is_local { &mut self.local } else { &mut self.remote };
+        pool.add(index, traits);
+    }
+}
+
+/// Servers with the running sum of their weights, from which one is drawn by its weight.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pool {
+    pub(crate) servers: Vec<ServerIndex>,
+    pub(crate) weight_sums: Vec<f64>,
+}
+
+impl Pool {
+    fn add(&mut self, index: ServerIndex, traits: &Traits) {
+        let so_far = self.weight_sums.last().copied().unwrap_or(0.0);
+        let rate = if traits.tokens_per_s > 0.0 { traits.tokens_per_s } else { 1.0 };
+        self.servers.push(index);
+        self.weight_sums.push(so_far + f64::from(traits.slots.max(1)) * rate);
+    }
+}
+
+/// The fleet as one host sees it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FleetTable {
+    pub(crate) servers: Vec<Traits>,
+    pub(crate) by_name: BTreeMap<String, ServerIndex>,
+    models: BTreeMap<String, Candidates>,
+    services: BTreeMap<String, Candidates>,
+}
+
+impl FleetTable {
+    /// Builds the tables for a host in `failure_domain`.
+    pub(crate) fn build(fleet: &Fleet, failure_domain: &str) -> FleetTable {
+        let mut table = FleetTable::default();
+        let drained: BTreeSet<&str> = fleet.drained_servers.iter().map(String::as_str).collect();
+        let links = links_by_ends(&fleet.links);
+        for server in &fleet.servers {
+            if table.by_name.contains_key(&server.name) {
+                continue;
+            }
+            let traits = traits_of(server, failure_domain, &drained, &links, fleet.reserve_share);
+            table.add(server, traits);
+        }
+        table
+    }
+
+    /// The candidates for a target; none when no server of the fleet can run it.
+    ///
+    /// An adapter is asked of the servers that list `MODEL:ADAPTER`, or of all that hold the model when none does.
+    pub(crate) fn candidates(&self, target: &Target) -> Option<&Candidates> {
+        match target {
+            Target::Service(service) => self.services.get(service),
+            Target::Model { model, adapter: None } => self.models.get(model),
+            Target::Model { model, adapter: Some(adapter) } => {
+                self.models.get(&format!("{model}:{adapter}")).or_else(|| self.models.get(model))
+            }
+        }
+    }
+
+    /// The candidate sets that a server is in.
+    pub(crate) fn shared_by(&self, index: ServerIndex) -> impl Iterator<Item = &Candidates> {
+        let all = self.models.values().chain(self.services.values());
+        all.filter(move |candidates| candidates.local.has(index) || candidates.remote.has(index))
+    }
+
+    fn add(&mut self, server: &BackendServer, traits: Traits) {
+        let index = ServerIndex::try_from(self.servers.len()).unwrap_or(ServerIndex::MAX);
+        if traits.is_engine && traits.holds_whole_model {
+            for model in &server.models {
+                self.models.entry(model.clone()).or_default().add(index, &traits);
+            }
+        }
+        if let (false, Some(service)) = (traits.is_engine, &server.service) {
+            self.services.entry(service.clone()).or_default().add(index, &traits);
+        }
+        self.by_name.insert(server.name.clone(), index);
+        self.servers.push(traits);
+    }
+}
+
+fn traits_of(
+    server: &BackendServer,
+    failure_domain: &str,
+    drained: &BTreeSet<&str>,
+    links: &BTreeMap<(&str, &str), &Link>,
+    reserve_share: f64,
+) -> Traits {
+    let is_local = server.failure_domain == failure_domain;
+    let link = links
+        .get(&(failure_domain, server.name.as_str()))
+        .or_else(|| links.get(&(failure_domain, server.failure_domain.as_str())));
+    let default_latency_us = if is_local { 0 } else { DEFAULT_CROSS_DOMAIN_LATENCY_US };
+    let latency_us = link.map_or(default_latency_us, |link| link.latency_us);
+    let bytes_per_s = link.map_or(u64::MAX, |link| link.bytes_per_s.max(1));
+    let slots = server.slots.max(1);
+    Traits {
+        name: server.name.clone(),
+        failure_domain: server.failure_domain.clone(),
+        is_local,
+        is_engine: server.role == ServerRole::Engine,
+        holds_whole_model: server.layer_from.is_none() && server.layer_to.is_none(),
+        drained: drained.contains(server.name.as_str()),
+        slots,
+        reserved_slots: reserved_slots(&server.name, slots, reserve_share),
+        tokens_per_s: positive(server.tokens_per_s),
+        prefill_tokens_per_s: positive(server.prefill_tokens_per_s),
+        link_latency_ms: latency_us as f64 / 1_000.0,
+        link_bytes_per_ms: bytes_per_s as f64 / 1_000.0,
+    }
+}
+
+fn positive(value: f64) -> f64 {
+    if value.is_finite() && value > 0.0 { value } else { 0.0 }
+}
+
+fn links_by_ends(links: &[Link]) -> BTreeMap<(&str, &str), &Link> {
+    let mut by_ends = BTreeMap::new();
+    for link in links {
+        by_ends.insert((link.a.as_str(), link.b.as_str()), link);
+        by_ends.insert((link.b.as_str(), link.a.as_str()), link);
+    }
+    by_ends
+}
+
+/// Slots of a server that are kept for requests that may use the reserve; never all of them.
+///
+/// The fraction is rounded up on as many servers as keeps the share over the fleet; the name decides, so that all
+/// hosts agree.
+pub(crate) fn reserved_slots(name: &str, slots: u32, reserve_share: f64) -> u32 {
+    let share = if reserve_share.is_finite() { reserve_share.clamp(0.0, 1.0) } else { 0.0 };
+    let exact = f64::from(slots) * share;
+    let draw = u32::from_str_radix(&godwit_schema::prefix_hash(name)[..8], 16).unwrap_or(0);
+    let rounds_up = f64::from(draw) / f64::from(u32::MAX) < exact.fract();
+    (exact.floor() as u32 + u32::from(rounds_up)).min(slots.saturating_sub(1))
+}
--- /dev/null
+++ b/crates/godwit-core/src/route/health.rs
@@ -0,0 +1,171 @@
+//! Which servers fail or slow down, and for how long they get no work.
+
+use crate::UnixMs;
+
+/// Failures in a row after which a server is ejected.
+const FAILURES_TO_EJECT: u32 = 3;
+
+/// Answers after which the speed of a server is judged.
+const ANSWERS_TO_JUDGE: u32 = 3;
+
+/// How many times slower than its peers a server may be.
+const SLOWDOWN_TO_EJECT: f64 = 3.0;
+
+/// Weight of the newest answer in the averages.
+const NEWEST_WEIGHT: f64 = 0.3;
+
+/// Length of the first ejection, in milliseconds; each one that follows a failed probe is twice as long.
+const FIRST_EJECTION_MS: u64 = 5_000;
+
+/// Doublings of the ejection, at most.
+const MOST_DOUBLINGS: u32 = 4;
+
+/// Delay added to the estimate for each failure in a row, in milliseconds.
+const FAILURE_PENALTY_MS: f64 = 1_000.0;
+
+/// Time over which a new or readmitted server is brought to its full share, in milliseconds.
+pub(crate) const SLOW_START_MS: u64 = 10_000;
+
+/// Chance of being sampled that a server has at the begin of its slow start.
+const SLOW_START_FLOOR: f64 = 0.1;
+
+/// Share of a target's servers that may be ejected at a time.
+const MOST_EJECTED_SHARE: f64 = 1.0 / 3.0;
+
+/// What the answers of a server tell of it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Health {
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<UnixMs>,
+    readmitted_at: Option<UnixMs>,
+    answers: u32,
+    slowdown: f64,
+    call_ms: f64,
+}
+
+/// Whether a server may get work, by its health.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Fitness {
+    /// It gets work.
+    Fit,
+    /// It gets one request at a time, to see whether it is fit again.
+    Probing,
+    /// It gets no work.
+    Ejected,
+}
+
+impl Health {
+    /// Whether the server may get work at `now`.
+    pub(crate) fn fitness(&self, now: UnixMs) -> Fitness {
+        match self.ejected_until {
+            None => Fitness::Fit,
+            Some(until) if until.is_past(now) => Fitness::Probing,
+            Some(_) => Fitness::Ejected,
+        }
+    }
+
+    /// Whether the server counts among the ejected ones of its targets.
+    pub(crate) fn is_out(&self) -> bool {
+        self.ejected_until.is_some()
+    }
+
+    /// Takes an answer: its time for `tokens` against the time expected, or the time of a service call.
+    pub(crate) fn succeeded(&mut self, took_ms: f64, expected_ms: Option<f64>, now: UnixMs) {
+        self.failures = 0;
+        match expected_ms {
+            Some(expected_ms) if expected_ms > 0.0 => {
+                self.slowdown = self.average(self.slowdown, took_ms / expected_ms);
+            }
+            _ => self.call_ms = self.average(self.call_ms, took_ms),
+        }
+        self.answers = self.answers.saturating_add(1);
+        let still_slow = expected_ms.is_some_and(|expected| took_ms > expected * SLOWDOWN_TO_EJECT);
+        if self.fitness(now) != Fitness::Probing {
+            return;
+        }
+        if still_slow {
+            self.eject(now);
+        } else {
+            self.readmit(now);
+        }
+    }
+
+    /// Takes a failure; true when the server should be ejected.
+    pub(crate) fn failed(&mut self, now: UnixMs) -> bool {
+        self.failures = self.failures.saturating_add(1);
+        if self.fitness(now) == Fitness::Probing {
+            self.eject(now);
+        }
+        !self.is_out() && self.failures >= FAILURES_TO_EJECT
+    }
+
+    /// Whether the server is so much slower than its peers that it should be ejected.
+    pub(crate) fn is_slow_against(&self, peers_slowdown: f64) -> bool {
+        !self.is_out()
+            && self.answers >= ANSWERS_TO_JUDGE
+            && self.slowdown > SLOWDOWN_TO_EJECT * peers_slowdown.max(1.0)
+    }
+
+    /// Whether a comparison with the peers is worth its cost.
+    pub(crate) fn looks_slow(&self) -> bool {
+        self.is_slow_against(1.0)
+    }
+
+    /// How many times slower than expected the server is, once enough answers were seen.
+    pub(crate) fn judged_slowdown(&self) -> Option<f64> {
+        (self.answers >= ANSWERS_TO_JUDGE && self.slowdown > 0.0).then_some(self.slowdown)
+    }
+
+    /// How many times slower than expected the next answer is taken to be.
+    pub(crate) fn slowdown(&self) -> f64 {
+        if self.slowdown > 0.0 { self.slowdown.max(1.0) } else { 1.0 }
+    }
+
+    /// Average time of a service call.
+    pub(crate) fn call_ms(&self) -> Option<f64> {
+        (self.call_ms > 0.0).then_some(self.call_ms)
+    }
+
+    /// Ejects the server.
+    pub(crate) fn eject(&mut self, now: UnixMs) {
+        let doublings = self.ejections.min(MOST_DOUBLINGS);
+        self.eject_until(now.plus_ms(FIRST_EJECTION_MS << doublings));
+        self.ejections = self.ejections.saturating_add(1);
+    }
+
+    /// Ejects the server until `until`, on the word of another host.
+    pub(crate) fn eject_until(&mut self, until: UnixMs) {
+        self.ejected_until = Some(self.ejected_until.map_or(until, |held| held.max(until)));
+    }
+
+    /// Delay to add to estimates because of recent failures, in milliseconds.
+    pub(crate) fn penalty_ms(&self) -> f64 {
+        f64::from(self.failures) * FAILURE_PENALTY_MS
+    }
+
+    /// Chance with which a server that was sampled is taken, below 1 in its slow start.
+    pub(crate) fn sample_chance(&self, process_started_at: Option<UnixMs>, now: UnixMs) -> f64 {
+        let Some(since) = self.readmitted_at.max(process_started_at) else {
+            return 1.0;
+        };
+        (now.since_ms(since) as f64 / SLOW_START_MS as f64).clamp(SLOW_START_FLOOR, 1.0)
+    }
+
+    fn readmit(&mut self, now: UnixMs) {
+        self.ejected_until = None;
+        self.ejections = 0;
+        self.readmitted_at = Some(now);
+        self.answers = 0;
+        self.slowdown = 0.0;
+    }
+
+    fn average(&self, average: f64, newest: f64) -> f64 {
+        if average > 0.0 { average + NEWEST_WEIGHT * (newest - average) } else { newest }
+    }
+}
+
+/// Whether one more of `servers` may be ejected when `ejected` already are.
+pub(crate) fn may_eject_one_more(ejected: usize, servers: usize) -> bool {
+    (ejected + 1) as f64 <= servers as f64 * MOST_EJECTED_SHARE
+}
--- /dev/null
+++ b/crates/godwit-core/src/route/mod.rs
@@ -0,0 +1,17 @@
+//! Routing: which backend server gets a request, from stale readings and without agreement between hosts.
+
+mod choice;
+mod estimate;
+mod fleet;
+mod health;
+mod load;
+mod prefix;
+mod router;
+mod sample;
+mod scan;
+
+pub use choice::{Choice, Policy, Wanted};
+pub use estimate::Estimate;
+pub use load::DispatchId;
+pub use prefix::PromptPrefix;
+pub use router::{DispatchEnd, Router, StageLoad};
--- /dev/null
+++ b/crates/godwit-host/src/placement/grant.rs
@@ -0,0 +1,89 @@
+//! The right to one dispatch, given back when it is dropped.
+
+use std::sync::Arc;
+
+use godwit_core::UnixMs;
+use godwit_core::route::{DispatchEnd, Estimate};
+
+use super::desk::Granted;
+use super::place::Placement;
+use super::report;
+
+/// Tokens after which progress is told to the router.
+const TOKENS_PER_REPORT: u32 = 8;
+
+/// The right to dispatch a request to one server.
+///
+/// The end is told by [`done`](Grant::done), [`failed`](Grant::failed) or [`refused`](Grant::refused); a grant that is
+/// dropped without one counts as cancelled.
+#[derive(Debug)]
+pub struct Grant {
+    placement: Arc<Placement>,
+    granted: Granted,
+    first_token_at: Option<UnixMs>,
+    tokens: u32,
+    unreported_tokens: u32,
+    end: DispatchEnd,
+}
+
+impl Grant {
+    pub(super) fn new(placement: Arc<Placement>, granted: Granted) -> Grant {
+        Grant {
+            placement,
+            granted,
+            first_token_at: None,
+            tokens: 0,
+            unreported_tokens: 0,
+            end: DispatchEnd::Cancelled,
+        }
+    }
+
+    /// Name of the server.
+    pub fn server(&self) -> &str {
+        &self.granted.server
+    }
+
+    /// When the request was expected to finish.
+    pub fn estimate(&self) -> &Estimate {
+        &self.granted.estimate
+    }
+
+    /// Counts a token that came.
+    pub fn token(&mut self) {
+        self.tokens += 1;
+        self.unreported_tokens += 1;
+        if self.first_token_at.is_none() {
+            let now = self.placement.now();
+            self.first_token_at = Some(now);
+            report::first_token(&self.granted, now);
+        }
+        if self.unreported_tokens >= TOKENS_PER_REPORT {
+            self.placement.progressed(&self.granted, self.unreported_tokens);
+            self.unreported_tokens = 0;
+        }
+    }
+
+    /// The whole answer came.
+    pub fn done(mut self) {
+        let now = self.placement.now();
+        let since = self.first_token_at.unwrap_or(self.granted.granted_at);
+        self.end = DispatchEnd::Done { tokens: self.tokens, took_ms: now.since_ms(since) };
+        report::finished(&self.granted, now);
+    }
+
+    /// The server did not answer, broke off or was too slow.
+    pub fn failed(mut self) {
+        self.end = DispatchEnd::Failed;
+    }
+
+    /// The server refused the connection or the request.
+    pub fn refused(mut self) {
+        self.end = DispatchEnd::Refused;
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        self.placement.ended(&self.granted, self.end);
+    }
+}
--- /dev/null
+++ b/crates/godwit-host/src/placement/report.rs
@@ -0,0 +1,55 @@
+//! Metrics and logs of placement.
+
+use godwit_core::UnixMs;
+use godwit_core::route::DispatchEnd;
+
+use super::desk::Granted;
+use super::place::Refusal;
+
+/// Time after which a caller may come back when nothing better is known, in milliseconds.
+pub(super) const RETRY_MS: u64 = 1_000;
+
+/// Tells how many requests wait.
+pub(super) fn queue_length(waiting: usize) {
+    metrics::gauge!("godwit_queue_requests").set(waiting as f64);
+}
+
+/// Tells of a refusal.
+pub(super) fn refused(refusal: &Refusal) {
+    metrics::counter!("godwit_refusals_total", "code" => refusal.code.name()).increment(1);
+}
+
+/// Tells of a grant.
+pub(super) fn granted(waited_ms: u64) {
+    metrics::histogram!("godwit_queue_wait_ms").record(waited_ms as f64);
+}
+
+/// Tells of a first token.
+pub(super) fn first_token(granted: &Granted, now: UnixMs) {
+    let actual_ms = now.since_ms(granted.granted_at) as f64;
+    let error_ms = actual_ms - granted.estimate.first_token_ms;
+    metrics::histogram!("godwit_first_token_ms").record(actual_ms);
+    metrics::histogram!("godwit_first_token_estimate_error_ms").record(error_ms);
+}
+
+/// Tells of a whole answer.
+pub(super) fn finished(granted: &Granted, now: UnixMs) {
+    let actual_ms = now.since_ms(granted.granted_at) as f64;
+    let error_ms = actual_ms - granted.estimate.finish_ms;
+    metrics::histogram!("godwit_finish_estimate_error_ms").record(error_ms);
+}
+
+/// Tells of the end of a dispatch, and of an ejection for it.
+pub(super) fn ended(server: &str, end: DispatchEnd, ejected: bool) {
+    let end = match end {
+        DispatchEnd::Done { .. } => "done",
+        DispatchEnd::Failed => "failed",
+        DispatchEnd::Refused => "refused",
+        DispatchEnd::Cancelled => "cancelled",
+    };
+    metrics::counter!("godwit_dispatches_total", "end" => end).increment(1);
+    if ejected {
+        metrics::counter!("godwit_ejections_total").increment(1);
+        tracing::warn!(server, end, "server ejected");
+    }
+}
