Add rules, configuration store and the border towards callers

Cause: a request has to be read, limited and decided on before anything can be dispatched. Change: configuration objects with their check, rules with an explanation, a store in which a lower version never replaces a higher one and a deletion is kept; the HTTP server for callers with OpenAI-compatible forms, framing checks, limits and a streaming responder. Ruled out: ending a broken stream with the end marker of a whole one. Conclusion: both are ready to be wired into a host.

--- a/crates/godwit-caller/src/lib.rs
+++ b/crates/godwit-caller/src/lib.rs
@@ -1,1 +1,16 @@
-//! The border towards callers: HTTP.
+//! The border towards callers: HTTP with OpenAI-compatible paths, and plain services.
+//!
+//! A [`CallerServer`] reads each call whole, checks its framing and limits, and hands it with a [`Responder`] to a
+//! [`Handler`], which decides what becomes of it.
+
+mod call;
+mod error;
+mod framing;
+mod openai;
+mod responder;
+mod server;
+
+pub use call::{Ask, Call, Form, GenerateAsk, ServiceAsk};
+pub use error::CallerError;
+pub use responder::{CallerGone, Failure, Finish, Responder, ServiceAnswer};
+pub use server::{CallerServer, CallerSettings, Handler, Limits};
--- /dev/null
+++ b/crates/godwit-caller/src/server.rs
@@ -0,0 +1,211 @@
+//! The server for callers: accepts, limits and hands over.
+
+use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::JoinHandle;
+
+use godwit_core::{Code, UnixMs};
+use tiny_http::{Request, Server};
+
+use crate::call::{Ask, Call};
+use crate::error::CallerError;
+use crate::framing;
+use crate::responder::{Failure, Finish, Responder};
+
+/// Stack of a thread that serves one call.
+const STACK_BYTES: usize = 256 * 1024;
+
+/// Limits on what callers may send.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Longest sum of all headers.
+    pub header_bytes: usize,
+    /// Longest body.
+    pub body_bytes: u64,
+    /// Longest prompt.
+    pub prompt_bytes: u64,
+    /// Most calls in progress.
+    pub concurrent_calls: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            header_bytes: 16 * 1024,
+            body_bytes: 1024 * 1024,
+            prompt_bytes: 512 * 1024,
+            concurrent_calls: 1_024,
+        }
+    }
+}
+
+/// Settings of the server for callers.
+#[derive(Clone, Debug)]
+pub struct CallerSettings {
+    /// Address to listen on; port 0 takes a free one.
+    pub bind: SocketAddr,
+    /// Limits on what callers may send.
+    pub limits: Limits,
+    /// Start of the ids given to requests; unique for each start of a host.
+    pub id_prefix: String,
+}
+
+/// Decides what becomes of calls.
+pub trait Handler: Send + Sync + 'static {
+    /// Serves one call to its end.
+    fn serve(&self, call: &Call, responder: Responder);
+
+    /// The present time.
+    fn now(&self) -> UnixMs;
+}
+
+struct Shared {
+    handler: Arc<dyn Handler>,
+    limits: Limits,
+    id_prefix: String,
+    next_id: AtomicUsize,
+    live_calls: AtomicUsize,
+    is_stopping: AtomicBool,
+}
+
+/// The running server for callers; dropping it stops it.
+pub struct CallerServer {
+    address: SocketAddr,
+    server: Arc<Server>,
+    shared: Arc<Shared>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl CallerServer {
+    /// Starts to listen.
+    ///
+    /// # Errors
+    /// [`CallerError::Listen`] when the address cannot be listened on.
+    pub fn start(settings: CallerSettings, handler: Arc<dyn Handler>) -> Result<Self, CallerError> {
+        let listen_error =
+            |message: String| CallerError::Listen { address: settings.bind, message };
+        let server =
+            Server::http(settings.bind).map_err(|error| listen_error(error.to_string()))?;
+        let server = Arc::new(server);
+        let address = server.server_addr().to_ip();
+        let address = address.ok_or_else(|| listen_error("not an IP address".to_string()))?;
+        let shared = Arc::new(Shared {
+            handler,
+            limits: settings.limits,
+            id_prefix: settings.id_prefix,
+            next_id: AtomicUsize::new(1),
+            live_calls: AtomicUsize::new(0),
+            is_stopping: AtomicBool::new(false),
+        });
+        let (accepting, accept_shared) = (server.clone(), shared.clone());
+        let thread = std::thread::Builder::new()
+            .name("caller-accept".to_string())
+            .spawn(move || accept(&accepting, &accept_shared))
+            .map_err(|error| listen_error(error.to_string()))?;
+        Ok(CallerServer { address, server, shared, thread: Some(thread) })
+    }
+
+    /// Address on which the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Count of calls in progress.
+    pub fn live_calls(&self) -> usize {
+        self.shared.live_calls.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for CallerServer {
+    fn drop(&mut self) {
+        self.shared.is_stopping.store(true, Ordering::SeqCst);
+        self.server.unblock();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn accept(server: &Server, shared: &Arc<Shared>) {
+    loop {
+        if shared.is_stopping.load(Ordering::SeqCst) {
+            return;
+        }
+        match server.recv() {
+            Ok(request) => start_call(request, shared),
+            Err(_) if shared.is_stopping.load(Ordering::SeqCst) => return,
+            Err(error) => {
+                tracing::error!(event = "accept_failed", error = %error);
+                std::thread::sleep(std::time::Duration::from_millis(50));
+            }
+        }
+    }
+}
+
+struct LiveCall(Arc<Shared>);
+
+impl LiveCall {
+    fn start(shared: &Arc<Shared>) -> (LiveCall, usize) {
+        let before = shared.live_calls.fetch_add(1, Ordering::SeqCst);
+        (LiveCall(shared.clone()), before)
+    }
+}
+
+impl Drop for LiveCall {
+    fn drop(&mut self) {
+        self.0.live_calls.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn start_call(request: Request, shared: &Arc<Shared>) {
+    let number = shared.next_id.fetch_add(1, Ordering::SeqCst);
+    let request_id = format!("{}-{number}", shared.id_prefix);
+    let (live, others) = LiveCall::start(shared);
+    let responder = Responder::new(&request_id, request, shared.handler.now());
+    if others >= shared.limits.concurrent_calls {
+        refuse(responder, &Failure::code(Code::TooManyStreams));
+        return;
+    }
+    let shared = shared.clone();
+    let spawned = std::thread::Builder::new()
+        .name("call".to_string())
+        .stack_size(STACK_BYTES)
+        .spawn(move || {
+            let served = catch_unwind(AssertUnwindSafe(|| serve(responder, &request_id, &shared)));
+            if served.is_err() {
+                tracing::error!(event = "call_panicked", request_id = %request_id);
+            }
+            drop(live);
+        });
+    if let Err(error) = spawned {
+        tracing::error!(event = "call_thread_failed", error = %error);
+    }
+}
+
+fn refuse(responder: Responder, failure: &Failure) {
+    metrics::counter!("godwit_calls_malformed_total", "code" => failure.code.name()).increment(1);
+    let _ = responder.finish(&Finish::Failed(failure.clone()));
+}
+
+fn serve(mut responder: Responder, request_id: &str, shared: &Shared) {
+    let Some(request) = responder.request_mut() else { return };
+    match framing::read_call(request, request_id, &shared.limits) {
+        Ok(call) => {
+            if let Ask::Generate(ask) = &call.ask {
+                responder.set_ask(ask.clone());
+            }
+            shared.handler.serve(&call, responder);
+        }
+        Err(failure) => {
+            tracing::info!(
+                event = "call_malformed",
+                request_id = %request_id,
+                code = failure.code.number(),
+                field = failure.field.as_deref().unwrap_or("-")
+            );
+            refuse(responder, &failure);
+        }
+    }
+}
--- a/crates/godwit-core/src/code.rs
+++ b/crates/godwit-core/src/code.rs
@@ -45,6 +45,8 @@
     Ok,
     /// The same idempotency key was answered before; this is that answer.
     StoredAnswer,
+    /// The answer follows as a stream, whose last event carries the final code.
+    Streaming,
     /// The body is not what the path expects.
     MalformedRequest,
     /// No workspace has the key of the `Authorization` header.
@@ -128,6 +130,7 @@
     pub const ALL: &'static [Code] = &[
         Code::Ok,
         Code::StoredAnswer,
+        Code::Streaming,
         Code::MalformedRequest,
         Code::UnknownKey,
         Code::UnknownKind,
@@ -216,6 +219,14 @@
                 false,
                 "The same idempotency key was answered before; this is that answer.",
             ),
+            Code::Streaming => row(
+                1002,
+                "streaming",
+                Verdict::Ran,
+                200,
+                false,
+                "The answer follows as a stream, whose last event carries the final code.",
+            ),
             Code::MalformedRequest => row(
                 2000,
                 "malformed_request",
--- /dev/null
+++ b/crates/godwit-core/src/config/view.rs
@@ -0,0 +1,114 @@
+//! The configuration in force, parsed for use.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use godwit_schema::config::{Fleet, Workspace};
+use sha2::{Digest, Sha256};
+
+use super::objects::{ObjectKind, object_kind};
+use super::store::{ConfigStore, Stored};
+
+/// The configuration in force on one host.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigView {
+    fleet: Arc<Fleet>,
+    has_fleet: bool,
+    workspaces: BTreeMap<String, Arc<Workspace>>,
+    workspace_by_key: BTreeMap<String, String>,
+    unreadable: Vec<String>,
+}
+
+/// SHA-256 of a workspace's key, hexadecimal.
+///
+/// ```
+/// assert!(godwit_core::config::key_sha256("secret").starts_with("2bb80d53"));
+/// ```
+pub fn key_sha256(key: &str) -> String {
+    Sha256::digest(key.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+impl ConfigView {
+    /// Parses what `store` holds; an object that cannot be read keeps its part of `previous`.
+    pub fn build(store: &ConfigStore, previous: &ConfigView) -> ConfigView {
+        let mut view = ConfigView::default();
+        for stored in store.iter() {
+            view.add(stored, previous);
+        }
+        let workspaces = view.workspaces.values();
+        let keys = workspaces.flat_map(|workspace| {
+            let by_key = |hash: &String| (hash.to_lowercase(), workspace.name.clone());
+            workspace.key_sha256.iter().map(by_key).collect::<Vec<_>>()
+        });
+        view.workspace_by_key = keys.collect();
+        view
+    }
+
+    fn add(&mut self, stored: &Stored, previous: &ConfigView) {
+        let Some(text) = &stored.text else { return };
+        match object_kind(&stored.name) {
+            ObjectKind::Fleet => self.add_fleet(text, previous),
+            ObjectKind::Workspace(name) => self.add_workspace(name, text, previous),
+            ObjectKind::Other => {}
+        }
+    }
+
+    fn add_fleet(&mut self, text: &str, previous: &ConfigView) {
+        match serde_json::from_str::<Fleet>(text) {
+            Ok(fleet) => {
+                self.fleet = Arc::new(fleet);
+                self.has_fleet = true;
+            }
+            Err(_) => {
+                self.fleet = previous.fleet.clone();
+                self.has_fleet = previous.has_fleet;
+                self.unreadable.push("fleet".to_string());
+            }
+        }
+    }
+
+    fn add_workspace(&mut self, name: &str, text: &str, previous: &ConfigView) {
+        let parsed = serde_json::from_str::<Workspace>(text);
+        let workspace = match parsed {
+            Ok(workspace) if workspace.name == name => Some(Arc::new(workspace)),
+            _ => {
+                self.unreadable.push(format!("workspaces/{name}"));
+                previous.workspaces.get(name).cloned()
+            }
+        };
+        if let Some(workspace) = workspace {
+            self.workspaces.insert(name.to_string(), workspace);
+        }
+    }
+
+    /// Whether a fleet is known, without which nothing can be served.
+    pub fn is_usable(&self) -> bool {
+        self.has_fleet
+    }
+
+    /// The fleet.
+    pub fn fleet(&self) -> &Arc<Fleet> {
+        &self.fleet
+    }
+
+    /// The workspace with this name.
+    pub fn workspace(&self, name: &str) -> Option<&Arc<Workspace>> {
+        self.workspaces.get(name)
+    }
+
+    /// All workspaces, by name.
+    pub fn workspaces(&self) -> impl Iterator<Item = &Arc<Workspace>> {
+        self.workspaces.values()
+    }
+
+    /// The workspace to which a key belongs.
+    pub fn workspace_of_key(&self, key: &str) -> Option<&Arc<Workspace>> {
+        let name = self.workspace_by_key.get(&key_sha256(key))?;
+        self.workspaces.get(name)
+    }
+
+    /// Objects whose newest version cannot be read.
+    pub fn unreadable(&self) -> &[String] {
+        &self.unreadable
+    }
+}
--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod code;
+pub mod config;
 mod hint;
 mod lifecycle;
 mod reading;
