Keep the configuration in force and check a host's settings

Cause: a host has to hold every workspace's newest configuration with the platform away, and refuse wrong settings. Ruled out: every host watching the platform, whose waiting watches would grow with the fleet. Conclusion: ready to be wired; the neighbours' side waits for the peer protocol.

--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -1,5 +1,8 @@
 //! An entry host: settings, wiring, life cycle and the path of a request.
 
 mod clock;
+pub mod configuration;
+mod settings;
 
 pub use clock::{Clock, ManualClock, SystemClock};
+pub use settings::{PolicyName, Settings, SettingsError, settings};
