Plan the stages of split models and assemble tokens

Cause: a split model needs a plan whose ranges tile all layers once, and tokens of a stage that comes back late must not reach the caller twice or out of order.

Change: core::split finds the tiling with the least time per token: a backward pass over layer boundaries gives lower bounds, a best-first search uses them and lets each server run one stage only. A plain shortest path was ruled out: it may use a server for two stages, whose second step the engine refuses as done. core::stream takes a token only of the current attempt and the next position.

--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -5,6 +5,8 @@
 mod hint;
 mod lifecycle;
 mod reading;
+pub mod split;
+pub mod stream;
 mod time;
 
 pub use admission::{Admission, Target};
--- /dev/null
+++ b/crates/godwit-core/src/split/link.rs
@@ -0,0 +1,51 @@
+//! Cost of passing activations from one stage to the next.
+
+use crate::split::StageHolder;
+
+/// Cost of one link, the same in both directions.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LinkCost {
+    /// Server or failure domain at one end.
+    pub a: String,
+    /// Server or failure domain at the other end.
+    pub b: String,
+    /// Time of one step over the link, in microseconds.
+    pub step_us: u64,
+}
+
+impl LinkCost {
+    fn joins(&self, from: &str, to: &str) -> bool {
+        (self.a == from && self.b == to) || (self.a == to && self.b == from)
+    }
+}
+
+/// Costs of all links; a pair of servers goes before the pair of their failure domains.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Links {
+    /// Links with a cost of their own.
+    pub costs: Vec<LinkCost>,
+    /// Time of one step between two servers of a failure domain, in microseconds.
+    pub same_domain_us: u64,
+    /// Time of one step between failure domains that no entry names, in microseconds.
+    pub other_domain_us: u64,
+}
+
+impl Links {
+    /// Time of one step between two stages, in microseconds.
+    pub fn step_us(&self, from: &StageHolder, to: &StageHolder) -> u64 {
+        if let Some(step_us) = self.named(&from.server, &to.server) {
+            return step_us;
+        }
+        if let Some(step_us) = self.named(&from.failure_domain, &to.failure_domain) {
+            return step_us;
+        }
+        if from.failure_domain == to.failure_domain {
+            return self.same_domain_us;
+        }
+        self.other_domain_us
+    }
+
+    fn named(&self, from: &str, to: &str) -> Option<u64> {
+        self.costs.iter().find(|cost| cost.joins(from, to)).map(|cost| cost.step_us)
+    }
+}
--- /dev/null
+++ b/crates/godwit-core/src/split/plan.rs
@@ -0,0 +1,81 @@
+//! The stage plan: which server runs which layers.
+
+use std::collections::BTreeSet;
+
+use godwit_schema::engine::Stage;
+
+use crate::split::Links;
+use crate::split::search::Search;
+
+/// A server that holds the layers `[layer_from, layer_to)` of a model; a stage may run any part of them.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StageHolder {
+    /// Name of the server.
+    pub server: String,
+    /// `IP:PORT` of the server.
+    pub address: String,
+    /// Failure domain of the server.
+    pub failure_domain: String,
+    /// First layer held.
+    pub layer_from: u32,
+    /// Layer after the last held.
+    pub layer_to: u32,
+    /// Time of one token in one layer, in microseconds.
+    pub layer_us: u64,
+    /// Time that each token takes on the server besides its layers, in microseconds.
+    pub step_us: u64,
+}
+
+impl StageHolder {
+    /// Time of one token in the layers `[layer_from, layer_to)`, in microseconds.
+    pub(crate) fn stage_us(&self, layer_from: u32, layer_to: u32) -> u64 {
+        let layers = u64::from(layer_to.saturating_sub(layer_from));
+        self.step_us.saturating_add(self.layer_us.saturating_mul(layers))
+    }
+}
+
+/// Stages that run every layer once, in order; no server runs two of them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The stages, in order; their ranges tile `[0, layers)`.
+    pub stages: Vec<Stage>,
+    /// Time of one token through all stages and links, in microseconds.
+    pub token_us: u64,
+}
+
+/// The plan with the least time per token, or none when the servers left do not cover all layers.
+///
+/// The same holders in any order give the same plan.
+///
+/// ```
+/// use std::collections::BTreeSet;
+/// use godwit_core::split::{Links, StageHolder, plan};
+/// let holder = |server: &str, layer_from, layer_to| StageHolder {
+///     server: server.to_string(),
+///     address: "127.0.0.1:1".to_string(),
+///     failure_domain: "hall-a".to_string(),
+///     layer_from,
+///     layer_to,
+///     layer_us: 10,
+///     step_us: 0,
+/// };
+/// let holders = [holder("s1", 0, 5), holder("s2", 3, 8), holder("s3", 4, 8)];
+/// let excluded = BTreeSet::from(["s2".to_string()]);
+/// let plan = plan(8, &holders, &Links::default(), &excluded).unwrap();
+/// let ranges: Vec<_> = plan.stages.iter().map(|s| (s.layer_from, s.layer_to)).collect();
+/// assert_eq!(ranges, [(0, 4), (4, 8)]);
+/// ```
+pub fn plan(
+    layers: u32,
+    holders: &[StageHolder],
+    links: &Links,
+    excluded: &BTreeSet<String>,
+) -> Option<Plan> {
+    let mut usable: Vec<&StageHolder> = holders
+        .iter()
+        .filter(|holder| holder.layer_from < holder.layer_to.min(layers))
+        .filter(|holder| !excluded.contains(&holder.server))
+        .collect();
+    usable.sort_by_key(|holder| (&holder.server, holder.layer_from, holder.layer_to));
+    Search::new(layers, &usable, links).run()
+}
