Add the clients of engines and plain services

Cause: the host needs to know of each call whether it may have run, and must never take a cut answer for a whole one.

Change: godwit-engine reads streams in a thread and passes them through a bounded channel, so that silence is noticed by the consumer; only a refused connection and a refusal that ran nothing give NeverSent. godwit-service forwards one call. minreq was ruled out for services: its source takes the end of the connection for the end of headers and of chunked bodies; heads go through httparse, chunks through chunked_transfer instead. An answer without Content-Length and chunks is an error, since it cannot be told from a cut one.

--- /dev/null
+++ b/crates/godwit-engine/src/reader.rs
@@ -0,0 +1,107 @@
+//! The thread that reads one stream.
+
+use std::io::{BufRead, BufReader, Read};
+
+use flume::Sender;
+use godwit_core::NeverSent;
+use godwit_schema::engine::{
+    EngineRefusal, FinishReason, GenerateEvent, GenerateEventKind, RefusalReason,
+};
+use minreq::{Request, ResponseLazy};
+
+use crate::http::{STATUS_OK, is_timeout, never_sent, read_refusal};
+use crate::{LossCause, StreamEvent};
+
+/// Most bytes of one line of a stream.
+const LINE_LIMIT_BYTES: u64 = 256 * 1024;
+
+/// Sends the request and passes its events on until the last one, or until nobody listens.
+pub(crate) fn run(request: Request, events: &Sender<StreamEvent>) {
+    let last = match request.send_lazy() {
+        Ok(response) if response.status_code == STATUS_OK => read_lines(response, events),
+        Ok(response) => Some(refused(response)),
+        Err(error) => Some(not_answered(&error)),
+    };
+    if let Some(event) = last {
+        // Nobody listening means that the attempt was given up.
+        let _ = events.send(event);
+    }
+}
+
+fn read_lines(response: ResponseLazy, events: &Sender<StreamEvent>) -> Option<StreamEvent> {
+    let mut reader = BufReader::new(response);
+    loop {
+        let event = next_event(&mut reader);
+        if event.is_last() {
+            return Some(event);
+        }
+        if events.send(event).is_err() {
+            return None;
+        }
+    }
+}
+
+fn next_event(reader: &mut BufReader<ResponseLazy>) -> StreamEvent {
+    let mut line = Vec::new();
+    let read = reader.by_ref().take(LINE_LIMIT_BYTES).read_until(b'\n', &mut line);
+    match read {
+        Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
+            StreamEvent::Lost(LossCause::TimedOut)
+        }
+        Err(error) => StreamEvent::Lost(LossCause::Closed(error.to_string())),
+        // A line without its end is cut, even if what came of it parses.
+        Ok(_) if line.last() != Some(&b'\n') => {
+            StreamEvent::Lost(LossCause::Closed("the stream ended before its last event".into()))
+        }
+        Ok(_) => match serde_json::from_slice::<GenerateEvent>(&line) {
+            Ok(event) => to_event(event),
+            Err(error) => StreamEvent::Lost(LossCause::Malformed(error.to_string())),
+        },
+    }
+}
+
+fn to_event(event: GenerateEvent) -> StreamEvent {
+    match event.kind {
+        GenerateEventKind::Token => match event.token {
+            Some(token) => {
+                StreamEvent::Token { attempt: event.attempt, position: event.position, token }
+            }
+            None => StreamEvent::Lost(LossCause::Malformed("token event without a token".into())),
+        },
+        GenerateEventKind::Done => StreamEvent::Done {
+            attempt: event.attempt,
+            count: event.position,
+            finish_reason: event.finish_reason.unwrap_or(FinishReason::Stop),
+        },
+        GenerateEventKind::Error => StreamEvent::Failed {
+            failed_server: event.failed_server,
+            message: event.message.unwrap_or_default(),
+        },
+    }
+}
+
+fn refused(response: ResponseLazy) -> StreamEvent {
+    let status = response.status_code;
+    match read_refusal(response) {
+        Some(refusal) => from_refusal(refusal),
+        None => StreamEvent::Lost(LossCause::Closed(format!("status {status} without a refusal"))),
+    }
+}
+
+fn from_refusal(refusal: EngineRefusal) -> StreamEvent {
+    let EngineRefusal { reason, failed_server, message } = refusal;
+    if reason == RefusalReason::StageFailed {
+        return StreamEvent::Failed { failed_server, message };
+    }
+    StreamEvent::Refused { proof: NeverSent::refused_by_server(), reason, message }
+}
+
+fn not_answered(error: &minreq::Error) -> StreamEvent {
+    if let Some(proof) = never_sent(error) {
+        return StreamEvent::Unreachable { proof, message: error.to_string() };
+    }
+    if is_timeout(error) {
+        return StreamEvent::Lost(LossCause::TimedOut);
+    }
+    StreamEvent::Lost(LossCause::Closed(error.to_string()))
+}
--- /dev/null
+++ b/crates/godwit-service/src/call.rs
@@ -0,0 +1,92 @@
+//! One call of a plain service.
+
+use std::io::Write;
+use std::time::Duration;
+
+use godwit_core::UnixMs;
+
+use crate::connection::{Connection, after_send};
+use crate::headers::{Header, forwarded, is_writable};
+use crate::{ServiceError, reply};
+
+/// A call to forward.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceCall<'a> {
+    /// Method of the call.
+    pub method: &'a str,
+    /// Path with its query, beginning with `/`.
+    pub path: &'a str,
+    /// Headers of the caller; those that concern one connection only are left out.
+    pub headers: &'a [Header],
+    /// Body of the call.
+    pub body: &'a [u8],
+    /// Most bytes of the answer's body.
+    pub answer_limit_bytes: u64,
+}
+
+/// A whole answer of a service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceReply {
+    /// Status of the answer.
+    pub status: u16,
+    /// Headers, without those that concern one connection only.
+    pub headers: Vec<Header>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+/// Sends a call once and reads its whole answer before the deadline.
+///
+/// # Errors
+/// [`ServiceError::NeverSent`] only when no connection could be opened or the call cannot be written as a request;
+/// everything that goes wrong after the first byte may have left is one of the others.
+///
+/// ```
+/// use godwit_core::UnixMs;
+/// use godwit_service::{ServiceCall, ServiceError, forward};
+/// let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+/// let call = ServiceCall {
+///     method: "POST",
+///     path: "/orders",
+///     headers: &[],
+///     body: b"{}",
+///     answer_limit_bytes: 1024,
+/// };
+/// let error = forward(&call, &closed.to_string(), UnixMs(1_000), UnixMs(0)).unwrap_err();
+/// assert!(matches!(error, ServiceError::NeverSent { .. }));
+/// ```
+pub fn forward(
+    call: &ServiceCall,
+    address: &str,
+    deadline: UnixMs,
+    now: UnixMs,
+) -> Result<ServiceReply, ServiceError> {
+    let head = write_head(call, address)?;
+    let wait = Duration::from_millis(deadline.since_ms(now));
+    if wait.is_zero() {
+        return Err(ServiceError::never_sent("the deadline has passed"));
+    }
+    let mut connection = Connection::open(address, wait)?;
+    connection.write_all(&head).map_err(|error| after_send(&error))?;
+    connection.write_all(call.body).map_err(|error| after_send(&error))?;
+    reply::read_reply(connection, call.method == "HEAD", call.answer_limit_bytes)
+}
+
+fn write_head(call: &ServiceCall, address: &str) -> Result<Vec<u8>, ServiceError> {
+    let method_is_token =
+        !call.method.is_empty() && call.method.bytes().all(|byte| byte.is_ascii_alphabetic());
+    let path_is_plain =
+        call.path.starts_with('/') && call.path.bytes().all(|byte| byte.is_ascii_graphic());
+    if !method_is_token || !path_is_plain {
+        return Err(ServiceError::never_sent("the method or path cannot be written"));
+    }
+    let mut head = format!("{} {} HTTP/1.1\r\nHost: {address}\r\n", call.method, call.path);
+    for header in forwarded(call.headers) {
+        if !is_writable(header) {
+            return Err(ServiceError::never_sent("a header cannot be written"));
+        }
+        head.push_str(&format!("{}: {}\r\n", header.name, header.value));
+    }
+    head.push_str(&format!("Content-Length: {}\r\nConnection: close\r\n\r\n", call.body.len()));
+    Ok(head.into_bytes())
+}
