--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -6,6 +6,8 @@
 mod hint;
 mod lifecycle;
 mod reading;
+pub mod split;
+pub mod stream;
 mod time;
 
 pub use admission::{Admission, Target};
