--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -2,12 +2,15 @@
 
 mod admission;
 mod code;
+pub mod config;
 mod hint;
 mod lifecycle;
 pub mod limit;
 pub mod queue;
 mod reading;
 pub mod route;
+pub mod split;
+pub mod stream;
 mod time;
 
 pub use admission::{Admission, Target};
--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -1,6 +1,9 @@
 //! An entry host: settings, wiring, life cycle and the path of a request.
 
 mod clock;
+pub mod configuration;
 pub mod placement;
+mod settings;
 
 pub use clock::{Clock, ManualClock, SystemClock};
+pub use settings::{PolicyName, Settings, SettingsError, settings};
