Add the operators' command on objects, rules, events, hosts and servers

Cause: operators drive the product by editing rules and events and by draining; they need one command for it. Change: get, apply, rules, events, drain, undrain, hosts, servers, dump, status; a write is checked whole, goes out at the version that was read, and a lost race shows the difference and changes nothing.

--- /dev/null
+++ b/crates/godwit-ctl/src/cli.rs
@@ -0,0 +1,338 @@
+//! The command line: parsing and the way to each command.
+
+use std::process::ExitCode;
+
+use bpaf::{Bpaf, Parser};
+
+use crate::command::events::{self, set::Wanted};
+use crate::command::rules::{self, explain::Asked};
+use crate::command::{fleet, host, object};
+use crate::error::CtlError;
+use crate::output::Format;
+use crate::store::Store;
+
+/// What all commands share.
+#[derive(Bpaf, Clone, Debug)]
+struct Common {
+    /// Address of the platform's Object API
+    #[bpaf(
+        long("platform-address"),
+        env("GODWIT_PLATFORM_ADDRESS"),
+        argument("IP:PORT"),
+        fallback("127.0.0.1:7000".to_string()),
+        display_fallback
+    )]
+    platform_address: String,
+    /// Output as JSON for programs
+    #[bpaf(long("json"))]
+    is_json: bool,
+}
+
+#[derive(Bpaf, Clone, Debug)]
+enum RulesCommand {
+    /// Lists the rules of a workspace in their order
+    #[bpaf(command("list"))]
+    List {
+        #[bpaf(external(common))]
+        common: Common,
+        /// Workspace
+        #[bpaf(positional("WORKSPACE"))]
+        workspace: String,
+    },
+    /// Moves a rule to a place counted from 1, for example `godwitctl rules move farm late-notes 1`
+    #[bpaf(command("move"))]
+    Move {
+        #[bpaf(external(common))]
+        common: Common,
+        /// Workspace
+        #[bpaf(positional("WORKSPACE"))]
+        workspace: String,
+        /// Rule
+        #[bpaf(positional("RULE"))]
+        rule: String,
+        /// Place, counted from 1
+        #[bpaf(positional("PLACE"))]
+        place: usize,
+    },
+    /// Adds a rule, for example
+    /// `godwitctl rules add farm '{"name":"no-notes","when":{"kinds":["note"]},"refuse":{"reason":"closed"}}' --place 1`
+    #[bpaf(command("add"))]
+    Add {
+        #[bpaf(external(common))]
+        common: Common,
+        /// Place, counted from 1; at the end when absent
+        #[bpaf(long("place"), argument("PLACE"))]
+        place: Option<usize>,
+        /// Workspace
+        #[bpaf(positional("WORKSPACE"))]
+        workspace: String,
+        /// The rule as JSON
+        #[bpaf(positional("RULE"))]
+        rule: String,
+    },
+    /// Removes a rule
+    #[bpaf(command("remove"))]
+    Remove {
+        #[bpaf(external(common))]
+        common: Common,
+        /// Workspace
+        #[bpaf(positional("WORKSPACE"))]
+        workspace: String,
+        /// Rule
+        #[bpaf(positional("RULE"))]
+        rule: String,
+    },
+    /// Tells which rule a request would match and why, for example
+    /// `godwitctl rules explain farm --kind confirmation --event friday`
+    #[bpaf(command("explain"))]
+    Explain {
+        #[bpaf(external(common))]
+        common: Common,
+        #[bpaf(external(asked))]
+        asked: Asked,
+        /// Workspace
+        #[bpaf(positional("WORKSPACE"))]
+        workspace: String,
+    },
+}
+
+fn asked() -> impl Parser<Asked> {
+    let kind = bpaf::long("kind").help("Kind of the request").argument::<String>("KIND");
+    let event = bpaf::long("event").help("Event of the request").argument::<String>("EVENT").optional();
+    let model = bpaf::long("model").help("Model of the request").argument::<String>("MODEL").optional();
+    let prompt_bytes = bpaf::long("prompt-bytes")
+        .help("Length of the prompt or body")
+        .argument::<u64>("BYTES")
+        .fallback(0);
+    let path = bpaf::long("path")
+        .help("Path of the request")
+        .argument::<String>("PATH")
+        .fallback("/v1/chat/completions".to_string());
+    bpaf::construct!(Asked { kind, event, model, prompt_bytes, path })
+}
+
+#[derive(Bpaf, Clone, Debug)]
+enum EventsCommand {
+    /// Lists the events of a workspace
+    #[bpaf(command("list"))]
+    List {
+        #[bpaf(external(common))]
+        common: Common,
+        /// Workspace
+        #[bpaf(positional("WORKSPACE"))]
+        workspace: String,
+    },
+    /// Creates or changes an event, for example
+    /// `godwitctl events set farm friday --start-unix-ms 1796400000000 --kind confirmation`
+    #[bpaf(command("set"))]
+    Set {
+        #[bpaf(external(common))]
+        common: Common,
+        /// Start in Unix milliseconds
+        #[bpaf(long("start-unix-ms"), argument("MS"))]
+        start_unix_ms: Option<u64>,
+        /// Kind tied to the event; may be given many times
+        #[bpaf(long("kind"), argument("KIND"))]
+        kinds: Vec<String>,
+        /// Ledger objects over which the claims are spread; fixed once set
+        #[bpaf(long("ledger-slices"), argument("COUNT"))]
+        ledger_slices: Option<u32>,
+        /// Workspace
+        #[bpaf(positional("WORKSPACE"))]
+        workspace: String,
+        /// Event
+        #[bpaf(positional("EVENT"))]
+        event: String,
+    },
+    /// Removes an event that is over
+    #[bpaf(command("remove"))]
+    Remove {
+        #[bpaf(external(common))]
+        common: Common,
+        /// Workspace
+        #[bpaf(positional("WORKSPACE"))]
+        workspace: String,
+        /// Event
+        #[bpaf(positional("EVENT"))]
+        event: String,
+    },
+}
+
+/// Operators' command of godwitdeal.
+///
+/// Exit codes: 0 done, 1 failed, 2 wrong usage, 3 lost race, 4 wrong configuration, 5 platform away, 6 outcome of a
+/// write unknown, 7 not found.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options("godwitctl"), version, generate(command_line))]
+enum Command {
+    /// Prints a configuration object in the form that `apply` takes, or the list of all objects
+    #[bpaf(command("get"))]
+    Get {
+        #[bpaf(external(common))]
+        common: Common,
+        /// Object such as `config/fleet` or `config/workspaces/farm`
+        #[bpaf(positional("OBJECT"))]
+        name: Option<String>,
+    },
+    /// Writes an object at the version that its file names, for example
+    /// `godwitctl get config/fleet > fleet.json`, edit, `godwitctl apply fleet.json`
+    #[bpaf(command("apply"))]
+    Apply {
+        #[bpaf(external(common))]
+        common: Common,
+        /// File in the form that `get` prints; `-` reads standard input
+        #[bpaf(positional("FILE"))]
+        path: String,
+    },
+    /// Rules of a workspace
+    #[bpaf(command("rules"))]
+    Rules(#[bpaf(external(rules_command))] RulesCommand),
+    /// Events of a workspace
+    #[bpaf(command("events"))]
+    Events(#[bpaf(external(events_command))] EventsCommand),
+    /// Gives no new work to an entry host or backend server
+    #[bpaf(command("drain"))]
+    Drain {
+        #[bpaf(external(common))]
+        common: Common,
+        /// Entry host or backend server
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// Ends a drain
+    #[bpaf(command("undrain"))]
+    Undrain {
+        #[bpaf(external(common))]
+        common: Common,
+        /// Entry host or backend server
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// Entry hosts of the platform's list, each asked for its state
+    #[bpaf(command("hosts"))]
+    Hosts {
+        #[bpaf(external(common))]
+        common: Common,
+    },
+    /// Backend servers as a host sees them
+    #[bpaf(command("servers"))]
+    Servers {
+        #[bpaf(external(common))]
+        common: Common,
+        /// Host by name, or its operator address
+        #[bpaf(positional("HOST"))]
+        host: String,
+    },
+    /// Everything that a host holds in memory, as JSON
+    #[bpaf(command("dump"))]
+    Dump {
+        #[bpaf(external(common))]
+        common: Common,
+        /// Host by name, or its operator address
+        #[bpaf(positional("HOST"))]
+        host: String,
+    },
+    /// Short view of a host and its neighbours
+    #[bpaf(command("status"))]
+    Status {
+        #[bpaf(external(common))]
+        common: Common,
+        /// Host by name, or its operator address
+        #[bpaf(positional("HOST"))]
+        host: String,
+    },
+}
+
+fn parts(common: &Common) -> (Store, Format) {
+    (Store::new(&common.platform_address), Format::new(common.is_json))
+}
+
+fn run_rules(command: &RulesCommand) -> Result<(), CtlError> {
+    match command {
+        RulesCommand::List { common, workspace } => {
+            let (store, format) = parts(common);
+            rules::list::run(&store, workspace, format)
+        }
+        RulesCommand::Move { common, workspace, rule, place } => {
+            rules::r#move::run(&parts(common).0, workspace, rule, *place)
+        }
+        RulesCommand::Add { common, place, workspace, rule } => {
+            rules::add::run(&parts(common).0, workspace, rule, *place)
+        }
+        RulesCommand::Remove { common, workspace, rule } => {
+            rules::remove::run(&parts(common).0, workspace, rule)
+        }
+        RulesCommand::Explain { common, asked, workspace } => {
+            let (store, format) = parts(common);
+            rules::explain::run(&store, workspace, asked, format)
+        }
+    }
+}
+
+fn run_events(command: &EventsCommand) -> Result<(), CtlError> {
+    match command {
+        EventsCommand::List { common, workspace } => {
+            let (store, format) = parts(common);
+            events::list::run(&store, workspace, format)
+        }
+        EventsCommand::Set { common, start_unix_ms, kinds, ledger_slices, workspace, event } => {
+            let wanted = Wanted {
+                name: event.clone(),
+                start_unix_ms: *start_unix_ms,
+                kinds: kinds.clone(),
+                ledger_slices: *ledger_slices,
+            };
+            events::set::run(&parts(common).0, workspace, &wanted)
+        }
+        EventsCommand::Remove { common, workspace, event } => {
+            events::remove::run(&parts(common).0, workspace, event)
+        }
+    }
+}
+
+fn run_command(command: &Command) -> Result<(), CtlError> {
+    match command {
+        Command::Get { common, name } => {
+            let (store, format) = parts(common);
+            object::get::run(&store, name.as_deref(), format)
+        }
+        Command::Apply { common, path } => object::apply::run(&parts(common).0, path),
+        Command::Rules(rules) => run_rules(rules),
+        Command::Events(events) => run_events(events),
+        Command::Drain { common, name } => fleet::drain::run(&parts(common).0, name),
+        Command::Undrain { common, name } => fleet::undrain::run(&parts(common).0, name),
+        Command::Hosts { common } => {
+            let (store, format) = parts(common);
+            fleet::hosts::run(&store, format)
+        }
+        Command::Servers { common, host } => {
+            let (store, format) = parts(common);
+            fleet::servers::run(&host::operator_address(&store, host)?, format)
+        }
+        Command::Dump { common, host } => {
+            host::dump::run(&host::operator_address(&parts(common).0, host)?)
+        }
+        Command::Status { common, host } => {
+            let (store, format) = parts(common);
+            host::status::run(&host::operator_address(&store, host)?, format)
+        }
+    }
+}
+
+/// Parses the command line, runs the command and returns its exit code.
+pub fn run() -> ExitCode {
+    let command = match command_line().try_run() {
+        Ok(command) => command,
+        Err(failure) => {
+            failure.print_message(100);
+            return if failure.exit_code() == 0 { ExitCode::SUCCESS } else { ExitCode::from(2) };
+        }
+    };
+    match run_command(&command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-ctl/src/command/host/dump.rs
@@ -0,0 +1,11 @@
+//! `godwitctl dump`: everything that a host holds in memory.
+
+use godwit_operator::OperatorClient;
+
+use crate::error::CtlError;
+use crate::output::print_json;
+
+/// Prints the state dump of the host at `operator_address`.
+pub(crate) fn run(operator_address: &str) -> Result<(), CtlError> {
+    print_json(&OperatorClient::new(operator_address).dump()?)
+}
--- /dev/null
+++ b/crates/godwit-ctl/src/command/host/mod.rs
@@ -0,0 +1,18 @@
+//! Commands that ask one host.
+
+pub(crate) mod dump;
+pub(crate) mod status;
+
+use crate::error::CtlError;
+use crate::store::Store;
+
+/// Operator address of a host given by its name, or by `IP:PORT` itself.
+pub(crate) fn operator_address(store: &Store, host: &str) -> Result<String, CtlError> {
+    if host.parse::<std::net::SocketAddr>().is_ok() {
+        return Ok(host.to_string());
+    }
+    let listed = store.hosts()?;
+    let found = listed.into_iter().find(|listed| listed.name == host);
+    let address = found.and_then(|listed| listed.operator_address);
+    address.ok_or_else(|| CtlError::NotFound { what: "entry host", name: host.to_string() })
+}
--- /dev/null
+++ b/crates/godwit-ctl/src/command/mod.rs
@@ -0,0 +1,7 @@
+//! The commands, one file each, in a folder for each family.
+
+pub(crate) mod events;
+pub(crate) mod fleet;
+pub(crate) mod host;
+pub(crate) mod object;
+pub(crate) mod rules;
--- /dev/null
+++ b/crates/godwit-ctl/src/command/object/mod.rs
@@ -0,0 +1,4 @@
+//! Commands on whole configuration objects.
+
+pub(crate) mod apply;
+pub(crate) mod get;
--- /dev/null
+++ b/crates/godwit-ctl/src/command/rules/move.rs
@@ -0,0 +1,14 @@
+//! `godwitctl rules move`: gives a rule another place.
+
+use crate::edit;
+use crate::error::CtlError;
+use crate::store::Store;
+
+/// Moves a rule to a place, counted from 1; places beyond the end mean the end.
+pub(crate) fn run(store: &Store, workspace: &str, rule: &str, place: usize) -> Result<(), CtlError> {
+    let mut read = edit::read_workspace(store, workspace)?;
+    let moved = read.value.rules.remove(super::position(&read.value, rule)?);
+    let index = place.saturating_sub(1).min(read.value.rules.len());
+    read.value.rules.insert(index, moved);
+    edit::write_and_report(store, &read.name, read.version, &read.value)
+}
--- /dev/null
+++ b/crates/godwit-ctl/src/edit.rs
@@ -0,0 +1,169 @@
+//! Changes of configuration objects: read, check, write at the version that was read.
+
+use godwit_core::UnixMs;
+use godwit_core::config::{
+    FLEET_OBJECT, Finding, ObjectKind, Severity, check_fleet, check_fleet_change, check_workspace,
+    check_workspace_change, object_kind, workspace_object,
+};
+use godwit_host::{Clock, SystemClock};
+use godwit_schema::config::{Fleet, Workspace};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use similar::TextDiff;
+
+use crate::error::CtlError;
+use crate::store::{Store, WriteFailure};
+
+/// An object with the version at which it was read.
+#[derive(Clone, Debug)]
+pub(crate) struct Read<T> {
+    pub(crate) name: String,
+    pub(crate) version: u64,
+    pub(crate) value: T,
+}
+
+fn read<T: DeserializeOwned>(store: &Store, name: &str) -> Result<Option<Read<T>>, CtlError> {
+    let Some(object) = store.read(name)? else { return Ok(None) };
+    let value = serde_json::from_value(object.value)?;
+    Ok(Some(Read { name: object.name, version: object.version, value }))
+}
+
+/// Reads a workspace.
+pub(crate) fn read_workspace(store: &Store, workspace: &str) -> Result<Read<Workspace>, CtlError> {
+    let found = read(store, &workspace_object(workspace))?;
+    found.ok_or_else(|| CtlError::NotFound { what: "workspace", name: workspace.to_string() })
+}
+
+/// Reads the fleet.
+pub(crate) fn read_fleet(store: &Store) -> Result<Read<Fleet>, CtlError> {
+    let found = read(store, FLEET_OBJECT)?;
+    found.ok_or_else(|| CtlError::NotFound { what: "object", name: FLEET_OBJECT.to_string() })
+}
+
+fn now() -> UnixMs {
+    SystemClock.now()
+}
+
+fn findings(store: &Store, name: &str, value: &Value) -> Result<Vec<Finding>, CtlError> {
+    match object_kind(name) {
+        ObjectKind::Fleet => fleet_findings(store, value),
+        ObjectKind::Workspace(workspace) => workspace_findings(store, workspace, value),
+        ObjectKind::Other => Ok(Vec::new()),
+    }
+}
+
+fn unreadable(error: &serde_json::Error) -> Vec<Finding> {
+    let (path, message) = (String::from("."), error.to_string());
+    vec![Finding { severity: Severity::Error, path, message }]
+}
+
+fn fleet_findings(store: &Store, value: &Value) -> Result<Vec<Finding>, CtlError> {
+    let fleet: Fleet = match serde_json::from_value(value.clone()) {
+        Ok(fleet) => fleet,
+        Err(error) => return Ok(unreadable(&error)),
+    };
+    let mut found = check_fleet(&fleet);
+    let mut workspaces = Vec::new();
+    for head in store.list(&workspace_object(""))? {
+        workspaces.extend(read::<Workspace>(store, &head.name)?.map(|read| read.value));
+    }
+    found.extend(check_fleet_change(&fleet, workspaces.iter()));
+    Ok(found)
+}
+
+fn workspace_findings(store: &Store, name: &str, value: &Value) -> Result<Vec<Finding>, CtlError> {
+    let workspace: Workspace = match serde_json::from_value(value.clone()) {
+        Ok(workspace) => workspace,
+        Err(error) => return Ok(unreadable(&error)),
+    };
+    let fleet = read::<Fleet>(store, FLEET_OBJECT)?.map(|read| read.value);
+    let mut found = check_workspace(&workspace, fleet.as_ref());
+    if workspace.name != name {
+        found.push(Finding {
+            severity: Severity::Error,
+            path: "name".to_string(),
+            message: format!("the object is named for workspace `{name}`"),
+        });
+    }
+    if let Some(old) = read::<Workspace>(store, &workspace_object(name))? {
+        found.extend(check_workspace_change(&old.value, &workspace, now()));
+    }
+    Ok(found)
+}
+
+/// Checks and writes an object at the version at which it was read; returns the new version.
+pub(crate) fn write<T: Serialize>(
+    store: &Store,
+    name: &str,
+    read_version: u64,
+    value: &T,
+) -> Result<u64, CtlError> {
+    let value = serde_json::to_value(value)?;
+    let found = findings(store, name, &value)?;
+    for warning in found.iter().filter(|finding| finding.severity == Severity::Warning) {
+        eprintln!("warning: {}: {}", warning.path, warning.message);
+    }
+    let errors: Vec<Finding> =
+        found.into_iter().filter(|finding| finding.severity == Severity::Error).collect();
+    if !errors.is_empty() {
+        return Err(CtlError::Findings { object: name.to_string(), findings: errors });
+    }
+    match store.write(name, read_version, &value) {
+        Ok(version) => Ok(version),
+        Err(WriteFailure::Conflict) => lost_race(store, name, read_version, &value),
+        Err(WriteFailure::Away(message)) => Err(CtlError::PlatformAway(message)),
+        Err(WriteFailure::Unknown(message)) => settle(store, name, read_version, &value, message),
+    }
+}
+
+/// Reads an object back whose write was not answered.
+fn settle(
+    store: &Store,
+    name: &str,
+    read_version: u64,
+    value: &Value,
+    message: String,
+) -> Result<u64, CtlError> {
+    let unknown = || CtlError::WriteUnknown { object: name.to_string(), message: message.clone() };
+    let current = store.read(name).map_err(|_| unknown())?.ok_or_else(unknown)?;
+    if current.version > read_version && current.value == *value {
+        return Ok(current.version);
+    }
+    if current.version > read_version {
+        return lost_race(store, name, read_version, value);
+    }
+    Err(unknown())
+}
+
+fn lost_race(
+    store: &Store,
+    name: &str,
+    read_version: u64,
+    value: &Value,
+) -> Result<u64, CtlError> {
+    let current = store.read(name)?;
+    let current_version = current.as_ref().map_or(0, |object| object.version);
+    let current_text = match &current {
+        Some(object) => serde_json::to_string_pretty(&object.value)?,
+        None => String::new(),
+    };
+    let wanted_text = serde_json::to_string_pretty(value)?;
+    let difference = TextDiff::from_lines(&current_text, &wanted_text)
+        .unified_diff()
+        .header("current", "yours")
+        .to_string();
+    Err(CtlError::LostRace { object: name.to_string(), read_version, current_version, difference })
+}
+
+/// Writes and reports the new version.
+pub(crate) fn write_and_report<T: Serialize>(
+    store: &Store,
+    name: &str,
+    read_version: u64,
+    value: &T,
+) -> Result<(), CtlError> {
+    let version = write(store, name, read_version, value)?;
+    println!("object={name} version={version}");
+    Ok(())
+}
--- a/crates/godwit-ctl/src/lib.rs
+++ b/crates/godwit-ctl/src/lib.rs
@@ -1,1 +1,11 @@
 //! The operators' command, with demo and bench.
+
+mod cli;
+mod command;
+mod edit;
+mod error;
+mod output;
+mod store;
+
+pub use cli::run;
+pub use error::CtlError;
--- a/crates/godwit-ctl/src/main.rs
+++ b/crates/godwit-ctl/src/main.rs
@@ -1,3 +1,7 @@
-//! The process of an entry host; everything it does is in `godwit-host`.
+//! The operators' command of godwitdeal.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    godwit_ctl::run()
+}
--- /dev/null
+++ b/crates/godwit-ctl/src/store.rs
@@ -0,0 +1,63 @@
+//! The platform as the operators' command uses it.
+
+use godwit_platform::{Platform, PlatformSettings, WriteError};
+use godwit_schema::platform::{ListedHost, ObjectHead, ObjectReply};
+use serde_json::Value;
+
+use crate::error::CtlError;
+
+/// Longest time that one call takes.
+const CALL_TIMEOUT_MS: u64 = 5_000;
+
+/// Why a write is not known to be in force.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum WriteFailure {
+    /// The object has another version.
+    Conflict,
+    /// The platform was not reached or refused; nothing was written.
+    Away(String),
+    /// The write may take effect.
+    Unknown(String),
+}
+
+/// The platform's objects and hosts.
+pub(crate) struct Store {
+    platform: Platform,
+}
+
+fn away(error: impl std::fmt::Display) -> CtlError {
+    CtlError::PlatformAway(error.to_string())
+}
+
+impl Store {
+    pub(crate) fn new(address: &str) -> Store {
+        let settings =
+            PlatformSettings { call_timeout_ms: CALL_TIMEOUT_MS, ..PlatformSettings::default() };
+        Store { platform: Platform::new(address, settings) }
+    }
+
+    pub(crate) fn read(&self, name: &str) -> Result<Option<ObjectReply>, CtlError> {
+        self.platform.read(name).map_err(away)
+    }
+
+    pub(crate) fn list(&self, prefix: &str) -> Result<Vec<ObjectHead>, CtlError> {
+        self.platform.list(prefix).map(|reply| reply.objects).map_err(away)
+    }
+
+    pub(crate) fn hosts(&self) -> Result<Vec<ListedHost>, CtlError> {
+        self.platform.hosts().map(|reply| reply.hosts).map_err(away)
+    }
+
+    pub(crate) fn write(
+        &self,
+        name: &str,
+        if_version: u64,
+        value: &Value,
+    ) -> Result<u64, WriteFailure> {
+        self.platform.write(name, if_version, value).map_err(|error| match error {
+            WriteError::Conflict { .. } => WriteFailure::Conflict,
+            WriteError::Unknown { reason } => WriteFailure::Unknown(reason),
+            other => WriteFailure::Away(other.to_string()),
+        })
+    }
+}
