--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -3,8 +3,10 @@
 mod admission;
 mod code;
 mod hint;
+pub mod ledger;
 mod lifecycle;
 mod reading;
+pub mod store_budget;
 mod time;
 
 pub use admission::{Admission, Target};
