--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -4,12 +4,14 @@
 mod code;
 pub mod config;
 mod hint;
+pub mod ledger;
 mod lifecycle;
 pub mod limit;
 pub mod queue;
 mod reading;
 pub mod route;
 pub mod split;
+pub mod store_budget;
 pub mod stream;
 mod time;
 
--- a/crates/godwit-ctl/src/cli.rs
+++ b/crates/godwit-ctl/src/cli.rs
@@ -98,8 +98,10 @@
 
 fn asked() -> impl Parser<Asked> {
     let kind = bpaf::long("kind").help("Kind of the request").argument::<String>("KIND");
-    let event = bpaf::long("event").help("Event of the request").argument::<String>("EVENT").optional();
-    let model = bpaf::long("model").help("Model of the request").argument::<String>("MODEL").optional();
+    let event =
+        bpaf::long("event").help("Event of the request").argument::<String>("EVENT").optional();
+    let model =
+        bpaf::long("model").help("Model of the request").argument::<String>("MODEL").optional();
     let prompt_bytes = bpaf::long("prompt-bytes")
         .help("Length of the prompt or body")
         .argument::<u64>("BYTES")
--- a/crates/godwit-ctl/src/command/host/status.rs
+++ b/crates/godwit-ctl/src/command/host/status.rs
@@ -19,7 +19,10 @@
 }
 
 fn print_head(status: &HostStatus) {
-    println!("host={} failure_domain={} state={}", status.host, status.failure_domain, status.state);
+    println!(
+        "host={} failure_domain={} state={}",
+        status.host, status.failure_domain, status.state
+    );
     println!(
         "platform_reachable={} configuration_revision={} newest_heard_revision={} live_requests={}",
         status.platform_reachable,
--- a/crates/godwit-ctl/src/edit.rs
+++ b/crates/godwit-ctl/src/edit.rs
@@ -136,12 +136,7 @@
     Err(unknown())
 }
 
-fn lost_race(
-    store: &Store,
-    name: &str,
-    read_version: u64,
-    value: &Value,
-) -> Result<u64, CtlError> {
+fn lost_race(store: &Store, name: &str, read_version: u64, value: &Value) -> Result<u64, CtlError> {
     let current = store.read(name)?;
     let current_version = current.as_ref().map_or(0, |object| object.version);
     let current_text = match &current {
--- a/crates/godwit-ctl/src/error.rs
+++ b/crates/godwit-ctl/src/error.rs
@@ -10,7 +10,9 @@
     #[error("{0}")]
     Failed(String),
     /// The object was changed since it was read.
-    #[error("`{object}` was changed: read at version {read_version}, now at {current_version}; nothing was written\n{difference}")]
+    #[error(
+        "`{object}` was changed: read at version {read_version}, now at {current_version}; nothing was written\n{difference}"
+    )]
     LostRace {
         /// Name of the object.
         object: String,
@@ -33,7 +35,9 @@
     #[error("the platform does not answer: {0}; nothing was written")]
     PlatformAway(String),
     /// The platform's answer to a write was lost.
-    #[error("the answer to the write of `{object}` was lost: {message}; read it back with `godwitctl get {object}`")]
+    #[error(
+        "the answer to the write of `{object}` was lost: {message}; read it back with `godwitctl get {object}`"
+    )]
     WriteUnknown {
         /// Name of the object.
         object: String,
