Dispatch claimed requests over attempts, and keep a register of crash suspects

Cause: a claimed request has to end whole, truthfully not run, or unknown, whatever breaks on the way.

The life stays Dispatched once an attempt may have run, so that a later refused attempt cannot turn it into not-run. core::quarantine marks requests of lost servers, keeps suspects apart and refuses after two losses.

--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod config;
 mod hint;
 mod lifecycle;
+pub mod quarantine;
 mod reading;
 pub mod split;
 pub mod stream;
--- /dev/null
+++ b/crates/godwit-core/src/quarantine/marks.rs
@@ -0,0 +1,72 @@
+//! The marks of one request.
+
+use crate::UnixMs;
+
+/// How long a mark counts.
+pub const MARK_LIFETIME_MS: u64 = 15 * 60 * 1_000;
+/// Losses of one server this close together are one loss, seen by several hosts.
+const SAME_LOSS_MS: u64 = 2_000;
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Mark {
+    server: String,
+    expires_at: UnixMs,
+}
+
+impl Mark {
+    fn is_same_loss(&self, server: &str, expires_at: UnixMs) -> bool {
+        let apart_ms =
+            self.expires_at.since_ms(expires_at).max(expires_at.since_ms(self.expires_at));
+        self.server == server && apart_ms <= SAME_LOSS_MS
+    }
+}
+
+/// The losses that one request is suspected of.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Marks {
+    marks: Vec<Mark>,
+    cleared_at: Option<UnixMs>,
+}
+
+impl Marks {
+    /// Adds a mark; one that is known, expired or older than the last whole run adds nothing.
+    pub(crate) fn add(&mut self, server: &str, expires_at: UnixMs, now: UnixMs) {
+        let latest = now.plus_ms(MARK_LIFETIME_MS);
+        let expires_at = expires_at.min(latest);
+        let lost_at = expires_at.minus_ms(MARK_LIFETIME_MS);
+        let cleared = self.cleared_at.is_some_and(|cleared_at| lost_at <= cleared_at);
+        let known = self.marks.iter().any(|mark| mark.is_same_loss(server, expires_at));
+        if cleared || known || expires_at.is_past(now) {
+            return;
+        }
+        self.marks.push(Mark { server: server.to_string(), expires_at });
+    }
+
+    /// Forgets all marks of losses up to `now`.
+    pub(crate) fn clear(&mut self, now: UnixMs) {
+        self.marks.clear();
+        self.cleared_at = Some(now);
+    }
+
+    /// Losses that still count.
+    pub(crate) fn count(&self, now: UnixMs) -> usize {
+        self.marks.iter().filter(|mark| !mark.expires_at.is_past(now)).count()
+    }
+
+    /// Forgets what has expired.
+    pub(crate) fn expire(&mut self, now: UnixMs) {
+        self.marks.retain(|mark| !mark.expires_at.is_past(now));
+        self.cleared_at = self.cleared_at.filter(|at| !at.plus_ms(MARK_LIFETIME_MS).is_past(now));
+    }
+
+    /// Whether nothing is left to remember.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.marks.is_empty() && self.cleared_at.is_none()
+    }
+
+    /// When the last thing to remember expires.
+    pub(crate) fn last_expiry(&self) -> UnixMs {
+        let cleared = self.cleared_at.map(|at| at.plus_ms(MARK_LIFETIME_MS));
+        self.marks.iter().map(|mark| mark.expires_at).chain(cleared).max().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/godwit-core/src/quarantine/register.rs
@@ -0,0 +1,167 @@
+//! The register of suspects of one host.
+
+use std::collections::BTreeMap;
+
+use crate::quarantine::marks::{MARK_LIFETIME_MS, Marks};
+use crate::{Hint, UnixMs};
+
+/// Losses that put a request in quarantine.
+const LOSSES_TO_QUARANTINE: usize = 2;
+/// Most requests remembered; the one that expires first makes room.
+const REQUESTS_LIMIT: usize = 4_096;
+
+/// What is held against a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// Nothing.
+    Clear,
+    /// A server was lost while it ran the request, with others or alone.
+    Suspect,
+    /// Two servers were lost while they ran the request.
+    Quarantined,
+}
+
+/// Whether a run may start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Start {
+    /// The run is entered in the register and may start.
+    Run,
+    /// Another suspect runs on this server; another server may do.
+    OtherServer,
+    /// The suspect runs already, for another caller or the same one; it runs once at a time.
+    Later,
+    /// The request is in quarantine.
+    Quarantined,
+}
+
+/// The marks known to a host and the runs that it has started.
+///
+/// ```
+/// use godwit_core::UnixMs;
+/// use godwit_core::quarantine::{Quarantine, Standing, Start};
+/// let mut quarantine = Quarantine::default();
+/// let now = UnixMs(1);
+/// assert_eq!(quarantine.begin(7, "s1", now), Start::Run);
+/// let hint = quarantine.server_lost(7, "s1", now);
+/// assert_eq!(quarantine.standing(7, now), Standing::Suspect);
+///
+/// let mut neighbour = Quarantine::default();
+/// neighbour.merge(&hint, now);
+/// assert_eq!(neighbour.begin(7, "s2", now), Start::Run);
+/// neighbour.server_lost(7, "s2", now);
+/// assert_eq!(neighbour.begin(7, "s3", now), Start::Quarantined);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    requests: BTreeMap<u64, Marks>,
+    running: BTreeMap<Run, u32>,
+}
+
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Run {
+    server: String,
+    fingerprint: u64,
+}
+
+impl Quarantine {
+    /// What is held against a request.
+    pub fn standing(&self, fingerprint: u64, now: UnixMs) -> Standing {
+        match self.requests.get(&fingerprint).map_or(0, |marks| marks.count(now)) {
+            0 => Standing::Clear,
+            losses if losses < LOSSES_TO_QUARANTINE => Standing::Suspect,
+            _ => Standing::Quarantined,
+        }
+    }
+
+    /// Asks for a run of a request on a server; each [`Start::Run`] has to be ended by [`Quarantine::server_lost`],
+    /// [`Quarantine::finished`] or [`Quarantine::stopped`].
+    pub fn begin(&mut self, fingerprint: u64, server: &str, now: UnixMs) -> Start {
+        match self.standing(fingerprint, now) {
+            Standing::Quarantined => return Start::Quarantined,
+            Standing::Suspect if self.runs_anywhere(fingerprint) => return Start::Later,
+            Standing::Suspect if self.suspect_runs_on(server, now) => return Start::OtherServer,
+            Standing::Suspect | Standing::Clear => {}
+        }
+        *self.running.entry(run(fingerprint, server)).or_default() += 1;
+        Start::Run
+    }
+
+    /// A server was lost while it ran the request; gives the hint for the other hosts.
+    pub fn server_lost(&mut self, fingerprint: u64, server: &str, now: UnixMs) -> Hint {
+        self.stopped(fingerprint, server);
+        let expires_at = now.plus_ms(MARK_LIFETIME_MS);
+        self.mark(fingerprint, server, expires_at, now);
+        Hint::CrashMark { fingerprint, server: server.to_string(), expires_at }
+    }
+
+    /// The request finished whole: it crashes no server, and its marks are cleared.
+    pub fn finished(&mut self, fingerprint: u64, server: &str, now: UnixMs) {
+        self.stopped(fingerprint, server);
+        if let Some(marks) = self.requests.get_mut(&fingerprint) {
+            marks.clear(now);
+        }
+    }
+
+    /// The run ended in a way that tells nothing: refused, cancelled or silent.
+    pub fn stopped(&mut self, fingerprint: u64, server: &str) {
+        let key = run(fingerprint, server);
+        if let Some(count) = self.running.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                self.running.remove(&key);
+            }
+        }
+    }
+
+    /// Takes a hint of another host; hints of other kinds change nothing.
+    pub fn merge(&mut self, hint: &Hint, now: UnixMs) {
+        if let Hint::CrashMark { fingerprint, server, expires_at } = hint {
+            self.mark(*fingerprint, server, *expires_at, now);
+        }
+    }
+
+    /// Forgets marks that have expired.
+    pub fn expire(&mut self, now: UnixMs) {
+        for marks in self.requests.values_mut() {
+            marks.expire(now);
+        }
+        self.requests.retain(|_, marks| !marks.is_empty());
+    }
+
+    /// Fingerprints in quarantine.
+    pub fn quarantined(&self, now: UnixMs) -> Vec<u64> {
+        let all = self.requests.keys().copied();
+        all.filter(|&request| self.standing(request, now) == Standing::Quarantined).collect()
+    }
+
+    fn mark(&mut self, fingerprint: u64, server: &str, expires_at: UnixMs, now: UnixMs) {
+        self.requests.entry(fingerprint).or_default().add(server, expires_at, now);
+        if self.requests.len() > REQUESTS_LIMIT {
+            self.expire(now);
+            self.make_room();
+        }
+    }
+
+    fn make_room(&mut self) {
+        while self.requests.len() > REQUESTS_LIMIT {
+            let first = self.requests.iter().min_by_key(|(_, marks)| marks.last_expiry());
+            let Some(fingerprint) = first.map(|(fingerprint, _)| *fingerprint) else { return };
+            self.requests.remove(&fingerprint);
+        }
+    }
+
+    fn runs_anywhere(&self, fingerprint: u64) -> bool {
+        self.running.keys().any(|run| run.fingerprint == fingerprint)
+    }
+
+    fn suspect_runs_on(&self, server: &str, now: UnixMs) -> bool {
+        self.running
+            .keys()
+            .filter(|run| run.server == server)
+            .any(|run| self.standing(run.fingerprint, now) != Standing::Clear)
+    }
+}
+
+fn run(fingerprint: u64, server: &str) -> Run {
+    Run { server: server.to_string(), fingerprint }
+}
--- /dev/null
+++ b/crates/godwit-host/src/dispatch/crash_guard.rs
@@ -0,0 +1,81 @@
+//! The register of requests that crash servers, shared by all dispatches of a host.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use flume::Sender;
+use godwit_core::quarantine::{Quarantine, Standing, Start};
+use godwit_core::{Hint, UnixMs};
+
+/// The register, with the way out for hints to the other hosts.
+#[derive(Debug)]
+pub struct CrashGuard {
+    quarantine: Mutex<Quarantine>,
+    hints: Sender<Hint>,
+}
+
+impl CrashGuard {
+    /// An empty register that sends its marks to `hints`.
+    ///
+    /// ```
+    /// use godwit_core::UnixMs;
+    /// use godwit_core::quarantine::{Standing, Start};
+    /// use godwit_host::dispatch::CrashGuard;
+    /// let (sender, hints) = flume::unbounded();
+    /// let guard = CrashGuard::new(sender);
+    /// assert_eq!(guard.begin(7, "s1", UnixMs(1)), Start::Run);
+    /// guard.server_lost(7, "s1", UnixMs(1));
+    /// assert_eq!(guard.standing(7, UnixMs(1)), Standing::Suspect);
+    /// assert!(hints.try_recv().is_ok());
+    /// ```
+    pub fn new(hints: Sender<Hint>) -> CrashGuard {
+        CrashGuard { quarantine: Mutex::default(), hints }
+    }
+
+    /// What is held against a request.
+    pub fn standing(&self, fingerprint: u64, now: UnixMs) -> Standing {
+        self.lock().standing(fingerprint, now)
+    }
+
+    /// Asks for a run; see [`Quarantine::begin`].
+    pub fn begin(&self, fingerprint: u64, server: &str, now: UnixMs) -> Start {
+        self.lock().begin(fingerprint, server, now)
+    }
+
+    /// A server was lost while it ran the request.
+    pub fn server_lost(&self, fingerprint: u64, server: &str, now: UnixMs) {
+        let hint = self.lock().server_lost(fingerprint, server, now);
+        metrics::counter!("godwit_crash_marks_total").increment(1);
+        if self.hints.try_send(hint).is_err() {
+            tracing::warn!(server, fingerprint, "crash mark not passed on");
+        }
+    }
+
+    /// The request finished whole on a server.
+    pub fn finished(&self, fingerprint: u64, server: &str, now: UnixMs) {
+        self.lock().finished(fingerprint, server, now);
+    }
+
+    /// A run ended in a way that tells nothing.
+    pub fn stopped(&self, fingerprint: u64, server: &str) {
+        self.lock().stopped(fingerprint, server);
+    }
+
+    /// Takes a hint of another host.
+    pub fn merge(&self, hint: &Hint, now: UnixMs) {
+        self.lock().merge(hint, now);
+    }
+
+    /// Forgets marks that have expired.
+    pub fn expire(&self, now: UnixMs) {
+        self.lock().expire(now);
+    }
+
+    /// Fingerprints in quarantine.
+    pub fn quarantined(&self, now: UnixMs) -> Vec<u64> {
+        self.lock().quarantined(now)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/godwit-host/src/dispatch/progress.rs
@@ -0,0 +1,63 @@
+//! How far the life of a request has come over several attempts.
+
+use godwit_core::{Answered, Claimed, Code, Dispatched, Life, NeverSent, NotRun, Unknown};
+
+/// The life of a request over several attempts.
+///
+/// A proof that one attempt was never sent leads back to `Claimed` only when no earlier attempt may have run.
+#[derive(Debug)]
+pub(crate) enum Progress {
+    /// No attempt may have run.
+    Ready(Life<Claimed>),
+    /// The first attempt is under way.
+    FirstSent(Life<Dispatched>),
+    /// An attempt may have run.
+    MayHaveRun(Life<Dispatched>),
+}
+
+/// How a request ends that has no answer.
+#[derive(Debug)]
+pub(crate) enum NoAnswer {
+    NotRun(NotRun),
+    Unknown(Unknown),
+}
+
+impl Progress {
+    pub(crate) fn begin(self) -> Progress {
+        match self {
+            Progress::Ready(life) => Progress::FirstSent(life.dispatch()),
+            sent => sent,
+        }
+    }
+
+    pub(crate) fn never_sent(self, proof: NeverSent) -> Progress {
+        match self {
+            Progress::FirstSent(life) => Progress::Ready(life.never_sent(proof)),
+            other => other,
+        }
+    }
+
+    pub(crate) fn may_have_run(self) -> Progress {
+        match self {
+            Progress::FirstSent(life) => Progress::MayHaveRun(life),
+            other => other,
+        }
+    }
+
+    /// Ends with `refused` if nothing ran, or else with `lost`.
+    pub(crate) fn end(self, refused: Code, lost: Code) -> NoAnswer {
+        match self {
+            Progress::Ready(life) => NoAnswer::NotRun(life.refuse(refused)),
+            Progress::FirstSent(life) | Progress::MayHaveRun(life) => {
+                NoAnswer::Unknown(life.lost(lost))
+            }
+        }
+    }
+
+    pub(crate) fn answered(self) -> Life<Answered> {
+        match self {
+            Progress::Ready(life) => life.dispatch().answered(),
+            Progress::FirstSent(life) | Progress::MayHaveRun(life) => life.answered(),
+        }
+    }
+}
--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 pub mod configuration;
+pub mod dispatch;
 mod settings;
 
 pub use clock::{Clock, ManualClock, SystemClock};
