--- a/crates/godwit-ctl/src/cli.rs
+++ b/crates/godwit-ctl/src/cli.rs
@@ -323,7 +323,7 @@
 
 /// Parses the command line, runs the command and returns its exit code.
 pub fn run() -> ExitCode {
-    let command = match command_line().try_run() {
+    let command = match command_line().run_inner(bpaf::Args::current_args()) {
         Ok(command) => command,
         Err(failure) => {
             failure.print_message(100);
--- a/crates/godwit-ctl/src/error.rs
+++ b/crates/godwit-ctl/src/error.rs
@@ -24,7 +24,7 @@
         difference: String,
     },
     /// The configuration is wrong.
-    #[error("`{object}` is wrong; nothing was written\n{}", lines(.findings))]
+    #[error("`{object}` is wrong; nothing was written\n{}", lines(findings))]
     Findings {
         /// Name of the object.
         object: String,
--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 pub mod configuration;
+pub mod dispatch;
 pub mod placement;
 mod settings;
 
