Pass a service's headers both ways and name an answer that was not kept

Cause: a plain service's callers need its headers, and a long answer of a non-idempotent request is not in the ledger. Change: headers but those of one connection go through; code 5002 tells that a key ran but its answer was not kept. Conclusion: the verdict stays truthful where the answer is gone.

--- a/crates/godwit-caller/src/call.rs
+++ b/crates/godwit-caller/src/call.rs
@@ -26,6 +26,15 @@
     pub form: Form,
 }
 
+/// One header.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallHeader {
+    /// Name, in any case.
+    pub name: String,
+    /// Value.
+    pub value: String,
+}
+
 /// What a call asks of a plain service.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServiceAsk {
@@ -35,8 +44,8 @@
     pub method: String,
     /// Path and query below `/services/NAME`, starting with a slash.
     pub path: String,
-    /// `Content-Type` of the body.
-    pub content_type: Option<String>,
+    /// Headers for the service: all but the key and those that concern one connection or this product.
+    pub headers: Vec<CallHeader>,
 }
 
 /// What a call asks for.
--- a/crates/godwit-caller/src/framing.rs
+++ b/crates/godwit-caller/src/framing.rs
@@ -5,7 +5,7 @@
 use godwit_core::{Code, UnixMs};
 use tiny_http::{Header, Request};
 
-use crate::call::{Ask, Call, Form, GenerateAsk, ServiceAsk};
+use crate::call::{Ask, Call, CallHeader, Form, GenerateAsk, ServiceAsk};
 use crate::openai;
 use crate::responder::Failure;
 use crate::server::Limits;
@@ -81,6 +81,36 @@
         .map_err(|_| Failure::field(Code::BadHeader, "Godwit-Deadline-Ms"))
 }
 
+/// Headers that concern one connection, the workspace's key, and what hosts set anew.
+const OWN_HEADERS: [&str; 13] = [
+    "Authorization",
+    "Connection",
+    "Content-Length",
+    "Expect",
+    "Host",
+    "Idempotency-Key",
+    "Keep-Alive",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+];
+
+fn is_for_service(header: &Header) -> bool {
+    let name = header.field.as_str().as_str();
+    let is_ours = name.len() >= 7 && name.as_bytes()[..7].eq_ignore_ascii_case(b"Godwit-");
+    !is_ours && !OWN_HEADERS.iter().any(|own| own.eq_ignore_ascii_case(name))
+}
+
+fn call_header(header: &Header) -> CallHeader {
+    CallHeader {
+        name: header.field.as_str().as_str().to_string(),
+        value: header.value.as_str().to_string(),
+    }
+}
+
 fn service_ask(request: &Request, headers: &[Header], rest: &str) -> Result<Ask, Failure> {
     let (service, path) = match rest.find(['/', '?']) {
         Some(index) => rest.split_at(index),
@@ -94,7 +124,7 @@
         service: service.to_string(),
         method: request.method().to_string(),
         path,
-        content_type: header(headers, "Content-Type")?.map(str::to_string),
+        headers: headers.iter().filter(|header| is_for_service(header)).map(call_header).collect(),
     }))
 }
 
--- a/crates/godwit-caller/src/responder.rs
+++ b/crates/godwit-caller/src/responder.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 use tiny_http::Request;
 
-use crate::call::GenerateAsk;
+use crate::call::{CallHeader, GenerateAsk};
 use crate::openai::{self, Frame};
 
 /// Largest chunk of a streamed answer in bytes; an event that is longer is cut.
@@ -71,8 +71,8 @@
 pub struct ServiceAnswer {
     /// HTTP status.
     pub status: u16,
-    /// `Content-Type` of the body.
-    pub content_type: Option<String>,
+    /// Headers, without those that concern one connection.
+    pub headers: Vec<CallHeader>,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -258,7 +258,7 @@
             return Err(CallerGone);
         };
         let mut writer: Box<dyn Write + Send> = request.into_writer();
-        let mut head = self.head(200, Code::Streaming, "text/event-stream", None);
+        let mut head = self.head(200, Code::Streaming, &[content_type("text/event-stream")]);
         head.push_str("Cache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n\r\n");
         writer.write_all(head.as_bytes()).map_err(|_| CallerGone)?;
         let encoder = Encoder::with_chunks_size(FlushEach(writer), CHUNK_BYTES);
@@ -269,8 +269,12 @@
     fn failed(&mut self, failure: &Failure) -> Result<(), CallerGone> {
         let code = failure.code;
         let body = openai::error_body(&self.request_id, failure);
-        let retry_after_s = code.retry_can_help().then(|| self.retry_after_s(failure));
-        self.answer(code.http_status(), code, "application/json", retry_after_s, body.as_bytes())
+        let mut headers = vec![content_type("application/json")];
+        if code.retry_can_help() {
+            let value = self.retry_after_s(failure).to_string();
+            headers.push(CallHeader { name: "Retry-After".to_string(), value });
+        }
+        self.answer(code.http_status(), code, &headers, body.as_bytes())
     }
 
     fn retry_after_s(&self, failure: &Failure) -> u64 {
@@ -279,32 +283,31 @@
     }
 
     fn json(&mut self, code: Code, status: u16, body: &str) -> Result<(), CallerGone> {
-        self.answer(status, code, "application/json", None, body.as_bytes())
+        self.answer(status, code, &[content_type("application/json")], body.as_bytes())
     }
 
     fn service(&mut self, code: Code, answer: &ServiceAnswer) -> Result<(), CallerGone> {
-        let content_type = answer.content_type.as_deref().unwrap_or("application/octet-stream");
-        self.answer(answer.status, code, content_type, None, &answer.body)
+        let is_passed_on = |header: &&CallHeader| {
+            let name = header.name.to_ascii_lowercase();
+            !name.starts_with("godwit-") && name != "content-length" && name != "transfer-encoding"
+        };
+        let headers: Vec<CallHeader> =
+            answer.headers.iter().filter(is_passed_on).cloned().collect();
+        self.answer(answer.status, code, &headers, &answer.body)
     }
 
-    fn head(
-        &self,
-        status: u16,
-        code: Code,
-        content_type: &str,
-        retry_after_s: Option<u64>,
-    ) -> String {
+    fn head(&self, status: u16, code: Code, headers: &[CallHeader]) -> String {
         let reason = tiny_http::StatusCode(status).default_reason_phrase();
         let version = if self.is_http_1_0 { "1.0" } else { "1.1" };
         let mut head = format!(
-            "HTTP/{version} {status} {reason}\r\nContent-Type: {content_type}\r\nGodwit-Request-Id: {}\r\n\
-             Godwit-Code: {}\r\nGodwit-Verdict: {}\r\n",
+            "HTTP/{version} {status} {reason}\r\nGodwit-Request-Id: {}\r\nGodwit-Code: {}\r\n\
+             Godwit-Verdict: {}\r\n",
             self.request_id,
             code.number(),
             code.verdict().as_str()
         );
-        if let Some(retry_after_s) = retry_after_s {
-            head.push_str(&format!("Retry-After: {retry_after_s}\r\n"));
+        for header in headers {
+            head.push_str(&format!("{}: {}\r\n", header.name, header.value));
         }
         head
     }
@@ -313,8 +316,7 @@
         &mut self,
         status: u16,
         code: Code,
-        content_type: &str,
-        retry_after_s: Option<u64>,
+        headers: &[CallHeader],
         body: &[u8],
     ) -> Result<(), CallerGone> {
         let Channel::Unused(request) = std::mem::replace(&mut self.channel, Channel::Closed) else {
@@ -322,7 +324,7 @@
         };
         let is_head = request.method().as_str() == "HEAD";
         let mut writer = request.into_writer();
-        let mut bytes = self.head(status, code, content_type, retry_after_s).into_bytes();
+        let mut bytes = self.head(status, code, headers).into_bytes();
         bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
         if !is_head {
             bytes.extend_from_slice(body);
@@ -330,3 +332,7 @@
         writer.write_all(&bytes).and_then(|()| writer.flush()).map_err(|_| CallerGone)
     }
 }
+
+fn content_type(media_type: &str) -> CallHeader {
+    CallHeader { name: "Content-Type".to_string(), value: media_type.to_string() }
+}
--- a/crates/godwit-core/src/code.rs
+++ b/crates/godwit-core/src/code.rs
@@ -121,6 +121,8 @@
     LateAnswer,
     /// The server ran the request and answered with an error of its own.
     ServerError,
+    /// The same idempotency key ran before; its answer was too long to be kept.
+    AnswerNotKept,
     /// A fault of the host, before anything was dispatched.
     Internal,
 }
@@ -168,6 +170,7 @@
         Code::TimedOut,
         Code::LateAnswer,
         Code::ServerError,
+        Code::AnswerNotKept,
         Code::Internal,
     ];
 
@@ -518,6 +521,14 @@
                 false,
                 "The server ran the request and answered with an error of its own.",
             ),
+            Code::AnswerNotKept => row(
+                5002,
+                "answer_not_kept",
+                Verdict::Ran,
+                410,
+                false,
+                "The same idempotency key ran before; its answer was too long to be kept.",
+            ),
             Code::Internal => row(
                 9000,
                 "internal",
