Record claims by conditional update: pure state machine and the platform's client

Cause: non-idempotent requests may run at most once over all hosts, and the platform's conditional update is the only thing that hosts can agree by.

Change: godwit-platform is a blocking client with a deadline for each call, which tells writes that surely had no effect from writes that may still land. godwit-core::ledger is a state machine with one conditional update in flight for each slice, which carries all waiting operations; an outcome is reported only after the store has decided it. godwit-core::store_budget limits calls by class. The types of the ledger objects are generated from a schema.

--- /dev/null
+++ b/crates/godwit-core/src/ledger/context.rs
@@ -0,0 +1,41 @@
+//! What the slices of one host share while an input is worked on.
+
+use rand::rngs::SmallRng;
+
+use super::gate::Gate;
+use super::limits::LedgerLimits;
+use super::machine::{Action, CallId, Ticket};
+use super::operation::Outcome;
+use crate::UnixMs;
+
+/// What the slices of one host share while an input is worked on.
+pub(super) struct Context<'a> {
+    pub(super) now: UnixMs,
+    pub(super) limits: &'a LedgerLimits,
+    pub(super) gate: &'a mut Gate,
+    pub(super) rng: &'a mut SmallRng,
+    pub(super) order: &'a mut u64,
+    pub(super) actions: Vec<Action>,
+}
+
+impl Context<'_> {
+    /// The next point in the order of all operations and calls of this host.
+    pub(super) fn next_in_order(&mut self) -> u64 {
+        *self.order += 1;
+        *self.order
+    }
+
+    /// The next call and its point in the order.
+    pub(super) fn next_call(&mut self) -> (CallId, u64) {
+        self.gate.call_began();
+        let point = self.next_in_order();
+        (CallId(point), point)
+    }
+
+    /// Reports an outcome to whoever waits for it.
+    pub(super) fn reply(&mut self, ticket: Option<Ticket>, outcome: Outcome) {
+        if let Some(ticket) = ticket {
+            self.actions.push(Action::Reply { ticket, outcome });
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-core/src/ledger/limits.rs
@@ -0,0 +1,49 @@
+//! Limits of the ledger of one host.
+
+/// Limits and delays of the ledger of one host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LedgerLimits {
+    /// Operations waiting in one slice; further claims are refused.
+    pub slice_operations: usize,
+    /// Operations waiting in all slices; further claims are refused.
+    pub total_operations: usize,
+    /// Operations that one update carries.
+    pub batch_operations: usize,
+    /// Delay of the first retry after a failed call of the store.
+    pub retry_base_ms: u64,
+    /// Longest delay of a retry.
+    pub retry_cap_ms: u64,
+    /// Longest delay of a retry after a lost race.
+    pub conflict_cap_ms: u64,
+    /// A finish waits so long for an update that it can join.
+    pub finish_delay_ms: u64,
+    /// First delay between two looks at a claim that another host started.
+    pub wait_base_ms: u64,
+    /// Longest delay between two looks at a claim that another host started.
+    pub wait_cap_ms: u64,
+    /// After the deadline of another host's run, its result is waited for so long.
+    pub result_grace_ms: u64,
+    /// A slice without operations is kept in memory so long.
+    pub idle_ms: u64,
+    /// Claims are refused once the slice, with room kept for outstanding answers, is longer.
+    pub slice_bytes: usize,
+}
+
+impl Default for LedgerLimits {
+    fn default() -> LedgerLimits {
+        LedgerLimits {
+            slice_operations: 256,
+            total_operations: 2_048,
+            batch_operations: 64,
+            retry_base_ms: 20,
+            retry_cap_ms: 1_000,
+            conflict_cap_ms: 100,
+            finish_delay_ms: 50,
+            wait_base_ms: 50,
+            wait_cap_ms: 1_000,
+            result_grace_ms: 1_000,
+            idle_ms: 30_000,
+            slice_bytes: 850_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-core/src/ledger/slice.rs
@@ -0,0 +1,192 @@
+//! One slice as seen by one host: what waits to be recorded, and the one call of the store in flight.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use godwit_schema::ledger::LedgerSlice;
+
+use super::context::Context;
+use super::gate::jittered_ms;
+use super::machine::{CallId, Ticket};
+use super::name::SliceName;
+use super::operation::{Operation, Origin, Outcome};
+use crate::UnixMs;
+
+mod queued;
+mod work;
+
+use queued::{Queued, Waiter};
+
+/// The slice as the store held it at some time.
+struct Known {
+    version: u64,
+    slice: Arc<LedgerSlice>,
+    /// Operations that arrived before this point of the order were there when the slice was read.
+    as_of: u64,
+}
+
+/// The call of the store in flight.
+enum Call {
+    Idle,
+    Reading { call: CallId, as_of: u64 },
+    Writing(Update),
+}
+
+/// A conditional update in flight: the slice as it will be, and the operations that it carries.
+struct Update {
+    call: CallId,
+    as_of: u64,
+    slice: Arc<LedgerSlice>,
+    batch: Vec<(Queued, Outcome)>,
+}
+
+/// One slice as seen by one host.
+pub(super) struct Slice {
+    name: SliceName,
+    known: Option<Known>,
+    queue: VecDeque<Queued>,
+    waiters: Vec<Waiter>,
+    call: Call,
+    retry_at: UnixMs,
+    failures: u32,
+    used_at: UnixMs,
+}
+
+impl Slice {
+    pub(super) fn new(name: SliceName) -> Slice {
+        Slice {
+            name,
+            known: None,
+            queue: VecDeque::new(),
+            waiters: Vec::new(),
+            call: Call::Idle,
+            retry_at: UnixMs(0),
+            failures: 0,
+            used_at: UnixMs(0),
+        }
+    }
+
+    /// Operations without an outcome.
+    pub(super) fn operation_count(&self) -> usize {
+        let in_flight = if let Call::Writing(update) = &self.call { update.batch.len() } else { 0 };
+        self.queue.len() + self.waiters.len() + in_flight
+    }
+
+    /// Nothing waits and nothing is in flight.
+    pub(super) fn is_idle(&self) -> bool {
+        self.operation_count() == 0 && matches!(self.call, Call::Idle)
+    }
+
+    /// When the slice was last worked on.
+    pub(super) fn used_at(&self) -> UnixMs {
+        self.used_at
+    }
+
+    /// Takes an operation in.
+    pub(super) fn submit(
+        &mut self,
+        ticket: Option<Ticket>,
+        operation: Operation,
+        origin: Origin,
+        context: &mut Context<'_>,
+    ) {
+        let delay_ms = match operation {
+            Operation::Finish(_) => context.limits.finish_delay_ms,
+            Operation::Claim(_) | Operation::Release(_) => 0,
+        };
+        let write_at = context.now.plus_ms(delay_ms);
+        let arrived = context.next_in_order();
+        self.queue.push_back(Queued { ticket, operation, origin, arrived, write_at });
+    }
+
+    /// The store gave the slice; `None` for an object that does not exist.
+    pub(super) fn read_done(
+        &mut self,
+        call: CallId,
+        found: Option<(u64, LedgerSlice)>,
+        context: &mut Context<'_>,
+    ) {
+        let Call::Reading { call: expected, as_of } = self.call else { return };
+        if call != expected {
+            return;
+        }
+        self.call = Call::Idle;
+        self.failures = 0;
+        let (version, slice) = found.unwrap_or_else(|| (0, super::empty_slice()));
+        self.known = Some(Known { version, slice: Arc::new(slice), as_of });
+        self.look_again_later(context);
+    }
+
+    /// The store recorded the update in flight.
+    pub(super) fn write_done(&mut self, call: CallId, version: u64, context: &mut Context<'_>) {
+        let Some(Update { batch, slice, as_of, .. }) = self.take_write(call) else { return };
+        self.failures = 0;
+        self.known = Some(Known { version, slice, as_of });
+        for (queued, outcome) in batch {
+            self.settle(queued, outcome, context);
+        }
+    }
+
+    /// The update in flight lost a race and had no effect.
+    pub(super) fn write_conflicted(&mut self, call: CallId, context: &mut Context<'_>) {
+        let Some(Update { batch, .. }) = self.take_write(call) else { return };
+        self.known = None;
+        self.requeue(batch);
+        let limits = context.limits;
+        let delay_ms = jittered_ms(1, limits.conflict_cap_ms, self.failures, context.rng);
+        self.failures = self.failures.saturating_add(1);
+        self.retry_at = context.now.plus_ms(delay_ms);
+    }
+
+    /// The update in flight may take effect now, later or never.
+    pub(super) fn write_unknown(&mut self, call: CallId, context: &mut Context<'_>) {
+        let Some(Update { mut batch, .. }) = self.take_write(call) else { return };
+        batch.iter_mut().for_each(|(queued, _)| queued.expose());
+        self.known = None;
+        self.requeue(batch);
+        self.back_off(UnixMs(0), context);
+    }
+
+    /// The call in flight had no effect; the store asks for no retry before `retry_at`.
+    pub(super) fn call_failed(
+        &mut self,
+        call: CallId,
+        retry_at: UnixMs,
+        context: &mut Context<'_>,
+    ) {
+        match &self.call {
+            Call::Reading { call: expected, .. } if *expected == call => self.call = Call::Idle,
+            _ => {
+                let Some(Update { batch, .. }) = self.take_write(call) else { return };
+                self.requeue(batch);
+            }
+        }
+        self.back_off(retry_at, context);
+    }
+
+    fn take_write(&mut self, call: CallId) -> Option<Update> {
+        match std::mem::replace(&mut self.call, Call::Idle) {
+            Call::Writing(update) if update.call == call => Some(update),
+            other => {
+                self.call = other;
+                None
+            }
+        }
+    }
+
+    fn requeue(&mut self, batch: Vec<(Queued, Outcome)>) {
+        let live =
+            batch.into_iter().map(|(queued, _)| queued).filter(|queued| !queued.is_abandoned());
+        for queued in live.rev() {
+            self.queue.push_front(queued);
+        }
+    }
+
+    fn back_off(&mut self, retry_at: UnixMs, context: &mut Context<'_>) {
+        let limits = context.limits;
+        let delay_ms =
+            jittered_ms(limits.retry_base_ms, limits.retry_cap_ms, self.failures, context.rng);
+        self.failures = self.failures.saturating_add(1);
+        self.retry_at = context.now.max(retry_at).plus_ms(delay_ms);
+    }
+}
--- /dev/null
+++ b/crates/godwit-core/src/ledger/slice/queued.rs
@@ -0,0 +1,56 @@
+//! Operations of a slice that have no outcome yet.
+
+use super::super::machine::Ticket;
+use super::super::operation::{Claim, Operation, Origin};
+use crate::UnixMs;
+
+/// An operation that waits to be recorded.
+pub(super) struct Queued {
+    pub(super) ticket: Option<Ticket>,
+    pub(super) operation: Operation,
+    pub(super) origin: Origin,
+    pub(super) arrived: u64,
+    pub(super) write_at: UnixMs,
+}
+
+impl Queued {
+    pub(super) fn is_exposed(&self) -> bool {
+        self.origin == Origin::Local { exposed: true }
+    }
+
+    pub(super) fn expose(&mut self) {
+        if matches!(self.origin, Origin::Local { .. }) {
+            self.origin = Origin::Local { exposed: true };
+        }
+    }
+
+    pub(super) fn claim(&self) -> Option<&Claim> {
+        match &self.operation {
+            Operation::Claim(claim) => Some(claim),
+            Operation::Finish(_) | Operation::Release(_) => None,
+        }
+    }
+
+    /// A claim whose claimer was told that it is not granted, while its update was in flight.
+    pub(super) fn is_abandoned(&self) -> bool {
+        self.ticket.is_none() && self.claim().is_some()
+    }
+
+    /// Until when an outcome is waited for; `None` for what nobody gives up on.
+    pub(super) fn expires_at(&self) -> Option<UnixMs> {
+        if self.is_abandoned() { None } else { self.claim().map(|claim| claim.deadline) }
+    }
+
+    pub(super) fn is_expired(&self, now: UnixMs) -> bool {
+        self.expires_at().is_some_and(|deadline| deadline.is_past(now))
+    }
+}
+
+/// A claim that found the key started by another one.
+pub(super) struct Waiter {
+    pub(super) queued: Queued,
+    pub(super) until: UnixMs,
+    pub(super) ends_at: UnixMs,
+    pub(super) look_at: UnixMs,
+    pub(super) looks: u32,
+}
--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -4,9 +4,11 @@
 mod code;
 pub mod config;
 mod hint;
+pub mod ledger;
 mod lifecycle;
 mod reading;
 pub mod split;
+pub mod store_budget;
 pub mod stream;
 mod time;
 
--- /dev/null
+++ b/crates/godwit-core/src/store_budget.rs
@@ -0,0 +1,143 @@
+//! Budget of one host for calls of the platform: two token buckets, from which more valuable calls may take more.
+
+use crate::UnixMs;
+
+/// Millionths of a token in a token.
+const TOKEN: u64 = 1_000_000;
+
+/// Milliseconds in a second.
+const MS_PER_S: u64 = 1_000;
+
+/// What a call is for; the first class goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum CallClass {
+    /// Claims and answers of non-idempotent requests.
+    Confirmation,
+    /// Configuration.
+    Configuration,
+    /// Everything else.
+    Other,
+}
+
+impl CallClass {
+    /// Share of a full bucket, in hundredths, that calls of this class leave to the classes before it.
+    fn reserve_percent(self) -> u64 {
+        match self {
+            CallClass::Confirmation => 0,
+            CallClass::Configuration => 25,
+            CallClass::Other => 50,
+        }
+    }
+}
+
+/// Which rate of the platform a call counts against.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallRate {
+    /// Reads, lists and watches.
+    Read,
+    /// Conditional updates and deletions.
+    Write,
+}
+
+/// Calls that one host may make.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoreBudgetLimits {
+    /// Reads a second.
+    pub reads_per_s: u32,
+    /// Writes a second.
+    pub writes_per_s: u32,
+    /// Seconds of unused calls that are saved up.
+    pub burst_s: u32,
+}
+
+impl Default for StoreBudgetLimits {
+    fn default() -> StoreBudgetLimits {
+        StoreBudgetLimits { reads_per_s: 100, writes_per_s: 40, burst_s: 2 }
+    }
+}
+
+/// The budget of one host.
+///
+/// ```
+/// use godwit_core::UnixMs;
+/// use godwit_core::store_budget::{CallClass, CallRate, StoreBudget, StoreBudgetLimits};
+/// let limits = StoreBudgetLimits { reads_per_s: 10, writes_per_s: 1, burst_s: 2 };
+/// let mut budget = StoreBudget::new(limits, UnixMs(0));
+/// assert_eq!(budget.take(CallRate::Write, CallClass::Other, UnixMs(0)), Ok(()));
+/// assert!(budget.take(CallRate::Write, CallClass::Other, UnixMs(0)).is_err());
+/// assert_eq!(budget.take(CallRate::Write, CallClass::Confirmation, UnixMs(0)), Ok(()));
+/// ```
+#[derive(Clone, Debug)]
+pub struct StoreBudget {
+    reads: Bucket,
+    writes: Bucket,
+}
+
+/// A call that the budget does not admit now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OverBudget {
+    /// When the budget admits the call at the earliest.
+    pub retry_at: UnixMs,
+}
+
+impl StoreBudget {
+    /// A full budget.
+    pub fn new(limits: StoreBudgetLimits, now: UnixMs) -> StoreBudget {
+        StoreBudget {
+            reads: Bucket::new(limits.reads_per_s, limits.burst_s, now),
+            writes: Bucket::new(limits.writes_per_s, limits.burst_s, now),
+        }
+    }
+
+    /// Takes one call out of the budget.
+    pub fn take(
+        &mut self,
+        rate: CallRate,
+        class: CallClass,
+        now: UnixMs,
+    ) -> Result<(), OverBudget> {
+        match rate {
+            CallRate::Read => self.reads.take(class, now),
+            CallRate::Write => self.writes.take(class, now),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Bucket {
+    tokens_micro: u64,
+    capacity_micro: u64,
+    per_s: u64,
+    filled_at: UnixMs,
+}
+
+impl Bucket {
+    fn new(per_s: u32, burst_s: u32, now: UnixMs) -> Bucket {
+        let per_s = u64::from(per_s.max(1));
+        let capacity_micro = per_s * u64::from(burst_s.max(1)) * TOKEN;
+        Bucket { tokens_micro: capacity_micro, capacity_micro, per_s, filled_at: now }
+    }
+
+    fn take(&mut self, class: CallClass, now: UnixMs) -> Result<(), OverBudget> {
+        self.fill(now);
+        let reserve_micro = self.capacity_micro * class.reserve_percent() / 100;
+        let needed_micro = (reserve_micro + TOKEN).min(self.capacity_micro);
+        if self.tokens_micro < needed_micro {
+            let wait_ms = (needed_micro - self.tokens_micro).div_ceil(self.micro_per_ms());
+            return Err(OverBudget { retry_at: now.plus_ms(wait_ms) });
+        }
+        self.tokens_micro -= TOKEN;
+        Ok(())
+    }
+
+    fn fill(&mut self, now: UnixMs) {
+        let passed_ms = now.since_ms(self.filled_at);
+        let gained_micro = passed_ms.saturating_mul(self.micro_per_ms());
+        self.tokens_micro = self.tokens_micro.saturating_add(gained_micro).min(self.capacity_micro);
+        self.filled_at = now;
+    }
+
+    fn micro_per_ms(&self) -> u64 {
+        self.per_s * TOKEN / MS_PER_S
+    }
+}
--- /dev/null
+++ b/crates/godwit-platform/src/http.rs
@@ -0,0 +1,70 @@
+//! One HTTP call with a deadline in milliseconds.
+
+use std::io::ErrorKind;
+use std::thread;
+use std::time::Duration;
+
+use minreq::{Error, Request, Response};
+
+/// Milliseconds in a second.
+const MS_PER_S: u64 = 1_000;
+
+/// A call without an answer.
+pub(crate) enum CallError {
+    /// No connection was made, so that nothing was sent.
+    NotSent(String),
+    /// No answer came, or none that can be read.
+    NoAnswer(String),
+}
+
+impl CallError {
+    pub(crate) fn into_reason(self) -> String {
+        match self {
+            CallError::NotSent(reason) | CallError::NoAnswer(reason) => reason,
+        }
+    }
+}
+
+/// Sends a request and awaits the whole answer.
+pub(crate) fn send(request: Request, timeout_ms: u64) -> Result<Response, CallError> {
+    // The library's own timeout has whole seconds; it only ends the thread that is no longer waited for.
+    let request =
+        request.with_follow_redirects(false).with_timeout(timeout_ms.div_ceil(MS_PER_S).max(1));
+    let (sender, receiver) = flume::bounded(1);
+    let spawned = thread::Builder::new().name("platform-call".to_string()).spawn(move || {
+        // The receiver is gone once the deadline has passed.
+        let _ = sender.send(request.send());
+    });
+    if let Err(error) = spawned {
+        return Err(CallError::NotSent(error.to_string()));
+    }
+    match receiver.recv_timeout(Duration::from_millis(timeout_ms)) {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(error)) if is_never_sent(&error) => Err(CallError::NotSent(error.to_string())),
+        Ok(Err(error)) => Err(CallError::NoAnswer(error.to_string())),
+        Err(error) => Err(CallError::NoAnswer(error.to_string())),
+    }
+}
+
+/// Only a refused connection proves that nothing was sent: other errors may come after it.
+fn is_never_sent(error: &Error) -> bool {
+    match error {
+        Error::IoError(error) => error.kind() == ErrorKind::ConnectionRefused,
+        Error::AddressNotFound => true,
+        _ => false,
+    }
+}
+
+/// A text as one part of a URL's path or query; `/` stays as it is.
+pub(crate) fn percent_encode(text: &str) -> String {
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'A'..=b'Z' | b'a'..=b'z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' | b'/' => {
+                encoded.push(char::from(byte));
+            }
+            _ => encoded.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    encoded
+}
--- a/crates/godwit-platform/src/lib.rs
+++ b/crates/godwit-platform/src/lib.rs
@@ -1,1 +1,8 @@
 //! The border towards the platform: Object API, host list, weight store.
+
+mod client;
+mod error;
+mod http;
+
+pub use client::{Platform, PlatformSettings};
+pub use error::{ReadError, WriteError};
--- a/crates/godwit-schema/tests/generated_types.rs
+++ b/crates/godwit-schema/tests/generated_types.rs
@@ -4,7 +4,7 @@
 
 use typify::{TypeSpace, TypeSpaceSettings};
 
-const BORDERS: [&str; 5] = ["caller", "config", "engine", "operator", "platform"];
+const BORDERS: [&str; 6] = ["caller", "config", "engine", "ledger", "operator", "platform"];
 
 fn generate(schema_path: &Path) -> String {
     let text = std::fs::read_to_string(schema_path).expect("schema is readable");
