--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 pub mod configuration;
+pub mod ledger;
 mod settings;
 
 pub use clock::{Clock, ManualClock, SystemClock};
