--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod configuration;
 pub mod dispatch;
 pub mod placement;
+pub mod ledger;
 mod settings;
 
 pub use clock::{Clock, ManualClock, SystemClock};
