--- /dev/null
+++ b/crates/godwit-standin/src/engine/attempts.rs
@@ -0,0 +1,132 @@
+//! Attempts of requests: which is the newest, what it has run, and the KV cache it left.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use godwit_schema::engine::RefusalReason;
+
+/// Requests remembered; the oldest are forgotten first.
+const MAX_REQUESTS: usize = 20_000;
+
+/// A range of layers, `[from, to)`.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Layers {
+    pub(super) from: u32,
+    pub(super) to: u32,
+}
+
+impl Layers {
+    pub(super) fn covers(self, other: Layers) -> bool {
+        self.from <= other.from && other.to <= self.to
+    }
+}
+
+/// KV cache of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct KvState {
+    pub(super) layers: Layers,
+    /// Tokens of the answer that the state covers.
+    pub(super) position: u32,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    oldest_allowed: u32,
+    attempt: u32,
+    has_stream: bool,
+    done: BTreeSet<(u32, Layers)>,
+    kv: Option<KvState>,
+}
+
+impl Record {
+    fn advance(&mut self, attempt: u32) -> Result<(), RefusalReason> {
+        if attempt < self.oldest_allowed {
+            return Err(RefusalReason::StaleAttempt);
+        }
+        if attempt > self.attempt {
+            self.has_stream = false;
+            self.done.clear();
+        }
+        self.attempt = attempt;
+        self.oldest_allowed = attempt;
+        Ok(())
+    }
+}
+
+/// What an engine remembers of its requests.
+#[derive(Debug, Default)]
+pub(super) struct Attempts {
+    records: BTreeMap<String, Record>,
+    order: VecDeque<String>,
+}
+
+impl Attempts {
+    /// Takes in a stream; each attempt may have one.
+    pub(super) fn begin_stream(&mut self, id: &str, attempt: u32) -> Result<(), RefusalReason> {
+        let record = self.record(id);
+        record.advance(attempt)?;
+        if record.has_stream {
+            return Err(RefusalReason::PositionDone);
+        }
+        record.has_stream = true;
+        Ok(())
+    }
+
+    /// Takes in an attempt, unless a newer one was seen or it was cancelled.
+    pub(super) fn advance(&mut self, id: &str, attempt: u32) -> Result<(), RefusalReason> {
+        self.record(id).advance(attempt)
+    }
+
+    /// Takes in one position; each attempt runs it once through a range of layers.
+    pub(super) fn begin_position(
+        &mut self,
+        id: &str,
+        attempt: u32,
+        position: u32,
+        layers: Layers,
+    ) -> Result<(), RefusalReason> {
+        let record = self.record(id);
+        record.advance(attempt)?;
+        if !record.done.insert((position, layers)) {
+            return Err(RefusalReason::PositionDone);
+        }
+        record.kv = Some(KvState { layers, position: position + 1 });
+        Ok(())
+    }
+
+    /// Whether an attempt is still the newest and not cancelled.
+    pub(super) fn is_current(&self, id: &str, attempt: u32) -> bool {
+        self.records.get(id).is_some_and(|r| r.attempt == attempt && r.oldest_allowed <= attempt)
+    }
+
+    /// Cancels all attempts up to one.
+    pub(super) fn cancel(&mut self, id: &str, attempt: u32) {
+        let record = self.record(id);
+        record.oldest_allowed = record.oldest_allowed.max(attempt.saturating_add(1));
+    }
+
+    /// KV cache of a request.
+    pub(super) fn kv(&self, id: &str) -> Option<KvState> {
+        self.records.get(id)?.kv
+    }
+
+    /// Takes in the KV cache of a request from another engine.
+    pub(super) fn import_kv(&mut self, id: &str, kv: KvState) {
+        self.record(id).kv = Some(kv);
+    }
+
+    fn record(&mut self, id: &str) -> &mut Record {
+        if !self.records.contains_key(id) {
+            self.order.push_back(id.to_string());
+            self.forget_oldest();
+        }
+        self.records.entry(id.to_string()).or_default()
+    }
+
+    fn forget_oldest(&mut self) {
+        if self.order.len() > MAX_REQUESTS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.records.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-standin/src/engine/cache.rs
@@ -0,0 +1,95 @@
+//! Cache of prompt prefixes in limited memory, and the events that tell of it.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use godwit_schema::engine::{CacheAction, CacheEvent, CacheEventsReply};
+use godwit_schema::prefix_hashes;
+
+/// Events kept; who asks later finds a gap.
+const MAX_EVENTS: usize = 4_096;
+
+#[derive(Debug)]
+struct Block {
+    prefix_bytes: u32,
+    used: u64,
+}
+
+/// Blocks of prompt prefixes; the least recently used go first.
+#[derive(Debug)]
+pub(super) struct PrefixCache {
+    limit: usize,
+    uses: u64,
+    blocks: BTreeMap<String, Block>,
+    by_use: BTreeMap<u64, String>,
+    newest_sequence: u64,
+    events: VecDeque<CacheEvent>,
+}
+
+impl PrefixCache {
+    /// An empty cache that holds `limit` blocks.
+    pub(super) fn new(limit: usize) -> PrefixCache {
+        PrefixCache {
+            limit,
+            uses: 0,
+            blocks: BTreeMap::new(),
+            by_use: BTreeMap::new(),
+            newest_sequence: 0,
+            events: VecDeque::new(),
+        }
+    }
+
+    /// Bytes of the prompt's longest cached prefix.
+    pub(super) fn cached_bytes(&self, prompt: &str) -> usize {
+        let prefixes = prefix_hashes(prompt);
+        let cached = prefixes.iter().take_while(|(_, hash)| self.blocks.contains_key(hash));
+        cached.last().map_or(0, |(bytes, _)| *bytes)
+    }
+
+    /// Stores the prompt's prefixes; `tells` is false while events are lost.
+    pub(super) fn store(&mut self, prompt: &str, tells: bool) {
+        for (bytes, hash) in prefix_hashes(prompt).into_iter().take(self.limit) {
+            let prefix_bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+            self.touch(hash, prefix_bytes, tells);
+        }
+        while self.blocks.len() > self.limit {
+            self.evict_oldest(tells);
+        }
+    }
+
+    /// Events after a sequence number.
+    pub(super) fn events_after(&self, after: u64) -> CacheEventsReply {
+        let events = self.events.iter().filter(|event| event.sequence > after).cloned().collect();
+        CacheEventsReply { events, newest_sequence: self.newest_sequence }
+    }
+
+    fn touch(&mut self, hash: String, prefix_bytes: u32, tells: bool) {
+        self.uses += 1;
+        let block = Block { prefix_bytes, used: self.uses };
+        let known = self.blocks.insert(hash.clone(), block);
+        self.by_use.insert(self.uses, hash.clone());
+        match known {
+            Some(block) => {
+                self.by_use.remove(&block.used);
+            }
+            None => self.tell(CacheAction::Stored, hash, prefix_bytes, tells),
+        }
+    }
+
+    fn evict_oldest(&mut self, tells: bool) {
+        let Some((_, hash)) = self.by_use.pop_first() else { return };
+        let Some(block) = self.blocks.remove(&hash) else { return };
+        self.tell(CacheAction::Removed, hash, block.prefix_bytes, tells);
+    }
+
+    fn tell(&mut self, action: CacheAction, prefix_hash: String, prefix_bytes: u32, tells: bool) {
+        self.newest_sequence += 1;
+        if !tells {
+            return;
+        }
+        let sequence = self.newest_sequence;
+        self.events.push_back(CacheEvent { action, prefix_bytes, prefix_hash, sequence });
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-standin/src/engine/core.rs
@@ -0,0 +1,299 @@
+//! State of an engine, its life and its faults.
+
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use godwit_schema::engine::{EngineFaults, LoadReport};
+
+use super::attempts::Attempts;
+use super::cache::PrefixCache;
+use super::inventory::Inventory;
+use super::load::LoadHistory;
+use super::settings::EngineSettings;
+use super::slots::Slots;
+use crate::StandinError;
+use crate::http::Port;
+use crate::journal::Journal;
+use crate::time::{lock, unix_now_ms};
+
+/// Longest wait before the reasons to stop are looked at again.
+const MAX_WAIT: Duration = Duration::from_millis(500);
+
+/// Why work ends before it is complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Interrupt {
+    /// The engine died.
+    Dead,
+    /// The attempt was cancelled or a newer one came.
+    Superseded,
+    /// The caller closed its connection.
+    CallerGone,
+}
+
+/// Which work waits: one attempt of a request, in one life of the engine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Work<'a> {
+    pub(super) request_id: &'a str,
+    pub(super) attempt: u32,
+    pub(super) incarnation: u64,
+}
+
+/// What an engine loses when it dies.
+pub(super) struct Memory {
+    pub(super) started_at_unix_ms: u64,
+    pub(super) slots: Slots,
+    pub(super) steps_running: u32,
+    pub(super) pending_tokens: u64,
+    pub(super) attempts: Attempts,
+    pub(super) cache: PrefixCache,
+    pub(super) inventory: Inventory,
+    pub(super) history: LoadHistory,
+}
+
+impl Memory {
+    fn new(settings: &EngineSettings) -> Memory {
+        Memory {
+            started_at_unix_ms: unix_now_ms(),
+            slots: Slots::new(settings.slots, settings.queue_limit),
+            steps_running: 0,
+            pending_tokens: 0,
+            attempts: Attempts::default(),
+            cache: PrefixCache::new(settings.cache_blocks),
+            inventory: Inventory::new(&settings.models, &settings.adapters),
+            history: LoadHistory::default(),
+        }
+    }
+
+    /// The load as it is now.
+    pub(super) fn report(&self, settings: &EngineSettings, now_unix_ms: u64) -> LoadReport {
+        LoadReport {
+            measured_at_unix_ms: now_unix_ms,
+            started_at_unix_ms: self.started_at_unix_ms,
+            slots: settings.slots,
+            running: self.slots.running() + self.steps_running,
+            waiting: self.slots.waiting(),
+            pending_tokens: self.pending_tokens,
+            tokens_per_s: settings.tokens_per_s,
+            models: self.inventory.names(),
+            highest_fencing_number: self.inventory.highest_fencing_number(),
+        }
+    }
+}
+
+/// State of an engine over all its lives.
+pub(super) struct State {
+    pub(super) incarnation: u64,
+    pub(super) faults: EngineFaults,
+    pub(super) memory: Memory,
+    alive: bool,
+    hung: bool,
+    stopped: bool,
+    back_at: Option<Instant>,
+}
+
+impl State {
+    fn is_hanging(&self) -> bool {
+        self.faults.hang || self.hung
+    }
+}
+
+/// An engine: its settings, state and journal.
+pub(super) struct Engine {
+    pub(super) settings: EngineSettings,
+    pub(super) journal: Journal,
+    port: Arc<Port>,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+impl Engine {
+    pub(super) fn new(settings: EngineSettings, port: Arc<Port>) -> Engine {
+        let state = State {
+            incarnation: 0,
+            faults: EngineFaults::default(),
+            memory: Memory::new(&settings),
+            alive: true,
+            hung: false,
+            stopped: false,
+            back_at: None,
+        };
+        let journal = Journal::new(&settings.name, settings.journal_limit);
+        Engine { settings, journal, port, state: Mutex::new(state), changed: Condvar::new() }
+    }
+
+    /// Locks the state.
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+
+    /// Wakes all waiting work.
+    pub(super) fn notify(&self) {
+        self.changed.notify_all();
+    }
+
+    /// Whether the engine lives; a dead one whose time has come starts again.
+    pub(super) fn is_alive(&self) -> bool {
+        let mut state = self.state();
+        let is_back = state.back_at.is_some_and(|back_at| back_at <= Instant::now());
+        if !state.alive && is_back && !state.stopped {
+            self.revive(&mut state);
+        }
+        state.alive
+    }
+
+    /// Sets all faults; the former ones end.
+    pub(super) fn set_faults(&self, faults: EngineFaults) -> Result<(), StandinError> {
+        let mut state = self.state();
+        let (dies, is_open) = (faults.dead && state.alive, !faults.refuse_connections);
+        state.hung = false;
+        state.faults = faults;
+        if !state.faults.dead && !state.alive && !state.stopped {
+            self.revive(&mut state);
+        }
+        drop(state);
+        self.notify();
+        if dies {
+            self.die();
+        }
+        if is_open {
+            return self.port.open();
+        }
+        self.port.close();
+        Ok(())
+    }
+
+    /// Ends this life: all memory is lost, all connections are closed.
+    pub(super) fn die(&self) {
+        let mut state = self.state();
+        if !state.alive {
+            return;
+        }
+        state.alive = false;
+        state.incarnation += 1;
+        state.memory = Memory::new(&self.settings);
+        let restart_after_ms = state.faults.restart_after_ms;
+        state.back_at = restart_after_ms.map(|ms| Instant::now() + Duration::from_millis(ms));
+        drop(state);
+        self.port.close_connections();
+        self.notify();
+    }
+
+    /// Ends the engine for good.
+    pub(super) fn stop(&self) {
+        self.state().stopped = true;
+        self.die();
+    }
+
+    fn revive(&self, state: &mut State) {
+        state.alive = true;
+        state.hung = false;
+        state.back_at = None;
+        state.faults.dead = false;
+        state.memory = Memory::new(&self.settings);
+    }
+
+    /// Waits until `due`, longer while the engine hangs.
+    pub(super) fn wait_until(&self, work: Work<'_>, due: Instant) -> Result<(), Interrupt> {
+        self.wait_for(work, Some(due), |_| false).map(|_| ())
+    }
+
+    /// Waits until `ready` holds or `due` has come; true when it holds.
+    pub(super) fn wait_for(
+        &self,
+        work: Work<'_>,
+        due: Option<Instant>,
+        mut ready: impl FnMut(&mut State) -> bool,
+    ) -> Result<bool, Interrupt> {
+        let mut state = self.state();
+        loop {
+            check(&state, work)?;
+            let mut wait = MAX_WAIT;
+            if !state.is_hanging() {
+                if ready(&mut state) {
+                    return Ok(true);
+                }
+                let left = due.map(|due| due.saturating_duration_since(Instant::now()));
+                if left.is_some_and(|left| left.is_zero()) {
+                    return Ok(false);
+                }
+                wait = left.unwrap_or(MAX_WAIT).min(MAX_WAIT);
+            }
+            let waited = self.changed.wait_timeout(state, wait);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Waits while the engine hangs.
+    pub(super) fn wait_while_hanging(&self) {
+        let mut state = self.state();
+        while state.is_hanging() && state.alive {
+            let waited = self.changed.wait_timeout(state, MAX_WAIT);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Carries out the faults that strike when a position is about to run.
+    pub(super) fn strike(
+        &self,
+        work: Work<'_>,
+        position: u32,
+        prompt: &str,
+    ) -> Result<(), Interrupt> {
+        let mut state = self.state();
+        check(&state, work)?;
+        if state.faults.hang_at_position == Some(position) {
+            state.faults.hang_at_position = None;
+            state.hung = true;
+        }
+        let dies_here = state.faults.die_at_position == Some(position);
+        if dies_here {
+            state.faults.die_at_position = None;
+        }
+        let marker = state.faults.crash_marker.as_deref();
+        let crashes = marker.is_some_and(|marker| prompt.contains(marker));
+        drop(state);
+        if dies_here || crashes {
+            self.die();
+        }
+        self.wait_until(work, Instant::now())
+    }
+
+    /// Time of one token or prompt token at a rate, as slowed by the faults.
+    pub(super) fn slowed(&self, tokens: u32, tokens_per_s: f64) -> Duration {
+        let slow_factor = self.state().faults.slow_factor.max(0.0);
+        let seconds = f64::from(tokens) * slow_factor / tokens_per_s.max(f64::MIN_POSITIVE);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    /// The load report, as old as settings and faults say.
+    pub(super) fn load_report(&self) -> LoadReport {
+        let mut state = self.state();
+        let now_unix_ms = unix_now_ms();
+        state.memory.inventory.settle(Instant::now());
+        let lag_ms = self.settings.load_report_lag_ms + state.faults.stale_load_report_ms;
+        let report = state.memory.report(&self.settings, now_unix_ms);
+        if lag_ms == 0 {
+            return report;
+        }
+        state.memory.history.at(now_unix_ms.saturating_sub(lag_ms)).unwrap_or(report)
+    }
+
+    /// Remembers the load for later reports.
+    pub(super) fn note_load(&self, state: &mut State) {
+        let now_unix_ms = unix_now_ms();
+        if state.memory.history.is_due(now_unix_ms) {
+            let report = state.memory.report(&self.settings, now_unix_ms);
+            state.memory.history.add(report);
+        }
+    }
+}
+
+fn check(state: &State, work: Work<'_>) -> Result<(), Interrupt> {
+    if !state.alive || state.incarnation != work.incarnation {
+        return Err(Interrupt::Dead);
+    }
+    if !state.memory.attempts.is_current(work.request_id, work.attempt) {
+        return Err(Interrupt::Superseded);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/godwit-standin/src/engine/generate.rs
@@ -0,0 +1,185 @@
+//! `POST /v1/generate`: a request from its slot to its last token.
+
+use std::time::Instant;
+
+use godwit_schema::engine::{
+    GenerateEvent, GenerateEventKind, GenerateRequest, JournalAction, RefusalReason,
+};
+
+use super::attempts::Layers;
+use super::core::{Engine, Interrupt};
+use super::refusal::refusal;
+use super::run::Run;
+use super::step::{Plan, StepError};
+use super::tokens::Answer;
+use crate::http::{Flow, LineStream, Responder};
+use crate::journal::Subject;
+
+impl Engine {
+    /// Runs a request and streams its tokens; an error is a refusal before anything ran.
+    pub(super) fn generate(
+        &self,
+        request: &GenerateRequest,
+        responder: &Responder<'_>,
+    ) -> Result<Flow, RefusalReason> {
+        if request.accepted_tokens.len() != request.first_position as usize {
+            return Err(RefusalReason::BadRequest);
+        }
+        let layers = self.layers_of(request)?;
+        let run = Run::enter(self, request)?;
+        self.journal.add(JournalAction::Accepted, subject(request), None);
+        let Ok(lines) = responder.lines() else {
+            self.journal.add(JournalAction::Cancelled, subject(request), None);
+            return Ok(Flow::Close);
+        };
+        let stream = TokenStream { engine: self, request, responder, lines };
+        Ok(stream.run(run, layers))
+    }
+
+    fn layers_of(&self, request: &GenerateRequest) -> Result<Layers, RefusalReason> {
+        let mut state = self.state();
+        let inventory = &mut state.memory.inventory;
+        inventory.settle(Instant::now());
+        let adapter = request.adapter.as_deref();
+        if adapter.is_some_and(|adapter| !inventory.has_adapter(adapter)) {
+            return Err(RefusalReason::UnknownModel);
+        }
+        let stage = request.stages.first();
+        let stage_layers = stage.map(|s| Layers { from: s.layer_from, to: s.layer_to });
+        let holding = inventory.find(&request.model, stage_layers);
+        let holding = holding.ok_or(RefusalReason::UnknownModel)?;
+        let held = Layers { from: holding.layer_from, to: holding.layer_to };
+        Ok(stage_layers.unwrap_or(held))
+    }
+}
+
+fn subject(request: &GenerateRequest) -> Subject<'_> {
+    Subject {
+        request_id: Some(&request.request_id),
+        idempotency_key: request.idempotency_key.as_deref(),
+        attempt: Some(request.attempt),
+        position: Some(request.first_position),
+        layers: None,
+    }
+}
+
+struct TokenStream<'a> {
+    engine: &'a Engine,
+    request: &'a GenerateRequest,
+    responder: &'a Responder<'a>,
+    lines: LineStream<'a>,
+}
+
+impl TokenStream<'_> {
+    fn run(mut self, mut run: Run<'_>, layers: Layers) -> Flow {
+        let mut position = self.request.first_position;
+        let error = match self.run_tokens(&mut run, layers, &mut position) {
+            Ok(()) => {
+                drop(run);
+                self.engine.journal.add(JournalAction::Done, subject(self.request), None);
+                return Flow::KeepOpen;
+            }
+            Err(error) => error,
+        };
+        drop(run);
+        match error {
+            StepError::Interrupted(Interrupt::Dead) => {
+                self.lines.abandon();
+                Flow::Close
+            }
+            StepError::Interrupted(Interrupt::CallerGone) => {
+                self.engine.journal.add(JournalAction::Cancelled, subject(self.request), None);
+                self.lines.abandon();
+                Flow::Close
+            }
+            StepError::Interrupted(Interrupt::Superseded) => {
+                self.engine.journal.add(JournalAction::Cancelled, subject(self.request), None);
+                self.send_error(position, None, refusal(RefusalReason::StaleAttempt).message)
+            }
+            StepError::Refused(refusal) => {
+                self.send_error(position, refusal.failed_server, refusal.message)
+            }
+        }
+    }
+
+    fn run_tokens(
+        &mut self,
+        run: &mut Run<'_>,
+        layers: Layers,
+        position: &mut u32,
+    ) -> Result<(), StepError> {
+        let (engine, request) = (self.engine, self.request);
+        let plan = Plan {
+            request_id: &request.request_id,
+            model: &request.model,
+            prompt: &request.prompt,
+            attempt: request.attempt,
+            stages: &request.stages,
+            stage_index: 0,
+            layers,
+        };
+        run.wait_for_slot(self.responder)?;
+        let answer = Answer::new(&request.model, &request.prompt, request.max_tokens);
+        let mut due = Instant::now() + engine.prefill_time(&plan, *position);
+        engine.wait_until(run.work(), due)?;
+        engine.store_prefixes(&request.prompt);
+        if self.responder.is_caller_gone() {
+            return Err(Interrupt::CallerGone.into());
+        }
+        while *position < answer.length {
+            let token_time = engine.slowed(1, engine.settings.tokens_per_s);
+            due = (due + token_time).max(Instant::now());
+            engine.wait_until(run.work(), due)?;
+            let token = engine.run_position(&plan, run.work(), *position)?;
+            if !request.stages.is_empty() {
+                due = Instant::now();
+            }
+            run.token_done();
+            self.send_token(*position, token)?;
+            *position += 1;
+        }
+        self.send_done(&answer)
+    }
+
+    fn send_token(&mut self, position: u32, token: String) -> Result<(), StepError> {
+        let mut event = self.event(GenerateEventKind::Token, position);
+        event.token = Some(token);
+        self.send(&event)?;
+        if self.engine.state().faults.duplicate_tokens {
+            self.send(&event)?;
+        }
+        Ok(())
+    }
+
+    fn send_done(&mut self, answer: &Answer) -> Result<(), StepError> {
+        let mut event = self.event(GenerateEventKind::Done, answer.length);
+        event.finish_reason = Some(answer.finish_reason);
+        self.send(&event)
+    }
+
+    fn send_error(mut self, position: u32, server: Option<String>, message: String) -> Flow {
+        let mut event = self.event(GenerateEventKind::Error, position);
+        event.failed_server = server;
+        event.message = Some(message);
+        match self.send(&event) {
+            Ok(()) => Flow::KeepOpen,
+            Err(_) => Flow::Close,
+        }
+    }
+
+    fn send(&mut self, event: &GenerateEvent) -> Result<(), StepError> {
+        self.lines.send(event).map_err(|_| Interrupt::CallerGone.into())
+    }
+
+    fn event(&self, kind: GenerateEventKind, position: u32) -> GenerateEvent {
+        GenerateEvent {
+            attempt: self.request.attempt,
+            failed_server: None,
+            finish_reason: None,
+            kind,
+            message: None,
+            position,
+            token: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-standin/src/engine/inventory.rs
@@ -0,0 +1,130 @@
+//! Models and adapters that an engine holds, and the orders that change them.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use godwit_schema::engine::{EngineOrder, OrderAction};
+
+use super::attempts::Layers;
+use super::settings::ModelHolding;
+
+/// Layers that an ordered model is given, as nothing else tells their count.
+const ORDERED_MODEL_LAYERS: u32 = 1;
+
+#[derive(Debug)]
+struct Loading {
+    ready_at: Instant,
+    action: OrderAction,
+    target: String,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum OrderOutcome {
+    /// The order was taken.
+    Taken,
+    /// The order was taken before and is not carried out again.
+    Repeated,
+    /// A higher fencing number was seen.
+    Fenced,
+}
+
+/// Models and adapters held.
+#[derive(Debug)]
+pub(super) struct Inventory {
+    models: Vec<ModelHolding>,
+    adapters: Vec<String>,
+    role: Option<String>,
+    orders: BTreeSet<String>,
+    loading: Vec<Loading>,
+    highest_fencing_number: u64,
+}
+
+impl Inventory {
+    /// What an engine holds when it starts.
+    pub(super) fn new(models: &[ModelHolding], adapters: &[String]) -> Inventory {
+        Inventory {
+            models: models.to_vec(),
+            adapters: adapters.to_vec(),
+            role: None,
+            orders: BTreeSet::new(),
+            loading: Vec::new(),
+            highest_fencing_number: 0,
+        }
+    }
+
+    /// Takes an order; loads are complete at `ready_at`.
+    pub(super) fn order(
+        &mut self,
+        order: &EngineOrder,
+        checks_fencing: bool,
+        ready_at: Instant,
+    ) -> OrderOutcome {
+        if checks_fencing && order.fencing_number < self.highest_fencing_number {
+            return OrderOutcome::Fenced;
+        }
+        self.highest_fencing_number = self.highest_fencing_number.max(order.fencing_number);
+        if !self.orders.insert(order.order_id.clone()) {
+            return OrderOutcome::Repeated;
+        }
+        let (action, target) = (order.action, order.target.clone());
+        match action {
+            OrderAction::UnloadModel => self.unload(&target),
+            OrderAction::SetRole => self.role = Some(target),
+            _ => self.loading.push(Loading { ready_at, action, target }),
+        }
+        OrderOutcome::Taken
+    }
+
+    /// Completes the loads whose time has come.
+    pub(super) fn settle(&mut self, now: Instant) {
+        let (ready, loading) = self.loading.drain(..).partition(|load| load.ready_at <= now);
+        self.loading = loading;
+        let ready: Vec<Loading> = ready;
+        ready.into_iter().for_each(|load| self.complete(load));
+    }
+
+    /// The model held whole, or the range of it that covers `layers`.
+    pub(super) fn find(&self, model: &str, layers: Option<Layers>) -> Option<&ModelHolding> {
+        self.models.iter().filter(|holding| holding.model == model).find(|holding| {
+            let held = Layers { from: holding.layer_from, to: holding.layer_to };
+            layers.map_or(holding.is_whole(), |layers| held.covers(layers))
+        })
+    }
+
+    /// Whether some model's layers are held.
+    pub(super) fn holds(&self, layers: Layers) -> bool {
+        let mut held =
+            self.models.iter().map(|held| Layers { from: held.layer_from, to: held.layer_to });
+        held.any(|held| held.covers(layers))
+    }
+
+    /// Whether an adapter is held.
+    pub(super) fn has_adapter(&self, adapter: &str) -> bool {
+        self.adapters.iter().any(|held| held == adapter)
+    }
+
+    /// Names of models and adapters held.
+    pub(super) fn names(&self) -> Vec<String> {
+        let models = self.models.iter().map(|holding| holding.model.clone());
+        models.chain(self.adapters.iter().cloned()).collect()
+    }
+
+    /// Highest fencing number seen.
+    pub(super) fn highest_fencing_number(&self) -> u64 {
+        self.highest_fencing_number
+    }
+
+    fn unload(&mut self, target: &str) {
+        self.models.retain(|holding| holding.model != target);
+        self.loading.retain(|load| load.target != target);
+    }
+
+    fn complete(&mut self, load: Loading) {
+        if load.action == OrderAction::LoadAdapter {
+            self.adapters.push(load.target);
+        } else {
+            self.models.push(ModelHolding::whole(&load.target, ORDERED_MODEL_LAYERS));
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-standin/src/engine/refusal.rs
@@ -0,0 +1,30 @@
+//! Refusals and their HTTP status.
+
+use godwit_schema::engine::{EngineRefusal, RefusalReason};
+
+/// A refusal for a reason.
+pub(super) fn refusal(reason: RefusalReason) -> EngineRefusal {
+    let message = match reason {
+        RefusalReason::Busy => "no room in the queue",
+        RefusalReason::UnknownModel => "the model, its layers or the adapter are not loaded",
+        RefusalReason::StaleAttempt => "a newer attempt was seen, or this one was cancelled",
+        RefusalReason::PositionDone => "this attempt was run already",
+        RefusalReason::StaleFencingNumber => "a higher fencing number was seen",
+        RefusalReason::BadRequest => "the call is malformed",
+        RefusalReason::StageFailed => "a later stage failed",
+    };
+    EngineRefusal { reason, failed_server: None, message: message.to_string() }
+}
+
+/// HTTP status of a reason.
+pub(super) fn status(reason: RefusalReason) -> u16 {
+    match reason {
+        RefusalReason::Busy => 503,
+        RefusalReason::UnknownModel => 404,
+        RefusalReason::StaleAttempt
+        | RefusalReason::PositionDone
+        | RefusalReason::StaleFencingNumber => 409,
+        RefusalReason::BadRequest => 400,
+        RefusalReason::StageFailed => 502,
+    }
+}
--- /dev/null
+++ b/crates/godwit-standin/src/engine/settings.rs
@@ -0,0 +1,93 @@
+//! Settings of a model engine's stand-in.
+
+use std::net::SocketAddr;
+
+/// Journal entries kept.
+const JOURNAL_LIMIT: usize = 200_000;
+
+/// A model that an engine holds, whole or a range of its layers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ModelHolding {
+    /// Name of the model.
+    pub model: String,
+    /// First layer held.
+    pub layer_from: u32,
+    /// Layer after the last held.
+    pub layer_to: u32,
+    /// Count of the model's layers.
+    pub layer_count: u32,
+}
+
+impl ModelHolding {
+    /// A model held whole.
+    pub fn whole(model: &str, layer_count: u32) -> ModelHolding {
+        ModelHolding::range(model, 0, layer_count, layer_count)
+    }
+
+    /// The layers `[layer_from, layer_to)` of a model.
+    pub fn range(model: &str, layer_from: u32, layer_to: u32, layer_count: u32) -> ModelHolding {
+        ModelHolding { model: model.to_string(), layer_from, layer_to, layer_count }
+    }
+
+    pub(super) fn is_whole(&self) -> bool {
+        self.layer_from == 0 && self.layer_to == self.layer_count
+    }
+}
+
+/// Settings of a model engine's stand-in.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Address to serve on; port 0 takes a free one.
+    pub bind: SocketAddr,
+    /// Address for `PUT /faults` and `GET /journal`.
+    pub control_bind: SocketAddr,
+    /// Name of the server.
+    pub name: String,
+    /// Models held at the start.
+    pub models: Vec<ModelHolding>,
+    /// Adapters held at the start.
+    pub adapters: Vec<String>,
+    /// Requests that run at a time.
+    pub slots: u32,
+    /// Tokens a second of one slot, through the layers held.
+    pub tokens_per_s: f64,
+    /// Prompt tokens a second while the state of a prompt is built.
+    pub prefill_tokens_per_s: f64,
+    /// Most requests that wait for a slot.
+    pub queue_limit: u32,
+    /// Most blocks of prompt prefixes in the cache.
+    pub cache_blocks: usize,
+    /// Load reports are this old.
+    pub load_report_lag_ms: u64,
+    /// A load ordered takes this long.
+    pub order_load_ms: u64,
+    /// Whether an order with an old fencing number is refused.
+    pub checks_fencing: bool,
+    /// A later stage must answer a step within this time.
+    pub step_timeout_s: u64,
+    /// Journal entries kept; the oldest go first.
+    pub journal_limit: usize,
+}
+
+impl EngineSettings {
+    /// Settings of an engine that holds nothing yet.
+    pub fn new(bind: SocketAddr, name: &str) -> EngineSettings {
+        EngineSettings {
+            bind,
+            control_bind: SocketAddr::new(bind.ip(), 0),
+            name: name.to_string(),
+            models: Vec::new(),
+            adapters: Vec::new(),
+            slots: 8,
+            tokens_per_s: 50.0,
+            prefill_tokens_per_s: 5_000.0,
+            queue_limit: 64,
+            cache_blocks: 1_024,
+            load_report_lag_ms: 0,
+            order_load_ms: 200,
+            checks_fencing: true,
+            step_timeout_s: 5,
+            journal_limit: JOURNAL_LIMIT,
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-standin/src/engine/slots.rs
@@ -0,0 +1,69 @@
+//! Slots of an engine and the queue for them, by priority and then arrival.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+
+/// Place of a request in the queue: higher priority first, then the earlier arrival.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Place {
+    priority: Reverse<u8>,
+    arrival: u64,
+}
+
+/// Slots and the queue for them.
+#[derive(Debug)]
+pub(super) struct Slots {
+    count: u32,
+    queue_limit: u32,
+    running: u32,
+    arrivals: u64,
+    waiting: BTreeSet<Place>,
+}
+
+impl Slots {
+    /// Free slots and an empty queue.
+    pub(super) fn new(count: u32, queue_limit: u32) -> Slots {
+        Slots { count, queue_limit, running: 0, arrivals: 0, waiting: BTreeSet::new() }
+    }
+
+    /// Takes a place in the queue; none when no slot is free and the queue is full.
+    pub(super) fn enter(&mut self, priority: u8) -> Option<Place> {
+        let queued = self.waiting.len() as u64;
+        let free = u64::from(self.count.saturating_sub(self.running));
+        if queued >= free + u64::from(self.queue_limit) {
+            return None;
+        }
+        self.arrivals += 1;
+        let place = Place { priority: Reverse(priority), arrival: self.arrivals };
+        self.waiting.insert(place);
+        Some(place)
+    }
+
+    /// Takes a slot, when one is free and nobody goes before.
+    pub(super) fn try_start(&mut self, place: Place) -> bool {
+        let is_first = self.waiting.first() == Some(&place);
+        if !is_first || self.running >= self.count {
+            return false;
+        }
+        self.waiting.remove(&place);
+        self.running += 1;
+        true
+    }
+
+    /// Gives back a slot or a place in the queue.
+    pub(super) fn leave(&mut self, place: Place) {
+        if !self.waiting.remove(&place) {
+            self.running = self.running.saturating_sub(1);
+        }
+    }
+
+    /// Requests running.
+    pub(super) fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Requests waiting.
+    pub(super) fn waiting(&self) -> u32 {
+        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/godwit-standin/src/engine/step.rs
@@ -0,0 +1,214 @@
+//! One position through the layers of one stage, and the call to the next stage.
+
+use std::time::{Duration, Instant};
+
+use godwit_schema::engine::{
+    EngineRefusal, JournalAction, RefusalReason, Stage, StepReply, StepRequest,
+};
+
+use super::attempts::Layers;
+use super::core::{Engine, Interrupt, Work};
+use super::refusal::refusal;
+use super::tokens::{Answer, prompt_tokens};
+use crate::journal::Subject;
+
+const STATUS_OK: u16 = 200;
+
+/// A request as the stages of its plan see it.
+#[derive(Clone, Copy)]
+pub(super) struct Plan<'a> {
+    pub(super) request_id: &'a str,
+    pub(super) model: &'a str,
+    pub(super) prompt: &'a str,
+    pub(super) attempt: u32,
+    pub(super) stages: &'a [Stage],
+    pub(super) stage_index: usize,
+    pub(super) layers: Layers,
+}
+
+/// Why a position could not be run.
+#[derive(Debug)]
+pub(super) enum StepError {
+    /// The work ends here.
+    Interrupted(Interrupt),
+    /// This engine or a later stage refuses the position.
+    Refused(EngineRefusal),
+}
+
+impl From<Interrupt> for StepError {
+    fn from(interrupt: Interrupt) -> StepError {
+        StepError::Interrupted(interrupt)
+    }
+}
+
+impl From<RefusalReason> for StepError {
+    fn from(reason: RefusalReason) -> StepError {
+        StepError::Refused(refusal(reason))
+    }
+}
+
+impl Engine {
+    /// Runs one position through the layers of this stage and all later ones.
+    pub(super) fn run_position(
+        &self,
+        plan: &Plan<'_>,
+        work: Work<'_>,
+        position: u32,
+    ) -> Result<String, StepError> {
+        self.strike(work, position, plan.prompt)?;
+        let mut state = self.state();
+        if state.incarnation != work.incarnation {
+            return Err(Interrupt::Dead.into());
+        }
+        let attempts = &mut state.memory.attempts;
+        attempts.begin_position(plan.request_id, plan.attempt, position, plan.layers)?;
+        let action =
+            if plan.stages.is_empty() { JournalAction::Token } else { JournalAction::Step };
+        let subject = Subject {
+            request_id: Some(plan.request_id),
+            attempt: Some(plan.attempt),
+            position: Some(position),
+            layers: Some((plan.layers.from, plan.layers.to)),
+            ..Subject::default()
+        };
+        self.journal.add(action, subject, None);
+        drop(state);
+        match plan.stages.get(plan.stage_index + 1) {
+            Some(next) => self.call_stage(plan, next, work, position),
+            None => Ok(Answer::new(plan.model, plan.prompt, u32::MAX).token(position)),
+        }
+    }
+
+    /// Time to build the state that a position needs, less what is cached.
+    pub(super) fn prefill_time(&self, plan: &Plan<'_>, position: u32) -> Duration {
+        let state = self.state();
+        let needed = prompt_tokens(plan.prompt).saturating_add(position);
+        let kv = state.memory.attempts.kv(plan.request_id);
+        let kv = kv.filter(|kv| kv.layers.covers(plan.layers));
+        let covered = match kv {
+            Some(kv) => prompt_tokens(plan.prompt).saturating_add(kv.position),
+            None => u32::try_from(state.memory.cache.cached_bytes(plan.prompt) / 4).unwrap_or(0),
+        };
+        drop(state);
+        self.slowed(needed.saturating_sub(covered), self.settings.prefill_tokens_per_s)
+    }
+
+    /// Stores the prefixes of a prompt whose state was built.
+    pub(super) fn store_prefixes(&self, prompt: &str) {
+        let mut state = self.state();
+        let tells = !state.faults.drop_cache_events;
+        state.memory.cache.store(prompt, tells);
+    }
+
+    /// Answers `POST /v1/step`.
+    pub(super) fn step(&self, request: &StepRequest) -> Result<StepReply, StepError> {
+        let stage_index = request.stage_index as usize;
+        let stage = request.stages.get(stage_index).ok_or(RefusalReason::BadRequest)?;
+        let layers = Layers { from: stage.layer_from, to: stage.layer_to };
+        let plan = Plan {
+            request_id: &request.request_id,
+            model: &request.model,
+            prompt: &request.prompt,
+            attempt: request.attempt,
+            stages: &request.stages,
+            stage_index,
+            layers,
+        };
+        let slot = StepSlot::enter(self, &plan)?;
+        let prefill = self.prefill_time(&plan, request.position);
+        self.wait_until(slot.work, Instant::now() + prefill)?;
+        let token_time = self.slowed(1, self.settings.tokens_per_s);
+        self.wait_until(slot.work, Instant::now() + token_time)?;
+        let work = slot.work;
+        drop(slot);
+        let token = self.run_position(&plan, work, request.position)?;
+        Ok(StepReply { token })
+    }
+
+    fn call_stage(
+        &self,
+        plan: &Plan<'_>,
+        next: &Stage,
+        work: Work<'_>,
+        position: u32,
+    ) -> Result<String, StepError> {
+        let link_delay = Duration::from_millis(self.state().faults.link_delay_ms);
+        if !link_delay.is_zero() {
+            self.wait_until(work, Instant::now() + link_delay)?;
+        }
+        let step = StepRequest {
+            request_id: plan.request_id.to_string(),
+            model: plan.model.to_string(),
+            prompt: plan.prompt.to_string(),
+            attempt: plan.attempt,
+            position,
+            stage_index: plan.stage_index as u32 + 1,
+            stages: plan.stages.to_vec(),
+        };
+        let result = send_step(next, &step, self.settings.step_timeout_s);
+        self.wait_until(work, Instant::now())?;
+        result.map_err(StepError::Refused)
+    }
+}
+
+/// A step in progress, which counts as load until it is dropped.
+struct StepSlot<'a> {
+    engine: &'a Engine,
+    work: Work<'a>,
+}
+
+impl<'a> StepSlot<'a> {
+    fn enter(engine: &'a Engine, plan: &Plan<'a>) -> Result<StepSlot<'a>, StepError> {
+        let mut state = engine.state();
+        if state.memory.inventory.find(plan.model, Some(plan.layers)).is_none() {
+            return Err(RefusalReason::UnknownModel.into());
+        }
+        state.memory.attempts.advance(plan.request_id, plan.attempt)?;
+        let (request_id, attempt) = (plan.request_id, plan.attempt);
+        let work = Work { request_id, attempt, incarnation: state.incarnation };
+        drop(state);
+        let slots = engine.settings.slots;
+        engine.wait_for(work, None, |state| {
+            let is_free = state.memory.steps_running < slots;
+            state.memory.steps_running += u32::from(is_free);
+            is_free
+        })?;
+        Ok(StepSlot { engine, work })
+    }
+}
+
+impl Drop for StepSlot<'_> {
+    fn drop(&mut self) {
+        let mut state = self.engine.state();
+        if state.incarnation == self.work.incarnation {
+            state.memory.steps_running = state.memory.steps_running.saturating_sub(1);
+            drop(state);
+            self.engine.notify();
+        }
+    }
+}
+
+fn send_step(next: &Stage, step: &StepRequest, timeout_s: u64) -> Result<String, EngineRefusal> {
+    let failed = |message: String| EngineRefusal {
+        reason: RefusalReason::StageFailed,
+        failed_server: Some(next.server.clone()),
+        message,
+    };
+    let body = serde_json::to_vec(step).map_err(|error| failed(error.to_string()))?;
+    let response = minreq::post(format!("http://{}/v1/step", next.address))
+        .with_header("Connection", "close")
+        .with_body(body)
+        .with_timeout(timeout_s)
+        .send()
+        .map_err(|error| failed(error.to_string()))?;
+    if response.status_code == STATUS_OK {
+        let reply: Result<StepReply, _> = serde_json::from_slice(response.as_bytes());
+        return reply.map(|reply| reply.token).map_err(|error| failed(error.to_string()));
+    }
+    let refusal: Result<EngineRefusal, _> = serde_json::from_slice(response.as_bytes());
+    match refusal {
+        Ok(refusal) if refusal.reason != RefusalReason::UnknownModel => Err(refusal),
+        Ok(refusal) => Err(failed(refusal.message)),
+        Err(error) => Err(failed(error.to_string())),
+    }
+}
--- /dev/null
+++ b/crates/godwit-standin/src/http/connections.rs
@@ -0,0 +1,50 @@
+//! The open connections of a listener, so that all can be closed at once.
+
+use std::collections::BTreeMap;
+use std::net::{Shutdown, TcpStream};
+use std::sync::Mutex;
+
+use crate::time::lock;
+
+#[derive(Debug, Default)]
+struct Open {
+    next_id: u64,
+    streams: BTreeMap<u64, TcpStream>,
+}
+
+/// The open connections of a listener.
+#[derive(Debug, Default)]
+pub(crate) struct Connections {
+    open: Mutex<Open>,
+}
+
+impl Connections {
+    /// Registers a connection; none when `limit` are open or the socket cannot be shared.
+    pub(crate) fn add(&self, stream: &TcpStream, limit: usize) -> Option<u64> {
+        let clone = stream.try_clone().ok()?;
+        let mut open = lock(&self.open);
+        if open.streams.len() >= limit {
+            return None;
+        }
+        let id = open.next_id;
+        open.next_id += 1;
+        open.streams.insert(id, clone);
+        Some(id)
+    }
+
+    /// Forgets a connection and closes it.
+    pub(crate) fn remove(&self, id: u64) {
+        let stream = lock(&self.open).streams.remove(&id);
+        if let Some(stream) = stream {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Closes all connections at once.
+    pub(crate) fn close_all(&self) {
+        let streams = std::mem::take(&mut lock(&self.open).streams);
+        for stream in streams.values() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-standin/src/http/port.rs
@@ -0,0 +1,167 @@
+//! A listening port with a thread for each connection.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use super::call::Call;
+use super::connections::Connections;
+use super::reader::CallReader;
+use super::responder::{Flow, Responder};
+use crate::StandinError;
+use crate::time::lock;
+
+const STACK_BYTES: usize = 256 * 1024;
+const MAX_CONNECTIONS: usize = 4096;
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+const WAKE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What answers the calls of a port.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Whether connections are served; else they are closed at once.
+    fn is_serving(&self) -> bool {
+        true
+    }
+
+    /// Answers one call.
+    fn handle(&self, call: &Call, responder: &Responder<'_>) -> Flow;
+}
+
+/// A listening port; it can be closed and opened again under the same number.
+pub(crate) struct Port {
+    address: SocketAddr,
+    handler: Mutex<Option<Arc<dyn Handler>>>,
+    connections: Arc<Connections>,
+    listening: Arc<AtomicBool>,
+    acceptor: Mutex<Option<JoinHandle<()>>>,
+    unserved: Mutex<Option<TcpListener>>,
+}
+
+impl Port {
+    /// Binds an address; connections wait until `serve` is called.
+    pub(crate) fn bind(address: SocketAddr) -> Result<Port, StandinError> {
+        let listener = listen(address)?;
+        let source_address =
+            listener.local_addr().map_err(|source| StandinError::Listen { address, source })?;
+        Ok(Port {
+            address: source_address,
+            handler: Mutex::new(None),
+            connections: Arc::default(),
+            listening: Arc::new(AtomicBool::new(false)),
+            acceptor: Mutex::new(None),
+            unserved: Mutex::new(Some(listener)),
+        })
+    }
+
+    /// Address that the port listens on.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves connections with a handler.
+    pub(crate) fn serve(&self, handler: Arc<dyn Handler>) -> Result<(), StandinError> {
+        *lock(&self.handler) = Some(handler);
+        self.open()
+    }
+
+    /// Opens the listener, when it is not open.
+    pub(crate) fn open(&self) -> Result<(), StandinError> {
+        let mut acceptor = lock(&self.acceptor);
+        let Some(handler) = lock(&self.handler).clone() else { return Ok(()) };
+        if acceptor.is_some() {
+            return Ok(());
+        }
+        let unserved = lock(&self.unserved).take();
+        let listener = unserved.map_or_else(|| listen(self.address), Ok)?;
+        self.listening.store(true, Ordering::SeqCst);
+        let listening = self.listening.clone();
+        let connections = self.connections.clone();
+        let thread = std::thread::Builder::new()
+            .name("standin-accept".to_string())
+            .stack_size(STACK_BYTES)
+            .spawn(move || accept_loop(&listener, &listening, &connections, &handler))
+            .map_err(|source| StandinError::Thread { source })?;
+        *acceptor = Some(thread);
+        Ok(())
+    }
+
+    /// Closes the listener; open connections stay.
+    pub(crate) fn close(&self) {
+        let mut acceptor = lock(&self.acceptor);
+        let Some(thread) = acceptor.take() else { return };
+        self.listening.store(false, Ordering::SeqCst);
+        let mut wake = self.address;
+        if wake.ip().is_unspecified() {
+            wake.set_ip(Ipv4Addr::LOCALHOST.into());
+        }
+        let _ = TcpStream::connect_timeout(&wake, WAKE_TIMEOUT);
+        let _ = thread.join();
+    }
+
+    /// Closes all open connections at once.
+    pub(crate) fn close_connections(&self) {
+        self.connections.close_all();
+    }
+
+    /// Closes listener and connections for good.
+    pub(crate) fn stop(&self) {
+        self.close();
+        self.close_connections();
+        *lock(&self.handler) = None;
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, StandinError> {
+    TcpListener::bind(address).map_err(|source| StandinError::Listen { address, source })
+}
+
+fn accept_loop(
+    listener: &TcpListener,
+    listening: &AtomicBool,
+    connections: &Arc<Connections>,
+    handler: &Arc<dyn Handler>,
+) {
+    while let Ok((stream, _)) = listener.accept() {
+        if !listening.load(Ordering::SeqCst) {
+            return;
+        }
+        if !handler.is_serving() {
+            continue;
+        }
+        start_connection(stream, connections.clone(), handler.clone());
+    }
+}
+
+fn start_connection(stream: TcpStream, connections: Arc<Connections>, handler: Arc<dyn Handler>) {
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_write_timeout(Some(WRITE_TIMEOUT));
+    let Some(id) = connections.add(&stream, MAX_CONNECTIONS) else { return };
+    let registered = connections.clone();
+    let serve = move || {
+        serve_calls(&stream, handler.as_ref());
+        connections.remove(id);
+    };
+    let builder =
+        std::thread::Builder::new().name("standin-call".to_string()).stack_size(STACK_BYTES);
+    if builder.spawn(serve).is_err() {
+        registered.remove(id);
+    }
+}
+
+fn serve_calls(stream: &TcpStream, handler: &dyn Handler) {
+    let mut reader = CallReader::new(stream);
+    while let Ok(call) = reader.read() {
+        if !handler.is_serving() {
+            return;
+        }
+        let flow = handler.handle(&call, &Responder::new(stream));
+        let asked_to_close =
+            call.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+        let chunked = call.header("transfer-encoding").is_some();
+        if flow == Flow::Close || asked_to_close || chunked {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-standin/src/http/reader.rs
@@ -0,0 +1,135 @@
+//! Reads HTTP calls from a connection.
+
+use std::io::Read;
+use std::net::TcpStream;
+
+use super::call::{Call, Header};
+
+/// Most bytes of request line and headers.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Most bytes of a body.
+pub(crate) const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+const MAX_HEADERS: usize = 100;
+const READ_BYTES: usize = 8 * 1024;
+
+/// Why no call could be read; the connection is closed then.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ReadError {
+    /// The caller closed the connection, or it broke.
+    #[error("connection closed")]
+    Closed,
+    /// The bytes are no HTTP call.
+    #[error("not HTTP")]
+    Malformed,
+    /// Head or body is over the limit.
+    #[error("too long")]
+    TooLong,
+}
+
+impl From<std::io::Error> for ReadError {
+    fn from(_: std::io::Error) -> ReadError {
+        ReadError::Closed
+    }
+}
+
+enum Framing {
+    Length(usize),
+    Chunked,
+}
+
+struct Head {
+    method: String,
+    target: String,
+    headers: Vec<Header>,
+    length_bytes: usize,
+}
+
+/// Reads call after call from one connection.
+pub(crate) struct CallReader<'a> {
+    stream: &'a TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl<'a> CallReader<'a> {
+    /// A reader of the calls of one connection.
+    pub(crate) fn new(stream: &'a TcpStream) -> CallReader<'a> {
+        CallReader { stream, buffer: Vec::new() }
+    }
+
+    /// Blocks until a whole call is read.
+    pub(crate) fn read(&mut self) -> Result<Call, ReadError> {
+        let head = self.read_head()?;
+        self.buffer.drain(..head.length_bytes);
+        let body = match framing(&head.headers)? {
+            Framing::Length(length) => self.read_exact(length)?,
+            Framing::Chunked => self.read_chunked()?,
+        };
+        Ok(Call::new(&head.method, &head.target, head.headers, body))
+    }
+
+    fn read_head(&mut self) -> Result<Head, ReadError> {
+        loop {
+            if let Some(head) = parse_head(&self.buffer)? {
+                return Ok(head);
+            }
+            if self.buffer.len() > MAX_HEAD_BYTES {
+                return Err(ReadError::TooLong);
+            }
+            self.fill()?;
+        }
+    }
+
+    fn fill(&mut self) -> Result<(), ReadError> {
+        let mut chunk = [0; READ_BYTES];
+        let mut stream = self.stream;
+        let count = stream.read(&mut chunk)?;
+        if count == 0 {
+            return Err(ReadError::Closed);
+        }
+        self.buffer.extend_from_slice(&chunk[..count]);
+        Ok(())
+    }
+
+    fn read_exact(&mut self, length: usize) -> Result<Vec<u8>, ReadError> {
+        while self.buffer.len() < length {
+            self.fill()?;
+        }
+        let rest = self.buffer.split_off(length);
+        Ok(std::mem::replace(&mut self.buffer, rest))
+    }
+
+    fn read_chunked(&mut self) -> Result<Vec<u8>, ReadError> {
+        let start = std::mem::take(&mut self.buffer);
+        let source = start.as_slice().chain(self.stream);
+        let mut body = Vec::new();
+        let limit = MAX_BODY_BYTES as u64 + 1;
+        chunked_transfer::Decoder::new(source).take(limit).read_to_end(&mut body)?;
+        if body.len() > MAX_BODY_BYTES { Err(ReadError::TooLong) } else { Ok(body) }
+    }
+}
+
+fn parse_head(buffer: &[u8]) -> Result<Option<Head>, ReadError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let status = request.parse(buffer).map_err(|_| ReadError::Malformed)?;
+    let httparse::Status::Complete(length_bytes) = status else { return Ok(None) };
+    let headers = request.headers.iter().map(|header| Header {
+        name: header.name.to_ascii_lowercase(),
+        value: String::from_utf8_lossy(header.value).trim().to_string(),
+    });
+    let headers = headers.collect();
+    let method = request.method.unwrap_or_default().to_string();
+    let target = request.path.unwrap_or_default().to_string();
+    Ok(Some(Head { method, target, headers, length_bytes }))
+}
+
+fn framing(headers: &[Header]) -> Result<Framing, ReadError> {
+    if headers.iter().any(|header| header.name == "transfer-encoding") {
+        return Ok(Framing::Chunked);
+    }
+    let Some(length) = headers.iter().find(|header| header.name == "content-length") else {
+        return Ok(Framing::Length(0));
+    };
+    let length = length.value.parse().map_err(|_| ReadError::Malformed)?;
+    if length > MAX_BODY_BYTES { Err(ReadError::TooLong) } else { Ok(Framing::Length(length)) }
+}
--- /dev/null
+++ b/crates/godwit-standin/src/http/responder.rs
@@ -0,0 +1,135 @@
+//! Answers to HTTP calls.
+
+use std::fmt::Write as _;
+use std::io::{ErrorKind, Write};
+use std::net::{Shutdown, TcpStream};
+
+use chunked_transfer::Encoder;
+use serde::Serialize;
+
+/// Size of the buffer in which a line of a stream is put together.
+const CHUNK_BYTES: usize = 64 * 1024;
+
+/// What is to become of a connection after a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Flow {
+    /// The next call may come on the same connection.
+    KeepOpen,
+    /// The connection is closed.
+    Close,
+}
+
+/// Writes the answer to one call.
+pub(crate) struct Responder<'a> {
+    stream: &'a TcpStream,
+}
+
+impl<'a> Responder<'a> {
+    /// A responder that writes to a connection.
+    pub(crate) fn new(stream: &'a TcpStream) -> Responder<'a> {
+        Responder { stream }
+    }
+
+    /// Answers with a JSON document.
+    pub(crate) fn json(&self, status: u16, body: &impl Serialize) -> Flow {
+        self.json_with_header(status, None, body)
+    }
+
+    /// Answers with a JSON document and one more header line, such as `Retry-After: 1`.
+    pub(crate) fn json_with_header(
+        &self,
+        status: u16,
+        header: Option<&str>,
+        body: &impl Serialize,
+    ) -> Flow {
+        let Ok(body) = serde_json::to_vec(body) else { return Flow::Close };
+        let mut answer = head(status, "application/json", header);
+        let _ = write!(answer, "Content-Length: {}\r\n\r\n", body.len());
+        let mut answer = answer.into_bytes();
+        answer.extend_from_slice(&body);
+        self.write(&answer)
+    }
+
+    /// Answers with the first half of a JSON document and closes the connection.
+    pub(crate) fn half_json(&self, status: u16, body: &impl Serialize) -> Flow {
+        let Ok(body) = serde_json::to_vec(body) else { return Flow::Close };
+        let mut answer = head(status, "application/json", None);
+        let _ = write!(answer, "Content-Length: {}\r\n\r\n", body.len());
+        let mut answer = answer.into_bytes();
+        answer.extend_from_slice(&body[..body.len() / 2]);
+        self.write(&answer);
+        Flow::Close
+    }
+
+    /// Starts a chunked answer of JSON lines.
+    pub(crate) fn lines(&self) -> std::io::Result<LineStream<'a>> {
+        let mut answer = head(200, "application/jsonl", None);
+        answer.push_str("Transfer-Encoding: chunked\r\n\r\n");
+        let mut stream = self.stream;
+        stream.write_all(answer.as_bytes())?;
+        Ok(LineStream { encoder: Encoder::with_chunks_size(self.stream, CHUNK_BYTES) })
+    }
+
+    /// Whether the caller has closed its side of the connection.
+    pub(crate) fn is_caller_gone(&self) -> bool {
+        if self.stream.set_nonblocking(true).is_err() {
+            return true;
+        }
+        let mut byte = [0];
+        let seen = self.stream.peek(&mut byte);
+        let restored = self.stream.set_nonblocking(false);
+        match seen {
+            Ok(count) => count == 0 || restored.is_err(),
+            Err(error) => error.kind() != ErrorKind::WouldBlock,
+        }
+    }
+
+    fn write(&self, answer: &[u8]) -> Flow {
+        let mut stream = self.stream;
+        if stream.write_all(answer).is_ok() { Flow::KeepOpen } else { Flow::Close }
+    }
+}
+
+/// A chunked answer of JSON lines, each sent at once; dropping it ends the answer.
+pub(crate) struct LineStream<'a> {
+    encoder: Encoder<&'a TcpStream>,
+}
+
+impl LineStream<'_> {
+    /// Closes the connection without ending the answer.
+    pub(crate) fn abandon(self) {
+        let _ = self.encoder.get_ref().shutdown(Shutdown::Both);
+    }
+
+    /// Sends one line.
+    pub(crate) fn send(&mut self, line: &impl Serialize) -> std::io::Result<()> {
+        let mut text = serde_json::to_vec(line)?;
+        text.push(b'\n');
+        self.encoder.write_all(&text)?;
+        self.encoder.flush()
+    }
+}
+
+fn head(status: u16, content_type: &str, header: Option<&str>) -> String {
+    let mut head =
+        format!("HTTP/1.1 {status} {}\r\nContent-Type: {content_type}\r\n", reason(status));
+    if let Some(header) = header {
+        head.push_str(header);
+        head.push_str("\r\n");
+    }
+    head
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/godwit-standin/src/platform/store.rs
@@ -0,0 +1,85 @@
+//! Objects with versions from one counter and conditional updates.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::Arc;
+
+use godwit_schema::platform::{ListReply, ObjectHead, ObjectReply, WatchReply};
+use serde_json::Value;
+
+#[derive(Debug)]
+struct Object {
+    version: u64,
+    value: Option<Arc<Value>>,
+}
+
+/// The version that was expected is not the current one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Conflict {
+    /// The current version; 0 when the object does not exist.
+    pub(crate) version: u64,
+}
+
+/// All objects; deleted ones stay as tombstones so that watches tell of them.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    revision: u64,
+    objects: BTreeMap<String, Object>,
+}
+
+impl Store {
+    /// An object, unless it does not exist.
+    pub(crate) fn read(&self, name: &str) -> Option<ObjectReply> {
+        let object = self.objects.get(name)?;
+        let value = object.value.as_deref()?.clone();
+        Some(ObjectReply { name: name.to_string(), version: object.version, value })
+    }
+
+    /// Writes (`Some`) or deletes (`None`) an object that has the expected version; gives its new version.
+    pub(crate) fn update(
+        &mut self,
+        name: &str,
+        expected_version: u64,
+        value: Option<Value>,
+    ) -> Result<u64, Conflict> {
+        let version = self.current_version(name);
+        let deletes_nothing = version == 0 && value.is_none();
+        if version != expected_version || deletes_nothing {
+            return Err(Conflict { version });
+        }
+        self.revision += 1;
+        let object = Object { version: self.revision, value: value.map(Arc::new) };
+        self.objects.insert(name.to_string(), object);
+        Ok(self.revision)
+    }
+
+    /// Heads of the objects under a prefix.
+    pub(crate) fn list(&self, prefix: &str) -> ListReply {
+        let existing = self.under(prefix).filter(|(_, object)| object.value.is_some());
+        let objects = existing.map(|(name, object)| head(name, object)).collect();
+        ListReply { revision: self.revision, objects }
+    }
+
+    /// Changes under a prefix after a revision.
+    pub(crate) fn changes(&self, prefix: &str, after: u64) -> WatchReply {
+        let changed = self.under(prefix).filter(|(_, object)| object.version > after);
+        let changes = changed.map(|(name, object)| head(name, object)).collect();
+        WatchReply { revision: self.revision, changes }
+    }
+
+    fn current_version(&self, name: &str) -> u64 {
+        let object = self.objects.get(name).filter(|object| object.value.is_some());
+        object.map_or(0, |object| object.version)
+    }
+
+    fn under<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = (&'a String, &'a Object)> {
+        let bounds = (Bound::Included(prefix), Bound::Unbounded);
+        let from_prefix = self.objects.range::<str, _>(bounds);
+        from_prefix.take_while(move |(name, _)| name.starts_with(prefix))
+    }
+}
+
+fn head(name: &str, object: &Object) -> ObjectHead {
+    let version = if object.value.is_some() { object.version } else { 0 };
+    ObjectHead { name: name.to_string(), version }
+}
--- /dev/null
+++ b/crates/godwit-standin/src/service/api.rs
@@ -0,0 +1,226 @@
+//! HTTP interface of a plain service's stand-in.
+
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use godwit_schema::engine::{JournalAction, JournalEntry, LoadReport, ServiceFaults};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use sha2::{Digest, Sha256};
+
+use super::settings::ServiceSettings;
+use crate::http::{Call, Flow, Handler, Port, Responder};
+use crate::journal::{Journal, Subject};
+use crate::time::{lock, unix_now_ms};
+
+/// Answer of the service to a call.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceReply {
+    /// Name of the server.
+    pub service: String,
+    /// Number of the call among those that ran, from 1.
+    pub call: u64,
+    /// Method of the call.
+    pub method: String,
+    /// Path and query of the call.
+    pub path: String,
+    /// Length of the body.
+    pub body_bytes: u64,
+    /// SHA-256 of the body in hexadecimal digits.
+    pub body_sha256: String,
+}
+
+#[derive(Default)]
+struct State {
+    faults: ServiceFaults,
+    calls: u64,
+    running: u32,
+    waiting: u32,
+    stopped: bool,
+}
+
+enum Ending {
+    Answer,
+    HalfAnswer,
+    Reset,
+}
+
+/// The service's state and the calls on it.
+pub(super) struct Api {
+    settings: ServiceSettings,
+    port: Arc<Port>,
+    journal: Journal,
+    started_at_unix_ms: u64,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+impl Api {
+    pub(super) fn new(settings: ServiceSettings, port: Arc<Port>) -> Api {
+        let journal = Journal::new(&settings.name, settings.journal_limit);
+        Api {
+            settings,
+            port,
+            journal,
+            started_at_unix_ms: unix_now_ms(),
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        }
+    }
+
+    pub(super) fn set_faults(&self, faults: ServiceFaults) {
+        let dead = faults.dead;
+        lock(&self.state).faults = faults;
+        self.changed.notify_all();
+        if dead {
+            self.port.close_connections();
+        }
+    }
+
+    pub(super) fn journal(&self) -> Vec<JournalEntry> {
+        self.journal.entries()
+    }
+
+    pub(super) fn stop(&self) {
+        lock(&self.state).stopped = true;
+        self.changed.notify_all();
+    }
+
+    fn control(&self, call: &Call, responder: &Responder<'_>) -> Option<Flow> {
+        match (call.method.as_str(), call.path.as_str()) {
+            ("GET", "/journal") => Some(crate::journal::answer(&self.journal, responder)),
+            ("PUT", "/faults") => Some(match call.json() {
+                Ok(faults) => {
+                    self.set_faults(faults);
+                    responder.json(200, &json!({}))
+                }
+                Err(error) => responder.json(400, &json!({"error": error.to_string()})),
+            }),
+            _ => None,
+        }
+    }
+
+    fn load(&self) -> LoadReport {
+        let state = lock(&self.state);
+        LoadReport {
+            measured_at_unix_ms: unix_now_ms(),
+            started_at_unix_ms: self.started_at_unix_ms,
+            slots: self.settings.slots,
+            running: state.running,
+            waiting: state.waiting,
+            pending_tokens: u64::from(state.running) + u64::from(state.waiting),
+            tokens_per_s: 1_000.0 / self.settings.call_ms.max(1) as f64,
+            models: Vec::new(),
+            highest_fencing_number: 0,
+        }
+    }
+
+    fn run(&self, call: &Call, responder: &Responder<'_>) -> Flow {
+        let delay_ms = lock(&self.state).faults.delay_ms;
+        std::thread::sleep(Duration::from_millis(delay_ms));
+        if self.is_dropped_before_run() {
+            return Flow::Close;
+        }
+        let Some(number) = self.start_run(call) else { return Flow::Close };
+        std::thread::sleep(Duration::from_millis(self.settings.call_ms));
+        let ending = self.end_run();
+        let reply = self.reply(number, call);
+        match ending {
+            Ending::Answer => responder.json(200, &reply),
+            Ending::HalfAnswer => responder.half_json(200, &reply),
+            Ending::Reset => Flow::Close,
+        }
+    }
+
+    fn is_dropped_before_run(&self) -> bool {
+        let mut state = lock(&self.state);
+        let dropped = state.faults.reset_before_run > 0;
+        state.faults.reset_before_run -= u32::from(dropped);
+        dropped
+    }
+
+    fn start_run(&self, call: &Call) -> Option<u64> {
+        let mut state = lock(&self.state);
+        state.waiting += 1;
+        while state.running >= self.settings.slots && !state.stopped && !state.faults.dead {
+            state = self.wait(state);
+        }
+        state.waiting -= 1;
+        if state.stopped || state.faults.dead {
+            return None;
+        }
+        state.running += 1;
+        state.calls += 1;
+        let subject = Subject {
+            request_id: call.header("godwit-request-id"),
+            idempotency_key: call.header("idempotency-key"),
+            ..Subject::default()
+        };
+        let detail = format!("{} {}", call.method, call.target);
+        self.journal.add(JournalAction::Call, subject, Some(detail));
+        Some(state.calls)
+    }
+
+    fn end_run(&self) -> Ending {
+        let mut state = lock(&self.state);
+        while state.faults.hang && !state.stopped && !state.faults.dead {
+            state = self.wait(state);
+        }
+        state.running -= 1;
+        self.changed.notify_all();
+        if state.stopped || state.faults.dead {
+            return Ending::Reset;
+        }
+        if state.faults.reset_after_run > 0 {
+            state.faults.reset_after_run -= 1;
+            return Ending::Reset;
+        }
+        if state.faults.reset_in_answer > 0 {
+            state.faults.reset_in_answer -= 1;
+            return Ending::HalfAnswer;
+        }
+        Ending::Answer
+    }
+
+    fn wait<'a>(&self, state: MutexGuard<'a, State>) -> MutexGuard<'a, State> {
+        self.changed.wait(state).unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn reply(&self, number: u64, call: &Call) -> ServiceReply {
+        let digest = Sha256::digest(&call.body);
+        ServiceReply {
+            service: self.settings.name.clone(),
+            call: number,
+            method: call.method.clone(),
+            path: call.target.clone(),
+            body_bytes: call.body.len() as u64,
+            body_sha256: digest.iter().map(|byte| format!("{byte:02x}")).collect(),
+        }
+    }
+}
+
+impl Handler for Api {
+    fn is_serving(&self) -> bool {
+        !lock(&self.state).faults.dead
+    }
+
+    fn handle(&self, call: &Call, responder: &Responder<'_>) -> Flow {
+        if let Some(flow) = self.control(call, responder) {
+            return flow;
+        }
+        if call.method == "GET" && call.path == "/v1/load" {
+            return responder.json(200, &self.load());
+        }
+        self.run(call, responder)
+    }
+}
+
+/// Serves the faults and the journal only, whatever the faults.
+pub(super) struct Control(pub(super) Arc<Api>);
+
+impl Handler for Control {
+    fn handle(&self, call: &Call, responder: &Responder<'_>) -> Flow {
+        let answered = self.0.control(call, responder);
+        answered.unwrap_or_else(|| responder.json(404, &json!({"error": "not found"})))
+    }
+}
