Keep the placement's decisions in the core

Cause: limits, queues and choice were tied together behind the host's lock, where tests and trials cannot reach them without threads. Change: core::placement::Placer holds them and hands out decisions; the host only blocks threads and passes decisions on. A server never heard of is silent after the same time as one that fell silent. A server on probation gets no request that may not be repeated. Traits over the reply channel in the core were ruled out: decisions as values are simpler to test. Conclusion: the whole policy runs under an injected clock.

--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -6,6 +6,7 @@
 mod hint;
 mod lifecycle;
 pub mod limit;
+pub mod placement;
 pub mod queue;
 mod reading;
 pub mod route;
--- /dev/null
+++ b/crates/godwit-core/src/placement/mod.rs
@@ -0,0 +1,8 @@
+//! Placement of one host's requests: limits first, then a server at once, or a place in a queue, or a refusal.
+
+mod placer;
+mod request;
+mod target_queue;
+
+pub use placer::Placer;
+pub use request::{Decision, Granted, PlaceRequest, Reception, Refusal};
--- /dev/null
+++ b/crates/godwit-core/src/placement/placer.rs
@@ -0,0 +1,313 @@
+//! Router, queues and limits of one host together.
+
+use std::collections::BTreeMap;
+
+use godwit_schema::config::{Fleet, Workspace};
+use rand::rngs::SmallRng;
+
+use super::request::{Decision, Granted, PlaceRequest, Reception, Refusal};
+use super::target_queue::{TargetQueue, cost_tokens, queue_key};
+use crate::limit::{RateKey, RateLimits, RetryBudget};
+use crate::queue::{Ticket, WaitClass, Waiting};
+use crate::route::{Choice, DispatchEnd, Estimate, Router};
+use crate::{Admission, Code, Reading, Target, UnixMs};
+
+/// Time between two looks at the whole queue, in milliseconds.
+const REVIEW_INTERVAL_MS: u64 = 20;
+
+/// Time after which a caller may come back when nothing better is known, in milliseconds.
+const RETRY_MS: u64 = 1_000;
+
+/// Places requests on servers.
+///
+/// Every input may decide on waiting requests; [`take_decisions`](Placer::take_decisions) hands these decisions out.
+#[derive(Clone, Debug)]
+pub struct Placer {
+    router: Router,
+    limits: RateLimits,
+    retries: RetryBudget,
+    weights: BTreeMap<String, u32>,
+    rng: SmallRng,
+    queues: BTreeMap<Target, TargetQueue>,
+    waiting: BTreeMap<Ticket, PlaceRequest>,
+    decisions: Vec<Decision>,
+    next_ticket: u64,
+    reviewed_at: UnixMs,
+}
+
+impl Placer {
+    /// A placer around a router, with the source of its draws.
+    pub fn new(router: Router, rng: SmallRng) -> Placer {
+        Placer {
+            router,
+            limits: RateLimits::default(),
+            retries: RetryBudget::new(0.0),
+            weights: BTreeMap::new(),
+            rng,
+            queues: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            decisions: Vec::new(),
+            next_ticket: 0,
+            reviewed_at: UnixMs(0),
+        }
+    }
+
+    /// The router.
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// The router, for inputs that free no slot.
+    pub fn router_mut(&mut self) -> &mut Router {
+        &mut self.router
+    }
+
+    /// Takes a configuration of the fleet.
+    pub fn apply_fleet(&mut self, fleet: &Fleet, now: UnixMs) {
+        self.router.apply_fleet(fleet, now);
+        self.retries.set_share(fleet.retry_share);
+        self.advance(now);
+    }
+
+    /// Takes a configuration of a workspace.
+    pub fn apply_workspace(&mut self, workspace: &Workspace, now: UnixMs) {
+        self.weights.insert(workspace.name.clone(), workspace.share_weight);
+        let key = RateKey::Workspace(workspace.name.clone());
+        self.limits.set(key, workspace.requests_per_s, now);
+    }
+
+    /// Forgets a workspace that was taken out of the configuration.
+    pub fn forget_workspace(&mut self, workspace: &str, now: UnixMs) {
+        self.weights.remove(workspace);
+        self.limits.set(RateKey::Workspace(workspace.to_string()), None, now);
+    }
+
+    /// Sets the count of live hosts, this one included.
+    pub fn set_host_count(&mut self, hosts: u32, now: UnixMs) {
+        self.router.set_host_count(hosts);
+        self.limits.set_host_count(hosts, now);
+    }
+
+    /// Takes a load reading.
+    pub fn observe_reading(&mut self, reading: &Reading, now: UnixMs) {
+        self.router.observe_reading(reading, now);
+        self.advance(now);
+    }
+
+    /// Decides on a request, or lets it wait.
+    pub fn receive(&mut self, request: PlaceRequest, now: UnixMs) -> Reception {
+        if let Err(refusal) = self.check_limits(&request, now) {
+            return Reception::Refused(refusal);
+        }
+        let key = queue_key(&request.admission.target);
+        let queue = self.queues.get(&key);
+        let choice = if queue.is_some_and(|queue| queue.goes_before(&request.admission)) {
+            self.router.choose_to_wait(request.wanted(), now)
+        } else {
+            self.router.choose(request.wanted(), now, &mut self.rng)
+        };
+        match choice {
+            Choice::Start { server, estimate } => {
+                let granted = self.begin(&server, estimate, request.admission.max_tokens, now);
+                Reception::Granted(granted)
+            }
+            Choice::Refuse { code } => Reception::Refused(self.refusal(code, &key, now)),
+            Choice::Wait { start_by } => self.wait(request, &key, start_by, now),
+        }
+    }
+
+    /// Counts a dispatch that was chosen elsewhere, as each stage of a split model.
+    pub fn begin_unasked(&mut self, server: &str, max_tokens: u32, now: UnixMs) -> Granted {
+        self.begin(server, Estimate::default(), max_tokens, now)
+    }
+
+    /// Counts the end of a dispatch; true when its server is ejected for it.
+    pub fn ended(&mut self, granted: &Granted, end: DispatchEnd, now: UnixMs) -> bool {
+        let ejected = self.router.ended(&granted.server, granted.dispatch, end, now);
+        self.advance(now);
+        ejected
+    }
+
+    /// Takes back a request that does not want to wait any longer.
+    pub fn withdraw(&mut self, ticket: Ticket) {
+        if let Some(request) = self.waiting.remove(&ticket)
+            && let Some(queue) = self.queues.get_mut(&queue_key(&request.admission.target))
+        {
+            queue.queue.remove(ticket);
+        }
+    }
+
+    /// Refuses what cannot start in time and grants what can start now, unless that was done a moment ago.
+    pub fn review(&mut self, now: UnixMs) {
+        if now.since_ms(self.reviewed_at) < REVIEW_INTERVAL_MS {
+            return;
+        }
+        self.reviewed_at = now;
+        let targets: Vec<Target> = self.queues.keys().cloned().collect();
+        for target in targets {
+            self.refresh_rate(&target, now);
+            let given_up = self.queues.get(&target).map(|queue| queue.given_up(now));
+            for ticket in given_up.unwrap_or_default() {
+                self.refuse(&target, ticket, Code::TooLate, now);
+            }
+        }
+        self.advance(now);
+        self.queues.retain(|_, queue| !queue.queue.is_empty());
+    }
+
+    /// The decisions on waiting requests since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
+    /// Count of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Grants what can start now, after something has changed.
+    fn advance(&mut self, now: UnixMs) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let targets: Vec<Target> = self.queues.keys().cloned().collect();
+        for target in targets {
+            while self.decide_next(&target, now) {}
+        }
+    }
+
+    fn check_limits(&mut self, request: &PlaceRequest, now: UnixMs) -> Result<(), Refusal> {
+        if !request.excluded.is_empty() {
+            let refusal = Refusal { code: Code::ServersRefused, retry_at: None };
+            return if self.retries.try_retry() { Ok(()) } else { Err(refusal) };
+        }
+        let workspace = request.admission.workspace.clone();
+        let kind = request.admission.kind.clone();
+        let of_workspace = RateKey::Workspace(workspace.clone());
+        let keys = [of_workspace, RateKey::Kind { workspace, kind }];
+        self.limits.take(&keys, now).map_err(|exceeded| {
+            let code = match exceeded.key {
+                RateKey::Workspace(_) => Code::WorkspaceLimit,
+                RateKey::Kind { .. } => Code::KindLimit,
+            };
+            Refusal { code, retry_at: Some(exceeded.retry_at) }
+        })?;
+        self.retries.first_try();
+        Ok(())
+    }
+
+    fn wait(
+        &mut self,
+        request: PlaceRequest,
+        target: &Target,
+        start_by: UnixMs,
+        now: UnixMs,
+    ) -> Reception {
+        self.refresh_rate(target, now);
+        let waiting = self.waiting_entry(&request.admission, start_by);
+        let ticket = waiting.ticket;
+        let queue = self.queues.entry(target.clone()).or_insert_with(TargetQueue::new);
+        if !queue.outlook(now).has_hope(&waiting) {
+            return Reception::Refused(self.refusal(Code::TooLate, target, now));
+        }
+        let Ok(shed) = queue.queue.push(waiting) else {
+            return Reception::Refused(self.refusal(Code::Overloaded, target, now));
+        };
+        self.waiting.insert(ticket, request);
+        if let Some(shed) = shed {
+            let refusal = self.refusal(Code::Overloaded, target, now);
+            self.decide(shed.ticket, Err(refusal));
+        }
+        Reception::Waits(ticket)
+    }
+
+    fn waiting_entry(&mut self, admission: &Admission, start_by: UnixMs) -> Waiting {
+        self.next_ticket += 1;
+        Waiting {
+            ticket: Ticket(self.next_ticket),
+            workspace: admission.workspace.clone(),
+            weight: self.weights.get(&admission.workspace).copied().unwrap_or(1),
+            priority: admission.priority,
+            class: WaitClass::of(admission),
+            deadline: admission.deadline,
+            start_by,
+            cost_tokens: cost_tokens(admission),
+        }
+    }
+
+    /// Decides on the first waiting request on which that is possible; false when there is none.
+    fn decide_next(&mut self, target: &Target, now: UnixMs) -> bool {
+        let heads = self.queues.get(target).map(TargetQueue::heads).unwrap_or_default();
+        let mut ordinary_full = false;
+        for head in heads {
+            if ordinary_full && head.is_ordinary {
+                continue;
+            }
+            let Some(request) = self.waiting.get(&head.ticket) else {
+                continue;
+            };
+            match self.router.choose(request.wanted(), now, &mut self.rng) {
+                Choice::Start { server, estimate } => {
+                    self.grant(target, head.ticket, &server, estimate, now);
+                    return true;
+                }
+                Choice::Refuse { code } => {
+                    self.refuse(target, head.ticket, code, now);
+                    return true;
+                }
+                Choice::Wait { .. } if !request.excluded.is_empty() => {}
+                Choice::Wait { .. } if head.is_ordinary => ordinary_full = true,
+                Choice::Wait { .. } => return false,
+            }
+        }
+        false
+    }
+
+    fn grant(
+        &mut self,
+        target: &Target,
+        ticket: Ticket,
+        server: &str,
+        estimate: Estimate,
+        now: UnixMs,
+    ) {
+        if let Some(queue) = self.queues.get_mut(target) {
+            queue.grant(ticket, now);
+        }
+        let max_tokens = self.waiting.get(&ticket).map_or(0, |held| held.admission.max_tokens);
+        let granted = self.begin(server, estimate, max_tokens, now);
+        self.decide(ticket, Ok(granted));
+    }
+
+    fn refuse(&mut self, target: &Target, ticket: Ticket, code: Code, now: UnixMs) {
+        if let Some(queue) = self.queues.get_mut(target) {
+            queue.queue.remove(ticket);
+        }
+        let refusal = self.refusal(code, target, now);
+        self.decide(ticket, Err(refusal));
+    }
+
+    fn decide(&mut self, ticket: Ticket, outcome: Result<Granted, Refusal>) {
+        if self.waiting.remove(&ticket).is_some() {
+            self.decisions.push(Decision { ticket, outcome });
+        }
+    }
+
+    fn refusal(&self, code: Code, target: &Target, now: UnixMs) -> Refusal {
+        let queue = self.queues.get(target);
+        let retry_at = queue.map_or(now.plus_ms(RETRY_MS), |queue| queue.outlook(now).retry_at());
+        Refusal { code, retry_at: code.retry_can_help().then_some(retry_at) }
+    }
+
+    fn begin(&mut self, server: &str, estimate: Estimate, max_tokens: u32, now: UnixMs) -> Granted {
+        let dispatch = self.router.started(server, max_tokens, now);
+        Granted { server: server.to_string(), dispatch, estimate, granted_at: now }
+    }
+
+    fn refresh_rate(&mut self, target: &Target, now: UnixMs) {
+        let capacity = self.router.capacity_per_s(target, now);
+        let share = capacity / f64::from(self.router.host_count());
+        let queue = self.queues.entry(target.clone()).or_insert_with(TargetQueue::new);
+        queue.rate.set_share(share);
+    }
+}
--- /dev/null
+++ b/crates/godwit-core/src/placement/target_queue.rs
@@ -0,0 +1,85 @@
+//! The requests that wait for one model or service.
+
+use crate::queue::{DrainRate, Outlook, Queue, Ticket, WaitClass, Waiting};
+use crate::{Admission, Target, UnixMs};
+
+/// Requests that wait for one target, at most.
+const QUEUE_LIMIT: usize = 1_024;
+
+/// Workspaces whose next request is looked at for a free slot, at most.
+const HEADS_TRIED: usize = 8;
+
+/// Queue of one target, and how fast it drains.
+#[derive(Clone, Debug)]
+pub(super) struct TargetQueue {
+    pub(super) queue: Queue,
+    pub(super) rate: DrainRate,
+}
+
+impl TargetQueue {
+    pub(super) fn new() -> TargetQueue {
+        TargetQueue { queue: Queue::new(QUEUE_LIMIT), rate: DrainRate::default() }
+    }
+
+    pub(super) fn outlook(&self, now: UnixMs) -> Outlook<'_> {
+        Outlook::new(&self.queue, &self.rate, now)
+    }
+
+    /// The requests to try next, in order: the next ones of a few workspaces, and one that may use the reserve.
+    pub(super) fn heads(&self) -> Vec<Head> {
+        let mut heads: Vec<Head> = self.queue.in_order().take(HEADS_TRIED).map(head_of).collect();
+        let reserve = self.queue.in_order().find(|waiting| waiting.class != WaitClass::Ordinary);
+        heads.extend(reserve.map(head_of));
+        heads
+    }
+
+    /// Whether requests wait that go before a newcomer and use the same capacity.
+    pub(super) fn goes_before(&self, newcomer: &Admission) -> bool {
+        let is_ordinary = WaitClass::of(newcomer) == WaitClass::Ordinary;
+        self.queue
+            .in_order()
+            .take_while(|other| other.priority >= newcomer.priority)
+            .any(|other| (other.class == WaitClass::Ordinary) == is_ordinary)
+    }
+
+    /// Takes out a request that is granted.
+    pub(super) fn grant(&mut self, ticket: Ticket, now: UnixMs) {
+        if let Some(waiting) = self.queue.grant(ticket) {
+            self.rate.granted(waiting.cost_tokens, now);
+        }
+    }
+
+    /// Requests that can no longer start in time.
+    pub(super) fn given_up(&self, now: UnixMs) -> Vec<Ticket> {
+        let mut given_up = self.queue.overdue(now);
+        given_up.extend(self.outlook(now).hopeless());
+        given_up
+    }
+}
+
+/// A request that may be the next to start.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Head {
+    pub(super) ticket: Ticket,
+    pub(super) is_ordinary: bool,
+}
+
+fn head_of(waiting: &Waiting) -> Head {
+    Head { ticket: waiting.ticket, is_ordinary: waiting.class == WaitClass::Ordinary }
+}
+
+/// The queue that a target's requests wait in; requests for the adapters of one model share one.
+pub(super) fn queue_key(target: &Target) -> Target {
+    match target {
+        Target::Model { model, .. } => Target::Model { model: model.clone(), adapter: None },
+        Target::Service(service) => Target::Service(service.clone()),
+    }
+}
+
+/// Work that a request is: tokens for a model, calls for a service.
+pub(super) fn cost_tokens(admission: &Admission) -> u64 {
+    match admission.target {
+        Target::Model { .. } => u64::from(admission.max_tokens.max(1)),
+        Target::Service(_) => 1,
+    }
+}
--- /dev/null
+++ b/crates/godwit-core/src/route/dispatch.rs
@@ -0,0 +1,104 @@
+//! Own dispatches: what they add to a server's load, and what their ends tell of its health.
+
+use super::fleet::{Candidates, ServerIndex};
+use super::health::may_eject_one_more;
+use super::load::DispatchId;
+use super::router::Router;
+use super::view::OwnDispatch;
+use crate::UnixMs;
+
+/// How a dispatch ended, as far as it tells of its server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum DispatchEnd {
+    /// The whole answer came.
+    Done {
+        /// Tokens of the answer.
+        tokens: u32,
+        /// Time from the first token to the last, or of the whole call of a plain service, in milliseconds.
+        took_ms: u64,
+    },
+    /// The server did not answer, broke off, or was too slow.
+    Failed,
+    /// The server refused to take it.
+    Refused,
+    /// The host gave it up for a reason that tells nothing of the server.
+    Cancelled,
+}
+
+impl Router {
+    /// Counts a dispatch that begins.
+    pub fn started(&mut self, server: &str, max_tokens: u32, now: UnixMs) -> DispatchId {
+        self.next_dispatch += 1;
+        let id = DispatchId(self.next_dispatch);
+        if let Some(index) = self.index(server) {
+            let view = &mut self.views[index as usize];
+            let tokens_left = u64::from(max_tokens);
+            view.own.insert(id, OwnDispatch { started_at: now, tokens_left });
+            view.load.begin(tokens_left, now);
+        }
+        id
+    }
+
+    /// Counts tokens that a dispatch has brought.
+    pub fn progressed(&mut self, server: &str, id: DispatchId, tokens: u32) {
+        let Some(index) = self.index(server) else {
+            return;
+        };
+        let view = &mut self.views[index as usize];
+        if let Some(own) = view.own.get_mut(&id) {
+            let tokens = u64::from(tokens).min(own.tokens_left);
+            own.tokens_left -= tokens;
+            view.load.progress(tokens);
+        }
+    }
+
+    /// Counts the end of a dispatch; true when its server is ejected for it.
+    pub fn ended(&mut self, server: &str, id: DispatchId, end: DispatchEnd, now: UnixMs) -> bool {
+        let Some(index) = self.index(server) else {
+            return false;
+        };
+        let tokens_per_ms = self.nominal_tokens_per_ms(index);
+        let view = &mut self.views[index as usize];
+        if let Some(own) = view.own.remove(&id) {
+            view.load.end(own.started_at, own.tokens_left, now);
+        }
+        let should_eject = match end {
+            DispatchEnd::Cancelled => false,
+            DispatchEnd::Failed | DispatchEnd::Refused => view.health.failed(now),
+            DispatchEnd::Done { tokens, took_ms } => {
+                let took_ms = took_ms as f64;
+                let steps = f64::from(tokens.saturating_sub(1));
+                let expected_ms = (tokens_per_ms > 0.0).then(|| steps / tokens_per_ms);
+                view.health.succeeded(took_ms, expected_ms, now);
+                view.health.looks_slow() && self.is_slower_than_peers(index)
+            }
+        };
+        let ejected = should_eject && self.may_eject(index);
+        if ejected {
+            self.views[index as usize].health.eject(now);
+        }
+        ejected
+    }
+
+    pub(super) fn may_eject(&self, index: ServerIndex) -> bool {
+        self.table.shared_by(index).all(|candidates| {
+            let is_out = |index: &ServerIndex| self.views[*index as usize].health.is_out();
+            may_eject_one_more(candidates.all().filter(is_out).count(), candidates.len())
+        })
+    }
+
+    fn is_slower_than_peers(&self, index: ServerIndex) -> bool {
+        let peers = |candidates: &Candidates| {
+            let others = candidates.all().filter(|other| *other != index);
+            median(others.filter_map(|other| self.views[other as usize].health.judged_slowdown()))
+        };
+        let slowest = self.table.shared_by(index).filter_map(peers).fold(1.0, f64::max);
+        self.views[index as usize].health.is_slow_against(slowest)
+    }
+}
+
+fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
--- a/crates/godwit-core/src/route/scan.rs
+++ b/crates/godwit-core/src/route/scan.rs
@@ -246,7 +246,7 @@
         let view = &router.views[server as usize];
         let has_slot = match view.health.fitness(self.now) {
             Fitness::Ejected => false,
-            Fitness::Probing => view.load.own_count == 0,
+            Fitness::Probing => view.load.own_count == 0 && !self.wanted.admission.non_idempotent,
             Fitness::Fit => load.requests < router.limit(server, self.may_use_reserve()),
         };
         if !has_slot {
--- /dev/null
+++ b/crates/godwit-core/src/route/view.rs
@@ -0,0 +1,150 @@
+//! What is known of each server now: load, speed and state.
+
+use std::collections::BTreeMap;
+
+use godwit_schema::operator::{ServerState, ServerStatus};
+
+use super::estimate::{FIRST_SERVICE_CALL_MS, Speed, decode_ms, queue_ms};
+use super::fleet::ServerIndex;
+use super::health::Health;
+use super::load::{DispatchId, Load, LoadNow};
+use super::router::{Obstacle, Router};
+use crate::UnixMs;
+
+/// Share of a server's slots by which requests that may use the reserve may exceed them.
+const OVERCOMMIT_SHARE: f64 = 0.125;
+
+/// Load of a server as a stage of split models would see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StageLoad {
+    /// Name of the server.
+    pub server: String,
+    /// Whether it may get work.
+    pub usable: bool,
+    /// Wait for a slot, in milliseconds.
+    pub queue_ms: f64,
+    /// Time for one token through all layers that it holds, in milliseconds.
+    pub token_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OwnDispatch {
+    pub(super) started_at: UnixMs,
+    pub(super) tokens_left: u64,
+}
+
+/// What is known of one server beside its traits.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct View {
+    pub(crate) load: Load,
+    pub(crate) health: Health,
+    pub(super) own: BTreeMap<DispatchId, OwnDispatch>,
+    pub(super) heard_at: UnixMs,
+}
+
+impl View {
+    pub(super) fn known_since(now: UnixMs) -> View {
+        View { heard_at: now, ..View::default() }
+    }
+}
+
+impl Router {
+    /// Loads of all engines, for the planner of split models.
+    pub fn stage_loads(&self, now: UnixMs) -> Vec<StageLoad> {
+        let engines = self.table.by_name.values().copied();
+        engines
+            .filter(|index| self.table.servers[*index as usize].is_engine)
+            .map(|index| self.stage_load(index, now))
+            .collect()
+    }
+
+    /// What this host believes of each server, by name.
+    pub fn status(&self, now: UnixMs) -> Vec<ServerStatus> {
+        self.table.by_name.values().map(|index| self.server_status(*index, now)).collect()
+    }
+
+    pub(crate) fn load_now(&self, index: ServerIndex, now: UnixMs) -> LoadNow {
+        let speed = self.speed(index);
+        let load = &self.views[index as usize].load;
+        load.at(now, self.other_hosts, speed.slots, speed.tokens_per_ms)
+    }
+
+    pub(crate) fn speed(&self, index: ServerIndex) -> Speed {
+        let traits = &self.table.servers[index as usize];
+        let view = &self.views[index as usize];
+        let reading = view.load.reading.as_ref();
+        let slots = reading.map(|reading| reading.slots).filter(|slots| *slots > 0);
+        Speed {
+            slots: f64::from(slots.unwrap_or(traits.slots)),
+            tokens_per_ms: self.nominal_tokens_per_ms(index) / view.health.slowdown(),
+            call_ms: view.health.call_ms().unwrap_or(FIRST_SERVICE_CALL_MS),
+        }
+    }
+
+    /// Requests that the server may have, own and foreign, for one more to start.
+    pub(crate) fn limit(&self, index: ServerIndex, may_use_reserve: bool) -> f64 {
+        let slots = self.speed(index).slots;
+        if may_use_reserve {
+            return slots + (slots * OVERCOMMIT_SHARE).max(1.0);
+        }
+        slots - f64::from(self.table.servers[index as usize].reserved_slots).min(slots - 1.0)
+    }
+
+    pub(crate) fn sample_chance(&self, index: ServerIndex, now: UnixMs) -> f64 {
+        let view = &self.views[index as usize];
+        let started_at = view.load.reading.as_ref().map(|reading| reading.started_at);
+        view.health.sample_chance(started_at, now)
+    }
+
+    pub(super) fn nominal_tokens_per_ms(&self, index: ServerIndex) -> f64 {
+        let traits = &self.table.servers[index as usize];
+        if !traits.is_engine {
+            return 0.0;
+        }
+        let reading = self.views[index as usize].load.reading.as_ref();
+        let reported = reading.map(|reading| reading.tokens_per_s);
+        let reported = reported.filter(|rate| rate.is_finite() && *rate > 0.0);
+        reported.unwrap_or(traits.tokens_per_s) / 1_000.0
+    }
+
+    fn stage_load(&self, index: ServerIndex, now: UnixMs) -> StageLoad {
+        let speed = self.speed(index);
+        let load = self.load_now(index, now);
+        StageLoad {
+            server: self.table.servers[index as usize].name.clone(),
+            usable: self.obstacle(index, now).is_none(),
+            queue_ms: queue_ms(&speed, &load),
+            token_ms: decode_ms(&speed, 1.0),
+        }
+    }
+
+    fn server_status(&self, index: ServerIndex, now: UnixMs) -> ServerStatus {
+        let traits = &self.table.servers[index as usize];
+        let view = &self.views[index as usize];
+        let reading = view.load.reading.as_ref();
+        ServerStatus {
+            server: traits.name.clone(),
+            failure_domain: traits.failure_domain.clone(),
+            state: self.state(index, now),
+            running: reading.map_or(0, |reading| reading.running),
+            waiting: reading.map_or(0, |reading| reading.waiting),
+            own_dispatches: view.load.own_count,
+            measured_at_unix_ms: reading.map_or(0, |reading| reading.measured_at.0),
+        }
+    }
+
+    fn state(&self, index: ServerIndex, now: UnixMs) -> ServerState {
+        let traits = &self.table.servers[index as usize];
+        if traits.drained {
+            return ServerState::Drained;
+        }
+        if self.leaving.contains(&traits.name) {
+            return ServerState::Leaving;
+        }
+        match self.obstacle(index, now) {
+            None => ServerState::Usable,
+            Some(Obstacle::Silent | Obstacle::CutOff) => ServerState::Silent,
+            Some(Obstacle::NoNewWork | Obstacle::Excluded) => ServerState::Ejected,
+        }
+    }
+}
--- a/crates/godwit-host/src/placement/grant.rs
+++ b/crates/godwit-host/src/placement/grant.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use godwit_core::UnixMs;
+use godwit_core::placement::Granted;
 use godwit_core::route::{DispatchEnd, Estimate};
 
-use super::desk::Granted;
 use super::place::Placement;
 use super::report;
 
--- a/crates/godwit-host/src/placement/mod.rs
+++ b/crates/godwit-host/src/placement/mod.rs
@@ -1,9 +1,9 @@
 //! Placement of requests on backend servers: blocks each request until it may start or is refused.
 
-mod desk;
 mod grant;
 mod place;
 mod report;
 
+pub use godwit_core::placement::Refusal;
 pub use grant::Grant;
-pub use place::{Ask, Placement, PlacementSettings, Refusal};
+pub use place::{Ask, Placement, PlacementSettings};
--- a/crates/godwit-host/src/placement/place.rs
+++ b/crates/godwit-host/src/placement/place.rs
@@ -1,11 +1,11 @@
 //! The blocking driver around the router, the queues and the limits.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use flume::{Receiver, RecvTimeoutError};
-use godwit_core::limit::RateKey;
+use flume::{Receiver, RecvTimeoutError, Sender};
+use godwit_core::placement::{Granted, PlaceRequest, Placer, Reception, Refusal};
 use godwit_core::queue::Ticket;
 use godwit_core::route::{DispatchEnd, Policy, PromptPrefix, Router, StageLoad};
 use godwit_core::{Admission, Code, Reading, UnixMs};
@@ -15,7 +15,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use super::desk::{Asked, Desk, Granted, Outcome, Reception};
 use super::grant::Grant;
 use super::report;
 use crate::Clock;
@@ -45,16 +44,14 @@
     pub excluded: &'a BTreeSet<String>,
 }
 
-/// A request that gets no server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("refused: {}", code.name())]
-pub struct Refusal {
-    /// Why.
-    pub code: Code,
-    /// When the caller may come back, where that can help.
-    pub retry_at: Option<UnixMs>,
+#[derive(Debug)]
+struct State {
+    placer: Placer,
+    replies: BTreeMap<Ticket, Sender<Outcome>>,
 }
 
+type Outcome = Result<Granted, Refusal>;
+
 /// Places the requests of one host; shared by all its threads.
 ///
 /// ```
@@ -86,7 +83,7 @@
 /// ```
 pub struct Placement {
     clock: Arc<dyn Clock>,
-    desk: Mutex<Desk>,
+    state: Mutex<State>,
 }
 
 impl std::fmt::Debug for Placement {
@@ -99,8 +96,9 @@
     /// A placement without servers yet.
     pub fn new(settings: &PlacementSettings, clock: Arc<dyn Clock>) -> Arc<Placement> {
         let router = Router::new(&settings.failure_domain, settings.policy);
-        let desk = Desk::new(router, SmallRng::seed_from_u64(settings.seed));
-        Arc::new(Placement { clock, desk: Mutex::new(desk) })
+        let placer = Placer::new(router, SmallRng::seed_from_u64(settings.seed));
+        let state = State { placer, replies: BTreeMap::new() };
+        Arc::new(Placement { clock, state: Mutex::new(state) })
     }
 
     /// Blocks until the request may start on a server.
@@ -120,76 +118,68 @@
 
     /// Counts a dispatch that was chosen elsewhere, as each stage of a split model.
     pub fn hold(self: &Arc<Placement>, server: &str, max_tokens: u32) -> Grant {
-        let now = self.now();
-        let granted = self.desk().begin_unasked(server, max_tokens, now);
+        let granted = self.change(|placer, now| placer.begin_unasked(server, max_tokens, now));
         Grant::new(Arc::clone(self), granted)
     }
 
     /// Takes a configuration of the fleet.
     pub fn apply_fleet(&self, fleet: &Fleet) {
-        let mut desk = self.desk();
-        desk.router.apply_fleet(fleet);
-        desk.retries.set_share(fleet.retry_share);
-        desk.advance(self.now());
+        self.change(|placer, now| placer.apply_fleet(fleet, now));
     }
 
     /// Takes a configuration of a workspace.
     pub fn apply_workspace(&self, workspace: &Workspace) {
-        let mut desk = self.desk();
-        desk.weights.insert(workspace.name.clone(), workspace.share_weight);
-        let key = RateKey::Workspace(workspace.name.clone());
-        desk.limits.set(key, workspace.requests_per_s, self.now());
+        self.change(|placer, now| placer.apply_workspace(workspace, now));
+    }
+
+    /// Forgets a workspace that was taken out of the configuration.
+    pub fn forget_workspace(&self, workspace: &str) {
+        self.change(|placer, now| placer.forget_workspace(workspace, now));
     }
 
     /// Takes a load reading.
     pub fn observe_reading(&self, reading: &Reading) {
-        let now = self.now();
-        let mut desk = self.desk();
-        desk.router.observe_reading(reading, now);
-        desk.advance(now);
+        self.change(|placer, now| placer.observe_reading(reading, now));
     }
 
     /// Takes cache events of a server, oldest first.
     pub fn observe_cache_events(&self, server: &str, events: &[CacheEvent]) {
-        self.desk().router.observe_cache_events(server, events);
+        self.change(|placer, _| placer.router_mut().observe_cache_events(server, events));
     }
 
     /// Sets the servers that are leaving by the host list.
     pub fn set_leaving(&self, leaving: BTreeSet<String>) {
-        self.desk().router.set_leaving(leaving);
+        self.change(|placer, _| placer.router_mut().set_leaving(leaving));
     }
 
     /// Sets the failure domains that cannot be reached.
     pub fn set_cut_off_domains(&self, cut_off_domains: BTreeSet<String>) {
-        self.desk().router.set_cut_off_domains(cut_off_domains);
+        self.change(|placer, _| placer.router_mut().set_cut_off_domains(cut_off_domains));
     }
 
     /// Sets the count of live hosts, this one included.
     pub fn set_host_count(&self, hosts: u32) {
-        let now = self.now();
-        let mut desk = self.desk();
-        desk.router.set_host_count(hosts);
-        desk.limits.set_host_count(hosts, now);
+        self.change(|placer, now| placer.set_host_count(hosts, now));
     }
 
     /// Takes the word of another host that a server fails.
     pub fn suspect(&self, server: &str, expires_at: UnixMs) {
-        self.desk().router.suspect(server, expires_at);
+        self.change(|placer, _| placer.router_mut().suspect(server, expires_at));
     }
 
     /// Loads of all engines, for the planner of split models.
     pub fn stage_loads(&self) -> Vec<StageLoad> {
-        self.desk().router.stage_loads(self.now())
+        self.change(|placer, now| placer.router().stage_loads(now))
     }
 
     /// What this host believes of each server, by name.
     pub fn status(&self) -> Vec<ServerStatus> {
-        self.desk().router.status(self.now())
+        self.change(|placer, now| placer.router().status(now))
     }
 
     /// Count of waiting requests.
     pub fn waiting(&self) -> usize {
-        self.desk().waiting()
+        self.change(|placer, _| placer.waiting())
     }
 
     pub(super) fn now(&self) -> UnixMs {
@@ -197,50 +187,80 @@
     }
 
     pub(super) fn progressed(&self, granted: &Granted, tokens: u32) {
-        self.desk().router.progressed(&granted.server, granted.dispatch, tokens);
+        self.change(|placer, _| {
+            placer.router_mut().progressed(&granted.server, granted.dispatch, tokens)
+        });
     }
 
     pub(super) fn ended(&self, granted: &Granted, end: DispatchEnd) {
-        let now = self.now();
-        let mut desk = self.desk();
-        let ejected = desk.router.ended(&granted.server, granted.dispatch, end, now);
-        desk.advance(now);
-        drop(desk);
+        let ejected = self.change(|placer, now| placer.ended(granted, end, now));
         report::ended(&granted.server, end, ejected);
     }
 
     fn ask(&self, ask: Ask<'_>, now: UnixMs) -> Outcome {
-        let asked = Asked {
+        let request = PlaceRequest {
             admission: ask.admission.clone(),
             prefixes: ask.prefixes.to_vec(),
             excluded: ask.excluded.clone(),
         };
         let (reply, answer) = flume::bounded(1);
-        let reception = self.desk().receive(asked, reply, now);
+        let mut state = self.lock();
+        let reception = state.placer.receive(request, now);
+        if let Reception::Waits(ticket) = reception {
+            state.replies.insert(ticket, reply);
+        }
+        state.tell_decisions(now);
+        drop(state);
         match reception {
-            Reception::Decided(outcome) => outcome,
-            Reception::Waits(ticket) => self.wait(ticket, &answer),
+            Reception::Granted(granted) => Ok(granted),
+            Reception::Refused(refusal) => Err(refusal),
+            Reception::Waits(_) => self.wait(&answer),
         }
     }
 
-    fn wait(&self, ticket: Ticket, answer: &Receiver<Outcome>) -> Outcome {
+    fn wait(&self, answer: &Receiver<Outcome>) -> Outcome {
         loop {
             match answer.recv_timeout(LOOK_INTERVAL) {
                 Ok(outcome) => return outcome,
                 Err(RecvTimeoutError::Timeout) => {
-                    let mut desk = self.desk();
-                    desk.review(self.now());
-                    report::queue_length(desk.waiting());
+                    let waiting = self.change(|placer, now| {
+                        placer.review(now);
+                        placer.waiting()
+                    });
+                    report::queue_length(waiting);
                 }
                 Err(RecvTimeoutError::Disconnected) => {
-                    self.desk().withdraw(ticket);
                     return Err(Refusal { code: Code::Internal, retry_at: None });
                 }
             }
         }
     }
 
-    fn desk(&self) -> MutexGuard<'_, Desk> {
-        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Changes or reads the placer, and tells waiting requests what was decided by it.
+    fn change<T>(&self, change: impl FnOnce(&mut Placer, UnixMs) -> T) -> T {
+        let now = self.now();
+        let mut state = self.lock();
+        let result = change(&mut state.placer, now);
+        state.tell_decisions(now);
+        result
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn tell_decisions(&mut self, now: UnixMs) {
+        for decision in self.placer.take_decisions() {
+            let reply = self.replies.remove(&decision.ticket);
+            let untold = match reply {
+                Some(reply) => reply.send(decision.outcome).err().map(flume::SendError::into_inner),
+                None => Some(decision.outcome),
+            };
+            if let Some(Ok(granted)) = untold {
+                self.placer.ended(&granted, DispatchEnd::Cancelled, now);
+            }
+        }
     }
 }
--- a/crates/godwit-host/src/placement/report.rs
+++ b/crates/godwit-host/src/placement/report.rs
@@ -1,14 +1,9 @@
 //! Metrics and logs of placement.
 
 use godwit_core::UnixMs;
+use godwit_core::placement::{Granted, Refusal};
 use godwit_core::route::DispatchEnd;
 
-use super::desk::Granted;
-use super::place::Refusal;
-
-/// Time after which a caller may come back when nothing better is known, in milliseconds.
-pub(super) const RETRY_MS: u64 = 1_000;
-
 /// Tells how many requests wait.
 pub(super) fn queue_length(waiting: usize) {
     metrics::gauge!("godwit_queue_requests").set(waiting as f64);
