--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ledger;
 mod lifecycle;
 pub mod limit;
+pub mod placement;
 pub mod quarantine;
 pub mod queue;
 mod reading;
--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -3,8 +3,8 @@
 mod clock;
 pub mod configuration;
 pub mod dispatch;
-pub mod placement;
 pub mod ledger;
+pub mod placement;
 mod settings;
 
 pub use clock::{Clock, ManualClock, SystemClock};
