Share grants, retries and endings between model and service dispatch

Change: dispatch::tries holds grants, retries and endings. The register takes all stages of a split model; a suspect that only other suspects keep from a server waits within its deadline.

--- a/crates/godwit-core/src/quarantine/register.rs
+++ b/crates/godwit-core/src/quarantine/register.rs
@@ -22,12 +22,15 @@
 }
 
 /// Whether a run may start.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Start {
     /// The run is entered in the register and may start.
     Run,
-    /// Another suspect runs on this server; another server may do.
-    OtherServer,
+    /// Another suspect runs on some of the servers; others may do.
+    OtherServers {
+        /// The servers that are taken.
+        taken: Vec<String>,
+    },
     /// The suspect runs already, for another caller or the same one; it runs once at a time.
     Later,
     /// The request is in quarantine.
@@ -41,15 +44,17 @@
 /// use godwit_core::quarantine::{Quarantine, Standing, Start};
 /// let mut quarantine = Quarantine::default();
 /// let now = UnixMs(1);
-/// assert_eq!(quarantine.begin(7, "s1", now), Start::Run);
+/// assert_eq!(quarantine.begin(7, &["s1"], now), Start::Run);
+/// quarantine.stopped(7, &["s1"]);
 /// let hint = quarantine.server_lost(7, "s1", now);
 /// assert_eq!(quarantine.standing(7, now), Standing::Suspect);
 ///
 /// let mut neighbour = Quarantine::default();
 /// neighbour.merge(&hint, now);
-/// assert_eq!(neighbour.begin(7, "s2", now), Start::Run);
+/// assert_eq!(neighbour.begin(7, &["s2"], now), Start::Run);
+/// neighbour.stopped(7, &["s2"]);
 /// neighbour.server_lost(7, "s2", now);
-/// assert_eq!(neighbour.begin(7, "s3", now), Start::Quarantined);
+/// assert_eq!(neighbour.begin(7, &["s3"], now), Start::Quarantined);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
@@ -73,42 +78,50 @@
         }
     }
 
-    /// Asks for a run of a request on a server; each [`Start::Run`] has to be ended by [`Quarantine::server_lost`],
-    /// [`Quarantine::finished`] or [`Quarantine::stopped`].
-    pub fn begin(&mut self, fingerprint: u64, server: &str, now: UnixMs) -> Start {
+    /// Asks for a run of a request over some servers, one or the stages of a split model; each [`Start::Run`] has to be
+    /// ended by [`Quarantine::finished`] or [`Quarantine::stopped`].
+    pub fn begin(&mut self, fingerprint: u64, servers: &[&str], now: UnixMs) -> Start {
         match self.standing(fingerprint, now) {
-            Standing::Quarantined => return Start::Quarantined,
+            Standing::Clear => {}
             Standing::Suspect if self.runs_anywhere(fingerprint) => return Start::Later,
-            Standing::Suspect if self.suspect_runs_on(server, now) => return Start::OtherServer,
-            Standing::Suspect | Standing::Clear => {}
+            Standing::Suspect => {
+                let taken = self.taken(servers, now);
+                if !taken.is_empty() {
+                    return Start::OtherServers { taken };
+                }
+            }
+            Standing::Quarantined => return Start::Quarantined,
+        }
+        for server in servers {
+            *self.running.entry(run(fingerprint, server)).or_default() += 1;
         }
-        *self.running.entry(run(fingerprint, server)).or_default() += 1;
         Start::Run
     }
 
     /// A server was lost while it ran the request; gives the hint for the other hosts.
     pub fn server_lost(&mut self, fingerprint: u64, server: &str, now: UnixMs) -> Hint {
-        self.stopped(fingerprint, server);
         let expires_at = now.plus_ms(MARK_LIFETIME_MS);
         self.mark(fingerprint, server, expires_at, now);
         Hint::CrashMark { fingerprint, server: server.to_string(), expires_at }
     }
 
     /// The request finished whole: it crashes no server, and its marks are cleared.
-    pub fn finished(&mut self, fingerprint: u64, server: &str, now: UnixMs) {
-        self.stopped(fingerprint, server);
+    pub fn finished(&mut self, fingerprint: u64, servers: &[&str], now: UnixMs) {
+        self.stopped(fingerprint, servers);
         if let Some(marks) = self.requests.get_mut(&fingerprint) {
             marks.clear(now);
         }
     }
 
-    /// The run ended in a way that tells nothing: refused, cancelled or silent.
-    pub fn stopped(&mut self, fingerprint: u64, server: &str) {
-        let key = run(fingerprint, server);
-        if let Some(count) = self.running.get_mut(&key) {
-            *count -= 1;
-            if *count == 0 {
+    /// The run ended in another way.
+    pub fn stopped(&mut self, fingerprint: u64, servers: &[&str]) {
+        for server in servers {
+            let key = run(fingerprint, server);
+            let left = self.running.get(&key).map_or(0, |count| count.saturating_sub(1));
+            if left == 0 {
                 self.running.remove(&key);
+            } else {
+                self.running.insert(key, left);
             }
         }
     }
@@ -154,6 +167,14 @@
         self.running.keys().any(|run| run.fingerprint == fingerprint)
     }
 
+    fn taken(&self, servers: &[&str], now: UnixMs) -> Vec<String> {
+        servers
+            .iter()
+            .filter(|server| self.suspect_runs_on(server, now))
+            .map(|server| server.to_string())
+            .collect()
+    }
+
     fn suspect_runs_on(&self, server: &str, now: UnixMs) -> bool {
         self.running
             .keys()
--- a/crates/godwit-host/src/dispatch/crash_guard.rs
+++ b/crates/godwit-host/src/dispatch/crash_guard.rs
@@ -1,6 +1,7 @@
 //! The register of requests that crash servers, shared by all dispatches of a host.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use flume::Sender;
 use godwit_core::quarantine::{Quarantine, Standing, Start};
@@ -10,6 +11,7 @@
 #[derive(Debug)]
 pub struct CrashGuard {
     quarantine: Mutex<Quarantine>,
+    run_ended: Condvar,
     hints: Sender<Hint>,
 }
 
@@ -22,13 +24,13 @@
     /// use godwit_host::dispatch::CrashGuard;
     /// let (sender, hints) = flume::unbounded();
     /// let guard = CrashGuard::new(sender);
-    /// assert_eq!(guard.begin(7, "s1", UnixMs(1)), Start::Run);
+    /// assert_eq!(guard.begin(7, &["s1"], UnixMs(1)), Start::Run);
     /// guard.server_lost(7, "s1", UnixMs(1));
     /// assert_eq!(guard.standing(7, UnixMs(1)), Standing::Suspect);
     /// assert!(hints.try_recv().is_ok());
     /// ```
     pub fn new(hints: Sender<Hint>) -> CrashGuard {
-        CrashGuard { quarantine: Mutex::default(), hints }
+        CrashGuard { quarantine: Mutex::default(), run_ended: Condvar::new(), hints }
     }
 
     /// What is held against a request.
@@ -37,8 +39,8 @@
     }
 
     /// Asks for a run; see [`Quarantine::begin`].
-    pub fn begin(&self, fingerprint: u64, server: &str, now: UnixMs) -> Start {
-        self.lock().begin(fingerprint, server, now)
+    pub fn begin(&self, fingerprint: u64, servers: &[&str], now: UnixMs) -> Start {
+        self.lock().begin(fingerprint, servers, now)
     }
 
     /// A server was lost while it ran the request.
@@ -50,14 +52,22 @@
         }
     }
 
-    /// The request finished whole on a server.
-    pub fn finished(&self, fingerprint: u64, server: &str, now: UnixMs) {
-        self.lock().finished(fingerprint, server, now);
+    /// The request finished whole.
+    pub fn finished(&self, fingerprint: u64, servers: &[&str], now: UnixMs) {
+        self.lock().finished(fingerprint, servers, now);
+        self.run_ended.notify_all();
     }
 
-    /// A run ended in a way that tells nothing.
-    pub fn stopped(&self, fingerprint: u64, server: &str) {
-        self.lock().stopped(fingerprint, server);
+    /// A run ended in another way.
+    pub fn stopped(&self, fingerprint: u64, servers: &[&str]) {
+        self.lock().stopped(fingerprint, servers);
+        self.run_ended.notify_all();
+    }
+
+    /// Waits until a run ends, at most `wait_ms`.
+    pub fn wait_for_end(&self, wait_ms: u64) {
+        let wait = Duration::from_millis(wait_ms);
+        drop(self.run_ended.wait_timeout(self.lock(), wait));
     }
 
     /// Takes a hint of another host.
--- a/crates/godwit-host/src/dispatch/mod.rs
+++ b/crates/godwit-host/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! for servers, so that the choice stays out of here.
 
 mod attempt;
+mod blame;
 mod crash_guard;
 mod generate;
 mod outcome;
@@ -11,6 +12,7 @@
 mod progress;
 mod service;
 mod settings;
+mod tries;
 
 pub use crash_guard::CrashGuard;
 pub use generate::{GenerateJob, run_generate};
