--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod dispatch;
 pub mod ledger;
 pub mod placement;
+pub mod serve;
 mod settings;
 
 pub use clock::{Clock, ManualClock, SystemClock};
--- /dev/null
+++ b/crates/godwit-host/src/serve/generate.rs
@@ -0,0 +1,134 @@
+//! Requests that a model answers.
+
+use godwit_caller::{Call, Finish, GenerateAsk, Responder};
+use godwit_core::ledger::Answer;
+use godwit_core::route::PromptPrefix;
+use godwit_core::{Admission, Claimed, Code, Life, Target};
+
+use super::claim::{self, HeldClaim};
+use super::pipeline::{Admitting, Pipeline};
+use super::source::{Grants, PlacementRetries, PlacementSource};
+use super::split_source::{SplitSource, is_split};
+use super::{replay, report};
+use crate::dispatch::{
+    CallerGone, GenerateJob, GeneratedAnswer, Outcome, Run, ServerSource, TokenSink, Tools,
+    run_generate,
+};
+
+/// Passes tokens on to the caller and counts them on the grants in use.
+struct CallerSink<'a> {
+    responder: &'a mut Responder,
+    grants: &'a Grants,
+    outlives_caller: bool,
+}
+
+impl TokenSink for CallerSink<'_> {
+    fn accept(&mut self, _position: u32, token: &str) -> Result<(), CallerGone> {
+        self.grants.token();
+        let taken = self.responder.token(token);
+        if self.outlives_caller {
+            return Ok(());
+        }
+        taken.map_err(|_| CallerGone)
+    }
+}
+
+/// Runs the request to its answer.
+pub(super) fn run(
+    pipeline: &Pipeline,
+    admitting: Admitting<'_>,
+    ask: &GenerateAsk,
+    responder: Responder,
+) {
+    let (call, fingerprint) = (admitting.call, admitting.fingerprint);
+    let fleet = admitting.view.fleet().clone();
+    let admission = admitting.life.admission().clone();
+    let received_at = pipeline.parts.clock.now();
+    let Some((life, held, mut responder)) = claim::claim(pipeline, admitting, responder) else {
+        return;
+    };
+    let Target::Model { model, adapter } = &admission.target else {
+        held.release();
+        report::finish(call, responder, &report::failed(life.refuse(Code::Internal).code(), None));
+        return;
+    };
+    let job = GenerateJob {
+        model,
+        adapter: adapter.as_deref(),
+        prompt: &ask.prompt,
+        idempotency_key: call.idempotency_key.as_deref(),
+        fingerprint,
+    };
+    let grants = Grants::default();
+    let prefixes = PromptPrefix::of_prompt(&ask.prompt);
+    let whole = PlacementSource {
+        placement: &pipeline.parts.placement,
+        fleet: &fleet,
+        admission: &admission,
+        prefixes: &prefixes,
+        grants: &grants,
+    };
+    let found = fleet.models.iter().find(|candidate| candidate.name == *model);
+    let split = found.filter(|_| is_split(&fleet, model)).map(|model| SplitSource {
+        placement: &pipeline.parts.placement,
+        fleet: &fleet,
+        model,
+        admission: &admission,
+        clock: &*pipeline.parts.clock,
+        grants: &grants,
+    });
+    let source: &dyn ServerSource = match &split {
+        Some(split) => split,
+        None => &whole,
+    };
+    let run = dispatch(pipeline, life, &job, source, &grants, &mut responder, &admission);
+    report::run(&call.request_id, received_at, &run.report);
+    end(call, responder, held, run.outcome);
+}
+
+fn dispatch(
+    pipeline: &Pipeline,
+    life: Life<Claimed>,
+    job: &GenerateJob<'_>,
+    source: &dyn ServerSource,
+    grants: &Grants,
+    responder: &mut Responder,
+    admission: &Admission,
+) -> Run<GeneratedAnswer> {
+    let tools = Tools {
+        source,
+        reports: grants,
+        retries: &PlacementRetries,
+        crashes: &pipeline.parts.crashes,
+        clock: &*pipeline.parts.clock,
+        settings: &pipeline.parts.dispatch,
+    };
+    let mut sink = CallerSink { responder, grants, outlives_caller: admission.non_idempotent };
+    run_generate(life, job, &tools, &mut sink)
+}
+
+fn stored(answer: &GeneratedAnswer) -> Answer {
+    replay::stored_tokens(&answer.tokens, &answer.finish_reason.to_string())
+}
+
+fn end(call: &Call, responder: Responder, held: HeldClaim, outcome: Outcome<GeneratedAnswer>) {
+    let finish = match outcome {
+        Outcome::Answered { answer, .. } => {
+            let finish_reason = answer.finish_reason.to_string();
+            held.finish(stored(&answer));
+            Finish::Whole { code: Code::Ok, finish_reason }
+        }
+        Outcome::Late { answer, .. } => {
+            held.finish(stored(&answer));
+            report::failed(Code::LateAnswer, None)
+        }
+        Outcome::NotRun { reply, retry_at } => {
+            held.release();
+            report::failed(reply.code(), retry_at)
+        }
+        Outcome::Unknown(reply) => report::failed(reply.code(), None),
+        Outcome::Incomplete { reply, retry_at, .. } => report::failed(reply.code(), retry_at),
+        Outcome::CallerGone => return report::caller_gone(call),
+    };
+    report::finish(call, responder, &finish);
+}
--- /dev/null
+++ b/crates/godwit-host/src/serve/pipeline.rs
@@ -0,0 +1,169 @@
+//! Decides on each call and brings it to its end.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use godwit_caller::{Ask, Call, Failure, Finish, Handler, Responder};
+use godwit_core::config::{self, ConfigView, Refusal};
+use godwit_core::quarantine::{Standing, fingerprint};
+use godwit_core::{Admission, Admitted, Code, Life, UnixMs};
+use godwit_schema::config::Workspace;
+
+use super::{generate, report, service};
+use crate::clock::Clock;
+use crate::configuration::Configuration;
+use crate::dispatch::{CrashGuard, DispatchSettings};
+use crate::ledger::Ledger;
+use crate::placement::Placement;
+
+/// What a pipeline works with.
+pub struct PipelineParts {
+    /// Name of the host.
+    pub host: String,
+    /// The configuration in force.
+    pub configuration: Arc<Configuration>,
+    /// The choice of servers.
+    pub placement: Arc<Placement>,
+    /// The claims.
+    pub ledger: Ledger,
+    /// The register of requests that crash servers.
+    pub crashes: Arc<CrashGuard>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Bounds of dispatches.
+    pub dispatch: DispatchSettings,
+}
+
+/// Serves calls.
+pub struct Pipeline {
+    pub(super) parts: PipelineParts,
+    is_draining: AtomicBool,
+}
+
+/// An admitted call with all that its run needs.
+pub(super) struct Admitting<'a> {
+    pub(super) call: &'a Call,
+    pub(super) view: &'a ConfigView,
+    pub(super) workspace: &'a Workspace,
+    pub(super) life: Life<Admitted>,
+    pub(super) fingerprint: u64,
+}
+
+impl Pipeline {
+    /// A pipeline that takes calls.
+    pub fn new(parts: PipelineParts) -> Pipeline {
+        Pipeline { parts, is_draining: AtomicBool::new(false) }
+    }
+
+    /// From now on new calls are refused; those in progress go on.
+    pub fn drain(&self) {
+        self.is_draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether new calls are refused, by a shutdown or by an operator.
+    pub fn is_draining(&self) -> bool {
+        let view = self.parts.configuration.view();
+        let is_drained = view.fleet().drained_hosts.contains(&self.parts.host);
+        is_drained || self.is_draining.load(Ordering::SeqCst)
+    }
+
+    fn decide(&self, call: &Call, responder: Responder) {
+        let view = self.parts.configuration.view();
+        let life = Life::received(&call.request_id);
+        let workspace = match self.gate(call, &view) {
+            Ok(workspace) => workspace,
+            Err(failure) => return refuse(call, responder, life, failure),
+        };
+        if call.ask == Ask::Models {
+            let models = view.fleet().models.iter().map(|model| model.name.clone()).collect();
+            return report::finish(call, responder, &Finish::Models(models));
+        }
+        match self.admit(call, &view, workspace) {
+            Ok(admission) => {
+                let admitting = Admitting {
+                    call,
+                    view: &view,
+                    workspace,
+                    fingerprint: fingerprint(&workspace.name, &call.body),
+                    life: life.admit(admission),
+                };
+                self.run(admitting, responder);
+            }
+            Err(failure) => refuse(call, responder, life, failure),
+        }
+    }
+
+    fn gate<'a>(&self, call: &Call, view: &'a ConfigView) -> Result<&'a Workspace, Failure> {
+        if !view.is_usable() {
+            return Err(Failure::code(Code::NotConfigured));
+        }
+        if self.is_draining() {
+            return Err(Failure::code(Code::Draining));
+        }
+        let key = call.key.as_deref();
+        let workspace = key.and_then(|key| view.workspace_of_key(key));
+        workspace.map(Arc::as_ref).ok_or(Failure::field(Code::UnknownKey, "Authorization"))
+    }
+
+    fn admit(
+        &self,
+        call: &Call,
+        view: &ConfigView,
+        workspace: &Workspace,
+    ) -> Result<Admission, Failure> {
+        let kind = call.kind.as_deref();
+        let ask = config::Ask {
+            kind: kind.ok_or(Failure::field(Code::UnknownKind, "Godwit-Kind"))?,
+            event: call.event.as_deref(),
+            model: call.model(),
+            service: call.service(),
+            prompt_bytes: call.prompt_bytes(),
+            path: &call.path,
+            deadline: call.deadline,
+            max_tokens: call.max_tokens(),
+            has_idempotency_key: call.idempotency_key.is_some(),
+        };
+        let admitted = config::admit(workspace, view.fleet(), &ask, self.now());
+        let admission = admitted.map_err(failure)?;
+        let fingerprint = fingerprint(&workspace.name, &call.body);
+        if self.parts.crashes.standing(fingerprint, self.now()) == Standing::Quarantined {
+            return Err(Failure::code(Code::Quarantined));
+        }
+        Ok(admission)
+    }
+
+    fn run(&self, admitting: Admitting<'_>, responder: Responder) {
+        match &admitting.call.ask {
+            Ask::Generate(ask) => generate::run(self, admitting, ask, responder),
+            Ask::Service(ask) => service::run(self, admitting, ask, responder),
+            Ask::Models => {}
+        }
+    }
+}
+
+impl Handler for Pipeline {
+    fn serve(&self, call: &Call, responder: Responder) {
+        self.decide(call, responder);
+    }
+
+    fn now(&self) -> UnixMs {
+        self.parts.clock.now()
+    }
+}
+
+fn failure(refusal: Refusal) -> Failure {
+    let mut failure = Failure::code(refusal.code);
+    failure.field = refusal.field.map(str::to_string);
+    failure.message = refusal.reason;
+    failure
+}
+
+fn refuse(
+    call: &Call,
+    responder: Responder,
+    life: Life<godwit_core::Received>,
+    mut failure: Failure,
+) {
+    failure.code = life.refuse(failure.code).code();
+    report::finish(call, responder, &Finish::Failed(failure));
+}
--- /dev/null
+++ b/crates/godwit-host/src/serve/source.rs
@@ -0,0 +1,99 @@
+//! Servers for one request, from the placement.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+
+use godwit_core::Admission;
+use godwit_core::route::PromptPrefix;
+use godwit_schema::config::{BackendServer, Fleet};
+
+use crate::dispatch::{
+    AttemptEnding, AttemptReport, DispatchReports, GrantedServer, Refusal, Retry, RetryBudget,
+    ServerSource,
+};
+use crate::placement::{Ask, Grant, Placement};
+use std::sync::Arc;
+
+const MS_PER_S: f64 = 1_000.0;
+
+/// Grants in use by one request, by server.
+#[derive(Default)]
+pub(super) struct Grants(RefCell<BTreeMap<String, Grant>>);
+
+impl Grants {
+    pub(super) fn insert(&self, grant: Grant) {
+        self.0.borrow_mut().insert(grant.server().to_string(), grant);
+    }
+
+    /// Counts a token on all grants in use.
+    pub(super) fn token(&self) {
+        for grant in self.0.borrow_mut().values_mut() {
+            grant.token();
+        }
+    }
+
+    /// Ends the grants of an attempt.
+    pub(super) fn end(&self, report: &AttemptReport<'_>) {
+        let grants = std::mem::take(&mut *self.0.borrow_mut());
+        for (server, grant) in grants {
+            let is_blamed = report.blamed.contains(&server);
+            match report.ending {
+                AttemptEnding::Whole => grant.done(),
+                AttemptEnding::Refused if is_blamed => grant.refused(),
+                AttemptEnding::Cancelled => drop(grant),
+                _ if is_blamed => grant.failed(),
+                _ => drop(grant),
+            }
+        }
+    }
+}
+
+/// Takes servers that hold what the request needs whole.
+pub(super) struct PlacementSource<'a> {
+    pub(super) placement: &'a Arc<Placement>,
+    pub(super) fleet: &'a Fleet,
+    pub(super) admission: &'a Admission,
+    pub(super) prefixes: &'a [PromptPrefix],
+    pub(super) grants: &'a Grants,
+}
+
+/// Milliseconds between two tokens of a server.
+pub(super) fn token_gap_ms(server: &BackendServer) -> u64 {
+    if server.tokens_per_s > 0.0 { (MS_PER_S / server.tokens_per_s).ceil() as u64 } else { 0 }
+}
+
+impl ServerSource for PlacementSource<'_> {
+    fn acquire(&self, excluded: &BTreeSet<String>) -> Result<GrantedServer, Refusal> {
+        let ask = Ask { admission: self.admission, prefixes: self.prefixes, excluded };
+        let grant = self
+            .placement
+            .acquire(ask)
+            .map_err(|refusal| Refusal { code: refusal.code, retry_at: refusal.retry_at })?;
+        let found = self.fleet.servers.iter().find(|server| server.name == grant.server());
+        let server = found.ok_or(Refusal { code: godwit_core::Code::NoServer, retry_at: None })?;
+        let granted = GrantedServer {
+            server: server.name.clone(),
+            address: server.address.clone(),
+            stages: Vec::new(),
+            first_token_ms: grant.estimate().first_token_ms.max(0.0).ceil() as u64,
+            token_gap_ms: token_gap_ms(server),
+        };
+        self.grants.insert(grant);
+        Ok(granted)
+    }
+}
+
+impl DispatchReports for Grants {
+    fn attempt_ended(&self, report: &AttemptReport<'_>) {
+        self.end(report);
+    }
+}
+
+/// The retry budget is kept by the placement, which counts a request with excluded servers as a retry.
+pub(super) struct PlacementRetries;
+
+impl RetryBudget for PlacementRetries {
+    fn take(&self, _retry: Retry) -> bool {
+        true
+    }
+}
