Add membership, shared knowledge and standings of servers

Cause: hosts need live neighbours, load readings and news of servers and domains at a cost per host that does not grow with the fleet. Change: a pure member with heartbeats to two watchers on a ring and one random host, suspicion that the suspected host can refute, news passed on a bounded number of times, summaries by two delegates per failure domain, poll shares by rendezvous hashing, and standings that combine host list, silence and drains. Ruled out: random heartbeats alone, which at 50 hosts reach a given neighbour every 4 s and so cannot show a death within 2 s.

--- /dev/null
+++ b/crates/godwit-core/src/drain/mod.rs
@@ -0,0 +1,5 @@
+//! Which backend servers may get new work: the host list, silence and operators' drains together.
+
+mod standing;
+
+pub use standing::ServerStandings;
--- /dev/null
+++ b/crates/godwit-core/src/knowledge/polling.rs
@@ -0,0 +1,171 @@
+//! Which servers this host polls, and when.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::knowledge::{Notice, ServerNotice};
+use crate::{Reading, UnixMs, rendezvous};
+
+/// Time between two polls of a server.
+pub const POLL_INTERVAL_MS: u64 = 500;
+/// A server counts as silent after so many failed polls in a row.
+const SILENT_AFTER_FAILURES: u32 = 2;
+/// A silent server is told of again after this long, for hosts that missed it.
+const REPEAT_NOTICE_MS: u64 = 2_000;
+
+/// A backend server that may be polled.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PollTarget {
+    /// Name of the server.
+    pub server: String,
+    /// Where it answers `GET /v1/load`.
+    pub address: SocketAddr,
+}
+
+/// What a poll gives to the other hosts.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PollResult {
+    /// The server reported its load.
+    Reading(Reading),
+    /// The server fell silent or answers again.
+    Notice(ServerNotice),
+}
+
+/// The polls of one host: its share of the servers of its failure domain.
+///
+/// ```
+/// use godwit_core::UnixMs;
+/// use godwit_core::knowledge::{PollSchedule, PollTarget};
+/// let server = PollTarget { server: "a".into(), address: "127.0.0.1:1".parse().unwrap() };
+/// let mut schedule = PollSchedule::new("entry-1");
+/// schedule.set_targets(vec![server.clone()]);
+/// schedule.set_hosts(&["entry-1"], UnixMs(0));
+/// assert_eq!(schedule.take_due(UnixMs(500)), [server]);
+/// assert!(schedule.take_due(UnixMs(600)).is_empty());
+/// ```
+#[derive(Clone, Debug)]
+pub struct PollSchedule {
+    own_host: String,
+    targets: Vec<PollTarget>,
+    hosts: Vec<String>,
+    is_share_old: bool,
+    polls: BTreeMap<String, Poll>,
+}
+
+#[derive(Clone, Debug)]
+struct Poll {
+    target: PollTarget,
+    due_at: UnixMs,
+    failures: u32,
+    repeat_at: UnixMs,
+}
+
+impl PollSchedule {
+    /// A schedule without servers.
+    pub fn new(own_host: &str) -> PollSchedule {
+        PollSchedule {
+            own_host: own_host.to_string(),
+            targets: Vec::new(),
+            hosts: Vec::new(),
+            is_share_old: true,
+            polls: BTreeMap::new(),
+        }
+    }
+
+    /// Sets the servers of the failure domain; this takes effect with the next `set_hosts`.
+    pub fn set_targets(&mut self, targets: Vec<PollTarget>) {
+        self.is_share_old |= self.targets != targets;
+        self.targets = targets;
+    }
+
+    /// Sets the hosts that share the polls, this one among them.
+    pub fn set_hosts(&mut self, hosts: &[&str], now: UnixMs) {
+        if !self.is_share_old && self.hosts == hosts {
+            return;
+        }
+        self.is_share_old = false;
+        self.hosts = hosts.iter().map(|host| host.to_string()).collect();
+        self.take_share(now);
+    }
+
+    fn take_share(&mut self, now: UnixMs) {
+        let hosts: Vec<&str> = self.hosts.iter().map(String::as_str).collect();
+        let owner = |target: &PollTarget| rendezvous::owner(&target.server, hosts.iter().copied());
+        let own = Some(self.own_host.as_str());
+        let share = self.targets.iter().filter(|target| owner(target) == own);
+        let mut polls = BTreeMap::new();
+        for target in share {
+            let kept = self.polls.remove(&target.server).filter(|poll| poll.target == *target);
+            let poll = kept.unwrap_or_else(|| Poll::first(target, now));
+            polls.insert(target.server.clone(), poll);
+        }
+        self.polls = polls;
+    }
+
+    /// Servers of this host's share.
+    pub fn share(&self) -> impl Iterator<Item = &PollTarget> {
+        self.polls.values().map(|poll| &poll.target)
+    }
+
+    /// Servers to be polled now.
+    pub fn take_due(&mut self, now: UnixMs) -> Vec<PollTarget> {
+        let due = self.polls.values_mut().filter(|poll| poll.due_at.is_past(now));
+        due.map(|poll| {
+            poll.due_at = now.plus_ms(POLL_INTERVAL_MS);
+            poll.target.clone()
+        })
+        .collect()
+    }
+
+    /// Takes in what a poll gave: a reading, or none when it failed.
+    pub fn record(
+        &mut self,
+        server: &str,
+        reading: Option<Reading>,
+        now: UnixMs,
+    ) -> Vec<PollResult> {
+        let Some(poll) = self.polls.get_mut(server) else { return Vec::new() };
+        match reading {
+            Some(reading) => poll.answered(reading, now),
+            None => poll.failed(now).into_iter().collect(),
+        }
+    }
+}
+
+impl Poll {
+    /// The first polls of the servers are spread over an interval.
+    fn first(target: &PollTarget, now: UnixMs) -> Poll {
+        let delay_ms = rendezvous::weight(&target.server, "") % POLL_INTERVAL_MS;
+        Poll {
+            target: target.clone(),
+            due_at: now.plus_ms(delay_ms),
+            failures: 0,
+            repeat_at: UnixMs(0),
+        }
+    }
+
+    fn answered(&mut self, reading: Reading, now: UnixMs) -> Vec<PollResult> {
+        let was_silent = self.failures >= SILENT_AFTER_FAILURES;
+        self.failures = 0;
+        let mut results = vec![PollResult::Reading(reading)];
+        if was_silent {
+            results.push(self.notice(Notice::Answering, now));
+        }
+        results
+    }
+
+    fn failed(&mut self, now: UnixMs) -> Option<PollResult> {
+        self.failures = self.failures.saturating_add(1);
+        let is_due = self.failures == SILENT_AFTER_FAILURES || self.repeat_at.is_past(now);
+        if self.failures < SILENT_AFTER_FAILURES || !is_due {
+            return None;
+        }
+        self.repeat_at = now.plus_ms(REPEAT_NOTICE_MS);
+        Some(self.notice(Notice::Silent, now))
+    }
+
+    fn notice(&self, notice: Notice, now: UnixMs) -> PollResult {
+        let server = self.target.server.clone();
+        PollResult::Notice(ServerNotice { server, notice, noticed_at: now })
+    }
+}
--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -3,9 +3,13 @@
 mod admission;
 mod code;
 pub mod config;
+pub mod drain;
 mod hint;
+pub mod knowledge;
 mod lifecycle;
+pub mod member;
 mod reading;
+pub mod rendezvous;
 pub mod split;
 pub mod stream;
 mod time;
--- /dev/null
+++ b/crates/godwit-core/src/member/contact.rs
@@ -0,0 +1,64 @@
+//! First contacts: seeds, the platform's host list, and members that were believed dead.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use godwit_schema::platform::{HostListReply, HostRole};
+use rand::seq::IteratorRandom;
+
+use crate::UnixMs;
+use crate::member::settings::{CONTACT_INTERVAL_MS, GOSSIP_INTERVAL_MS, MAX_CANDIDATES};
+use crate::member::state::Candidate;
+use crate::member::{Doubt, Member, MemberAction, Purpose};
+
+/// Hosts tried at a time while no other host is known.
+const LONELY_CONTACTS: usize = 3;
+
+impl Member {
+    /// Takes in the platform's host list. It may name hosts that are gone and miss new ones: its addresses are only
+    /// tried, and no host is believed live because of it.
+    pub fn learn_host_list(&mut self, list: &HostListReply) {
+        let listed = list.hosts.iter().filter(|host| host.role == HostRole::Entry);
+        let listed = listed.filter_map(|host| {
+            let address = host.address.parse().ok()?;
+            Some(Candidate { address, failure_domain: Some(host.failure_domain.clone()) })
+        });
+        let seeds = self.settings.seeds.iter();
+        let seeds = seeds.map(|address| Candidate { address: *address, failure_domain: None });
+        let all: BTreeSet<Candidate> = seeds.chain(listed).collect();
+        self.candidates = all.into_iter().take(MAX_CANDIDATES).collect();
+    }
+
+    /// Tries an address at which no live host is known.
+    pub(super) fn contact(&mut self, now: UnixMs, actions: &mut Vec<MemberAction>) {
+        let is_lonely = self.table.active().next().is_none();
+        let wait_ms = if is_lonely { GOSSIP_INTERVAL_MS } else { CONTACT_INTERVAL_MS };
+        self.next_contact_at = now.plus_ms(wait_ms);
+        let count = if is_lonely { LONELY_CONTACTS } else { 1 };
+        let unmet = self.unmet(now);
+        for to in unmet.into_iter().choose_multiple(&mut self.random, count) {
+            actions.push(self.message(Purpose::Join, to, now));
+        }
+    }
+
+    fn unmet(&self, now: UnixMs) -> BTreeSet<SocketAddr> {
+        let met: BTreeSet<SocketAddr> = self.table.active().map(|record| record.address).collect();
+        let candidates = self.candidates.iter().filter(|candidate| self.is_unmet(candidate, now));
+        let candidates = candidates.map(|candidate| candidate.address);
+        let dead = self.table.iter().filter(|entry| entry.record.doubt == Doubt::Dead);
+        let dead = dead.map(|entry| entry.record.address);
+        candidates
+            .chain(dead)
+            .filter(|address| *address != self.own.address && !met.contains(address))
+            .collect()
+    }
+
+    /// Hosts of other domains need no contact while summaries of their domain arrive.
+    fn is_unmet(&self, candidate: &Candidate, now: UnixMs) -> bool {
+        match &candidate.failure_domain {
+            Some(name) if *name == self.settings.failure_domain => true,
+            Some(name) => !self.domains.is_reachable(name, now),
+            None => !self.domains.knows_address(candidate.address),
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-core/src/member/mod.rs
@@ -0,0 +1,18 @@
+//! Membership: heartbeats among the hosts of a failure domain, and delegates between failure domains.
+
+mod contact;
+mod detector;
+mod message;
+mod packing;
+mod receiving;
+mod record;
+mod ring;
+mod settings;
+mod state;
+mod summaries;
+mod table;
+
+pub use message::{Gossip, MemberAction, MemberEvent, Purpose};
+pub use record::{Doubt, MemberRecord, Phase};
+pub use settings::MemberSettings;
+pub use state::Member;
--- /dev/null
+++ b/crates/godwit-core/src/member/receiving.rs
@@ -0,0 +1,208 @@
+//! Taking in messages, readings, notices and hints.
+
+use crate::knowledge::{DomainFact, PollResult, ServerNotice};
+use crate::member::table::Change;
+use crate::member::{
+    Doubt, Gossip, Member, MemberAction, MemberEvent, MemberRecord, Phase, Purpose,
+};
+use crate::{Hint, Reading, UnixMs};
+
+impl Member {
+    /// Takes in a message of another host, which the driver has authenticated.
+    pub fn receive(&mut self, gossip: &Gossip, now: UnixMs) -> Vec<MemberAction> {
+        let mut actions = Vec::new();
+        let is_neighbour = gossip.failure_domain == self.settings.failure_domain;
+        if is_neighbour {
+            self.receive_neighbour(gossip, now, &mut actions);
+        }
+        for hint in &gossip.hints {
+            self.learn_hint(hint, is_neighbour, now, &mut actions);
+        }
+        for fact in &gossip.domains {
+            self.learn_fact(fact, now, &mut actions);
+        }
+        if matches!(gossip.purpose, Purpose::Probe | Purpose::Join) {
+            let answer = self.answer(gossip.sender.address, is_neighbour, now);
+            actions.push(answer);
+        }
+        actions
+    }
+
+    /// Takes in what a poll of this host gave.
+    pub fn learn_poll(&mut self, result: &PollResult, now: UnixMs) -> Vec<MemberAction> {
+        let mut actions = Vec::new();
+        match result {
+            PollResult::Reading(reading) => self.learn_reading(reading, &mut actions),
+            PollResult::Notice(notice) => self.learn_notice(notice, now, &mut actions),
+        }
+        actions
+    }
+
+    /// Takes in a hint of this host; the other hosts are told.
+    pub fn push_hint(&mut self, hint: &Hint, now: UnixMs) -> Vec<MemberAction> {
+        let mut actions = Vec::new();
+        self.learn_hint(hint, true, now, &mut actions);
+        actions
+    }
+
+    fn answer(
+        &mut self,
+        to: std::net::SocketAddr,
+        is_neighbour: bool,
+        now: UnixMs,
+    ) -> MemberAction {
+        if is_neighbour {
+            return self.message(Purpose::Answer, to, now);
+        }
+        self.summary(Purpose::Answer, to, now)
+    }
+
+    fn receive_neighbour(&mut self, gossip: &Gossip, now: UnixMs, actions: &mut Vec<MemberAction>) {
+        self.learn_record(&gossip.sender, now, actions);
+        if let Some(entry) = self.watched_entry(&gossip.sender.host)
+            && entry.record.incarnation == gossip.sender.incarnation
+        {
+            entry.direct_at = now;
+        }
+        for record in &gossip.members {
+            self.learn_record(record, now, actions);
+        }
+        for reading in &gossip.readings {
+            self.learn_reading(reading, actions);
+        }
+        for notice in &gossip.notices {
+            self.learn_notice(notice, now, actions);
+        }
+    }
+
+    fn learn_record(
+        &mut self,
+        record: &MemberRecord,
+        now: UnixMs,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if record.host == self.own.host {
+            self.learn_own_record(record, actions);
+            return;
+        }
+        let before = self.table.get(&record.host).map(|entry| entry.record.clone());
+        let change = self.table.merge(record, now);
+        if change == Change::Nothing || change == Change::Heartbeat {
+            return;
+        }
+        let before = before.as_ref();
+        if change == Change::State {
+            self.has_news = true;
+            if before.is_none_or(|before| takes_part(before) != takes_part(record)) {
+                self.tell_hosts_changed(actions);
+            }
+        }
+        if before.is_none_or(|before| before.configuration != record.configuration) {
+            actions.push(MemberAction::Tell(MemberEvent::ConfigurationHeard {
+                host: record.host.clone(),
+                address: record.address,
+                configuration: record.configuration,
+            }));
+        }
+    }
+
+    /// What others believe of this host: a doubt is refuted by a later heartbeat.
+    fn learn_own_record(&mut self, record: &MemberRecord, actions: &mut Vec<MemberAction>) {
+        if record.incarnation > self.own.incarnation {
+            let incarnation = record.incarnation;
+            actions.push(MemberAction::Tell(MemberEvent::Superseded { incarnation }));
+            return;
+        }
+        if record.incarnation == self.own.incarnation && record.doubt != Doubt::None {
+            self.own.heartbeat = self.own.heartbeat.max(record.heartbeat.saturating_add(1));
+            self.has_news = true;
+        }
+    }
+
+    fn learn_reading(&mut self, reading: &Reading, actions: &mut Vec<MemberAction>) {
+        let age = |reading: &Reading| (reading.started_at, reading.measured_at);
+        if self.readings.get(&reading.server).is_some_and(|known| age(known) >= age(reading)) {
+            return;
+        }
+        self.readings.insert(reading.server.clone(), reading.clone());
+        actions.push(MemberAction::Tell(MemberEvent::Reading(reading.clone())));
+    }
+
+    fn learn_notice(
+        &mut self,
+        notice: &ServerNotice,
+        now: UnixMs,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let key = (notice.server.clone(), notice.notice.is_listing());
+        let known = self.notices.get(&key);
+        if known.is_some_and(|known| known.noticed_at >= notice.noticed_at) {
+            return;
+        }
+        let is_news = known.is_none_or(|known| known.notice != notice.notice);
+        self.has_news |= is_news && notice.noticed_at <= now;
+        self.notices.insert(key, notice.clone());
+        actions.push(MemberAction::Tell(MemberEvent::Notice(notice.clone())));
+    }
+
+    fn learn_hint(
+        &mut self,
+        hint: &Hint,
+        is_of_own_domain: bool,
+        now: UnixMs,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let key = hint_key(hint);
+        let known = self.hints.get(&key);
+        let is_known = known.is_some_and(|known| expires_at(known) >= expires_at(hint));
+        if is_known || expires_at(hint).is_past(now) {
+            return;
+        }
+        self.has_news |= known.is_none();
+        self.hints.insert(key.clone(), hint.clone());
+        if is_of_own_domain && matches!(hint, Hint::CrashMark { .. }) {
+            self.outgoing_hints.insert(key, hint.clone());
+        }
+        actions.push(MemberAction::Tell(MemberEvent::Hint(hint.clone())));
+    }
+
+    fn learn_fact(&mut self, fact: &DomainFact, now: UnixMs, actions: &mut Vec<MemberAction>) {
+        let failure_domain = fact.failure_domain();
+        if failure_domain == self.settings.failure_domain {
+            return;
+        }
+        let known = self.domains.capacity(failure_domain).map(|known| known.configuration);
+        if !self.domains.learn(fact, now) {
+            return;
+        }
+        self.facts.insert(fact.key(), fact.clone());
+        let failure_domain = failure_domain.to_string();
+        actions.push(MemberAction::Tell(MemberEvent::DomainChanged { failure_domain }));
+        if let DomainFact::Capacity(capacity) = fact
+            && known != Some(capacity.configuration)
+        {
+            actions.push(MemberAction::Tell(MemberEvent::ConfigurationHeard {
+                host: capacity.delegate.host.clone(),
+                address: capacity.delegate.address,
+                configuration: capacity.configuration,
+            }));
+        }
+    }
+}
+
+fn takes_part(record: &MemberRecord) -> bool {
+    record.doubt != Doubt::Dead && record.phase == Phase::Serving
+}
+
+fn hint_key(hint: &Hint) -> super::state::HintKey {
+    match hint {
+        Hint::CrashMark { fingerprint, server, .. } => (0, *fingerprint, server.clone()),
+        Hint::ServerSuspect { server, .. } => (1, 0, server.clone()),
+    }
+}
+
+pub(super) fn expires_at(hint: &Hint) -> UnixMs {
+    match hint {
+        Hint::CrashMark { expires_at, .. } | Hint::ServerSuspect { expires_at, .. } => *expires_at,
+    }
+}
--- /dev/null
+++ b/crates/godwit-core/src/member/state.rs
@@ -0,0 +1,212 @@
+//! A member: its state, its clockwork and what it answers the rest of its host.
+
+use std::net::SocketAddr;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::config::ConfigDigest;
+use crate::knowledge::{CapacityFact, DomainFact, ServerNotice};
+use crate::knowledge::{Domains, FactKey, ModelCapacity, Spread};
+use crate::member::settings::{
+    GOSSIP_INTERVAL_MS, GOSSIP_JITTER_MS, MAX_FACTS, MAX_MODELS, MAX_NOTICES, MAX_READINGS,
+    NEWS_INTERVAL_MS,
+};
+use crate::member::table::{Entry, Table};
+use crate::member::{Doubt, MemberAction, MemberEvent, MemberRecord, MemberSettings, Phase};
+use crate::{Hint, Reading, UnixMs};
+
+/// A member of the hosts of the system, pure: messages and times in, actions out.
+///
+/// ```
+/// use godwit_core::UnixMs;
+/// use godwit_core::member::{Member, MemberSettings};
+/// let address = "127.0.0.1:7000".parse().unwrap();
+/// let member = Member::new(MemberSettings::new("entry-1", "hall-a", address, 1), UnixMs(0));
+/// assert_eq!(member.live_hosts(), ["entry-1"]);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub(super) settings: MemberSettings,
+    pub(super) own: MemberRecord,
+    pub(super) table: Table,
+    pub(super) domains: Domains,
+    pub(super) readings: Spread<String, Reading>,
+    pub(super) notices: Spread<(String, bool), ServerNotice>,
+    pub(super) hints: Spread<HintKey, Hint>,
+    pub(super) outgoing_hints: Spread<HintKey, Hint>,
+    pub(super) facts: Spread<FactKey, DomainFact>,
+    pub(super) candidates: Vec<Candidate>,
+    pub(super) spare: Vec<ModelCapacity>,
+    pub(super) random: SmallRng,
+    pub(super) has_news: bool,
+    pub(super) last_tick_at: UnixMs,
+    pub(super) last_gossip_at: UnixMs,
+    pub(super) next_gossip_at: UnixMs,
+    pub(super) next_contact_at: UnixMs,
+    pub(super) next_summary_at: UnixMs,
+    pub(super) hosts_cursor: String,
+}
+
+/// Tells hints apart: kind, fingerprint and server.
+pub(super) type HintKey = (u8, u64, String);
+
+/// An address that a host of the system may have, from the settings or the platform's host list.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Candidate {
+    pub(super) address: SocketAddr,
+    pub(super) failure_domain: Option<String>,
+}
+
+impl Member {
+    /// A member that knows no other yet.
+    pub fn new(settings: MemberSettings, now: UnixMs) -> Member {
+        let own = MemberRecord {
+            host: settings.host.clone(),
+            address: settings.address,
+            incarnation: settings.incarnation,
+            heartbeat: 0,
+            phase: Phase::Serving,
+            doubt: Doubt::None,
+            configuration: ConfigDigest::default(),
+        };
+        let seeds = settings.seeds.iter();
+        let candidates =
+            seeds.map(|address| Candidate { address: *address, failure_domain: None }).collect();
+        let random = SmallRng::seed_from_u64(settings.random_seed);
+        Member {
+            settings,
+            own,
+            table: Table::default(),
+            domains: Domains::default(),
+            readings: Spread::new(MAX_READINGS),
+            notices: Spread::new(MAX_NOTICES),
+            hints: Spread::new(MAX_NOTICES),
+            outgoing_hints: Spread::new(MAX_NOTICES),
+            facts: Spread::new(MAX_FACTS),
+            candidates,
+            spare: Vec::new(),
+            random,
+            has_news: true,
+            last_tick_at: now,
+            last_gossip_at: UnixMs(0),
+            next_gossip_at: now,
+            next_contact_at: now,
+            next_summary_at: now,
+            hosts_cursor: String::new(),
+        }
+    }
+
+    /// Does what is due; to be called at least every 50 ms.
+    pub fn tick(&mut self, now: UnixMs) -> Vec<MemberAction> {
+        let mut actions = Vec::new();
+        self.forgive_own_pause(now);
+        self.detect(now, &mut actions);
+        if self.is_gossip_due(now) {
+            self.gossip(now, &mut actions);
+        }
+        if self.next_contact_at.is_past(now) {
+            self.contact(now, &mut actions);
+        }
+        if self.next_summary_at.is_past(now) {
+            self.summarise(now, &mut actions);
+        }
+        actions
+    }
+
+    /// Says that the host is shutting down; the next round tells the others.
+    pub fn leave(&mut self) {
+        self.own.phase = Phase::Leaving;
+        self.has_news = true;
+    }
+
+    /// Sets the configuration that the others are told of.
+    pub fn set_configuration(&mut self, configuration: ConfigDigest) {
+        self.has_news |= self.own.configuration != configuration;
+        self.own.configuration = configuration;
+    }
+
+    /// Sets the spare capacity of the own failure domain, which a delegate tells the other domains.
+    pub fn set_spare_capacity(&mut self, spare: &[ModelCapacity]) {
+        self.spare = spare.iter().take(MAX_MODELS).cloned().collect();
+    }
+
+    /// Names of the hosts of the own failure domain that take part, with the own one unless it is leaving, by name.
+    pub fn live_hosts(&self) -> Vec<&str> {
+        let mut hosts: Vec<&str> = self.table.serving().map(|r| r.host.as_str()).collect();
+        if self.own.phase == Phase::Serving {
+            hosts.push(&self.own.host);
+            hosts.sort_unstable();
+        }
+        hosts
+    }
+
+    /// The other members of the own failure domain, also dead ones, each with the time of its newest heartbeat.
+    pub fn neighbours(&self) -> impl Iterator<Item = (&MemberRecord, UnixMs)> {
+        self.table.iter().map(|entry| (&entry.record, entry.heard_at))
+    }
+
+    /// Names of the other failure domains of which summaries arrive.
+    pub fn reachable_domains(&self, now: UnixMs) -> Vec<&str> {
+        self.domains.names().filter(|name| self.domains.is_reachable(name, now)).collect()
+    }
+
+    /// Newest capacity and configuration of another failure domain.
+    pub fn domain_capacity(&self, failure_domain: &str) -> Option<&CapacityFact> {
+        self.domains.capacity(failure_domain)
+    }
+
+    /// Hosts of a failure domain, the own one included, with their addresses, by name.
+    pub fn hosts_of_domain(&self, failure_domain: &str) -> Vec<(&str, SocketAddr)> {
+        if failure_domain != self.settings.failure_domain {
+            return self.domains.hosts(failure_domain).collect();
+        }
+        let own = (self.own.host.as_str(), self.own.address);
+        let others = self.table.serving().map(|record| (record.host.as_str(), record.address));
+        let mut hosts: Vec<(&str, SocketAddr)> =
+            others.chain((self.own.phase == Phase::Serving).then_some(own)).collect();
+        hosts.sort_unstable();
+        hosts
+    }
+
+    /// Newest reading of a server.
+    pub fn reading(&self, server: &str) -> Option<&Reading> {
+        self.readings.get(&server.to_string())
+    }
+
+    /// Name of the own failure domain.
+    pub fn failure_domain(&self) -> &str {
+        &self.settings.failure_domain
+    }
+
+    /// The own state, as told to the others.
+    pub fn own_record(&self) -> &MemberRecord {
+        &self.own
+    }
+
+    fn is_gossip_due(&self, now: UnixMs) -> bool {
+        let news_at = self.last_gossip_at.plus_ms(NEWS_INTERVAL_MS);
+        self.next_gossip_at.is_past(now) || self.has_news && news_at.is_past(now)
+    }
+
+    pub(super) fn schedule_gossip(&mut self, now: UnixMs) {
+        let jitter_ms = self.random.random_range(0..=2 * GOSSIP_JITTER_MS);
+        self.last_gossip_at = now;
+        self.next_gossip_at = now.plus_ms(GOSSIP_INTERVAL_MS - GOSSIP_JITTER_MS + jitter_ms);
+    }
+
+    /// How often a piece of news is passed on: grows with the logarithm of the number of hosts.
+    pub(super) fn max_sends(&self) -> u32 {
+        let hosts = self.table.active().count() + 2;
+        3 + hosts.ilog2()
+    }
+
+    pub(super) fn tell_hosts_changed(&mut self, actions: &mut Vec<MemberAction>) {
+        self.has_news = true;
+        actions.push(MemberAction::Tell(MemberEvent::HostsChanged));
+    }
+
+    pub(super) fn watched_entry(&mut self, host: &str) -> Option<&mut Entry> {
+        self.table.get_mut(host)
+    }
+}
--- /dev/null
+++ b/crates/godwit-core/src/member/summaries.rs
@@ -0,0 +1,115 @@
+//! Summaries that delegates carry between failure domains.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use rand::seq::IndexedRandom;
+
+use crate::knowledge::{
+    CapacityFact, DomainFact, HOSTS_PER_FACT, HostsFact, RemoteHost, encoded_bytes,
+};
+use crate::member::settings::{DELEGATES, MAX_GOSSIP_BYTES, SUMMARY_INTERVAL_MS};
+use crate::member::{Gossip, Member, MemberAction, Purpose};
+use crate::{UnixMs, rendezvous};
+
+impl Member {
+    /// Whether this host is one of the delegates of its failure domain.
+    pub fn is_delegate(&self) -> bool {
+        let live = self.live_hosts();
+        let delegates = rendezvous::ranked(&self.settings.failure_domain, live, DELEGATES);
+        delegates.contains(&self.own.host.as_str())
+    }
+
+    /// Sends a summary to a delegate of each other failure domain.
+    pub(super) fn summarise(&mut self, now: UnixMs, actions: &mut Vec<MemberAction>) {
+        self.next_summary_at = now.plus_ms(SUMMARY_INTERVAL_MS);
+        if !self.is_delegate() {
+            return;
+        }
+        let receivers = self.summary_receivers(now);
+        if receivers.is_empty() {
+            return;
+        }
+        let gossip = self.summary_gossip(Purpose::Summary, now);
+        for to in receivers {
+            actions.push(MemberAction::Send { to, gossip: Box::new(gossip.clone()) });
+        }
+    }
+
+    /// A summary of the own failure domain for one host of another.
+    pub(super) fn summary(
+        &mut self,
+        purpose: Purpose,
+        to: SocketAddr,
+        now: UnixMs,
+    ) -> MemberAction {
+        let gossip = self.summary_gossip(purpose, now);
+        MemberAction::Send { to, gossip: Box::new(gossip) }
+    }
+
+    fn summary_gossip(&mut self, purpose: Purpose, now: UnixMs) -> Gossip {
+        let mut gossip = self.envelope(purpose);
+        let hosts = self.next_hosts(now);
+        gossip.domains = vec![DomainFact::Hosts(hosts), DomainFact::Capacity(self.capacity(now))];
+        if encoded_bytes(&gossip) > MAX_GOSSIP_BYTES {
+            gossip.domains.remove(0);
+        }
+        let mut left = MAX_GOSSIP_BYTES.saturating_sub(encoded_bytes(&gossip));
+        let max_sends = self.max_sends() * self.domains.names().count().max(1) as u32;
+        gossip.hints = self.outgoing_hints.take(max_sends, &mut left);
+        gossip
+    }
+
+    fn capacity(&self, now: UnixMs) -> CapacityFact {
+        CapacityFact {
+            failure_domain: self.settings.failure_domain.clone(),
+            made_at: now,
+            delegate: RemoteHost { host: self.own.host.clone(), address: self.own.address },
+            configuration: self.own.configuration,
+            spare: self.spare.clone(),
+        }
+    }
+
+    /// The next part of the own domain's hosts, in turn.
+    fn next_hosts(&mut self, now: UnixMs) -> HostsFact {
+        let after = std::mem::take(&mut self.hosts_cursor);
+        let all = self.hosts_of_domain(&self.settings.failure_domain);
+        let rest = all.into_iter().filter(|(host, _)| *host > after.as_str());
+        let mut hosts: Vec<RemoteHost> = rest
+            .take(HOSTS_PER_FACT + 1)
+            .map(|(host, address)| RemoteHost { host: host.to_string(), address })
+            .collect();
+        let is_last = hosts.len() <= HOSTS_PER_FACT;
+        hosts.truncate(HOSTS_PER_FACT);
+        if !is_last {
+            self.hosts_cursor = hosts.last().map(|host| host.host.clone()).unwrap_or_default();
+        }
+        let failure_domain = self.settings.failure_domain.clone();
+        HostsFact { failure_domain, made_at: now, after, is_last, hosts }
+    }
+
+    fn summary_receivers(&mut self, now: UnixMs) -> Vec<SocketAddr> {
+        let listed = self.candidates.iter().filter_map(|c| c.failure_domain.as_deref());
+        let names: BTreeSet<String> =
+            self.domains.names().chain(listed).map(str::to_string).collect();
+        let own = self.settings.failure_domain.clone();
+        let others = names.into_iter().filter(|name| *name != own);
+        others.filter_map(|name| self.summary_receiver(&name, now)).collect()
+    }
+
+    /// A delegate of another domain; while the domain is silent, any address that one of its hosts may have.
+    fn summary_receiver(&mut self, failure_domain: &str, now: UnixMs) -> Option<SocketAddr> {
+        let hosts: Vec<(&str, SocketAddr)> = self.domains.hosts(failure_domain).collect();
+        if self.domains.is_reachable(failure_domain, now) && !hosts.is_empty() {
+            let names = hosts.iter().map(|(host, _)| *host);
+            let delegates = rendezvous::ranked(failure_domain, names, DELEGATES);
+            let chosen = *delegates.choose(&mut self.random)?;
+            return hosts.iter().find(|(host, _)| *host == chosen).map(|(_, address)| *address);
+        }
+        let listed =
+            self.candidates.iter().filter(|c| c.failure_domain.as_deref() == Some(failure_domain));
+        let known = hosts.iter().map(|(_, address)| *address);
+        let all: Vec<SocketAddr> = listed.map(|c| c.address).chain(known).collect();
+        all.choose(&mut self.random).copied()
+    }
+}
