Drive membership and polls on real sockets

Cause: the pure member needs sockets, threads and the clock. Change: a receiving and a ticking thread per host with a bounded queue of events, and workers that poll this host's share of the servers. Datagrams that are dropped are counted by reason.

--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod clock;
 pub mod configuration;
+pub mod membership;
+pub mod polling;
 mod settings;
 
 pub use clock::{Clock, ManualClock, SystemClock};
--- /dev/null
+++ b/crates/godwit-host/src/membership/event.rs
@@ -0,0 +1,58 @@
+//! News from the other hosts.
+
+use std::net::SocketAddr;
+
+use godwit_core::config::ConfigDigest;
+use godwit_core::knowledge::ServerNotice;
+use godwit_core::member::MemberEvent;
+use godwit_core::{Hint, Reading};
+
+/// News from the other hosts, or from this host's own polls.
+#[derive(Clone, Debug, PartialEq)]
+pub enum MembershipEvent {
+    /// The set of live hosts of the own failure domain changed.
+    HostsChanged,
+    /// Something newer is known of another failure domain.
+    DomainChanged {
+        /// Name of the domain.
+        failure_domain: String,
+    },
+    /// A host has a configuration that it did not have before.
+    ConfigurationHeard {
+        /// Name of the host.
+        host: String,
+        /// Address to fetch the configuration from.
+        address: SocketAddr,
+        /// Short form of the configuration.
+        digest: ConfigDigest,
+    },
+    /// A newer load reading.
+    Reading(Reading),
+    /// A newer notice of a backend server.
+    Notice(ServerNotice),
+    /// A new hint.
+    Hint(Hint),
+    /// Another process with a later start has the name of this host.
+    Superseded {
+        /// Its start time.
+        incarnation: u64,
+    },
+}
+
+impl From<MemberEvent> for MembershipEvent {
+    fn from(event: MemberEvent) -> MembershipEvent {
+        match event {
+            MemberEvent::HostsChanged => MembershipEvent::HostsChanged,
+            MemberEvent::DomainChanged { failure_domain } => {
+                MembershipEvent::DomainChanged { failure_domain }
+            }
+            MemberEvent::ConfigurationHeard { host, address, configuration } => {
+                MembershipEvent::ConfigurationHeard { host, address, digest: configuration }
+            }
+            MemberEvent::Reading(reading) => MembershipEvent::Reading(reading),
+            MemberEvent::Notice(notice) => MembershipEvent::Notice(notice),
+            MemberEvent::Hint(hint) => MembershipEvent::Hint(hint),
+            MemberEvent::Superseded { incarnation } => MembershipEvent::Superseded { incarnation },
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-host/src/membership/socket.rs
@@ -0,0 +1,89 @@
+//! The socket of a member: sealed datagrams out, checked messages in, all counted.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use godwit_core::UnixMs;
+use godwit_core::member::Gossip;
+use godwit_peer::{DatagramError, MAX_DATAGRAM_BYTES, Opener, PeerKey, Sealer};
+
+/// Step in which the receiving thread looks whether to stop.
+const RECEIVE_WAIT: Duration = Duration::from_millis(100);
+
+pub(super) struct MemberSocket {
+    socket: UdpSocket,
+    sealer: Mutex<Sealer>,
+    opener: Mutex<Opener>,
+}
+
+impl MemberSocket {
+    pub(super) fn bind(
+        address: SocketAddr,
+        key: &PeerKey,
+        host: &str,
+        incarnation: u64,
+    ) -> io::Result<MemberSocket> {
+        let socket = UdpSocket::bind(address)?;
+        socket.set_read_timeout(Some(RECEIVE_WAIT))?;
+        Ok(MemberSocket {
+            socket,
+            sealer: Mutex::new(Sealer::new(key.clone(), host, incarnation)),
+            opener: Mutex::new(Opener::new(key.clone())),
+        })
+    }
+
+    pub(super) fn local_address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Sends a message; a failure is counted and otherwise like a lost datagram.
+    pub(super) fn send(&self, to: SocketAddr, gossip: &Gossip, now: UnixMs) {
+        let sealed = self.sealer.lock().unwrap_or_else(PoisonError::into_inner).seal(gossip, now);
+        let sent = match sealed {
+            Ok(datagram) => self.socket.send_to(&datagram, to),
+            Err(error) => {
+                tracing::error!(%error, %to, "datagram not sent");
+                return;
+            }
+        };
+        match sent {
+            Ok(size_bytes) => {
+                metrics::counter!("godwit_membership_sent_datagrams_total").increment(1);
+                metrics::counter!("godwit_membership_sent_bytes_total")
+                    .increment(size_bytes as u64);
+            }
+            Err(_) => {
+                metrics::counter!("godwit_membership_send_failures_total").increment(1);
+            }
+        }
+    }
+
+    /// The next message; none when a datagram was dropped or none came for a while.
+    pub(super) fn receive(&self, now: impl Fn() -> UnixMs) -> Option<Gossip> {
+        // One byte more than allowed, so that a datagram that is too long is seen to be.
+        let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+        let (size_bytes, from) = self.socket.recv_from(&mut buffer).ok()?;
+        metrics::counter!("godwit_membership_received_datagrams_total").increment(1);
+        metrics::counter!("godwit_membership_received_bytes_total").increment(size_bytes as u64);
+        match self.open(&buffer[..size_bytes], now()) {
+            Ok(gossip) => Some(gossip),
+            Err(error) => {
+                let reason = error.reason();
+                metrics::counter!("godwit_membership_dropped_datagrams_total", "reason" => reason)
+                    .increment(1);
+                tracing::debug!(%from, reason, "datagram dropped");
+                None
+            }
+        }
+    }
+
+    fn open(&self, datagram: &[u8], now: UnixMs) -> Result<Gossip, DatagramError> {
+        let mut opener = self.opener.lock().unwrap_or_else(PoisonError::into_inner);
+        let (header, gossip) = opener.open::<Gossip>(datagram, now)?;
+        let is_of_sender =
+            header.sender == gossip.sender.host && header.incarnation == gossip.sender.incarnation;
+        is_of_sender.then_some(gossip).ok_or(DatagramError::Malformed)
+    }
+}
--- /dev/null
+++ b/crates/godwit-host/src/polling/driver.rs
@@ -0,0 +1,219 @@
+//! The threads that poll load reports and cache events.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use flume::{Receiver, Sender};
+use godwit_core::knowledge::{PollSchedule, PollTarget};
+use godwit_core::{Reading, UnixMs};
+use godwit_engine::{cache_events, load};
+use godwit_schema::engine::{CacheEventsReply, LoadReport};
+
+use crate::clock::Clock;
+use crate::membership::Membership;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(25);
+/// Polls that run at a time.
+const WORKERS: usize = 8;
+/// Polls that wait for a worker; further ones are left out.
+const QUEUE: usize = 64;
+/// Longest wait for an answer of a server.
+const ANSWER_LIMIT_MS: u64 = 1_000;
+/// A server that gave no cache events is asked for them again after this long.
+const NO_CACHE_EVENTS_MS: u64 = 10_000;
+
+/// Cache events of a server, as a poll of this host found them.
+#[derive(Clone, Debug)]
+pub struct CacheNews {
+    /// Name of the server.
+    pub server: String,
+    /// The events follow this sequence; a gap after it means lost events.
+    pub after: u64,
+    /// The events.
+    pub reply: CacheEventsReply,
+}
+
+/// Called with the cache events of each poll.
+type CacheListener = Box<dyn Fn(CacheNews) + Send + Sync>;
+
+struct Shared {
+    host: String,
+    membership: Arc<Membership>,
+    clock: Arc<dyn Clock>,
+    schedule: Mutex<PollSchedule>,
+    cursors: Mutex<BTreeMap<String, Cursor>>,
+    on_cache_news: CacheListener,
+    is_stopping: AtomicBool,
+}
+
+/// How far the cache events of a server were read.
+#[derive(Clone, Copy, Default)]
+struct Cursor {
+    started_at: u64,
+    sequence: u64,
+    not_before: UnixMs,
+}
+
+/// Polls this host's share of the servers of its failure domain; dropping it stops its threads.
+pub struct Poller {
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Poller {
+    /// Starts the threads; there is nothing to poll until [`Poller::set_servers`] is called.
+    ///
+    /// # Errors
+    /// No thread can be started.
+    pub fn start(
+        host: &str,
+        membership: Arc<Membership>,
+        clock: Arc<dyn Clock>,
+        on_cache_news: impl Fn(CacheNews) + Send + Sync + 'static,
+    ) -> io::Result<Poller> {
+        let shared = Arc::new(Shared {
+            host: host.to_string(),
+            membership,
+            clock,
+            schedule: Mutex::new(PollSchedule::new(host)),
+            cursors: Mutex::default(),
+            on_cache_news: Box::new(on_cache_news),
+            is_stopping: AtomicBool::new(false),
+        });
+        let mut poller = Poller { shared, threads: Vec::new() };
+        let (due, work) = flume::bounded(QUEUE);
+        poller.spawn("poll-schedule", move |shared| shared.schedule_loop(&due))?;
+        for _ in 0..WORKERS {
+            let work = work.clone();
+            poller.spawn("poll-work", move |shared| shared.work_loop(&work))?;
+        }
+        Ok(poller)
+    }
+
+    fn spawn(&mut self, name: &str, body: impl FnOnce(&Shared) + Send + 'static) -> io::Result<()> {
+        let shared = Arc::clone(&self.shared);
+        let builder = thread::Builder::new().name(name.to_string());
+        self.threads.push(builder.spawn(move || body(&shared))?);
+        Ok(())
+    }
+
+    /// Sets the servers of the failure domain, over all hosts.
+    pub fn set_servers(&self, servers: Vec<PollTarget>) {
+        lock(&self.shared.schedule).set_targets(servers);
+    }
+
+    /// Names of the servers that this host polls at present.
+    pub fn share(&self) -> Vec<String> {
+        let schedule = lock(&self.shared.schedule);
+        schedule.share().map(|target| target.server.clone()).collect()
+    }
+}
+
+impl Drop for Poller {
+    fn drop(&mut self) {
+        self.shared.is_stopping.store(true, Ordering::SeqCst);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Shared {
+    fn schedule_loop(&self, work: &Sender<PollTarget>) {
+        while !self.is_stopping.load(Ordering::SeqCst) {
+            for target in self.take_due() {
+                if work.try_send(target).is_err() {
+                    metrics::counter!("godwit_polls_left_out_total").increment(1);
+                }
+            }
+            thread::sleep(TICK);
+        }
+    }
+
+    fn take_due(&self) -> Vec<PollTarget> {
+        let now = self.clock.now();
+        let hosts = self.membership.live_hosts();
+        let mut hosts: Vec<&str> = hosts.iter().map(String::as_str).collect();
+        if hosts.is_empty() {
+            hosts.push(&self.host);
+        }
+        let mut schedule = lock(&self.schedule);
+        schedule.set_hosts(&hosts, now);
+        schedule.take_due(now)
+    }
+
+    fn work_loop(&self, work: &Receiver<PollTarget>) {
+        while let Ok(target) = work.recv() {
+            if self.is_stopping.load(Ordering::SeqCst) {
+                return;
+            }
+            self.poll(&target);
+        }
+    }
+
+    fn poll(&self, target: &PollTarget) {
+        let address = target.address.to_string();
+        let now = self.clock.now();
+        let report = load(&address, now.plus_ms(ANSWER_LIMIT_MS), now);
+        let outcome = if report.is_ok() { "answered" } else { "failed" };
+        metrics::counter!("godwit_polls_total", "outcome" => outcome).increment(1);
+        let reading = report.as_ref().ok().map(|report| reading(&target.server, report));
+        let now = self.clock.now();
+        let results = lock(&self.schedule).record(&target.server, reading, now);
+        results.iter().for_each(|result| self.membership.learn_poll(result));
+        if let Ok(report) = report {
+            self.poll_cache_events(target, report.started_at_unix_ms);
+        }
+    }
+
+    fn poll_cache_events(&self, target: &PollTarget, started_at: u64) {
+        let now = self.clock.now();
+        let known = lock(&self.cursors).get(&target.server).copied().unwrap_or_default();
+        let mut cursor = if known.started_at == started_at {
+            known
+        } else {
+            Cursor { started_at, ..Cursor::default() }
+        };
+        if !cursor.not_before.is_past(now) {
+            return;
+        }
+        let address = target.address.to_string();
+        let deadline = now.plus_ms(ANSWER_LIMIT_MS);
+        match cache_events(&address, cursor.sequence, deadline, now) {
+            Ok(reply) => {
+                let after = cursor.sequence;
+                cursor.sequence = reply.newest_sequence;
+                lock(&self.cursors).insert(target.server.clone(), cursor);
+                if !reply.events.is_empty() {
+                    (self.on_cache_news)(CacheNews { server: target.server.clone(), after, reply });
+                }
+            }
+            Err(_) => {
+                cursor.not_before = now.plus_ms(NO_CACHE_EVENTS_MS);
+                lock(&self.cursors).insert(target.server.clone(), cursor);
+            }
+        }
+    }
+}
+
+fn reading(server: &str, report: &LoadReport) -> Reading {
+    Reading {
+        server: server.to_string(),
+        measured_at: UnixMs(report.measured_at_unix_ms),
+        started_at: UnixMs(report.started_at_unix_ms),
+        slots: report.slots,
+        running: report.running,
+        waiting: report.waiting,
+        pending_tokens: report.pending_tokens,
+        tokens_per_s: report.tokens_per_s,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/godwit-host/src/polling/mod.rs
@@ -0,0 +1,5 @@
+//! Polls of this host's share of the backend servers.
+
+mod driver;
+
+pub use driver::{CacheNews, Poller};
