--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -6,11 +6,17 @@
 pub mod drain;
 mod hint;
 pub mod knowledge;
+pub mod ledger;
 mod lifecycle;
+pub mod limit;
 pub mod member;
+pub mod quarantine;
+pub mod queue;
 mod reading;
 pub mod rendezvous;
+pub mod route;
 pub mod split;
+pub mod store_budget;
 pub mod stream;
 mod time;
 
--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -2,7 +2,9 @@
 
 mod clock;
 pub mod configuration;
+pub mod dispatch;
 pub mod membership;
+pub mod placement;
 pub mod polling;
 mod settings;
 
