--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -6,6 +6,9 @@
 pub mod ledger;
 pub mod placement;
 pub mod serve;
+pub mod membership;
+pub mod placement;
+pub mod polling;
 mod settings;
 
 pub use clock::{Clock, ManualClock, SystemClock};
