--- /dev/null
+++ b/crates/godwit-host/src/node/adapters.rs
@@ -0,0 +1,74 @@
+//! Joins the parts of a host that know each other only by traits.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use godwit_core::UnixMs;
+use godwit_peer::{CallError, PeerClient, Topic};
+use godwit_platform::Platform;
+use godwit_schema::platform::{ListReply, ObjectReply, WatchReply};
+
+use crate::clock::Clock;
+use crate::configuration::{ConfigSource, Neighbours, SourceError};
+use crate::ledger::{ForwardError, Forwarder};
+use crate::membership::Membership;
+
+/// Longest wait for a neighbour's configuration.
+const FETCH_TIMEOUT_MS: u64 = 2_000;
+
+fn source_error(error: impl std::fmt::Display) -> SourceError {
+    SourceError(error.to_string())
+}
+
+/// The platform as the source of configuration.
+pub(super) struct PlatformSource(pub(super) Platform);
+
+impl ConfigSource for PlatformSource {
+    fn list(&self, prefix: &str) -> Result<ListReply, SourceError> {
+        self.0.list(prefix).map_err(source_error)
+    }
+
+    fn read(&self, name: &str) -> Result<Option<ObjectReply>, SourceError> {
+        self.0.read(name).map_err(source_error)
+    }
+
+    fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<WatchReply, SourceError> {
+        self.0.watch(prefix, after, wait_ms).map_err(source_error)
+    }
+}
+
+/// The other hosts, by the peer protocol.
+pub(super) struct Peers {
+    pub(super) membership: Arc<Membership>,
+    pub(super) client: PeerClient,
+    pub(super) failure_domain: String,
+    pub(super) clock: Arc<dyn Clock>,
+}
+
+impl Neighbours for Peers {
+    fn call(&self, address: SocketAddr, payload: &[u8]) -> Result<Vec<u8>, SourceError> {
+        let deadline = self.clock.now().plus_ms(FETCH_TIMEOUT_MS);
+        self.client.call(address, Topic::Configuration, payload, deadline).map_err(source_error)
+    }
+
+    fn is_watcher(&self) -> bool {
+        self.membership.is_delegate()
+    }
+}
+
+impl Forwarder for Peers {
+    fn forward(
+        &self,
+        writer_host: &str,
+        payload: &[u8],
+        deadline: UnixMs,
+    ) -> Result<Vec<u8>, ForwardError> {
+        let hosts = self.membership.hosts_of_domain(&self.failure_domain);
+        let found = hosts.into_iter().find(|(host, _)| host == writer_host);
+        let (_, address) = found.ok_or(ForwardError::NotSent)?;
+        self.client.call(address, Topic::Ledger, payload, deadline).map_err(|error| match error {
+            CallError::NotSent { .. } => ForwardError::NotSent,
+            CallError::Unknown { .. } => ForwardError::NoAnswer,
+        })
+    }
+}
