--- a/crates/godwit-core/src/split/plan.rs
+++ b/crates/godwit-core/src/split/plan.rs
@@ -63,7 +63,7 @@
 /// let excluded = BTreeSet::from(["s2".to_string()]);
 /// let plan = plan(8, &holders, &Links::default(), &excluded).unwrap();
 /// let ranges: Vec<_> = plan.stages.iter().map(|s| (s.layer_from, s.layer_to)).collect();
-/// assert_eq!(ranges, [(0, 4), (4, 8)]);
+/// assert_eq!(ranges, [(0, 5), (5, 8)]);
 /// ```
 pub fn plan(
     layers: u32,
--- a/crates/godwit-core/src/split/search.rs
+++ b/crates/godwit-core/src/split/search.rs
@@ -1,47 +1,64 @@
 //! Shortest path over layer boundaries.
 //!
-//! A stage may end only at a boundary: an end of some holder's range. Costs grow linearly with the layers of a stage,
-//! so that an optimal plan ends its stages there. A first pass from the last boundary backwards gives the least cost to
-//! the end when servers may run several stages. A second, best-first pass uses it as lower bound and lets each server
-//! run one stage only, since an engine refuses a position that it has done.
+//! A first pass from the last boundary backwards gives the least cost to the end when servers may run several stages. A
+//! second, best-first pass uses it as lower bound and lets each server run one stage only, since an engine refuses a
+//! position that it has done. Any layer may end a stage: a server that only bridges a slow link runs a single layer.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
 
 use godwit_schema::engine::Stage;
 
 use crate::split::{Links, Plan, StageHolder};
 
-/// Paths expanded before the search settles for the best tiling made of whole remaining ranges.
-const EXPANDED_PATHS_LIMIT: u32 = 20_000;
+/// Paths expanded before the search settles for a tiling that is not the best.
+const EXPANDED_PATHS_LIMIT: u32 = 5_000;
 
 /// A stage of a path: index of its holder, and the layer after its last.
 type Step = (usize, u32);
 
-/// Paths ordered by lower bound of their cost, then by count of stages, then by holders' names.
+/// Cost of a path; at the same time fewer stages are better.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Cost {
+    us: u64,
+    stages: u32,
+}
+
+impl Cost {
+    const NONE: Cost = Cost { us: 0, stages: 0 };
+
+    fn plus(self, other: Cost) -> Cost {
+        Cost {
+            us: self.us.saturating_add(other.us),
+            stages: self.stages.saturating_add(other.stages),
+        }
+    }
+
+    fn plus_us(self, us: u64) -> Cost {
+        self.plus(Cost { us, stages: 0 })
+    }
+}
+
+/// Paths ordered by the lower bound of their cost; the one furthest on goes first among equals.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Path {
-    bound_us: u64,
-    stages: usize,
+    bound: Cost,
+    end: Reverse<u32>,
     steps: Vec<Step>,
-    cost_us: u64,
+    cost: Cost,
 }
 
 pub(crate) struct Search<'a> {
     layers: u32,
     holders: &'a [&'a StageHolder],
     links: &'a Links,
-    boundaries: Vec<u32>,
-    /// Least cost from a boundary, reached by a holder, to the last layer.
-    rest_us: BTreeMap<(u32, usize), u64>,
+    /// Least cost from a boundary to the last layer, by the holder whose stage ended at the boundary.
+    rest: Vec<Vec<Option<Cost>>>,
 }
 
 impl<'a> Search<'a> {
     pub(crate) fn new(layers: u32, holders: &'a [&'a StageHolder], links: &'a Links) -> Search<'a> {
-        let ends = holders.iter().flat_map(|holder| [holder.layer_from, holder.layer_to]);
-        let inside: BTreeSet<u32> =
-            ends.chain([layers]).filter(|boundary| (1..=layers).contains(boundary)).collect();
-        let boundaries = inside.into_iter().collect();
-        let mut search = Search { layers, holders, links, boundaries, rest_us: BTreeMap::new() };
+        let mut search = Search { layers, holders, links, rest: Vec::new() };
         search.fill_rest();
         search
     }
@@ -55,7 +72,7 @@
             }
             expanded += 1;
             if expanded > EXPANDED_PATHS_LIMIT {
-                return self.greedy();
+                return self.furthest();
             }
             open.extend(self.extensions(Some(&path)));
         }
@@ -63,85 +80,92 @@
     }
 
     fn fill_rest(&mut self) {
-        let boundaries = self.boundaries.clone();
-        for &boundary in boundaries.iter().rev() {
-            for index in 0..self.holders.len() {
-                if let Some(rest_us) = self.rest_from(boundary, index) {
-                    self.rest_us.insert((boundary, index), rest_us);
-                }
-            }
+        let unknown = vec![None; self.holders.len()];
+        self.rest = vec![unknown; self.layers as usize + 1];
+        self.rest[self.layers as usize] = vec![Some(Cost::NONE); self.holders.len()];
+        for boundary in (1..self.layers).rev() {
+            let starts = self.best_starts(boundary);
+            let row = (0..self.holders.len()).map(|before| self.rest_from(before, &starts));
+            self.rest[boundary as usize] = row.collect();
         }
     }
 
-    fn rest_from(&self, boundary: u32, index: usize) -> Option<u64> {
-        if boundary == self.layers {
-            return Some(0);
-        }
-        self.next_steps(boundary)
-            .filter_map(|(next, end)| {
-                let rest_us = *self.rest_us.get(&(end, next))?;
-                let step_us = self.step_us(Some(index), boundary, (next, end));
-                Some(step_us.saturating_add(rest_us))
+    /// Least cost to the end for each holder that can begin a stage at a boundary, without the link to it.
+    fn best_starts(&self, boundary: u32) -> Vec<(usize, Cost)> {
+        let starts = self.starts(boundary);
+        starts
+            .filter_map(|index| {
+                let ends = self.ends(boundary, index);
+                let costs = ends.filter_map(|end| {
+                    let rest = self.rest[end as usize][index]?;
+                    Some(rest.plus(self.stage(boundary, (index, end))))
+                });
+                Some((index, costs.min()?))
             })
-            .min()
+            .collect()
     }
 
-    /// Stages that can begin at a boundary.
-    fn next_steps(&self, from: u32) -> impl Iterator<Item = Step> + '_ {
-        let starting = self
-            .holders
-            .iter()
-            .enumerate()
-            .filter(move |(_, holder)| holder.layer_from <= from && from < holder.layer_to);
-        starting.flat_map(move |(index, holder)| {
-            let ends = self.boundaries.iter().copied();
-            ends.filter(move |&end| from < end && end <= holder.layer_to)
-                .map(move |end| (index, end))
-        })
+    fn rest_from(&self, before: usize, starts: &[(usize, Cost)]) -> Option<Cost> {
+        starts.iter().map(|&(index, cost)| cost.plus_us(self.link_us(Some(before), index))).min()
     }
 
-    fn step_us(&self, before: Option<usize>, from: u32, (index, end): Step) -> u64 {
-        let holder = self.holders[index];
-        let link_us = before.map_or(0, |before| self.links.step_us(self.holders[before], holder));
-        link_us.saturating_add(holder.stage_us(from, end))
+    /// Holders that can begin a stage at a boundary.
+    fn starts(&self, from: u32) -> impl Iterator<Item = usize> + '_ {
+        let holders = self.holders.iter().enumerate();
+        holders
+            .filter(move |(_, holder)| holder.layer_from <= from && from < holder.layer_to)
+            .map(|(index, _)| index)
+    }
+
+    /// Boundaries at which a stage that began at `from` may end.
+    fn ends(&self, from: u32, index: usize) -> impl Iterator<Item = u32> + use<> {
+        from + 1..=self.holders[index].layer_to.min(self.layers)
+    }
+
+    fn stage(&self, from: u32, (index, end): Step) -> Cost {
+        Cost { us: self.holders[index].stage_us(from, end), stages: 1 }
+    }
+
+    fn link_us(&self, before: Option<usize>, index: usize) -> u64 {
+        before.map_or(0, |before| self.links.step_us(self.holders[before], self.holders[index]))
     }
 
     fn extensions(&self, path: Option<&Path>) -> impl Iterator<Item = Path> {
         let steps = path.map_or(&[][..], |path| &path.steps);
-        let cost_us = path.map_or(0, |path| path.cost_us);
+        let cost = path.map_or(Cost::NONE, |path| path.cost);
         let (before, from) = steps.last().map_or((None, 0), |&(index, end)| (Some(index), end));
-        self.next_steps(from).filter_map(move |step| {
-            let (index, end) = step;
-            let server = &self.holders[index].server;
-            if steps.iter().any(|&(used, _)| self.holders[used].server == *server) {
-                return None;
-            }
-            let rest_us = *self.rest_us.get(&(end, index))?;
-            let cost_us = cost_us.saturating_add(self.step_us(before, from, step));
-            let steps: Vec<Step> = steps.iter().copied().chain([step]).collect();
-            let bound_us = cost_us.saturating_add(rest_us);
-            Some(Path { bound_us, stages: steps.len(), steps, cost_us })
+        let unused = self.starts(from).filter(move |&index| !self.is_used(steps, index));
+        unused.flat_map(move |index| {
+            let cost = cost.plus_us(self.link_us(before, index));
+            self.ends(from, index).filter_map(move |end| {
+                let cost = cost.plus(self.stage(from, (index, end)));
+                let bound = cost.plus(self.rest[end as usize][index]?);
+                let steps = steps.iter().copied().chain([(index, end)]).collect();
+                Some(Path { bound, end: Reverse(end), steps, cost })
+            })
         })
     }
 
+    fn is_used(&self, steps: &[Step], index: usize) -> bool {
+        let server = &self.holders[index].server;
+        steps.iter().any(|&(used, _)| self.holders[used].server == *server)
+    }
+
     /// A tiling in which each stage runs as far as its holder goes; finds one whenever one exists.
-    fn greedy(&self) -> Option<Plan> {
+    fn furthest(&self) -> Option<Plan> {
         let mut steps: Vec<Step> = Vec::new();
-        let mut from = 0;
+        let (mut cost, mut before, mut from) = (Cost::NONE, None, 0);
         while from < self.layers {
-            let (index, end) = self.next_steps(from).max_by_key(|&(index, end)| {
-                (end, std::cmp::Reverse(self.holders[index].layer_us))
+            let ends = self.starts(from).map(|index| (index, self.holders[index].layer_to));
+            let (index, layer_to) = ends.max_by_key(|&(index, layer_to)| {
+                (layer_to, Reverse(self.holders[index].layer_us))
             })?;
-            steps.push((index, end));
-            from = end;
-        }
-        let mut cost_us = 0u64;
-        let (mut before, mut from) = (None, 0);
-        for &step in &steps {
-            cost_us = cost_us.saturating_add(self.step_us(before, from, step));
-            (before, from) = (Some(step.0), step.1);
+            let step = (index, layer_to.min(self.layers));
+            cost = cost.plus_us(self.link_us(before, index)).plus(self.stage(from, step));
+            steps.push(step);
+            (before, from) = (Some(index), step.1);
         }
-        Some(self.to_plan(&Path { bound_us: cost_us, stages: steps.len(), steps, cost_us }))
+        Some(self.to_plan(&Path { bound: cost, end: Reverse(from), steps, cost }))
     }
 
     fn to_plan(&self, path: &Path) -> Plan {
@@ -157,6 +181,6 @@
             });
             layer_from = layer_to;
         }
-        Plan { stages, token_us: path.cost_us }
+        Plan { stages, token_us: path.cost.us }
     }
 }
--- /dev/null
+++ b/crates/godwit-core/tests/stream_assembly.rs
@@ -0,0 +1,199 @@
+//! Fuzzes the assembly of tokens: late, doubled and reordered pieces of several attempts.
+
+use godwit_core::stream::Assembly;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+const MAX_TOKENS: u32 = 8;
+
+/// Attempts differ in their tokens, so that a token of the wrong attempt shows.
+fn token(attempt: u32, position: u32) -> String {
+    format!("{attempt}:{position}")
+}
+
+/// The oracle: the tokens accepted, as (attempt, position).
+#[derive(Clone, Debug)]
+struct Oracle {
+    attempt: u32,
+    accepted: Vec<u32>,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    BeginAttempt,
+    Token { attempt: u32, position: u32 },
+    Done { attempt: u32, count: u32 },
+}
+
+impl ReferenceStateMachine for Oracle {
+    type State = Oracle;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Oracle> {
+        Just(Oracle { attempt: 1, accepted: Vec::new() }).boxed()
+    }
+
+    fn transitions(state: &Oracle) -> BoxedStrategy<Step> {
+        let next = state.accepted.len() as u32;
+        let current = state.attempt;
+        prop_oneof![
+            1 => Just(Step::BeginAttempt),
+            4 => Just(Step::Token { attempt: current, position: next }),
+            4 => (1..=current + 1, 0..=MAX_TOKENS)
+                .prop_map(|(attempt, position)| Step::Token { attempt, position }),
+            1 => (1..=current, 0..=MAX_TOKENS)
+                .prop_map(|(attempt, count)| Step::Done { attempt, count }),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: Oracle, step: &Step) -> Oracle {
+        match step {
+            Step::BeginAttempt => state.attempt += 1,
+            Step::Token { attempt, position } => {
+                let next = state.accepted.len() as u32;
+                if *attempt == state.attempt && *position == next && next < MAX_TOKENS {
+                    state.accepted.push(*attempt);
+                }
+            }
+            Step::Done { .. } => {}
+        }
+        state
+    }
+}
+
+/// What is fuzzed; the planted fault is a second implementation.
+trait Subject {
+    fn new() -> Self;
+    fn assembly(&mut self) -> &mut Assembly;
+    fn tokens(&self) -> &[String];
+    /// The attempt that a piece is said to belong to.
+    fn claimed_attempt(&self, attempt: u32, current: u32) -> u32;
+}
+
+struct Real(Assembly);
+
+impl Subject for Real {
+    fn new() -> Real {
+        let mut assembly = Assembly::new(MAX_TOKENS);
+        assembly.begin_attempt();
+        Real(assembly)
+    }
+
+    fn assembly(&mut self) -> &mut Assembly {
+        &mut self.0
+    }
+
+    fn tokens(&self) -> &[String] {
+        self.0.tokens()
+    }
+
+    fn claimed_attempt(&self, attempt: u32, _current: u32) -> u32 {
+        attempt
+    }
+}
+
+/// The attempt is not checked: each piece passes for one of the current attempt.
+struct NoAttemptCheck(Real);
+
+impl Subject for NoAttemptCheck {
+    fn new() -> NoAttemptCheck {
+        NoAttemptCheck(Real::new())
+    }
+
+    fn assembly(&mut self) -> &mut Assembly {
+        &mut self.0.0
+    }
+
+    fn tokens(&self) -> &[String] {
+        self.0.0.tokens()
+    }
+
+    fn claimed_attempt(&self, _attempt: u32, current: u32) -> u32 {
+        current
+    }
+}
+
+struct Fuzz<S>(std::marker::PhantomData<S>);
+
+impl<S: Subject> StateMachineTest for Fuzz<S> {
+    type SystemUnderTest = S;
+    type Reference = Oracle;
+
+    fn init_test(_: &Oracle) -> S {
+        S::new()
+    }
+
+    fn apply(mut subject: S, oracle: &Oracle, step: Step) -> S {
+        match step {
+            Step::BeginAttempt => {
+                assert_eq!(subject.assembly().begin_attempt(), oracle.attempt);
+            }
+            Step::Token { attempt, position } => {
+                let claimed = subject.claimed_attempt(attempt, oracle.attempt);
+                // Refusals are checked through the tokens.
+                let _ = subject.assembly().token(claimed, position, &token(attempt, position));
+            }
+            Step::Done { attempt, count } => {
+                let claimed = subject.claimed_attempt(attempt, oracle.attempt);
+                let whole = subject.assembly().done(claimed, count).is_ok();
+                let expected = attempt == oracle.attempt && count == oracle.accepted.len() as u32;
+                assert_eq!(whole, expected);
+            }
+        }
+        subject
+    }
+
+    fn check_invariants(subject: &S, oracle: &Oracle) {
+        let expected: Vec<String> = oracle
+            .accepted
+            .iter()
+            .enumerate()
+            .map(|(position, attempt)| token(*attempt, position as u32))
+            .collect();
+        assert_eq!(subject.tokens(), expected);
+    }
+}
+
+fn config() -> Config {
+    Config { rng_seed: RngSeed::Fixed(0xA55E), failure_persistence: None, ..Config::default() }
+}
+
+fn fuzz<S: Subject>() {
+    let strategy = Oracle::sequential_strategy(1..40);
+    let mut runner = proptest::test_runner::TestRunner::new(config());
+    let result = runner.run(&strategy, |(initial, steps, seen)| {
+        Fuzz::<S>::test_sequential(config(), initial, steps, seen);
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn assembly_every_token_once_in_order() {
+    fuzz::<Real>();
+}
+
+#[test]
+#[should_panic(expected = "Test failed")]
+fn assembly_without_attempt_check_is_caught() {
+    fuzz::<NoAttemptCheck>();
+}
+
+#[test]
+fn assembly_dropped_pieces_are_counted() {
+    let mut assembly = Assembly::new(2);
+    let old = assembly.begin_attempt();
+    let current = assembly.begin_attempt();
+    assert!(assembly.token(old, 0, "a").is_err());
+    assert!(assembly.token(current, 1, "b").is_err());
+    assert!(assembly.token(current, 0, "a").is_ok());
+    assert!(assembly.token(current, 0, "a").is_err());
+    assert!(assembly.token(current, 2, "c").is_err());
+    let dropped = assembly.dropped();
+    let counts = [dropped.other_attempt, dropped.gap, dropped.duplicate, dropped.over_limit];
+    assert_eq!(counts, [1, 1, 1, 1]);
+}
