--- a/crates/godwit-ctl/src/cli.rs
+++ b/crates/godwit-ctl/src/cli.rs
@@ -6,9 +6,10 @@
 
 use crate::command::events::{self, set::Wanted};
 use crate::command::rules::{self, explain::Asked};
-use crate::command::{fleet, host, object};
+use crate::command::{demo, fleet, host, object};
 use crate::error::CtlError;
 use crate::output::Format;
+use crate::site::FirstPorts;
 use crate::store::Store;
 
 /// What all commands share.
@@ -167,6 +168,16 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options("godwitctl"), version, generate(command_line))]
 enum Command {
+    /// Runs a whole site in one process and sends a few requests of each kind, for example
+    /// `godwitctl demo --caller-port 8080 --exit`
+    #[bpaf(command("demo"))]
+    Demo {
+        #[bpaf(external(first_ports))]
+        ports: FirstPorts,
+        /// Ends after the tour, with exit code 0 only if all went as told
+        #[bpaf(long("exit"))]
+        exits: bool,
+    },
     /// Prints a configuration object in the form that `apply` takes, or the list of all objects
     #[bpaf(command("get"))]
     Get {
@@ -245,6 +256,18 @@
     },
 }
 
+fn first_port(flag: &'static str, group: &'static str) -> impl Parser<Option<u16>> {
+    bpaf::long(flag).help(group).argument::<u16>("PORT").optional()
+}
+
+fn first_ports() -> impl Parser<FirstPorts> {
+    let caller = first_port("caller-port", "First port for callers; host n on port + n");
+    let operator = first_port("operator-port", "First port for operators; host n on port + n");
+    let platform = first_port("platform-port", "Port of the platform");
+    let service = first_port("service-port", "First port of the plain services");
+    bpaf::construct!(FirstPorts { caller, operator, platform, service })
+}
+
 fn parts(common: &Common) -> (Store, Format) {
     (Store::new(&common.platform_address), Format::new(common.is_json))
 }
@@ -294,6 +317,7 @@
 
 fn run_command(command: &Command) -> Result<(), CtlError> {
     match command {
+        Command::Demo { ports, exits } => demo::run(*ports, *exits),
         Command::Get { common, name } => {
             let (store, format) = parts(common);
             object::get::run(&store, name.as_deref(), format)
--- a/crates/godwit-ctl/src/lib.rs
+++ b/crates/godwit-ctl/src/lib.rs
@@ -5,6 +5,7 @@
 mod edit;
 mod error;
 mod output;
+pub mod site;
 mod store;
 
 pub use cli::run;
