Ask only engines for cache events

Cause: the tour's plain service showed 2 calls where one order was sent. Change: a poll target says whether it publishes cache events; plain services are polled for their load only. Conclusion: hosts make no call of a plain service that no caller asked for, but for its load report.

--- a/crates/godwit-core/src/knowledge/polling.rs
+++ b/crates/godwit-core/src/knowledge/polling.rs
@@ -20,6 +20,8 @@
     pub server: String,
     /// Where it answers `GET /v1/load`.
     pub address: SocketAddr,
+    /// Whether it publishes cache events; a plain service would take the question for a call of its own.
+    pub has_cache_events: bool,
 }
 
 /// What a poll gives to the other hosts.
@@ -36,7 +38,8 @@
 /// ```
 /// use godwit_core::UnixMs;
 /// use godwit_core::knowledge::{PollSchedule, PollTarget};
-/// let server = PollTarget { server: "a".into(), address: "127.0.0.1:1".parse().unwrap() };
+/// let address = "127.0.0.1:1".parse().unwrap();
+/// let server = PollTarget { server: "a".into(), address, has_cache_events: false };
 /// let mut schedule = PollSchedule::new("entry-1");
 /// schedule.set_targets(vec![server.clone()]);
 /// schedule.set_hosts(&["entry-1"], UnixMs(0));
--- a/crates/godwit-host/src/node/news.rs
+++ b/crates/godwit-host/src/node/news.rs
@@ -10,7 +10,7 @@
 use godwit_core::config::ConfigView;
 use godwit_core::drain::ServerStandings;
 use godwit_core::knowledge::PollTarget;
-use godwit_schema::config::BackendServer;
+use godwit_schema::config::{BackendServer, ServerRole};
 
 use super::start::Parts;
 use crate::membership::MembershipEvent;
@@ -54,7 +54,8 @@
 
 fn poll_target(server: &BackendServer) -> Option<PollTarget> {
     let address = server.address.parse().ok()?;
-    Some(PollTarget { server: server.name.clone(), address })
+    let has_cache_events = server.role == ServerRole::Engine;
+    Some(PollTarget { server: server.name.clone(), address, has_cache_events })
 }
 
 impl Parts {
--- a/crates/godwit-host/src/polling/driver.rs
+++ b/crates/godwit-host/src/polling/driver.rs
@@ -167,7 +167,9 @@
         let results = lock(&self.schedule).record(&target.server, reading, now);
         results.iter().for_each(|result| self.membership.learn_poll(result));
         if let Ok(report) = report {
-            self.poll_cache_events(target, report.started_at_unix_ms);
+            if target.has_cache_events {
+                self.poll_cache_events(target, report.started_at_unix_ms);
+            }
         }
     }
 
