--- a/crates/godwit-standin/src/engine/mod.rs
+++ b/crates/godwit-standin/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod generate;
 mod inventory;
 mod kv;
+mod link;
 mod load;
 mod refusal;
 mod run;
--- a/crates/godwit-standin/tests/platform.rs
+++ b/crates/godwit-standin/tests/platform.rs
@@ -20,6 +20,7 @@
         role: HostRole::Entry,
         operator_address: None,
         address: "127.0.0.1:7000".to_string(),
+        operator_address: None,
         failure_domain: "hall-a".to_string(),
         state,
     }
