Let hosts with a backlog keep to their share of each server

Cause: every host compared the same reading, one second old, with the slots: all held back from a server that had looked full and all came when it had looked free, so that servers swung between idle and overfull. Change: a host whose queue is not empty goes on using what it had on a server when the reading was true, plus its part of the free slots or minus its part of the excess; fractions are rounded by a draw that stays for 1.5 s. The load of other hosts is taken to persist in place of draining; their growth is taken to be this host's own.

--- a/crates/godwit-core/src/placement/placer.rs
+++ b/crates/godwit-core/src/placement/placer.rs
@@ -101,10 +101,11 @@
         }
         let key = queue_key(&request.admission.target);
         let queue = self.queues.get(&key);
+        let backlog = queue.is_some_and(|queue| !queue.queue.is_empty());
         let choice = if queue.is_some_and(|queue| queue.goes_before(&request.admission)) {
-            self.router.choose_to_wait(request.wanted(), now)
+            self.router.choose_to_wait(request.wanted(backlog), now)
         } else {
-            self.router.choose(request.wanted(), now, &mut self.rng)
+            self.router.choose(request.wanted(backlog), now, &mut self.rng)
         };
         match choice {
             Choice::Start { server, estimate } => {
@@ -246,7 +247,7 @@
             let Some(request) = self.waiting.get(&head.ticket) else {
                 continue;
             };
-            match self.router.choose(request.wanted(), now, &mut self.rng) {
+            match self.router.choose(request.wanted(true), now, &mut self.rng) {
                 Choice::Start { server, estimate } => {
                     self.grant(target, head.ticket, &server, estimate, now);
                     return true;
--- a/crates/godwit-core/src/placement/request.rs
+++ b/crates/godwit-core/src/placement/request.rs
@@ -18,8 +18,13 @@
 }
 
 impl PlaceRequest {
-    pub(crate) fn wanted(&self) -> Wanted<'_> {
-        Wanted { admission: &self.admission, prefixes: &self.prefixes, excluded: &self.excluded }
+    pub(crate) fn wanted(&self, backlog: bool) -> Wanted<'_> {
+        Wanted {
+            admission: &self.admission,
+            prefixes: &self.prefixes,
+            excluded: &self.excluded,
+            backlog,
+        }
     }
 }
 
--- a/crates/godwit-core/src/route/choice.rs
+++ b/crates/godwit-core/src/route/choice.rs
@@ -27,6 +27,8 @@
     pub prefixes: &'a [PromptPrefix],
     /// Names of servers that it must not go to, because they refused or failed it.
     pub excluded: &'a BTreeSet<String>,
+    /// More requests wait on this host, and so probably on the others too.
+    pub backlog: bool,
 }
 
 /// What to do with a request now.
--- a/crates/godwit-core/src/route/dispatch.rs
+++ b/crates/godwit-core/src/route/dispatch.rs
@@ -34,7 +34,7 @@
             let view = &mut self.views[index as usize];
             let tokens_left = u64::from(max_tokens);
             view.own.insert(id, OwnDispatch { started_at: now, tokens_left });
-            view.load.begin(tokens_left, now);
+            view.load.begin(tokens_left);
         }
         id
     }
--- a/crates/godwit-core/src/route/load.rs
+++ b/crates/godwit-core/src/route/load.rs
@@ -5,9 +5,6 @@
 /// Ends of own dispatches that are kept for one server to correct a late reading.
 const RECENT_ENDS: usize = 64;
 
-/// Half-life over which the own dispatch rate is averaged, in milliseconds.
-const DISPATCH_RATE_HALF_LIFE_MS: f64 = 2_000.0;
-
 /// Number of one dispatch of this host.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct DispatchId(pub(crate) u64);
@@ -27,15 +24,13 @@
     pub(crate) own_count: u32,
     /// Tokens that they still have to generate, at most.
     pub(crate) own_tokens: u64,
-    /// Own dispatches begun since the newest reading was true.
-    pub(crate) own_begun_since: u32,
+    /// Own dispatches in progress when the newest reading was true.
+    own_then: f64,
     /// Requests in the newest reading that are not of this host.
     others_count: f64,
     /// Tokens that they had to generate when the reading was true.
     others_tokens: f64,
     recent_ends: Vec<RecentEnd>,
-    begun_per_ms: f64,
-    begun_at: UnixMs,
 }
 
 /// Load of one server as estimated for one point in time.
@@ -63,13 +58,10 @@
         let measured_at = reading.measured_at;
         let mut own_count = 0.0;
         let mut own_tokens = 0.0;
-        self.own_begun_since = 0;
         for (started_at, tokens) in in_progress {
             if started_at < measured_at {
                 own_count += 1.0;
                 own_tokens += tokens as f64;
-            } else {
-                self.own_begun_since += 1;
             }
         }
         self.recent_ends.retain(|end| end.ended_at >= measured_at);
@@ -77,11 +69,10 @@
             if end.started_at < measured_at {
                 own_count += 1.0;
                 own_tokens += end.tokens as f64;
-            } else {
-                self.own_begun_since += 1;
             }
         }
         let reported = f64::from(reading.running) + f64::from(reading.waiting);
+        self.own_then = own_count;
         self.others_count = (reported - own_count).max(0.0);
         self.others_tokens = (reading.pending_tokens as f64 - own_tokens).max(0.0);
         let restarted = held.is_some_and(|(started_at, _)| started_at != reading.started_at);
@@ -90,14 +81,9 @@
     }
 
     /// Counts the begin of an own dispatch.
-    pub(crate) fn begin(&mut self, tokens: u64, now: UnixMs) {
+    pub(crate) fn begin(&mut self, tokens: u64) {
         self.own_count += 1;
         self.own_tokens += tokens;
-        self.own_begun_since += 1;
-        let fade = fade(now.since_ms(self.begun_at));
-        let per_begin = std::f64::consts::LN_2 / DISPATCH_RATE_HALF_LIFE_MS;
-        self.begun_per_ms = self.begun_per_ms * fade + per_begin;
-        self.begun_at = now;
     }
 
     /// Counts tokens that an own dispatch has brought.
@@ -115,47 +101,33 @@
         self.recent_ends.push(RecentEnd { started_at, ended_at, tokens: tokens_left });
     }
 
-    /// The load at `now`, where `other_hosts` hosts are taken to dispatch as this one does.
-    pub(crate) fn at(
-        &self,
-        now: UnixMs,
-        other_hosts: u32,
-        slots: f64,
-        tokens_per_ms: f64,
-    ) -> LoadNow {
+    /// The load at `now`, where `other_hosts` hosts are taken to add to it as this one does.
+    pub(crate) fn at(&self, other_hosts: u32) -> LoadNow {
         let own = f64::from(self.own_count);
         let own_tokens = self.own_tokens as f64;
-        let Some(reading) = &self.reading else {
-            return LoadNow { requests: own, tokens: own_tokens };
-        };
-        let age_ms = now.since_ms(reading.measured_at) as f64;
-        let left = self.share_left(age_ms, slots, tokens_per_ms);
-        let allowance = self.allowance(now, age_ms, other_hosts);
-        let mean_tokens = self.mean_tokens(own, own_tokens);
+        let allowance = self.allowance(own, other_hosts);
         LoadNow {
-            requests: own + self.others_count * left + allowance,
-            tokens: own_tokens + self.others_tokens * left + allowance * mean_tokens,
+            requests: own + self.others_count + allowance,
+            tokens: own_tokens + self.others_tokens + allowance * self.mean_tokens(own, own_tokens),
         }
     }
 
-    /// Share of the other hosts' requests of the reading that is still there after `age_ms`.
-    fn share_left(&self, age_ms: f64, slots: f64, tokens_per_ms: f64) -> f64 {
-        if self.others_count <= 0.0 {
-            return 0.0;
-        }
-        if self.others_tokens <= 0.0 || tokens_per_ms <= 0.0 {
-            return 1.0;
-        }
-        let running = self.others_count.min(slots);
-        let drained = age_ms * tokens_per_ms * running;
-        (1.0 - drained / self.others_tokens).max(0.0)
+    /// Requests by which the other hosts have added to the load since the reading, as far as this host's own tell.
+    fn allowance(&self, own: f64, other_hosts: u32) -> f64 {
+        let growth = (own - self.own_then).max(0.0);
+        growth * f64::from(other_hosts)
     }
 
-    /// Requests that the other hosts have begun since the reading, as far as this host's own tell.
-    fn allowance(&self, now: UnixMs, age_ms: f64, other_hosts: u32) -> f64 {
-        let steady = self.begun_per_ms * fade(now.since_ms(self.begun_at)) * age_ms;
-        let seen = f64::from(self.own_begun_since);
-        f64::from(other_hosts) * (steady + seen) / 2.0
+    /// Whether one more own request keeps the server at `limit` when all hosts that have more work than slots follow
+    /// this rule: each goes on using what it had, and takes its part of what was free or gives up its part of the excess.
+    pub(crate) fn is_below_share(&self, limit: f64, other_hosts: u32, dither: f64) -> bool {
+        let then = self.own_then + self.others_count;
+        let share = if then > limit {
+            self.own_then * limit / then
+        } else {
+            self.own_then + (limit - then) / f64::from(other_hosts + 1)
+        };
+        f64::from(self.own_count) < (share + dither).floor()
     }
 
     fn mean_tokens(&self, own: f64, own_tokens: f64) -> f64 {
@@ -163,7 +135,3 @@
         if requests > 0.0 { (own_tokens + self.others_tokens) / requests } else { 0.0 }
     }
 }
-
-fn fade(elapsed_ms: u64) -> f64 {
-    (-(elapsed_ms as f64) / DISPATCH_RATE_HALF_LIFE_MS).exp2()
-}
--- a/crates/godwit-core/src/route/router.rs
+++ b/crates/godwit-core/src/route/router.rs
@@ -33,13 +33,13 @@
 /// use godwit_core::route::{Choice, Policy, Router, Wanted};
 /// use godwit_core::{Admission, Code, Target, UnixMs};
 /// use rand::SeedableRng;
-/// let mut router = Router::new("hall-a", Policy::EarliestFinish);
+/// let mut router = Router::new("hall-a", Policy::EarliestFinish, 1);
 /// let admission = Admission {
 ///     workspace: "shop".into(), kind: "lookup".into(), event: None, rule: "all".into(),
 ///     target: Target::Service("orders".into()), priority: 1, non_idempotent: false,
 ///     deadline: UnixMs(1_000), max_tokens: 0, may_use_reserve: false, prompt_bytes: 10,
 /// };
-/// let wanted = Wanted { admission: &admission, prefixes: &[], excluded: &BTreeSet::new() };
+/// let wanted = Wanted { admission: &admission, prefixes: &[], excluded: &BTreeSet::new(), backlog: false };
 /// let mut rng = rand::rngs::SmallRng::seed_from_u64(1);
 /// let choice = router.choose(wanted, UnixMs(0), &mut rng);
 /// assert_eq!(choice, Choice::Refuse { code: Code::NoServer });
@@ -48,6 +48,7 @@
 pub struct Router {
     failure_domain: String,
     policy: Policy,
+    pub(super) seed: u64,
     pub(crate) table: FleetTable,
     pub(crate) views: Vec<View>,
     pub(crate) prefixes: PrefixIndex,
@@ -60,11 +61,12 @@
 }
 
 impl Router {
-    /// A router for a host in `failure_domain`, without servers yet.
-    pub fn new(failure_domain: &str, policy: Policy) -> Router {
+    /// A router for a host in `failure_domain`, without servers yet; hosts with another `seed` decide otherwise.
+    pub fn new(failure_domain: &str, policy: Policy, seed: u64) -> Router {
         Router {
             failure_domain: failure_domain.to_string(),
             policy,
+            seed,
             table: FleetTable::default(),
             views: Vec::new(),
             prefixes: PrefixIndex::new(0),
--- a/crates/godwit-core/src/route/scan.rs
+++ b/crates/godwit-core/src/route/scan.rs
@@ -129,7 +129,7 @@
             return Choice::Refuse { code };
         };
         let traits = &self.router.table.servers[server as usize];
-        let load = self.router.load_now(server, self.now);
+        let load = self.router.load_now(server);
         let estimate = estimate(traits, &self.router.speed(server), &load, &self.work(server));
         Choice::Start { server: traits.name.clone(), estimate }
     }
@@ -242,12 +242,19 @@
     /// The offer of a server that can start the request now and finish it in time.
     fn offer(&self, server: ServerIndex) -> Option<Offer> {
         let router = self.router;
-        let load = router.load_now(server, self.now);
+        let load = router.load_now(server);
         let view = &router.views[server as usize];
         let has_slot = match view.health.fitness(self.now) {
             Fitness::Ejected => false,
             Fitness::Probing => view.load.own_count == 0 && !self.wanted.admission.non_idempotent,
-            Fitness::Fit => load.requests < router.limit(server, self.may_use_reserve()),
+            Fitness::Fit => {
+                let limit = router.limit(server, self.may_use_reserve());
+                if self.wanted.backlog {
+                    router.is_below_share(server, limit, self.now)
+                } else {
+                    load.requests < limit
+                }
+            }
         };
         if !has_slot {
             return None;
--- a/crates/godwit-core/src/route/view.rs
+++ b/crates/godwit-core/src/route/view.rs
@@ -14,6 +14,9 @@
 /// Share of a server's slots by which requests that may use the reserve may exceed them.
 const OVERCOMMIT_SHARE: f64 = 0.125;
 
+/// Time for which a fraction of a slot is rounded the same way, in milliseconds.
+const DITHER_PERIOD_MS: u64 = 1_500;
+
 /// Load of a server as a stage of split models would see it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StageLoad {
@@ -63,10 +66,8 @@
         self.table.by_name.values().map(|index| self.server_status(*index, now)).collect()
     }
 
-    pub(crate) fn load_now(&self, index: ServerIndex, now: UnixMs) -> LoadNow {
-        let speed = self.speed(index);
-        let load = &self.views[index as usize].load;
-        load.at(now, self.other_hosts, speed.slots, speed.tokens_per_ms)
+    pub(crate) fn load_now(&self, index: ServerIndex) -> LoadNow {
+        self.views[index as usize].load.at(self.other_hosts)
     }
 
     pub(crate) fn speed(&self, index: ServerIndex) -> Speed {
@@ -90,6 +91,20 @@
         slots - f64::from(self.table.servers[index as usize].reserved_slots).min(slots - 1.0)
     }
 
+    /// Whether this host is below its share of the server's slots.
+    pub(crate) fn is_below_share(&self, index: ServerIndex, limit: f64, now: UnixMs) -> bool {
+        let load = &self.views[index as usize].load;
+        load.is_below_share(limit, self.other_hosts, self.dither(index, now))
+    }
+
+    /// A number from 0 to 1 that stays for a while and differs between hosts and servers, by which fractions of a
+    /// slot are rounded.
+    fn dither(&self, index: ServerIndex, now: UnixMs) -> f64 {
+        let phase = mix(self.seed ^ u64::from(index));
+        let period = now.0.wrapping_add(phase % DITHER_PERIOD_MS) / DITHER_PERIOD_MS;
+        mix(phase.wrapping_add(period)) as f64 / u64::MAX as f64
+    }
+
     pub(crate) fn sample_chance(&self, index: ServerIndex, now: UnixMs) -> f64 {
         let view = &self.views[index as usize];
         let started_at = view.load.reading.as_ref().map(|reading| reading.started_at);
@@ -109,7 +124,7 @@
 
     fn stage_load(&self, index: ServerIndex, now: UnixMs) -> StageLoad {
         let speed = self.speed(index);
-        let load = self.load_now(index, now);
+        let load = self.load_now(index);
         StageLoad {
             server: self.table.servers[index as usize].name.clone(),
             usable: self.obstacle(index, now).is_none(),
@@ -148,3 +163,11 @@
         }
     }
 }
+
+/// Spreads the bits of a number (the finalizer of SplitMix64).
+fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- a/crates/godwit-host/src/placement/place.rs
+++ b/crates/godwit-host/src/placement/place.rs
@@ -29,7 +29,7 @@
     pub failure_domain: String,
     /// How servers are chosen.
     pub policy: Policy,
-    /// Seed of the draws.
+    /// Seed of the draws; each host has another one.
     pub seed: u64,
 }
 
@@ -95,7 +95,7 @@
 impl Placement {
     /// A placement without servers yet.
     pub fn new(settings: &PlacementSettings, clock: Arc<dyn Clock>) -> Arc<Placement> {
-        let router = Router::new(&settings.failure_domain, settings.policy);
+        let router = Router::new(&settings.failure_domain, settings.policy, settings.seed);
         let placer = Placer::new(router, SmallRng::seed_from_u64(settings.seed));
         let state = State { placer, replies: BTreeMap::new() };
         Arc::new(Placement { clock, state: Mutex::new(state) })
