Close a stopping host's peer connections, and open both peer sockets on one port

Change: a stopping server joins its accepting thread and shuts its connections down, so that clients see the end before they send; a host binds TCP first, UDP on the same port, and tries again when a free port was asked for. Ruled out: widening the test to take unknown for an answer. Conclusion: a restart of a neighbour costs a connection, not an unknown outcome.

--- a/crates/godwit-host/src/node/start.rs
+++ b/crates/godwit-host/src/node/start.rs
@@ -1,6 +1,7 @@
 //! Start and end of an entry host.
 
-use std::net::SocketAddr;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -30,6 +31,9 @@
 use crate::serve::{Pipeline, PipelineParts};
 use crate::settings::{PolicyName, Settings};
 
+/// Tries to find a port that is free for TCP and UDP.
+const FREE_PORT_TRIES: u32 = 16;
+
 /// Step in which a stopping host looks whether it is idle.
 const IDLE_CHECK: Duration = Duration::from_millis(20);
 
@@ -85,17 +89,39 @@
     Platform::new(&settings.platform_address.to_string(), platform)
 }
 
-fn membership(settings: &Settings, clock: &Arc<dyn Clock>) -> Result<Arc<Membership>, NodeError> {
-    let started = Membership::start(MembershipSettings {
-        host: settings.host.clone(),
-        failure_domain: settings.failure_domain.clone(),
-        bind: settings.peer_address,
-        advertised: settings.peer_address,
-        key: PeerKey::new(settings.peer_key.as_bytes()),
-        seeds: settings.seeds.clone(),
-        clock: clock.clone(),
-    });
-    started.map(Arc::new).map_err(part("membership"))
+/// The two sockets of the peer protocol share one port, calls by TCP and heartbeats by UDP.
+struct PeerPort {
+    listener: TcpListener,
+    membership: Arc<Membership>,
+}
+
+impl PeerPort {
+    fn open(settings: &Settings, clock: &Arc<dyn Clock>) -> Result<PeerPort, NodeError> {
+        let tries = if settings.peer_address.port() == 0 { FREE_PORT_TRIES } else { 1 };
+        let mut opened = PeerPort::try_open(settings, clock);
+        for _ in 1..tries {
+            if opened.is_ok() {
+                break;
+            }
+            opened = PeerPort::try_open(settings, clock);
+        }
+        opened.map_err(part("the peer protocol"))
+    }
+
+    fn try_open(settings: &Settings, clock: &Arc<dyn Clock>) -> io::Result<PeerPort> {
+        let listener = TcpListener::bind(settings.peer_address)?;
+        let address = listener.local_addr()?;
+        let membership = Membership::start(MembershipSettings {
+            host: settings.host.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            bind: address,
+            advertised: address,
+            key: PeerKey::new(settings.peer_key.as_bytes()),
+            seeds: settings.seeds.clone(),
+            clock: clock.clone(),
+        })?;
+        Ok(PeerPort { listener, membership: Arc::new(membership) })
+    }
 }
 
 fn caller_settings(settings: &Settings, incarnation: u64) -> CallerSettings {
@@ -122,10 +148,10 @@
     fn start(
         settings: &Settings,
         clock: Arc<dyn Clock>,
+        membership: Arc<Membership>,
         hints: Sender<Hint>,
     ) -> Result<Parts, NodeError> {
         let platform = platform(settings);
-        let membership = membership(settings, &clock)?;
         let now = clock.clone();
         let client = PeerClient::new(PeerKey::new(settings.peer_key.as_bytes()), move || now.now());
         let peers = Arc::new(Peers {
@@ -191,10 +217,11 @@
         settings.check()?;
         let metrics = crate::telemetry::metrics_handle();
         let (hints, own_hints) = flume::unbounded();
-        let parts = Arc::new(Parts::start(settings, clock, hints)?);
+        let PeerPort { listener, membership } = PeerPort::open(settings, &clock)?;
+        let parts = Arc::new(Parts::start(settings, clock, membership, hints)?);
         let key = PeerKey::new(settings.peer_key.as_bytes());
         let peer_handlers = handlers(&parts.configuration, &parts.ledger);
-        let peer = PeerServer::start(parts.membership.address(), key, peer_handlers);
+        let peer = PeerServer::start_on(listener, key, peer_handlers);
         let peer = peer.map_err(part("the peer protocol"))?;
         let caller_settings = caller_settings(settings, parts.membership.incarnation());
         let caller = Arc::new(CallerServer::start(caller_settings, parts.pipeline.clone())?);
--- a/crates/godwit-peer/src/server.rs
+++ b/crates/godwit-peer/src/server.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::thread;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use crate::PeerKey;
@@ -51,34 +51,74 @@
 pub struct PeerServer {
     address: SocketAddr,
     shared: Arc<Shared>,
+    accepting: Option<JoinHandle<()>>,
 }
 
 struct Shared {
     key: PeerKey,
     handlers: Handlers,
     connections: AtomicUsize,
+    streams: Mutex<BTreeMap<u64, TcpStream>>,
+    next_stream: AtomicU64,
     is_stopped: AtomicBool,
 }
 
+/// A connection that is closed when the server stops, so that its client sees so before it sends another call.
+struct OpenStream<'a> {
+    number: u64,
+    shared: &'a Shared,
+}
+
+impl Shared {
+    fn open(&self, stream: &TcpStream) -> io::Result<OpenStream<'_>> {
+        let number = self.next_stream.fetch_add(1, Ordering::SeqCst);
+        self.streams().insert(number, stream.try_clone()?);
+        Ok(OpenStream { number, shared: self })
+    }
+
+    fn streams(&self) -> MutexGuard<'_, BTreeMap<u64, TcpStream>> {
+        self.streams.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for OpenStream<'_> {
+    fn drop(&mut self) {
+        self.shared.streams().remove(&self.number);
+    }
+}
+
 impl PeerServer {
     /// Listens on `bind` and answers calls with `handlers`.
     ///
     /// # Errors
     /// The address cannot be bound, or no thread can be started.
     pub fn start(bind: SocketAddr, key: PeerKey, handlers: Handlers) -> io::Result<PeerServer> {
-        let listener = TcpListener::bind(bind)?;
+        PeerServer::start_on(TcpListener::bind(bind)?, key, handlers)
+    }
+
+    /// Answers calls that come in on `listener` with `handlers`.
+    ///
+    /// # Errors
+    /// The listener has no address, or no thread can be started.
+    pub fn start_on(
+        listener: TcpListener,
+        key: PeerKey,
+        handlers: Handlers,
+    ) -> io::Result<PeerServer> {
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             key,
             handlers,
             connections: AtomicUsize::new(0),
+            streams: Mutex::default(),
+            next_stream: AtomicU64::new(0),
             is_stopped: AtomicBool::new(false),
         });
         let accepting = Arc::clone(&shared);
-        thread::Builder::new()
+        let accepting = thread::Builder::new()
             .name("peer-accept".into())
             .spawn(move || accept_all(&listener, &accepting))?;
-        Ok(PeerServer { address, shared })
+        Ok(PeerServer { address, shared, accepting: Some(accepting) })
     }
 
     /// The address it listens on.
@@ -92,6 +132,12 @@
         self.shared.is_stopped.store(true, Ordering::SeqCst);
         // Wakes the accepting thread, which then sees that it has to end.
         let _ = TcpStream::connect_timeout(&self.address, HANDSHAKE_LIMIT);
+        if let Some(accepting) = self.accepting.take() {
+            let _ = accepting.join();
+        }
+        for stream in self.shared.streams().values() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
     }
 }
 
@@ -135,6 +181,7 @@
 }
 
 fn serve(stream: TcpStream, shared: &Shared) -> io::Result<()> {
+    let _open = shared.open(&stream)?;
     let mut session = Session::accept(stream, &shared.key, HANDSHAKE_LIMIT)?;
     while !shared.is_stopped.load(Ordering::SeqCst) {
         let request = session.receive_message(IDLE_LIMIT)?;
