--- a/crates/godwit-host/src/polling/driver.rs
+++ b/crates/godwit-host/src/polling/driver.rs
@@ -166,10 +166,8 @@
         let now = self.clock.now();
         let results = lock(&self.schedule).record(&target.server, reading, now);
         results.iter().for_each(|result| self.membership.learn_poll(result));
-        if let Ok(report) = report {
-            if target.has_cache_events {
-                self.poll_cache_events(target, report.started_at_unix_ms);
-            }
+        if let Some(report) = report.ok().filter(|_| target.has_cache_events) {
+            self.poll_cache_events(target, report.started_at_unix_ms);
         }
     }
 
