--- a/crates/godwit-caller/src/framing.rs
+++ b/crates/godwit-caller/src/framing.rs
@@ -112,6 +112,11 @@
 }
 
 fn service_ask(request: &Request, headers: &[Header], rest: &str) -> Result<Ask, Failure> {
+    // tiny_http takes the end of the connection for the end of a chunked body. Of the other bodies a cut one is no
+    // JSON; a service's body could be anything.
+    if headers.iter().any(|header| header.field.equiv("Transfer-Encoding")) {
+        return Err(Failure::field(Code::LengthRequired, "Content-Length"));
+    }
     let (service, path) = match rest.find(['/', '?']) {
         Some(index) => rest.split_at(index),
         None => (rest, ""),
--- a/crates/godwit-core/src/code.rs
+++ b/crates/godwit-core/src/code.rs
@@ -81,6 +81,8 @@
     KeyReused,
     /// The body's framing is broken or contradicts itself.
     BadFraming,
+    /// A call of a plain service needs a `Content-Length`, since a cut chunked body cannot be told from a whole one.
+    LengthRequired,
     /// A rule refuses the request.
     RefusedByRule,
     /// No rule of the workspace matches.
@@ -150,6 +152,7 @@
         Code::EventRequired,
         Code::KeyReused,
         Code::BadFraming,
+        Code::LengthRequired,
         Code::RefusedByRule,
         Code::NoRuleMatches,
         Code::TooLate,
@@ -366,6 +369,14 @@
                 false,
                 "The body's framing is broken or contradicts itself.",
             ),
+            Code::LengthRequired => row(
+                2017,
+                "length_required",
+                Verdict::NotRun,
+                411,
+                false,
+                "A call of a plain service needs a `Content-Length`, since a cut chunked body cannot be told from a whole one.",
+            ),
             Code::RefusedByRule => row(
                 3000,
                 "refused_by_rule",
--- /dev/null
+++ b/crates/godwit-ctl/tests/sessions.rs
@@ -0,0 +1,146 @@
+//! Golden files of whole sessions with a site over real sockets.
+
+mod support;
+
+use godwit_core::config::workspace_object;
+use godwit_ctl::site::{Names, Site};
+use godwit_schema::config::{Refuse, Rule, When, Workspace};
+use serde_json::json;
+use support::{Transcript, request, small_site};
+
+fn chat(model: &str, prompt: &str, is_stream: bool) -> String {
+    let messages = json!([{"role": "user", "content": prompt}]);
+    json!({"model": model, "messages": messages, "stream": is_stream, "max_tokens": 6}).to_string()
+}
+
+fn note_request(body: &str) -> String {
+    request("POST", "/v1/chat/completions", &[("Godwit-Kind", Names::KIND)], body)
+}
+
+#[test]
+fn session_streamed() {
+    let site = small_site();
+    let mut transcript = Transcript::default();
+    transcript.exchange(&site, "whole", &note_request(&chat(Names::MODEL, "slots?", false)));
+    transcript.exchange(&site, "streamed", &note_request(&chat(Names::MODEL, "slots?", true)));
+    let completion =
+        json!({"model": Names::MODEL, "prompt": "slots?", "stream": true, "max_tokens": 3});
+    let kind = [("Godwit-Kind", Names::KIND_LOOKUP)];
+    let completion = request("POST", "/v1/completions", &kind, &completion.to_string());
+    transcript.exchange(&site, "completion streamed", &completion);
+    transcript.exchange(&site, "models", &request("GET", "/v1/models", &[], ""));
+    insta::assert_snapshot!(transcript.text());
+}
+
+#[test]
+fn session_split_model() {
+    let site = small_site();
+    let mut transcript = Transcript::default();
+    let body = chat(Names::SPLIT_MODEL, "the weekly note", true);
+    transcript.exchange(&site, "split", &note_request(&body));
+    for stage in ["stage-1", "stage-2"] {
+        transcript.journal(stage, &site.engines[stage].standin.journal());
+    }
+    insta::assert_snapshot!(transcript.text());
+}
+
+fn order(key: &str, body: &str) -> String {
+    let headers = [
+        ("Godwit-Kind", Names::KIND_ONCE),
+        ("Godwit-Event", Names::EVENT),
+        ("Idempotency-Key", key),
+        ("Content-Type", "application/json"),
+    ];
+    request("POST", "/services/orders/confirmations?shop=7", &headers, body)
+}
+
+#[test]
+fn session_plain_service() {
+    let site = small_site();
+    let mut transcript = Transcript::default();
+    transcript.exchange(&site, "order", &order("order-1", r#"{"crate":1}"#));
+    transcript.exchange(&site, "same order again", &order("order-1", r#"{"crate":1}"#));
+    transcript.exchange(&site, "same key, other body", &order("order-1", r#"{"crate":2}"#));
+    transcript.exchange(&site, "other order", &order("order-2", r#"{"crate":2}"#));
+    transcript.journal("orders-1", &site.service.journal());
+    insta::assert_snapshot!(transcript.text());
+}
+
+#[test]
+fn session_model_once() {
+    let site = small_site();
+    let mut transcript = Transcript::default();
+    let headers = [
+        ("Godwit-Kind", Names::KIND_ONCE),
+        ("Godwit-Event", Names::EVENT),
+        ("Idempotency-Key", "answer-1"),
+    ];
+    let whole = chat(Names::MODEL, "confirm order 7", false);
+    let first = request("POST", "/v1/chat/completions", &headers, &whole);
+    transcript.exchange(&site, "first", &first);
+    transcript.exchange(&site, "again", &first);
+    transcript.journal("whole-1", &site.engines["whole-1"].standin.journal());
+    insta::assert_snapshot!(transcript.text());
+}
+
+#[test]
+fn session_refused_late() {
+    let site = small_site();
+    let mut transcript = Transcript::default();
+    let body = chat(Names::MODEL, "slots?", false);
+    let past = [("Godwit-Kind", Names::KIND), ("Godwit-Deadline-Ms", "1")];
+    let past = request("POST", "/v1/chat/completions", &past, &body);
+    transcript.exchange(&site, "deadline in the past", &past);
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    let soon = (now.as_millis() + 300).to_string();
+    let long = json!({"model": Names::MODEL, "prompt": "long", "max_tokens": 5_000}).to_string();
+    let soon = [("Godwit-Kind", Names::KIND), ("Godwit-Deadline-Ms", soon.as_str())];
+    let soon = request("POST", "/v1/completions", &soon, &long);
+    transcript.exchange(&site, "cannot finish before its deadline", &soon);
+    transcript.journal("whole-1", &site.engines["whole-1"].standin.journal());
+    insta::assert_snapshot!(transcript.text());
+}
+
+#[test]
+fn session_rule_change() {
+    let site = small_site();
+    let mut transcript = Transcript::default();
+    let note = note_request(&chat(Names::MODEL, "slots?", false));
+    transcript.exchange(&site, "before", &note);
+    refuse_notes(&site);
+    transcript.remark("an operator puts a rule that refuses notes first");
+    wait_for_refusal(&site, &note);
+    transcript.exchange(&site, "after", &note);
+    let lookup = [("Godwit-Kind", Names::KIND_LOOKUP)];
+    let lookup =
+        request("POST", "/v1/chat/completions", &lookup, &chat(Names::MODEL, "slots?", false));
+    transcript.exchange(&site, "lookups go on", &lookup);
+    insta::assert_snapshot!(transcript.text());
+}
+
+fn refuse_notes(site: &Site) {
+    let platform = godwit_platform::Platform::new(
+        &site.platform.address().to_string(),
+        godwit_platform::PlatformSettings::default(),
+    );
+    let name = workspace_object(Names::WORKSPACE);
+    let object = platform.read(&name).unwrap().unwrap();
+    let mut workspace: Workspace = serde_json::from_value(object.value).unwrap();
+    let when = When { kinds: vec![Names::KIND.to_string()], ..When::default() };
+    let refuse = Refuse { reason: "the shop is closed".to_string() };
+    let rule = Rule { name: "closed".to_string(), when, admit: None, refuse: Some(refuse) };
+    workspace.rules.insert(0, rule);
+    let value = serde_json::to_value(&workspace).unwrap();
+    platform.write(&name, object.version, &value).unwrap();
+}
+
+/// Sends the request until the host has heard of the change; a host that never does fails the test.
+fn wait_for_refusal(site: &Site, note: &str) {
+    let address = site.caller_addresses()[0];
+    for _ in 0..1_000 {
+        if support::raw_exchange(address, note.as_bytes()).contains("Godwit-Code: 3000") {
+            return;
+        }
+    }
+    panic!("the change does not take hold");
+}
