Run one stand-in at a time with godwitctl standin

Cause: the site is to run as separate processes too, and the stand-ins ran only as threads of another program.

Models are written NAME:LAYERS or NAME:FROM-TO/LAYERS.

--- a/crates/godwit-ctl/src/cli.rs
+++ b/crates/godwit-ctl/src/cli.rs
@@ -6,6 +6,7 @@
 
 use crate::command::events::{self, set::Wanted};
 use crate::command::rules::{self, explain::Asked};
+use crate::command::standin::{self, StandinCommand, standin_command};
 use crate::command::{demo, fleet, host, object};
 use crate::error::CtlError;
 use crate::output::Format;
@@ -254,6 +255,9 @@
         #[bpaf(positional("HOST"))]
         host: String,
     },
+    /// One stand-in of the platform, of an engine or of a plain service, until SIGINT or SIGTERM
+    #[bpaf(command("standin"))]
+    Standin(#[bpaf(external(standin_command))] StandinCommand),
 }
 
 fn first_port(flag: &'static str, group: &'static str) -> impl Parser<Option<u16>> {
@@ -342,6 +346,7 @@
             let (store, format) = parts(common);
             host::status::run(&host::operator_address(&store, host)?, format)
         }
+        Command::Standin(command) => standin::run(command),
     }
 }
 
--- a/crates/godwit-ctl/src/command/mod.rs
+++ b/crates/godwit-ctl/src/command/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod host;
 pub(crate) mod object;
 pub(crate) mod rules;
+pub(crate) mod standin;
--- a/crates/godwit-ctl/src/error.rs
+++ b/crates/godwit-ctl/src/error.rs
@@ -94,3 +94,9 @@
         CtlError::Failed(error.to_string())
     }
 }
+
+impl From<godwit_standin::StandinError> for CtlError {
+    fn from(error: godwit_standin::StandinError) -> CtlError {
+        CtlError::Failed(error.to_string())
+    }
+}
--- a/crates/godwit-standin/src/engine/mod.rs
+++ b/crates/godwit-standin/src/engine/mod.rs
@@ -25,7 +25,7 @@
 use crate::StandinError;
 use crate::http::Port;
 use api::{Api, Control};
-pub use settings::{EngineSettings, ModelHolding};
+pub use settings::{EngineSettings, ModelHolding, ModelHoldingError};
 pub use tokens::{expected_tokens, prompt_tokens};
 
 /// A running stand-in of a model engine; dropping it stops it.
--- a/crates/godwit-standin/src/engine/settings.rs
+++ b/crates/godwit-standin/src/engine/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a model engine's stand-in.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 /// Journal entries kept.
 const JOURNAL_LIMIT: usize = 200_000;
@@ -29,11 +30,49 @@
         ModelHolding { model: model.to_string(), layer_from, layer_to, layer_count }
     }
 
+    fn parse(text: &str) -> Option<ModelHolding> {
+        let (model, layers) = text.rsplit_once(':')?;
+        let (range, layer_count) = match layers.split_once('/') {
+            Some((range, count)) => (Some(range.split_once('-')?), count.parse().ok()?),
+            None => (None, layers.parse().ok()?),
+        };
+        let (layer_from, layer_to) = match range {
+            Some((from, to)) => (from.parse().ok()?, to.parse().ok()?),
+            None => (0, layer_count),
+        };
+        let is_valid = !model.is_empty() && layer_from < layer_to && layer_to <= layer_count;
+        is_valid.then(|| ModelHolding::range(model, layer_from, layer_to, layer_count))
+    }
+
     pub(super) fn is_whole(&self) -> bool {
         self.layer_from == 0 && self.layer_to == self.layer_count
     }
 }
 
+impl FromStr for ModelHolding {
+    type Err = ModelHoldingError;
+
+    /// Reads `NAME:LAYERS` for a model held whole and `NAME:FROM-TO/LAYERS` for a range of its layers.
+    ///
+    /// ```
+    /// use godwit_standin::ModelHolding;
+    /// assert_eq!("barley:32".parse(), Ok(ModelHolding::whole("barley", 32)));
+    /// assert_eq!("barley:0-16/32".parse(), Ok(ModelHolding::range("barley", 0, 16, 32)));
+    /// assert!("barley:16-8/32".parse::<ModelHolding>().is_err());
+    /// ```
+    fn from_str(text: &str) -> Result<ModelHolding, ModelHoldingError> {
+        ModelHolding::parse(text).ok_or_else(|| ModelHoldingError { text: text.to_string() })
+    }
+}
+
+/// The text names no model with its layers.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("`{text}` is neither NAME:LAYERS nor NAME:FROM-TO/LAYERS")]
+pub struct ModelHoldingError {
+    /// The text.
+    pub text: String,
+}
+
 /// Settings of a model engine's stand-in.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
--- a/crates/godwit-standin/src/lib.rs
+++ b/crates/godwit-standin/src/lib.rs
@@ -11,7 +11,9 @@
 mod service;
 mod time;
 
-pub use engine::{EngineSettings, EngineStandin, ModelHolding, expected_tokens, prompt_tokens};
+pub use engine::{
+    EngineSettings, EngineStandin, ModelHolding, ModelHoldingError, expected_tokens, prompt_tokens,
+};
 pub use error::StandinError;
 pub use platform::{CallCounts, PlatformSettings, PlatformStandin};
 pub use service::{ServiceReply, ServiceSettings, ServiceStandin};
