--- a/crates/godwit-standin/tests/platform.rs
+++ b/crates/godwit-standin/tests/platform.rs
@@ -19,6 +19,7 @@
         name: name.to_string(),
         role: HostRole::Entry,
         address: "127.0.0.1:7000".to_string(),
+        operator_address: None,
         failure_domain: "hall-a".to_string(),
         state,
     }
