Try the ledger and the platform's client over sockets; let any host collect

Cause: the driver was not tried against a store; collection asked for the usual writer of each object while only delegates look for ledgers that are over, so that the ledger of a slice whose usual writer is no delegate was never deleted.

Change: tests against the platform's stand-in for lost answers, late updates, outage, rate limits, forwarding and collection. Any host that looks deletes; the version check of the deletion settles races.

--- a/crates/godwit-host/src/ledger/collect.rs
+++ b/crates/godwit-host/src/ledger/collect.rs
@@ -38,7 +38,7 @@
 }
 
 impl Ledger {
-    /// Deletes the ledger objects of events that are over, each by the usual writer of the object. `events` are all
+    /// Deletes the ledger objects of events that are over; any host may do so. `events` are all
     /// events of the configuration in force; the object's own record of the start has to be past as well, because
     /// that configuration may be old. Reads one list of all ledger objects.
     pub fn collect(&self, events: &[EventStart<'_>]) -> Result<(), ReadError> {
@@ -47,17 +47,12 @@
         let known: BTreeSet<EventStart<'_>> = events.iter().copied().collect();
         for head in platform.list("ledger/")?.objects {
             let Some(name) = SliceName::parse(&head.name) else { continue };
-            if self.collects(&name) && is_over(platform, &name, &known, now)? {
+            if is_over(platform, &name, &known, now)? {
                 delete(platform, &head);
             }
         }
         Ok(())
     }
-
-    fn collects(&self, name: &SliceName) -> bool {
-        let shared = self.shared();
-        shared.usual_writer(name).is_none_or(|writer| writer == shared.host)
-    }
 }
 
 fn is_over(
--- a/crates/godwit-host/src/ledger/driver.rs
+++ b/crates/godwit-host/src/ledger/driver.rs
@@ -61,7 +61,7 @@
 }
 
 pub(super) struct Shared {
-    pub(super) host: String,
+    host: String,
     pub(super) platform: Platform,
     hosts: RwLock<Vec<String>>,
     messages: Sender<Message>,
@@ -269,13 +269,9 @@
         forwarded
     }
 
-    pub(super) fn usual_writer(&self, slice: &SliceName) -> Option<String> {
-        let hosts = self.hosts.read().unwrap_or_else(PoisonError::into_inner);
-        usual_writer(slice, &hosts).map(str::to_string)
-    }
-
     fn other_writer(&self, slice: &SliceName) -> Option<String> {
-        self.usual_writer(slice).filter(|writer| *writer != self.host)
+        let hosts = self.hosts.read().unwrap_or_else(PoisonError::into_inner);
+        usual_writer(slice, &hosts).filter(|writer| *writer != self.host).map(str::to_string)
     }
 }
 
--- /dev/null
+++ b/crates/godwit-host/tests/ledger.rs
@@ -0,0 +1,176 @@
+//! The ledger of two hosts against the platform's stand-in, over real sockets.
+
+use std::sync::{Arc, Mutex};
+
+use godwit_core::UnixMs;
+use godwit_core::ledger::Answer;
+use godwit_host::ledger::{
+    ClaimOutcome, ClaimRequest, EventStart, ForwardError, Forwarder, Grant, Ledger, LedgerSettings,
+    NoForwarder, collect_due_at,
+};
+use godwit_host::{Clock, SystemClock};
+use godwit_platform::{Platform, PlatformSettings};
+use godwit_schema::platform::PlatformFaults;
+use godwit_standin::PlatformStandin;
+use serde_json::json;
+
+const PATIENCE_MS: u64 = 20_000;
+
+fn standin() -> PlatformStandin {
+    PlatformStandin::start(godwit_standin::PlatformSettings::new("127.0.0.1:0".parse().unwrap()))
+        .unwrap()
+}
+
+fn ledger(standin: &PlatformStandin, host: &str, forwarder: Arc<dyn Forwarder>) -> Ledger {
+    let platform = Platform::new(&standin.address().to_string(), PlatformSettings::default());
+    let settings = LedgerSettings { host: host.to_string(), limits: Default::default() };
+    Ledger::start(settings, &platform, forwarder, Arc::new(SystemClock)).unwrap()
+}
+
+fn alone(standin: &PlatformStandin) -> Ledger {
+    ledger(standin, "h1", Arc::new(NoForwarder))
+}
+
+fn request(key: &str, wait_ms: u64) -> ClaimRequest<'_> {
+    let now = SystemClock.now();
+    ClaimRequest {
+        workspace: "farm",
+        event: "friday",
+        event_start: now.plus_ms(3_600_000),
+        ledger_slices: 1,
+        key,
+        body: b"two eggs",
+        deadline: now.plus_ms(wait_ms),
+        run_deadline: now.plus_ms(wait_ms),
+    }
+}
+
+fn claim(ledger: &Ledger, key: &str) -> ClaimOutcome {
+    ledger.claim(&request(key, PATIENCE_MS))
+}
+
+fn granted(outcome: ClaimOutcome) -> Grant {
+    match outcome {
+        ClaimOutcome::Granted(grant) => grant,
+        other => panic!("not granted: {}", other.label()),
+    }
+}
+
+fn flush(ledger: &Ledger) {
+    assert!(ledger.flush(SystemClock.now().plus_ms(PATIENCE_MS)));
+}
+
+fn faults(value: serde_json::Value) -> PlatformFaults {
+    serde_json::from_value(value).unwrap()
+}
+
+#[test]
+fn claim_of_done_key() {
+    let standin = standin();
+    let (first, second) = (alone(&standin), alone(&standin));
+    let answer = Answer::new(200, 1000, "application/json", b"{\"slot\":4}");
+    first.finish(granted(claim(&first, "k")), answer.clone());
+    flush(&first);
+    assert!(matches!(claim(&second, "k"), ClaimOutcome::Done(stored) if stored == answer));
+    let other_body = ClaimRequest { body: b"one egg", ..request("k", PATIENCE_MS) };
+    assert!(matches!(second.claim(&other_body), ClaimOutcome::KeyReused));
+}
+
+#[test]
+fn claim_waits_for_release() {
+    let standin = standin();
+    let (first, second) = (alone(&standin), alone(&standin));
+    let grant = granted(claim(&first, "k"));
+    assert!(matches!(second.claim(&request("k", 100)), ClaimOutcome::StartedElsewhere { .. }));
+    let waiting = std::thread::spawn(move || granted(claim(&second, "k")));
+    first.release(grant);
+    waiting.join().unwrap();
+}
+
+#[test]
+fn claim_with_lost_answer() {
+    let standin = standin();
+    let ledger = alone(&standin);
+    standin.set_faults(faults(json!({"lose_write_answers": 1})));
+    granted(claim(&ledger, "k"));
+    assert_eq!(standin.counts().lost_answers, 1);
+    assert_eq!(standin.counts().effects, 1);
+}
+
+#[test]
+fn claim_through_outage() {
+    let standin = standin();
+    let ledger = alone(&standin);
+    standin.set_faults(faults(json!({"down": true})));
+    assert!(matches!(ledger.claim(&request("k", 200)), ClaimOutcome::Unavailable));
+    standin.set_faults(faults(json!({})));
+    granted(claim(&ledger, "k"));
+    flush(&ledger);
+}
+
+#[test]
+fn claim_that_lands_late() {
+    let standin = standin();
+    let ledger = alone(&standin);
+    standin.set_faults(faults(json!({"delay_writes_ms": 300})));
+    assert!(matches!(ledger.claim(&request("k", 100)), ClaimOutcome::Unavailable));
+    standin.set_faults(faults(json!({})));
+    flush(&ledger);
+    granted(claim(&ledger, "k"));
+}
+
+#[test]
+fn claim_after_event_start() {
+    let standin = standin();
+    let ledger = alone(&standin);
+    let late = ClaimRequest { event_start: UnixMs(1), ..request("k", PATIENCE_MS) };
+    assert!(matches!(ledger.claim(&late), ClaimOutcome::Unavailable));
+    assert_eq!(standin.counts().writes, 0);
+}
+
+/// Hands calls to another ledger of this process, or loses them.
+#[derive(Default)]
+struct Wire(Mutex<Option<Ledger>>);
+
+impl Forwarder for Wire {
+    fn forward(&self, writer: &str, payload: &[u8], _: UnixMs) -> Result<Vec<u8>, ForwardError> {
+        assert_eq!(writer, "h2");
+        let other = self.0.lock().unwrap().clone();
+        other.map(|ledger| ledger.handle_forwarded(payload)).ok_or(ForwardError::NoAnswer)
+    }
+}
+
+#[test]
+fn claims_through_usual_writer() {
+    let standin = standin();
+    let wire = Arc::new(Wire::default());
+    let first = ledger(&standin, "h1", wire.clone());
+    first.set_hosts(&["h2".to_string()]);
+    first.release(granted(claim(&first, "lost on the wire")));
+    flush(&first);
+    let writer = ledger(&standin, "h2", Arc::new(NoForwarder));
+    *wire.0.lock().unwrap() = Some(writer.clone());
+    let grant = granted(claim(&first, "k"));
+    first.finish(grant, Answer::new(204, 1000, "", b""));
+    flush(&first);
+    flush(&writer);
+    assert!(matches!(claim(&writer, "k"), ClaimOutcome::Done(_)));
+    assert_eq!(first.handle_forwarded(b"not a call"), writer.handle_forwarded(b""));
+}
+
+#[test]
+fn collect_of_started_events() {
+    let standin = standin();
+    let ledger = alone(&standin);
+    granted(claim(&ledger, "k"));
+    let platform = Platform::new(&standin.address().to_string(), PlatformSettings::default());
+    let over = UnixMs(SystemClock.now().0 - collect_due_at(UnixMs(0)).0);
+    let value = json!({"event_start_unix_ms": over.0, "entries": {}});
+    platform.write("ledger/farm/thursday/0", 0, &value).unwrap();
+    platform.write("ledger/farm/moved/0", 0, &value).unwrap();
+    let moved = EventStart { workspace: "farm", event: "moved", start: SystemClock.now() };
+    ledger.collect(&[moved]).unwrap();
+    let left = platform.list("ledger/").unwrap().objects;
+    let names: Vec<&str> = left.iter().map(|head| head.name.as_str()).collect();
+    assert_eq!(names, ["ledger/farm/friday/0", "ledger/farm/moved/0"]);
+}
