Keep a distance between updates of a ledger slice, so that each carries more

Cause: an update takes a few milliseconds, so that group commit alone gathers claims only above some 200 a second in one slice; at 10 claims a second each claim still cost more than one write. Ruled out: a longer delay of each claim (the first claim of a quiet slice would wait as well), fewer slices alone (one write for each claim remains).

Change: updates of one slice begin at least write_interval_ms (100) apart; the first one after a pause goes at once. An update that failed or lost a race need not keep the distance. The batch holds 128 operations. Of a kept body no digest is stored.

--- /dev/null
+++ b/crates/godwit-core/examples/ledger_cost.rs
@@ -0,0 +1,189 @@
+//! Prints what the ledger costs: updates of the store by claims a second, and time and bytes of one update by the
+//! length of its slice. `cargo run --release -p godwit-core --example ledger_cost`
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use godwit_core::UnixMs;
+use godwit_core::ledger::{
+    Action, Answer, Claim, Finish, Input, KeyHash, Ledger, LedgerLimits, Nonce, Operation, Origin,
+    Outcome, ReadResult, SliceName, Ticket, WriteResult, apply, empty_slice,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const STORE_MS: u64 = 5;
+const RUN_MS: u64 = 200;
+const SIMULATED_MS: u64 = 10_000;
+const EVENT_START: UnixMs = UnixMs(u64::MAX);
+const BODY: &[u8] = &[b'a'; 120];
+
+fn main() {
+    println!(
+        "write_interval_ms claims_per_s writes_per_s writes_per_claim claim_p50_ms claim_p95_ms"
+    );
+    for write_interval_ms in [0, 100, 200] {
+        for claims_per_s in [1, 5, 10, 50, 200] {
+            Simulation::new(write_interval_ms).run(claims_per_s);
+        }
+    }
+    println!("claims_in_slice bytes_started bytes_done update_us");
+    for claims in [100, 400, 1_600] {
+        print_update_cost(claims);
+    }
+}
+
+/// One slice, one writer, claims at random times, each finished after its run.
+struct Simulation {
+    ledger: Ledger,
+    now: UnixMs,
+    due: BTreeMap<(UnixMs, u64), Input>,
+    sequence: u64,
+    version: u64,
+    writes: u64,
+    claims: BTreeMap<Ticket, (UnixMs, Claim)>,
+    latencies_ms: Vec<u64>,
+    write_interval_ms: u64,
+}
+
+impl Simulation {
+    fn new(write_interval_ms: u64) -> Simulation {
+        let limits = LedgerLimits { write_interval_ms, ..LedgerLimits::default() };
+        Simulation {
+            ledger: Ledger::new(limits, 1),
+            now: UnixMs(1),
+            due: BTreeMap::new(),
+            sequence: 0,
+            version: 0,
+            writes: 0,
+            claims: BTreeMap::new(),
+            latencies_ms: Vec::new(),
+            write_interval_ms,
+        }
+    }
+
+    fn run(mut self, claims_per_s: u64) {
+        let mut rng = SmallRng::seed_from_u64(1);
+        while self.now.0 < SIMULATED_MS {
+            if rng.random_range(0..1_000) < claims_per_s {
+                self.claim();
+            }
+            while self.due.first_key_value().is_some_and(|((at, _), _)| at.is_past(self.now)) {
+                let (_, input) = self.due.pop_first().expect("an input is due");
+                self.step(input);
+            }
+            if self.ledger.next_wake().is_some_and(|wake| wake.is_past(self.now)) {
+                self.step(Input::Tick);
+            }
+            self.now = self.now.plus_ms(1);
+        }
+        self.print(claims_per_s);
+    }
+
+    fn claim(&mut self) {
+        let ticket = Ticket(self.sequence);
+        let claim = new_claim(self.sequence, self.now);
+        self.claims.insert(ticket, (self.now, claim.clone()));
+        self.submit_at(self.now, ticket, Operation::Claim(claim));
+    }
+
+    fn submit_at(&mut self, at: UnixMs, ticket: Ticket, operation: Operation) {
+        let origin = Origin::Local { exposed: false };
+        let slice = SliceName::of_key("w", "e", "", 1);
+        self.push(at, Input::Submit { ticket, slice, operation, origin });
+    }
+
+    fn push(&mut self, at: UnixMs, input: Input) {
+        self.sequence += 1;
+        self.due.insert((at, self.sequence), input);
+    }
+
+    fn step(&mut self, input: Input) {
+        for action in self.ledger.step(input, self.now) {
+            let answered_at = self.now.plus_ms(STORE_MS);
+            match action {
+                Action::Read { call, slice } => {
+                    self.push(
+                        answered_at,
+                        Input::ReadDone { slice, call, result: ReadResult::Absent },
+                    );
+                }
+                Action::Write { call, slice, .. } => {
+                    self.writes += 1;
+                    self.version += 1;
+                    let result = WriteResult::Written { version: self.version };
+                    self.push(answered_at, Input::WriteDone { slice, call, result });
+                }
+                Action::Reply { ticket, outcome: Outcome::Granted } => self.granted(ticket),
+                Action::Reply { .. } => {}
+            }
+        }
+    }
+
+    fn granted(&mut self, ticket: Ticket) {
+        let Some((began_at, claim)) = self.claims.remove(&ticket) else { return };
+        self.latencies_ms.push(self.now.since_ms(began_at));
+        let answer = Answer::new(200, 1000, "application/json", BODY);
+        let finish = Finish { key: claim.key, nonce: claim.nonce, answer };
+        let ticket = Ticket(u64::MAX - self.sequence);
+        self.submit_at(self.now.plus_ms(RUN_MS), ticket, Operation::Finish(finish));
+    }
+
+    fn print(mut self, claims_per_s: u64) {
+        self.latencies_ms.sort_unstable();
+        let count = self.latencies_ms.len().max(1);
+        let at = |share: usize| self.latencies_ms.get(count * share / 100).copied().unwrap_or(0);
+        println!(
+            "{} {claims_per_s} {:.1} {:.2} {} {}",
+            self.write_interval_ms,
+            self.writes as f64 * 1_000.0 / SIMULATED_MS as f64,
+            self.writes as f64 / count as f64,
+            at(50),
+            at(95),
+        );
+    }
+}
+
+fn new_claim(number: u64, now: UnixMs) -> Claim {
+    Claim {
+        key: KeyHash::of(&number.to_string()),
+        body_hash: Claim::hash_body(&number.to_le_bytes()),
+        nonce: Nonce::from_random(u128::from(number) + 1),
+        deadline: now.plus_ms(60_000),
+        run_deadline: now.plus_ms(60_000),
+        event_start: EVENT_START,
+    }
+}
+
+fn print_update_cost(claims: u64) {
+    let mut slice = empty_slice();
+    let all: Vec<Claim> = (0..claims).map(|number| new_claim(number, UnixMs(1))).collect();
+    for claim in &all {
+        apply(&mut slice, &Operation::Claim(claim.clone()));
+    }
+    let bytes_started = serde_json::to_vec(&slice).map_or(0, |json| json.len());
+    for Claim { key, nonce, .. } in all {
+        let answer = Answer::new(200, 1000, "application/json", BODY);
+        apply(&mut slice, &Operation::Finish(Finish { key, nonce, answer }));
+    }
+    let bytes_done = serde_json::to_vec(&slice).map_or(0, |json| json.len());
+    let mut ledger = Ledger::new(LedgerLimits::default(), 1);
+    let submit = |number: u64| Input::Submit {
+        ticket: Ticket(number),
+        slice: SliceName::of_key("w", "e", "", 1),
+        operation: Operation::Claim(new_claim(claims + number, UnixMs(1))),
+        origin: Origin::Local { exposed: false },
+    };
+    let Some(Action::Read { call, slice: name }) = ledger.step(submit(0), UnixMs(1)).pop() else {
+        return;
+    };
+    let result = ReadResult::Found { version: 1, value: slice };
+    let began = Instant::now();
+    let actions = ledger.step(Input::ReadDone { slice: name, call, result }, UnixMs(1));
+    for action in &actions {
+        if let Action::Write { value, .. } = action {
+            std::hint::black_box(serde_json::to_vec(value.as_ref()).map_or(0, |json| json.len()));
+        }
+    }
+    println!("{claims} {bytes_started} {bytes_done} {}", began.elapsed().as_micros());
+}
--- a/crates/godwit-core/src/ledger/answer.rs
+++ b/crates/godwit-core/src/ledger/answer.rs
@@ -6,8 +6,11 @@
 
 use super::name::to_hex;
 
-/// Longest body that is kept; of longer ones only length and digest are.
-const MAX_BODY_BYTES: usize = 512;
+/// Longest body that is kept, as it is stored; of longer ones only length and digest are.
+const MAX_STORED_BODY_BYTES: usize = 600;
+
+/// Longest media type that is kept.
+const MAX_CONTENT_TYPE_CHARS: usize = 100;
 
 /// Answer of a request that ran.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -39,8 +42,8 @@
         Answer {
             status,
             code,
-            content_type: content_type.to_string(),
-            body: (body.len() <= MAX_BODY_BYTES).then(|| body.to_vec()),
+            content_type: content_type.chars().take(MAX_CONTENT_TYPE_CHARS).collect(),
+            body: (stored_bytes(body) <= MAX_STORED_BODY_BYTES).then(|| body.to_vec()),
             body_bytes: body.len() as u64,
             body_sha256: to_hex(&Sha256::digest(body)),
         }
@@ -61,23 +64,32 @@
             body_text: text.map(str::to_string),
             body_hex: hex,
             body_bytes: self.body_bytes,
-            body_sha256: self.body_sha256.clone(),
+            body_sha256: self.body.is_none().then(|| self.body_sha256.clone()),
         }
     }
 
     pub(super) fn from_stored(stored: &StoredAnswer) -> Answer {
         let text = stored.body_text.as_ref().map(|text| text.clone().into_bytes());
+        let body = text.or_else(|| stored.body_hex.as_deref().and_then(from_hex));
+        let digest = body.as_deref().map(|body| to_hex(&Sha256::digest(body)));
         Answer {
             status: stored.status,
             code: stored.code,
             content_type: stored.content_type.clone(),
-            body: text.or_else(|| stored.body_hex.as_deref().and_then(from_hex)),
+            body,
             body_bytes: stored.body_bytes,
-            body_sha256: stored.body_sha256.clone(),
+            body_sha256: stored.body_sha256.clone().or(digest).unwrap_or_default(),
         }
     }
 }
 
+/// Length of a body as it is stored: text with its escapes, anything else in hexadecimal.
+fn stored_bytes(body: &[u8]) -> usize {
+    let text = std::str::from_utf8(body).ok();
+    let quoted = text.and_then(|text| serde_json::to_string(text).ok());
+    quoted.map_or(body.len().saturating_mul(2), |quoted| quoted.len())
+}
+
 fn from_hex(text: &str) -> Option<Vec<u8>> {
     let digits: Option<Vec<u8>> = text
         .chars()
--- a/crates/godwit-core/src/ledger/limits.rs
+++ b/crates/godwit-core/src/ledger/limits.rs
@@ -17,6 +17,8 @@
     pub conflict_cap_ms: u64,
     /// A finish waits so long for an update that it can join.
     pub finish_delay_ms: u64,
+    /// Least time between the beginnings of two updates of a slice.
+    pub write_interval_ms: u64,
     /// First delay between two looks at a claim that another host started.
     pub wait_base_ms: u64,
     /// Longest delay between two looks at a claim that another host started.
@@ -32,13 +34,14 @@
 impl Default for LedgerLimits {
     fn default() -> LedgerLimits {
         LedgerLimits {
-            slice_operations: 256,
+            slice_operations: 512,
             total_operations: 2_048,
-            batch_operations: 64,
+            batch_operations: 128,
             retry_base_ms: 20,
             retry_cap_ms: 1_000,
             conflict_cap_ms: 100,
             finish_delay_ms: 50,
+            write_interval_ms: 100,
             wait_base_ms: 50,
             wait_cap_ms: 1_000,
             result_grace_ms: 1_000,
--- a/crates/godwit-core/src/ledger/slice.rs
+++ b/crates/godwit-core/src/ledger/slice.rs
@@ -48,6 +48,7 @@
     waiters: Vec<Waiter>,
     call: Call,
     retry_at: UnixMs,
+    next_write_at: UnixMs,
     failures: u32,
     used_at: UnixMs,
 }
@@ -61,6 +62,7 @@
             waiters: Vec::new(),
             call: Call::Idle,
             retry_at: UnixMs(0),
+            next_write_at: UnixMs(0),
             failures: 0,
             used_at: UnixMs(0),
         }
@@ -174,7 +176,9 @@
         }
     }
 
+    /// Operations of an update that is not known to be in force wait for the next one, which need not keep distance.
     fn requeue(&mut self, batch: Vec<(Queued, Outcome)>) {
+        self.next_write_at = UnixMs(0);
         let live =
             batch.into_iter().map(|(queued, _)| queued).filter(|queued| !queued.is_abandoned());
         for queued in live.rev() {
--- a/crates/godwit-core/src/ledger/slice/work.rs
+++ b/crates/godwit-core/src/ledger/slice/work.rs
@@ -139,13 +139,18 @@
         is_due && self.retry_at.is_past(context.now) && context.gate.may_call(context.now)
     }
 
-    /// When the next operation or look is due.
+    /// When the next operation or look is due. Updates keep a distance, so that each carries what came meanwhile.
     fn due_at(&self) -> Option<UnixMs> {
-        let writes = self.queue.iter().map(|queued| queued.write_at);
+        let writes = self.queue.iter().map(|queued| queued.write_at.max(self.next_write_at));
         let looks = self.waiters.iter().map(|waiter| waiter.look_at);
         writes.chain(looks).min()
     }
 
+    fn is_write_due(&self, now: UnixMs) -> bool {
+        let is_due = |queued: &Queued| queued.write_at.is_past(now);
+        self.next_write_at.is_past(now) && self.queue.iter().any(is_due)
+    }
+
     /// When the next claim or wait expires.
     fn expires_at(&self) -> Option<UnixMs> {
         let queued = self.queue.iter().filter_map(Queued::expires_at);
@@ -162,7 +167,7 @@
             self.read(context);
             return false;
         };
-        if self.queue.is_empty() {
+        if !self.is_write_due(context.now) {
             self.read(context);
             return false;
         }
@@ -210,6 +215,7 @@
 
     fn write(&mut self, version: u64, plan: Plan, batch: Vec<Queued>, context: &mut Context<'_>) {
         let (call, as_of) = context.next_call();
+        self.next_write_at = context.now.plus_ms(context.limits.write_interval_ms);
         let name = self.name.clone();
         let value = Arc::clone(&plan.slice);
         context.actions.push(Action::Write { call, slice: name, if_version: version, value });
