Send nothing beyond the slots of a server, lookups neither

Cause: requests that may use the reserve were let into an engine's own queue by up to an eighth of its slots. There they waited for the engine's slowest running answers, while the host's own slots came free elsewhere. Change: their limit is the slots; ordinary requests keep the reserve free.

--- a/crates/godwit-core/src/route/view.rs
+++ b/crates/godwit-core/src/route/view.rs
@@ -11,9 +11,6 @@
 use super::router::{Obstacle, Router};
 use crate::UnixMs;
 
-/// Share of a server's slots by which requests that may use the reserve may exceed them.
-const OVERCOMMIT_SHARE: f64 = 0.125;
-
 /// Time for which a fraction of a slot is rounded the same way, in milliseconds.
 const DITHER_PERIOD_MS: u64 = 1_500;
 
@@ -86,7 +83,7 @@
     pub(crate) fn limit(&self, index: ServerIndex, may_use_reserve: bool) -> f64 {
         let slots = self.speed(index).slots;
         if may_use_reserve {
-            return slots + (slots * OVERCOMMIT_SHARE).max(1.0);
+            return slots;
         }
         slots - f64::from(self.table.servers[index as usize].reserved_slots).min(slots - 1.0)
     }
