Count a wait on servers that are just full by their reading

Cause: the wait for a slot was estimated as none up to the last free slot, though a reading one second old is off by a few requests either way. Change: the count of other hosts' requests is taken to vary as a Poisson count does.

--- a/crates/godwit-core/src/route/estimate.rs
+++ b/crates/godwit-core/src/route/estimate.rs
@@ -72,11 +72,15 @@
 }
 
 /// Time until as many requests have left the server as are in the way of one more.
+///
+/// The count of other hosts' requests is taken to vary as a Poisson count does, so that a server that is just full by
+/// its last reading already costs some wait.
 pub(crate) fn queue_ms(speed: &Speed, load: &LoadNow) -> f64 {
-    let in_the_way = load.requests + 1.0 - speed.slots;
-    if in_the_way <= 0.0 || load.requests <= 0.0 {
+    if load.requests <= 0.0 {
         return 0.0;
     }
+    let excess = load.requests + 1.0 - speed.slots;
+    let in_the_way = (excess + (excess * excess + load.others).sqrt()) / 2.0;
     let mean_tokens = load.tokens / load.requests;
     in_the_way * decode_ms(speed, mean_tokens) / speed.slots
 }
--- a/crates/godwit-core/src/route/load.rs
+++ b/crates/godwit-core/src/route/load.rs
@@ -38,10 +38,17 @@
 pub(crate) struct LoadNow {
     /// Requests running or waiting.
     pub(crate) requests: f64,
+    /// Those among them that other hosts are taken to have there.
+    pub(crate) others: f64,
     /// Tokens that they still have to generate.
     pub(crate) tokens: f64,
 }
 
+impl LoadNow {
+    /// No load.
+    pub(crate) const IDLE: LoadNow = LoadNow { requests: 0.0, others: 0.0, tokens: 0.0 };
+}
+
 impl Load {
     /// Takes a reading unless a newer one is held; true when it is of another incarnation than the one before.
     ///
@@ -106,8 +113,10 @@
         let own = f64::from(self.own_count);
         let own_tokens = self.own_tokens as f64;
         let allowance = self.allowance(own, other_hosts);
+        let others = self.others_count + allowance;
         LoadNow {
-            requests: own + self.others_count + allowance,
+            requests: own + others,
+            others,
             tokens: own_tokens + self.others_tokens + allowance * self.mean_tokens(own, own_tokens),
         }
     }
--- a/crates/godwit-core/src/route/scan.rs
+++ b/crates/godwit-core/src/route/scan.rs
@@ -6,6 +6,7 @@
 use super::estimate::{Estimate, Work, estimate};
 use super::fleet::{Candidates, Pool, ServerIndex};
 use super::health::Fitness;
+use super::load::LoadNow;
 use super::prefix::Holder;
 use super::router::{Obstacle, Router};
 use crate::{Code, UnixMs};
@@ -270,8 +271,7 @@
 
     fn shortest_ms(&self, server: ServerIndex) -> f64 {
         let traits = &self.router.table.servers[server as usize];
-        let idle = super::load::LoadNow { requests: 0.0, tokens: 0.0 };
-        estimate(traits, &self.router.speed(server), &idle, &self.work(server)).finish_ms
+        estimate(traits, &self.router.speed(server), &LoadNow::IDLE, &self.work(server)).finish_ms
     }
 
     fn may_use_reserve(&self) -> bool {
