--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -2,8 +2,19 @@
 
 mod clock;
 pub mod configuration;
+pub mod dispatch;
+pub mod ledger;
+pub mod membership;
+mod node;
 pub mod placement;
+pub mod polling;
+mod run;
+pub mod serve;
 mod settings;
+mod telemetry;
 
 pub use clock::{Clock, ManualClock, SystemClock};
+pub use node::{Node, NodeError};
+pub use run::run;
 pub use settings::{PolicyName, Settings, SettingsError, settings};
+pub use telemetry::start_logs;
