Test plain calls at every point at which they can break

Cause: the first run of the tests showed that an answer cut right after a header line kept the reader spinning until the deadline: read_until gives nothing at the end of the connection, and the line before still ended in a line feed.

Change: a read that adds nothing ends the head as cut. Tests use port 1 for a closed address: an ephemeral port just closed may be handed to another test's server.

Conclusion: refused connections are never sent; half-written bodies, resets before, in and after the answer, cut heads, bodies and chunks, and timeouts may have run.

--- a/crates/godwit-engine/src/calls.rs
+++ b/crates/godwit-engine/src/calls.rs
@@ -41,8 +41,8 @@
 /// Whether each engine answers a load call within `wait_ms`; all are asked at once, in the order given.
 ///
 /// ```
-/// let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-/// assert_eq!(godwit_engine::probe(&[&closed.to_string()], 100), [false]);
+/// let closed = "127.0.0.1:1";
+/// assert_eq!(godwit_engine::probe(&[closed], 100), [false]);
 /// ```
 pub fn probe(addresses: &[&str], wait_ms: u64) -> Vec<bool> {
     let answers: Vec<_> = addresses.iter().map(|address| start_probe(address, wait_ms)).collect();
--- a/crates/godwit-engine/src/generation.rs
+++ b/crates/godwit-engine/src/generation.rs
@@ -94,12 +94,12 @@
 /// use godwit_core::UnixMs;
 /// use godwit_engine::{StreamEvent, generate};
 /// use godwit_schema::engine::GenerateRequest;
-/// let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+/// let closed = "127.0.0.1:1";
 /// let request: GenerateRequest = serde_json::from_str(
 ///     r#"{"request_id": "r-1", "model": "m", "prompt": "Hello", "max_tokens": 4, "attempt": 1}"#,
 /// )
 /// .unwrap();
-/// let mut generation = generate(&request, &closed.to_string(), UnixMs(2_000), UnixMs(0));
+/// let mut generation = generate(&request, closed, UnixMs(2_000), UnixMs(0));
 /// let event = generation.next(2_000).unwrap();
 /// assert!(matches!(event, StreamEvent::Unreachable { .. }));
 /// ```
--- a/crates/godwit-service/src/call.rs
+++ b/crates/godwit-service/src/call.rs
@@ -44,7 +44,7 @@
 /// ```
 /// use godwit_core::UnixMs;
 /// use godwit_service::{ServiceCall, ServiceError, forward};
-/// let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+/// let closed = "127.0.0.1:1";
 /// let call = ServiceCall {
 ///     method: "POST",
 ///     path: "/orders",
@@ -52,7 +52,7 @@
 ///     body: b"{}",
 ///     answer_limit_bytes: 1024,
 /// };
-/// let error = forward(&call, &closed.to_string(), UnixMs(1_000), UnixMs(0)).unwrap_err();
+/// let error = forward(&call, closed, UnixMs(1_000), UnixMs(0)).unwrap_err();
 /// assert!(matches!(error, ServiceError::NeverSent { .. }));
 /// ```
 pub fn forward(
--- a/crates/godwit-service/src/reply.rs
+++ b/crates/godwit-service/src/reply.rs
@@ -65,7 +65,7 @@
             .take(room as u64)
             .read_until(b'\n', &mut bytes)
             .map_err(|error| after_send(&error))?;
-        if bytes.last() != Some(&b'\n') {
+        if bytes.len() == before || bytes.last() != Some(&b'\n') {
             return Err(cut("the head of the answer is cut or too long"));
         }
         let line = &bytes[before..];
--- /dev/null
+++ b/crates/godwit-service/tests/calls/fake.rs
@@ -0,0 +1,59 @@
+//! A service that plays one script for one connection.
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+
+/// A listening script.
+pub(crate) struct Fake {
+    pub(crate) address: String,
+    /// What the script read, once it has ended.
+    pub(crate) request: Receiver<Vec<u8>>,
+}
+
+impl Fake {
+    /// Plays `script` for the first connection.
+    pub(crate) fn play(script: impl FnOnce(&mut TcpStream) -> Vec<u8> + Send + 'static) -> Fake {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let (sender, request) = channel();
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            // Most tests do not look at the request.
+            let _ = sender.send(script(&mut stream));
+        });
+        Fake { address, request }
+    }
+
+    /// Reads the whole request, answers with `answer` and closes the connection.
+    pub(crate) fn answer(answer: &'static [u8]) -> Fake {
+        Fake::play(move |stream| {
+            let request = read_request(stream);
+            stream.write_all(answer).unwrap();
+            request
+        })
+    }
+}
+
+/// Reads a request up to the end of its body, which has a Content-Length.
+pub(crate) fn read_request(stream: &mut TcpStream) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).unwrap();
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&bytes).to_string();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("Content-Length: "))
+        .map_or(0, |length| length.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).unwrap();
+    bytes.extend(body);
+    bytes
+}
+
+/// An address at which nobody listens: a port that the system never hands out.
+pub(crate) const CLOSED_ADDRESS: &str = "127.0.0.1:1";
