Test engine streams at every point at which they can break

Cause: a cut stream must not pass for a whole one, and only a refused connection or a refusal that ran nothing may count as never sent.

Change: 17 tests against scripted engines: refused connection, refusals whole and cut, closed before and in the head, between tokens, in a line, a last line without its end, malformed lines, error events, silence followed by a cancel.

--- /dev/null
+++ b/crates/godwit-engine/tests/streams/calls.rs
@@ -0,0 +1,64 @@
+//! Single calls.
+
+use godwit_core::UnixMs;
+use godwit_engine::{EngineError, load, order, probe};
+use godwit_schema::engine::{EngineOrder, OrderAction, RefusalReason};
+
+use crate::fake::{CLOSED_ADDRESS, Fake};
+
+const DEADLINE: UnixMs = UnixMs(10_000);
+const START: UnixMs = UnixMs(0);
+const PROBE_WAIT_MS: u64 = 2_000;
+const LOAD: &str = r#"{"measured_at_unix_ms":5,"started_at_unix_ms":1,"slots":4,"running":1,"waiting":0,"pending_tokens":9,"tokens_per_s":20.0}"#;
+
+fn with_length(status: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+#[test]
+fn load_gives_report() {
+    let fake = Fake::answer(&with_length("200 OK", LOAD));
+    assert_eq!(load(&fake.address, DEADLINE, START).unwrap().pending_tokens, 9);
+    assert_eq!(fake.requests.recv().unwrap().0, "GET /v1/load HTTP/1.1");
+}
+
+#[test]
+fn load_cut_is_lost() {
+    let whole = with_length("200 OK", LOAD);
+    let fake = Fake::answer(&whole[..whole.len() - 1]);
+    assert!(matches!(load(&fake.address, DEADLINE, START), Err(EngineError::Lost { .. })));
+    let fake = Fake::answer("");
+    assert!(matches!(load(&fake.address, DEADLINE, START), Err(EngineError::Lost { .. })));
+}
+
+#[test]
+fn load_refused_connection_is_unreachable() {
+    let result = load(CLOSED_ADDRESS, DEADLINE, START);
+    assert!(matches!(result, Err(EngineError::Unreachable { .. })), "{result:?}");
+}
+
+#[test]
+fn order_with_old_fencing_number_is_refused() {
+    let body = r#"{"reason":"stale_fencing_number","message":"7 was seen"}"#;
+    let fake = Fake::answer(&with_length("409 Conflict", body));
+    let load_model = EngineOrder {
+        order_id: "o-1".to_string(),
+        fencing_number: 6,
+        action: OrderAction::LoadModel,
+        target: "m".to_string(),
+    };
+    match order(&fake.address, &load_model, DEADLINE, START) {
+        Err(EngineError::Refused { refusal, .. }) => {
+            assert_eq!(refusal.reason, RefusalReason::StaleFencingNumber);
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn probe_tells_live_from_dead() {
+    let live = Fake::answer(&with_length("200 OK", LOAD));
+    let broken = Fake::answer("");
+    let addresses = [live.address.as_str(), CLOSED_ADDRESS, broken.address.as_str()];
+    assert_eq!(probe(&addresses, PROBE_WAIT_MS), [true, false, false]);
+}
--- /dev/null
+++ b/crates/godwit-engine/tests/streams/events.rs
@@ -0,0 +1,156 @@
+//! What a stream tells, whole and broken at each point.
+
+use std::io::Write;
+use std::time::Duration;
+
+use godwit_core::UnixMs;
+use godwit_engine::{Generation, LossCause, NoEvent, StreamEvent, generate};
+use godwit_schema::engine::{FinishReason, RefusalReason};
+
+use crate::fake::{CLOSED_ADDRESS, Fake, STREAM_HEAD, chunk, request, token};
+
+const DEADLINE: UnixMs = UnixMs(10_000);
+const START: UnixMs = UnixMs(0);
+const WAIT_MS: u64 = 5_000;
+const SILENT_MS: u64 = 50;
+const DONE: &str = r#"{"kind":"done","attempt":3,"position":2,"finish_reason":"stop"}"#;
+
+fn start(address: &str) -> Generation {
+    generate(&request(), address, DEADLINE, START)
+}
+
+/// All events of a stream, up to its last.
+fn events(answer: &str) -> Vec<StreamEvent> {
+    let fake = Fake::answer(answer);
+    let mut generation = start(&fake.address);
+    let mut events = Vec::new();
+    loop {
+        let event = generation.next(WAIT_MS).unwrap();
+        let is_last = event.is_last();
+        events.push(event);
+        if is_last {
+            return events;
+        }
+    }
+}
+
+#[track_caller]
+fn assert_lost_after(answer: &str, tokens: usize) {
+    let events = events(answer);
+    assert_eq!(events.len(), tokens + 1, "{events:?}");
+    assert!(matches!(events.last(), Some(StreamEvent::Lost(_))), "{events:?}");
+}
+
+#[test]
+fn stream_whole_gives_tokens_and_end() {
+    let answer = format!("{STREAM_HEAD}{}{}{}0\r\n\r\n", token(3, 0), token(3, 1), chunk(DONE));
+    let events = events(&answer);
+    assert!(
+        matches!(&events[0], StreamEvent::Token { attempt: 3, position: 0, token } if token == "t0")
+    );
+    assert!(matches!(&events[1], StreamEvent::Token { position: 1, .. }));
+    let done = StreamEvent::Done { attempt: 3, count: 2, finish_reason: FinishReason::Stop };
+    assert_eq!(events[2], done);
+}
+
+#[test]
+fn connect_refused_is_never_sent() {
+    let event = start(CLOSED_ADDRESS).next(WAIT_MS).unwrap();
+    assert!(matches!(event, StreamEvent::Unreachable { .. }), "{event:?}");
+}
+
+#[test]
+fn refusal_is_never_sent() {
+    let body = r#"{"reason":"busy","message":"queue is full"}"#;
+    let answer = format!("HTTP/1.1 503 Busy\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let events = events(&answer);
+    let reason = RefusalReason::Busy;
+    assert!(
+        matches!(&events[0], StreamEvent::Refused { reason: found, .. } if *found == reason),
+        "{events:?}"
+    );
+}
+
+#[test]
+fn refusal_of_later_stage_may_have_run() {
+    let body = r#"{"reason":"stage_failed","failed_server":"s2","message":"lost"}"#;
+    let answer = format!("HTTP/1.1 502 Failed\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let events = events(&answer);
+    assert!(
+        matches!(&events[0], StreamEvent::Failed { failed_server: Some(server), .. } if server == "s2"),
+        "{events:?}"
+    );
+}
+
+#[test]
+fn refusal_cut_may_have_run() {
+    assert_lost_after("HTTP/1.1 503 Busy\r\nContent-Length: 40\r\n\r\n{\"reason\":\"busy\"", 0);
+}
+
+#[test]
+fn connection_closed_before_answer_is_lost() {
+    assert_lost_after("", 0);
+}
+
+#[test]
+fn connection_closed_in_head_is_lost() {
+    assert_lost_after("HTTP/1.1 200 OK\r\nTransfer-Enc", 0);
+}
+
+#[test]
+fn stream_closed_between_tokens_is_lost() {
+    assert_lost_after(&format!("{STREAM_HEAD}{}", token(3, 0)), 1);
+    assert_lost_after(&format!("{STREAM_HEAD}{}0\r\n\r\n", token(3, 0)), 1);
+}
+
+#[test]
+fn stream_cut_in_line_is_lost() {
+    let cut_line = "3f\r\n{\"kind\":\"done\",\"attempt\":3,\"position\":1,";
+    assert_lost_after(&format!("{STREAM_HEAD}{}{cut_line}", token(3, 0)), 1);
+    // The line parses, but its end is missing.
+    let unended = r#"{"kind":"done","attempt":3,"position":1}"#;
+    let chunk = format!("{:x}\r\n{unended}\r\n", unended.len());
+    assert_lost_after(&format!("{STREAM_HEAD}{}{chunk}", token(3, 0)), 1);
+}
+
+#[test]
+fn stream_malformed_line_is_lost() {
+    let events = events(&format!("{STREAM_HEAD}{}0\r\n\r\n", chunk("{\"kind\":\"toke")));
+    assert!(matches!(&events[0], StreamEvent::Lost(LossCause::Malformed(_))), "{events:?}");
+}
+
+#[test]
+fn stream_error_event_names_server() {
+    let error =
+        r#"{"kind":"error","attempt":3,"position":1,"failed_server":"s2","message":"lost"}"#;
+    let events = events(&format!("{STREAM_HEAD}{}{}0\r\n\r\n", token(3, 0), chunk(error)));
+    assert!(
+        matches!(&events[1], StreamEvent::Failed { failed_server: Some(server), .. } if server == "s2"),
+        "{events:?}"
+    );
+}
+
+#[test]
+fn silent_engine_is_noticed_and_cancelled() {
+    let (let_go, held) = flume::bounded::<()>(0);
+    let fake = Fake::play(vec![
+        Box::new(move |stream| {
+            stream.write_all(format!("{STREAM_HEAD}{}", token(3, 0)).as_bytes()).unwrap();
+            // Holds the connection open until the test lets go.
+            let _ = held.recv();
+        }),
+        Box::new(|stream| {
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}").unwrap();
+        }),
+    ]);
+    let mut generation = start(&fake.address);
+    assert!(matches!(generation.next(WAIT_MS), Ok(StreamEvent::Token { .. })));
+    assert_eq!(generation.next(SILENT_MS), Err(NoEvent::Silent { waited_ms: SILENT_MS }));
+    drop(generation);
+    drop(let_go);
+    let (generate_line, _) = fake.requests.recv().unwrap();
+    assert_eq!(generate_line, "POST /v1/generate HTTP/1.1");
+    let cancel = fake.requests.recv_timeout(Duration::from_millis(WAIT_MS)).unwrap();
+    assert_eq!(cancel.0, "POST /v1/cancel HTTP/1.1");
+    assert_eq!(cancel.1, r#"{"attempt":3,"request_id":"r-1"}"#);
+}
