Prove dispatch with stand-ins, and tell innocents from requests that crash servers

Change: a mark is cleared when a later attempt runs more than twice the tokens of the lost one, and the clearing goes to the other hosts as Hint::CrashCleared (with its key and spread in core::member); a suspect's servers are probed before its run; the fingerprint takes in the path. A silent plan whose stages all answer a probe blames none of them: its stages are left out one at a time. Ruled out: counting only losses after an answer's head, since a crash while the prompt is read comes before it; a server's loss without a sign of life since the last one, since a restarted server could then be crashed for ever.

--- a/crates/godwit-core/src/hint.rs
+++ b/crates/godwit-core/src/hint.rs
@@ -16,6 +16,13 @@
         /// Deadline after which the mark is forgotten.
         expires_at: UnixMs,
     },
+    /// A request with this fingerprint outlived its marks: it finished whole, or ran on well past the point of its loss.
+    CrashCleared {
+        /// Fingerprint of the request's body.
+        fingerprint: u64,
+        /// Deadline after which no mark from before can count.
+        expires_at: UnixMs,
+    },
     /// A backend server failed in a way that a load report does not show.
     ServerSuspect {
         /// Name of the server.
--- a/crates/godwit-core/src/member/receiving.rs
+++ b/crates/godwit-core/src/member/receiving.rs
@@ -160,7 +160,7 @@
         }
         self.has_news |= known.is_none();
         self.hints.insert(key.clone(), hint.clone());
-        if is_of_own_domain && matches!(hint, Hint::CrashMark { .. }) {
+        if is_of_own_domain && matches!(hint, Hint::CrashMark { .. } | Hint::CrashCleared { .. }) {
             self.outgoing_hints.insert(key, hint.clone());
         }
         actions.push(MemberAction::Tell(MemberEvent::Hint(hint.clone())));
@@ -198,11 +198,14 @@
     match hint {
         Hint::CrashMark { fingerprint, server, .. } => (0, *fingerprint, server.clone()),
         Hint::ServerSuspect { server, .. } => (1, 0, server.clone()),
+        Hint::CrashCleared { fingerprint, .. } => (2, *fingerprint, String::new()),
     }
 }
 
 pub(super) fn expires_at(hint: &Hint) -> UnixMs {
     match hint {
-        Hint::CrashMark { expires_at, .. } | Hint::ServerSuspect { expires_at, .. } => *expires_at,
+        Hint::CrashMark { expires_at, .. }
+        | Hint::CrashCleared { expires_at, .. }
+        | Hint::ServerSuspect { expires_at, .. } => *expires_at,
     }
 }
--- a/crates/godwit-core/src/quarantine/fingerprint.rs
+++ b/crates/godwit-core/src/quarantine/fingerprint.rs
@@ -4,18 +4,20 @@
 
 use siphasher::sip::SipHasher13;
 
-/// Fingerprint of a request: the same for the same body of the same workspace, on every host.
+/// Fingerprint of a request: the same for the same path and body of the same workspace, on every host.
 ///
 /// ```
 /// use godwit_core::quarantine::fingerprint;
-/// assert_eq!(fingerprint("farm", b"body"), fingerprint("farm", b"body"));
-/// assert_ne!(fingerprint("farm", b"body"), fingerprint("bakery", b"body"));
+/// assert_eq!(fingerprint("farm", "/slots", b""), fingerprint("farm", "/slots", b""));
+/// assert_ne!(fingerprint("farm", "/slots", b""), fingerprint("farm", "/baskets", b""));
 /// ```
-pub fn fingerprint(workspace: &str, body: &[u8]) -> u64 {
+pub fn fingerprint(workspace: &str, path: &str, body: &[u8]) -> u64 {
     let mut hasher = SipHasher13::new();
-    // The length keeps the two parts apart.
-    hasher.write_u64(workspace.len() as u64);
-    hasher.write(workspace.as_bytes());
+    // The lengths keep the parts apart.
+    for part in [workspace, path] {
+        hasher.write_u64(part.len() as u64);
+        hasher.write(part.as_bytes());
+    }
     hasher.write(body);
     hasher.finish()
 }
--- a/crates/godwit-core/src/quarantine/marks.rs
+++ b/crates/godwit-core/src/quarantine/marks.rs
@@ -14,6 +14,10 @@
 }
 
 impl Mark {
+    fn lost_at(&self) -> UnixMs {
+        self.expires_at.minus_ms(MARK_LIFETIME_MS)
+    }
+
     fn is_same_loss(&self, server: &str, expires_at: UnixMs) -> bool {
         let apart_ms =
             self.expires_at.since_ms(expires_at).max(expires_at.since_ms(self.expires_at));
@@ -42,10 +46,10 @@
         self.marks.push(Mark { server: server.to_string(), expires_at });
     }
 
-    /// Forgets all marks of losses up to `now`.
-    pub(crate) fn clear(&mut self, now: UnixMs) {
-        self.marks.clear();
-        self.cleared_at = Some(now);
+    /// Forgets all marks of losses up to a point.
+    pub(crate) fn clear(&mut self, cleared_at: UnixMs) {
+        self.marks.retain(|mark| mark.lost_at() > cleared_at);
+        self.cleared_at = self.cleared_at.max(Some(cleared_at));
     }
 
     /// Losses that still count.
--- a/crates/godwit-core/src/quarantine/register.rs
+++ b/crates/godwit-core/src/quarantine/register.rs
@@ -105,12 +105,18 @@
         Hint::CrashMark { fingerprint, server: server.to_string(), expires_at }
     }
 
-    /// The request finished whole: it crashes no server, and its marks are cleared.
-    pub fn finished(&mut self, fingerprint: u64, servers: &[&str], now: UnixMs) {
+    /// The request finished whole: it crashes no server. Gives the hint for the other hosts, if there was a mark.
+    pub fn finished(&mut self, fingerprint: u64, servers: &[&str], now: UnixMs) -> Option<Hint> {
         self.stopped(fingerprint, servers);
-        if let Some(marks) = self.requests.get_mut(&fingerprint) {
-            marks.clear(now);
-        }
+        self.clear(fingerprint, now)
+    }
+
+    /// Clears the marks of a request that runs on well past the point of its loss. Gives the hint for the other hosts,
+    /// if there was a mark.
+    pub fn clear(&mut self, fingerprint: u64, now: UnixMs) -> Option<Hint> {
+        let marks = self.requests.get_mut(&fingerprint).filter(|marks| marks.count(now) > 0)?;
+        marks.clear(now);
+        Some(Hint::CrashCleared { fingerprint, expires_at: now.plus_ms(MARK_LIFETIME_MS) })
     }
 
     /// The run ended in another way.
@@ -128,8 +134,16 @@
 
     /// Takes a hint of another host; hints of other kinds change nothing.
     pub fn merge(&mut self, hint: &Hint, now: UnixMs) {
-        if let Hint::CrashMark { fingerprint, server, expires_at } = hint {
-            self.mark(*fingerprint, server, *expires_at, now);
+        match hint {
+            Hint::CrashMark { fingerprint, server, expires_at } => {
+                self.mark(*fingerprint, server, *expires_at, now);
+            }
+            Hint::CrashCleared { fingerprint, expires_at } => {
+                let cleared_at = expires_at.minus_ms(MARK_LIFETIME_MS).min(now);
+                self.requests.entry(*fingerprint).or_default().clear(cleared_at);
+                self.bound(now);
+            }
+            Hint::ServerSuspect { .. } => {}
         }
     }
 
@@ -149,6 +163,10 @@
 
     fn mark(&mut self, fingerprint: u64, server: &str, expires_at: UnixMs, now: UnixMs) {
         self.requests.entry(fingerprint).or_default().add(server, expires_at, now);
+        self.bound(now);
+    }
+
+    fn bound(&mut self, now: UnixMs) {
         if self.requests.len() > REQUESTS_LIMIT {
             self.expire(now);
             self.make_room();
--- a/crates/godwit-core/tests/quarantine.rs
+++ b/crates/godwit-core/tests/quarantine.rs
@@ -152,14 +152,19 @@
         };
         let count = self.runs.remove(&run).unwrap_or(0);
         let server = name(run.server);
+        let mut hints = Vec::new();
         for _ in 0..count {
             let register = &mut self.hosts[run.host];
             if finished {
-                register.finished(request, &[&server], self.now);
+                let hint = register.finished(request, &[&server], self.now);
+                hints.extend(hint);
             } else {
                 register.stopped(request, &[&server]);
             }
         }
+        if S::TELLS_HOSTS {
+            self.tell(&hints);
+        }
     }
 }
 
@@ -265,6 +270,22 @@
     assert_eq!(register.standing(7, lost_at.plus_ms(20)), Standing::Clear);
 }
 
+#[test]
+fn quarantine_cleared_on_one_host_is_cleared_on_all() {
+    let (mut register, mut other) = (Quarantine::default(), Quarantine::default());
+    let lost_at = UnixMs(1_000);
+    let mark = register.server_lost(7, "s1", lost_at);
+    let cleared = register.clear(7, lost_at.plus_ms(10)).unwrap();
+    let now = lost_at.plus_ms(20);
+    // In either order.
+    other.merge(&cleared, now);
+    other.merge(&mark, now);
+    assert_eq!(other.standing(7, now), Standing::Clear);
+    other.server_lost(7, "s1", lost_at.plus_ms(5_000));
+    other.merge(&cleared, lost_at.plus_ms(5_010));
+    assert_eq!(other.standing(7, lost_at.plus_ms(5_020)), Standing::Suspect);
+}
+
 #[test]
 fn quarantine_hint_cannot_outlive_lifetime() {
     let mut register = Quarantine::default();
@@ -277,5 +298,6 @@
 
 #[test]
 fn fingerprint_parts_do_not_run_together() {
-    assert_ne!(fingerprint("ab", b"c"), fingerprint("a", b"bc"));
+    assert_ne!(fingerprint("ab", "c", b"d"), fingerprint("a", "bc", b"d"));
+    assert_ne!(fingerprint("a", "bc", b"d"), fingerprint("a", "b", b"cd"));
 }
--- /dev/null
+++ b/crates/godwit-host/src/dispatch/acquire.rs
@@ -0,0 +1,116 @@
+//! How a request gets a server for its next attempt.
+
+use std::collections::BTreeSet;
+
+use godwit_core::Code;
+use godwit_core::quarantine::{Standing, Start};
+
+use crate::dispatch::blame::unanswered;
+use crate::dispatch::tries::{Tries, refusal, servers};
+use crate::dispatch::{AttemptEnding, AttemptReport, GrantedServer, Refusal};
+
+/// Longest wait for another suspect to leave a server, before asking again.
+const SUSPECT_WAIT_MS: u64 = 50;
+
+impl Tries<'_> {
+    /// A server on which an attempt may start now.
+    pub(crate) fn acquire(&mut self) -> Result<GrantedServer, Refusal> {
+        loop {
+            self.check_limits()?;
+            match self.tools.source.acquire(&self.excluded()) {
+                Ok(granted) => {
+                    if self.may_start(&granted)? {
+                        return Ok(granted);
+                    }
+                }
+                Err(refusal) => self.after_refusal(refusal)?,
+            }
+        }
+    }
+
+    fn check_limits(&self) -> Result<(), Refusal> {
+        if self.admission.deadline.is_past(self.tools.clock.now()) {
+            return Err(refusal(Code::TooLate));
+        }
+        if self.report.attempts.len() >= self.tools.settings.attempts_limit as usize {
+            return Err(refusal(Code::ServersRefused));
+        }
+        Ok(())
+    }
+
+    fn excluded(&self) -> BTreeSet<String> {
+        let doubted = self.doubted.front();
+        let left_out = self.attempts.failed().iter().chain(&self.refused).chain(&self.taken);
+        left_out.chain(doubted).cloned().collect()
+    }
+
+    fn may_start(&mut self, granted: &GrantedServer) -> Result<bool, Refusal> {
+        let now = self.tools.clock.now();
+        let start = self.tools.crashes.begin(self.fingerprint, &servers(granted), now);
+        if start == Start::Run {
+            return Ok(self.is_alive(granted));
+        }
+        self.give_back(granted, AttemptEnding::Cancelled, &[]);
+        match start {
+            Start::Quarantined => return Err(refusal(Code::Quarantined)),
+            Start::OtherServers { taken } => self.taken.extend(taken),
+            Start::Later | Start::Run => self.wait_for_end(),
+        }
+        Ok(false)
+    }
+
+    /// Asks the servers of a suspect whether they live, since the loss of a server that was dead before would count
+    /// against it.
+    fn is_alive(&mut self, granted: &GrantedServer) -> bool {
+        let crashes = self.tools.crashes;
+        if crashes.standing(self.fingerprint, self.tools.clock.now()) == Standing::Clear {
+            return true;
+        }
+        let dead = unanswered(granted, self.tools.settings.probe_wait_ms);
+        if dead.is_empty() {
+            return true;
+        }
+        crashes.stopped(self.fingerprint, &servers(granted));
+        self.give_back(granted, AttemptEnding::Unreachable, &dead);
+        self.refused.extend(dead);
+        false
+    }
+
+    /// Eases what a refusal may be due to: a doubted stage, or servers taken by other suspects.
+    fn after_refusal(&mut self, refusal: Refusal) -> Result<(), Refusal> {
+        if refusal.code != Code::NoServer {
+            return Err(refusal);
+        }
+        if self.doubted.pop_front().is_some() {
+            return Ok(());
+        }
+        if self.taken.is_empty() {
+            return Err(self.explain(refusal));
+        }
+        self.taken.clear();
+        self.wait_for_end();
+        Ok(())
+    }
+
+    fn wait_for_end(&self) {
+        let left_ms = self.admission.deadline.since_ms(self.tools.clock.now());
+        self.tools.crashes.wait_for_end(left_ms.min(SUSPECT_WAIT_MS));
+    }
+
+    fn give_back(&self, granted: &GrantedServer, ending: AttemptEnding, blamed: &[String]) {
+        self.tools.reports.attempt_ended(&AttemptReport {
+            granted,
+            ending,
+            blamed,
+            tokens: 0,
+            duration_ms: 0,
+        });
+    }
+
+    fn explain(&self, refusal: Refusal) -> Refusal {
+        if self.refused.is_empty() {
+            return refusal;
+        }
+        Refusal { code: Code::ServersRefused, ..refusal }
+    }
+}
--- a/crates/godwit-host/src/dispatch/attempt.rs
+++ b/crates/godwit-host/src/dispatch/attempt.rs
@@ -1,12 +1,11 @@
 //! One attempt: the events of one stream until it ends.
 
 use godwit_core::stream::{Assembly, Dropped};
-use godwit_core::{NeverSent, UnixMs};
+use godwit_core::{Admission, NeverSent, UnixMs};
 use godwit_engine::{Generation, LossCause, NoEvent, StreamEvent};
 use godwit_schema::engine::FinishReason;
 
-use crate::Clock;
-use crate::dispatch::{CallerGone, DispatchSettings, GrantedServer, TokenSink};
+use crate::dispatch::{CallerGone, GrantedServer, TokenSink, Tools};
 
 /// How an attempt ended.
 #[derive(Debug)]
@@ -26,39 +25,37 @@
 pub(crate) struct Attempt<'a> {
     pub(crate) number: u32,
     pub(crate) granted: &'a GrantedServer,
-    pub(crate) idempotent: bool,
-    pub(crate) deadline: UnixMs,
-    pub(crate) clock: &'a dyn Clock,
-    pub(crate) settings: &'a DispatchSettings,
+    pub(crate) admission: &'a Admission,
+    pub(crate) tools: &'a Tools<'a>,
+    pub(crate) fingerprint: u64,
+    /// Tokens of this attempt after which the request is known not to crash its servers.
+    pub(crate) harmless_after_tokens: Option<u32>,
+    /// Tokens accepted in this attempt.
+    pub(crate) tokens: u32,
+    pub(crate) assembly: &'a mut Assembly,
+    pub(crate) sink: &'a mut dyn TokenSink,
+    /// When the first token of the answer was accepted.
+    pub(crate) first_token_at: &'a mut Option<UnixMs>,
 }
 
 impl Attempt<'_> {
-    /// Reads until the stream ends; `first_token_at` is set at the first token of the answer.
-    pub(crate) fn read(
-        &self,
-        generation: &mut Generation,
-        assembly: &mut Assembly,
-        sink: &mut dyn TokenSink,
-        first_token_at: &mut Option<UnixMs>,
-    ) -> AttemptEnd {
+    /// Reads until the stream ends.
+    pub(crate) fn read(&mut self, generation: &mut Generation) -> AttemptEnd {
         let mut expected_ms = self.granted.first_token_ms;
         loop {
             let event = match self.next(generation, expected_ms) {
                 Ok(event) => event,
-                Err(end) => return self.or_whole(end, assembly),
+                Err(end) => return self.or_whole(end),
             };
             let taken = match event {
                 StreamEvent::Token { attempt, position, token } => {
-                    self.token(assembly, sink, attempt, position, &token)
+                    self.token(attempt, position, &token)
                 }
-                last => Err(self.or_whole(self.end(last, assembly), assembly)),
+                last => Err(self.or_whole(self.end(last))),
             };
             if let Err(end) = taken {
                 return end;
             }
-            if assembly.next_position() > 0 {
-                first_token_at.get_or_insert_with(|| self.clock.now());
-            }
             expected_ms = self.granted.token_gap_ms;
         }
     }
@@ -68,10 +65,10 @@
         generation: &mut Generation,
         expected_ms: u64,
     ) -> Result<StreamEvent, AttemptEnd> {
-        let left_ms = self.deadline.since_ms(self.clock.now());
-        let bound_ms = self.settings.silent_bound_ms(expected_ms);
+        let left_ms = self.admission.deadline.since_ms(self.tools.clock.now());
+        let bound_ms = self.tools.settings.silent_bound_ms(expected_ms);
         // A non-idempotent run is never given up for another, so that only its deadline ends the wait.
-        let wait_ms = if self.idempotent { bound_ms.min(left_ms) } else { left_ms };
+        let wait_ms = if self.admission.non_idempotent { left_ms } else { bound_ms.min(left_ms) };
         match generation.next(wait_ms) {
             Ok(event) => Ok(event),
             Err(NoEvent::Silent { .. }) if wait_ms >= left_ms => Err(AttemptEnd::DeadlinePassed),
@@ -79,39 +76,33 @@
         }
     }
 
-    fn token(
-        &self,
-        assembly: &mut Assembly,
-        sink: &mut dyn TokenSink,
-        attempt: u32,
-        position: u32,
-        token: &str,
-    ) -> Result<(), AttemptEnd> {
-        match assembly.token(attempt, position, token) {
-            Ok(()) => self.pass_on(sink, position, token),
+    fn token(&mut self, attempt: u32, position: u32, token: &str) -> Result<(), AttemptEnd> {
+        match self.assembly.token(attempt, position, token) {
+            Ok(()) => self.accepted(position, token),
             // One stream is in order: a missing token will not come.
             Err(Dropped::Gap { .. } | Dropped::OverLimit { .. }) => Err(AttemptEnd::Malformed),
             Err(Dropped::OtherAttempt { .. } | Dropped::Duplicate { .. }) => Ok(()),
         }
     }
 
-    fn pass_on(
-        &self,
-        sink: &mut dyn TokenSink,
-        position: u32,
-        token: &str,
-    ) -> Result<(), AttemptEnd> {
-        match sink.accept(position, token) {
-            Err(CallerGone) if self.idempotent => Err(AttemptEnd::CallerGone),
+    fn accepted(&mut self, position: u32, token: &str) -> Result<(), AttemptEnd> {
+        let now = self.tools.clock.now();
+        self.first_token_at.get_or_insert(now);
+        self.tokens += 1;
+        if self.harmless_after_tokens == Some(self.tokens) {
+            self.tools.crashes.clear(self.fingerprint, now);
+        }
+        match self.sink.accept(position, token) {
+            Err(CallerGone) if !self.admission.non_idempotent => Err(AttemptEnd::CallerGone),
             // A non-idempotent run goes on, so that a retry of its caller finds the result.
             Err(CallerGone) | Ok(()) => Ok(()),
         }
     }
 
-    fn end(&self, event: StreamEvent, assembly: &Assembly) -> AttemptEnd {
+    fn end(&self, event: StreamEvent) -> AttemptEnd {
         match event {
             StreamEvent::Done { attempt, count, finish_reason } => {
-                match assembly.done(attempt, count) {
+                match self.assembly.done(attempt, count) {
                     Ok(()) => AttemptEnd::Whole(finish_reason),
                     Err(error) => {
                         tracing::warn!(attempt = self.number, %error, "end of stream not taken");
@@ -131,13 +122,13 @@
     }
 
     /// An answer that has all its tokens is whole, also when the end of its stream was lost.
-    fn or_whole(&self, end: AttemptEnd, assembly: &Assembly) -> AttemptEnd {
+    fn or_whole(&self, end: AttemptEnd) -> AttemptEnd {
         match end {
             AttemptEnd::Failed { .. }
             | AttemptEnd::Closed
             | AttemptEnd::Malformed
             | AttemptEnd::Silent
-                if assembly.is_at_limit() =>
+                if self.assembly.is_at_limit() =>
             {
                 AttemptEnd::Whole(FinishReason::Length)
             }
--- a/crates/godwit-host/src/dispatch/blame.rs
+++ b/crates/godwit-host/src/dispatch/blame.rs
@@ -5,7 +5,7 @@
 use crate::dispatch::GrantedServer;
 use crate::dispatch::attempt::AttemptEnd;
 
-/// The servers that the end of an attempt is put down to, none when no server is at fault.
+/// The servers that the end of an attempt is put down to, none when no server is known to be at fault.
 pub(crate) fn blamed(end: &AttemptEnd, granted: &GrantedServer, probe_wait_ms: u64) -> Vec<String> {
     match end {
         AttemptEnd::Whole(_) | AttemptEnd::CallerGone | AttemptEnd::DeadlinePassed => Vec::new(),
@@ -25,16 +25,22 @@
     granted.stages.iter().any(|stage| stage.server == server)
 }
 
-/// The stages that do not answer a probe; the first server when all of them do, or when there are no stages.
+/// The stages that do not answer a probe, or the server of a model that is held whole.
 fn silent(granted: &GrantedServer, probe_wait_ms: u64) -> Vec<String> {
-    let addresses: Vec<&str> = granted.stages.iter().map(|stage| stage.address.as_str()).collect();
+    if granted.stages.is_empty() {
+        return vec![granted.server.clone()];
+    }
+    unanswered(granted, probe_wait_ms)
+}
+
+/// The servers of a grant that do not answer a probe.
+pub(crate) fn unanswered(granted: &GrantedServer, probe_wait_ms: u64) -> Vec<String> {
+    let named: Vec<(&str, &str)> = match granted.stages.as_slice() {
+        [] => vec![(&granted.server, &granted.address)],
+        stages => stages.iter().map(|stage| (&*stage.server, &*stage.address)).collect(),
+    };
+    let addresses: Vec<&str> = named.iter().map(|(_, address)| *address).collect();
     let answers = probe(&addresses, probe_wait_ms);
-    let silent: Vec<String> = granted
-        .stages
-        .iter()
-        .zip(answers)
-        .filter(|(_, answered)| !answered)
-        .map(|(stage, _)| stage.server.clone())
-        .collect();
-    if silent.is_empty() { vec![granted.server.clone()] } else { silent }
+    let unanswered = named.iter().zip(answers).filter(|(_, answered)| !answered);
+    unanswered.map(|((server, _), _)| server.to_string()).collect()
 }
--- a/crates/godwit-host/src/dispatch/crash_guard.rs
+++ b/crates/godwit-host/src/dispatch/crash_guard.rs
@@ -47,14 +47,19 @@
     pub fn server_lost(&self, fingerprint: u64, server: &str, now: UnixMs) {
         let hint = self.lock().server_lost(fingerprint, server, now);
         metrics::counter!("godwit_crash_marks_total").increment(1);
-        if self.hints.try_send(hint).is_err() {
-            tracing::warn!(server, fingerprint, "crash mark not passed on");
-        }
+        self.pass_on(hint);
+    }
+
+    /// The request runs on well past the point of its loss.
+    pub fn clear(&self, fingerprint: u64, now: UnixMs) {
+        let hint = self.lock().clear(fingerprint, now);
+        hint.into_iter().for_each(|hint| self.pass_on(hint));
     }
 
     /// The request finished whole.
     pub fn finished(&self, fingerprint: u64, servers: &[&str], now: UnixMs) {
-        self.lock().finished(fingerprint, servers, now);
+        let hint = self.lock().finished(fingerprint, servers, now);
+        hint.into_iter().for_each(|hint| self.pass_on(hint));
         self.run_ended.notify_all();
     }
 
@@ -85,6 +90,12 @@
         self.lock().quarantined(now)
     }
 
+    fn pass_on(&self, hint: Hint) {
+        if let Err(error) = self.hints.try_send(hint) {
+            tracing::warn!(%error, "hint not passed on");
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Quarantine> {
         self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/godwit-host/src/dispatch/generate.rs
+++ b/crates/godwit-host/src/dispatch/generate.rs
@@ -72,40 +72,43 @@
             Err(refusal) => return Next::End(progress, Ending::Refused(refusal)),
         };
         let started_at = self.tries.tools.clock.now();
-        let tokens_before = self.assembly.next_position();
         let progress = progress.begin();
-        let end = self.attempt(&granted, sink);
+        let (end, tokens) = self.attempt(&granted, sink);
         let blamed = blamed(&end, &granted, self.tries.tools.settings.probe_wait_ms);
         self.tries.tell(&AttemptReport {
             granted: &granted,
             ending: ending(&end),
             blamed: &blamed,
-            tokens: self.assembly.next_position().saturating_sub(tokens_before),
+            tokens,
             duration_ms: self.tries.tools.clock.now().since_ms(started_at),
         });
         self.decide(progress, end, &granted, &blamed)
     }
 
-    fn attempt(&mut self, granted: &GrantedServer, sink: &mut dyn TokenSink) -> AttemptEnd {
+    /// Runs one attempt; gives its end and the tokens accepted in it.
+    fn attempt(&mut self, granted: &GrantedServer, sink: &mut dyn TokenSink) -> (AttemptEnd, u32) {
         let number = self.assembly.begin_attempt();
         self.note_attempt(number, granted);
         let request = self.request(number, granted);
         let tools = self.tries.tools;
-        let admission = &self.tries.admission;
-        let mut generation =
-            generate(&request, &granted.address, admission.deadline, tools.clock.now());
-        let attempt = Attempt {
+        let deadline = self.tries.admission.deadline;
+        let mut generation = generate(&request, &granted.address, deadline, tools.clock.now());
+        let mut attempt = Attempt {
             number,
             granted,
-            idempotent: !admission.non_idempotent,
-            deadline: admission.deadline,
-            clock: tools.clock,
-            settings: tools.settings,
+            tools,
+            fingerprint: self.job.fingerprint,
+            harmless_after_tokens: self.tries.harmless_after_tokens(),
+            tokens: 0,
+            admission: &self.tries.admission,
+            assembly: &mut self.assembly,
+            sink,
+            first_token_at: &mut self.tries.report.first_token_at,
         };
-        let first_token_at = &mut self.tries.report.first_token_at;
-        let end = attempt.read(&mut generation, &mut self.assembly, sink, first_token_at);
+        let end = attempt.read(&mut generation);
+        let tokens = attempt.tokens;
         self.release(generation);
-        end
+        (end, tokens)
     }
 
     fn release(&self, generation: Generation) {
--- a/crates/godwit-host/src/dispatch/mod.rs
+++ b/crates/godwit-host/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! [`run_generate`] serves models, whole or split; [`run_service`] serves plain services. Both ask a [`ServerSource`]
 //! for servers, so that the choice stays out of here.
 
+mod acquire;
 mod attempt;
 mod blame;
 mod crash_guard;
--- a/crates/godwit-host/src/dispatch/tries.rs
+++ b/crates/godwit-host/src/dispatch/tries.rs
@@ -1,8 +1,7 @@
 //! What the dispatch of models and of plain services share: grants, retries and the end of a request.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
-use godwit_core::quarantine::Start;
 use godwit_core::split::{AttemptStart, Attempts};
 use godwit_core::{Admission, Code, NeverSent};
 
@@ -11,8 +10,10 @@
     AttemptEnding, AttemptReport, GrantedServer, Outcome, Refusal, Retry, Run, RunReport, Tools,
 };
 
-/// Longest wait for another suspect to leave a server, before asking again.
-const SUSPECT_WAIT_MS: u64 = 50;
+/// A request is harmless when a later attempt runs this many times the tokens of the lost one, and some more.
+const HARMLESS_FACTOR: u32 = 2;
+/// Tokens on top of the factor.
+const HARMLESS_TOKENS: u32 = 4;
 
 /// How an attempt failed.
 pub(crate) enum Failure {
@@ -45,12 +46,16 @@
     pub(crate) tools: &'a Tools<'a>,
     pub(crate) admission: Admission,
     pub(crate) report: RunReport,
-    fingerprint: u64,
-    attempts: Attempts,
+    pub(super) fingerprint: u64,
+    pub(super) attempts: Attempts,
+    /// Most tokens of an attempt whose server was lost.
+    lost_after_tokens: Option<u32>,
     /// Servers that refused the request.
-    refused: BTreeSet<String>,
+    pub(super) refused: BTreeSet<String>,
     /// Servers on which another suspect was running.
-    taken: BTreeSet<String>,
+    pub(super) taken: BTreeSet<String>,
+    /// Stages of a plan that was lost without a word of which of them failed; only the first is left out.
+    pub(super) doubted: VecDeque<String>,
 }
 
 impl<'a> Tries<'a> {
@@ -61,23 +66,10 @@
             report: RunReport::default(),
             fingerprint,
             attempts: Attempts::default(),
+            lost_after_tokens: None,
             refused: BTreeSet::new(),
             taken: BTreeSet::new(),
-        }
-    }
-
-    /// A server on which an attempt may start now.
-    pub(crate) fn acquire(&mut self) -> Result<GrantedServer, Refusal> {
-        loop {
-            self.check_limits()?;
-            match self.tools.source.acquire(&self.excluded()) {
-                Ok(granted) => {
-                    if self.may_start(&granted)? {
-                        return Ok(granted);
-                    }
-                }
-                Err(refusal) => self.wait_for_suspects(refusal)?,
-            }
+            doubted: VecDeque::new(),
         }
     }
 
@@ -88,8 +80,14 @@
         self.attempts.begin(&granted.stages)
     }
 
+    /// Tokens of an attempt after which the request is known not to crash its servers, if one was lost.
+    pub(crate) fn harmless_after_tokens(&self) -> Option<u32> {
+        let lost_after = self.lost_after_tokens?;
+        Some(lost_after.saturating_mul(HARMLESS_FACTOR).saturating_add(HARMLESS_TOKENS))
+    }
+
     /// Tells the rest of the host how an attempt ended.
-    pub(crate) fn tell(&self, report: &AttemptReport) {
+    pub(crate) fn tell(&mut self, report: &AttemptReport) {
         let now = self.tools.clock.now();
         let crashes = self.tools.crashes;
         let servers = servers(report.granted);
@@ -98,6 +96,7 @@
             _ => crashes.stopped(self.fingerprint, &servers),
         }
         if report.ending == AttemptEnding::Lost {
+            self.lost_after_tokens = self.lost_after_tokens.max(Some(report.tokens));
             for server in report.blamed {
                 crashes.server_lost(self.fingerprint, server, now);
             }
@@ -125,6 +124,10 @@
             }
             Failure::Lost => {
                 blamed.iter().for_each(|server| self.attempts.server_failed(server));
+                if blamed.is_empty() {
+                    self.doubted =
+                        granted.stages.iter().map(|stage| stage.server.clone()).collect();
+                }
                 self.after_loss(progress.may_have_run())
             }
             Failure::TimedOut => Next::End(progress.may_have_run(), Ending::Lost(Code::TimedOut)),
@@ -154,75 +157,6 @@
         Run { outcome, report: self.report }
     }
 
-    fn check_limits(&self) -> Result<(), Refusal> {
-        if self.admission.deadline.is_past(self.tools.clock.now()) {
-            return Err(refusal(Code::TooLate));
-        }
-        if self.report.attempts.len() >= self.tools.settings.attempts_limit as usize {
-            return Err(refusal(Code::ServersRefused));
-        }
-        Ok(())
-    }
-
-    fn excluded(&self) -> BTreeSet<String> {
-        self.attempts.failed().iter().chain(&self.refused).chain(&self.taken).cloned().collect()
-    }
-
-    fn may_start(&mut self, granted: &GrantedServer) -> Result<bool, Refusal> {
-        let crashes = self.tools.crashes;
-        let now = self.tools.clock.now();
-        let start = crashes.begin(self.fingerprint, &servers(granted), now);
-        if start != Start::Run {
-            self.give_back(granted);
-        }
-        match start {
-            Start::Run => Ok(true),
-            Start::OtherServers { taken } => {
-                self.taken.extend(taken);
-                Ok(false)
-            }
-            Start::Later => {
-                self.wait_for_end();
-                Ok(false)
-            }
-            Start::Quarantined => Err(refusal(Code::Quarantined)),
-        }
-    }
-
-    /// Waits when only other suspects keep the request from a server.
-    fn wait_for_suspects(&mut self, refusal: Refusal) -> Result<(), Refusal> {
-        if refusal.code != Code::NoServer || self.taken.is_empty() {
-            return Err(self.explain(refusal));
-        }
-        self.taken.clear();
-        self.wait_for_end();
-        Ok(())
-    }
-
-    fn wait_for_end(&self) {
-        let left_ms = self.admission.deadline.since_ms(self.tools.clock.now());
-        self.tools.crashes.wait_for_end(left_ms.min(SUSPECT_WAIT_MS));
-    }
-
-    fn give_back(&self, granted: &GrantedServer) {
-        self.tools.reports.attempt_ended(&AttemptReport {
-            granted,
-            ending: AttemptEnding::Cancelled,
-            blamed: &[],
-            tokens: 0,
-            duration_ms: 0,
-        });
-    }
-
-    fn explain(&self, refusal: Refusal) -> Refusal {
-        match refusal.code {
-            Code::NoServer if !self.refused.is_empty() => {
-                Refusal { code: Code::ServersRefused, ..refusal }
-            }
-            _ => refusal,
-        }
-    }
-
     fn after_loss<A>(&self, progress: Progress) -> Next<A> {
         if self.admission.non_idempotent {
             return Next::End(progress, Ending::Lost(Code::OutcomeUnknown));
@@ -253,14 +187,14 @@
     }
 }
 
-fn servers(granted: &GrantedServer) -> Vec<&str> {
+pub(super) fn servers(granted: &GrantedServer) -> Vec<&str> {
     if granted.stages.is_empty() {
         return vec![&granted.server];
     }
     granted.stages.iter().map(|stage| stage.server.as_str()).collect()
 }
 
-fn refusal(code: Code) -> Refusal {
+pub(super) fn refusal(code: Code) -> Refusal {
     Refusal { code, retry_at: None }
 }
 
--- a/crates/godwit-host/src/serve/pipeline.rs
+++ b/crates/godwit-host/src/serve/pipeline.rs
@@ -84,7 +84,7 @@
                     call,
                     view: &view,
                     workspace,
-                    fingerprint: fingerprint(&workspace.name, &call.body),
+                    fingerprint: fingerprint(&workspace.name, &call.path, &call.body),
                     life: life.admit(admission),
                 };
                 self.run(admitting, responder);
@@ -125,7 +125,7 @@
         };
         let admitted = config::admit(workspace, view.fleet(), &ask, self.now());
         let admission = admitted.map_err(failure)?;
-        let fingerprint = fingerprint(&workspace.name, &call.body);
+        let fingerprint = fingerprint(&workspace.name, &call.path, &call.body);
         if self.parts.crashes.standing(fingerprint, self.now()) == Standing::Quarantined {
             return Err(Failure::code(Code::Quarantined));
         }
--- /dev/null
+++ b/crates/godwit-host/tests/dispatch/crash.rs
@@ -0,0 +1,98 @@
+//! A request that crashes each engine which runs it, among innocent ones.
+
+use std::thread;
+
+use godwit_core::Code;
+use godwit_core::quarantine::Standing;
+use godwit_host::dispatch::{GenerateJob, Outcome, run_generate};
+use godwit_host::{Clock, SystemClock};
+use godwit_schema::engine::EngineFaults;
+use godwit_standin::EngineStandin;
+
+use crate::engines::{MODEL, TOKENS, address, job, positions, whole};
+use crate::support::{Bench, ListSource, Sink, life};
+
+const MARKER: &str = "divide by zero";
+const GUILTY: u64 = 1;
+
+fn engines() -> Vec<EngineStandin> {
+    let engines: Vec<EngineStandin> = ["s1", "s2", "s3"].iter().map(|name| whole(name)).collect();
+    for engine in &engines {
+        let faults = EngineFaults {
+            crash_marker: Some(MARKER.to_string()),
+            slow_factor: 5.0,
+            ..EngineFaults::default()
+        };
+        engine.set_faults(faults).unwrap();
+    }
+    engines
+}
+
+fn source(engines: &[EngineStandin]) -> ListSource {
+    let named: Vec<(String, String)> = engines
+        .iter()
+        .enumerate()
+        .map(|(index, engine)| (format!("s{}", index + 1), address(engine)))
+        .collect();
+    let servers: Vec<(&str, &str)> = named.iter().map(|(s, a)| (s.as_str(), a.as_str())).collect();
+    ListSource::new(&servers)
+}
+
+fn guilty_job() -> GenerateJob<'static> {
+    GenerateJob { prompt: MARKER, fingerprint: GUILTY, ..job() }
+}
+
+#[test]
+fn crashing_request_costs_two_servers() {
+    let engines = engines();
+    let source = source(&engines);
+    let bench = Bench::new();
+    let send = || {
+        let mut sink = Sink::default();
+        run_generate(life("r-1", TOKENS, false), &guilty_job(), &bench.tools(&source), &mut sink)
+    };
+    let first = send();
+    assert!(matches!(first.outcome, Outcome::Incomplete { .. }), "{:?}", first.outcome);
+    assert_eq!(first.report.attempts, [["s1"], ["s2"]]);
+    assert!(engines[2].journal().is_empty(), "a third server ran the request");
+    let again = send();
+    match again.outcome {
+        Outcome::NotRun { reply, .. } => assert_eq!(reply.code(), Code::Quarantined),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn crashing_request_spares_its_batch() {
+    let engines = engines();
+    let source = source(&engines);
+    let bench = Bench::new();
+    let innocents: Vec<(u64, String)> =
+        (10..14).map(|number| (number, format!("slot of basket {number}"))).collect();
+    thread::scope(|scope| {
+        for (fingerprint, prompt) in &innocents {
+            let (bench, source) = (&bench, &source);
+            scope.spawn(move || {
+                let id = format!("r-{fingerprint}");
+                let job = GenerateJob { prompt, fingerprint: *fingerprint, ..job() };
+                let mut sink = Sink::default();
+                let life = life(&id, TOKENS, false);
+                let run = run_generate(life, &job, &bench.tools(source), &mut sink);
+                assert!(matches!(run.outcome, Outcome::Answered { .. }), "{:?}", run.outcome);
+                let expected = godwit_standin::expected_tokens(MODEL, prompt, TOKENS);
+                assert_eq!(sink.tokens, expected);
+            });
+        }
+        while positions(&engines[0]).len() < innocents.len() {
+            thread::yield_now();
+        }
+        let mut sink = Sink::default();
+        let life = life("r-guilty", TOKENS, false);
+        run_generate(life, &guilty_job(), &bench.tools(&source), &mut sink);
+    });
+    let now = SystemClock.now();
+    assert_eq!(bench.crashes.quarantined(now), [GUILTY]);
+    for (fingerprint, _) in &innocents {
+        assert_eq!(bench.crashes.standing(*fingerprint, now), Standing::Clear);
+    }
+}
