--- a/crates/godwit-ctl/tests/bad_input.rs
+++ b/crates/godwit-ctl/tests/site/bad_input.rs
@@ -1,10 +1,8 @@
 //! Bad input gets its own code and never reaches a backend server.
 
-mod support;
-
+use crate::support::{Transcript, request, small_site};
 use godwit_ctl::site::{Names, Site, WORKSPACE_KEY};
 use godwit_schema::engine::{JournalAction, JournalEntry};
-use support::{Transcript, request, small_site};
 
 const CHAT: &str = "/v1/chat/completions";
 
@@ -101,7 +99,7 @@
         transcript.exchange(&site, name, text);
         assert_eq!(runs_of(&site), 0, "{name}");
     }
-    let answer = support::raw_exchange(site.caller_addresses()[0], over_long.as_bytes());
+    let answer = crate::support::raw_exchange(site.caller_addresses()[0], over_long.as_bytes());
     assert!(answer.contains("Godwit-Code: 2010"), "{}", &answer[..200.min(answer.len())]);
     assert_eq!(runs_of(&site), 0);
     insta::assert_snapshot!(transcript.text());
@@ -113,7 +111,7 @@
     let good = r#"{"model":"assistant-small","messages":[{"role":"user","content":"x"}]}"#;
     let long = format!("X-Long: {}\r\nHost:", "x".repeat(20_000));
     let text = with_kind(good).replace("Host:", &long);
-    let answer = support::raw_exchange(site.caller_addresses()[0], text.as_bytes());
+    let answer = crate::support::raw_exchange(site.caller_addresses()[0], text.as_bytes());
     assert!(answer.contains("Godwit-Code: 2009"), "{answer}");
     assert_eq!(runs_of(&site), 0);
 }
--- /dev/null
+++ b/crates/godwit-ctl/tests/site/main.rs
@@ -0,0 +1,5 @@
+//! Tests against a whole site over real sockets.
+
+mod bad_input;
+mod sessions;
+mod support;
--- a/crates/godwit-ctl/tests/sessions.rs
+++ b/crates/godwit-ctl/tests/site/sessions.rs
@@ -1,12 +1,10 @@
 //! Golden files of whole sessions with a site over real sockets.
 
-mod support;
-
+use crate::support::{Transcript, request, small_site};
 use godwit_core::config::workspace_object;
 use godwit_ctl::site::{Names, Site};
 use godwit_schema::config::{Refuse, Rule, When, Workspace};
 use serde_json::json;
-use support::{Transcript, request, small_site};
 
 fn chat(model: &str, prompt: &str, is_stream: bool) -> String {
     let messages = json!([{"role": "user", "content": prompt}]);
@@ -138,7 +136,7 @@
 fn wait_for_refusal(site: &Site, note: &str) {
     let address = site.caller_addresses()[0];
     for _ in 0..1_000 {
-        if support::raw_exchange(address, note.as_bytes()).contains("Godwit-Code: 3000") {
+        if crate::support::raw_exchange(address, note.as_bytes()).contains("Godwit-Code: 3000") {
             return;
         }
     }
--- a/crates/godwit-ctl/tests/support/mod.rs
+++ b/crates/godwit-ctl/tests/site/support.rs
@@ -27,7 +27,7 @@
 }
 
 /// One failure domain, one entry host, one engine for the whole model and two stages of the split one.
-pub fn small_site() -> Site {
+pub(crate) fn small_site() -> Site {
     let settings = SiteSettings {
         failure_domains: vec!["hall-a".to_string()],
         hosts_per_domain: 1,
@@ -44,7 +44,7 @@
 }
 
 /// Sends bytes and reads until the other side closes or the answer is whole.
-pub fn raw_exchange(address: SocketAddr, bytes: &[u8]) -> String {
+pub(crate) fn raw_exchange(address: SocketAddr, bytes: &[u8]) -> String {
     let mut stream = TcpStream::connect(address).expect("host listens");
     stream.set_read_timeout(Some(ANSWER_TIMEOUT)).expect("timeout is set");
     stream.write_all(bytes).expect("request is taken");
@@ -55,7 +55,7 @@
 }
 
 /// A request as text, with the headers that all requests share.
-pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> String {
+pub(crate) fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> String {
     let mut text = format!("{method} {path} HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n");
     let _ = write!(text, "Authorization: Bearer {WORKSPACE_KEY}\r\n");
     for (name, value) in headers {
@@ -67,23 +67,23 @@
 
 /// The exchanges of one session in a form that is the same on every run.
 #[derive(Default)]
-pub struct Transcript(String);
+pub(crate) struct Transcript(String);
 
 impl Transcript {
     /// Sends a request and notes both sides.
-    pub fn exchange(&mut self, site: &Site, name: &str, request: &str) {
+    pub(crate) fn exchange(&mut self, site: &Site, name: &str, request: &str) {
         let address = site.caller_addresses()[0];
         let answer = raw_exchange(address, request.as_bytes());
         self.note(name, &redact(request), &without_length(&redact(&answer)));
     }
 
     /// Notes something that was done between two exchanges.
-    pub fn remark(&mut self, text: &str) {
+    pub(crate) fn remark(&mut self, text: &str) {
         let _ = writeln!(self.0, "== {text}\n");
     }
 
     /// Notes all that a stand-in ran.
-    pub fn journal(&mut self, name: &str, entries: &[JournalEntry]) {
+    pub(crate) fn journal(&mut self, name: &str, entries: &[JournalEntry]) {
         let _ = writeln!(self.0, "== journal of {name}");
         for entry in entries.iter().filter(|entry| entry.action != JournalAction::Accepted) {
             let key = entry.idempotency_key.as_deref().unwrap_or("-");
@@ -104,7 +104,7 @@
         let _ = writeln!(self.0, "== {name}\n{request}\n--\n{answer}\n");
     }
 
-    pub fn text(&self) -> &str {
+    pub(crate) fn text(&self) -> &str {
         &self.0
     }
 }
