Say ready only once the choice of servers knows the fleet

Ruled out: engines that were not up, which were listening. Change: a host takes calls and says ready once the configuration is applied in all parts.

--- a/crates/godwit-host/src/node/news.rs
+++ b/crates/godwit-host/src/node/news.rs
@@ -80,6 +80,7 @@
         let drained = view.fleet().drained_servers.iter().cloned().collect();
         self.standings().set_drained(drained);
         self.apply_standings(&view);
+        self.pipeline.open();
     }
 
     pub(super) fn apply_standings(&self, view: &ConfigView) {
--- a/crates/godwit-host/src/node/start.rs
+++ b/crates/godwit-host/src/node/start.rs
@@ -280,7 +280,7 @@
 
     /// Whether requests are taken.
     pub fn is_ready(&self) -> bool {
-        self.parts.configuration.view().is_usable() && !self.parts.pipeline.is_draining()
+        self.parts.pipeline.is_open() && !self.parts.pipeline.is_draining()
     }
 
     /// From now on takes no new requests, and tells the other hosts; requests in progress go on.
--- a/crates/godwit-host/src/node/view.rs
+++ b/crates/godwit-host/src/node/view.rs
@@ -22,7 +22,7 @@
         if self.parts.pipeline.is_draining() {
             return LifeState::Draining;
         }
-        if !self.parts.configuration.view().is_usable() {
+        if !self.parts.pipeline.is_open() {
             return LifeState::Starting;
         }
         LifeState::Ready
--- a/crates/godwit-host/src/serve/pipeline.rs
+++ b/crates/godwit-host/src/serve/pipeline.rs
@@ -37,6 +37,7 @@
 /// Serves calls.
 pub struct Pipeline {
     pub(super) parts: PipelineParts,
+    is_open: AtomicBool,
     is_draining: AtomicBool,
 }
 
@@ -50,9 +51,19 @@
 }
 
 impl Pipeline {
-    /// A pipeline that takes calls.
+    /// A pipeline that takes no calls yet.
     pub fn new(parts: PipelineParts) -> Pipeline {
-        Pipeline { parts, is_draining: AtomicBool::new(false) }
+        Pipeline { parts, is_open: AtomicBool::new(false), is_draining: AtomicBool::new(false) }
+    }
+
+    /// From now on calls are taken; to be called once the choice of servers knows the fleet.
+    pub fn open(&self) {
+        self.is_open.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether a configuration is in force in all parts.
+    pub fn is_open(&self) -> bool {
+        self.is_open.load(Ordering::SeqCst)
     }
 
     /// From now on new calls are refused; those in progress go on.
@@ -94,7 +105,7 @@
     }
 
     fn gate<'a>(&self, call: &Call, view: &'a ConfigView) -> Result<&'a Workspace, Failure> {
-        if !view.is_usable() {
+        if !self.is_open() {
             return Err(Failure::code(Code::NotConfigured));
         }
         if self.is_draining() {
