--- a/crates/godwit-core/src/config/store.rs
+++ b/crates/godwit-core/src/config/store.rs
@@ -1,6 +1,6 @@
 //! The configuration objects that a host holds: a lower version never replaces a higher one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
 
 use godwit_schema::platform::ObjectHead;
@@ -20,6 +20,13 @@
     pub text: Option<String>,
 }
 
+impl Stored {
+    /// Name and version.
+    pub fn head(&self) -> ObjectHead {
+        ObjectHead { name: self.name.clone(), version: self.version }
+    }
+}
+
 /// What became of an object that was offered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Accepted {
@@ -31,12 +38,13 @@
     Older,
 }
 
-/// Short form of all versions held, for heartbeats.
+/// Short form of the objects in force, for heartbeats; two hosts with the same objects have the same digest, whatever
+/// they know of deletions.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ConfigDigest {
-    /// Highest version held.
+    /// Highest version of an object in force.
     pub highest_version: u64,
-    /// Hash over all names and versions.
+    /// Hash over the names and versions of all objects in force.
     pub hash: u64,
 }
 
@@ -53,6 +61,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConfigStore {
     objects: BTreeMap<String, Stored>,
+    complete_at: u64,
 }
 
 impl ConfigStore {
@@ -68,10 +77,15 @@
     /// Takes in one object in the form in which hosts pass it on.
     pub fn accept_stored(&mut self, offered: Stored) -> Accepted {
         let held_version = self.version(&offered.name);
+        if offered.version <= self.complete_at && held_version != Some(offered.version) {
+            // Nothing up to there is missing here, so it was replaced or deleted.
+            return Accepted::Older;
+        }
         if held_version.is_some_and(|held| offered.version < held) {
             return Accepted::Older;
         }
-        if held_version == Some(offered.version) {
+        let is_deleted = self.objects.get(&offered.name).is_some_and(|held| held.text.is_none());
+        if held_version == Some(offered.version) || (is_deleted && offered.text.is_none()) {
             return Accepted::Same;
         }
         self.objects.insert(offered.name.clone(), offered);
@@ -96,6 +110,28 @@
         (self.older_than(listed), deleted)
     }
 
+    /// Notes that nothing up to `revision` is missing: everything in the store's listing at that revision was read, or
+    /// everything newer was taken from a neighbour that misses nothing up to it. `seen` are the objects that the
+    /// listing or the neighbour took into account; where another one came in meanwhile, nothing is noted.
+    pub fn mark_complete(&mut self, revision: u64, seen: &[ObjectHead]) {
+        let seen: BTreeSet<&str> = seen.iter().map(|head| head.name.as_str()).collect();
+        let mut old = self.objects.values().filter(|stored| stored.version <= revision);
+        if old.all(|stored| stored.text.is_none() || seen.contains(stored.name.as_str())) {
+            self.complete_at = self.complete_at.max(revision);
+        }
+    }
+
+    /// The revision up to which nothing is missing, as of [`ConfigStore::mark_complete`].
+    pub fn complete_at(&self) -> u64 {
+        self.complete_at
+    }
+
+    /// Newest revision of the platform's store of which something is known here.
+    pub fn known_up_to(&self) -> u64 {
+        let highest = self.objects.values().map(|stored| stored.version).max();
+        self.complete_at.max(highest.unwrap_or(0))
+    }
+
     /// Names among `heads` whose version is newer than the one held.
     pub fn older_than(&self, heads: &[ObjectHead]) -> Vec<String> {
         let is_newer =
@@ -125,24 +161,36 @@
         let is_newer = |stored: &&Stored| {
             theirs.get(stored.name.as_str()).is_none_or(|version| *version < stored.version)
         };
-        self.objects.values().filter(is_newer).cloned().collect()
+        let newer = self.objects.values().filter(is_newer).cloned();
+        newer.chain(heads.iter().filter_map(|head| self.deletion(head))).collect()
+    }
+
+    /// The deletion of an object of which only a neighbour knows, where it must have been deleted.
+    fn deletion(&self, head: &ObjectHead) -> Option<Stored> {
+        let held = self.objects.get(&head.name);
+        let is_unknown =
+            held.is_none_or(|stored| stored.text.is_none() && stored.version < head.version);
+        (is_unknown && head.version < self.complete_at).then(|| Stored {
+            name: head.name.clone(),
+            version: self.complete_at,
+            text: None,
+        })
     }
 
     /// Names and versions of all objects and deletions held.
     pub fn heads(&self) -> Vec<ObjectHead> {
-        let head =
-            |stored: &Stored| ObjectHead { name: stored.name.clone(), version: stored.version };
-        self.objects.values().map(head).collect()
+        self.objects.values().map(Stored::head).collect()
     }
 
-    /// Short form of all versions held.
+    /// Short form of the objects in force.
     pub fn digest(&self) -> ConfigDigest {
         let mut hasher = SipHasher13::new();
-        for stored in self.objects.values() {
+        let mut highest_version = 0;
+        for stored in self.objects.values().filter(|stored| stored.text.is_some()) {
             hasher.write(stored.name.as_bytes());
             hasher.write_u64(stored.version);
+            highest_version = highest_version.max(stored.version);
         }
-        let highest_version = self.objects.values().map(|stored| stored.version).max();
-        ConfigDigest { highest_version: highest_version.unwrap_or(0), hash: hasher.finish() }
+        ConfigDigest { highest_version, hash: hasher.finish() }
     }
 }
--- a/crates/godwit-host/src/configuration/driver.rs
+++ b/crates/godwit-host/src/configuration/driver.rs
@@ -27,6 +27,9 @@
 /// A host without configuration, or that has heard of a newer one, polls this often.
 const EAGER_POLL_MS: u64 = 500;
 
+/// A neighbour that did not answer is asked again after this long.
+const FETCH_RETRY_MS: u64 = 200;
+
 /// Step in which waiting threads look whether to stop.
 const STOP_CHECK_MS: u64 = 50;
 
@@ -207,25 +210,24 @@
         while !self.is_stopping() {
             let is_complete = self.poll();
             let next = self.settings.clock.now().plus_ms(jittered(self.poll_ms(is_complete)));
-            let held = lock(&self.store).digest().highest_version;
-            let is_behind = || {
-                is_complete && self.newest_heard.load(Ordering::SeqCst) > held && self.is_lagging()
-            };
+            let is_behind = || is_complete && self.is_behind() && self.is_still_behind();
             self.wait_until(next, is_behind);
         }
     }
 
-    fn is_lagging(&self) -> bool {
-        // Give the neighbours a moment before the platform is asked as well.
+    fn is_behind(&self) -> bool {
+        let known_up_to = lock(&self.store).known_up_to();
+        self.newest_heard.load(Ordering::SeqCst) > known_up_to
+    }
+
+    /// Whether the neighbours do not bring what was heard of, so that the platform has to be asked.
+    fn is_still_behind(&self) -> bool {
         std::thread::sleep(Duration::from_millis(EAGER_POLL_MS));
-        let held = lock(&self.store).digest().highest_version;
-        self.newest_heard.load(Ordering::SeqCst) > held
+        self.is_behind()
     }
 
     fn poll_ms(&self, is_complete: bool) -> u64 {
-        let held = lock(&self.store).digest().highest_version;
-        let is_behind = self.newest_heard.load(Ordering::SeqCst) > held;
-        if !self.view().is_usable() || is_behind {
+        if !self.view().is_usable() || self.is_behind() {
             return EAGER_POLL_MS;
         }
         if self.settings.neighbours.is_watcher() || !is_complete {
@@ -241,6 +243,9 @@
         };
         let (newer, deleted) = lock(&self.store).accept_listing(listing.revision, &listing.objects);
         let is_complete = self.read_all(&newer);
+        if is_complete {
+            lock(&self.store).mark_complete(listing.revision, &listing.objects);
+        }
         if deleted > 0 {
             self.rebuild();
         }
@@ -275,7 +280,7 @@
                 continue;
             }
             if after == 0 {
-                after = lock(&self.store).digest().highest_version;
+                after = lock(&self.store).known_up_to();
             }
             let watched = self.settings.source.watch(CONFIG_PREFIX, after, WATCH_WAIT_MS);
             let Some(reply) = self.contact(watched) else {
@@ -301,10 +306,10 @@
     }
 
     fn fetch_loop(&self, heard: &Receiver<Heard>) {
+        let mut waiting: Option<Heard> = None;
         while !self.is_stopping() {
-            let Ok(news) = heard.recv_timeout(Duration::from_millis(STOP_CHECK_MS)) else {
-                continue;
-            };
+            let news = heard.recv_timeout(Duration::from_millis(FETCH_RETRY_MS)).ok();
+            let Some(news) = news.or_else(|| waiting.take()) else { continue };
             if news.digest == lock(&self.store).digest() {
                 continue;
             }
@@ -314,16 +319,22 @@
                     address = %news.address,
                     error = %error
                 );
+                waiting = Some(news);
             }
         }
     }
 
     fn fetch(&self, address: SocketAddr) -> Result<(), SourceError> {
         loop {
-            let request = fetch::request_bytes(lock(&self.store).heads())?;
+            let mut seen = lock(&self.store).heads();
+            let request = fetch::request_bytes(&seen)?;
             let reply = self.settings.neighbours.call(address, &request)?;
             let reply = fetch::read_reply(&reply)?;
+            seen.extend(reply.objects.iter().map(Stored::head));
             let changed = self.accept_all(reply.objects);
+            if !reply.has_more {
+                lock(&self.store).mark_complete(reply.complete_at, &seen);
+            }
             if !reply.has_more || !changed {
                 return Ok(());
             }
--- a/crates/godwit-host/src/configuration/fetch.rs
+++ b/crates/godwit-host/src/configuration/fetch.rs
@@ -15,9 +15,10 @@
     held: Vec<ObjectHead>,
 }
 
-/// Objects that are newer at the neighbour, and whether there are more.
+/// Objects that are newer at the neighbour, whether there are more, and the revision up to which it misses nothing.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct FetchReply {
+    pub(super) complete_at: u64,
     pub(super) objects: Vec<Stored>,
     pub(super) has_more: bool,
 }
@@ -27,8 +28,8 @@
 }
 
 /// Bytes of the request of a host that holds `held`.
-pub(super) fn request_bytes(held: Vec<ObjectHead>) -> Result<Vec<u8>, SourceError> {
-    postcard::to_stdvec(&FetchRequest { held }).map_err(broken)
+pub(super) fn request_bytes(held: &[ObjectHead]) -> Result<Vec<u8>, SourceError> {
+    postcard::to_stdvec(&FetchRequest { held: held.to_vec() }).map_err(broken)
 }
 
 /// Reads a reply.
@@ -49,5 +50,6 @@
     };
     let objects: Vec<Stored> = newer.into_iter().take_while(fits).collect();
     let has_more = objects.len() < total;
-    postcard::to_stdvec(&FetchReply { objects, has_more }).map_err(broken)
+    postcard::to_stdvec(&FetchReply { complete_at: store.complete_at(), objects, has_more })
+        .map_err(broken)
 }
