Add godwitctl bench load: open-loop load against the bound of the engines

Cause: nothing measured the whole path under load, so that no policy could be judged.

Change: `godwitctl bench load` starts a site (3 failure domains, by default 3 hosts and 10 engines each, half at 100 and half at 25 tokens/s a slot, load reports 1 s old) for each policy and load, or takes given addresses, on loopback only unless told otherwise. Each answer is compared with the tokens that it must have; what was refused is looked up in the journals. It reports rates after a warm-up of a quarter of the run, endings, codes, times to the first token, between tokens and to a lookup's first byte (HDR histograms), and Jain's index. The schedule now asks for the wanted tokens as a whole and stretches the gaps to the run.

--- /dev/null
+++ b/crates/godwit-ctl/src/bench/load/schedule.rs
@@ -0,0 +1,97 @@
+//! Seeded arrivals: a Poisson process whose rate offers a share of the bound.
+
+use godwit_standin::expected_tokens;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::mix::{Class, MixName, WORKSPACE_SHARES};
+use crate::site::Names;
+
+/// Length of the prefix that all prompts of a workspace share.
+const SHARED_PREFIX_BYTES: usize = 256;
+
+/// One request that is to be sent.
+#[derive(Clone, Debug)]
+pub(super) struct Planned {
+    /// Number of the request in its run.
+    pub(super) number: usize,
+    /// Microseconds from the start of the run.
+    pub(super) at_us: u64,
+    pub(super) class: Class,
+    /// Index of the workspace.
+    pub(super) workspace: usize,
+    pub(super) prompt: String,
+    /// The whole answer; empty for a plain service.
+    pub(super) answer: Vec<String>,
+}
+
+/// What a schedule is made from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Offer {
+    pub(super) mix: MixName,
+    pub(super) seed: u64,
+    pub(super) workspaces: usize,
+    /// Tokens a second that the requests ask for.
+    pub(super) tokens_per_s: f64,
+    pub(super) duration_ms: u64,
+    pub(super) max_requests: usize,
+}
+
+/// All requests of a run, by arrival.
+///
+/// The requests ask for the offered tokens as a whole, and the gaps between them are exponential, stretched so that
+/// the last request comes at the end: a Poisson process of which the count is known.
+pub(super) fn schedule(offer: &Offer) -> Vec<Planned> {
+    let mut rng = SmallRng::seed_from_u64(offer.seed);
+    let duration_us = offer.duration_ms as f64 * 1_000.0;
+    let offered_tokens = offer.tokens_per_s * offer.duration_ms as f64 / 1_000.0;
+    let mut planned = Vec::new();
+    let mut arrivals = Vec::new();
+    let (mut tokens, mut arrival) = (0.0, 0.0);
+    while tokens < offered_tokens && planned.len() < offer.max_requests {
+        let request = request(&mut rng, offer, planned.len());
+        tokens += request.answer.len() as f64;
+        let uniform: f64 = rng.random();
+        arrival -= (1.0 - uniform).ln();
+        planned.push(request);
+        arrivals.push(arrival);
+    }
+    let share_sent = (tokens / offered_tokens).min(1.0);
+    for (request, at) in planned.iter_mut().zip(arrivals) {
+        request.at_us = (at / arrival * duration_us * share_sent) as u64;
+    }
+    planned
+}
+
+fn request(rng: &mut SmallRng, offer: &Offer, number: usize) -> Planned {
+    let shares = offer.mix.shares();
+    let class = shares[pick(rng, &shares.map(|share| share.percent))].class;
+    let workspace = pick(rng, &WORKSPACE_SHARES[..offer.workspaces.min(WORKSPACE_SHARES.len())]);
+    let prompt = prompt(rng, class, workspace);
+    let answer = expected_tokens(Names::MODEL, &prompt, class.max_tokens());
+    Planned { number, at_us: 0, class, workspace, prompt, answer }
+}
+
+fn pick(rng: &mut SmallRng, weights: &[u32]) -> usize {
+    let mut drawn = rng.random_range(0..weights.iter().sum::<u32>());
+    for (index, weight) in weights.iter().enumerate() {
+        if drawn < *weight {
+            return index;
+        }
+        drawn -= weight;
+    }
+    0
+}
+
+fn prompt(rng: &mut SmallRng, class: Class, workspace: usize) -> String {
+    let mut prompt = format!("Workspace {workspace} answers its customers briefly and kindly. ");
+    while prompt.len() < SHARED_PREFIX_BYTES {
+        prompt.push_str("Be exact. ");
+    }
+    prompt.truncate(SHARED_PREFIX_BYTES);
+    let end = prompt.len() + rng.random_range(class.own_prompt_bytes());
+    while prompt.len() < end {
+        prompt.push_str(&format!("{:08x} ", rng.random::<u32>()));
+    }
+    prompt
+}
--- /dev/null
+++ b/crates/godwit-ctl/src/bench/load/table.rs
@@ -0,0 +1,84 @@
+//! The figures as a table for people.
+
+use comfy_table::Table;
+use comfy_table::presets::NOTHING;
+
+use super::report::{LoadRow, Percentiles};
+
+const HEADER: [&str; 14] = [
+    "POLICY",
+    "LOAD %",
+    "OFFERED",
+    "DELIVERED",
+    "GOODPUT",
+    "% OF BOUND",
+    "IN TIME %",
+    "REFUSED",
+    "LATE",
+    "BROKEN",
+    "FIRST TOKEN",
+    "BETWEEN",
+    "LOOKUP",
+    "FAIRNESS",
+];
+
+/// Prints the rows; times are p50/p95/p99 in milliseconds, rates are tokens a second.
+pub(super) fn print(rows: &[LoadRow]) {
+    let mut table = Table::new();
+    table.load_preset(NOTHING);
+    table.set_header(HEADER);
+    for row in rows {
+        table.add_row(cells(row));
+    }
+    println!("{table}");
+    println!(
+        "times: p50/p95/p99 in ms; offered, delivered and goodput: tokens a second after the warm-up"
+    );
+    for row in rows {
+        print_rest(row);
+    }
+}
+
+fn cells(row: &LoadRow) -> Vec<String> {
+    let all = &row.all;
+    vec![
+        row.policy.clone(),
+        row.load_percent.to_string(),
+        format!("{:.0}", row.offered_tokens_per_s),
+        format!("{:.0}", row.delivered_tokens_per_s),
+        format!("{:.0}", row.goodput_tokens_per_s),
+        format!("{:.1}", row.goodput_percent_of_bound),
+        format!("{:.2}", row.in_time_percent_of_admitted),
+        all.refused.to_string(),
+        all.late.to_string(),
+        (all.incomplete + all.wrong + all.no_answer).to_string(),
+        times(&row.first_token),
+        times(&row.between_tokens),
+        times(&row.lookup_first_byte),
+        format!("{:.3}", row.fairness),
+    ]
+}
+
+fn times(times: &Percentiles) -> String {
+    format!("{:.0}/{:.0}/{:.0}", times.p50_ms, times.p95_ms, times.p99_ms)
+}
+
+fn print_rest(row: &LoadRow) {
+    let codes = row.codes.iter().map(|code| format!("{}={}", code.name, code.count));
+    let ran = row.refused_but_ran.map_or("unseen".to_string(), |count| count.to_string());
+    println!(
+        "policy={} load_percent={} mix={} bound_tokens_per_s={:.0} sent={} not_sent={} \
+         refused_but_ran={ran} confirmations_sent={} confirmations_late={} \
+         confirmations_refused={} {}",
+        row.policy,
+        row.load_percent,
+        row.mix,
+        row.bound_tokens_per_s,
+        row.all.sent,
+        row.not_sent,
+        row.confirmations.sent,
+        row.confirmations.late,
+        row.confirmations.refused,
+        codes.collect::<Vec<_>>().join(" ")
+    );
+}
--- /dev/null
+++ b/crates/godwit-ctl/src/bench/mod.rs
@@ -0,0 +1,3 @@
+//! Benches of the whole path over real sockets.
+
+pub(crate) mod load;
--- a/crates/godwit-ctl/src/cli.rs
+++ b/crates/godwit-ctl/src/cli.rs
@@ -4,6 +4,7 @@
 
 use bpaf::{Bpaf, Parser};
 
+use crate::command::bench::{self, BenchCommand, bench_command};
 use crate::command::events::{self, set::Wanted};
 use crate::command::rules::{self, explain::Asked};
 use crate::command::standin::{self, StandinCommand, standin_command};
@@ -258,6 +259,9 @@
     /// One stand-in of the platform, of an engine or of a plain service, until SIGINT or SIGTERM
     #[bpaf(command("standin"))]
     Standin(#[bpaf(external(standin_command))] StandinCommand),
+    /// Measurements of the whole path
+    #[bpaf(command("bench"))]
+    Bench(#[bpaf(external(bench_command))] BenchCommand),
 }
 
 fn first_port(flag: &'static str, group: &'static str) -> impl Parser<Option<u16>> {
@@ -347,6 +351,7 @@
             host::status::run(&host::operator_address(&store, host)?, format)
         }
         Command::Standin(command) => standin::run(command),
+        Command::Bench(command) => bench::run(command),
     }
 }
 
--- /dev/null
+++ b/crates/godwit-ctl/src/command/bench/load.rs
@@ -0,0 +1,144 @@
+//! `godwitctl bench load`.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use bpaf::Bpaf;
+use godwit_host::PolicyName;
+
+use crate::bench::load::{GivenSite, LoadPlan, MixName, run as measure};
+use crate::error::CtlError;
+use crate::output::Format;
+
+const MS_PER_S: u64 = 1_000;
+const MAX_DURATION_S: u64 = 600;
+const MAX_LOAD_PERCENT: u32 = 1_000;
+
+/// Values parted by commas.
+#[derive(Clone, Debug)]
+pub(crate) struct List<T>(Vec<T>);
+
+impl<T: FromStr> FromStr for List<T>
+where
+    T::Err: std::fmt::Display,
+{
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<List<T>, String> {
+        let values: Result<Vec<T>, T::Err> = text.split(',').map(str::parse).collect();
+        values.map(List).map_err(|error| error.to_string())
+    }
+}
+
+/// Settings of the load bench.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) struct LoadFlags {
+    /// Whose requests: brackenford or mabaso
+    #[bpaf(long("mix"), argument("MIX"), fallback(MixName::Brackenford))]
+    mix: MixName,
+    /// Policies to compare, parted by commas: earliest-finish, round-robin, least-load
+    #[bpaf(
+        long("policy"),
+        argument::<List<PolicyName>>("POLICIES"),
+        fallback(List(vec![PolicyName::EarliestFinish]))
+    )]
+    policies: List<PolicyName>,
+    /// Offered loads in percent of the bound, parted by commas
+    #[bpaf(
+        long("load-percent"),
+        argument::<List<u32>>("PERCENTS"),
+        fallback(List(vec![100]))
+    )]
+    load_percents: List<u32>,
+    /// Seconds during which requests are sent in each run, at most 600
+    #[bpaf(long("duration-s"), argument("SECONDS"), fallback(20), display_fallback)]
+    duration_s: u64,
+    /// Most requests of each run
+    #[bpaf(long("max-requests"), argument("COUNT"), fallback(50_000), display_fallback)]
+    max_requests: usize,
+    /// Most requests in progress; others are counted as not sent
+    #[bpaf(long("max-in-flight"), argument("COUNT"), fallback(2_000), display_fallback)]
+    max_in_flight: usize,
+    /// Seed of arrivals and requests
+    #[bpaf(long("seed"), argument("SEED"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Age of the engines' load reports
+    #[bpaf(long("load-report-lag-ms"), argument("MS"), fallback(1_000), display_fallback)]
+    load_report_lag_ms: u64,
+    /// Entry hosts of each of the three failure domains
+    #[bpaf(long("hosts-per-domain"), argument("COUNT"), fallback(3), display_fallback)]
+    hosts_per_domain: u16,
+    /// Engines of each of the three failure domains, half of them at 100 and half at 25 tokens/s
+    #[bpaf(long("engines-per-domain"), argument("COUNT"), fallback(10), display_fallback)]
+    engines_per_domain: u16,
+    #[bpaf(external(given), optional)]
+    given: Option<Given>,
+    /// Output as JSON for programs
+    #[bpaf(long("json"))]
+    is_json: bool,
+}
+
+/// A site that runs already
+#[derive(Bpaf, Clone, Debug)]
+struct Given {
+    /// Address for callers of an entry host that runs already; may be given many times
+    #[bpaf(long("address"), argument("IP:PORT"), some("at least one address"))]
+    addresses: Vec<SocketAddr>,
+    /// Key of the workspace
+    #[bpaf(long("key"), env("GODWIT_KEY"), argument("KEY"))]
+    key: String,
+    /// Sum of slots x tokens a second over the site's engines
+    #[bpaf(long("bound-tokens-per-s"), argument("RATE"))]
+    bound_tokens_per_s: f64,
+    /// Addresses may lie beyond loopback
+    #[bpaf(long("allow-remote"))]
+    allows_remote: bool,
+}
+
+/// Runs the load bench.
+pub(super) fn run(flags: &LoadFlags) -> Result<(), CtlError> {
+    check(flags)?;
+    let given = flags.given.as_ref().map(|given| GivenSite {
+        addresses: given.addresses.clone(),
+        key: given.key.clone(),
+        bound_tokens_per_s: given.bound_tokens_per_s,
+    });
+    let plan = LoadPlan {
+        mix: flags.mix,
+        policies: flags.policies.0.clone(),
+        load_percents: flags.load_percents.0.clone(),
+        duration_ms: flags.duration_s * MS_PER_S,
+        max_requests: flags.max_requests,
+        max_in_flight: flags.max_in_flight,
+        seed: flags.seed,
+        load_report_lag_ms: flags.load_report_lag_ms,
+        hosts_per_domain: flags.hosts_per_domain,
+        engines_per_domain: flags.engines_per_domain,
+        given,
+    };
+    measure(&plan, Format::new(flags.is_json))
+}
+
+fn check(flags: &LoadFlags) -> Result<(), CtlError> {
+    let wrong = |message: &str| Err(CtlError::Failed(message.to_string()));
+    if !(1..=MAX_DURATION_S).contains(&flags.duration_s) {
+        return wrong("--duration-s: from 1 to 600");
+    }
+    if !flags.load_percents.0.iter().all(|percent| (1..=MAX_LOAD_PERCENT).contains(percent)) {
+        return wrong("--load-percent: from 1 to 1000");
+    }
+    if flags.hosts_per_domain == 0 || flags.engines_per_domain == 0 {
+        return wrong("--hosts-per-domain and --engines-per-domain: at least 1");
+    }
+    let Some(given) = &flags.given else { return Ok(()) };
+    if !given.allows_remote && !given.addresses.iter().all(|address| address.ip().is_loopback()) {
+        return wrong("--address: not on loopback; --allow-remote permits it");
+    }
+    if !given.bound_tokens_per_s.is_finite() || given.bound_tokens_per_s <= 0.0 {
+        return wrong("--bound-tokens-per-s: more than 0");
+    }
+    if flags.policies.0.len() > 1 {
+        return wrong("--policy: one only with --address, where it is the hosts' own setting");
+    }
+    Ok(())
+}
--- a/crates/godwit-ctl/src/command/mod.rs
+++ b/crates/godwit-ctl/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each, in a folder for each family.
 
+pub(crate) mod bench;
 pub(crate) mod demo;
 pub(crate) mod events;
 pub(crate) mod fleet;
--- a/crates/godwit-ctl/src/lib.rs
+++ b/crates/godwit-ctl/src/lib.rs
@@ -1,5 +1,6 @@
 //! The operators' command, with demo and bench.
 
+mod bench;
 mod cli;
 mod command;
 mod edit;
