--- a/crates/godwit-core/src/route/dispatch.rs
+++ b/crates/godwit-core/src/route/dispatch.rs
@@ -1,7 +1,7 @@
 //! Own dispatches: what they add to a server's load, and what their ends tell of its health.
 
 use super::fleet::{Candidates, ServerIndex};
-use super::health::may_eject_one_more;
+use super::health::{Pace, may_eject_one_more};
 use super::load::DispatchId;
 use super::router::Router;
 use super::view::OwnDispatch;
@@ -57,7 +57,6 @@
         let Some(index) = self.index(server) else {
             return false;
         };
-        let tokens_per_ms = self.nominal_tokens_per_ms(index);
         let view = &mut self.views[index as usize];
         if let Some(own) = view.own.remove(&id) {
             view.load.end(own.started_at, own.tokens_left, now);
@@ -66,10 +65,9 @@
             DispatchEnd::Cancelled => false,
             DispatchEnd::Failed | DispatchEnd::Refused => view.health.failed(now),
             DispatchEnd::Done { tokens, took_ms } => {
-                let took_ms = took_ms as f64;
-                let steps = f64::from(tokens.saturating_sub(1));
-                let expected_ms = (tokens_per_ms > 0.0).then(|| steps / tokens_per_ms);
-                view.health.succeeded(took_ms, expected_ms, now);
+                let pace = self.pace(index, tokens, took_ms as f64);
+                let view = &mut self.views[index as usize];
+                view.health.succeeded(pace, now);
                 view.health.looks_slow() && self.is_slower_than_peers(index)
             }
         };
@@ -80,6 +78,18 @@
         ejected
     }
 
+    fn pace(&self, index: ServerIndex, tokens: u32, took_ms: f64) -> Pace {
+        let traits = &self.table.servers[index as usize];
+        let tokens_per_ms = self.nominal_tokens_per_ms(index);
+        if !traits.is_engine {
+            return Pace::Call { took_ms };
+        }
+        if !traits.holds_whole_model || tokens_per_ms <= 0.0 || tokens < 2 {
+            return Pace::Unjudged;
+        }
+        Pace::Tokens { took_ms, expected_ms: f64::from(tokens - 1) / tokens_per_ms }
+    }
+
     pub(super) fn may_eject(&self, index: ServerIndex) -> bool {
         self.table.shared_by(index).all(|candidates| {
             let is_out = |index: &ServerIndex| self.views[*index as usize].health.is_out();
@@ -90,9 +100,9 @@
     fn is_slower_than_peers(&self, index: ServerIndex) -> bool {
         let peers = |candidates: &Candidates| {
             let others = candidates.all().filter(|other| *other != index);
-            median(others.filter_map(|other| self.views[other as usize].health.judged_slowdown()))
+            median(others.filter_map(|other| self.views[other as usize].health.judged_slowness()))
         };
-        let slowest = self.table.shared_by(index).filter_map(peers).fold(1.0, f64::max);
+        let slowest = self.table.shared_by(index).filter_map(peers).fold(0.0, f64::max);
         self.views[index as usize].health.is_slow_against(slowest)
     }
 }
--- a/crates/godwit-core/src/route/fleet.rs
+++ b/crates/godwit-core/src/route/fleet.rs
@@ -76,6 +76,15 @@
     pub(crate) by_name: BTreeMap<String, ServerIndex>,
     models: BTreeMap<String, Candidates>,
     services: BTreeMap<String, Candidates>,
+    stages: BTreeMap<LayerRange, Candidates>,
+}
+
+/// A range of layers of one model.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct LayerRange {
+    model: String,
+    layer_from: Option<u32>,
+    layer_to: Option<u32>,
 }
 
 impl FleetTable {
@@ -109,7 +118,8 @@
 
     /// The candidate sets that a server is in.
     pub(crate) fn shared_by(&self, index: ServerIndex) -> impl Iterator<Item = &Candidates> {
-        let all = self.models.values().chain(self.services.values());
+        let whole = self.models.values().chain(self.services.values());
+        let all = whole.chain(self.stages.values());
         all.filter(move |candidates| candidates.local.has(index) || candidates.remote.has(index))
     }
 
@@ -120,6 +130,16 @@
                 self.models.entry(model.clone()).or_default().add(index, &traits);
             }
         }
+        if traits.is_engine && !traits.holds_whole_model {
+            for model in &server.models {
+                let range = LayerRange {
+                    model: model.clone(),
+                    layer_from: server.layer_from,
+                    layer_to: server.layer_to,
+                };
+                self.stages.entry(range).or_default().add(index, &traits);
+            }
+        }
         if let (false, Some(service)) = (traits.is_engine, &server.service) {
             self.services.entry(service.clone()).or_default().add(index, &traits);
         }
--- a/crates/godwit-core/src/route/health.rs
+++ b/crates/godwit-core/src/route/health.rs
@@ -9,7 +9,13 @@
 const ANSWERS_TO_JUDGE: u32 = 3;
 
 /// How many times slower than its peers a server may be.
-const SLOWDOWN_TO_EJECT: f64 = 3.0;
+const SLOWNESS_TO_EJECT: f64 = 3.0;
+
+/// Time by which an answer may be slower whatever its length, in milliseconds.
+const PACE_SLACK_MS: f64 = 20.0;
+
+/// Time of a service call below which no service counts as slow against it, in milliseconds.
+const USUAL_CALL_MS: f64 = 20.0;
 
 /// Weight of the newest answer in the averages.
 const NEWEST_WEIGHT: f64 = 0.3;
@@ -32,6 +38,25 @@
 /// Share of a target's servers that may be ejected at a time.
 const MOST_EJECTED_SHARE: f64 = 1.0 / 3.0;
 
+/// How fast one answer came.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Pace {
+    /// The tokens of an engine, from the first to the last.
+    Tokens {
+        /// Time that they took.
+        took_ms: f64,
+        /// Time that they should have taken.
+        expected_ms: f64,
+    },
+    /// A call of a plain service.
+    Call {
+        /// Time that it took.
+        took_ms: f64,
+    },
+    /// It tells nothing of this server, as the answer of a split model.
+    Unjudged,
+}
+
 /// What the answers of a server tell of it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Health {
@@ -70,21 +95,24 @@
         self.ejected_until.is_some()
     }
 
-    /// Takes an answer: its time for `tokens` against the time expected, or the time of a service call.
-    pub(crate) fn succeeded(&mut self, took_ms: f64, expected_ms: Option<f64>, now: UnixMs) {
+    /// Takes an answer.
+    pub(crate) fn succeeded(&mut self, pace: Pace, now: UnixMs) {
         self.failures = 0;
-        match expected_ms {
-            Some(expected_ms) if expected_ms > 0.0 => {
-                self.slowdown = self.average(self.slowdown, took_ms / expected_ms);
-            }
-            _ => self.call_ms = self.average(self.call_ms, took_ms),
+        let newest = match pace {
+            Pace::Tokens { took_ms, expected_ms } => took_ms / (expected_ms + PACE_SLACK_MS),
+            Pace::Call { took_ms } => took_ms,
+            Pace::Unjudged => 0.0,
+        };
+        match pace {
+            Pace::Tokens { .. } => self.slowdown = average(self.slowdown, newest),
+            Pace::Call { .. } => self.call_ms = average(self.call_ms, newest),
+            Pace::Unjudged => {}
         }
-        self.answers = self.answers.saturating_add(1);
-        let still_slow = expected_ms.is_some_and(|expected| took_ms > expected * SLOWDOWN_TO_EJECT);
+        self.answers = self.answers.saturating_add(u32::from(pace != Pace::Unjudged));
         if self.fitness(now) != Fitness::Probing {
             return;
         }
-        if still_slow {
+        if matches!(pace, Pace::Tokens { .. }) && newest > SLOWNESS_TO_EJECT {
             self.eject(now);
         } else {
             self.readmit(now);
@@ -101,20 +129,21 @@
     }
 
     /// Whether the server is so much slower than its peers that it should be ejected.
-    pub(crate) fn is_slow_against(&self, peers_slowdown: f64) -> bool {
-        !self.is_out()
-            && self.answers >= ANSWERS_TO_JUDGE
-            && self.slowdown > SLOWDOWN_TO_EJECT * peers_slowdown.max(1.0)
+    pub(crate) fn is_slow_against(&self, peers_slowness: f64) -> bool {
+        let usual = if self.slowdown > 0.0 { 1.0 } else { USUAL_CALL_MS };
+        let slowness = self.judged_slowness().unwrap_or(0.0);
+        !self.is_out() && slowness > SLOWNESS_TO_EJECT * peers_slowness.max(usual)
     }
 
     /// Whether a comparison with the peers is worth its cost.
     pub(crate) fn looks_slow(&self) -> bool {
-        self.is_slow_against(1.0)
+        self.is_slow_against(0.0)
     }
 
-    /// How many times slower than expected the server is, once enough answers were seen.
-    pub(crate) fn judged_slowdown(&self) -> Option<f64> {
-        (self.answers >= ANSWERS_TO_JUDGE && self.slowdown > 0.0).then_some(self.slowdown)
+    /// How many times slower than expected an engine is, or how long a service's calls take, once enough were seen.
+    pub(crate) fn judged_slowness(&self) -> Option<f64> {
+        let slowness = if self.slowdown > 0.0 { self.slowdown } else { self.call_ms };
+        (self.answers >= ANSWERS_TO_JUDGE).then_some(slowness)
     }
 
     /// How many times slower than expected the next answer is taken to be.
@@ -158,11 +187,12 @@
         self.readmitted_at = Some(now);
         self.answers = 0;
         self.slowdown = 0.0;
+        self.call_ms = 0.0;
     }
+}
 
-    fn average(&self, average: f64, newest: f64) -> f64 {
-        if average > 0.0 { average + NEWEST_WEIGHT * (newest - average) } else { newest }
-    }
+fn average(average: f64, newest: f64) -> f64 {
+    if average > 0.0 { average + NEWEST_WEIGHT * (newest - average) } else { newest }
 }
 
 /// Whether one more of `servers` may be ejected when `ejected` already are.
