--- /dev/null
+++ b/crates/godwit-ctl/src/command/demo/mod.rs
@@ -0,0 +1,71 @@
+//! `godwitctl demo`: a whole site in one process, with a tour of requests.
+
+mod request;
+mod tour;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use signal_hook::consts::{SIGINT, SIGTERM};
+
+use crate::error::CtlError;
+use crate::site::{FirstPorts, Names, Site, SiteSettings, WORKSPACE_KEY};
+
+const SIGNAL_CHECK: Duration = Duration::from_millis(50);
+
+/// Starts the site, takes the tour, and stays up until a signal unless `exits` is set.
+pub(crate) fn run(ports: FirstPorts, exits: bool) -> Result<(), CtlError> {
+    godwit_host::start_logs("warn").map_err(|error| CtlError::Failed(error.to_string()))?;
+    let is_stopping = Arc::new(AtomicBool::new(false));
+    for signal in [SIGTERM, SIGINT] {
+        signal_hook::flag::register(signal, is_stopping.clone())?;
+    }
+    let site = Site::start(SiteSettings::demo(ports))?;
+    print_addresses(&site);
+    let outcome = tour::run(&site);
+    if exits {
+        return outcome;
+    }
+    if let Err(error) = outcome {
+        eprintln!("error: {error}");
+    }
+    println!("state=up stop=ctrl-c");
+    while !is_stopping.load(Ordering::SeqCst) {
+        std::thread::sleep(SIGNAL_CHECK);
+    }
+    Ok(())
+}
+
+fn print_addresses(site: &Site) {
+    println!("platform_address={}", site.platform.address());
+    println!(
+        "service_address={} service_control={}",
+        site.service.address(),
+        site.service.control_address()
+    );
+    for (name, node) in &site.nodes {
+        println!(
+            "host={name} caller_address={} operator_address={} peer_address={}",
+            node.caller_address(),
+            node.operator_address(),
+            node.peer_address()
+        );
+    }
+    for (name, unit) in &site.engines {
+        println!(
+            "engine={name} address={} control_address={}",
+            unit.standin.address(),
+            unit.standin.control_address()
+        );
+    }
+    println!("workspace={}", Names::WORKSPACE);
+    println!("key={WORKSPACE_KEY}");
+    println!("model={}", Names::MODEL);
+    println!("split_model={}", Names::SPLIT_MODEL);
+    println!("service={}", Names::SERVICE);
+    println!("kind={}", Names::KIND);
+    println!("kind_lookup={}", Names::KIND_LOOKUP);
+    println!("kind_once={}", Names::KIND_ONCE);
+    println!("event={}", Names::EVENT);
+}
--- /dev/null
+++ b/crates/godwit-ctl/src/command/demo/request.rs
@@ -0,0 +1,100 @@
+//! One request of the tour, sent as a caller would.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use serde_json::{Value, json};
+
+use crate::error::CtlError;
+use crate::site::WORKSPACE_KEY;
+
+/// Longest wait for an answer.
+const ANSWER_TIMEOUT_S: u64 = 30;
+
+/// A request to an entry host.
+#[derive(Clone, Debug)]
+pub(super) struct Sent<'a> {
+    pub(super) path: &'a str,
+    pub(super) kind: &'a str,
+    pub(super) event: Option<&'a str>,
+    pub(super) idempotency_key: Option<&'a str>,
+    pub(super) deadline_unix_ms: Option<u64>,
+    pub(super) key: &'a str,
+    pub(super) body: Value,
+}
+
+impl Sent<'_> {
+    pub(super) fn chat(model: &str, kind: &'static str, prompt: &str, is_stream: bool) -> Self {
+        Sent {
+            path: "/v1/chat/completions",
+            kind,
+            event: None,
+            idempotency_key: None,
+            deadline_unix_ms: None,
+            key: WORKSPACE_KEY,
+            body: json!({
+                "model": model,
+                "messages": [{"role": "user", "content": prompt}],
+                "stream": is_stream,
+                "max_tokens": 24,
+            }),
+        }
+    }
+}
+
+/// What came back.
+#[derive(Clone, Debug)]
+pub(super) struct Answer {
+    pub(super) request_id: String,
+    pub(super) status: u16,
+    pub(super) code: u16,
+    pub(super) verdict: String,
+    pub(super) first_byte_ms: u128,
+    pub(super) whole_ms: u128,
+    pub(super) body: String,
+}
+
+/// Sends a request and reads its answer to the end.
+pub(super) fn send(host: SocketAddr, sent: &Sent<'_>) -> Result<Answer, CtlError> {
+    let mut request = minreq::post(format!("http://{host}{}", sent.path))
+        .with_timeout(ANSWER_TIMEOUT_S)
+        .with_header("Authorization", format!("Bearer {}", sent.key))
+        .with_header("Content-Type", "application/json")
+        .with_header("Godwit-Kind", sent.kind)
+        .with_body(sent.body.to_string());
+    let optional = [
+        ("Godwit-Event", sent.event.map(str::to_string)),
+        ("Idempotency-Key", sent.idempotency_key.map(str::to_string)),
+        ("Godwit-Deadline-Ms", sent.deadline_unix_ms.map(|ms| ms.to_string())),
+    ];
+    for (name, value) in optional {
+        if let Some(value) = value {
+            request = request.with_header(name, value);
+        }
+    }
+    let started = Instant::now();
+    let failed = |error: minreq::Error| CtlError::Failed(format!("{host}: {error}"));
+    let mut response = request.send_lazy().map_err(failed)?;
+    let header = |name: &str| {
+        let found = response.headers.iter().find(|(field, _)| field.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.clone()).unwrap_or_default()
+    };
+    let (request_id, verdict) = (header("godwit-request-id"), header("godwit-verdict"));
+    let code = header("godwit-code").parse().unwrap_or_default();
+    let status = response.status_code;
+    let mut body = vec![0; 1];
+    let first = response.read(&mut body)?;
+    let first_byte_ms = started.elapsed().as_millis();
+    body.truncate(first);
+    response.read_to_end(&mut body)?;
+    Ok(Answer {
+        request_id,
+        status,
+        code,
+        verdict,
+        first_byte_ms,
+        whole_ms: started.elapsed().as_millis(),
+        body: String::from_utf8_lossy(&body).into_owned(),
+    })
+}
--- /dev/null
+++ b/crates/godwit-ctl/src/site/mod.rs
@@ -0,0 +1,11 @@
+//! A whole site as threads of one process: platform stand-in, entry hosts, engines and a plain service.
+
+mod backends;
+mod configuration;
+mod ports;
+mod start;
+
+pub use backends::{EngineSpec, EngineUnit};
+pub use configuration::{Names, WORKSPACE_KEY};
+pub use ports::FirstPorts;
+pub use start::{Site, SiteSettings};
--- a/crates/godwit-standin/src/engine/mod.rs
+++ b/crates/godwit-standin/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod generate;
 mod inventory;
 mod kv;
+mod link;
 mod load;
 mod refusal;
 mod run;
@@ -24,7 +25,7 @@
 use crate::StandinError;
 use crate::http::Port;
 use api::{Api, Control};
-pub use settings::{EngineSettings, ModelHolding};
+pub use settings::{EngineSettings, ModelHolding, ModelHoldingError};
 pub use tokens::{expected_tokens, prompt_tokens};
 
 /// A running stand-in of a model engine; dropping it stops it.
