--- /dev/null
+++ b/crates/godwit-core/tests/member/main.rs
@@ -0,0 +1,5 @@
+//! Members joined by a network that delays, loses and cuts, on a clock that the tests move.
+
+mod detection;
+mod network;
+mod schedules;
