--- a/crates/godwit-host/src/dispatch/attempt.rs
+++ b/crates/godwit-host/src/dispatch/attempt.rs
@@ -5,18 +5,27 @@
 use godwit_engine::{Generation, LossCause, NoEvent, StreamEvent};
 use godwit_schema::engine::FinishReason;
 
+use crate::dispatch::blame::unanswered;
 use crate::dispatch::{CallerGone, GrantedServer, TokenSink, Tools};
 
+/// Silences before its first token after which a split model is given up, though all stages answer probes.
+const SPLIT_SILENCES_LIMIT: u32 = 1;
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub(crate) enum AttemptEnd {
     Whole(FinishReason),
     Refused(NeverSent),
     Unreachable(NeverSent),
-    Failed { failed_server: Option<String> },
+    Failed {
+        failed_server: Option<String>,
+    },
     Closed,
     Malformed,
-    Silent,
+    /// Nothing came for too long; these of its servers did not answer a probe either.
+    Silent {
+        unanswered: Vec<String>,
+    },
     CallerGone,
     DeadlinePassed,
 }
@@ -41,9 +50,8 @@
 impl Attempt<'_> {
     /// Reads until the stream ends.
     pub(crate) fn read(&mut self, generation: &mut Generation) -> AttemptEnd {
-        let mut expected_ms = self.granted.first_token_ms;
         loop {
-            let event = match self.next(generation, expected_ms) {
+            let event = match self.next(generation) {
                 Ok(event) => event,
                 Err(end) => return self.or_whole(end),
             };
@@ -56,24 +64,44 @@
             if let Err(end) = taken {
                 return end;
             }
-            expected_ms = self.granted.token_gap_ms;
         }
     }
 
-    fn next(
-        &self,
-        generation: &mut Generation,
-        expected_ms: u64,
-    ) -> Result<StreamEvent, AttemptEnd> {
-        let left_ms = self.admission.deadline.since_ms(self.tools.clock.now());
-        let bound_ms = self.tools.settings.silent_bound_ms(expected_ms);
-        // A non-idempotent run is never given up for another, so that only its deadline ends the wait.
-        let wait_ms = if self.admission.non_idempotent { left_ms } else { bound_ms.min(left_ms) };
-        match generation.next(wait_ms) {
-            Ok(event) => Ok(event),
-            Err(NoEvent::Silent { .. }) if wait_ms >= left_ms => Err(AttemptEnd::DeadlinePassed),
-            Err(NoEvent::Silent { .. }) => Err(AttemptEnd::Silent),
+    /// The next event; waits on while no token has come and the servers answer probes, since the request may be queued.
+    fn next(&self, generation: &mut Generation) -> Result<StreamEvent, AttemptEnd> {
+        let mut silences = 0;
+        loop {
+            let left_ms = self.admission.deadline.since_ms(self.tools.clock.now());
+            let wait_ms = self.wait_ms().min(left_ms);
+            match generation.next(wait_ms) {
+                Ok(event) => return Ok(event),
+                Err(NoEvent::Silent { .. }) if wait_ms >= left_ms => {
+                    return Err(AttemptEnd::DeadlinePassed);
+                }
+                Err(NoEvent::Silent { .. }) => silences += 1,
+            }
+            let unanswered = unanswered(self.granted, self.tools.settings.probe_wait_ms);
+            if !unanswered.is_empty() || !self.may_be_queued(silences) {
+                return Err(AttemptEnd::Silent { unanswered });
+            }
+        }
+    }
+
+    fn wait_ms(&self) -> u64 {
+        if self.admission.non_idempotent {
+            // Its run is never given up for another, so that only the deadline ends the wait.
+            return u64::MAX;
         }
+        let is_first = self.tokens == 0;
+        let expected_ms =
+            if is_first { self.granted.first_token_ms } else { self.granted.token_gap_ms };
+        self.tools.settings.silent_bound_ms(expected_ms)
+    }
+
+    fn may_be_queued(&self, silences: u32) -> bool {
+        // A split model may stand still at a link between stages that all answer.
+        let is_split = !self.granted.stages.is_empty();
+        self.tokens == 0 && (!is_split || silences <= SPLIT_SILENCES_LIMIT)
     }
 
     fn token(&mut self, attempt: u32, position: u32, token: &str) -> Result<(), AttemptEnd> {
@@ -127,7 +155,7 @@
             AttemptEnd::Failed { .. }
             | AttemptEnd::Closed
             | AttemptEnd::Malformed
-            | AttemptEnd::Silent
+            | AttemptEnd::Silent { .. }
                 if self.assembly.is_at_limit() =>
             {
                 AttemptEnd::Whole(FinishReason::Length)
--- a/crates/godwit-host/src/dispatch/generate.rs
+++ b/crates/godwit-host/src/dispatch/generate.rs
@@ -74,7 +74,7 @@
         let started_at = self.tries.tools.clock.now();
         let progress = progress.begin();
         let (end, tokens) = self.attempt(&granted, sink);
-        let blamed = blamed(&end, &granted, self.tries.tools.settings.probe_wait_ms);
+        let blamed = blamed(&end, &granted);
         self.tries.tell(&AttemptReport {
             granted: &granted,
             ending: ending(&end),
@@ -167,13 +167,15 @@
             AttemptEnd::Failed { .. }
             | AttemptEnd::Closed
             | AttemptEnd::Malformed
-            | AttemptEnd::Silent => Failure::Lost,
+            | AttemptEnd::Silent { .. } => Failure::Lost,
         };
         self.tries.after(progress, failure, granted, blamed)
     }
 
     fn finish(mut self, progress: Progress, ending: Ending<FinishReason>) -> Run<GeneratedAnswer> {
-        self.tries.report.dropped = self.assembly.dropped();
+        let dropped = self.assembly.dropped();
+        metrics::counter!("godwit_dropped_pieces_total").increment(dropped.total());
+        self.tries.report.dropped = dropped;
         let delivered_tokens = self.assembly.next_position();
         let ending = match ending {
             Ending::Whole(finish_reason) => {
@@ -195,7 +197,7 @@
         AttemptEnd::Unreachable(_) => AttemptEnding::Unreachable,
         AttemptEnd::Failed { .. } | AttemptEnd::Closed => AttemptEnding::Lost,
         AttemptEnd::Malformed => AttemptEnding::Malformed,
-        AttemptEnd::Silent => AttemptEnding::Silent,
+        AttemptEnd::Silent { .. } => AttemptEnding::Silent,
         AttemptEnd::CallerGone | AttemptEnd::DeadlinePassed => AttemptEnding::Cancelled,
     }
 }
--- a/crates/godwit-host/src/dispatch/ports.rs
+++ b/crates/godwit-host/src/dispatch/ports.rs
@@ -90,6 +90,21 @@
     Cancelled,
 }
 
+impl AttemptEnding {
+    /// The ending as in the label `ending` of `godwit_attempts_total`.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            AttemptEnding::Whole => "whole",
+            AttemptEnding::Refused => "refused",
+            AttemptEnding::Unreachable => "unreachable",
+            AttemptEnding::Lost => "lost",
+            AttemptEnding::Silent => "silent",
+            AttemptEnding::Malformed => "malformed",
+            AttemptEnding::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// What an attempt showed.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptReport<'a> {
--- a/crates/godwit-host/src/dispatch/tries.rs
+++ b/crates/godwit-host/src/dispatch/tries.rs
@@ -101,6 +101,7 @@
                 crashes.server_lost(self.fingerprint, server, now);
             }
         }
+        metrics::counter!("godwit_attempts_total", "ending" => report.ending.as_str()).increment(1);
         self.tools.reports.attempt_ended(report);
     }
 
--- a/crates/godwit-host/tests/dispatch/generate.rs
+++ b/crates/godwit-host/tests/dispatch/generate.rs
@@ -65,6 +65,21 @@
     assert_eq!(bench.recorder.endings()[0], ("s1".to_string(), AttemptEnding::Silent));
 }
 
+#[test]
+fn generate_queued_request_is_not_given_up() {
+    let (first, second) = (whole("s1"), whole("s2"));
+    first.set_faults(faults(|f| f.slow_factor = 700.0)).unwrap();
+    let servers = [("s1", address(&first)), ("s2", address(&second))];
+    let source = ListSource::new(&servers.each_ref().map(|(s, a)| (*s, a.as_str())));
+    let bench = Bench::new();
+    let mut sink = Sink { gone_after: Some(1), ..Sink::default() };
+    run_generate(life("r-1", TOKENS, false), &job(), &bench.tools(&source), &mut sink);
+    // The first token takes longer than the silent bound, but the server answers probes.
+    assert_eq!(sink.tokens, expected()[..1]);
+    assert!(second.journal().is_empty());
+    assert_eq!(bench.recorder.endings(), [("s1".to_string(), AttemptEnding::Cancelled)]);
+}
+
 #[test]
 fn generate_doubled_tokens_are_dropped() {
     let engine = whole("s1");
