Look up the links of a plan once

Cause: the search for a stage plan compared the names of two servers for each pair at each boundary.

Change: link costs go into a matrix of holders first.

--- a/crates/godwit-core/src/split/search.rs
+++ b/crates/godwit-core/src/split/search.rs
@@ -51,14 +51,17 @@
 pub(crate) struct Search<'a> {
     layers: u32,
     holders: &'a [&'a StageHolder],
-    links: &'a Links,
+    /// Time of a step over the link between two holders.
+    link_us: Vec<Vec<u64>>,
     /// Least cost from a boundary to the last layer, by the holder whose stage ended at the boundary.
     rest: Vec<Vec<Option<Cost>>>,
 }
 
 impl<'a> Search<'a> {
     pub(crate) fn new(layers: u32, holders: &'a [&'a StageHolder], links: &'a Links) -> Search<'a> {
-        let mut search = Search { layers, holders, links, rest: Vec::new() };
+        let from = |from: &&StageHolder| holders.iter().map(|to| links.step_us(from, to)).collect();
+        let link_us = holders.iter().map(from).collect();
+        let mut search = Search { layers, holders, link_us, rest: Vec::new() };
         search.fill_rest();
         search
     }
@@ -127,7 +130,7 @@
     }
 
     fn link_us(&self, before: Option<usize>, index: usize) -> u64 {
-        before.map_or(0, |before| self.links.step_us(self.holders[before], self.holders[index]))
+        before.map_or(0, |before| self.link_us[before][index])
     }
 
     fn extensions(&self, path: Option<&Path>) -> impl Iterator<Item = Path> {
