Break the load bench's figures down by class of requests

Change: endings, codes and time to the first byte for each class (page, lookup, confirmation, text).

--- a/crates/godwit-ctl/src/bench/load/mix.rs
+++ b/crates/godwit-ctl/src/bench/load/mix.rs
@@ -69,6 +69,19 @@
 }
 
 impl Class {
+    /// All classes.
+    pub(super) const ALL: [Class; 4] = [Class::Page, Class::Lookup, Class::Once, Class::Text];
+
+    /// Name in reports.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Class::Page => "page",
+            Class::Lookup => "lookup",
+            Class::Once => "confirmation",
+            Class::Text => "text",
+        }
+    }
+
     /// Kind in the configuration.
     pub(super) fn kind(self) -> &'static str {
         match self {
--- a/crates/godwit-ctl/src/bench/load/report.rs
+++ b/crates/godwit-ctl/src/bench/load/report.rs
@@ -69,6 +69,15 @@
     }
 }
 
+/// Figures of one class of requests.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct ClassRow {
+    pub(super) class: String,
+    pub(super) endings: Endings,
+    pub(super) first_byte: Percentiles,
+    pub(super) codes: Vec<CodeCount>,
+}
+
 /// Figures of one policy at one load.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct LoadRow {
@@ -88,7 +97,6 @@
     pub(super) goodput_percent_of_bound: f64,
     pub(super) all: Endings,
     pub(super) in_time_percent_of_admitted: f64,
-    pub(super) confirmations: Endings,
     /// Requests refused as `not-run` of which a server ran something; none where journals are out of reach.
     pub(super) refused_but_ran: Option<usize>,
     /// Requests not sent because too many were in progress.
@@ -96,10 +104,9 @@
     pub(super) first_token: Percentiles,
     pub(super) between_tokens: Percentiles,
     pub(super) lookup_first_byte: Percentiles,
-    pub(super) confirmation_whole: Percentiles,
     /// Jain's index over the workspaces' shares of tokens in time of tokens asked for; 1 is equal.
     pub(super) fairness: f64,
-    pub(super) codes: Vec<CodeCount>,
+    pub(super) classes: Vec<ClassRow>,
 }
 
 /// What a run gave.
@@ -132,15 +139,13 @@
             goodput_percent_of_bound: percent(goodput, self.bound_tokens_per_s),
             in_time_percent_of_admitted: all.in_time_percent(),
             all,
-            confirmations: Endings::of(self.of_class(Class::Once)),
             refused_but_ran: self.refused_but_ran(),
             not_sent: self.not_sent,
             first_token: percentiles(self.outcomes.iter().filter_map(first_token_us)),
             between_tokens: percentiles(self.outcomes.iter().flat_map(gaps_us)),
             lookup_first_byte: percentiles(self.lookups().filter_map(first_byte_us)),
-            confirmation_whole: percentiles(self.of_class(Class::Once).filter_map(first_byte_us)),
             fairness: self.fairness(),
-            codes: self.codes(),
+            classes: Class::ALL.iter().map(|class| self.class_row(*class)).collect(),
         }
     }
 
@@ -198,19 +203,25 @@
         jain(&wanting.map(|(in_time, wanted)| in_time / wanted).collect::<Vec<f64>>())
     }
 
-    fn codes(&self) -> Vec<CodeCount> {
-        let mut counts: BTreeMap<u16, usize> = BTreeMap::new();
-        for outcome in self.outcomes {
-            *counts.entry(outcome.code).or_default() += 1;
+    fn class_row(&self, class: Class) -> ClassRow {
+        ClassRow {
+            class: class.as_str().to_string(),
+            endings: Endings::of(self.of_class(class)),
+            first_byte: percentiles(self.of_class(class).filter_map(first_byte_us)),
+            codes: codes(self.of_class(class)),
         }
-        let name = |code| Code::from_number(code).map_or("none", Code::name).to_string();
-        counts
-            .into_iter()
-            .map(|(code, count)| CodeCount { code, name: name(code), count })
-            .collect()
     }
 }
 
+fn codes<'a>(outcomes: impl Iterator<Item = &'a Outcome>) -> Vec<CodeCount> {
+    let mut counts: BTreeMap<u16, usize> = BTreeMap::new();
+    for outcome in outcomes {
+        *counts.entry(outcome.code).or_default() += 1;
+    }
+    let name = |code| Code::from_number(code).map_or("none", Code::name).to_string();
+    counts.into_iter().map(|(code, count)| CodeCount { code, name: name(code), count }).collect()
+}
+
 /// Name of a policy as in its flag.
 pub(super) fn policy_name(policy: PolicyName) -> &'static str {
     match policy {
--- a/crates/godwit-ctl/src/bench/load/table.rs
+++ b/crates/godwit-ctl/src/bench/load/table.rs
@@ -64,21 +64,22 @@
 }
 
 fn print_rest(row: &LoadRow) {
-    let codes = row.codes.iter().map(|code| format!("{}={}", code.name, code.count));
     let ran = row.refused_but_ran.map_or("unseen".to_string(), |count| count.to_string());
     println!(
-        "policy={} load_percent={} mix={} bound_tokens_per_s={:.0} sent={} not_sent={} \
-         refused_but_ran={ran} confirmations_sent={} confirmations_late={} \
-         confirmations_refused={} {}",
-        row.policy,
-        row.load_percent,
-        row.mix,
-        row.bound_tokens_per_s,
-        row.all.sent,
-        row.not_sent,
-        row.confirmations.sent,
-        row.confirmations.late,
-        row.confirmations.refused,
-        codes.collect::<Vec<_>>().join(" ")
+        "policy={} load_percent={} mix={} bound_tokens_per_s={:.0} sent={} not_sent={} refused_but_ran={ran}",
+        row.policy, row.load_percent, row.mix, row.bound_tokens_per_s, row.all.sent, row.not_sent,
     );
+    for class in &row.classes {
+        let codes = class.codes.iter().map(|code| format!(" {}={}", code.name, code.count));
+        println!(
+            "  class={} sent={} in_time={} late={} refused={} first_byte_ms={}{}",
+            class.class,
+            class.endings.sent,
+            class.endings.in_time,
+            class.endings.late,
+            class.endings.refused,
+            times(&class.first_byte),
+            codes.collect::<String>()
+        );
+    }
 }
