Split the largest modules of the stand-ins

Change: the engine's memory and its waiting work, and the platform's calls on objects, have modules of their own; no behaviour changes. With given addresses the load bench names the policy `as-set-on-hosts`, as it can't know it.

--- a/crates/godwit-ctl/src/bench/load/report.rs
+++ b/crates/godwit-ctl/src/bench/load/report.rs
@@ -126,7 +126,7 @@
         let all = Endings::of(self.outcomes.iter());
         let goodput = self.tokens_per_s(|outcome| outcome.ending == Ending::InTime);
         LoadRow {
-            policy: policy_name(self.policy).to_string(),
+            policy: self.policy_label().to_string(),
             mix: self.plan.mix.as_str().to_string(),
             load_percent: self.load_percent,
             seed: self.plan.seed,
@@ -149,6 +149,10 @@
         }
     }
 
+    fn policy_label(&self) -> &'static str {
+        if self.plan.given.is_some() { "as-set-on-hosts" } else { policy_name(self.policy) }
+    }
+
     fn window_us(&self) -> (u64, u64) {
         let end = self.plan.duration_ms as f64 * US_PER_MS;
         ((end * WARM_UP_SHARE) as u64, end as u64)
--- a/crates/godwit-standin/src/engine/api.rs
+++ b/crates/godwit-standin/src/engine/api.rs
@@ -8,10 +8,11 @@
 };
 use serde_json::json;
 
-use super::core::{Engine, Interrupt};
+use super::core::Engine;
 use super::inventory::OrderOutcome;
 use super::refusal::{refusal, status};
 use super::step::StepError;
+use super::wait::Interrupt;
 use crate::http::{Call, Flow, Handler, Responder};
 use crate::journal::{self, Subject};
 
--- a/crates/godwit-standin/src/engine/core.rs
+++ b/crates/godwit-standin/src/engine/core.rs
@@ -1,99 +1,32 @@
 //! State of an engine, its life and its faults.
 
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use godwit_schema::engine::{EngineFaults, LoadReport};
 
-use super::attempts::Attempts;
-use super::cache::PrefixCache;
-use super::inventory::Inventory;
-use super::load::{LoadHistory, LoadSample};
+use super::memory::Memory;
 use super::settings::EngineSettings;
-use super::slots::Slots;
+use super::wait::{Interrupt, Work, check};
 use crate::StandinError;
-use crate::http::{Port, Responder};
+use crate::http::Port;
 use crate::journal::Journal;
-use crate::time::{lock, unix_now_ms};
-
-/// Longest wait before the reasons to stop are looked at again.
-const MAX_WAIT: Duration = Duration::from_millis(100);
-
-/// Why work ends before it is complete.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Interrupt {
-    /// The engine died.
-    Dead,
-    /// The attempt was cancelled or a newer one came.
-    Superseded,
-    /// The caller closed its connection.
-    CallerGone,
-}
-
-/// Which work waits: one attempt of a request, in one life of the engine.
-#[derive(Clone, Copy)]
-pub(super) struct Work<'a> {
-    pub(super) request_id: &'a str,
-    pub(super) attempt: u32,
-    pub(super) incarnation: u64,
-    pub(super) caller: &'a Responder<'a>,
-}
-
-/// What an engine loses when it dies.
-pub(super) struct Memory {
-    pub(super) started_at_unix_ms: u64,
-    pub(super) slots: Slots,
-    pub(super) steps_running: u32,
-    pub(super) pending_tokens: u64,
-    pub(super) attempts: Attempts,
-    pub(super) cache: PrefixCache,
-    pub(super) inventory: Inventory,
-    pub(super) history: LoadHistory,
-}
-
-impl Memory {
-    fn new(settings: &EngineSettings) -> Memory {
-        Memory {
-            started_at_unix_ms: unix_now_ms(),
-            slots: Slots::new(settings.slots, settings.queue_limit),
-            steps_running: 0,
-            pending_tokens: 0,
-            attempts: Attempts::default(),
-            cache: PrefixCache::new(settings.cache_blocks),
-            inventory: Inventory::new(&settings.models, &settings.adapters),
-            history: LoadHistory::default(),
-        }
-    }
-
-    fn sample(&self) -> LoadSample {
-        LoadSample {
-            at_unix_ms: unix_now_ms(),
-            running: self.slots.running() + self.steps_running,
-            waiting: self.slots.waiting(),
-            pending_tokens: self.pending_tokens,
-        }
-    }
-
-    /// Remembers the load for later reports.
-    pub(super) fn note_load(&mut self) {
-        let sample = self.sample();
-        self.history.add(sample);
-    }
-}
+use crate::time::lock;
 
 /// State of an engine over all its lives.
 pub(super) struct State {
     pub(super) incarnation: u64,
     pub(super) faults: EngineFaults,
     pub(super) memory: Memory,
-    alive: bool,
+    pub(super) alive: bool,
     hung: bool,
     stopped: bool,
     back_at: Option<Instant>,
 }
 
 impl State {
-    fn is_hanging(&self) -> bool {
+    /// Whether nothing goes on for now.
+    pub(super) fn is_hanging(&self) -> bool {
         self.faults.hang || self.hung
     }
 }
@@ -104,7 +37,7 @@
     pub(super) journal: Journal,
     port: Arc<Port>,
     state: Mutex<State>,
-    changed: Condvar,
+    pub(super) changed: Condvar,
 }
 
 impl Engine {
@@ -193,57 +126,6 @@
         state.memory = Memory::new(&self.settings);
     }
 
-    /// Waits until `due`, longer while the engine hangs.
-    pub(super) fn wait_until(&self, work: Work<'_>, due: Instant) -> Result<(), Interrupt> {
-        self.wait_for(work, Some(due), |_| false).map(|_| ())
-    }
-
-    /// Waits until `ready` holds or `due` has come; true when it holds.
-    pub(super) fn wait_for(
-        &self,
-        work: Work<'_>,
-        due: Option<Instant>,
-        mut ready: impl FnMut(&mut State) -> bool,
-    ) -> Result<bool, Interrupt> {
-        let mut state = self.state();
-        loop {
-            check(&state, work)?;
-            let mut wait = MAX_WAIT;
-            if !state.is_hanging() {
-                if ready(&mut state) {
-                    return Ok(true);
-                }
-                let left = due.map(|due| due.saturating_duration_since(Instant::now()));
-                if left.is_some_and(|left| left.is_zero()) {
-                    return Ok(false);
-                }
-                wait = left.unwrap_or(MAX_WAIT).min(MAX_WAIT);
-            }
-            let waited = self.changed.wait_timeout(state, wait);
-            let (woken, timeout) = waited.unwrap_or_else(PoisonError::into_inner);
-            state = woken;
-            let is_long_wait = timeout.timed_out() && wait == MAX_WAIT;
-            if is_long_wait && !state.is_hanging() && work.caller.is_caller_gone() {
-                return Err(Interrupt::CallerGone);
-            }
-        }
-    }
-
-    /// Whether work is still wanted.
-    pub(super) fn check(&self, work: Work<'_>) -> Result<(), Interrupt> {
-        check(&self.state(), work)?;
-        if work.caller.is_caller_gone() { Err(Interrupt::CallerGone) } else { Ok(()) }
-    }
-
-    /// Waits while the engine hangs.
-    pub(super) fn wait_while_hanging(&self) {
-        let mut state = self.state();
-        while state.is_hanging() && state.alive {
-            let waited = self.changed.wait_timeout(state, MAX_WAIT);
-            state = waited.unwrap_or_else(PoisonError::into_inner).0;
-        }
-    }
-
     /// Carries out the faults that strike when a position is about to run.
     pub(super) fn strike(
         &self,
@@ -300,13 +182,3 @@
         }
     }
 }
-
-fn check(state: &State, work: Work<'_>) -> Result<(), Interrupt> {
-    if !state.alive || state.incarnation != work.incarnation {
-        return Err(Interrupt::Dead);
-    }
-    if !state.memory.attempts.is_current(work.request_id, work.attempt) {
-        return Err(Interrupt::Superseded);
-    }
-    Ok(())
-}
--- a/crates/godwit-standin/src/engine/generate.rs
+++ b/crates/godwit-standin/src/engine/generate.rs
@@ -7,12 +7,13 @@
 };
 
 use super::attempts::Layers;
-use super::core::{Engine, Interrupt};
+use super::core::Engine;
 use super::link::Link;
 use super::refusal::refusal;
 use super::run::Run;
 use super::step::{Plan, StepError};
 use super::tokens::Answer;
+use super::wait::Interrupt;
 use crate::http::{Flow, LineStream, Responder};
 use crate::journal::Subject;
 
--- a/crates/godwit-standin/src/engine/mod.rs
+++ b/crates/godwit-standin/src/engine/mod.rs
@@ -9,12 +9,14 @@
 mod kv;
 mod link;
 mod load;
+mod memory;
 mod refusal;
 mod run;
 mod settings;
 mod slots;
 mod step;
 mod tokens;
+mod wait;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/godwit-standin/src/engine/run.rs
+++ b/crates/godwit-standin/src/engine/run.rs
@@ -2,8 +2,9 @@
 
 use godwit_schema::engine::{GenerateRequest, RefusalReason};
 
-use super::core::{Engine, Interrupt, Work};
+use super::core::Engine;
 use super::slots::Place;
+use super::wait::{Interrupt, Work};
 use crate::http::Responder;
 
 /// A request taken in; dropping it frees its slot or its place in the queue.
--- a/crates/godwit-standin/src/engine/step.rs
+++ b/crates/godwit-standin/src/engine/step.rs
@@ -7,10 +7,11 @@
 };
 
 use super::attempts::Layers;
-use super::core::{Engine, Interrupt, Work};
+use super::core::Engine;
 use super::link::{Link, LinkError};
 use super::refusal::refusal;
 use super::tokens::{Answer, prompt_tokens};
+use super::wait::{Interrupt, Work};
 use crate::http::Responder;
 use crate::journal::Subject;
 
--- a/crates/godwit-standin/src/platform/mod.rs
+++ b/crates/godwit-standin/src/platform/mod.rs
@@ -3,6 +3,7 @@
 mod api;
 mod counts;
 mod host_list;
+mod objects;
 mod rate;
 mod settings;
 mod store;
