Look only at the server that changed when a slot comes free

Change: an end or a reading lets the queue try that one server; a queue's share of the capacity stays for 100 ms; the turns of requests that may use the reserve are kept apart. The whole fleet is looked at every 20 ms as before.

--- /dev/null
+++ b/crates/godwit-core/benches/decisions.rs
@@ -0,0 +1,201 @@
+//! Cost of one decision: choice of a server, and a request's way through a queue, by size of fleet and of tenancy.
+//!
+//! `cargo bench -p godwit-core --bench decisions`
+
+use std::collections::BTreeSet;
+
+use divan::Bencher;
+use godwit_core::placement::{PlaceRequest, Placer, Reception};
+use godwit_core::route::{Choice, DispatchEnd, Policy, PromptPrefix, Router, Wanted};
+use godwit_core::{Admission, Reading, Target, UnixMs};
+use godwit_schema::config::{BackendServer, Fleet, ServerRole};
+use godwit_schema::engine::{CacheAction, CacheEvent};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const NOW: UnixMs = UnixMs(1_000_000);
+const SERVERS: [usize; 3] = [50, 200, 700];
+const WORKSPACES: [usize; 3] = [10, 100, 740];
+const DOMAINS: usize = 7;
+const SLOTS: u32 = 8;
+const WAITING: u64 = 740;
+
+fn main() {
+    divan::main();
+}
+
+fn fleet(servers: usize) -> Fleet {
+    let server = |n: usize| BackendServer {
+        name: format!("engine-{n:03}"),
+        address: "127.0.0.1:1".to_string(),
+        failure_domain: format!("domain-{}", n % DOMAINS),
+        role: ServerRole::Engine,
+        accelerator_kind: None,
+        slots: SLOTS,
+        tokens_per_s: [20.0, 40.0, 80.0][n % 3],
+        prefill_tokens_per_s: 4_000.0,
+        models: vec!["crane".to_string()],
+        layer_from: None,
+        layer_to: None,
+        service: None,
+        checks_fencing: false,
+    };
+    Fleet { servers: (0..servers).map(server).collect(), ..Fleet::default() }
+}
+
+fn reading(n: usize, running: u32) -> Reading {
+    Reading {
+        server: format!("engine-{n:03}"),
+        measured_at: NOW.minus_ms(500),
+        started_at: UnixMs(1),
+        slots: SLOTS,
+        running,
+        waiting: 0,
+        pending_tokens: u64::from(running) * 50,
+        tokens_per_s: 40.0,
+    }
+}
+
+fn router(servers: usize, running: u32) -> Router {
+    let mut router = Router::new("domain-0", Policy::EarliestFinish, 3);
+    router.apply_fleet(&fleet(servers), NOW.minus_ms(100_000));
+    router.set_host_count(50);
+    (0..servers).for_each(|n| router.observe_reading(&reading(n, running), NOW));
+    router
+}
+
+fn admission(workspace: usize) -> Admission {
+    Admission {
+        workspace: format!("workspace-{workspace:03}"),
+        kind: "draft".to_string(),
+        event: None,
+        rule: "all".to_string(),
+        target: Target::Model { model: "crane".to_string(), adapter: None },
+        priority: 1,
+        non_idempotent: false,
+        deadline: NOW.plus_ms(60_000),
+        max_tokens: 100,
+        may_use_reserve: false,
+        prompt_bytes: 2_000,
+    }
+}
+
+fn bench_choose(bencher: Bencher<'_, '_>, mut router: Router, prefixes: &[PromptPrefix]) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let admission = admission(0);
+    let excluded = BTreeSet::new();
+    let wanted = Wanted { admission: &admission, prefixes, excluded: &excluded, backlog: false };
+    bencher.bench_local(|| router.choose(wanted, NOW, &mut rng));
+}
+
+/// Servers have free slots: samples decide.
+#[divan::bench(args = SERVERS)]
+fn choose_with_free_slots(bencher: Bencher<'_, '_>, servers: usize) {
+    bench_choose(bencher, router(servers, SLOTS / 2), &[]);
+}
+
+/// No server has a free slot: all candidates are looked at.
+#[divan::bench(args = SERVERS)]
+fn choose_with_all_full(bencher: Bencher<'_, '_>, servers: usize) {
+    bench_choose(bencher, router(servers, SLOTS), &[]);
+}
+
+/// A prompt of 8 KB, of which a few servers hold prefixes.
+#[divan::bench(args = SERVERS)]
+fn choose_with_cached_prefixes(bencher: Bencher<'_, '_>, servers: usize) {
+    let prefixes = PromptPrefix::of_prompt(&"a note on the week's produce ".repeat(280));
+    let mut router = router(servers, SLOTS / 2);
+    for n in 0..servers {
+        let events: Vec<CacheEvent> = (1..200_u64).map(|sequence| event(n, sequence)).collect();
+        router.observe_cache_events(&format!("engine-{n:03}"), &events);
+    }
+    for (n, prefix) in prefixes.iter().step_by(20).enumerate() {
+        let stored = CacheEvent { sequence: 200, ..stored(prefix.hash) };
+        router.observe_cache_events(&format!("engine-{n:03}"), &[stored]);
+    }
+    bench_choose(bencher, router, &prefixes);
+}
+
+fn event(server: usize, sequence: u64) -> CacheEvent {
+    CacheEvent { sequence, ..stored(server as u64 * 1_000 + sequence) }
+}
+
+fn stored(hash: u64) -> CacheEvent {
+    CacheEvent {
+        sequence: 0,
+        action: CacheAction::Stored,
+        prefix_hash: format!("{hash:016x}"),
+        prefix_bytes: 64,
+    }
+}
+
+/// One request comes, is granted at once and ends: the whole cost of the placement without a backlog.
+#[divan::bench(args = SERVERS)]
+fn place_without_backlog(bencher: Bencher<'_, '_>, servers: usize) {
+    let mut placer = Placer::new(router(servers, SLOTS / 2), SmallRng::seed_from_u64(1));
+    let done = DispatchEnd::Done { tokens: 100, took_ms: 2_500 };
+    bencher.with_inputs(|| request(0)).bench_local_values(|request| {
+        if let Reception::Granted(granted) = placer.receive(request, NOW) {
+            placer.ended(&granted, done, NOW);
+        }
+    });
+}
+
+/// One request ends, the next one of the queue gets its slot, and a newcomer waits in its place.
+#[divan::bench(args = WORKSPACES)]
+fn place_with_backlog(bencher: Bencher<'_, '_>, workspaces: usize) {
+    let mut router = router(700, SLOTS);
+    let held = router.started("engine-000", 100, NOW.minus_ms(1_000));
+    router.observe_reading(&Reading { measured_at: NOW, ..reading(0, SLOTS) }, NOW);
+    let mut placer = Placer::new(router, SmallRng::seed_from_u64(1));
+    for n in 0..WAITING {
+        placer.receive(request(n as usize % workspaces), NOW);
+    }
+    placer.router_mut().ended("engine-000", held, DispatchEnd::Cancelled, NOW);
+    let mut next = 0;
+    bencher.bench_local(|| {
+        next += 1;
+        placer.receive(request(next % workspaces), NOW);
+        placer.review(NOW.plus_ms(30));
+        for decision in placer.take_decisions() {
+            if let Ok(granted) = decision.outcome {
+                placer.ended(&granted, DispatchEnd::Cancelled, NOW);
+            }
+        }
+    });
+}
+
+fn request(workspace: usize) -> PlaceRequest {
+    PlaceRequest {
+        admission: admission(workspace),
+        prefixes: Vec::new(),
+        excluded: BTreeSet::new(),
+    }
+}
+
+/// One reading arrives.
+#[divan::bench(args = SERVERS)]
+fn observe_reading(bencher: Bencher<'_, '_>, servers: usize) {
+    let mut router = router(servers, SLOTS / 2);
+    let mut at = 0;
+    bencher.bench_local(|| {
+        at += 1;
+        let reading = Reading { measured_at: NOW.plus_ms(at), ..reading(7, 4) };
+        router.observe_reading(&reading, NOW.plus_ms(at));
+    });
+}
+
+/// The decision alone, as a guard that the benches above measure what they say.
+#[divan::bench(args = SERVERS)]
+fn choose_to_wait(bencher: Bencher<'_, '_>, servers: usize) {
+    let router = router(servers, SLOTS);
+    let admission = admission(0);
+    let excluded = BTreeSet::new();
+    let wanted =
+        Wanted { admission: &admission, prefixes: &[], excluded: &excluded, backlog: true };
+    bencher.bench_local(|| {
+        let choice = router.choose_to_wait(wanted, NOW);
+        assert!(matches!(choice, Choice::Wait { .. }));
+        choice
+    });
+}
--- a/crates/godwit-core/src/placement/placer.rs
+++ b/crates/godwit-core/src/placement/placer.rs
@@ -15,6 +15,9 @@
 /// Time between two looks at the whole queue, in milliseconds.
 const REVIEW_INTERVAL_MS: u64 = 20;
 
+/// Time for which a queue's share of the capacity is taken to stay, in milliseconds.
+const SHARE_INTERVAL_MS: u64 = 100;
+
 /// Time after which a caller may come back when nothing better is known, in milliseconds.
 const RETRY_MS: u64 = 1_000;
 
@@ -91,7 +94,7 @@
     /// Takes a load reading.
     pub fn observe_reading(&mut self, reading: &Reading, now: UnixMs) {
         self.router.observe_reading(reading, now);
-        self.advance(now);
+        self.advance_on(&reading.server, now);
     }
 
     /// Decides on a request, or lets it wait.
@@ -125,7 +128,7 @@
     /// Counts the end of a dispatch; true when its server is ejected for it.
     pub fn ended(&mut self, granted: &Granted, end: DispatchEnd, now: UnixMs) -> bool {
         let ejected = self.router.ended(&granted.server, granted.dispatch, end, now);
-        self.advance(now);
+        self.advance_on(&granted.server, now);
         ejected
     }
 
@@ -166,6 +169,31 @@
         self.waiting.len()
     }
 
+    /// Grants what can start on one server, after something has changed there.
+    fn advance_on(&mut self, server: &str, now: UnixMs) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let targets: Vec<Target> = self.queues.keys().cloned().collect();
+        for target in targets {
+            while self.grant_on(&target, server, now) {}
+        }
+    }
+
+    /// Grants the first waiting request that can start on one server; false when there is none.
+    fn grant_on(&mut self, target: &Target, server: &str, now: UnixMs) -> bool {
+        let heads = self.queues.get(target).map(TargetQueue::heads).unwrap_or_default();
+        let startable = heads.into_iter().find_map(|head| {
+            let request = self.waiting.get(&head.ticket)?;
+            let estimate = self.router.choose_on(server, request.wanted(true), now)?;
+            Some((head.ticket, estimate))
+        });
+        if let Some((ticket, estimate)) = startable {
+            self.grant(target, ticket, server, estimate, now);
+        }
+        startable.is_some()
+    }
+
     /// Grants what can start now, after something has changed.
     fn advance(&mut self, now: UnixMs) {
         if self.waiting.is_empty() {
@@ -306,9 +334,12 @@
     }
 
     fn refresh_rate(&mut self, target: &Target, now: UnixMs) {
-        let capacity = self.router.capacity_per_s(target, now);
-        let share = capacity / f64::from(self.router.host_count());
         let queue = self.queues.entry(target.clone()).or_insert_with(TargetQueue::new);
-        queue.rate.set_share(share);
+        if !queue.share_expires_at.is_past(now) {
+            return;
+        }
+        let capacity = self.router.capacity_per_s(target, now);
+        queue.rate.set_share(capacity / f64::from(self.router.host_count()));
+        queue.share_expires_at = now.plus_ms(SHARE_INTERVAL_MS);
     }
 }
--- a/crates/godwit-core/src/placement/target_queue.rs
+++ b/crates/godwit-core/src/placement/target_queue.rs
@@ -14,11 +14,17 @@
 pub(super) struct TargetQueue {
     pub(super) queue: Queue,
     pub(super) rate: DrainRate,
+    /// When the share in `rate` has to be worked out anew.
+    pub(super) share_expires_at: UnixMs,
 }
 
 impl TargetQueue {
     pub(super) fn new() -> TargetQueue {
-        TargetQueue { queue: Queue::new(QUEUE_LIMIT), rate: DrainRate::default() }
+        TargetQueue {
+            queue: Queue::new(QUEUE_LIMIT),
+            rate: DrainRate::default(),
+            share_expires_at: UnixMs(0),
+        }
     }
 
     pub(super) fn outlook(&self, now: UnixMs) -> Outlook<'_> {
@@ -28,18 +34,17 @@
     /// The requests to try next, in order: the next ones of a few workspaces, and one that may use the reserve.
     pub(super) fn heads(&self) -> Vec<Head> {
         let mut heads: Vec<Head> = self.queue.in_order().take(HEADS_TRIED).map(head_of).collect();
-        let reserve = self.queue.in_order().find(|waiting| waiting.class != WaitClass::Ordinary);
-        heads.extend(reserve.map(head_of));
+        heads.extend(self.queue.first_reserve().map(head_of));
         heads
     }
 
     /// Whether requests wait that go before a newcomer and use the same capacity.
     pub(super) fn goes_before(&self, newcomer: &Admission) -> bool {
-        let is_ordinary = WaitClass::of(newcomer) == WaitClass::Ordinary;
-        self.queue
-            .in_order()
-            .take_while(|other| other.priority >= newcomer.priority)
-            .any(|other| (other.class == WaitClass::Ordinary) == is_ordinary)
+        let first = match WaitClass::of(newcomer) {
+            WaitClass::Ordinary => self.queue.first_ordinary(),
+            WaitClass::Reserve | WaitClass::Once => self.queue.first_reserve(),
+        };
+        first.is_some_and(|first| first.priority >= newcomer.priority)
     }
 
     /// Takes out a request that is granted.
--- a/crates/godwit-core/src/queue/order.rs
+++ b/crates/godwit-core/src/queue/order.rs
@@ -37,7 +37,8 @@
     limit: usize,
     entries: BTreeMap<Ticket, Waiting>,
     lanes: BTreeMap<LaneKey, Lane>,
-    turns: BTreeSet<Turn>,
+    ordinary_turns: BTreeSet<Turn>,
+    reserve_turns: BTreeSet<Turn>,
     by_value: BTreeSet<(u8, WaitClass, Reverse<usize>, String)>,
     by_start: BTreeSet<(UnixMs, Ticket)>,
     level_granted: BTreeMap<(u8, WaitClass), u64>,
@@ -50,7 +51,8 @@
             limit,
             entries: BTreeMap::new(),
             lanes: BTreeMap::new(),
-            turns: BTreeSet::new(),
+            ordinary_turns: BTreeSet::new(),
+            reserve_turns: BTreeSet::new(),
             by_value: BTreeSet::new(),
             by_start: BTreeSet::new(),
             level_granted: BTreeMap::new(),
@@ -95,7 +97,24 @@
 
     /// The next request of each workspace, in the order in which they are to be granted.
     pub fn in_order(&self) -> impl Iterator<Item = &Waiting> {
-        self.turns.iter().filter_map(|turn| self.entries.get(&turn.ticket))
+        let mut ordinary = self.ordinary_turns.iter().peekable();
+        let mut reserve = self.reserve_turns.iter().peekable();
+        let turns = std::iter::from_fn(move || match (ordinary.peek(), reserve.peek()) {
+            (Some(first), Some(other)) if first < other => ordinary.next(),
+            (Some(_), None) => ordinary.next(),
+            _ => reserve.next(),
+        });
+        turns.filter_map(|turn| self.entries.get(&turn.ticket))
+    }
+
+    /// The next request of those that may not use the reserve.
+    pub fn first_ordinary(&self) -> Option<&Waiting> {
+        self.entries.get(&self.ordinary_turns.first()?.ticket)
+    }
+
+    /// The next request of those that may use the reserve.
+    pub fn first_reserve(&self) -> Option<&Waiting> {
+        self.entries.get(&self.reserve_turns.first()?.ticket)
     }
 
     /// Takes out a request that is granted, and counts its work for its workspace.
@@ -153,7 +172,7 @@
     fn pull_lane(&mut self, key: &LaneKey) -> Lane {
         let lane = self.lanes.remove(key).unwrap_or_default();
         if let Some(turn) = lane.turn(key) {
-            self.turns.remove(&turn);
+            self.turns_of(key.class).remove(&turn);
         }
         self.by_value.remove(&value_of(key, &lane));
         lane
@@ -161,7 +180,7 @@
 
     fn put_lane(&mut self, key: LaneKey, lane: Lane) {
         if let Some(turn) = lane.turn(&key) {
-            self.turns.insert(turn);
+            self.turns_of(key.class).insert(turn);
             self.by_value.insert(value_of(&key, &lane));
         }
         self.lanes.insert(key, lane);
@@ -173,6 +192,13 @@
         }
     }
 
+    fn turns_of(&mut self, class: WaitClass) -> &mut BTreeSet<Turn> {
+        match class {
+            WaitClass::Ordinary => &mut self.ordinary_turns,
+            WaitClass::Reserve | WaitClass::Once => &mut self.reserve_turns,
+        }
+    }
+
     fn drop_idle_lanes(&mut self) {
         let levels = &self.level_granted;
         self.lanes.retain(|key, lane| {
--- a/crates/godwit-core/src/route/fleet.rs
+++ b/crates/godwit-core/src/route/fleet.rs
@@ -42,6 +42,11 @@
         self.local.servers.iter().chain(self.remote.servers.iter()).copied()
     }
 
+    /// Whether the server is among them.
+    pub(crate) fn has(&self, server: ServerIndex) -> bool {
+        self.local.has(server) || self.remote.has(server)
+    }
+
     /// Count of servers.
     pub(crate) fn len(&self) -> usize {
         self.local.servers.len() + self.remote.servers.len()
@@ -120,7 +125,7 @@
     pub(crate) fn shared_by(&self, index: ServerIndex) -> impl Iterator<Item = &Candidates> {
         let whole = self.models.values().chain(self.services.values());
         let all = whole.chain(self.stages.values());
-        all.filter(move |candidates| candidates.local.has(index) || candidates.remote.has(index))
+        all.filter(move |candidates| candidates.has(index))
     }
 
     fn add(&mut self, server: &BackendServer, traits: Traits) {
--- a/crates/godwit-core/src/route/router.rs
+++ b/crates/godwit-core/src/route/router.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 
 use super::choice::{Choice, Policy, Wanted};
+use super::estimate::Estimate;
 use super::fleet::{FleetTable, ServerIndex};
 use super::health::{Fitness, Health};
 use super::prefix::PrefixIndex;
@@ -168,6 +169,13 @@
         }
     }
 
+    /// Whether a request can start on one server now, and when it would finish there.
+    pub fn choose_on(&self, server: &str, wanted: Wanted<'_>, now: UnixMs) -> Option<Estimate> {
+        let index = self.index(server)?;
+        let candidates = self.table.candidates(&wanted.admission.target)?;
+        Scan::new(self, wanted, candidates, now).on(index)
+    }
+
     /// When a request that has to wait would have to start; [`Choice::Wait`] or [`Choice::Refuse`].
     pub fn choose_to_wait(&self, wanted: Wanted<'_>, now: UnixMs) -> Choice {
         match self.table.candidates(&wanted.admission.target) {
--- a/crates/godwit-core/src/route/scan.rs
+++ b/crates/godwit-core/src/route/scan.rs
@@ -84,6 +84,14 @@
         self.conclude(offer, &tally)
     }
 
+    /// The estimate on one server, if the request can start there in time.
+    pub(crate) fn on(&self, server: ServerIndex) -> Option<Estimate> {
+        if !self.candidates.has(server) || self.obstacle(server).is_some() {
+            return None;
+        }
+        self.offer(server).map(|offer| offer.estimate)
+    }
+
     /// Decides as if no server had a slot.
     pub(crate) fn wait(mut self) -> Choice {
         let tally = self.tally(|_| {});
@@ -162,9 +170,7 @@
         let remote_samples = if best.local.is_some() { REMOTE_SAMPLES } else { LOCAL_SAMPLES };
         self.sample(&self.candidates.remote, remote_samples, &mut best, rng);
         for holder in &self.holders {
-            let known = self.candidates.local.has(holder.server)
-                || self.candidates.remote.has(holder.server);
-            if known && self.obstacle(holder.server).is_none() {
+            if self.candidates.has(holder.server) && self.obstacle(holder.server).is_none() {
                 best.take(self.offer(holder.server));
             }
         }
