--- a/crates/godwit-core/src/knowledge/domain.rs
+++ b/crates/godwit-core/src/knowledge/domain.rs
@@ -14,6 +14,8 @@
 const UNREACHABLE_AFTER_MS: u64 = 5_000;
 /// A host of another domain that no summary names any more is forgotten.
 const FORGET_HOST_AFTER_MS: u64 = 60_000;
+/// A fact this much older than the newest one of its domain is not taken in or passed on.
+const FACT_LIFE_MS: u64 = 10_000;
 /// Failure domains remembered.
 const MAX_DOMAINS: usize = 64;
 /// Hosts remembered of one domain.
@@ -130,6 +132,9 @@
         if !self.0.contains_key(name) && self.0.len() >= MAX_DOMAINS {
             return false;
         }
+        if self.is_outdated(fact) {
+            return false;
+        }
         let domain = self.0.entry(name.to_string()).or_default();
         if fact.made_at() > domain.newest_made_at {
             domain.newest_made_at = fact.made_at();
@@ -141,6 +146,12 @@
         }
     }
 
+    /// Whether a fact is much older than the newest one of its domain.
+    pub(crate) fn is_outdated(&self, fact: &DomainFact) -> bool {
+        let newest = self.0.get(fact.failure_domain()).map(|domain| domain.newest_made_at);
+        newest.is_some_and(|newest| fact.made_at().plus_ms(FACT_LIFE_MS) < newest)
+    }
+
     pub(crate) fn names(&self) -> impl Iterator<Item = &str> {
         self.0.keys().map(String::as_str)
     }
--- a/crates/godwit-core/src/knowledge/spread.rs
+++ b/crates/godwit-core/src/knowledge/spread.rs
@@ -41,12 +41,18 @@
         self.items.retain(|_, item| keep(&item.value));
     }
 
-    /// Facts to pass on, those sent least often first, of at most `max_bytes`; reduces `max_bytes` by their length.
-    pub(crate) fn take(&mut self, max_sends: u32, max_bytes: &mut usize) -> Vec<V> {
+    /// Facts to pass on among those that are `fresh`, those sent least often first, of at most `max_bytes`; reduces
+    /// `max_bytes` by their length.
+    pub(crate) fn take(
+        &mut self,
+        max_sends: u32,
+        max_bytes: &mut usize,
+        is_fresh: impl Fn(&V) -> bool,
+    ) -> Vec<V> {
         let mut due: Vec<(u32, u64, K)> = self
             .items
             .iter()
-            .filter(|(_, item)| item.sends < max_sends)
+            .filter(|(_, item)| item.sends < max_sends && is_fresh(&item.value))
             .map(|(key, item)| (item.sends, item.last_touched, key.clone()))
             .collect();
         due.sort_unstable();
@@ -66,6 +72,25 @@
         taken
     }
 
+    /// The fresh fact touched longest ago, for hosts that missed it, if it fits `max_bytes`; reduces `max_bytes` by its
+    /// length.
+    pub(crate) fn take_oldest(
+        &mut self,
+        max_bytes: &mut usize,
+        is_fresh: impl Fn(&V) -> bool,
+    ) -> Option<V> {
+        let fresh = self.items.values_mut().filter(|item| is_fresh(&item.value));
+        let item = fresh.min_by_key(|item| item.last_touched)?;
+        let size_bytes = encoded_bytes(&item.value);
+        if size_bytes > *max_bytes {
+            return None;
+        }
+        *max_bytes -= size_bytes;
+        self.serial += 1;
+        item.last_touched = self.serial;
+        Some(item.value.clone())
+    }
+
     fn drop_oldest(&mut self) {
         let oldest = self.items.iter().min_by_key(|(_, item)| item.last_touched);
         if let Some(key) = oldest.map(|(key, _)| key.clone()) {
--- a/crates/godwit-core/src/member/detector.rs
+++ b/crates/godwit-core/src/member/detector.rs
@@ -75,7 +75,6 @@
         entry.doubted_at = now;
         entry.sends = 0;
         if doubt == Doubt::Suspect {
-            entry.false_suspicions = (entry.false_suspicions + 1).min(MAX_SUSPICION_STEPS);
             self.has_news = true;
         } else {
             self.tell_hosts_changed(actions);
@@ -103,7 +102,7 @@
         let Some(watched_since) = self.watched_since else { return Verdict::Fine };
         let silent_since = self.last_sign().max(watched_since);
         let silent_ms = now.since_ms(silent_since);
-        if silent_ms >= SUSPECT_AFTER_MS * u64::from(1 + self.false_suspicions) {
+        if silent_ms >= SUSPECT_AFTER_MS * u64::from(self.false_suspicions.max(1)) {
             return Verdict::Suspect;
         }
         if silent_ms >= PROBE_AFTER_MS && self.probed_at <= silent_since {
@@ -112,10 +111,11 @@
         Verdict::Fine
     }
 
-    /// When the member last gave a sign of life. After repeated false suspicions, the link to the member is taken
-    /// for bad, and what others hear of it counts as well.
+    /// When the member last gave a sign of life. What others tell against a suspicion may be older than the silence,
+    /// and grants less time than a message of the member. After repeated false suspicions, the link to the member is
+    /// taken for bad, and what others hear of it counts in full.
     fn last_sign(&self) -> UnixMs {
-        let direct = self.direct_at.max(self.cleared_at);
+        let direct = self.direct_at.max(self.cleared_at.minus_ms(PROBE_AFTER_MS));
         if self.false_suspicions < MAX_SUSPICION_STEPS { direct } else { direct.max(self.heard_at) }
     }
 }
--- a/crates/godwit-core/src/member/packing.rs
+++ b/crates/godwit-core/src/member/packing.rs
@@ -2,15 +2,15 @@
 
 use std::net::SocketAddr;
 
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 
-use crate::UnixMs;
-use crate::knowledge::encoded_bytes;
+use crate::knowledge::{ServerNotice, encoded_bytes};
 use crate::member::ring::Ring;
 use crate::member::settings::{
     MAX_GOSSIP_BYTES, NOTICE_LIFE_MS, RANDOM_TARGETS, READING_LIFE_MS, WATCHERS,
 };
 use crate::member::{Gossip, Member, MemberAction, MemberRecord, Purpose};
+use crate::{Reading, UnixMs};
 
 /// Room in each message that only records of members may use.
 const MEMBERS_RESERVE_BYTES: usize = 150;
@@ -23,10 +23,12 @@
         self.schedule_gossip(now);
         self.has_news = false;
         self.forget_old(now);
+        // One heartbeat for the whole round: if it is the last one, no host knows a later one than the watchers.
+        self.own.heartbeat += 1;
         for to in self.targets() {
             actions.push(self.message(Purpose::Heartbeat, to, now));
         }
-        self.has_news = self.has_untold_news();
+        self.has_news = self.has_untold_news(now);
     }
 
     /// A message of the usual length, longer for a host that has yet to learn everything.
@@ -41,14 +43,14 @@
         let mut gossip = self.envelope(purpose);
         let mut left = length.min(MAX_GOSSIP_BYTES).saturating_sub(encoded_bytes(&gossip));
         self.add_news(&mut gossip, &mut left, now);
-        self.add_readings(&mut gossip, &mut left);
+        self.add_readings(&mut gossip, &mut left, now);
+        self.add_old_news(&mut gossip, &mut left, now);
         self.add_members(&mut gossip, &mut left, now);
         MemberAction::Send { to, gossip: Box::new(gossip) }
     }
 
     /// A message without content beside the state of this host.
-    pub(super) fn envelope(&mut self, purpose: Purpose) -> Gossip {
-        self.own.heartbeat += 1;
+    pub(super) fn envelope(&self, purpose: Purpose) -> Gossip {
         Gossip {
             purpose,
             failure_domain: self.settings.failure_domain.clone(),
@@ -73,15 +75,34 @@
         self.add_records(gossip, urgent, &mut part);
         *left -= before - part;
         let share = *left / PART_DIVISOR;
-        gossip.notices = take_part(left, share, |room| self.notices.take(max_sends, room));
-        gossip.hints = take_part(left, share, |room| self.hints.take(max_sends, room));
-        gossip.domains = take_part(left, share, |room| self.facts.take(max_sends, room));
+        gossip.notices = take_part(left, share, |room| {
+            self.notices.take(max_sends, room, |notice| is_fresh_notice(notice, now))
+        });
+        gossip.hints = take_part(left, share, |room| self.hints.take(max_sends, room, |_| true));
+        gossip.domains = take_part(left, share, |room| self.facts.take(max_sends, room, |_| true));
     }
 
-    fn add_readings(&mut self, gossip: &mut Gossip, left: &mut usize) {
+    /// One notice, hint and fact that were told often enough, for hosts that missed them.
+    fn add_old_news(&mut self, gossip: &mut Gossip, left: &mut usize, now: UnixMs) {
+        if gossip.notices.is_empty() {
+            gossip
+                .notices
+                .extend(self.notices.take_oldest(left, |notice| is_fresh_notice(notice, now)));
+        }
+        if gossip.hints.is_empty() {
+            gossip.hints.extend(self.hints.take_oldest(left, |_| true));
+        }
+        if gossip.domains.is_empty() {
+            gossip.domains.extend(self.facts.take_oldest(left, |_| true));
+        }
+    }
+
+    fn add_readings(&mut self, gossip: &mut Gossip, left: &mut usize, now: UnixMs) {
         let max_sends = self.max_sends();
         let share = left.saturating_sub(MEMBERS_RESERVE_BYTES);
-        gossip.readings = take_part(left, share, |room| self.readings.take(max_sends, room));
+        gossip.readings = take_part(left, share, |room| {
+            self.readings.take(max_sends, room, |reading| is_fresh_reading(reading, now))
+        });
     }
 
     fn add_members(&mut self, gossip: &mut Gossip, left: &mut usize, now: UnixMs) {
@@ -119,22 +140,35 @@
         let others = active.iter().filter(|record| !is_watcher(record));
         let random = others.choose_multiple(&mut self.random, RANDOM_TARGETS);
         let chosen = active.iter().filter(|record| is_watcher(record)).chain(random);
-        chosen.map(|record| record.address).collect()
+        let mut addresses: Vec<SocketAddr> = chosen.map(|record| record.address).collect();
+        // In a fixed order, a host could get the same part of the news in every round.
+        addresses.shuffle(&mut self.random);
+        addresses
     }
 
     fn forget_old(&mut self, now: UnixMs) {
-        self.readings.retain(|reading| !reading.measured_at.plus_ms(READING_LIFE_MS).is_past(now));
-        self.notices.retain(|notice| !notice.noticed_at.plus_ms(NOTICE_LIFE_MS).is_past(now));
         self.hints.retain(|hint| !super::receiving::expires_at(hint).is_past(now));
+        self.facts.retain(|fact| !self.domains.is_outdated(fact));
         self.outgoing_hints.retain(|hint| !super::receiving::expires_at(hint).is_past(now));
     }
 
     /// Whether the present state of a member was not told to anybody yet.
-    fn has_untold_news(&self) -> bool {
-        self.table.active().next().is_some() && self.table.iter().any(|entry| entry.sends == 0)
+    fn has_untold_news(&self, now: UnixMs) -> bool {
+        self.table.active().next().is_some()
+            && self.table.iter().any(|entry| entry.sends == 0 && entry.is_told(now))
     }
 }
 
+/// Old readings are kept, so that no older one takes their place, but not passed on.
+fn is_fresh_reading(reading: &Reading, now: UnixMs) -> bool {
+    !reading.measured_at.plus_ms(READING_LIFE_MS).is_past(now)
+}
+
+/// Old notices are kept, so that no older one takes their place, but not passed on.
+fn is_fresh_notice(notice: &ServerNotice, now: UnixMs) -> bool {
+    !notice.noticed_at.plus_ms(NOTICE_LIFE_MS).is_past(now)
+}
+
 /// Lets `take` use up to `share` of the room that is left.
 fn take_part<T>(left: &mut usize, share: usize, take: impl FnOnce(&mut usize) -> Vec<T>) -> Vec<T> {
     let mut room = share.min(*left);
--- a/crates/godwit-core/src/member/receiving.rs
+++ b/crates/godwit-core/src/member/receiving.rs
@@ -106,7 +106,7 @@
         }
     }
 
-    /// What others believe of this host: a doubt is refuted by a later heartbeat.
+    /// What others believe of this host: a doubt is refuted by the next heartbeat, which is sent at once.
     fn learn_own_record(&mut self, record: &MemberRecord, actions: &mut Vec<MemberAction>) {
         if record.incarnation > self.own.incarnation {
             let incarnation = record.incarnation;
@@ -114,7 +114,6 @@
             return;
         }
         if record.incarnation == self.own.incarnation && record.doubt != Doubt::None {
-            self.own.heartbeat = self.own.heartbeat.max(record.heartbeat.saturating_add(1));
             self.has_news = true;
         }
     }
@@ -171,6 +170,9 @@
         if failure_domain == self.settings.failure_domain {
             return;
         }
+        if self.facts.get(&fact.key()).is_some_and(|known| known.made_at() >= fact.made_at()) {
+            return;
+        }
         let known = self.domains.capacity(failure_domain).map(|known| known.configuration);
         if !self.domains.learn(fact, now) {
             return;
--- a/crates/godwit-core/src/member/settings.rs
+++ b/crates/godwit-core/src/member/settings.rs
@@ -22,8 +22,8 @@
 pub(crate) const STALE_AFTER_MS: u64 = 10_000;
 /// A host that did nothing itself for this long does not hold the silence of others against them.
 pub(crate) const OWN_PAUSE_MS: u64 = 400;
-/// Each false suspicion delays the next one by this many steps at most.
-pub(crate) const MAX_SUSPICION_STEPS: u32 = 2;
+/// Repeated false suspicions delay the next one, up to this multiple of the usual time.
+pub(crate) const MAX_SUSPICION_STEPS: u32 = 3;
 /// A false suspicion is forgotten after this long.
 pub(crate) const FORGIVE_AFTER_MS: u64 = 30_000;
 /// A dead host is remembered for this long.
--- a/crates/godwit-core/src/member/table.rs
+++ b/crates/godwit-core/src/member/table.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use crate::UnixMs;
-use crate::member::settings::{FORGET_DEAD_AFTER_MS, MAX_MEMBERS, TELL_DEAD_FOR_MS};
+use crate::member::settings::{
+    FORGET_DEAD_AFTER_MS, MAX_MEMBERS, MAX_SUSPICION_STEPS, TELL_DEAD_FOR_MS,
+};
 use crate::member::{Doubt, MemberRecord, Phase};
 
 /// A member, with what is known of its heartbeats.
@@ -129,7 +131,7 @@
             watched_since: None,
             probed_at: UnixMs(0),
             doubted_at: now,
-            cleared_at: now,
+            cleared_at: UnixMs(0),
             false_suspicions: 0,
             sends: 0,
             last_told: 0,
@@ -153,6 +155,7 @@
         }
         if known.doubt != Doubt::None && record.doubt == Doubt::None {
             self.cleared_at = now;
+            self.false_suspicions = (self.false_suspicions + 1).min(MAX_SUSPICION_STEPS);
         }
         if !is_same_incarnation {
             self.false_suspicions = 0;
