--- a/crates/godwit-core/src/code.rs
+++ b/crates/godwit-core/src/code.rs
@@ -81,6 +81,8 @@
     KeyReused,
     /// The body's framing is broken or contradicts itself.
     BadFraming,
+    /// A call of a plain service needs a `Content-Length`, since a cut chunked body cannot be told from a whole one.
+    LengthRequired,
     /// A rule refuses the request.
     RefusedByRule,
     /// No rule of the workspace matches.
@@ -121,6 +123,8 @@
     LateAnswer,
     /// The server ran the request and answered with an error of its own.
     ServerError,
+    /// The same idempotency key ran before; its answer was too long to be kept.
+    AnswerNotKept,
     /// A fault of the host, before anything was dispatched.
     Internal,
 }
@@ -148,6 +152,7 @@
         Code::EventRequired,
         Code::KeyReused,
         Code::BadFraming,
+        Code::LengthRequired,
         Code::RefusedByRule,
         Code::NoRuleMatches,
         Code::TooLate,
@@ -168,6 +173,7 @@
         Code::TimedOut,
         Code::LateAnswer,
         Code::ServerError,
+        Code::AnswerNotKept,
         Code::Internal,
     ];
 
@@ -363,6 +369,14 @@
                 false,
                 "The body's framing is broken or contradicts itself.",
             ),
+            Code::LengthRequired => row(
+                2017,
+                "length_required",
+                Verdict::NotRun,
+                411,
+                false,
+                "A call of a plain service needs a `Content-Length`, since a cut chunked body cannot be told from a whole one.",
+            ),
             Code::RefusedByRule => row(
                 3000,
                 "refused_by_rule",
@@ -518,6 +532,14 @@
                 false,
                 "The server ran the request and answered with an error of its own.",
             ),
+            Code::AnswerNotKept => row(
+                5002,
+                "answer_not_kept",
+                Verdict::Ran,
+                410,
+                false,
+                "The same idempotency key ran before; its answer was too long to be kept.",
+            ),
             Code::Internal => row(
                 9000,
                 "internal",
--- a/crates/godwit-core/src/route/scan.rs
+++ b/crates/godwit-core/src/route/scan.rs
@@ -6,6 +6,7 @@
 use super::estimate::{Estimate, Work, estimate};
 use super::fleet::{Candidates, Pool, ServerIndex};
 use super::health::Fitness;
+use super::load::LoadNow;
 use super::prefix::Holder;
 use super::router::{Obstacle, Router};
 use crate::{Code, UnixMs};
@@ -129,7 +130,7 @@
             return Choice::Refuse { code };
         };
         let traits = &self.router.table.servers[server as usize];
-        let load = self.router.load_now(server, self.now);
+        let load = self.router.load_now(server);
         let estimate = estimate(traits, &self.router.speed(server), &load, &self.work(server));
         Choice::Start { server: traits.name.clone(), estimate }
     }
@@ -242,12 +243,19 @@
     /// The offer of a server that can start the request now and finish it in time.
     fn offer(&self, server: ServerIndex) -> Option<Offer> {
         let router = self.router;
-        let load = router.load_now(server, self.now);
+        let load = router.load_now(server);
         let view = &router.views[server as usize];
         let has_slot = match view.health.fitness(self.now) {
             Fitness::Ejected => false,
-            Fitness::Probing => view.load.own_count == 0,
-            Fitness::Fit => load.requests < router.limit(server, self.may_use_reserve()),
+            Fitness::Probing => view.load.own_count == 0 && !self.wanted.admission.non_idempotent,
+            Fitness::Fit => {
+                let limit = router.limit(server, self.may_use_reserve());
+                if self.wanted.backlog {
+                    router.is_below_share(server, limit, self.now)
+                } else {
+                    load.requests < limit
+                }
+            }
         };
         if !has_slot {
             return None;
@@ -263,8 +271,7 @@
 
     fn shortest_ms(&self, server: ServerIndex) -> f64 {
         let traits = &self.router.table.servers[server as usize];
-        let idle = super::load::LoadNow { requests: 0.0, tokens: 0.0 };
-        estimate(traits, &self.router.speed(server), &idle, &self.work(server)).finish_ms
+        estimate(traits, &self.router.speed(server), &LoadNow::IDLE, &self.work(server)).finish_ms
     }
 
     fn may_use_reserve(&self) -> bool {
--- a/crates/godwit-ctl/src/cli.rs
+++ b/crates/godwit-ctl/src/cli.rs
@@ -6,9 +6,11 @@
 
 use crate::command::events::{self, set::Wanted};
 use crate::command::rules::{self, explain::Asked};
-use crate::command::{fleet, host, object};
+use crate::command::standin::{self, StandinCommand, standin_command};
+use crate::command::{demo, fleet, host, object};
 use crate::error::CtlError;
 use crate::output::Format;
+use crate::site::FirstPorts;
 use crate::store::Store;
 
 /// What all commands share.
@@ -167,6 +169,16 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options("godwitctl"), version, generate(command_line))]
 enum Command {
+    /// Runs a whole site in one process and sends a few requests of each kind, for example
+    /// `godwitctl demo --caller-port 8080 --exit`
+    #[bpaf(command("demo"))]
+    Demo {
+        #[bpaf(external(first_ports))]
+        ports: FirstPorts,
+        /// Ends after the tour, with exit code 0 only if all went as told
+        #[bpaf(long("exit"))]
+        exits: bool,
+    },
     /// Prints a configuration object in the form that `apply` takes, or the list of all objects
     #[bpaf(command("get"))]
     Get {
@@ -243,6 +255,21 @@
         #[bpaf(positional("HOST"))]
         host: String,
     },
+    /// One stand-in of the platform, of an engine or of a plain service, until SIGINT or SIGTERM
+    #[bpaf(command("standin"))]
+    Standin(#[bpaf(external(standin_command))] StandinCommand),
+}
+
+fn first_port(flag: &'static str, group: &'static str) -> impl Parser<Option<u16>> {
+    bpaf::long(flag).help(group).argument::<u16>("PORT").optional()
+}
+
+fn first_ports() -> impl Parser<FirstPorts> {
+    let caller = first_port("caller-port", "First port for callers; host n on port + n");
+    let operator = first_port("operator-port", "First port for operators; host n on port + n");
+    let platform = first_port("platform-port", "Port of the platform");
+    let service = first_port("service-port", "First port of the plain services");
+    bpaf::construct!(FirstPorts { caller, operator, platform, service })
 }
 
 fn parts(common: &Common) -> (Store, Format) {
@@ -294,6 +321,7 @@
 
 fn run_command(command: &Command) -> Result<(), CtlError> {
     match command {
+        Command::Demo { ports, exits } => demo::run(*ports, *exits),
         Command::Get { common, name } => {
             let (store, format) = parts(common);
             object::get::run(&store, name.as_deref(), format)
@@ -318,6 +346,7 @@
             let (store, format) = parts(common);
             host::status::run(&host::operator_address(&store, host)?, format)
         }
+        Command::Standin(command) => standin::run(command),
     }
 }
 
--- a/crates/godwit-host/src/dispatch/mod.rs
+++ b/crates/godwit-host/src/dispatch/mod.rs
@@ -3,7 +3,9 @@
 //! [`run_generate`] serves models, whole or split; [`run_service`] serves plain services. Both ask a [`ServerSource`]
 //! for servers, so that the choice stays out of here.
 
+mod acquire;
 mod attempt;
+mod blame;
 mod crash_guard;
 mod generate;
 mod outcome;
@@ -11,6 +13,7 @@
 mod progress;
 mod service;
 mod settings;
+mod tries;
 
 pub use crash_guard::CrashGuard;
 pub use generate::{GenerateJob, run_generate};
