--- a/crates/godwit-core/src/member/packing.rs
+++ b/crates/godwit-core/src/member/packing.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 
 use crate::knowledge::{ServerNotice, encoded_bytes};
 use crate::member::ring::Ring;
@@ -140,7 +140,10 @@
         let others = active.iter().filter(|record| !is_watcher(record));
         let random = others.choose_multiple(&mut self.random, RANDOM_TARGETS);
         let chosen = active.iter().filter(|record| is_watcher(record)).chain(random);
-        chosen.map(|record| record.address).collect()
+        let mut addresses: Vec<SocketAddr> = chosen.map(|record| record.address).collect();
+        // In a fixed order, a host could get the same part of the news in every round.
+        addresses.shuffle(&mut self.random);
+        addresses
     }
 
     fn forget_old(&mut self, now: UnixMs) {
--- a/crates/godwit-core/tests/member/schedules.rs
+++ b/crates/godwit-core/tests/member/schedules.rs
@@ -29,7 +29,7 @@
 
 /// What happens to the hosts and the network.
 #[derive(Clone, Debug)]
-enum Step {
+pub(crate) enum Step {
     Run { duration_ms: u64 },
     Kill(usize),
     Restart(usize),
@@ -230,6 +230,17 @@
     }
 }
 
+/// Applies the steps to new members, ends the faults and checks that the members agree.
+pub(crate) fn replay(steps: &[Step]) {
+    let mut truth = Truth::default();
+    let mut members = Members::init_test(&truth);
+    for step in steps {
+        truth = <Truth as ReferenceStateMachine>::apply(truth, step);
+        members.apply_step(step, &truth);
+    }
+    members.settle(&truth);
+}
+
 prop_state_machine! {
     #![proptest_config(Config {
         rng_seed: RngSeed::Fixed(SEED),
