Let only retries that add load to live servers come out of the budget

Cause: a placement counted each request with excluded servers as a retry, ten of which could be saved: of a killed server's streams only ten would have been resumed (read in the code, not measured). A suspect that waits for a server would have used up the budget by asking.

Change: the dispatch asks the budget for refusals and silences; losses and refused connections are bounded by the servers lost, the attempt limit and the quarantine. Placement::take_retry is what it asks.

--- a/crates/godwit-core/src/placement/placer.rs
+++ b/crates/godwit-core/src/placement/placer.rs
@@ -177,10 +177,15 @@
         }
     }
 
+    /// Takes one retry out of the budget, if there is one left.
+    pub fn take_retry(&mut self) -> bool {
+        self.retries.try_retry()
+    }
+
     fn check_limits(&mut self, request: &PlaceRequest, now: UnixMs) -> Result<(), Refusal> {
         if !request.excluded.is_empty() {
-            let refusal = Refusal { code: Code::ServersRefused, retry_at: None };
-            return if self.retries.try_retry() { Ok(()) } else { Err(refusal) };
+            // It was counted at its first try; its retries come out of the budget before it asks again.
+            return Ok(());
         }
         let workspace = request.admission.workspace.clone();
         let kind = request.admission.kind.clone();
--- a/crates/godwit-core/src/placement/request.rs
+++ b/crates/godwit-core/src/placement/request.rs
@@ -13,7 +13,7 @@
     pub admission: Admission,
     /// Prefixes of its prompt, shortest first.
     pub prefixes: Vec<PromptPrefix>,
-    /// Names of servers that refused or failed it before; with any, it counts as a retry.
+    /// Names of servers that it cannot use; with any, it was counted against the rates before.
     pub excluded: BTreeSet<String>,
 }
 
--- a/crates/godwit-host/src/dispatch/acquire.rs
+++ b/crates/godwit-host/src/dispatch/acquire.rs
@@ -78,7 +78,7 @@
 
     /// Eases what a refusal may be due to: a doubted stage, or servers taken by other suspects.
     fn after_refusal(&mut self, refusal: Refusal) -> Result<(), Refusal> {
-        if refusal.code != Code::NoServer {
+        if !matches!(refusal.code, Code::NoServer | Code::ServersRefused) {
             return Err(refusal);
         }
         if self.doubted.pop_front().is_some() {
--- a/crates/godwit-host/src/dispatch/generate.rs
+++ b/crates/godwit-host/src/dispatch/generate.rs
@@ -10,7 +10,7 @@
 use crate::dispatch::progress::Progress;
 use crate::dispatch::tries::{Ending, Failure, Next, Tries};
 use crate::dispatch::{
-    AttemptEnding, AttemptReport, GeneratedAnswer, GrantedServer, Run, TokenSink, Tools,
+    AttemptEnding, AttemptReport, GeneratedAnswer, GrantedServer, Retry, Run, TokenSink, Tools,
 };
 
 /// What is sent to the engines.
@@ -164,10 +164,10 @@
             AttemptEnd::DeadlinePassed => Failure::TimedOut,
             AttemptEnd::Refused(proof) => Failure::Refused(proof),
             AttemptEnd::Unreachable(proof) => Failure::Unreachable(proof),
-            AttemptEnd::Failed { .. }
-            | AttemptEnd::Closed
-            | AttemptEnd::Malformed
-            | AttemptEnd::Silent { .. } => Failure::Lost,
+            AttemptEnd::Failed { .. } | AttemptEnd::Closed | AttemptEnd::Malformed => {
+                Failure::Lost(Retry::Lost)
+            }
+            AttemptEnd::Silent { .. } => Failure::Lost(Retry::Silent),
         };
         self.tries.after(progress, failure, granted, blamed)
     }
--- a/crates/godwit-host/src/dispatch/ports.rs
+++ b/crates/godwit-host/src/dispatch/ports.rs
@@ -59,10 +59,26 @@
 /// Why a request is tried again.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Retry {
-    /// The attempt is proved not to have run.
-    NeverSent,
-    /// The attempt was lost.
+    /// The server refused the attempt.
+    Refused,
+    /// No connection could be opened.
+    Unreachable,
+    /// The server was lost, or its answer made no sense.
     Lost,
+    /// The server was silent.
+    Silent,
+}
+
+impl Retry {
+    /// Whether the retry adds load to servers that live, so that it has to come out of a budget.
+    ///
+    /// Losses and refused connections are bounded by the servers lost, the attempt limit and the quarantine.
+    pub fn adds_load(self) -> bool {
+        match self {
+            Retry::Refused | Retry::Silent => true,
+            Retry::Unreachable | Retry::Lost => false,
+        }
+    }
 }
 
 /// The retries that the host allows itself.
--- a/crates/godwit-host/src/dispatch/service.rs
+++ b/crates/godwit-host/src/dispatch/service.rs
@@ -5,7 +5,7 @@
 
 use crate::dispatch::progress::Progress;
 use crate::dispatch::tries::{Ending, Failure, Next, Tries};
-use crate::dispatch::{AttemptEnding, AttemptReport, GrantedServer, Run, Tools};
+use crate::dispatch::{AttemptEnding, AttemptReport, GrantedServer, Retry, Run, Tools};
 
 /// The call that is forwarded.
 #[derive(Clone, Copy, Debug)]
@@ -93,7 +93,9 @@
             Ok(reply) => return Next::End(progress.may_have_run(), Ending::Whole(reply)),
             Err(ServiceError::NeverSent { proof, .. }) => Failure::Unreachable(proof),
             Err(ServiceError::TimedOut) => Failure::TimedOut,
-            Err(ServiceError::Lost { .. } | ServiceError::BadAnswer { .. }) => Failure::Lost,
+            Err(ServiceError::Lost { .. } | ServiceError::BadAnswer { .. }) => {
+                Failure::Lost(Retry::Lost)
+            }
         };
         self.tries.after(progress, failure, granted, blamed)
     }
--- a/crates/godwit-host/src/dispatch/tries.rs
+++ b/crates/godwit-host/src/dispatch/tries.rs
@@ -22,7 +22,7 @@
     /// No connection could be opened.
     Unreachable(NeverSent),
     /// It may have run.
-    Lost,
+    Lost(Retry),
     /// The deadline passed while it may have been running.
     TimedOut,
 }
@@ -116,20 +116,20 @@
         match failure {
             Failure::Refused(proof) => {
                 self.refused.insert(granted.server.clone());
-                self.retry(progress.never_sent(proof), Retry::NeverSent)
+                self.retry(progress.never_sent(proof), Retry::Refused)
             }
             Failure::Unreachable(proof) => {
                 self.refused.insert(granted.server.clone());
                 self.attempts.server_failed(&granted.server);
-                self.retry(progress.never_sent(proof), Retry::NeverSent)
+                self.retry(progress.never_sent(proof), Retry::Unreachable)
             }
-            Failure::Lost => {
+            Failure::Lost(retry) => {
                 blamed.iter().for_each(|server| self.attempts.server_failed(server));
                 if blamed.is_empty() {
                     self.doubted =
                         granted.stages.iter().map(|stage| stage.server.clone()).collect();
                 }
-                self.after_loss(progress.may_have_run())
+                self.after_loss(progress.may_have_run(), retry)
             }
             Failure::TimedOut => Next::End(progress.may_have_run(), Ending::Lost(Code::TimedOut)),
         }
@@ -158,11 +158,11 @@
         Run { outcome, report: self.report }
     }
 
-    fn after_loss<A>(&self, progress: Progress) -> Next<A> {
+    fn after_loss<A>(&self, progress: Progress, retry: Retry) -> Next<A> {
         if self.admission.non_idempotent {
             return Next::End(progress, Ending::Lost(Code::OutcomeUnknown));
         }
-        self.retry(progress, Retry::Lost)
+        self.retry(progress, retry)
     }
 
     fn retry<A>(&self, progress: Progress, retry: Retry) -> Next<A> {
--- a/crates/godwit-host/src/placement/place.rs
+++ b/crates/godwit-host/src/placement/place.rs
@@ -40,7 +40,7 @@
     pub admission: &'a Admission,
     /// Prefixes of its prompt, shortest first.
     pub prefixes: &'a [PromptPrefix],
-    /// Names of servers that refused or failed it before; with any, it counts as a retry.
+    /// Names of servers that it cannot use; with any, it was counted against the rates before.
     pub excluded: &'a BTreeSet<String>,
 }
 
@@ -116,6 +116,11 @@
         outcome.map(|granted| Grant::new(Arc::clone(self), granted))
     }
 
+    /// Takes one retry out of the host's budget, if there is one left.
+    pub fn take_retry(&self) -> bool {
+        self.change(|placer, _| placer.take_retry())
+    }
+
     /// Counts a dispatch that was chosen elsewhere, as each stage of a split model.
     pub fn hold(self: &Arc<Placement>, server: &str, max_tokens: u32) -> Grant {
         let granted = self.change(|placer, now| placer.begin_unasked(server, max_tokens, now));
--- a/crates/godwit-host/src/serve/generate.rs
+++ b/crates/godwit-host/src/serve/generate.rs
@@ -98,7 +98,7 @@
     let tools = Tools {
         source,
         reports: grants,
-        retries: &PlacementRetries,
+        retries: &PlacementRetries(&pipeline.parts.placement),
         crashes: &pipeline.parts.crashes,
         clock: &*pipeline.parts.clock,
         settings: &pipeline.parts.dispatch,
--- a/crates/godwit-host/src/serve/service.rs
+++ b/crates/godwit-host/src/serve/service.rs
@@ -46,7 +46,7 @@
     let tools = Tools {
         source: &source,
         reports: &grants,
-        retries: &PlacementRetries,
+        retries: &PlacementRetries(&pipeline.parts.placement),
         crashes: &pipeline.parts.crashes,
         clock: &*pipeline.parts.clock,
         settings: &pipeline.parts.dispatch,
--- a/crates/godwit-host/src/serve/source.rs
+++ b/crates/godwit-host/src/serve/source.rs
@@ -89,11 +89,11 @@
     }
 }
 
-/// The retry budget is kept by the placement, which counts a request with excluded servers as a retry.
-pub(super) struct PlacementRetries;
+/// The retry budget of the placement.
+pub(super) struct PlacementRetries<'a>(pub(super) &'a Placement);
 
-impl RetryBudget for PlacementRetries {
-    fn take(&self, _retry: Retry) -> bool {
-        true
+impl RetryBudget for PlacementRetries<'_> {
+    fn take(&self, retry: Retry) -> bool {
+        !retry.adds_load() || self.0.take_retry()
     }
 }
