End the isolation of suspects after their first tokens

Cause: after a server full of streams was killed, all of them were suspects, and each other server took one at a time to its end: recovery would have taken as long as the streams themselves.

Change: a suspect is on probation for two tokens; only then may another one start on its servers. What has come past its probation is not marked when a suspect on probation is lost with it, in whatever order the two notice.

Conclusion: 24 streams of a killed server are all answered whole, with an empty retry budget.

--- a/crates/godwit-core/src/quarantine/marks.rs
+++ b/crates/godwit-core/src/quarantine/marks.rs
@@ -5,7 +5,7 @@
 /// How long a mark counts.
 pub const MARK_LIFETIME_MS: u64 = 15 * 60 * 1_000;
 /// Losses of one server this close together are one loss, seen by several hosts.
-const SAME_LOSS_MS: u64 = 250;
+pub(crate) const SAME_LOSS_MS: u64 = 250;
 
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct Mark {
--- a/crates/godwit-host/src/dispatch/acquire.rs
+++ b/crates/godwit-host/src/dispatch/acquire.rs
@@ -54,7 +54,7 @@
         match start {
             Start::Quarantined => return Err(refusal(Code::Quarantined)),
             Start::OtherServers { taken } => self.taken.extend(taken),
-            Start::Later | Start::Run => self.wait_for_end(),
+            Start::Later | Start::Run => self.wait_for_change(),
         }
         Ok(false)
     }
@@ -88,13 +88,13 @@
             return Err(self.explain(refusal));
         }
         self.taken.clear();
-        self.wait_for_end();
+        self.wait_for_change();
         Ok(())
     }
 
-    fn wait_for_end(&self) {
+    fn wait_for_change(&self) {
         let left_ms = self.admission.deadline.since_ms(self.tools.clock.now());
-        self.tools.crashes.wait_for_end(left_ms.min(SUSPECT_WAIT_MS));
+        self.tools.crashes.wait_for_change(left_ms.min(SUSPECT_WAIT_MS));
     }
 
     fn give_back(&self, granted: &GrantedServer, ending: AttemptEnding, blamed: &[String]) {
--- a/crates/godwit-host/src/dispatch/attempt.rs
+++ b/crates/godwit-host/src/dispatch/attempt.rs
@@ -6,8 +6,12 @@
 use godwit_schema::engine::FinishReason;
 
 use crate::dispatch::blame::unanswered;
+use crate::dispatch::tries::servers;
 use crate::dispatch::{CallerGone, GrantedServer, TokenSink, Tools};
 
+/// Tokens of an attempt after which other suspects may join it on its servers.
+const PROBATION_TOKENS: u32 = 2;
+
 /// Silences before its first token after which a split model is given up, though all stages answer probes.
 const SPLIT_SILENCES_LIMIT: u32 = 1;
 
@@ -117,6 +121,9 @@
         let now = self.tools.clock.now();
         self.first_token_at.get_or_insert(now);
         self.tokens += 1;
+        if self.tokens == PROBATION_TOKENS {
+            self.tools.crashes.outlived(self.fingerprint, &servers(self.granted));
+        }
         if self.harmless_after_tokens == Some(self.tokens) {
             self.tools.crashes.clear(self.fingerprint, now);
         }
--- a/crates/godwit-host/src/dispatch/crash_guard.rs
+++ b/crates/godwit-host/src/dispatch/crash_guard.rs
@@ -11,7 +11,7 @@
 #[derive(Debug)]
 pub struct CrashGuard {
     quarantine: Mutex<Quarantine>,
-    run_ended: Condvar,
+    changed: Condvar,
     hints: Sender<Hint>,
 }
 
@@ -25,12 +25,12 @@
     /// let (sender, hints) = flume::unbounded();
     /// let guard = CrashGuard::new(sender);
     /// assert_eq!(guard.begin(7, &["s1"], UnixMs(1)), Start::Run);
-    /// guard.server_lost(7, "s1", UnixMs(1));
+    /// guard.servers_lost(7, &["s1"], &["s1"], UnixMs(1));
     /// assert_eq!(guard.standing(7, UnixMs(1)), Standing::Suspect);
     /// assert!(hints.try_recv().is_ok());
     /// ```
     pub fn new(hints: Sender<Hint>) -> CrashGuard {
-        CrashGuard { quarantine: Mutex::default(), run_ended: Condvar::new(), hints }
+        CrashGuard { quarantine: Mutex::default(), changed: Condvar::new(), hints }
     }
 
     /// What is held against a request.
@@ -43,11 +43,12 @@
         self.lock().begin(fingerprint, servers, now)
     }
 
-    /// A server was lost while it ran the request.
-    pub fn server_lost(&self, fingerprint: u64, server: &str, now: UnixMs) {
-        let hint = self.lock().server_lost(fingerprint, server, now);
-        metrics::counter!("godwit_crash_marks_total").increment(1);
-        self.pass_on(hint);
+    /// The run ended since `lost` of its servers were lost; see [`Quarantine::servers_lost`].
+    pub fn servers_lost(&self, fingerprint: u64, servers: &[&str], lost: &[&str], now: UnixMs) {
+        let hints = self.lock().servers_lost(fingerprint, servers, lost, now);
+        metrics::counter!("godwit_crash_marks_total").increment(hints.len() as u64);
+        hints.into_iter().for_each(|hint| self.pass_on(hint));
+        self.changed.notify_all();
     }
 
     /// The request runs on well past the point of its loss.
@@ -60,19 +61,25 @@
     pub fn finished(&self, fingerprint: u64, servers: &[&str], now: UnixMs) {
         let hint = self.lock().finished(fingerprint, servers, now);
         hint.into_iter().for_each(|hint| self.pass_on(hint));
-        self.run_ended.notify_all();
+        self.changed.notify_all();
+    }
+
+    /// A run has come past its first tokens; see [`Quarantine::outlived`].
+    pub fn outlived(&self, fingerprint: u64, servers: &[&str]) {
+        self.lock().outlived(fingerprint, servers);
+        self.changed.notify_all();
     }
 
     /// A run ended in another way.
     pub fn stopped(&self, fingerprint: u64, servers: &[&str]) {
         self.lock().stopped(fingerprint, servers);
-        self.run_ended.notify_all();
+        self.changed.notify_all();
     }
 
-    /// Waits until a run ends, at most `wait_ms`.
-    pub fn wait_for_end(&self, wait_ms: u64) {
+    /// Waits until a run ends or comes past its first tokens, at most `wait_ms`.
+    pub fn wait_for_change(&self, wait_ms: u64) {
         let wait = Duration::from_millis(wait_ms);
-        drop(self.run_ended.wait_timeout(self.lock(), wait));
+        drop(self.changed.wait_timeout(self.lock(), wait));
     }
 
     /// Takes a hint of another host.
--- a/crates/godwit-host/src/dispatch/tries.rs
+++ b/crates/godwit-host/src/dispatch/tries.rs
@@ -93,13 +93,12 @@
         let servers = servers(report.granted);
         match report.ending {
             AttemptEnding::Whole => crashes.finished(self.fingerprint, &servers, now),
-            _ => crashes.stopped(self.fingerprint, &servers),
-        }
-        if report.ending == AttemptEnding::Lost {
-            self.lost_after_tokens = self.lost_after_tokens.max(Some(report.tokens));
-            for server in report.blamed {
-                crashes.server_lost(self.fingerprint, server, now);
+            AttemptEnding::Lost => {
+                let lost: Vec<&str> = report.blamed.iter().map(String::as_str).collect();
+                crashes.servers_lost(self.fingerprint, &servers, &lost, now);
+                self.lost_after_tokens = self.lost_after_tokens.max(Some(report.tokens));
             }
+            _ => crashes.stopped(self.fingerprint, &servers),
         }
         metrics::counter!("godwit_attempts_total", "ending" => report.ending.as_str()).increment(1);
         self.tools.reports.attempt_ended(report);
--- a/crates/godwit-host/tests/dispatch/crash.rs
+++ b/crates/godwit-host/tests/dispatch/crash.rs
@@ -1,16 +1,17 @@
 //! A request that crashes each engine which runs it, among innocent ones.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 
 use godwit_core::Code;
 use godwit_core::quarantine::Standing;
-use godwit_host::dispatch::{GenerateJob, Outcome, run_generate};
+use godwit_host::dispatch::{GenerateJob, Outcome, Tools, run_generate};
 use godwit_host::{Clock, SystemClock};
 use godwit_schema::engine::EngineFaults;
 use godwit_standin::EngineStandin;
 
-use crate::engines::{MODEL, TOKENS, address, job, positions, whole};
-use crate::support::{Bench, ListSource, Sink, life};
+use crate::engines::{MODEL, TOKENS, address, expected, job, positions, whole};
+use crate::support::{Bench, ListSource, OnlyFreeRetries, Sink, life};
 
 const MARKER: &str = "divide by zero";
 const GUILTY: u64 = 1;
@@ -96,3 +97,39 @@
         assert_eq!(bench.crashes.standing(*fingerprint, now), Standing::Clear);
     }
 }
+
+#[test]
+fn killed_server_full_of_streams_loses_none() {
+    const STREAMS: u64 = 24;
+    let (first, others) = (whole("s1"), [whole("s2"), whole("s3")]);
+    let engines = [&first, &others[0], &others[1]];
+    for engine in engines {
+        engine.set_faults(EngineFaults { slow_factor: 10.0, ..EngineFaults::default() }).unwrap();
+    }
+    let addresses = engines.map(address);
+    let servers = ["s1", "s2", "s3"];
+    let source = ListSource::new(&[0, 1, 2].map(|i| (servers[i], addresses[i].as_str())));
+    let bench = Bench::new();
+    let answered = AtomicU64::new(0);
+    thread::scope(|scope| {
+        for number in 0..STREAMS {
+            let (bench, source, answered) = (&bench, &source, &answered);
+            scope.spawn(move || {
+                let job = GenerateJob { fingerprint: number, ..job() };
+                let mut sink = Sink::default();
+                let life = life(&format!("r-{number}"), TOKENS, false);
+                let tools = Tools { retries: &OnlyFreeRetries, ..bench.tools(source) };
+                let run = run_generate(life, &job, &tools, &mut sink);
+                assert!(matches!(run.outcome, Outcome::Answered { .. }), "{:?}", run.outcome);
+                assert_eq!(sink.tokens, expected());
+                answered.fetch_add(1, Ordering::SeqCst);
+            });
+        }
+        while positions(&first).is_empty() {
+            thread::yield_now();
+        }
+        first.set_faults(EngineFaults { dead: true, ..EngineFaults::default() }).unwrap();
+    });
+    assert_eq!(answered.load(Ordering::SeqCst), STREAMS);
+    assert!(bench.crashes.quarantined(SystemClock.now()).is_empty());
+}
--- a/crates/godwit-host/tests/dispatch/support.rs
+++ b/crates/godwit-host/tests/dispatch/support.rs
@@ -88,6 +88,15 @@
     }
 }
 
+/// An empty budget.
+pub(crate) struct OnlyFreeRetries;
+
+impl RetryBudget for OnlyFreeRetries {
+    fn take(&self, retry: Retry) -> bool {
+        !retry.adds_load()
+    }
+}
+
 /// Keeps the tokens; the caller goes after some of them.
 #[derive(Default)]
 pub(crate) struct Sink {
