--- a/crates/godwit-host/src/dispatch/attempt.rs
+++ b/crates/godwit-host/src/dispatch/attempt.rs
@@ -10,7 +10,7 @@
 use crate::dispatch::{CallerGone, GrantedServer, TokenSink, Tools};
 
 /// Tokens of an attempt after which other suspects may join it on its servers.
-const PROBATION_TOKENS: u32 = 2;
+const PROBATION_TOKENS: u32 = 1;
 
 /// Silences before its first token after which a split model is given up, though all stages answer probes.
 const SPLIT_SILENCES_LIMIT: u32 = 1;
