Measure recovery after faults: godwitctl bench recovery

Cause: recovery time is what one of the users weighs most, and nothing measured it. Change: seven scenarios over a site of nine hosts: a stage killed and silent, a server killed, a host killed, claims through another host after that, the store away and back, a change of configuration.

--- a/crates/godwit-ctl/src/bench/mod.rs
+++ b/crates/godwit-ctl/src/bench/mod.rs
@@ -1,3 +1,4 @@
-//! Benches of the whole path over real sockets.
+//! Benches of a site with hosts and stand-ins.
 
 pub(crate) mod load;
+pub(crate) mod recovery;
--- /dev/null
+++ b/crates/godwit-ctl/src/bench/recovery/mod.rs
@@ -0,0 +1,39 @@
+//! Time from a fault to the first good token or answer after it.
+
+mod hosts;
+mod report;
+mod scenario;
+mod servers;
+mod site;
+mod store;
+mod stream;
+
+pub(crate) use scenario::Scenario;
+
+use crate::error::CtlError;
+use crate::output::Format;
+use report::Measured;
+
+/// What is measured.
+#[derive(Clone, Debug)]
+pub(crate) struct RecoveryPlan {
+    /// Scenarios, in order.
+    pub(crate) scenarios: Vec<Scenario>,
+    /// Tries of each.
+    pub(crate) tries: u32,
+}
+
+/// Runs the scenarios and prints their figures.
+pub(crate) fn run(plan: &RecoveryPlan, format: Format) -> Result<(), CtlError> {
+    let mut measured = Vec::new();
+    for scenario in &plan.scenarios {
+        let mut site = site::start()?;
+        let mut times_ms = Vec::new();
+        for number in 0..plan.tries {
+            eprintln!("scenario={} try={}/{}", scenario.name(), number + 1, plan.tries);
+            times_ms.push(scenario.run(&mut site, number)?);
+        }
+        measured.push(Measured::new(*scenario, times_ms));
+    }
+    report::print(&measured, format)
+}
--- /dev/null
+++ b/crates/godwit-ctl/src/bench/recovery/site.rs
@@ -0,0 +1,66 @@
+//! The site on which recovery is measured, and waiting for it to be whole.
+
+use std::time::{Duration, Instant};
+
+use godwit_operator::OperatorClient;
+use godwit_schema::operator::{HostStatus, NeighbourState, ServerState, ServerStatus};
+
+use crate::error::CtlError;
+use crate::site::{FirstPorts, Site, SiteSettings};
+
+/// Hosts of each failure domain.
+const HOSTS_PER_DOMAIN: u16 = 3;
+
+/// A site that is not whole again after this long is given up.
+const WHOLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Step in which the site is looked at.
+pub(super) const LOOK: Duration = Duration::from_millis(5);
+
+/// Starts the demo's site with three hosts in each failure domain.
+pub(super) fn start() -> Result<Site, CtlError> {
+    let settings = SiteSettings {
+        hosts_per_domain: HOSTS_PER_DOMAIN,
+        ..SiteSettings::demo(FirstPorts::default())
+    };
+    let site = Site::start(settings)?;
+    wait_until_whole(&site)?;
+    Ok(site)
+}
+
+/// What every host says of itself.
+pub(super) fn statuses(site: &Site) -> Result<Vec<HostStatus>, CtlError> {
+    let ask = |address: std::net::SocketAddr| OperatorClient::new(&address.to_string()).status();
+    let statuses = site.nodes.values().map(|node| ask(node.operator_address()));
+    Ok(statuses.collect::<Result<Vec<_>, _>>()?)
+}
+
+/// Waits until every host sees all neighbours live and all servers usable.
+pub(super) fn wait_until_whole(site: &Site) -> Result<(), CtlError> {
+    let started = Instant::now();
+    while started.elapsed() < WHOLE_TIMEOUT {
+        if statuses(site)?.iter().all(is_whole) {
+            return Ok(());
+        }
+        std::thread::sleep(LOOK * 10);
+    }
+    let states = statuses(site)?.iter().flat_map(unusable).collect::<Vec<_>>().join(" ");
+    Err(CtlError::Failed(format!("the site does not become whole again: {states}")))
+}
+
+fn unusable(status: &HostStatus) -> Vec<String> {
+    let servers = status.servers.iter().filter(|server| server.state != ServerState::Usable);
+    let line =
+        |server: &ServerStatus| format!("{}:{}={}", status.host, server.server, server.state);
+    servers.map(line).collect()
+}
+
+fn is_whole(status: &HostStatus) -> bool {
+    let live = status.neighbours.iter().filter(|neighbour| neighbour.state == NeighbourState::Live);
+    live.count() + 1 == usize::from(HOSTS_PER_DOMAIN)
+        && status.servers.iter().all(|server| server.state == ServerState::Usable)
+}
+
+pub(super) fn elapsed_ms(since: Instant) -> f64 {
+    since.elapsed().as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/crates/godwit-ctl/src/bench/recovery/stream.rs
@@ -0,0 +1,77 @@
+//! A streamed request whose tokens are told as they come.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use flume::Receiver;
+use serde_json::json;
+
+use crate::error::CtlError;
+use crate::site::{Names, WORKSPACE_KEY};
+
+/// Tokens of the answer, so many that the fault falls in its middle.
+const MAX_TOKENS: u32 = 60;
+
+/// Tokens before the fault.
+const TOKENS_BEFORE_FAULT: usize = 5;
+
+/// A stream without a token for this long is given up.
+const TOKEN_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// What was sent before the fault arrives within this time.
+const IN_FLIGHT: Duration = Duration::from_millis(2);
+
+/// A streamed answer in progress.
+pub(super) struct Stream {
+    pub(super) request_id: String,
+    tokens: Receiver<Instant>,
+}
+
+impl Stream {
+    /// Sends the request and waits for its first tokens.
+    pub(super) fn start(host: SocketAddr, model: &str, number: u32) -> Result<Stream, CtlError> {
+        let prompt = format!("the weekly note, number {number}");
+        let body =
+            json!({"model": model, "prompt": prompt, "stream": true, "max_tokens": MAX_TOKENS});
+        let response = minreq::post(format!("http://{host}/v1/completions"))
+            .with_timeout(TOKEN_TIMEOUT.as_secs())
+            .with_header("Authorization", format!("Bearer {WORKSPACE_KEY}"))
+            .with_header("Godwit-Kind", Names::KIND)
+            .with_body(body.to_string())
+            .send_lazy()
+            .map_err(|error| CtlError::Failed(error.to_string()))?;
+        let is_id = |(name, _): &&(String, String)| name.eq_ignore_ascii_case("godwit-request-id");
+        let id = response.headers.iter().find(is_id).map(|(_, value)| value.clone());
+        let (sender, tokens) = flume::unbounded();
+        std::thread::spawn(move || {
+            for line in BufReader::new(response).lines() {
+                let Ok(line) = line else { return };
+                let is_token = line.contains("\"text\":\"") && !line.contains("\"text\":\"\"");
+                if is_token && sender.send(Instant::now()).is_err() {
+                    return;
+                }
+            }
+        });
+        let stream = Stream { request_id: id.unwrap_or_default(), tokens };
+        for _ in 0..TOKENS_BEFORE_FAULT {
+            stream.next()?;
+        }
+        Ok(stream)
+    }
+
+    fn next(&self) -> Result<Instant, CtlError> {
+        let received = self.tokens.recv_timeout(TOKEN_TIMEOUT);
+        received.map_err(|_| CtlError::Failed("the stream has ended or stalled".to_string()))
+    }
+
+    /// Time from the fault to the first token after it.
+    pub(super) fn recovery_ms(&self, fault: Instant) -> Result<f64, CtlError> {
+        loop {
+            let token = self.next()?;
+            if token > fault + IN_FLIGHT {
+                return Ok((token - fault).as_secs_f64() * 1_000.0);
+            }
+        }
+    }
+}
--- a/crates/godwit-ctl/src/command/bench/load.rs
+++ b/crates/godwit-ctl/src/command/bench/load.rs
@@ -16,7 +16,7 @@
 
 /// Values parted by commas.
 #[derive(Clone, Debug)]
-pub(crate) struct List<T>(Vec<T>);
+pub(crate) struct List<T>(pub(super) Vec<T>);
 
 impl<T: FromStr> FromStr for List<T>
 where
--- /dev/null
+++ b/crates/godwit-ctl/src/command/bench/recovery.rs
@@ -0,0 +1,33 @@
+//! `godwitctl bench recovery`.
+
+use bpaf::Bpaf;
+
+use super::load::List;
+use crate::bench::recovery::{RecoveryPlan, Scenario, run as measure};
+use crate::error::CtlError;
+use crate::output::Format;
+
+/// Settings of the recovery bench.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) struct RecoveryFlags {
+    /// Scenarios, parted by commas: stage-killed, stage-silent, server-killed, host-killed, claims, store-back,
+    /// configuration; all of them when absent
+    #[bpaf(
+        long("scenario"),
+        argument::<List<Scenario>>("SCENARIOS"),
+        fallback(List(Scenario::ALL.to_vec()))
+    )]
+    scenarios: List<Scenario>,
+    /// Tries of each scenario
+    #[bpaf(long("tries"), argument("COUNT"), fallback(20), display_fallback)]
+    tries: u32,
+    /// Output as JSON for programs
+    #[bpaf(long("json"))]
+    is_json: bool,
+}
+
+/// Runs the recovery bench.
+pub(super) fn run(flags: &RecoveryFlags) -> Result<(), CtlError> {
+    let plan = RecoveryPlan { scenarios: flags.scenarios.0.clone(), tries: flags.tries };
+    measure(&plan, Format::new(flags.is_json))
+}
