Coordinate engine orders by an object whose version is the fencing number

Cause: some engines ignore the fencing number, so that a late order of a former coordinator could undo a newer one.

Change: core::orders writes each order down before it is sent, under a version that is its fencing number, with the time from which it is not sent any more. An engine that checks the number is ordered again at once. Any other is ordered again only when its last order has ended or can no longer arrive, whoever gave it: one order under way for each such engine. Loads keep a distance that the object itself records, so that it outlives the coordinator. Ruled out: a lease for the coordinator (a paused holder sends after it lapsed) and one fencing number for a whole term (the orders of one coordinator would not be ordered among themselves).

--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -10,6 +10,7 @@
 mod lifecycle;
 pub mod limit;
 pub mod member;
+pub mod orders;
 pub mod placement;
 pub mod quarantine;
 pub mod queue;
--- a/crates/godwit-schema/src/lib.rs
+++ b/crates/godwit-schema/src/lib.rs
@@ -7,5 +7,5 @@
 pub mod generated;
 mod prefix;
 
-pub use generated::{caller, config, engine, ledger, operator, platform};
+pub use generated::{caller, config, engine, ledger, operator, orders, platform};
 pub use prefix::{PREFIX_BLOCK_BYTES, prefix_hash, prefix_hashes};
--- a/crates/godwit-schema/tests/generated_types.rs
+++ b/crates/godwit-schema/tests/generated_types.rs
@@ -4,7 +4,8 @@
 
 use typify::{TypeSpace, TypeSpaceSettings};
 
-const BORDERS: [&str; 6] = ["caller", "config", "engine", "ledger", "operator", "platform"];
+const BORDERS: [&str; 7] =
+    ["caller", "config", "engine", "ledger", "operator", "orders", "platform"];
 
 fn generate(schema_path: &Path) -> String {
     let text = std::fs::read_to_string(schema_path).expect("schema is readable");
