Drive the orders coordinator and describe it

Cause: the coordinator needs the store, the engines' load reports and threads that send.

Change: one thread owns the state machine, four send orders and look at the clock directly before the call, one reads desired/SERVER and the load reports while this host is the one that should coordinate. The usual writer of a ledger slice now comes from the common rendezvous hashing, which stood twice.

--- a/crates/godwit-core/src/ledger/usual_writer.rs
+++ b/crates/godwit-core/src/ledger/usual_writer.rs
@@ -1,10 +1,7 @@
 //! Which host usually writes a ledger object.
 
-use std::hash::Hasher;
-
-use siphasher::sip::SipHasher13;
-
 use super::name::SliceName;
+use crate::rendezvous;
 
 /// The host that usually writes a slice, by rendezvous hashing over `hosts`. A hint only: hosts that disagree on it
 /// lose races at the store, never claims.
@@ -17,15 +14,5 @@
 /// assert_eq!(usual_writer(&slice, &[]), None);
 /// ```
 pub fn usual_writer<'a>(slice: &SliceName, hosts: &'a [String]) -> Option<&'a str> {
-    let object_name = slice.object_name();
-    let weighed = hosts.iter().max_by_key(|host| (weight(&object_name, host), host.as_str()));
-    weighed.map(String::as_str)
-}
-
-fn weight(object_name: &str, host: &str) -> u64 {
-    let mut hasher = SipHasher13::new();
-    hasher.write(object_name.as_bytes());
-    hasher.write_u8(0);
-    hasher.write(host.as_bytes());
-    hasher.finish()
+    rendezvous::owner(&slice.object_name(), hosts.iter().map(String::as_str))
 }
--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod ledger;
 pub mod membership;
 mod node;
+pub mod orders;
 pub mod placement;
 pub mod polling;
 mod run;
--- /dev/null
+++ b/crates/godwit-host/src/orders/observe.rs
@@ -0,0 +1,105 @@
+//! What the engines of this failure domain shall hold, and what they report.
+
+use std::collections::BTreeMap;
+
+use godwit_core::UnixMs;
+use godwit_core::orders::{Server, Situation, desired_object_name};
+use godwit_platform::{Platform, ReadError};
+use godwit_schema::config::BackendServer;
+use godwit_schema::orders::DesiredServer;
+use godwit_schema::platform::ObjectHead;
+use tracing::warn;
+
+use crate::Clock;
+
+/// Longest time of a load report.
+const LOAD_CALL_MS: u64 = 500;
+
+/// What the configuration in force says of the engines of this failure domain.
+#[derive(Clone, Debug, Default)]
+pub struct OrderedFleet {
+    /// Engines of this failure domain.
+    pub engines: Vec<BackendServer>,
+    /// Names of all models of the fleet.
+    pub models: Vec<String>,
+}
+
+impl OrderedFleet {
+    /// Address of an engine.
+    pub(super) fn address(&self, server: &str) -> Option<String> {
+        let engine = self.engines.iter().find(|engine| engine.name == server)?;
+        Some(engine.address.clone())
+    }
+}
+
+/// Reads the objects `desired/SERVER`, each again only when its version has changed.
+#[derive(Default)]
+pub(super) struct Observer {
+    desired: BTreeMap<String, (u64, DesiredServer)>,
+}
+
+impl Observer {
+    /// Looks at the store and at the engines that are to be ordered.
+    pub(super) fn observe(
+        &mut self,
+        platform: &Platform,
+        fleet: &OrderedFleet,
+        clock: &dyn Clock,
+    ) -> Result<Situation, ReadError> {
+        self.refresh(platform, fleet)?;
+        let mut situation =
+            Situation { models: fleet.models.iter().cloned().collect(), ..Situation::default() };
+        for engine in &fleet.engines {
+            let Some((_, desired)) = self.desired.get(&engine.name) else { continue };
+            situation.desired.insert(engine.name.clone(), desired.clone());
+            if let Some(server) = report(engine, clock) {
+                situation.servers.insert(engine.name.clone(), server);
+            }
+        }
+        Ok(situation)
+    }
+
+    fn refresh(&mut self, platform: &Platform, fleet: &OrderedFleet) -> Result<(), ReadError> {
+        let heads = platform.list(&desired_object_name(""))?.objects;
+        let head_of = |server: &str| {
+            let name = desired_object_name(server);
+            heads.iter().find(|head| head.name == name)
+        };
+        self.desired.retain(|server, _| head_of(server).is_some());
+        for engine in &fleet.engines {
+            if let Some(head) = head_of(&engine.name) {
+                self.refresh_one(platform, &engine.name, head)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn refresh_one(
+        &mut self,
+        platform: &Platform,
+        server: &str,
+        head: &ObjectHead,
+    ) -> Result<(), ReadError> {
+        if self.desired.get(server).is_some_and(|(version, _)| *version >= head.version) {
+            return Ok(());
+        }
+        let Some(object) = platform.read(&head.name)? else { return Ok(()) };
+        match serde_json::from_value(object.value) {
+            Ok(desired) => {
+                self.desired.insert(server.to_string(), (object.version, desired));
+            }
+            Err(error) => warn!(event = "desired_object_unreadable", server, error = %error),
+        }
+        Ok(())
+    }
+}
+
+fn report(engine: &BackendServer, clock: &dyn Clock) -> Option<Server> {
+    let now = clock.now();
+    let report = godwit_engine::load(&engine.address, now.plus_ms(LOAD_CALL_MS), now).ok()?;
+    Some(Server {
+        checks_fencing: engine.checks_fencing,
+        held: report.models,
+        started_at: UnixMs(report.started_at_unix_ms),
+    })
+}
--- /dev/null
+++ b/crates/godwit-host/tests/orders.rs
@@ -0,0 +1,108 @@
+//! Two coordinators of engine orders against the stand-ins, over real sockets.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use godwit_core::orders::OrdersSettings;
+use godwit_host::orders::{OrderedFleet, Orders, OrdersStartSettings};
+use godwit_host::{Clock, SystemClock};
+use godwit_platform::{Platform, PlatformSettings};
+use godwit_schema::config::BackendServer;
+use godwit_schema::engine::JournalAction;
+use godwit_standin::{EngineSettings, EngineStandin, ModelHolding, PlatformStandin};
+use serde_json::json;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+const LOOK: Duration = Duration::from_millis(20);
+
+fn anywhere() -> std::net::SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+fn platform_client(standin: &PlatformStandin) -> Platform {
+    Platform::new(&standin.address().to_string(), PlatformSettings::default())
+}
+
+fn engine(name: &str, checks_fencing: bool) -> EngineStandin {
+    let mut settings = EngineSettings::new(anywhere(), name);
+    settings.models = vec![ModelHolding::whole("m0", 4)];
+    settings.order_load_ms = 0;
+    settings.checks_fencing = checks_fencing;
+    EngineStandin::start(settings).unwrap()
+}
+
+fn fleet(engines: &[(&str, &EngineStandin, bool)]) -> OrderedFleet {
+    let servers = engines.iter().map(|(name, engine, checks_fencing)| {
+        let value = json!({
+            "name": name,
+            "address": engine.address().to_string(),
+            "failure_domain": "hall-a",
+            "role": "engine",
+            "checks_fencing": checks_fencing,
+        });
+        serde_json::from_value::<BackendServer>(value).unwrap()
+    });
+    let models = ["m0", "m1", "m2"].map(str::to_string).to_vec();
+    OrderedFleet { engines: servers.collect(), models }
+}
+
+fn coordinator(standin: &PlatformStandin, host: &str, fleet: &OrderedFleet) -> Orders {
+    let mut settings = OrdersStartSettings::new(host, 1, "hall-a");
+    settings.observe_ms = 50;
+    settings.delays = OrdersSettings {
+        takeover_delay_ms: 50,
+        load_interval_ms: 50,
+        retry_ms: 50,
+        ..OrdersSettings::default()
+    };
+    let fleet = fleet.clone();
+    let clock = Arc::new(SystemClock);
+    Orders::start(&settings, &platform_client(standin), clock, Arc::new(move || fleet.clone()))
+        .unwrap()
+}
+
+fn await_held(engine: &EngineStandin, wanted: &[&str]) {
+    let gives_up_at = Instant::now() + PATIENCE;
+    loop {
+        let now = SystemClock.now();
+        let report = godwit_engine::load(&engine.address().to_string(), now.plus_ms(2_000), now);
+        let held = report.map(|report| report.models).unwrap_or_default();
+        if held == wanted {
+            return;
+        }
+        assert!(Instant::now() < gives_up_at, "holds {held:?} in place of {wanted:?}");
+        std::thread::sleep(LOOK);
+    }
+}
+
+fn fencing_numbers(engine: &EngineStandin) -> Vec<u64> {
+    let journal = engine.journal();
+    let orders = journal.iter().filter(|entry| entry.action == JournalAction::Order);
+    let details = orders.filter_map(|entry| entry.detail.as_deref());
+    details.filter_map(|detail| detail.rsplit_once("fencing_number=")?.1.parse().ok()).collect()
+}
+
+#[test]
+fn engines_converge_under_either_coordinator() {
+    let standin =
+        PlatformStandin::start(godwit_standin::PlatformSettings::new(anywhere())).unwrap();
+    let platform = platform_client(&standin);
+    let (checking, plain) = (engine("e0", true), engine("e1", false));
+    let fleet = fleet(&[("e0", &checking, true), ("e1", &plain, false)]);
+    let (first, second) =
+        (coordinator(&standin, "h1", &fleet), coordinator(&standin, "h2", &fleet));
+    first.set_hosts(["h1"]);
+    second.set_hosts(["h1"]);
+    let e0 = platform.write("desired/e0", 0, &json!({"models": ["m1"]})).unwrap();
+    platform.write("desired/e1", 0, &json!({"models": ["m0", "m2"], "role": "prefill"})).unwrap();
+    await_held(&checking, &["m1"]);
+    await_held(&plain, &["m0", "m2"]);
+    first.set_hosts(["h2"]);
+    second.set_hosts(["h2"]);
+    platform.write("desired/e0", e0, &json!({"models": ["m2"]})).unwrap();
+    await_held(&checking, &["m2"]);
+    let numbers = [fencing_numbers(&checking), fencing_numbers(&plain)];
+    assert!(numbers.iter().all(|numbers| numbers.is_sorted()), "{numbers:?}");
+    assert_eq!(numbers[0].len(), 4, "{numbers:?}");
+    assert!(numbers[1].len() >= 2, "{numbers:?}");
+}
