Place split models through the same queue, limits and slots

Cause: requests of a split model were planned and dispatched at once, whatever the load of the stages: no slot, no queue, no fair share, no shedding, no retry budget, though no server of the users holds the whole model. Change: the router plans a split model over servers that have a slot, up to three drawn for each layer range, and the placement counts a dispatch for each stage; a request that finds no plan waits like any other. Equal servers share the work by a random time of at most 10 us. A retry may use the reserve. Planning over all holders was ruled out: the search grows with the square of the servers and runs under the placement's lock.

--- a/crates/godwit-core/benches/decisions.rs
+++ b/crates/godwit-core/benches/decisions.rs
@@ -136,7 +136,7 @@
     let done = DispatchEnd::Done { tokens: 100, took_ms: 2_500 };
     bencher.with_inputs(|| request(0)).bench_local_values(|request| {
         if let Reception::Granted(granted) = placer.receive(request, NOW) {
-            placer.ended(&granted, done, NOW);
+            placer.ended(&granted.dispatches[0], done, NOW);
         }
     });
 }
@@ -159,7 +159,7 @@
         placer.review(NOW.plus_ms(30));
         for decision in placer.take_decisions() {
             if let Ok(granted) = decision.outcome {
-                placer.ended(&granted, DispatchEnd::Cancelled, NOW);
+                placer.ended(&granted.dispatches[0], DispatchEnd::Cancelled, NOW);
             }
         }
     });
@@ -189,12 +189,13 @@
 #[divan::bench(args = SERVERS)]
 fn choose_to_wait(bencher: Bencher<'_, '_>, servers: usize) {
     let router = router(servers, SLOTS);
+    let mut rng = SmallRng::seed_from_u64(1);
     let admission = admission(0);
     let excluded = BTreeSet::new();
     let wanted =
         Wanted { admission: &admission, prefixes: &[], excluded: &excluded, backlog: true };
     bencher.bench_local(|| {
-        let choice = router.choose_to_wait(wanted, NOW);
+        let choice = router.choose_to_wait(wanted, NOW, &mut rng);
         assert!(matches!(choice, Choice::Wait { .. }));
         choice
     });
--- a/crates/godwit-core/src/placement/mod.rs
+++ b/crates/godwit-core/src/placement/mod.rs
@@ -5,4 +5,4 @@
 mod target_queue;
 
 pub use placer::Placer;
-pub use request::{Decision, Granted, PlaceRequest, Reception, Refusal};
+pub use request::{Decision, Granted, OwnDispatch, PlaceRequest, Reception, Refusal};
--- a/crates/godwit-core/src/placement/placer.rs
+++ b/crates/godwit-core/src/placement/placer.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 
 use godwit_schema::config::{Fleet, Workspace};
+use godwit_schema::engine::Stage;
 use rand::rngs::SmallRng;
 
-use super::request::{Decision, Granted, PlaceRequest, Reception, Refusal};
+use super::request::{Decision, Granted, OwnDispatch, PlaceRequest, Reception, Refusal};
 use super::target_queue::{TargetQueue, cost_tokens, queue_key};
 use crate::limit::{RateKey, RateLimits, RetryBudget};
 use crate::queue::{Ticket, WaitClass, Waiting};
@@ -21,6 +22,13 @@
 /// Time after which a caller may come back when nothing better is known, in milliseconds.
 const RETRY_MS: u64 = 1_000;
 
+/// Where and how a request starts.
+struct Start {
+    server: String,
+    estimate: Estimate,
+    stages: Vec<Stage>,
+}
+
 /// Places requests on servers.
 ///
 /// Every input may decide on waiting requests; [`take_decisions`](Placer::take_decisions) hands these decisions out.
@@ -98,37 +106,40 @@
     }
 
     /// Decides on a request, or lets it wait.
-    pub fn receive(&mut self, request: PlaceRequest, now: UnixMs) -> Reception {
+    ///
+    /// A retry may use the reserve: its caller may have a part of the answer already.
+    pub fn receive(&mut self, mut request: PlaceRequest, now: UnixMs) -> Reception {
         if let Err(refusal) = self.check_limits(&request, now) {
             return Reception::Refused(refusal);
         }
+        request.admission.may_use_reserve |= !request.excluded.is_empty();
         let key = queue_key(&request.admission.target);
         let queue = self.queues.get(&key);
         let backlog = queue.is_some_and(|queue| !queue.queue.is_empty());
         let choice = if queue.is_some_and(|queue| queue.goes_before(&request.admission)) {
-            self.router.choose_to_wait(request.wanted(backlog), now)
+            self.router.choose_to_wait(request.wanted(backlog), now, &mut self.rng)
         } else {
             self.router.choose(request.wanted(backlog), now, &mut self.rng)
         };
         match choice {
-            Choice::Start { server, estimate } => {
-                let granted = self.begin(&server, estimate, request.admission.max_tokens, now);
-                Reception::Granted(granted)
+            Choice::Start { server, estimate, stages } => {
+                let start = Start { server, estimate, stages };
+                Reception::Granted(self.begin(start, request.admission.max_tokens, now))
             }
             Choice::Refuse { code } => Reception::Refused(self.refusal(code, &key, now)),
             Choice::Wait { start_by } => self.wait(request, &key, start_by, now),
         }
     }
 
-    /// Counts a dispatch that was chosen elsewhere, as each stage of a split model.
-    pub fn begin_unasked(&mut self, server: &str, max_tokens: u32, now: UnixMs) -> Granted {
-        self.begin(server, Estimate::default(), max_tokens, now)
+    /// Counts tokens that a dispatch has brought.
+    pub fn progressed(&mut self, dispatch: &OwnDispatch, tokens: u32) {
+        self.router.progressed(&dispatch.server, dispatch.id, tokens);
     }
 
     /// Counts the end of a dispatch; true when its server is ejected for it.
-    pub fn ended(&mut self, granted: &Granted, end: DispatchEnd, now: UnixMs) -> bool {
-        let ejected = self.router.ended(&granted.server, granted.dispatch, end, now);
-        self.advance_on(&granted.server, now);
+    pub fn ended(&mut self, dispatch: &OwnDispatch, end: DispatchEnd, now: UnixMs) -> bool {
+        let ejected = self.router.ended(&dispatch.server, dispatch.id, end, now);
+        self.advance_on(&dispatch.server, now);
         ejected
     }
 
@@ -183,15 +194,17 @@
     /// Grants the first waiting request that can start on one server; false when there is none.
     fn grant_on(&mut self, target: &Target, server: &str, now: UnixMs) -> bool {
         let heads = self.queues.get(target).map(TargetQueue::heads).unwrap_or_default();
-        let startable = heads.into_iter().find_map(|head| {
-            let request = self.waiting.get(&head.ticket)?;
-            let estimate = self.router.choose_on(server, request.wanted(true), now)?;
-            Some((head.ticket, estimate))
-        });
-        if let Some((ticket, estimate)) = startable {
-            self.grant(target, ticket, server, estimate, now);
+        for head in heads {
+            let Some(request) = self.waiting.get(&head.ticket) else {
+                continue;
+            };
+            let choice = self.router.choose_on(server, request.wanted(true), now, &mut self.rng);
+            if let Some(Choice::Start { server, estimate, stages }) = choice {
+                self.grant(target, head.ticket, Start { server, estimate, stages }, now);
+                return true;
+            }
         }
-        startable.is_some()
+        false
     }
 
     /// Grants what can start now, after something has changed.
@@ -276,8 +289,8 @@
                 continue;
             };
             match self.router.choose(request.wanted(true), now, &mut self.rng) {
-                Choice::Start { server, estimate } => {
-                    self.grant(target, head.ticket, &server, estimate, now);
+                Choice::Start { server, estimate, stages } => {
+                    self.grant(target, head.ticket, Start { server, estimate, stages }, now);
                     return true;
                 }
                 Choice::Refuse { code } => {
@@ -292,19 +305,12 @@
         false
     }
 
-    fn grant(
-        &mut self,
-        target: &Target,
-        ticket: Ticket,
-        server: &str,
-        estimate: Estimate,
-        now: UnixMs,
-    ) {
+    fn grant(&mut self, target: &Target, ticket: Ticket, start: Start, now: UnixMs) {
         if let Some(queue) = self.queues.get_mut(target) {
             queue.grant(ticket, now);
         }
         let max_tokens = self.waiting.get(&ticket).map_or(0, |held| held.admission.max_tokens);
-        let granted = self.begin(server, estimate, max_tokens, now);
+        let granted = self.begin(start, max_tokens, now);
         self.decide(ticket, Ok(granted));
     }
 
@@ -328,9 +334,22 @@
         Refusal { code, retry_at: code.retry_can_help().then_some(retry_at) }
     }
 
-    fn begin(&mut self, server: &str, estimate: Estimate, max_tokens: u32, now: UnixMs) -> Granted {
-        let dispatch = self.router.started(server, max_tokens, now);
-        Granted { server: server.to_string(), dispatch, estimate, granted_at: now }
+    fn begin(&mut self, start: Start, max_tokens: u32, now: UnixMs) -> Granted {
+        let servers: Vec<String> = if start.stages.is_empty() {
+            vec![start.server]
+        } else {
+            start.stages.iter().map(|stage| stage.server.clone()).collect()
+        };
+        let begun = servers.into_iter().map(|server| {
+            let id = self.router.started(&server, max_tokens, now);
+            OwnDispatch { server, id }
+        });
+        Granted {
+            dispatches: begun.collect(),
+            stages: start.stages,
+            estimate: start.estimate,
+            granted_at: now,
+        }
     }
 
     fn refresh_rate(&mut self, target: &Target, now: UnixMs) {
--- a/crates/godwit-core/src/placement/request.rs
+++ b/crates/godwit-core/src/placement/request.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use godwit_schema::engine::Stage;
+
 use crate::queue::Ticket;
 use crate::route::{DispatchId, Estimate, PromptPrefix, Wanted};
 use crate::{Admission, Code, UnixMs};
@@ -28,13 +30,22 @@
     }
 }
 
-/// A dispatch that may begin; the router counts it from now on.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Granted {
+/// A dispatch to one server, which the router counts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OwnDispatch {
     /// Name of the server.
     pub server: String,
-    /// Number of the dispatch.
-    pub dispatch: DispatchId,
+    /// Its number.
+    pub id: DispatchId,
+}
+
+/// A request that may begin; the router counts its dispatches from now on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Granted {
+    /// The dispatch, or one for each stage of a split model.
+    pub dispatches: Vec<OwnDispatch>,
+    /// Plan of a split model, in order; empty for a model that the server holds whole.
+    pub stages: Vec<Stage>,
     /// When the request would finish.
     pub estimate: Estimate,
     /// When it was granted.
--- a/crates/godwit-core/src/route/choice.rs
+++ b/crates/godwit-core/src/route/choice.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use godwit_schema::engine::Stage;
+
 use super::estimate::Estimate;
 use super::prefix::PromptPrefix;
 use crate::{Admission, Code, UnixMs};
@@ -36,10 +38,12 @@
 pub enum Choice {
     /// Start it on this server.
     Start {
-        /// Name of the server.
+        /// Name of the server, or of the first stage's.
         server: String,
         /// When it would finish there.
         estimate: Estimate,
+        /// Plan of a split model, in order; empty for a model that the server holds whole.
+        stages: Vec<Stage>,
     },
     /// No server has a slot for it; it can still finish in time if it starts soon.
     Wait {
--- a/crates/godwit-core/src/route/estimate.rs
+++ b/crates/godwit-core/src/route/estimate.rs
@@ -17,6 +17,8 @@
     pub queue_ms: f64,
     /// Time until the first token, in milliseconds.
     pub first_token_ms: f64,
+    /// Time between two tokens, in milliseconds.
+    pub token_ms: f64,
     /// Time until the whole answer, in milliseconds.
     pub finish_ms: f64,
 }
@@ -44,6 +46,15 @@
     pub(crate) call_ms: f64,
 }
 
+impl Speed {
+    /// Tokens a second of all slots; calls a second for a service.
+    pub(crate) fn capacity_per_s(&self) -> f64 {
+        let each_per_ms =
+            if self.tokens_per_ms > 0.0 { self.tokens_per_ms } else { 1.0 / self.call_ms };
+        self.slots * each_per_ms * 1_000.0
+    }
+}
+
 /// The estimate for a request on a server under `load`.
 pub(crate) fn estimate(traits: &Traits, speed: &Speed, load: &LoadNow, work: &Work) -> Estimate {
     let queue_ms = queue_ms(speed, load);
@@ -54,6 +65,7 @@
     Estimate {
         queue_ms,
         first_token_ms: before_ms + first_ms + traits.link_latency_ms,
+        token_ms: first_ms,
         finish_ms: before_ms + decode_ms.max(first_ms) + traits.link_latency_ms,
     }
 }
--- a/crates/godwit-core/src/route/fleet.rs
+++ b/crates/godwit-core/src/route/fleet.rs
@@ -5,10 +5,16 @@
 use godwit_schema::config::{BackendServer, Fleet, Link, ServerRole};
 
 use crate::Target;
+use crate::split::{LinkCost, Links};
 
 /// Latency taken for two failure domains without a link entry, in microseconds.
 const DEFAULT_CROSS_DOMAIN_LATENCY_US: u64 = 1_000;
 
+/// Bytes of the activation of one token that stages pass on.
+const ACTIVATION_BYTES: u64 = 16 * 1024;
+
+const US_PER_S: u64 = 1_000_000;
+
 /// Number of a server in the tables of one [`FleetTable`].
 pub(crate) type ServerIndex = u32;
 
@@ -16,6 +22,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Traits {
     pub(crate) name: String,
+    pub(crate) address: String,
     pub(crate) failure_domain: String,
     pub(crate) is_local: bool,
     pub(crate) is_engine: bool,
@@ -81,15 +88,22 @@
     pub(crate) by_name: BTreeMap<String, ServerIndex>,
     models: BTreeMap<String, Candidates>,
     services: BTreeMap<String, Candidates>,
-    stages: BTreeMap<LayerRange, Candidates>,
+    splits: BTreeMap<String, SplitModel>,
+    pub(crate) links: Links,
+}
+
+/// Layers that a server holds of a model.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct LayerRange {
+    pub(crate) layer_from: u32,
+    pub(crate) layer_to: u32,
 }
 
-/// A range of layers of one model.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct LayerRange {
-    model: String,
-    layer_from: Option<u32>,
-    layer_to: Option<u32>,
+/// A model whose layers are spread over servers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SplitModel {
+    pub(crate) layers: u32,
+    pub(crate) ranges: BTreeMap<LayerRange, Candidates>,
 }
 
 impl FleetTable {
@@ -105,9 +119,25 @@
             let traits = traits_of(server, failure_domain, &drained, &links, fleet.reserve_share);
             table.add(server, traits);
         }
+        for model in &fleet.models {
+            if let Some(split) = table.splits.get_mut(&model.name) {
+                split.layers = model.layers;
+            }
+        }
+        table.links = stage_links(&fleet.links);
         table
     }
 
+    /// The split model of a target, if no server holds the model whole.
+    pub(crate) fn split(&self, target: &Target) -> Option<&SplitModel> {
+        match target {
+            Target::Model { model, .. } if !self.models.contains_key(model) => {
+                self.splits.get(model)
+            }
+            Target::Model { .. } | Target::Service(_) => None,
+        }
+    }
+
     /// The candidates for a target; none when no server of the fleet can run it.
     ///
     /// An adapter is asked of the servers that list `MODEL:ADAPTER`, or of all that hold the model when none does.
@@ -124,7 +154,7 @@
     /// The candidate sets that a server is in.
     pub(crate) fn shared_by(&self, index: ServerIndex) -> impl Iterator<Item = &Candidates> {
         let whole = self.models.values().chain(self.services.values());
-        let all = whole.chain(self.stages.values());
+        let all = whole.chain(self.splits.values().flat_map(|split| split.ranges.values()));
         all.filter(move |candidates| candidates.has(index))
     }
 
@@ -135,14 +165,13 @@
                 self.models.entry(model.clone()).or_default().add(index, &traits);
             }
         }
-        if traits.is_engine && !traits.holds_whole_model {
+        if let (true, Some(layer_from), Some(layer_to)) =
+            (traits.is_engine, server.layer_from, server.layer_to)
+        {
             for model in &server.models {
-                let range = LayerRange {
-                    model: model.clone(),
-                    layer_from: server.layer_from,
-                    layer_to: server.layer_to,
-                };
-                self.stages.entry(range).or_default().add(index, &traits);
+                let split = self.splits.entry(model.clone()).or_default();
+                let range = LayerRange { layer_from, layer_to };
+                split.ranges.entry(range).or_default().add(index, &traits);
             }
         }
         if let (false, Some(service)) = (traits.is_engine, &server.service) {
@@ -170,6 +199,7 @@
     let slots = server.slots.max(1);
     Traits {
         name: server.name.clone(),
+        address: server.address.clone(),
         failure_domain: server.failure_domain.clone(),
         is_local,
         is_engine: server.role == ServerRole::Engine,
@@ -184,6 +214,22 @@
     }
 }
 
+fn stage_links(links: &[Link]) -> Links {
+    let costs = links.iter().map(|link| {
+        let transfer_us = (ACTIVATION_BYTES * US_PER_S).checked_div(link.bytes_per_s);
+        LinkCost {
+            a: link.a.clone(),
+            b: link.b.clone(),
+            step_us: link.latency_us.saturating_add(transfer_us.unwrap_or(u64::MAX)),
+        }
+    });
+    Links {
+        costs: costs.collect(),
+        same_domain_us: 0,
+        other_domain_us: DEFAULT_CROSS_DOMAIN_LATENCY_US,
+    }
+}
+
 fn positive(value: f64) -> f64 {
     if value.is_finite() && value > 0.0 { value } else { 0.0 }
 }
--- a/crates/godwit-core/src/route/mod.rs
+++ b/crates/godwit-core/src/route/mod.rs
@@ -10,6 +10,7 @@
 mod router;
 mod sample;
 mod scan;
+mod stages;
 mod view;
 
 pub use choice::{Choice, Policy, Wanted};
--- a/crates/godwit-core/src/route/router.rs
+++ b/crates/godwit-core/src/route/router.rs
@@ -7,11 +7,11 @@
 use rand::Rng;
 
 use super::choice::{Choice, Policy, Wanted};
-use super::estimate::Estimate;
-use super::fleet::{FleetTable, ServerIndex};
+use super::fleet::{Candidates, FleetTable, ServerIndex};
 use super::health::{Fitness, Health};
 use super::prefix::PrefixIndex;
 use super::scan::Scan;
+use super::stages::{self, StageScan};
 use super::view::View;
 use crate::{Code, Reading, Target, UnixMs};
 
@@ -158,6 +158,9 @@
             return Choice::Refuse { code: Code::TooLate };
         }
         self.turn = self.turn.wrapping_add(1);
+        if let Some(split) = self.table.split(&wanted.admission.target) {
+            return StageScan { router: self, wanted, split, now }.decide(rng);
+        }
         let Some(candidates) = self.table.candidates(&wanted.admission.target) else {
             return Choice::Refuse { code: Code::NoServer };
         };
@@ -169,36 +172,46 @@
         }
     }
 
-    /// Whether a request can start on one server now, and when it would finish there.
-    pub fn choose_on(&self, server: &str, wanted: Wanted<'_>, now: UnixMs) -> Option<Estimate> {
+    /// Chooses for a request that may start only where something has changed, on `server`.
+    ///
+    /// A split model is planned anew if the server holds a part of it.
+    pub fn choose_on(
+        &self,
+        server: &str,
+        wanted: Wanted<'_>,
+        now: UnixMs,
+        rng: &mut impl Rng,
+    ) -> Option<Choice> {
         let index = self.index(server)?;
+        if let Some(split) = self.table.split(&wanted.admission.target) {
+            let holds_part = split.ranges.values().any(|candidates| candidates.has(index));
+            let scan = StageScan { router: self, wanted, split, now };
+            return holds_part.then(|| scan.decide(rng));
+        }
         let candidates = self.table.candidates(&wanted.admission.target)?;
         Scan::new(self, wanted, candidates, now).on(index)
     }
 
     /// When a request that has to wait would have to start; [`Choice::Wait`] or [`Choice::Refuse`].
-    pub fn choose_to_wait(&self, wanted: Wanted<'_>, now: UnixMs) -> Choice {
+    pub fn choose_to_wait(&self, wanted: Wanted<'_>, now: UnixMs, rng: &mut impl Rng) -> Choice {
+        if let Some(split) = self.table.split(&wanted.admission.target) {
+            return StageScan { router: self, wanted, split, now }.wait(rng);
+        }
         match self.table.candidates(&wanted.admission.target) {
             Some(candidates) => Scan::new(self, wanted, candidates, now).wait(),
             None => Choice::Refuse { code: Code::NoServer },
         }
     }
 
-    /// Tokens a second that all usable candidates for a target generate together; calls a second for a service.
+    /// Tokens a second that all usable servers generate together for a target; calls a second for a service.
     pub fn capacity_per_s(&self, target: &Target, now: UnixMs) -> f64 {
-        let Some(candidates) = self.table.candidates(target) else {
-            return 0.0;
-        };
-        let usable = candidates.all().filter(|index| self.obstacle(*index, now).is_none());
-        usable
-            .map(|index| {
-                let speed = self.speed(index);
-                let call_per_ms = 1.0 / speed.call_ms;
-                let each =
-                    if speed.tokens_per_ms > 0.0 { speed.tokens_per_ms } else { call_per_ms };
-                speed.slots * each * 1_000.0
-            })
-            .sum()
+        if let Some(split) = self.table.split(target) {
+            return stages::capacity_per_s(self, split, now);
+        }
+        let candidates = self.table.candidates(target);
+        let servers = candidates.into_iter().flat_map(Candidates::all);
+        let usable = servers.filter(|index| self.obstacle(*index, now).is_none());
+        usable.map(|index| self.speed(index).capacity_per_s()).sum()
     }
 
     /// Entries of the index of cached prefixes.
--- a/crates/godwit-core/src/route/scan.rs
+++ b/crates/godwit-core/src/route/scan.rs
@@ -5,7 +5,6 @@
 use super::choice::{Choice, Wanted};
 use super::estimate::{Estimate, Work, estimate};
 use super::fleet::{Candidates, Pool, ServerIndex};
-use super::health::Fitness;
 use super::load::LoadNow;
 use super::prefix::Holder;
 use super::router::{Obstacle, Router};
@@ -84,12 +83,12 @@
         self.conclude(offer, &tally)
     }
 
-    /// The estimate on one server, if the request can start there in time.
-    pub(crate) fn on(&self, server: ServerIndex) -> Option<Estimate> {
+    /// The start on one server, if the request can start there in time.
+    pub(crate) fn on(&self, server: ServerIndex) -> Option<Choice> {
         if !self.candidates.has(server) || self.obstacle(server).is_some() {
             return None;
         }
-        self.offer(server).map(|offer| offer.estimate)
+        self.offer(server).map(|offer| self.start(offer))
     }
 
     /// Decides as if no server had a slot.
@@ -140,7 +139,7 @@
         let traits = &self.router.table.servers[server as usize];
         let load = self.router.load_now(server);
         let estimate = estimate(traits, &self.router.speed(server), &load, &self.work(server));
-        Choice::Start { server: traits.name.clone(), estimate }
+        Choice::Start { server: traits.name.clone(), estimate, stages: Vec::new() }
     }
 
     fn conclude(&self, offer: Option<Offer>, tally: &Tally) -> Choice {
@@ -161,7 +160,7 @@
 
     fn start(&self, offer: Offer) -> Choice {
         let server = self.router.table.servers[offer.server as usize].name.clone();
-        Choice::Start { server, estimate: offer.estimate }
+        Choice::Start { server, estimate: offer.estimate, stages: Vec::new() }
     }
 
     fn best_sampled(&self, rng: &mut impl Rng) -> Option<Offer> {
@@ -236,11 +235,7 @@
     }
 
     fn obstacle(&self, server: ServerIndex) -> Option<Obstacle> {
-        let name = &self.router.table.servers[server as usize].name;
-        if !self.wanted.excluded.is_empty() && self.wanted.excluded.contains(name) {
-            return Some(Obstacle::Excluded);
-        }
-        match self.router.obstacle(server, self.now) {
+        match self.router.obstacle_for(server, &self.wanted, self.now) {
             Some(Obstacle::Silent) if self.allow_silent => None,
             obstacle => obstacle,
         }
@@ -251,19 +246,7 @@
         let router = self.router;
         let load = router.load_now(server);
         let view = &router.views[server as usize];
-        let has_slot = match view.health.fitness(self.now) {
-            Fitness::Ejected => false,
-            Fitness::Probing => view.load.own_count == 0 && !self.wanted.admission.non_idempotent,
-            Fitness::Fit => {
-                let limit = router.limit(server, self.may_use_reserve());
-                if self.wanted.backlog {
-                    router.is_below_share(server, limit, self.now)
-                } else {
-                    load.requests < limit
-                }
-            }
-        };
-        if !has_slot {
+        if !router.has_slot(server, &self.wanted, self.now) {
             return None;
         }
         let traits = &router.table.servers[server as usize];
@@ -280,10 +263,6 @@
         estimate(traits, &self.router.speed(server), &LoadNow::IDLE, &self.work(server)).finish_ms
     }
 
-    fn may_use_reserve(&self) -> bool {
-        self.wanted.admission.may_use_reserve || self.wanted.admission.non_idempotent
-    }
-
     fn work(&self, server: ServerIndex) -> Work {
         let cached = self.holders.iter().find(|holder| holder.server == server);
         Work {
--- /dev/null
+++ b/crates/godwit-core/src/route/stages.rs
@@ -0,0 +1,217 @@
+//! The decision for one request of a split model: a plan of stages over servers that have a slot.
+
+use std::collections::BTreeSet;
+
+use rand::Rng;
+
+use super::choice::{Choice, Wanted};
+use super::estimate::{Estimate, decode_ms, queue_ms};
+use super::fleet::{Candidates, LayerRange, ServerIndex, SplitModel};
+use super::router::{Obstacle, Router};
+use crate::split::{Plan, StageHolder, plan};
+use crate::{Code, UnixMs};
+
+/// Servers of each layer range that are given to the planner, at most.
+const HOLDERS_PER_RANGE: usize = 3;
+
+/// Draws for each of them, at most.
+const DRAWS_PER_HOLDER: usize = 3;
+
+/// Time added at random to each server's, in microseconds, so that equal ones share the work.
+const TIE_BREAK_US: u64 = 10;
+
+const US_PER_MS: f64 = 1_000.0;
+
+/// The decision.
+#[derive(Clone, Copy)]
+pub(crate) struct StageScan<'a> {
+    pub(crate) router: &'a Router,
+    pub(crate) wanted: Wanted<'a>,
+    pub(crate) split: &'a SplitModel,
+    pub(crate) now: UnixMs,
+}
+
+impl StageScan<'_> {
+    /// Decides.
+    pub(crate) fn decide(&self, rng: &mut impl Rng) -> Choice {
+        let startable = |server: &ServerIndex| self.can_start(*server);
+        if let Some(plan) = self.plan(startable, rng)
+            && self.finish_ms(&plan) <= self.time_left_ms()
+            && let Some(first) = plan.stages.first()
+        {
+            let server = first.server.clone();
+            return Choice::Start { server, estimate: self.estimate(&plan), stages: plan.stages };
+        }
+        self.wait(rng)
+    }
+
+    /// Decides as if no server had a slot.
+    pub(crate) fn wait(&self, rng: &mut impl Rng) -> Choice {
+        let usable = |server: &ServerIndex| self.obstacle(*server).is_none();
+        let Some(plan) = self.plan(usable, rng) else {
+            return Choice::Refuse { code: self.missing() };
+        };
+        let shortest_ms = self.finish_ms(&plan) - self.queue_ms(&plan);
+        if shortest_ms > self.time_left_ms() {
+            return Choice::Refuse { code: Code::TooLate };
+        }
+        let deadline = self.wanted.admission.deadline;
+        Choice::Wait { start_by: deadline.minus_ms(shortest_ms.ceil() as u64) }
+    }
+
+    fn plan(&self, wanted: impl Fn(&ServerIndex) -> bool, rng: &mut impl Rng) -> Option<Plan> {
+        let mut holders = Vec::new();
+        for (range, candidates) in &self.split.ranges {
+            for server in sample(candidates, &wanted, rng) {
+                let tie_break_us = rng.random_range(0..=TIE_BREAK_US);
+                holders.extend(self.holder(server, *range, tie_break_us));
+            }
+        }
+        plan(self.split.layers, &holders, &self.router.table.links, &BTreeSet::new())
+    }
+
+    fn holder(
+        &self,
+        server: ServerIndex,
+        range: LayerRange,
+        tie_break_us: u64,
+    ) -> Option<StageHolder> {
+        let layers = range.layer_to.checked_sub(range.layer_from).filter(|layers| *layers > 0)?;
+        let traits = &self.router.table.servers[server as usize];
+        let speed = self.router.speed(server);
+        let penalty_ms = self.router.views[server as usize].health.penalty_ms();
+        let wait_ms = queue_ms(&speed, &self.router.load_now(server)) + penalty_ms;
+        Some(StageHolder {
+            server: traits.name.clone(),
+            address: traits.address.clone(),
+            failure_domain: traits.failure_domain.clone(),
+            layer_from: range.layer_from,
+            layer_to: range.layer_to,
+            layer_us: (decode_ms(&speed, 1.0) * US_PER_MS / f64::from(layers)).ceil() as u64,
+            // The wait for a slot is paid once; its share of each token makes plans comparable.
+            step_us: (wait_ms / self.tokens() * US_PER_MS).ceil() as u64 + tie_break_us,
+        })
+    }
+
+    fn can_start(&self, server: ServerIndex) -> bool {
+        self.obstacle(server).is_none() && self.router.has_slot(server, &self.wanted, self.now)
+    }
+
+    fn obstacle(&self, server: ServerIndex) -> Option<Obstacle> {
+        self.router.obstacle_for(server, &self.wanted, self.now)
+    }
+
+    /// Why there is no plan, by what is in the way of the servers.
+    fn missing(&self) -> Code {
+        let servers = self.split.ranges.values().flat_map(Candidates::all);
+        let obstacles: Vec<Obstacle> = servers.filter_map(|server| self.obstacle(server)).collect();
+        if obstacles.contains(&Obstacle::Excluded) {
+            Code::ServersRefused
+        } else if obstacles.contains(&Obstacle::CutOff) {
+            Code::ShutOutByDomain
+        } else {
+            Code::NoServer
+        }
+    }
+
+    fn estimate(&self, plan: &Plan) -> Estimate {
+        let token_ms = plan.token_us as f64 / US_PER_MS;
+        let queue_ms = self.queue_ms(plan);
+        Estimate {
+            queue_ms,
+            first_token_ms: queue_ms + token_ms,
+            token_ms,
+            finish_ms: self.finish_ms(plan),
+        }
+    }
+
+    /// Waits for slots over all stages of a plan.
+    fn queue_ms(&self, plan: &Plan) -> f64 {
+        let servers = plan.stages.iter().filter_map(|stage| self.router.index(&stage.server));
+        servers
+            .map(|server| queue_ms(&self.router.speed(server), &self.router.load_now(server)))
+            .sum()
+    }
+
+    fn finish_ms(&self, plan: &Plan) -> f64 {
+        plan.token_us as f64 / US_PER_MS * self.tokens()
+    }
+
+    fn tokens(&self) -> f64 {
+        f64::from(self.wanted.admission.max_tokens.max(1))
+    }
+
+    fn time_left_ms(&self) -> f64 {
+        self.wanted.admission.deadline.since_ms(self.now) as f64
+    }
+}
+
+/// Tokens a second that the servers of a split model generate together, links left out: those of one slot, for each
+/// slot of the layer that has the fewest.
+pub(crate) fn capacity_per_s(router: &Router, split: &SplitModel, now: UnixMs) -> f64 {
+    let ranges: Vec<(LayerRange, RangeSupply)> = split
+        .ranges
+        .iter()
+        .map(|(range, held)| (*range, supply(router, *range, held, now)))
+        .collect();
+    let mut token_ms = 0.0;
+    let mut fewest_slots = f64::INFINITY;
+    for layer in 0..split.layers {
+        let over =
+            ranges.iter().filter(|(range, _)| (range.layer_from..range.layer_to).contains(&layer));
+        let slots: f64 = over.clone().map(|(_, supply)| supply.slots).sum();
+        let slot_ms: f64 = over.map(|(_, supply)| supply.slot_layer_ms).sum();
+        if slots <= 0.0 {
+            return 0.0;
+        }
+        fewest_slots = fewest_slots.min(slots);
+        token_ms += slot_ms / slots;
+    }
+    if token_ms > 0.0 { fewest_slots * 1_000.0 / token_ms } else { 0.0 }
+}
+
+/// What the usable servers of one layer range bring.
+#[derive(Clone, Copy, Debug, Default)]
+struct RangeSupply {
+    slots: f64,
+    /// Time of one token in one layer, summed over the slots.
+    slot_layer_ms: f64,
+}
+
+fn supply(router: &Router, range: LayerRange, held: &Candidates, now: UnixMs) -> RangeSupply {
+    let layers = f64::from(range.layer_to.saturating_sub(range.layer_from).max(1));
+    let mut supply = RangeSupply::default();
+    for server in held.all().filter(|server| router.obstacle(*server, now).is_none()) {
+        let speed = router.speed(server);
+        supply.slots += speed.slots;
+        supply.slot_layer_ms += speed.slots * decode_ms(&speed, 1.0) / layers;
+    }
+    supply
+}
+
+/// A few wanted servers of a range: all of a small range, else draws by weight, and a look at all when these give none.
+fn sample(
+    candidates: &Candidates,
+    wanted: &impl Fn(&ServerIndex) -> bool,
+    rng: &mut impl Rng,
+) -> Vec<ServerIndex> {
+    let mut servers = Vec::new();
+    if candidates.len() > HOLDERS_PER_RANGE {
+        for _ in 0..HOLDERS_PER_RANGE * DRAWS_PER_HOLDER {
+            let pool = if servers.len() + 1 < HOLDERS_PER_RANGE {
+                &candidates.local
+            } else {
+                &candidates.remote
+            };
+            let drawn = pool.draw(rng).filter(|server| !servers.contains(server));
+            servers.extend(drawn.filter(wanted));
+            if servers.len() == HOLDERS_PER_RANGE {
+                return servers;
+            }
+        }
+    }
+    if servers.is_empty() {
+        servers.extend(candidates.all().filter(wanted).take(HOLDERS_PER_RANGE));
+    }
+    servers
+}
--- a/crates/godwit-core/src/route/view.rs
+++ b/crates/godwit-core/src/route/view.rs
@@ -4,9 +4,10 @@
 
 use godwit_schema::operator::{ServerState, ServerStatus};
 
+use super::choice::Wanted;
 use super::estimate::{FIRST_SERVICE_CALL_MS, Speed, decode_ms, queue_ms};
 use super::fleet::ServerIndex;
-use super::health::Health;
+use super::health::{Fitness, Health};
 use super::load::{DispatchId, Load, LoadNow};
 use super::router::{Obstacle, Router};
 use crate::UnixMs;
@@ -88,6 +89,37 @@
         slots - f64::from(self.table.servers[index as usize].reserved_slots).min(slots - 1.0)
     }
 
+    /// Whether a request may take one more slot of the server.
+    pub(crate) fn has_slot(&self, index: ServerIndex, wanted: &Wanted<'_>, now: UnixMs) -> bool {
+        let view = &self.views[index as usize];
+        let admission = wanted.admission;
+        match view.health.fitness(now) {
+            Fitness::Ejected => return false,
+            Fitness::Probing => return view.load.own_count == 0 && !admission.non_idempotent,
+            Fitness::Fit => {}
+        }
+        let limit = self.limit(index, admission.may_use_reserve || admission.non_idempotent);
+        if wanted.backlog {
+            self.is_below_share(index, limit, now)
+        } else {
+            self.load_now(index).requests < limit
+        }
+    }
+
+    /// What is in the way of a request on the server.
+    pub(crate) fn obstacle_for(
+        &self,
+        index: ServerIndex,
+        wanted: &Wanted<'_>,
+        now: UnixMs,
+    ) -> Option<Obstacle> {
+        let name = &self.table.servers[index as usize].name;
+        if !wanted.excluded.is_empty() && wanted.excluded.contains(name) {
+            return Some(Obstacle::Excluded);
+        }
+        self.obstacle(index, now)
+    }
+
     /// Whether this host is below its share of the server's slots.
     pub(crate) fn is_below_share(&self, index: ServerIndex, limit: f64, now: UnixMs) -> bool {
         let load = &self.views[index as usize].load;
--- a/crates/godwit-core/tests/placement_model.rs
+++ b/crates/godwit-core/tests/placement_model.rs
@@ -121,7 +121,7 @@
     fn report(&mut self, server: usize) {
         let server = format!("engine-{server:03}");
         let has_arrived =
-            |granted: &Granted| granted.server == server && granted.granted_at < self.now;
+            |granted: &Granted| server_of(granted) == server && granted.granted_at < self.now;
         let here = self.running.iter().filter(|(granted, _)| has_arrived(granted));
         let tokens = here.clone().map(|(_, asked)| u64::from(asked.max_tokens)).sum();
         let reading = Reading {
@@ -145,12 +145,16 @@
     }
 
     fn running_on(&self, server: &str) -> (usize, usize) {
-        let here = self.running.iter().filter(|(granted, _)| granted.server == server);
+        let here = self.running.iter().filter(|(granted, _)| server_of(granted) == server);
         let ordinary = here.clone().filter(|(_, asked)| is_ordinary(asked)).count();
         (here.count(), ordinary)
     }
 }
 
+fn server_of(granted: &Granted) -> &str {
+    &granted.dispatches[0].server
+}
+
 fn is_ordinary(asked: &Admission) -> bool {
     !asked.non_idempotent && !asked.may_use_reserve
 }
@@ -183,7 +187,7 @@
                 let took_ms = u64::from(asked.max_tokens) * 10;
                 let done = DispatchEnd::Done { tokens: asked.max_tokens, took_ms };
                 site.placer.ended(
-                    &granted,
+                    &granted.dispatches[0],
                     if ok { done } else { DispatchEnd::Cancelled },
                     site.now,
                 );
--- a/crates/godwit-host/src/placement/grant.rs
+++ b/crates/godwit-host/src/placement/grant.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use godwit_core::UnixMs;
-use godwit_core::placement::Granted;
+use godwit_core::placement::OwnDispatch;
 use godwit_core::route::{DispatchEnd, Estimate};
+use godwit_schema::engine::Stage;
 
 use super::place::Placement;
 use super::report;
@@ -12,6 +13,17 @@
 /// Tokens after which progress is told to the router.
 const TOKENS_PER_REPORT: u32 = 8;
 
+/// The right to run a request of a split model over its stages.
+#[derive(Debug)]
+pub struct StageGrants {
+    /// The plan, in order.
+    pub stages: Vec<Stage>,
+    /// When the request was expected to finish.
+    pub estimate: Estimate,
+    /// The right to each stage.
+    pub grants: Vec<Grant>,
+}
+
 /// The right to dispatch a request to one server.
 ///
 /// The end is told by [`done`](Grant::done), [`failed`](Grant::failed) or [`refused`](Grant::refused); a grant that is
@@ -19,7 +31,9 @@
 #[derive(Debug)]
 pub struct Grant {
     placement: Arc<Placement>,
-    granted: Granted,
+    dispatch: OwnDispatch,
+    estimate: Estimate,
+    granted_at: UnixMs,
     first_token_at: Option<UnixMs>,
     tokens: u32,
     unreported_tokens: u32,
@@ -27,10 +41,17 @@
 }
 
 impl Grant {
-    pub(super) fn new(placement: Arc<Placement>, granted: Granted) -> Grant {
+    pub(super) fn new(
+        placement: Arc<Placement>,
+        dispatch: OwnDispatch,
+        estimate: Estimate,
+        granted_at: UnixMs,
+    ) -> Grant {
         Grant {
             placement,
-            granted,
+            dispatch,
+            estimate,
+            granted_at,
             first_token_at: None,
             tokens: 0,
             unreported_tokens: 0,
@@ -40,12 +61,12 @@
 
     /// Name of the server.
     pub fn server(&self) -> &str {
-        &self.granted.server
+        &self.dispatch.server
     }
 
     /// When the request was expected to finish.
     pub fn estimate(&self) -> &Estimate {
-        &self.granted.estimate
+        &self.estimate
     }
 
     /// Counts a token that came.
@@ -55,10 +76,10 @@
         if self.first_token_at.is_none() {
             let now = self.placement.now();
             self.first_token_at = Some(now);
-            report::first_token(&self.granted, now);
+            report::first_token(&self.estimate, now.since_ms(self.granted_at));
         }
         if self.unreported_tokens >= TOKENS_PER_REPORT {
-            self.placement.progressed(&self.granted, self.unreported_tokens);
+            self.placement.progressed(&self.dispatch, self.unreported_tokens);
             self.unreported_tokens = 0;
         }
     }
@@ -66,9 +87,9 @@
     /// The whole answer came.
     pub fn done(mut self) {
         let now = self.placement.now();
-        let since = self.first_token_at.unwrap_or(self.granted.granted_at);
+        let since = self.first_token_at.unwrap_or(self.granted_at);
         self.end = DispatchEnd::Done { tokens: self.tokens, took_ms: now.since_ms(since) };
-        report::finished(&self.granted, now);
+        report::finished(&self.estimate, now.since_ms(self.granted_at));
     }
 
     /// The server did not answer, broke off or was too slow.
@@ -84,6 +105,6 @@
 
 impl Drop for Grant {
     fn drop(&mut self) {
-        self.placement.ended(&self.granted, self.end);
+        self.placement.ended(&self.dispatch, self.end);
     }
 }
--- a/crates/godwit-host/src/placement/mod.rs
+++ b/crates/godwit-host/src/placement/mod.rs
@@ -5,5 +5,5 @@
 mod report;
 
 pub use godwit_core::placement::Refusal;
-pub use grant::Grant;
+pub use grant::{Grant, StageGrants};
 pub use place::{Ask, Placement, PlacementSettings};
--- a/crates/godwit-host/src/placement/place.rs
+++ b/crates/godwit-host/src/placement/place.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use flume::{Receiver, RecvTimeoutError, Sender};
-use godwit_core::placement::{Granted, PlaceRequest, Placer, Reception, Refusal};
+use godwit_core::placement::{Granted, OwnDispatch, PlaceRequest, Placer, Reception, Refusal};
 use godwit_core::queue::Ticket;
 use godwit_core::route::{DispatchEnd, Policy, PromptPrefix, Router, StageLoad};
 use godwit_core::{Admission, Code, Reading, UnixMs};
@@ -15,7 +15,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use super::grant::Grant;
+use super::grant::{Grant, StageGrants};
 use super::report;
 use crate::Clock;
 
@@ -107,19 +107,20 @@
     ///
     /// [`Refusal`] as soon as it is known that the request cannot run in time or is not worth it under the load.
     pub fn acquire(self: &Arc<Placement>, ask: Ask<'_>) -> Result<Grant, Refusal> {
-        let asked_at = self.now();
-        let outcome = self.ask(ask, asked_at);
-        match &outcome {
-            Ok(granted) => report::granted(granted.granted_at.since_ms(asked_at)),
-            Err(refusal) => report::refused(refusal),
-        }
-        outcome.map(|granted| Grant::new(Arc::clone(self), granted))
+        let granted = self.ask(ask)?;
+        let mut grants = self.grants(&granted);
+        grants.pop().ok_or(Refusal { code: Code::Internal, retry_at: None })
     }
 
-    /// Counts a dispatch that was chosen elsewhere, as each stage of a split model.
-    pub fn hold(self: &Arc<Placement>, server: &str, max_tokens: u32) -> Grant {
-        let granted = self.change(|placer, now| placer.begin_unasked(server, max_tokens, now));
-        Grant::new(Arc::clone(self), granted)
+    /// Blocks until the request of a split model may start on the servers of a plan.
+    ///
+    /// # Errors
+    ///
+    /// As for [`acquire`](Placement::acquire).
+    pub fn acquire_stages(self: &Arc<Placement>, ask: Ask<'_>) -> Result<StageGrants, Refusal> {
+        let granted = self.ask(ask)?;
+        let grants = self.grants(&granted);
+        Ok(StageGrants { stages: granted.stages, estimate: granted.estimate, grants })
     }
 
     /// Takes a configuration of the fleet.
@@ -186,18 +187,32 @@
         self.clock.now()
     }
 
-    pub(super) fn progressed(&self, granted: &Granted, tokens: u32) {
-        self.change(|placer, _| {
-            placer.router_mut().progressed(&granted.server, granted.dispatch, tokens)
-        });
+    pub(super) fn progressed(&self, dispatch: &OwnDispatch, tokens: u32) {
+        self.change(|placer, _| placer.progressed(dispatch, tokens));
+    }
+
+    pub(super) fn ended(&self, dispatch: &OwnDispatch, end: DispatchEnd) {
+        let ejected = self.change(|placer, now| placer.ended(dispatch, end, now));
+        report::ended(&dispatch.server, end, ejected);
     }
 
-    pub(super) fn ended(&self, granted: &Granted, end: DispatchEnd) {
-        let ejected = self.change(|placer, now| placer.ended(granted, end, now));
-        report::ended(&granted.server, end, ejected);
+    fn grants(self: &Arc<Placement>, granted: &Granted) -> Vec<Grant> {
+        let (estimate, at) = (granted.estimate, granted.granted_at);
+        let dispatches = granted.dispatches.iter().cloned();
+        dispatches.map(|dispatch| Grant::new(Arc::clone(self), dispatch, estimate, at)).collect()
     }
 
-    fn ask(&self, ask: Ask<'_>, now: UnixMs) -> Outcome {
+    fn ask(&self, ask: Ask<'_>) -> Outcome {
+        let asked_at = self.now();
+        let outcome = self.receive(ask, asked_at);
+        match &outcome {
+            Ok(granted) => report::granted(granted.granted_at.since_ms(asked_at)),
+            Err(refusal) => report::refused(refusal),
+        }
+        outcome
+    }
+
+    fn receive(&self, ask: Ask<'_>, now: UnixMs) -> Outcome {
         let request = PlaceRequest {
             admission: ask.admission.clone(),
             prefixes: ask.prefixes.to_vec(),
@@ -259,7 +274,9 @@
                 None => Some(decision.outcome),
             };
             if let Some(Ok(granted)) = untold {
-                self.placer.ended(&granted, DispatchEnd::Cancelled, now);
+                for dispatch in &granted.dispatches {
+                    self.placer.ended(dispatch, DispatchEnd::Cancelled, now);
+                }
             }
         }
     }
--- a/crates/godwit-host/src/placement/report.rs
+++ b/crates/godwit-host/src/placement/report.rs
@@ -1,8 +1,7 @@
 //! Metrics and logs of placement.
 
-use godwit_core::UnixMs;
-use godwit_core::placement::{Granted, Refusal};
-use godwit_core::route::DispatchEnd;
+use godwit_core::placement::Refusal;
+use godwit_core::route::{DispatchEnd, Estimate};
 
 /// Tells how many requests wait.
 pub(super) fn queue_length(waiting: usize) {
@@ -20,17 +19,16 @@
 }
 
 /// Tells of a first token.
-pub(super) fn first_token(granted: &Granted, now: UnixMs) {
-    let actual_ms = now.since_ms(granted.granted_at) as f64;
-    let error_ms = actual_ms - granted.estimate.first_token_ms;
+pub(super) fn first_token(estimate: &Estimate, actual_ms: u64) {
+    let actual_ms = actual_ms as f64;
+    let error_ms = actual_ms - estimate.first_token_ms;
     metrics::histogram!("godwit_first_token_ms").record(actual_ms);
     metrics::histogram!("godwit_first_token_estimate_error_ms").record(error_ms);
 }
 
 /// Tells of a whole answer.
-pub(super) fn finished(granted: &Granted, now: UnixMs) {
-    let actual_ms = now.since_ms(granted.granted_at) as f64;
-    let error_ms = actual_ms - granted.estimate.finish_ms;
+pub(super) fn finished(estimate: &Estimate, actual_ms: u64) {
+    let error_ms = actual_ms as f64 - estimate.finish_ms;
     metrics::histogram!("godwit_finish_estimate_error_ms").record(error_ms);
 }
 
--- a/crates/godwit-host/src/serve/generate.rs
+++ b/crates/godwit-host/src/serve/generate.rs
@@ -68,19 +68,12 @@
         prefixes: &prefixes,
         grants: &grants,
     };
-    let found = fleet.models.iter().find(|candidate| candidate.name == *model);
-    let split = found.filter(|_| is_split(&fleet, model)).map(|model| SplitSource {
+    let split = SplitSource {
         placement: &pipeline.parts.placement,
-        fleet: &fleet,
-        model,
         admission: &admission,
-        clock: &*pipeline.parts.clock,
         grants: &grants,
-    });
-    let source: &dyn ServerSource = match &split {
-        Some(split) => split,
-        None => &whole,
     };
+    let source: &dyn ServerSource = if is_split(&fleet, model) { &split } else { &whole };
     let run = dispatch(pipeline, life, &job, source, &grants, &mut responder, &admission);
     report::run(&call.request_id, received_at, &run.report);
     end(call, responder, held, run.outcome);
