--- a/crates/godwit-host/src/placement/place.rs
+++ b/crates/godwit-host/src/placement/place.rs
@@ -40,7 +40,7 @@
     pub admission: &'a Admission,
     /// Prefixes of its prompt, shortest first.
     pub prefixes: &'a [PromptPrefix],
-    /// Names of servers that refused or failed it before; with any, it counts as a retry.
+    /// Names of servers that it cannot use; with any, it was counted against the rates before.
     pub excluded: &'a BTreeSet<String>,
 }
 
@@ -123,6 +123,11 @@
         Ok(StageGrants { stages: granted.stages, estimate: granted.estimate, grants })
     }
 
+    /// Takes one retry out of the host's budget, if there is one left.
+    pub fn take_retry(&self) -> bool {
+        self.change(|placer, _| placer.take_retry())
+    }
+
     /// Takes a configuration of the fleet.
     pub fn apply_fleet(&self, fleet: &Fleet) {
         self.change(|placer, now| placer.apply_fleet(fleet, now));
