Leave a hanging service in time to ask another one

Cause: an idempotent call of a service that hangs waited until its deadline, so that a lookup failed though other servers were free.

Change: the client asks after each silence whether to wait on. A service that answers no probe is left at once; one that does, when half of the time is left. A call that is only slow is waited for. Non-idempotent calls wait until their deadline as before.

--- a/crates/godwit-core/tests/split_attempts.rs
+++ b/crates/godwit-core/tests/split_attempts.rs
@@ -380,3 +380,23 @@
 fn attempts_that_keep_failed_servers_are_caught() {
     fuzz::<KeepsFailed>();
 }
+
+#[test]
+fn attempts_rebuild_only_lost_state() {
+    let stage = |server: &str, layer_from, layer_to| Stage {
+        server: server.to_string(),
+        address: String::new(),
+        layer_from,
+        layer_to,
+    };
+    let mut attempts = Attempts::default();
+    let first = attempts.begin(&[stage("s1", 0, 4), stage("s2", 4, 8)]);
+    assert_eq!(first.rebuilt_layers(), 8);
+    attempts.server_failed("s2");
+    // The first stage runs less than it did; the last is new.
+    let second = attempts.begin(&[stage("s1", 0, 3), stage("s3", 3, 8)]);
+    assert_eq!((second.kept.len(), second.rebuilt_layers()), (1, 5));
+    // A stage that grows beyond what it ran has to rebuild.
+    let third = attempts.begin(&[stage("s1", 0, 4), stage("s3", 4, 8)]);
+    assert_eq!((third.kept.len(), third.rebuilt_layers()), (1, 4));
+}
--- a/crates/godwit-host/src/dispatch/service.rs
+++ b/crates/godwit-host/src/dispatch/service.rs
@@ -1,12 +1,18 @@
 //! Runs a call of a plain service.
 
 use godwit_core::{Claimed, Life};
-use godwit_service::{Header, ServiceCall, ServiceError, ServiceReply, forward};
+use godwit_service::{
+    Header, Patience, ServiceCall, ServiceError, ServiceReply, forward, forward_while,
+};
 
+use crate::dispatch::blame::unanswered;
 use crate::dispatch::progress::Progress;
 use crate::dispatch::tries::{Ending, Failure, Next, Tries};
 use crate::dispatch::{AttemptEnding, AttemptReport, GrantedServer, Retry, Run, Tools};
 
+/// A silent service that answers probes is given up after this share of the time left, so that another can be asked.
+const GIVE_UP_SHARE: u64 = 2;
+
 /// The call that is forwarded.
 #[derive(Clone, Copy, Debug)]
 pub struct ServiceJob<'a> {
@@ -79,7 +85,24 @@
             body: self.job.body,
             answer_limit_bytes: tools.settings.service_answer_limit_bytes,
         };
-        forward(&call, &granted.address, self.tries.admission.deadline, tools.clock.now())
+        let (deadline, now) = (self.tries.admission.deadline, tools.clock.now());
+        if self.tries.admission.non_idempotent {
+            // It is never given up for another call, so that only its deadline ends the wait.
+            return forward(&call, &granted.address, deadline, now);
+        }
+        let give_up_at = now.plus_ms(deadline.since_ms(now) / GIVE_UP_SHARE);
+        let mut keep_waiting = || {
+            let in_time = !give_up_at.is_past(tools.clock.now());
+            in_time && unanswered(granted, tools.settings.probe_wait_ms).is_empty()
+        };
+        let look_every_ms = tools.settings.silent_bound_ms(granted.first_token_ms);
+        let patience = Patience { look_every_ms, keep_waiting: &mut keep_waiting };
+        forward_while(&call, &granted.address, deadline, now, patience)
+    }
+
+    fn after_timeout(&self) -> Failure {
+        let left = !self.tries.admission.deadline.is_past(self.tries.tools.clock.now());
+        if left && !self.tries.admission.non_idempotent { Failure::Slow } else { Failure::TimedOut }
     }
 
     fn decide(
@@ -92,7 +115,7 @@
         let failure = match answer {
             Ok(reply) => return Next::End(progress.may_have_run(), Ending::Whole(reply)),
             Err(ServiceError::NeverSent { proof, .. }) => Failure::Unreachable(proof),
-            Err(ServiceError::TimedOut) => Failure::TimedOut,
+            Err(ServiceError::TimedOut) => self.after_timeout(),
             Err(ServiceError::Lost { .. } | ServiceError::BadAnswer { .. }) => {
                 Failure::Lost(Retry::Lost)
             }
--- a/crates/godwit-host/src/dispatch/tries.rs
+++ b/crates/godwit-host/src/dispatch/tries.rs
@@ -23,6 +23,8 @@
     Unreachable(NeverSent),
     /// It may have run.
     Lost(Retry),
+    /// It may still be running; another server is tried first, the same one if there is none.
+    Slow,
     /// The deadline passed while it may have been running.
     TimedOut,
 }
@@ -130,6 +132,10 @@
                 }
                 self.after_loss(progress.may_have_run(), retry)
             }
+            Failure::Slow => {
+                self.doubted = VecDeque::from([granted.server.clone()]);
+                self.after_loss(progress.may_have_run(), Retry::Silent)
+            }
             Failure::TimedOut => Next::End(progress.may_have_run(), Ending::Lost(Code::TimedOut)),
         }
     }
--- a/crates/godwit-host/tests/dispatch/once.rs
+++ b/crates/godwit-host/tests/dispatch/once.rs
@@ -87,6 +87,30 @@
     assert_eq!(run.outcome.code(), Some(Code::TimedOut));
 }
 
+#[test]
+fn service_idempotent_leaves_hanging_server() {
+    let (first, second) = (service("o1"), service("o2"));
+    first.set_faults(ServiceFaults { hang: true, ..ServiceFaults::default() });
+    let (a, b) = (first.address().to_string(), second.address().to_string());
+    let bench = Bench::new();
+    let source = ListSource::new(&[("o1", &a), ("o2", &b)]);
+    let life = life_until("r-1", 1, false, SystemClock.now().plus_ms(2_000));
+    let run = run_service(life, &JOB, &bench.tools(&source));
+    assert_eq!(run.outcome.code(), Some(Code::Ok), "{:?}", run.outcome);
+    assert_eq!((calls(&first), calls(&second)), (1, 1));
+}
+
+#[test]
+fn service_slow_call_is_waited_for() {
+    let (first, second) = (service("o1"), service("o2"));
+    first.set_faults(ServiceFaults { delay_ms: 900, ..ServiceFaults::default() });
+    let (a, b) = (first.address().to_string(), second.address().to_string());
+    // The delay is longer than the silent bound, but the service answers probes.
+    let run = call(&[("o1", &a), ("o2", &b)], false);
+    assert_eq!(run.outcome.code(), Some(Code::Ok), "{:?}", run.outcome);
+    assert_eq!((calls(&first), calls(&second)), (1, 0));
+}
+
 #[test]
 fn service_half_written_body_is_unknown() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/godwit-service/src/connection.rs
+++ b/crates/godwit-service/src/connection.rs
@@ -4,16 +4,21 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-use crate::ServiceError;
+use crate::{Patience, ServiceError};
 
-/// A TCP connection of which each read and write ends at the deadline.
-pub(crate) struct Connection {
+/// A TCP connection of which each read and write ends at the deadline, or when silence is not waited out.
+pub(crate) struct Connection<'a> {
     stream: TcpStream,
     deadline: Instant,
+    patience: Patience<'a>,
 }
 
-impl Connection {
-    pub(crate) fn open(address: &str, wait: Duration) -> Result<Connection, ServiceError> {
+impl<'a> Connection<'a> {
+    pub(crate) fn open(
+        address: &str,
+        wait: Duration,
+        patience: Patience<'a>,
+    ) -> Result<Connection<'a>, ServiceError> {
         let deadline = Instant::now() + wait;
         let address: SocketAddr = address
             .parse()
@@ -22,7 +27,7 @@
             .map_err(|error| ServiceError::never_sent(&error.to_string()))?;
         // Only speed depends on it.
         let _ = stream.set_nodelay(true);
-        Ok(Connection { stream, deadline })
+        Ok(Connection { stream, deadline, patience })
     }
 
     fn remaining(&self) -> io::Result<Duration> {
@@ -34,14 +39,20 @@
     }
 }
 
-impl Read for Connection {
+impl Read for Connection<'_> {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
-        self.stream.set_read_timeout(Some(self.remaining()?))?;
-        self.stream.read(buffer)
+        let look_every = Duration::from_millis(self.patience.look_every_ms.max(1));
+        loop {
+            self.stream.set_read_timeout(Some(self.remaining()?.min(look_every)))?;
+            match self.stream.read(buffer) {
+                Err(error) if is_timeout(&error) && (self.patience.keep_waiting)() => {}
+                read => return read,
+            }
+        }
     }
 }
 
-impl Write for Connection {
+impl Write for Connection<'_> {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         self.stream.set_write_timeout(Some(self.remaining()?))?;
         self.stream.write(bytes)
@@ -54,8 +65,12 @@
 
 /// The error of a read or write after the first byte may have left.
 pub(crate) fn after_send(error: &io::Error) -> ServiceError {
-    match error.kind() {
-        ErrorKind::TimedOut | ErrorKind::WouldBlock => ServiceError::TimedOut,
-        _ => ServiceError::Lost { message: error.to_string() },
+    if is_timeout(error) {
+        return ServiceError::TimedOut;
     }
+    ServiceError::Lost { message: error.to_string() }
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock)
 }
--- a/crates/godwit-service/src/error.rs
+++ b/crates/godwit-service/src/error.rs
@@ -20,8 +20,9 @@
         /// What went wrong.
         message: String,
     },
-    /// The deadline passed after the first byte may have left: whether the call ran is not known.
-    #[error("deadline passed")]
+    /// The deadline passed, or silence was not waited out, after the first byte may have left: whether the call ran is not
+    /// known.
+    #[error("no answer in time")]
     TimedOut,
     /// The answer is cut, malformed or over the limit: whether the call ran is not known.
     #[error("bad answer: {message}")]
--- a/crates/godwit-service/src/reply.rs
+++ b/crates/godwit-service/src/reply.rs
@@ -30,7 +30,7 @@
 
 /// Reads the final answer; `head_only` for the answer to `HEAD`.
 pub(crate) fn read_reply(
-    connection: Connection,
+    connection: Connection<'_>,
     head_only: bool,
     body_limit_bytes: u64,
 ) -> Result<ServiceReply, ServiceError> {
@@ -45,7 +45,7 @@
     Ok(ServiceReply { status: head.status, headers, body })
 }
 
-fn read_final_head(reader: &mut BufReader<Connection>) -> Result<Head, ServiceError> {
+fn read_final_head(reader: &mut BufReader<Connection<'_>>) -> Result<Head, ServiceError> {
     loop {
         let bytes = read_head_bytes(reader)?;
         let head = parse_head(&bytes)?;
@@ -55,7 +55,7 @@
     }
 }
 
-fn read_head_bytes(reader: &mut BufReader<Connection>) -> Result<Vec<u8>, ServiceError> {
+fn read_head_bytes(reader: &mut BufReader<Connection<'_>>) -> Result<Vec<u8>, ServiceError> {
     let mut bytes = Vec::new();
     loop {
         let room = HEAD_LIMIT_BYTES.saturating_sub(bytes.len());
@@ -122,7 +122,7 @@
 }
 
 fn read_length(
-    reader: &mut BufReader<Connection>,
+    reader: &mut BufReader<Connection<'_>>,
     length: u64,
     limit_bytes: u64,
 ) -> Result<Vec<u8>, ServiceError> {
@@ -138,7 +138,7 @@
 }
 
 fn read_chunked(
-    reader: &mut BufReader<Connection>,
+    reader: &mut BufReader<Connection<'_>>,
     limit_bytes: u64,
 ) -> Result<Vec<u8>, ServiceError> {
     let wire_limit_bytes =
