Tell an engine that reports an error from one that is lost

Cause: an error event, or a stage that no longer holds its layers, marked the request as if it had crashed the server.

Change: a stage named by another one counts as lost only if it answers no probe. Errors of live servers are retried out of the budget and mark nobody.

Conclusion: a live stage that refuses its step is planned around and leaves the request clear (test).

--- a/crates/godwit-host/src/dispatch/generate.rs
+++ b/crates/godwit-host/src/dispatch/generate.rs
@@ -6,7 +6,7 @@
 use godwit_schema::engine::{FinishReason, GenerateRequest};
 
 use crate::dispatch::attempt::{Attempt, AttemptEnd};
-use crate::dispatch::blame::blamed;
+use crate::dispatch::blame::{blamed, unanswered};
 use crate::dispatch::progress::Progress;
 use crate::dispatch::tries::{Ending, Failure, Next, Tries};
 use crate::dispatch::{
@@ -75,14 +75,15 @@
         let progress = progress.begin();
         let (end, tokens) = self.attempt(&granted, sink);
         let blamed = blamed(&end, &granted);
+        let ending = ending(&end, &granted, self.tries.tools.settings.probe_wait_ms);
         self.tries.tell(&AttemptReport {
             granted: &granted,
-            ending: ending(&end),
+            ending,
             blamed: &blamed,
             tokens,
             duration_ms: self.tries.tools.clock.now().since_ms(started_at),
         });
-        self.decide(progress, end, &granted, &blamed)
+        self.decide(progress, end, ending, &granted, &blamed)
     }
 
     /// Runs one attempt; gives its end and the tokens accepted in it.
@@ -151,6 +152,7 @@
         &mut self,
         progress: Progress,
         end: AttemptEnd,
+        ending: AttemptEnding,
         granted: &GrantedServer,
         blamed: &[String],
     ) -> Next<FinishReason> {
@@ -164,6 +166,9 @@
             AttemptEnd::DeadlinePassed => Failure::TimedOut,
             AttemptEnd::Refused(proof) => Failure::Refused(proof),
             AttemptEnd::Unreachable(proof) => Failure::Unreachable(proof),
+            AttemptEnd::Failed { .. } if ending == AttemptEnding::Failed => {
+                Failure::Lost(Retry::Failed)
+            }
             AttemptEnd::Failed { .. } | AttemptEnd::Closed | AttemptEnd::Malformed => {
                 Failure::Lost(Retry::Lost)
             }
@@ -190,12 +195,18 @@
     }
 }
 
-fn ending(end: &AttemptEnd) -> AttemptEnding {
+fn ending(end: &AttemptEnd, granted: &GrantedServer, probe_wait_ms: u64) -> AttemptEnding {
     match end {
         AttemptEnd::Whole(_) => AttemptEnding::Whole,
         AttemptEnd::Refused(_) => AttemptEnding::Refused,
         AttemptEnd::Unreachable(_) => AttemptEnding::Unreachable,
-        AttemptEnd::Failed { .. } | AttemptEnd::Closed => AttemptEnding::Lost,
+        AttemptEnd::Closed => AttemptEnding::Lost,
+        AttemptEnd::Failed { failed_server: Some(server) }
+            if unanswered(granted, probe_wait_ms).contains(server) =>
+        {
+            AttemptEnding::Lost
+        }
+        AttemptEnd::Failed { .. } => AttemptEnding::Failed,
         AttemptEnd::Malformed => AttemptEnding::Malformed,
         AttemptEnd::Silent { .. } => AttemptEnding::Silent,
         AttemptEnd::CallerGone | AttemptEnd::DeadlinePassed => AttemptEnding::Cancelled,
--- a/crates/godwit-host/src/dispatch/ports.rs
+++ b/crates/godwit-host/src/dispatch/ports.rs
@@ -65,6 +65,8 @@
     Unreachable,
     /// The server was lost, or its answer made no sense.
     Lost,
+    /// The server lives and reported an error.
+    Failed,
     /// The server was silent.
     Silent,
 }
@@ -75,7 +77,7 @@
     /// Losses and refused connections are bounded by the servers lost, the attempt limit and the quarantine.
     pub fn adds_load(self) -> bool {
         match self {
-            Retry::Refused | Retry::Silent => true,
+            Retry::Refused | Retry::Failed | Retry::Silent => true,
             Retry::Unreachable | Retry::Lost => false,
         }
     }
@@ -96,8 +98,10 @@
     Refused,
     /// No connection could be opened.
     Unreachable,
-    /// The server was lost: the connection broke, or another server reported the loss.
+    /// The server was lost: the connection broke, or another server reported the loss and it answers no probe.
     Lost,
+    /// The server reported an error, or another one reported that it failed though it answers probes.
+    Failed,
     /// The server sent nothing for too long.
     Silent,
     /// The server sent something that makes no sense.
@@ -114,6 +118,7 @@
             AttemptEnding::Refused => "refused",
             AttemptEnding::Unreachable => "unreachable",
             AttemptEnding::Lost => "lost",
+            AttemptEnding::Failed => "failed",
             AttemptEnding::Silent => "silent",
             AttemptEnding::Malformed => "malformed",
             AttemptEnding::Cancelled => "cancelled",
--- a/crates/godwit-host/tests/dispatch/split.rs
+++ b/crates/godwit-host/tests/dispatch/split.rs
@@ -4,11 +4,13 @@
 use std::thread;
 use std::time::Duration;
 
+use godwit_core::quarantine::Standing;
 use godwit_host::dispatch::{AttemptEnding, Outcome};
+use godwit_host::{Clock, SystemClock};
 use godwit_schema::engine::{EngineFaults, JournalAction, JournalEntry};
 use godwit_standin::EngineStandin;
 
-use crate::engines::{TOKENS, engine, expected, holder, run, run_life};
+use crate::engines::{TOKENS, engine, expected, holder, job, run, run_life};
 use crate::support::{Bench, PlanSource};
 
 const LAYERS: u32 = 12;
@@ -202,6 +204,19 @@
     assert_eq!(run.report.attempts.len(), 3);
 }
 
+#[test]
+fn split_live_stage_that_fails_is_no_crash() {
+    let mut site = Site::new();
+    // The second engine is said to hold layers that it does not have.
+    let fastest = site.source.holders.iter_mut().find(|holder| holder.server == "s2").unwrap();
+    fastest.layer_from = 4;
+    fastest.layer_us = 1;
+    let bench = Bench::new();
+    site.assert_whole(&bench);
+    assert_eq!(bench.recorder.endings()[0], ("s2".to_string(), AttemptEnding::Failed));
+    assert_eq!(bench.crashes.standing(job().fingerprint, SystemClock.now()), Standing::Clear);
+}
+
 #[test]
 fn split_non_idempotent_is_not_run_again() {
     let site = Site::new();
