Test a crashing request that is sent again through another host

Cause: the bound of two lost servers has to hold over hosts.

Conclusion: two servers lost, then code 3008 on both hosts; the third server ran nothing.

--- a/crates/godwit-host/tests/dispatch/crash.rs
+++ b/crates/godwit-host/tests/dispatch/crash.rs
@@ -63,6 +63,27 @@
     }
 }
 
+#[test]
+fn crashing_request_sent_again_through_other_host() {
+    let engines = engines();
+    let source = source(&engines);
+    let (mut here, mut there) = (Bench::new(), Bench::new());
+    here.settings.attempts_limit = 1;
+    there.settings.attempts_limit = 1;
+    let send = |host: &Bench| {
+        let mut sink = Sink::default();
+        run_generate(life("r-1", TOKENS, false), &guilty_job(), &host.tools(&source), &mut sink)
+    };
+    assert_eq!(send(&here).report.attempts, [["s1"]]);
+    here.tell(&there);
+    assert_eq!(send(&there).report.attempts, [["s2"]]);
+    there.tell(&here);
+    for host in [&here, &there] {
+        assert_eq!(send(host).outcome.code(), Some(Code::Quarantined));
+    }
+    assert!(engines[2].journal().is_empty(), "a third server ran the request");
+}
+
 #[test]
 fn crashing_request_spares_its_batch() {
     let engines = engines();
--- a/crates/godwit-host/tests/dispatch/support.rs
+++ b/crates/godwit-host/tests/dispatch/support.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 
 use godwit_core::split::{Links, StageHolder, plan};
-use godwit_core::{Admission, Claimed, Code, Life, Target, UnixMs};
+use godwit_core::{Admission, Claimed, Code, Hint, Life, Target, UnixMs};
 use godwit_host::dispatch::{
     AttemptEnding, AttemptReport, CallerGone, CrashGuard, DispatchReports, DispatchSettings,
     GrantedServer, Refusal, Retry, RetryBudget, ServerSource, TokenSink, Tools,
@@ -120,13 +120,21 @@
     pub(crate) recorder: Recorder,
     pub(crate) crashes: CrashGuard,
     pub(crate) settings: DispatchSettings,
+    hints: flume::Receiver<Hint>,
 }
 
 impl Bench {
     pub(crate) fn new() -> Bench {
-        let (hints, _) = flume::unbounded();
+        let (sender, hints) = flume::unbounded();
         let settings = DispatchSettings { silent_after_ms: 400, ..DispatchSettings::default() };
-        Bench { recorder: Recorder::default(), crashes: CrashGuard::new(hints), settings }
+        Bench { recorder: Recorder::default(), crashes: CrashGuard::new(sender), settings, hints }
+    }
+
+    /// Brings the hints of this host to another one.
+    pub(crate) fn tell(&self, other: &Bench) {
+        for hint in self.hints.try_iter() {
+            other.crashes.merge(&hint, SystemClock.now());
+        }
     }
 
     pub(crate) fn tools<'a>(&'a self, source: &'a dyn ServerSource) -> Tools<'a> {
