--- /dev/null
+++ b/crates/godwit-core/src/knowledge/remote.rs
@@ -0,0 +1,80 @@
+//! What the summary of another failure domain says of its servers.
+
+use godwit_schema::config::{BackendServer, Fleet, ServerRole};
+
+use super::domain::{CapacityFact, ModelCapacity};
+use crate::{Reading, UnixMs};
+
+/// Tokens taken to be left of each request that runs in another failure domain.
+const TOKENS_LEFT: u64 = 64;
+
+/// Start time given to servers of other domains, whose restarts are not told.
+const UNKNOWN_START: UnixMs = UnixMs(0);
+
+/// Name under which a server's spare capacity is told: its model, or its service after `service/`.
+pub fn capacity_names(server: &BackendServer) -> Vec<String> {
+    let service = server.service.iter().map(|service| format!("service/{service}"));
+    server.models.iter().cloned().chain(service).collect()
+}
+
+/// Work that a server does in a second when all slots are busy: tokens of an engine, slots of a plain service.
+pub fn full_rate(server: &BackendServer) -> f64 {
+    let slots = f64::from(server.slots);
+    if server.role == ServerRole::Engine { slots * server.tokens_per_s } else { slots }
+}
+
+/// Readings of the servers of another failure domain, each with the domain's average load. Servers of which the
+/// summary tells nothing have none.
+///
+/// ```
+/// use godwit_core::UnixMs;
+/// use godwit_core::knowledge::{ModelCapacity, remote_readings};
+/// let fleet = serde_json::from_str(
+///     r#"{"servers": [{"name": "b-1", "address": "127.0.0.1:9", "failure_domain": "hall-b", "role": "engine",
+///         "slots": 4, "tokens_per_s": 10.0, "models": ["small"]}]}"#,
+/// ).unwrap();
+/// let spare = [ModelCapacity { model: "small".into(), spare_tokens_per_s: 20 }];
+/// let readings = remote_readings(&fleet, "hall-b", &spare, UnixMs(7));
+/// assert_eq!((readings[0].running, readings[0].measured_at), (2, UnixMs(7)));
+/// ```
+pub fn remote_readings(
+    fleet: &Fleet,
+    failure_domain: &str,
+    spare: &[ModelCapacity],
+    made_at: UnixMs,
+) -> Vec<Reading> {
+    let is_there = |server: &&BackendServer| server.failure_domain == failure_domain;
+    let servers: Vec<&BackendServer> = fleet.servers.iter().filter(is_there).collect();
+    servers.iter().filter_map(|server| reading(&servers, server, spare, made_at)).collect()
+}
+
+fn reading(
+    servers: &[&BackendServer],
+    server: &BackendServer,
+    spare: &[ModelCapacity],
+    made_at: UnixMs,
+) -> Option<Reading> {
+    let names = capacity_names(server);
+    let told = spare.iter().find(|capacity| names.contains(&capacity.model))?;
+    let alike = servers.iter().filter(|other| capacity_names(other).contains(&told.model));
+    let full: f64 = alike.map(|other| full_rate(other)).sum();
+    let free_share = (f64::from(told.spare_tokens_per_s) / full.max(1.0)).clamp(0.0, 1.0);
+    let running = (f64::from(server.slots) * (1.0 - free_share)).round() as u32;
+    Some(Reading {
+        server: server.name.clone(),
+        measured_at: made_at,
+        started_at: UNKNOWN_START,
+        slots: server.slots,
+        running,
+        waiting: 0,
+        pending_tokens: u64::from(running) * TOKENS_LEFT,
+        tokens_per_s: server.tokens_per_s,
+    })
+}
+
+impl CapacityFact {
+    /// Readings of the servers that the summary covers.
+    pub fn readings(&self, fleet: &Fleet) -> Vec<Reading> {
+        remote_readings(fleet, &self.failure_domain, &self.spare, self.made_at)
+    }
+}
--- a/crates/godwit-host/src/node/news.rs
+++ b/crates/godwit-host/src/node/news.rs
@@ -94,7 +94,10 @@
     fn take_event(&self, event: MembershipEvent) {
         match event {
             MembershipEvent::HostsChanged => self.apply_hosts(),
-            MembershipEvent::DomainChanged { .. } => self.apply_domains(),
+            MembershipEvent::DomainChanged { failure_domain } => {
+                self.apply_domains();
+                self.apply_summary(&failure_domain);
+            }
             MembershipEvent::ConfigurationHeard { address, digest, .. } => {
                 self.configuration.heard(address, digest);
             }
@@ -120,6 +123,14 @@
         }
     }
 
+    /// Servers of other domains are known by the summaries of these domains only.
+    fn apply_summary(&self, failure_domain: &str) {
+        let Some(fact) = self.membership.domain_capacity(failure_domain) else { return };
+        for reading in fact.readings(self.configuration.view().fleet()) {
+            self.placement.observe_reading(&reading);
+        }
+    }
+
     fn take_hint(&self, hint: &Hint) {
         self.crashes.merge(hint, self.clock.now());
         if let Hint::ServerSuspect { server, expires_at } = hint {
@@ -131,5 +142,6 @@
         let hosts = self.membership.live_hosts();
         self.placement.set_host_count(u32::try_from(hosts.len()).unwrap_or(u32::MAX).max(1));
         self.ledger.set_hosts(&hosts);
+        self.orders.set_hosts(hosts.iter().map(String::as_str));
     }
 }
