--- a/crates/godwit-host/src/node/start.rs
+++ b/crates/godwit-host/src/node/start.rs
@@ -16,7 +16,6 @@
 use godwit_operator::OperatorServer;
 use godwit_peer::{Handlers, PeerClient, PeerKey, PeerServer, Topic};
 use godwit_platform::{Platform, PlatformSettings};
-use godwit_schema::config::{BackendServer, ServerRole};
 
 use super::adapters::{Peers, PlatformSource};
 use super::error::{NodeError, part};
@@ -27,7 +26,6 @@
 use crate::dispatch::{CrashGuard, DispatchSettings};
 use crate::ledger::{Ledger, LedgerSettings};
 use crate::membership::{Membership, MembershipSettings};
-use crate::orders::{OrderedFleet, Orders, OrdersStartSettings};
 use crate::placement::{Placement, PlacementSettings};
 use crate::polling::Poller;
 use crate::serve::{Pipeline, PipelineParts};
@@ -59,7 +57,6 @@
     pub(super) ledger: Ledger,
     pub(super) crashes: Arc<CrashGuard>,
     pub(super) poller: Poller,
-    pub(super) orders: Orders,
     pub(super) pipeline: Arc<Pipeline>,
     pub(super) standings: Mutex<ServerStandings>,
     pub(super) is_stopping: AtomicBool,
@@ -147,24 +144,6 @@
         .on(Topic::Ledger, move |payload| ledger.handle_forwarded(payload))
 }
 
-/// The engines of the failure domain, by the configuration in force.
-fn ordered_fleet(
-    configuration: Arc<Configuration>,
-    failure_domain: String,
-) -> Arc<dyn Fn() -> OrderedFleet + Send + Sync> {
-    Arc::new(move || {
-        let view = configuration.view();
-        let fleet = view.fleet();
-        let is_own = |server: &&BackendServer| {
-            server.role == ServerRole::Engine && server.failure_domain == failure_domain
-        };
-        OrderedFleet {
-            engines: fleet.servers.iter().filter(is_own).cloned().collect(),
-            models: fleet.models.iter().map(|model| model.name.clone()).collect(),
-        }
-    })
-}
-
 impl Parts {
     fn start(
         settings: &Settings,
@@ -203,16 +182,6 @@
             Poller::start(&settings.host, membership.clone(), clock.clone(), move |news| {
                 cache_placement.observe_cache_events(&news.server, &news.reply.events);
             });
-        let orders = Orders::start(
-            &OrdersStartSettings::new(
-                &settings.host,
-                membership.incarnation(),
-                &settings.failure_domain,
-            ),
-            &platform,
-            clock.clone(),
-            ordered_fleet(configuration.clone(), settings.failure_domain.clone()),
-        );
         let pipeline = Arc::new(Pipeline::new(PipelineParts {
             host: settings.host.clone(),
             configuration: configuration.clone(),
@@ -232,7 +201,6 @@
             ledger,
             crashes,
             poller: poller.map_err(part("polling"))?,
-            orders: orders.map_err(part("engine orders"))?,
             pipeline,
             standings: Mutex::new(ServerStandings::default()),
             is_stopping: AtomicBool::new(false),
