Read a contended ledger slice before each update

Cause: hosts forward within their failure domain, so that a slice has a writer in each domain.

Change: after a lost race a slice is read before each update for 10 s; reads are the larger budget. The example ledger_cost takes several writers over one store. Ruled out for now: one usual writer for all domains (hosts know only delegates of the other domains), longer distances (latency).

--- a/crates/godwit-core/examples/ledger_cost.rs
+++ b/crates/godwit-core/examples/ledger_cost.rs
@@ -1,5 +1,5 @@
-//! Prints what the ledger costs: updates of the store by claims a second, and time and bytes of one update by the
-//! length of its slice. `cargo run --release -p godwit-core --example ledger_cost`
+//! Prints what the ledger costs: calls of the store by claims a second and by usual writers of one slice (one in each
+//! failure domain), and time and bytes of one update by the length of its slice. `cargo run --release -p godwit-core --example ledger_cost`
 
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -9,6 +9,7 @@
     Action, Answer, Claim, Finish, Input, KeyHash, Ledger, LedgerLimits, Nonce, Operation, Origin,
     Outcome, ReadResult, SliceName, Ticket, WriteResult, apply, empty_slice,
 };
+use godwit_schema::ledger::LedgerSlice;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -20,11 +21,11 @@
 
 fn main() {
     println!(
-        "write_interval_ms claims_per_s writes_per_s writes_per_claim claim_p50_ms claim_p95_ms"
+        "writers write_interval_ms claims_per_s writes_per_s conflicts_per_s reads_per_s claim_p50_ms claim_p95_ms"
     );
-    for write_interval_ms in [0, 100, 200] {
+    for (writers, write_interval_ms) in [(1, 0), (1, 100), (1, 200), (3, 100)] {
         for claims_per_s in [1, 5, 10, 50, 200] {
-            Simulation::new(write_interval_ms).run(claims_per_s);
+            Simulation::new(writers, write_interval_ms).run(claims_per_s);
         }
     }
     println!("claims_in_slice bytes_started bytes_done update_us");
@@ -33,29 +34,35 @@
     }
 }
 
-/// One slice, one writer, claims at random times, each finished after its run.
+/// One slice, claims at random times through random writers, each finished after its run.
 struct Simulation {
-    ledger: Ledger,
+    ledgers: Vec<Ledger>,
     now: UnixMs,
-    due: BTreeMap<(UnixMs, u64), Input>,
+    due: BTreeMap<(UnixMs, u64), (usize, Input)>,
     sequence: u64,
     version: u64,
+    value: LedgerSlice,
     writes: u64,
+    conflicts: u64,
+    reads: u64,
     claims: BTreeMap<Ticket, (UnixMs, Claim)>,
     latencies_ms: Vec<u64>,
     write_interval_ms: u64,
 }
 
 impl Simulation {
-    fn new(write_interval_ms: u64) -> Simulation {
+    fn new(writers: u64, write_interval_ms: u64) -> Simulation {
         let limits = LedgerLimits { write_interval_ms, ..LedgerLimits::default() };
         Simulation {
-            ledger: Ledger::new(limits, 1),
+            ledgers: (0..writers).map(|seed| Ledger::new(limits, seed)).collect(),
             now: UnixMs(1),
             due: BTreeMap::new(),
             sequence: 0,
             version: 0,
+            value: empty_slice(),
             writes: 0,
+            conflicts: 0,
+            reads: 0,
             claims: BTreeMap::new(),
             latencies_ms: Vec::new(),
             write_interval_ms,
@@ -66,78 +73,95 @@
         let mut rng = SmallRng::seed_from_u64(1);
         while self.now.0 < SIMULATED_MS {
             if rng.random_range(0..1_000) < claims_per_s {
-                self.claim();
+                self.claim(rng.random_range(0..self.ledgers.len()));
             }
             while self.due.first_key_value().is_some_and(|((at, _), _)| at.is_past(self.now)) {
-                let (_, input) = self.due.pop_first().expect("an input is due");
-                self.step(input);
+                let (_, (writer, input)) = self.due.pop_first().expect("an input is due");
+                self.step(writer, input);
             }
-            if self.ledger.next_wake().is_some_and(|wake| wake.is_past(self.now)) {
-                self.step(Input::Tick);
+            for writer in 0..self.ledgers.len() {
+                let wake = self.ledgers[writer].next_wake();
+                if wake.is_some_and(|wake| wake.is_past(self.now)) {
+                    self.step(writer, Input::Tick);
+                }
             }
             self.now = self.now.plus_ms(1);
         }
         self.print(claims_per_s);
     }
 
-    fn claim(&mut self) {
+    fn claim(&mut self, writer: usize) {
         let ticket = Ticket(self.sequence);
         let claim = new_claim(self.sequence, self.now);
         self.claims.insert(ticket, (self.now, claim.clone()));
-        self.submit_at(self.now, ticket, Operation::Claim(claim));
+        self.submit_at(self.now, writer, ticket, Operation::Claim(claim));
     }
 
-    fn submit_at(&mut self, at: UnixMs, ticket: Ticket, operation: Operation) {
+    fn submit_at(&mut self, at: UnixMs, writer: usize, ticket: Ticket, operation: Operation) {
         let origin = Origin::Local { exposed: false };
         let slice = SliceName::of_key("w", "e", "", 1);
-        self.push(at, Input::Submit { ticket, slice, operation, origin });
+        self.push(at, writer, Input::Submit { ticket, slice, operation, origin });
     }
 
-    fn push(&mut self, at: UnixMs, input: Input) {
+    fn push(&mut self, at: UnixMs, writer: usize, input: Input) {
         self.sequence += 1;
-        self.due.insert((at, self.sequence), input);
+        self.due.insert((at, self.sequence), (writer, input));
     }
 
-    fn step(&mut self, input: Input) {
-        for action in self.ledger.step(input, self.now) {
+    fn step(&mut self, writer: usize, input: Input) {
+        for action in self.ledgers[writer].step(input, self.now) {
             let answered_at = self.now.plus_ms(STORE_MS);
             match action {
                 Action::Read { call, slice } => {
-                    self.push(
-                        answered_at,
-                        Input::ReadDone { slice, call, result: ReadResult::Absent },
-                    );
+                    self.reads += 1;
+                    let result = match self.version {
+                        0 => ReadResult::Absent,
+                        version => ReadResult::Found { version, value: self.value.clone() },
+                    };
+                    self.push(answered_at, writer, Input::ReadDone { slice, call, result });
                 }
-                Action::Write { call, slice, .. } => {
-                    self.writes += 1;
-                    self.version += 1;
-                    let result = WriteResult::Written { version: self.version };
-                    self.push(answered_at, Input::WriteDone { slice, call, result });
+                Action::Write { call, slice, if_version, value } => {
+                    let result = self.write(if_version, &value);
+                    self.push(answered_at, writer, Input::WriteDone { slice, call, result });
                 }
-                Action::Reply { ticket, outcome: Outcome::Granted } => self.granted(ticket),
+                Action::Reply { ticket, outcome: Outcome::Granted } => self.granted(writer, ticket),
                 Action::Reply { .. } => {}
             }
         }
     }
 
-    fn granted(&mut self, ticket: Ticket) {
+    fn write(&mut self, if_version: u64, value: &LedgerSlice) -> WriteResult {
+        self.writes += 1;
+        if if_version != self.version {
+            self.conflicts += 1;
+            return WriteResult::Conflict;
+        }
+        self.version += 1;
+        self.value = value.clone();
+        WriteResult::Written { version: self.version }
+    }
+
+    fn granted(&mut self, writer: usize, ticket: Ticket) {
         let Some((began_at, claim)) = self.claims.remove(&ticket) else { return };
         self.latencies_ms.push(self.now.since_ms(began_at));
         let answer = Answer::new(200, 1000, "application/json", BODY);
         let finish = Finish { key: claim.key, nonce: claim.nonce, answer };
         let ticket = Ticket(u64::MAX - self.sequence);
-        self.submit_at(self.now.plus_ms(RUN_MS), ticket, Operation::Finish(finish));
+        self.submit_at(self.now.plus_ms(RUN_MS), writer, ticket, Operation::Finish(finish));
     }
 
     fn print(mut self, claims_per_s: u64) {
         self.latencies_ms.sort_unstable();
         let count = self.latencies_ms.len().max(1);
         let at = |share: usize| self.latencies_ms.get(count * share / 100).copied().unwrap_or(0);
+        let per_s = |count: u64| count as f64 * 1_000.0 / SIMULATED_MS as f64;
         println!(
-            "{} {claims_per_s} {:.1} {:.2} {} {}",
+            "{} {} {claims_per_s} {:.1} {:.1} {:.1} {} {}",
+            self.ledgers.len(),
             self.write_interval_ms,
-            self.writes as f64 * 1_000.0 / SIMULATED_MS as f64,
-            self.writes as f64 / count as f64,
+            per_s(self.writes),
+            per_s(self.conflicts),
+            per_s(self.reads),
             at(50),
             at(95),
         );
--- a/crates/godwit-core/src/ledger/limits.rs
+++ b/crates/godwit-core/src/ledger/limits.rs
@@ -15,6 +15,8 @@
     pub retry_cap_ms: u64,
     /// Longest delay of a retry after a lost race.
     pub conflict_cap_ms: u64,
+    /// After a lost race a slice is read before each update for so long.
+    pub contended_ms: u64,
     /// A finish waits so long for an update that it can join.
     pub finish_delay_ms: u64,
     /// Least time between the beginnings of two updates of a slice.
@@ -40,6 +42,7 @@
             retry_base_ms: 20,
             retry_cap_ms: 1_000,
             conflict_cap_ms: 100,
+            contended_ms: 10_000,
             finish_delay_ms: 50,
             write_interval_ms: 100,
             wait_base_ms: 50,
--- a/crates/godwit-core/src/ledger/slice.rs
+++ b/crates/godwit-core/src/ledger/slice.rs
@@ -23,6 +23,8 @@
     slice: Arc<LedgerSlice>,
     /// Operations that arrived before this point of the order were there when the slice was read.
     as_of: u64,
+    /// When the store answered.
+    known_at: UnixMs,
 }
 
 /// The call of the store in flight.
@@ -50,6 +52,8 @@
     retry_at: UnixMs,
     next_write_at: UnixMs,
     failures: u32,
+    /// Another host wrote the slice lately, so that the known one is read again before an update.
+    contended_until: UnixMs,
     used_at: UnixMs,
 }
 
@@ -64,6 +68,7 @@
             retry_at: UnixMs(0),
             next_write_at: UnixMs(0),
             failures: 0,
+            contended_until: UnixMs(0),
             used_at: UnixMs(0),
         }
     }
@@ -115,7 +120,7 @@
         self.call = Call::Idle;
         self.failures = 0;
         let (version, slice) = found.unwrap_or_else(|| (0, super::empty_slice()));
-        self.known = Some(Known { version, slice: Arc::new(slice), as_of });
+        self.known = Some(Known { version, slice: Arc::new(slice), as_of, known_at: context.now });
         self.look_again_later(context);
     }
 
@@ -123,7 +128,7 @@
     pub(super) fn write_done(&mut self, call: CallId, version: u64, context: &mut Context<'_>) {
         let Some(Update { batch, slice, as_of, .. }) = self.take_write(call) else { return };
         self.failures = 0;
-        self.known = Some(Known { version, slice, as_of });
+        self.known = Some(Known { version, slice, as_of, known_at: context.now });
         for (queued, outcome) in batch {
             self.settle(queued, outcome, context);
         }
@@ -135,6 +140,7 @@
         self.known = None;
         self.requeue(batch);
         let limits = context.limits;
+        self.contended_until = context.now.plus_ms(limits.contended_ms);
         let delay_ms = jittered_ms(1, limits.conflict_cap_ms, self.failures, context.rng);
         self.failures = self.failures.saturating_add(1);
         self.retry_at = context.now.plus_ms(delay_ms);
