Let each host take part in the coordination of engine orders

Cause: the coordinator stood beside the node, unused.

Change: the node starts it and tells it the live hosts of its failure domain. A host takes over only where some desired/SERVER stands for the domain, so that a site without orders costs no update.

--- a/crates/godwit-core/src/orders/coordinator.rs
+++ b/crates/godwit-core/src/orders/coordinator.rs
@@ -144,9 +144,14 @@
     ///
     /// ```
     /// use godwit_core::UnixMs;
-    /// use godwit_core::orders::{Action, Coordinator, Input, OrdersSettings};
+    /// use godwit_core::orders::{Action, Coordinator, Input, OrdersSettings, Situation};
+    /// use godwit_schema::orders::DesiredServer;
     /// let settings = OrdersSettings { takeover_delay_ms: 10, ..OrdersSettings::default() };
     /// let mut coordinator = Coordinator::new("h1/7", settings);
+    /// let desired = DesiredServer { models: Vec::new(), adapters: Vec::new(), role: None };
+    /// let desired = [("gpu-1".to_string(), desired)].into();
+    /// let situation = Situation { desired, ..Situation::default() };
+    /// coordinator.step(Input::Situation(situation), UnixMs(0));
     /// assert_eq!(coordinator.step(Input::Candidate(true), UnixMs(0)), []);
     /// assert_eq!(coordinator.step(Input::Tick, UnixMs(10)), [Action::Read]);
     /// ```
@@ -280,6 +285,9 @@
     }
 
     fn advance(&mut self, now: UnixMs) -> Option<Action> {
+        if !self.is_leading() && self.situation.desired.is_empty() {
+            return None;
+        }
         if self.call.is_some() || !self.is_candidate || !self.retry_at.is_past(now) {
             return None;
         }
--- a/crates/godwit-host/src/node/news.rs
+++ b/crates/godwit-host/src/node/news.rs
@@ -131,5 +131,6 @@
         let hosts = self.membership.live_hosts();
         self.placement.set_host_count(u32::try_from(hosts.len()).unwrap_or(u32::MAX).max(1));
         self.ledger.set_hosts(&hosts);
+        self.orders.set_hosts(hosts.iter().map(String::as_str));
     }
 }
--- a/crates/godwit-host/src/node/start.rs
+++ b/crates/godwit-host/src/node/start.rs
@@ -26,6 +26,7 @@
 use crate::dispatch::{CrashGuard, DispatchSettings};
 use crate::ledger::{Ledger, LedgerSettings};
 use crate::membership::{Membership, MembershipSettings};
+use crate::orders::{OrderedFleet, Orders, OrdersStartSettings};
 use crate::placement::{Placement, PlacementSettings};
 use crate::polling::Poller;
 use crate::serve::{Pipeline, PipelineParts};
@@ -55,6 +56,7 @@
     pub(super) configuration: Arc<Configuration>,
     pub(super) placement: Arc<Placement>,
     pub(super) ledger: Ledger,
+    pub(super) orders: Orders,
     pub(super) crashes: Arc<CrashGuard>,
     pub(super) poller: Poller,
     pub(super) pipeline: Arc<Pipeline>,
@@ -144,6 +146,21 @@
         .on(Topic::Ledger, move |payload| ledger.handle_forwarded(payload))
 }
 
+fn start_orders(
+    settings: &Settings,
+    platform: &Platform,
+    membership: &Membership,
+    configuration: &Arc<Configuration>,
+    clock: &Arc<dyn Clock>,
+) -> io::Result<Orders> {
+    let failure_domain = settings.failure_domain.clone();
+    let incarnation = membership.incarnation();
+    let start = OrdersStartSettings::new(&settings.host, incarnation, &failure_domain);
+    let configuration = configuration.clone();
+    let fleet = move || OrderedFleet::of(configuration.view().fleet(), &failure_domain);
+    Orders::start(&start, platform, clock.clone(), Arc::new(fleet))
+}
+
 impl Parts {
     fn start(
         settings: &Settings,
@@ -170,6 +187,8 @@
             LedgerSettings { host: settings.host.clone(), limits: Default::default() };
         let ledger = Ledger::start(ledger_settings, &platform, peers, clock.clone());
         let ledger = ledger.map_err(part("ledger"))?;
+        let orders = start_orders(settings, &platform, &membership, &configuration, &clock);
+        let orders = orders.map_err(part("orders"))?;
         let placement_settings = PlacementSettings {
             failure_domain: settings.failure_domain.clone(),
             policy: policy(settings.policy),
@@ -199,6 +218,7 @@
             configuration,
             placement,
             ledger,
+            orders,
             crashes,
             poller: poller.map_err(part("polling"))?,
             pipeline,
--- a/crates/godwit-host/src/orders/observe.rs
+++ b/crates/godwit-host/src/orders/observe.rs
@@ -5,7 +5,7 @@
 use godwit_core::UnixMs;
 use godwit_core::orders::{Server, Situation, desired_object_name};
 use godwit_platform::{Platform, ReadError};
-use godwit_schema::config::BackendServer;
+use godwit_schema::config::{BackendServer, Fleet, ServerRole};
 use godwit_schema::orders::DesiredServer;
 use godwit_schema::platform::ObjectHead;
 use tracing::warn;
@@ -25,6 +25,17 @@
 }
 
 impl OrderedFleet {
+    /// The engines of a failure domain and all models, from the object `fleet`.
+    pub fn of(fleet: &Fleet, failure_domain: &str) -> OrderedFleet {
+        let is_ordered = |server: &&BackendServer| {
+            server.failure_domain == failure_domain && server.role == ServerRole::Engine
+        };
+        OrderedFleet {
+            engines: fleet.servers.iter().filter(is_ordered).cloned().collect(),
+            models: fleet.models.iter().map(|model| model.name.clone()).collect(),
+        }
+    }
+
     /// Address of an engine.
     pub(super) fn address(&self, server: &str) -> Option<String> {
         let engine = self.engines.iter().find(|engine| engine.name == server)?;
