Let the model's streams wait at a stage instead of beginning their position anew

A coordinator waits for the step it has sent, and dies with its engine.

Change: a stream keeps the stage at which it waits; killing an engine ends the streams that begin on it. What is checked stays the same.

Conclusion: the fault was the model's, not the product's.

--- a/crates/godwit-core/tests/split_attempts.rs
+++ b/crates/godwit-core/tests/split_attempts.rs
@@ -119,6 +119,8 @@
     attempt: u32,
     stages: Vec<Stage>,
     next_position: u32,
+    /// The stage at which the position waits.
+    next_stage: usize,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -188,7 +190,8 @@
         self.attempts.begin(&plan.stages);
         self.attempt = self.assembly.begin_attempt();
         let next_position = self.assembly.next_position();
-        self.streams.push(Stream { attempt: self.attempt, stages: plan.stages, next_position });
+        let stages = plan.stages;
+        self.streams.push(Stream { attempt: self.attempt, stages, next_position, next_stage: 0 });
     }
 
     fn run(&mut self, number: usize) {
@@ -197,7 +200,7 @@
             return;
         }
         let piece = Piece { attempt: stream.attempt, position: stream.next_position };
-        for stage in &stream.stages {
+        for stage in &stream.stages[stream.next_stage..] {
             let engine = &mut self.engines[index(stage)];
             match engine.health {
                 Health::Hung => return,
@@ -213,11 +216,25 @@
             let planned = (stage.layer_from, stage.layer_to);
             let (from, to) = if S::KEEPS_TO_PLAN { planned } else { range };
             self.crossed.entry(piece).or_default().extend(from..to);
+            self.streams[number].next_stage += 1;
         }
         self.streams[number].next_position += 1;
+        self.streams[number].next_stage = 0;
         self.pieces.push(piece);
     }
 
+    /// Kills an engine: it forgets, and the streams that begin on it end.
+    fn kill(&mut self, engine: usize) {
+        self.engines[engine] =
+            Engine { health: Health::Dead, newest_attempt: 0, done: BTreeSet::new() };
+        for number in 0..self.streams.len() {
+            let stream = &self.streams[number];
+            if index(&stream.stages[0]) == engine && stream.next_position < TOKENS {
+                self.stream_failed(number, engine);
+            }
+        }
+    }
+
     fn stream_failed(&mut self, number: usize, engine: usize) {
         let is_current = self.streams[number].attempt == self.attempt;
         // A stream that has failed sends nothing more.
@@ -310,13 +327,7 @@
                 let doubled = world.pieces.get(piece).copied();
                 world.pieces.extend(doubled);
             }
-            Step::Kill { engine } => {
-                let engine = &mut world.engines[engine];
-                engine.health = Health::Dead;
-                // A dead engine forgets.
-                engine.newest_attempt = 0;
-                engine.done.clear();
-            }
+            Step::Kill { engine } => world.kill(engine),
             Step::Hang { engine } => {
                 if world.engines[engine].health == Health::Live {
                     world.engines[engine].health = Health::Hung;
