Prove a connection that nobody answers as never sent

Cause: a server behind a cut link neither takes nor refuses a connection. A non-idempotent request waited for it until its deadline and ended unknown, though nothing was sent.

Change: plain calls wait one second for their connection. A non-idempotent generate opens a first connection before its own, since minreq reports an unopened connection and a silent engine alike.

Conclusion: a listener with a full queue gives NeverSent in both clients (tests).

--- a/crates/godwit-engine/src/generation.rs
+++ b/crates/godwit-engine/src/generation.rs
@@ -135,9 +135,12 @@
     let call = http_request(Method::Post, address, "/v1/generate", deadline, now)
         .with_header("Content-Type", "application/json")
         .with_body(body);
-    let started = thread::Builder::new()
-        .name("engine-reader".into())
-        .spawn(move || reader::run(call, &events));
+    let once_at = request.idempotency_key.as_ref().map(|_| address.to_string());
+    let started =
+        thread::Builder::new().name("engine-reader".into()).spawn(move || match once_at {
+            Some(address) => reader::run_once(call, &address, &events),
+            None => reader::run(call, &events),
+        });
     if let Err(error) = started {
         tell_not_sent(&not_sent, &error.to_string());
     }
--- a/crates/godwit-engine/src/reader.rs
+++ b/crates/godwit-engine/src/reader.rs
@@ -1,6 +1,8 @@
 //! The thread that reads one stream.
 
-use std::io::{BufRead, BufReader, Read};
+use std::io::{self, BufRead, BufReader, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 
 use flume::Sender;
 use godwit_core::NeverSent;
@@ -15,6 +17,9 @@
 /// Most bytes of one line of a stream.
 const LINE_LIMIT_BYTES: u64 = 256 * 1024;
 
+/// Longest wait for a connection to an engine that a non-idempotent request is meant for.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Sends the request and passes its events on until the last one, or until nobody listens.
 pub(crate) fn run(request: Request, events: &Sender<StreamEvent>) {
     let last = match request.send_lazy() {
@@ -28,6 +33,26 @@
     }
 }
 
+/// As [`run`], after a first connection has shown that the engine takes one.
+///
+/// `minreq` does not tell a connection that was never opened from a silent engine. A non-idempotent request cannot be
+/// sent again after the second, so that the first is found out before.
+pub(crate) fn run_once(request: Request, address: &str, events: &Sender<StreamEvent>) {
+    match try_connect(address) {
+        Ok(_) => run(request, events),
+        Err(error) => {
+            let proof = NeverSent::connect_failed();
+            // Nobody listening means that the attempt was given up.
+            let _ = events.send(StreamEvent::Unreachable { proof, message: error.to_string() });
+        }
+    }
+}
+
+fn try_connect(address: &str) -> io::Result<TcpStream> {
+    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+    TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)
+}
+
 fn read_lines(response: ResponseLazy, events: &Sender<StreamEvent>) -> Option<StreamEvent> {
     let mut reader = BufReader::new(response);
     loop {
--- a/crates/godwit-engine/tests/streams/events.rs
+++ b/crates/godwit-engine/tests/streams/events.rs
@@ -5,9 +5,9 @@
 
 use godwit_core::UnixMs;
 use godwit_engine::{Generation, LossCause, NoEvent, StreamEvent, generate};
-use godwit_schema::engine::{FinishReason, RefusalReason};
+use godwit_schema::engine::{FinishReason, GenerateRequest, RefusalReason};
 
-use crate::fake::{CLOSED_ADDRESS, Fake, STREAM_HEAD, chunk, request, token};
+use crate::fake::{CLOSED_ADDRESS, Fake, FullListener, STREAM_HEAD, chunk, request, token};
 
 const DEADLINE: UnixMs = UnixMs(10_000);
 const START: UnixMs = UnixMs(0);
@@ -59,6 +59,14 @@
     assert!(matches!(event, StreamEvent::Unreachable { .. }), "{event:?}");
 }
 
+#[test]
+fn connect_not_answered_is_never_sent_for_non_idempotent() {
+    let full = FullListener::new();
+    let once = GenerateRequest { idempotency_key: Some("k-1".to_string()), ..request() };
+    let event = generate(&once, &full.address, DEADLINE, START).next(WAIT_MS).unwrap();
+    assert!(matches!(event, StreamEvent::Unreachable { .. }), "{event:?}");
+}
+
 #[test]
 fn refusal_is_never_sent() {
     let body = r#"{"reason":"busy","message":"queue is full"}"#;
--- a/crates/godwit-engine/tests/streams/fake.rs
+++ b/crates/godwit-engine/tests/streams/fake.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::thread;
+use std::time::Duration;
 
 use flume::Receiver;
 use godwit_schema::engine::GenerateRequest;
@@ -82,3 +83,23 @@
     let first_line = head.lines().next().unwrap().to_string();
     (first_line, String::from_utf8(body).unwrap())
 }
+
+/// A listener whose queue is full: connections to it are neither taken nor refused.
+pub(crate) struct FullListener {
+    pub(crate) address: String,
+    _listener: TcpListener,
+    _queued: Vec<TcpStream>,
+}
+
+impl FullListener {
+    pub(crate) fn new() -> FullListener {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let wait = Duration::from_millis(200);
+        let mut queued = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, wait) {
+            queued.push(stream);
+        }
+        FullListener { address: address.to_string(), _listener: listener, _queued: queued }
+    }
+}
--- a/crates/godwit-host/tests/dispatch/engines.rs
+++ b/crates/godwit-host/tests/dispatch/engines.rs
@@ -70,7 +70,9 @@
 ) -> (Run<GeneratedAnswer>, Vec<String>) {
     let mut sink = Sink::default();
     let life = life("r-1", TOKENS, non_idempotent);
-    let run = run_generate(life, &job(), &bench.tools(source), &mut sink);
+    let idempotency_key = non_idempotent.then_some("k-1");
+    let job = GenerateJob { idempotency_key, ..job() };
+    let run = run_generate(life, &job, &bench.tools(source), &mut sink);
     (run, sink.tokens)
 }
 
--- a/crates/godwit-service/src/connection.rs
+++ b/crates/godwit-service/src/connection.rs
@@ -6,6 +6,9 @@
 
 use crate::{Patience, ServiceError};
 
+/// Longest wait for a connection; a service that does not take one has seen nothing of the call.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
 /// A TCP connection of which each read and write ends at the deadline, or when silence is not waited out.
 pub(crate) struct Connection<'a> {
     stream: TcpStream,
@@ -23,7 +26,8 @@
         let address: SocketAddr = address
             .parse()
             .map_err(|_| ServiceError::never_sent(&format!("{address} is not IP:PORT")))?;
-        let stream = TcpStream::connect_timeout(&address, wait)
+        let connect_wait = wait.min(Duration::from_millis(CONNECT_TIMEOUT_MS));
+        let stream = TcpStream::connect_timeout(&address, connect_wait)
             .map_err(|error| ServiceError::never_sent(&error.to_string()))?;
         // Only speed depends on it.
         let _ = stream.set_nodelay(true);
--- a/crates/godwit-service/tests/calls/break_points.rs
+++ b/crates/godwit-service/tests/calls/break_points.rs
@@ -2,7 +2,7 @@
 
 use std::io::Read;
 
-use crate::fake::{CLOSED_ADDRESS, Fake, read_request};
+use crate::fake::{CLOSED_ADDRESS, Fake, FullListener, read_request};
 use godwit_core::UnixMs;
 use godwit_service::{ServiceCall, ServiceError, ServiceReply, forward};
 
@@ -44,6 +44,13 @@
     assert!(matches!(result, Err(ServiceError::NeverSent { .. })), "{result:?}");
 }
 
+#[test]
+fn connect_not_answered_is_never_sent() {
+    let full = FullListener::new();
+    let result = send(&full.address);
+    assert!(matches!(result, Err(ServiceError::NeverSent { .. })), "{result:?}");
+}
+
 #[test]
 fn connection_reset_at_once_may_have_run() {
     let fake = Fake::play(|_| Vec::new());
--- a/crates/godwit-service/tests/calls/fake.rs
+++ b/crates/godwit-service/tests/calls/fake.rs
@@ -4,6 +4,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
+use std::time::Duration;
 
 /// A listening script.
 pub(crate) struct Fake {
@@ -57,3 +58,23 @@
 
 /// An address at which nobody listens: a port that the system never hands out.
 pub(crate) const CLOSED_ADDRESS: &str = "127.0.0.1:1";
+
+/// A listener whose queue is full: connections to it are neither taken nor refused.
+pub(crate) struct FullListener {
+    pub(crate) address: String,
+    _listener: TcpListener,
+    _queued: Vec<TcpStream>,
+}
+
+impl FullListener {
+    pub(crate) fn new() -> FullListener {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let wait = Duration::from_millis(200);
+        let mut queued = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, wait) {
+            queued.push(stream);
+        }
+        FullListener { address: address.to_string(), _listener: listener, _queued: queued }
+    }
+}
