--- a/crates/godwit-host/tests/dispatch/generate.rs
+++ b/crates/godwit-host/tests/dispatch/generate.rs
@@ -209,9 +209,14 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
         let mut request = [0; 4096];
-        assert!(stream.read(&mut request).unwrap() > 0);
+        // A non-idempotent request opens a connection without sending first.
+        let mut stream = loop {
+            let (mut stream, _) = listener.accept().unwrap();
+            if stream.read(&mut request).unwrap() > 0 {
+                break stream;
+            }
+        };
         let mut answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_string();
         for position in 0..TOKENS {
             let line = format!(
