Close the first connection of a non-idempotent request before its own

Cause: the value of the connection attempt lived to the end of the match that looked at it, so that the first connection stayed open for the whole run; an engine that serves one connection at a time would have waited on it for ever.

Change: the attempt closes the connection itself.

--- a/crates/godwit-engine/src/reader.rs
+++ b/crates/godwit-engine/src/reader.rs
@@ -39,7 +39,7 @@
 /// sent again after the second, so that the first is found out before.
 pub(crate) fn run_once(request: Request, address: &str, events: &Sender<StreamEvent>) {
     match try_connect(address) {
-        Ok(_) => run(request, events),
+        Ok(()) => run(request, events),
         Err(error) => {
             let proof = NeverSent::connect_failed();
             // Nobody listening means that the attempt was given up.
@@ -48,9 +48,10 @@
     }
 }
 
-fn try_connect(address: &str) -> io::Result<TcpStream> {
+/// Opens a connection and closes it.
+fn try_connect(address: &str) -> io::Result<()> {
     let address: SocketAddr = address.parse().map_err(io::Error::other)?;
-    TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)
+    TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).map(drop)
 }
 
 fn read_lines(response: ResponseLazy, events: &Sender<StreamEvent>) -> Option<StreamEvent> {
