Let one thread look at the queue instead of every waiting one

Cause: each waiting request woke up every 25 ms to look at the queue. Change: waiting requests only wait for their answer; one thread looks at the queue every 25 ms while anything waits, and ends with the placement. A longer interval for each waiter was ruled out: requests would be given up late.

--- a/crates/godwit-host/src/placement/mod.rs
+++ b/crates/godwit-host/src/placement/mod.rs
@@ -3,6 +3,7 @@
 mod grant;
 mod place;
 mod report;
+mod review;
 
 pub use godwit_core::placement::Refusal;
 pub use grant::{Grant, StageGrants};
--- a/crates/godwit-host/src/placement/place.rs
+++ b/crates/godwit-host/src/placement/place.rs
@@ -2,9 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
-use flume::{Receiver, RecvTimeoutError, Sender};
+use flume::{Receiver, Sender};
 use godwit_core::placement::{Granted, OwnDispatch, PlaceRequest, Placer, Reception, Refusal};
 use godwit_core::queue::Ticket;
 use godwit_core::route::{DispatchEnd, Policy, PromptPrefix, Router, StageLoad};
@@ -17,11 +16,9 @@
 
 use super::grant::{Grant, StageGrants};
 use super::report;
+use super::review::{self, Wake};
 use crate::Clock;
 
-/// Time between two looks at the queue by one waiting request.
-const LOOK_INTERVAL: Duration = Duration::from_millis(25);
-
 /// Settings of a [`Placement`].
 #[derive(Clone, Debug)]
 pub struct PlacementSettings {
@@ -84,6 +81,7 @@
 pub struct Placement {
     clock: Arc<dyn Clock>,
     state: Mutex<State>,
+    wake_reviewer: Sender<Wake>,
 }
 
 impl std::fmt::Debug for Placement {
@@ -98,7 +96,11 @@
         let router = Router::new(&settings.failure_domain, settings.policy, settings.seed);
         let placer = Placer::new(router, SmallRng::seed_from_u64(settings.seed));
         let state = State { placer, replies: BTreeMap::new() };
-        Arc::new(Placement { clock, state: Mutex::new(state) })
+        let (wake_reviewer, woken) = flume::bounded(1);
+        let placement = Placement { clock, state: Mutex::new(state), wake_reviewer };
+        let placement = Arc::new(placement);
+        review::spawn(Arc::downgrade(&placement), woken);
+        placement
     }
 
     /// Blocks until the request may start on a server.
@@ -239,21 +241,19 @@
     }
 
     fn wait(&self, answer: &Receiver<Outcome>) -> Outcome {
-        loop {
-            match answer.recv_timeout(LOOK_INTERVAL) {
-                Ok(outcome) => return outcome,
-                Err(RecvTimeoutError::Timeout) => {
-                    let waiting = self.change(|placer, now| {
-                        placer.review(now);
-                        placer.waiting()
-                    });
-                    report::queue_length(waiting);
-                }
-                Err(RecvTimeoutError::Disconnected) => {
-                    return Err(Refusal { code: Code::Internal, retry_at: None });
-                }
-            }
-        }
+        // A full channel means that the reviewer has been woken already.
+        let _ = self.wake_reviewer.try_send(Wake);
+        answer.recv().unwrap_or(Err(Refusal { code: Code::Internal, retry_at: None }))
+    }
+
+    /// Looks at the whole queue; the count of requests that still wait.
+    pub(super) fn review(&self) -> usize {
+        let waiting = self.change(|placer, now| {
+            placer.review(now);
+            placer.waiting()
+        });
+        report::queue_length(waiting);
+        waiting
     }
 
     /// Changes or reads the placer, and tells waiting requests what was decided by it.
