Tell the other hosts of an ejected server

Cause: each host found out for itself that a server fails, at three lost requests each; the hint for it (ServerSuspect) existed and nobody sent it. Change: a host that ejects a server hints it to the others, who send that server one request at a time for 5 s or until one is answered whole. Ejecting on the word of another host was ruled out: one host with a bad link would take servers away from all.

--- a/crates/godwit-core/src/route/dispatch.rs
+++ b/crates/godwit-core/src/route/dispatch.rs
@@ -71,7 +71,7 @@
                 view.health.looks_slow() && self.is_slower_than_peers(index)
             }
         };
-        let ejected = should_eject && self.may_eject(index);
+        let ejected = should_eject && self.may_eject(index, now);
         if ejected {
             self.views[index as usize].health.eject(now);
         }
@@ -90,10 +90,11 @@
         Pace::Tokens { took_ms, expected_ms: f64::from(tokens - 1) / tokens_per_ms }
     }
 
-    pub(super) fn may_eject(&self, index: ServerIndex) -> bool {
+    pub(super) fn may_eject(&self, index: ServerIndex, now: UnixMs) -> bool {
         self.table.shared_by(index).all(|candidates| {
-            let is_out = |index: &ServerIndex| self.views[*index as usize].health.is_out();
-            may_eject_one_more(candidates.all().filter(is_out).count(), candidates.len())
+            let is_out = |index: &ServerIndex| self.views[*index as usize].health.is_out(now);
+            let others = candidates.all().filter(|other| *other != index);
+            may_eject_one_more(others.filter(is_out).count(), candidates.len())
         })
     }
 
--- a/crates/godwit-core/src/route/health.rs
+++ b/crates/godwit-core/src/route/health.rs
@@ -63,6 +63,7 @@
     failures: u32,
     ejections: u32,
     ejected_until: Option<UnixMs>,
+    suspected_until: Option<UnixMs>,
     readmitted_at: Option<UnixMs>,
     answers: u32,
     slowdown: f64,
@@ -84,6 +85,7 @@
     /// Whether the server may get work at `now`.
     pub(crate) fn fitness(&self, now: UnixMs) -> Fitness {
         match self.ejected_until {
+            None if self.is_suspect(now) => Fitness::Probing,
             None => Fitness::Fit,
             Some(until) if until.is_past(now) => Fitness::Probing,
             Some(_) => Fitness::Ejected,
@@ -91,8 +93,12 @@
     }
 
     /// Whether the server counts among the ejected ones of its targets.
-    pub(crate) fn is_out(&self) -> bool {
-        self.ejected_until.is_some()
+    pub(crate) fn is_out(&self, now: UnixMs) -> bool {
+        self.ejected_until.is_some() || self.is_suspect(now)
+    }
+
+    fn is_suspect(&self, now: UnixMs) -> bool {
+        self.suspected_until.is_some_and(|until| !until.is_past(now))
     }
 
     /// Takes an answer.
@@ -125,14 +131,14 @@
         if self.fitness(now) == Fitness::Probing {
             self.eject(now);
         }
-        !self.is_out() && self.failures >= FAILURES_TO_EJECT
+        self.ejected_until.is_none() && self.failures >= FAILURES_TO_EJECT
     }
 
     /// Whether the server is so much slower than its peers that it should be ejected.
     pub(crate) fn is_slow_against(&self, peers_slowness: f64) -> bool {
         let usual = if self.slowdown > 0.0 { 1.0 } else { USUAL_CALL_MS };
         let slowness = self.judged_slowness().unwrap_or(0.0);
-        !self.is_out() && slowness > SLOWNESS_TO_EJECT * peers_slowness.max(usual)
+        self.ejected_until.is_none() && slowness > SLOWNESS_TO_EJECT * peers_slowness.max(usual)
     }
 
     /// Whether a comparison with the peers is worth its cost.
@@ -159,13 +165,13 @@
     /// Ejects the server.
     pub(crate) fn eject(&mut self, now: UnixMs) {
         let doublings = self.ejections.min(MOST_DOUBLINGS);
-        self.eject_until(now.plus_ms(FIRST_EJECTION_MS << doublings));
+        self.ejected_until = Some(now.plus_ms(FIRST_EJECTION_MS << doublings));
         self.ejections = self.ejections.saturating_add(1);
     }
 
-    /// Ejects the server until `until`, on the word of another host.
-    pub(crate) fn eject_until(&mut self, until: UnixMs) {
-        self.ejected_until = Some(self.ejected_until.map_or(until, |held| held.max(until)));
+    /// Takes the word of another host that the server fails: until `until` it gets one request at a time.
+    pub(crate) fn suspect_until(&mut self, until: UnixMs) {
+        self.suspected_until = self.suspected_until.max(Some(until));
     }
 
     /// Delay to add to estimates because of recent failures, in milliseconds.
@@ -183,6 +189,7 @@
 
     fn readmit(&mut self, now: UnixMs) {
         self.ejected_until = None;
+        self.suspected_until = None;
         self.ejections = 0;
         self.readmitted_at = Some(now);
         self.answers = 0;
--- a/crates/godwit-core/src/route/router.rs
+++ b/crates/godwit-core/src/route/router.rs
@@ -143,12 +143,13 @@
         self.other_hosts = hosts.saturating_sub(1);
     }
 
-    /// Takes the word of another host that a server fails, until `expires_at`; only while few servers are ejected.
-    pub fn suspect(&mut self, server: &str, expires_at: UnixMs) {
+    /// Takes the word of another host that a server fails: until `expires_at` it gets one request at a time, or until
+    /// one of them is answered whole. Nothing changes while a third of its peers is out.
+    pub fn suspect(&mut self, server: &str, expires_at: UnixMs, now: UnixMs) {
         if let Some(index) = self.index(server)
-            && self.may_eject(index)
+            && self.may_eject(index, now)
         {
-            self.views[index as usize].health.eject_until(expires_at);
+            self.views[index as usize].health.suspect_until(expires_at);
         }
     }
 
--- a/crates/godwit-host/src/placement/place.rs
+++ b/crates/godwit-host/src/placement/place.rs
@@ -1,13 +1,13 @@
 //! The blocking driver around the router, the queues and the limits.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use flume::{Receiver, Sender};
 use godwit_core::placement::{Granted, OwnDispatch, PlaceRequest, Placer, Reception, Refusal};
 use godwit_core::queue::Ticket;
 use godwit_core::route::{DispatchEnd, Policy, PromptPrefix, Router, StageLoad};
-use godwit_core::{Admission, Code, Reading, UnixMs};
+use godwit_core::{Admission, Code, Hint, Reading, UnixMs};
 use godwit_schema::config::{Fleet, Workspace};
 use godwit_schema::engine::CacheEvent;
 use godwit_schema::operator::ServerStatus;
@@ -19,6 +19,9 @@
 use super::review::{self, Wake};
 use crate::Clock;
 
+/// Time for which the other hosts suspect a server that this one ejects, in milliseconds.
+const SUSPICION_MS: u64 = 5_000;
+
 /// Settings of a [`Placement`].
 #[derive(Clone, Debug)]
 pub struct PlacementSettings {
@@ -82,6 +85,7 @@
     clock: Arc<dyn Clock>,
     state: Mutex<State>,
     wake_reviewer: Sender<Wake>,
+    hints: OnceLock<Sender<Hint>>,
 }
 
 impl std::fmt::Debug for Placement {
@@ -97,7 +101,8 @@
         let placer = Placer::new(router, SmallRng::seed_from_u64(settings.seed));
         let state = State { placer, replies: BTreeMap::new() };
         let (wake_reviewer, woken) = flume::bounded(1);
-        let placement = Placement { clock, state: Mutex::new(state), wake_reviewer };
+        let placement =
+            Placement { clock, state: Mutex::new(state), wake_reviewer, hints: OnceLock::new() };
         let placement = Arc::new(placement);
         review::spawn(Arc::downgrade(&placement), woken);
         placement
@@ -172,7 +177,12 @@
 
     /// Takes the word of another host that a server fails.
     pub fn suspect(&self, server: &str, expires_at: UnixMs) {
-        self.change(|placer, _| placer.router_mut().suspect(server, expires_at));
+        self.change(|placer, now| placer.router_mut().suspect(server, expires_at, now));
+    }
+
+    /// Sends a hint to `hints` for each server that this host ejects; only the first call counts.
+    pub fn pass_hints_to(&self, hints: Sender<Hint>) {
+        let _ = self.hints.set(hints);
     }
 
     /// Loads of all engines, for the planner of split models.
@@ -201,6 +211,12 @@
     pub(super) fn ended(&self, dispatch: &OwnDispatch, end: DispatchEnd) {
         let ejected = self.change(|placer, now| placer.ended(dispatch, end, now));
         report::ended(&dispatch.server, end, ejected);
+        if let (true, Some(hints)) = (ejected, self.hints.get()) {
+            let expires_at = self.now().plus_ms(SUSPICION_MS);
+            let server = dispatch.server.clone();
+            // Without a receiver the host is stopping; the hint is lost without harm.
+            let _ = hints.try_send(Hint::ServerSuspect { server, expires_at });
+        }
     }
 
     fn grants(self: &Arc<Placement>, granted: &Granted) -> Vec<Grant> {
--- a/crates/godwit-host/tests/placement.rs
+++ b/crates/godwit-host/tests/placement.rs
@@ -5,7 +5,7 @@
 use std::thread;
 
 use godwit_core::route::Policy;
-use godwit_core::{Admission, Code, Reading, Target, UnixMs};
+use godwit_core::{Admission, Code, Hint, Reading, Target, UnixMs};
 use godwit_host::ManualClock;
 use godwit_host::placement::{Ask, Grant, Placement, PlacementSettings, Refusal};
 use godwit_schema::config::{Fleet, Workspace};
@@ -175,3 +175,33 @@
     assert_eq!(site.placement.waiting(), 0);
     assert_eq!(site.placement.status()[0].own_dispatches, 0);
 }
+
+#[test]
+fn ejection_is_told_to_the_other_hosts() {
+    let server = |n: u32| {
+        format!(
+            r#"{{"name": "orders-{n}", "address": "127.0.0.1:9", "failure_domain": "hall-a", "role": "service",
+                "slots": 100, "service": "orders"}}"#
+        )
+    };
+    let fleet = format!(r#"{{"servers": [{}, {}, {}]}}"#, server(0), server(1), server(2));
+    let site = site();
+    site.placement.apply_fleet(&serde_json::from_str(&fleet).expect("a fleet"));
+    let (sender, hints) = flume::unbounded();
+    site.placement.pass_hints_to(sender);
+    let call = Admission {
+        target: Target::Service("orders".to_string()),
+        max_tokens: 0,
+        ..admission(1, 60_000)
+    };
+    while hints.is_empty() {
+        let grant = acquire(&site.placement, &call).expect("a server");
+        if grant.server() == "orders-1" { grant.failed() } else { grant.done() }
+    }
+    let Ok(Hint::ServerSuspect { server, expires_at }) = hints.try_recv() else {
+        panic!("another hint");
+    };
+    assert_eq!(server, "orders-1");
+    assert!(expires_at > START);
+    assert!(hints.is_empty());
+}
