--- a/crates/godwit-host/src/placement/place.rs
+++ b/crates/godwit-host/src/placement/place.rs
@@ -1,14 +1,13 @@
 //! The blocking driver around the router, the queues and the limits.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
-use flume::{Receiver, RecvTimeoutError, Sender};
+use flume::{Receiver, Sender};
 use godwit_core::placement::{Granted, OwnDispatch, PlaceRequest, Placer, Reception, Refusal};
 use godwit_core::queue::Ticket;
 use godwit_core::route::{DispatchEnd, Policy, PromptPrefix, Router, StageLoad};
-use godwit_core::{Admission, Code, Reading, UnixMs};
+use godwit_core::{Admission, Code, Hint, Reading, UnixMs};
 use godwit_schema::config::{Fleet, Workspace};
 use godwit_schema::engine::CacheEvent;
 use godwit_schema::operator::ServerStatus;
@@ -17,10 +16,11 @@
 
 use super::grant::{Grant, StageGrants};
 use super::report;
+use super::review::{self, Wake};
 use crate::Clock;
 
-/// Time between two looks at the queue by one waiting request.
-const LOOK_INTERVAL: Duration = Duration::from_millis(25);
+/// Time for which the other hosts suspect a server that this one ejects, in milliseconds.
+const SUSPICION_MS: u64 = 5_000;
 
 /// Settings of a [`Placement`].
 #[derive(Clone, Debug)]
@@ -84,6 +84,8 @@
 pub struct Placement {
     clock: Arc<dyn Clock>,
     state: Mutex<State>,
+    wake_reviewer: Sender<Wake>,
+    hints: OnceLock<Sender<Hint>>,
 }
 
 impl std::fmt::Debug for Placement {
@@ -98,7 +100,12 @@
         let router = Router::new(&settings.failure_domain, settings.policy, settings.seed);
         let placer = Placer::new(router, SmallRng::seed_from_u64(settings.seed));
         let state = State { placer, replies: BTreeMap::new() };
-        Arc::new(Placement { clock, state: Mutex::new(state) })
+        let (wake_reviewer, woken) = flume::bounded(1);
+        let placement =
+            Placement { clock, state: Mutex::new(state), wake_reviewer, hints: OnceLock::new() };
+        let placement = Arc::new(placement);
+        review::spawn(Arc::downgrade(&placement), woken);
+        placement
     }
 
     /// Blocks until the request may start on a server.
@@ -170,7 +177,12 @@
 
     /// Takes the word of another host that a server fails.
     pub fn suspect(&self, server: &str, expires_at: UnixMs) {
-        self.change(|placer, _| placer.router_mut().suspect(server, expires_at));
+        self.change(|placer, now| placer.router_mut().suspect(server, expires_at, now));
+    }
+
+    /// Sends a hint to `hints` for each server that this host ejects; only the first call counts.
+    pub fn pass_hints_to(&self, hints: Sender<Hint>) {
+        let _ = self.hints.set(hints);
     }
 
     /// Loads of all engines, for the planner of split models.
@@ -199,6 +211,12 @@
     pub(super) fn ended(&self, dispatch: &OwnDispatch, end: DispatchEnd) {
         let ejected = self.change(|placer, now| placer.ended(dispatch, end, now));
         report::ended(&dispatch.server, end, ejected);
+        if let (true, Some(hints)) = (ejected, self.hints.get()) {
+            let expires_at = self.now().plus_ms(SUSPICION_MS);
+            let server = dispatch.server.clone();
+            // Without a receiver the host is stopping; the hint is lost without harm.
+            let _ = hints.try_send(Hint::ServerSuspect { server, expires_at });
+        }
     }
 
     fn grants(self: &Arc<Placement>, granted: &Granted) -> Vec<Grant> {
@@ -239,21 +257,19 @@
     }
 
     fn wait(&self, answer: &Receiver<Outcome>) -> Outcome {
-        loop {
-            match answer.recv_timeout(LOOK_INTERVAL) {
-                Ok(outcome) => return outcome,
-                Err(RecvTimeoutError::Timeout) => {
-                    let waiting = self.change(|placer, now| {
-                        placer.review(now);
-                        placer.waiting()
-                    });
-                    report::queue_length(waiting);
-                }
-                Err(RecvTimeoutError::Disconnected) => {
-                    return Err(Refusal { code: Code::Internal, retry_at: None });
-                }
-            }
-        }
+        // A full channel means that the reviewer has been woken already.
+        let _ = self.wake_reviewer.try_send(Wake);
+        answer.recv().unwrap_or(Err(Refusal { code: Code::Internal, retry_at: None }))
+    }
+
+    /// Looks at the whole queue; the count of requests that still wait.
+    pub(super) fn review(&self) -> usize {
+        let waiting = self.change(|placer, now| {
+            placer.review(now);
+            placer.waiting()
+        });
+        report::queue_length(waiting);
+        waiting
     }
 
     /// Changes or reads the placer, and tells waiting requests what was decided by it.
