Never grant a claim after its deadline; part large files of ledger and orders

Cause: an update that was recorded after a claim's deadline still answered it with a grant. The path of a request may have stopped waiting by then; the key would have stayed started without a run. The model did not see it, because its claimers always take a late grant.

Change: expired claims are given up before the answer of an update is worked on, so that a release follows. Inputs and actions of both state machines, and the deciding part of the ledger's driver, have files of their own.

Figures: a test of this case passes (it needs the change: the grant came first before). Three tests of the store budget.

--- a/crates/godwit-core/src/ledger/context.rs
+++ b/crates/godwit-core/src/ledger/context.rs
@@ -3,8 +3,8 @@
 use rand::rngs::SmallRng;
 
 use super::gate::Gate;
+use super::io::{Action, CallId, Ticket};
 use super::limits::LedgerLimits;
-use super::machine::{Action, CallId, Ticket};
 use super::operation::Outcome;
 use crate::UnixMs;
 
--- a/crates/godwit-core/src/ledger/mod.rs
+++ b/crates/godwit-core/src/ledger/mod.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod context;
 mod gate;
+mod io;
 mod limits;
 mod machine;
 mod name;
@@ -17,8 +18,9 @@
 mod usual_writer;
 
 pub use answer::Answer;
+pub use io::{Action, CallId, Input, ReadResult, Ticket, WriteResult};
 pub use limits::LedgerLimits;
-pub use machine::{Action, CallId, Input, Ledger, LedgerStats, ReadResult, Ticket, WriteResult};
+pub use machine::{Ledger, LedgerStats};
 pub use name::{KeyHash, Nonce, SliceName};
 pub use operation::{Claim, Finish, Operation, Origin, Outcome, Release};
 pub use slice_object::{Applied, apply, empty_slice};
--- a/crates/godwit-core/src/ledger/slice.rs
+++ b/crates/godwit-core/src/ledger/slice.rs
@@ -7,7 +7,7 @@
 
 use super::context::Context;
 use super::gate::jittered_ms;
-use super::machine::{CallId, Ticket};
+use super::io::{CallId, Ticket};
 use super::name::SliceName;
 use super::operation::{Operation, Origin, Outcome};
 use crate::UnixMs;
@@ -126,6 +126,8 @@
 
     /// The store recorded the update in flight.
     pub(super) fn write_done(&mut self, call: CallId, version: u64, context: &mut Context<'_>) {
+        // A claim whose time is over is never granted: nobody may be left to take the grant.
+        self.expire(context);
         let Some(Update { batch, slice, as_of, .. }) = self.take_write(call) else { return };
         self.failures = 0;
         self.known = Some(Known { version, slice, as_of, known_at: context.now });
--- a/crates/godwit-core/src/ledger/slice/queued.rs
+++ b/crates/godwit-core/src/ledger/slice/queued.rs
@@ -1,6 +1,6 @@
 //! Operations of a slice that have no outcome yet.
 
-use super::super::machine::Ticket;
+use super::super::io::Ticket;
 use super::super::operation::{Claim, Operation, Origin};
 use crate::UnixMs;
 
--- a/crates/godwit-core/src/ledger/slice/work.rs
+++ b/crates/godwit-core/src/ledger/slice/work.rs
@@ -6,7 +6,7 @@
 
 use super::super::context::Context;
 use super::super::gate::jittered_ms;
-use super::super::machine::Action;
+use super::super::io::Action;
 use super::super::operation::{Claim, Operation, Origin, Outcome, Release};
 use super::super::plan::Plan;
 use super::queued::{Queued, Waiter};
@@ -69,7 +69,7 @@
     }
 
     /// Ends claims and waits whose time is over.
-    fn expire(&mut self, context: &mut Context<'_>) {
+    pub(super) fn expire(&mut self, context: &mut Context<'_>) {
         let now = context.now;
         let queue = std::mem::take(&mut self.queue);
         let (expired, live): (Vec<Queued>, Vec<Queued>) =
--- a/crates/godwit-core/src/orders/coordinator/update.rs
+++ b/crates/godwit-core/src/orders/coordinator/update.rs
@@ -3,9 +3,10 @@
 use godwit_schema::engine::{EngineOrder, OrderAction};
 use godwit_schema::orders::{OrderKind, OrdersObject, WrittenOrder};
 
+use super::super::io::Action;
 use super::super::object::ends_at;
 use super::super::plan::{Step, steps};
-use super::{Action, Coordinator};
+use super::Coordinator;
 use crate::UnixMs;
 
 impl Coordinator {
--- a/crates/godwit-core/src/orders/mod.rs
+++ b/crates/godwit-core/src/orders/mod.rs
@@ -5,12 +5,14 @@
 //! ordered again only when every earlier order has ended or can no longer arrive.
 
 mod coordinator;
+mod io;
 mod object;
 mod plan;
 mod settings;
 mod situation;
 
-pub use coordinator::{Action, Coordinator, Input, OrderEnd, ReadResult, WriteResult};
+pub use coordinator::Coordinator;
+pub use io::{Action, Input, OrderEnd, ReadResult, WriteResult};
 pub use object::{desired_object_name, orders_object_name};
 pub use settings::OrdersSettings;
 pub use situation::{Server, Situation};
--- a/crates/godwit-core/tests/ledger_slice.rs
+++ b/crates/godwit-core/tests/ledger_slice.rs
@@ -134,3 +134,25 @@
     }
     assert!(ledger.stats().store_away);
 }
+
+#[test]
+fn claim_recorded_after_its_deadline() {
+    let mut ledger = Ledger::new(LedgerLimits::default(), 1);
+    let read = ledger.step(submit(0, Operation::Claim(claim(0))), NOW);
+    let [Action::Read { call, slice }] = read.as_slice() else { panic!("{read:?}") };
+    let absent = Input::ReadDone { slice: slice.clone(), call: *call, result: ReadResult::Absent };
+    let write = ledger.step(absent, NOW);
+    let [Action::Write { call, slice, value, .. }] = write.as_slice() else { panic!("{write:?}") };
+    let result = WriteResult::Written { version: 1 };
+    let written = Input::WriteDone { slice: slice.clone(), call: *call, result };
+    let mut value = LedgerSlice::clone(value);
+    let late = UnixMs(2_000);
+    let actions = ledger.step(written, late);
+    assert_eq!(drain(&mut ledger, actions, &mut value, late), [Outcome::Unavailable]);
+    let again = Claim { deadline: UnixMs(3_000), nonce: Nonce::from_random(9), ..claim(0) };
+    let actions = ledger.step(submit(1, Operation::Claim(again)), late);
+    assert_eq!(drain(&mut ledger, actions, &mut value, late), []);
+    let later = late.plus_ms(LedgerLimits::default().write_interval_ms);
+    let actions = ledger.step(Input::Tick, later);
+    assert_eq!(drain(&mut ledger, actions, &mut value, later), [Outcome::Granted]);
+}
--- /dev/null
+++ b/crates/godwit-core/tests/store_budget.rs
@@ -0,0 +1,39 @@
+//! Budgets for calls of the platform.
+
+use godwit_core::UnixMs;
+use godwit_core::store_budget::{CallClass, CallRate, OverBudget, StoreBudget, StoreBudgetLimits};
+
+const LIMITS: StoreBudgetLimits =
+    StoreBudgetLimits { reads_per_s: 10, writes_per_s: 10, burst_s: 2 };
+const START: UnixMs = UnixMs(1_000);
+
+/// Calls that are admitted at one time.
+fn admitted(budget: &mut StoreBudget, class: CallClass, now: UnixMs) -> usize {
+    std::iter::from_fn(|| budget.take(CallRate::Write, class, now).ok()).take(1_000).count()
+}
+
+#[test]
+fn reserve_by_class() {
+    let mut budget = StoreBudget::new(LIMITS, START);
+    assert_eq!(admitted(&mut budget, CallClass::Other, START), 10);
+    assert_eq!(admitted(&mut budget, CallClass::Configuration, START), 5);
+    assert_eq!(admitted(&mut budget, CallClass::Confirmation, START), 5);
+    assert_eq!(budget.take(CallRate::Read, CallClass::Other, START), Ok(()));
+}
+
+#[test]
+fn refill_over_time() {
+    let mut budget = StoreBudget::new(LIMITS, START);
+    admitted(&mut budget, CallClass::Confirmation, START);
+    let refused = budget.take(CallRate::Write, CallClass::Confirmation, START);
+    assert_eq!(refused, Err(OverBudget { retry_at: START.plus_ms(100) }));
+    assert_eq!(admitted(&mut budget, CallClass::Confirmation, START.plus_ms(100)), 1);
+    assert_eq!(admitted(&mut budget, CallClass::Confirmation, START.plus_ms(3_600_000)), 20);
+}
+
+#[test]
+fn clock_set_back() {
+    let mut budget = StoreBudget::new(LIMITS, START);
+    admitted(&mut budget, CallClass::Confirmation, START);
+    assert_eq!(admitted(&mut budget, CallClass::Confirmation, UnixMs(0)), 0);
+}
--- a/crates/godwit-host/src/ledger/driver.rs
+++ b/crates/godwit-host/src/ledger/driver.rs
@@ -9,8 +9,7 @@
 use flume::Sender;
 use godwit_core::UnixMs;
 use godwit_core::ledger::{
-    Answer, Claim, Finish, KeyHash, LedgerLimits, LedgerStats, Nonce, Operation, Origin, Outcome,
-    Release, SliceName, usual_writer,
+    Answer, Finish, LedgerLimits, LedgerStats, Operation, Release, SliceName,
 };
 use godwit_core::store_budget::CallClass;
 use godwit_platform::Platform;
@@ -19,23 +18,15 @@
 use rand::{Rng, SeedableRng};
 use tracing::warn;
 
-use super::forward::{ForwardError, ForwardedOperation, ForwardedReply, Forwarder};
-use super::machine::{self, Message, Submission};
+use super::forward::{ForwardedOperation, ForwardedReply, Forwarder};
+use super::machine::{self, Message};
 use super::request::{ClaimOutcome, ClaimRequest, Grant};
+use super::shared::{Record, Shared};
 use crate::Clock;
 
 /// Threads that record answers and releases.
 const RECORD_THREADS: usize = 4;
 
-/// Longest wait for the usual writer of a slice.
-const FORWARD_MS: u64 = 300;
-
-/// A claim spends at most this part of its time on the usual writer.
-const FORWARD_PART: u64 = 3;
-
-/// Longest wait for the state machine beyond the deadline of a claim.
-const REPLY_GRACE_MS: u64 = 1_000;
-
 /// Longest wait for the counts of the state machine.
 const STATS_WAIT_MS: u64 = 1_000;
 
@@ -60,22 +51,6 @@
     unsubmitted: Arc<AtomicUsize>,
 }
 
-pub(super) struct Shared {
-    host: String,
-    pub(super) platform: Platform,
-    hosts: RwLock<Vec<String>>,
-    messages: Sender<Message>,
-    forwarder: Arc<dyn Forwarder>,
-    pub(super) clock: Arc<dyn Clock>,
-    rng: Mutex<SmallRng>,
-}
-
-/// A finish or release on its way to the store.
-struct Record {
-    slice: SliceName,
-    operation: Operation,
-}
-
 impl Ledger {
     /// Starts the ledger's threads. They end when the last clone is dropped.
     pub fn start(
@@ -178,141 +153,3 @@
         }
     }
 }
-
-impl Shared {
-    fn claim(&self, request: &ClaimRequest<'_>) -> ClaimOutcome {
-        if request.event_start.is_past(self.clock.now()) {
-            // Claims of a started event may be dropped at any time.
-            return ClaimOutcome::Unavailable;
-        }
-        let slice =
-            SliceName::of_key(request.workspace, request.event, request.key, request.ledger_slices);
-        let claim = Claim {
-            key: KeyHash::of(request.key),
-            body_hash: Claim::hash_body(request.body),
-            nonce: self.nonce(),
-            deadline: request.deadline,
-            run_deadline: request.run_deadline,
-            event_start: request.event_start,
-        };
-        let outcome = self.decide_claim(&slice, &claim);
-        claim_outcome(outcome, slice, claim)
-    }
-
-    fn decide_claim(&self, slice: &SliceName, claim: &Claim) -> Outcome {
-        let operation = Operation::Claim(claim.clone());
-        let origin = match self.forward(slice, &operation, claim.deadline) {
-            Forwarded::Decided(Outcome::StartedElsewhere { .. }) => {
-                Origin::Local { exposed: false }
-            }
-            Forwarded::Decided(outcome) => return outcome,
-            Forwarded::NotSent => Origin::Local { exposed: false },
-            Forwarded::MayBeRecorded => Origin::Local { exposed: true },
-        };
-        self.decide_here(slice, operation, origin, claim.deadline.plus_ms(REPLY_GRACE_MS))
-            .unwrap_or(Outcome::Unavailable)
-    }
-
-    fn nonce(&self) -> Nonce {
-        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
-        Nonce::from_random(rng.random())
-    }
-
-    /// Lets this host's state machine decide an operation; `None` when it has no outcome by the deadline.
-    fn decide_here(
-        &self,
-        slice: &SliceName,
-        operation: Operation,
-        origin: Origin,
-        deadline: UnixMs,
-    ) -> Option<Outcome> {
-        let (reply, outcome) = flume::bounded(1);
-        let submission = Submission { slice: slice.clone(), operation, origin, reply };
-        self.messages.send(Message::Submit(submission)).ok()?;
-        outcome.recv_timeout(Duration::from_millis(deadline.since_ms(self.clock.now()))).ok()
-    }
-
-    fn record(&self, record: &Record) {
-        let Record { slice, operation } = record;
-        let outcome = match self.forward(slice, operation, UnixMs::NEVER) {
-            Forwarded::Decided(outcome) => Some(outcome),
-            Forwarded::NotSent | Forwarded::MayBeRecorded => {
-                let origin = Origin::Local { exposed: false };
-                self.decide_here(slice, operation.clone(), origin, self.clock.now())
-            }
-        };
-        if outcome == Some(Outcome::NoSuchClaim) {
-            warn!(slice = %slice, "ledger_finish_without_claim");
-        }
-    }
-
-    fn act_for_other_host(&self, forwarded: ForwardedOperation) -> ForwardedReply {
-        let ForwardedOperation { slice, operation, answer_by } = forwarded;
-        match self.decide_here(&slice, operation, Origin::Forwarded, answer_by) {
-            None | Some(Outcome::Unavailable) => ForwardedReply::Undecided,
-            Some(outcome) => ForwardedReply::Decided(outcome),
-        }
-    }
-
-    /// Asks the usual writer of the slice, when that is another host.
-    fn forward(&self, slice: &SliceName, operation: &Operation, deadline: UnixMs) -> Forwarded {
-        let Some(writer) = self.other_writer(slice) else { return Forwarded::NotSent };
-        let now = self.clock.now();
-        let time_ms = FORWARD_MS.min(deadline.since_ms(now) / FORWARD_PART);
-        let answer_by = now.plus_ms(time_ms);
-        let call =
-            ForwardedOperation { slice: slice.clone(), operation: operation.clone(), answer_by };
-        let Ok(payload) = postcard::to_stdvec(&call) else { return Forwarded::NotSent };
-        let result = self.forwarder.forward(&writer, &payload, answer_by);
-        let forwarded = forward_result(result);
-        counter!("godwit_ledger_forwards_total", "result" => forwarded.label()).increment(1);
-        forwarded
-    }
-
-    fn other_writer(&self, slice: &SliceName) -> Option<String> {
-        let hosts = self.hosts.read().unwrap_or_else(PoisonError::into_inner);
-        usual_writer(slice, &hosts).filter(|writer| *writer != self.host).map(str::to_string)
-    }
-}
-
-/// What became of a forwarded operation.
-enum Forwarded {
-    Decided(Outcome),
-    NotSent,
-    MayBeRecorded,
-}
-
-impl Forwarded {
-    fn label(&self) -> &'static str {
-        match self {
-            Forwarded::Decided(_) => "decided",
-            Forwarded::NotSent => "not_sent",
-            Forwarded::MayBeRecorded => "may_be_recorded",
-        }
-    }
-}
-
-fn forward_result(result: Result<Vec<u8>, ForwardError>) -> Forwarded {
-    match result {
-        Err(ForwardError::NotSent) => Forwarded::NotSent,
-        Err(ForwardError::NoAnswer) => Forwarded::MayBeRecorded,
-        Ok(bytes) => match postcard::from_bytes(&bytes) {
-            Ok(ForwardedReply::Decided(outcome)) => Forwarded::Decided(outcome),
-            Ok(ForwardedReply::Malformed) => Forwarded::NotSent,
-            Ok(ForwardedReply::Undecided) | Err(_) => Forwarded::MayBeRecorded,
-        },
-    }
-}
-
-fn claim_outcome(outcome: Outcome, slice: SliceName, claim: Claim) -> ClaimOutcome {
-    let Claim { key, nonce, event_start, .. } = claim;
-    match outcome {
-        Outcome::Granted => ClaimOutcome::Granted(Grant { slice, key, nonce, event_start }),
-        Outcome::Done(answer) => ClaimOutcome::Done(answer),
-        Outcome::StartedElsewhere { until } => ClaimOutcome::StartedElsewhere { until },
-        Outcome::KeyReused => ClaimOutcome::KeyReused,
-        Outcome::Unavailable | Outcome::Stale | Outcome::Recorded | Outcome::NoSuchClaim => {
-            ClaimOutcome::Unavailable
-        }
-    }
-}
--- a/crates/godwit-host/src/ledger/mod.rs
+++ b/crates/godwit-host/src/ledger/mod.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod machine;
 mod request;
+mod shared;
 mod store;
 
 pub use collect::{EventStart, collect_due_at};
