End a forwarded claim when its sender stops waiting

Cause: the usual writer went on to record a claim that its sender had meanwhile recorded by itself; with a writer's clock ahead, each forwarded claim was recorded twice. The model's heal loops did not end when each order led to another.

Change: the writer gives up a forwarded claim at the time to which the sender waits. The loops of the orders model are bounded.

--- a/crates/godwit-core/tests/orders_model/world.rs
+++ b/crates/godwit-core/tests/orders_model/world.rs
@@ -109,13 +109,9 @@
         for _ in 0..HEAL_ROUNDS {
             self.observe(0);
             for host in 0..HOSTS {
-                while !self.hosts[host].actions.is_empty() {
-                    self.act(host, 0, Fate::Answered);
-                }
-            }
-            while !self.messages.is_empty() {
-                self.arrive(0, false);
+                (0..MAX_CALLS).for_each(|_| self.act(host, 0, Fate::Answered));
             }
+            (0..MAX_CALLS).for_each(|_| self.arrive(0, false));
             self.advance(HEAL_STEP_MS);
         }
         for engine in &self.engines {
--- a/crates/godwit-host/src/ledger/shared.rs
+++ b/crates/godwit-host/src/ledger/shared.rs
@@ -116,7 +116,11 @@
 
     /// Acts on an operation of another host.
     pub(super) fn act_for_other_host(&self, forwarded: ForwardedOperation) -> ForwardedReply {
-        let ForwardedOperation { slice, operation, answer_by } = forwarded;
+        let ForwardedOperation { slice, mut operation, answer_by } = forwarded;
+        if let Operation::Claim(claim) = &mut operation {
+            // From then on the other host records the claim by itself.
+            claim.deadline = claim.deadline.min(answer_by);
+        }
         match self.decide_here(&slice, operation, Origin::Forwarded, answer_by) {
             None | Some(Outcome::Unavailable) => ForwardedReply::Undecided,
             Some(outcome) => ForwardedReply::Decided(outcome),
