Show in the load bench how late requests were sent

Cause: in a run of nine rows the first offered 4,398 tokens/s where 6,180 were planned; other builds kept the machine busy, and nothing in the row said so.

Change: the lag between the planned and the real time of sending, as p50/p95/p99.

Such rows say nothing of the policy.

--- a/crates/godwit-ctl/src/bench/load/client.rs
+++ b/crates/godwit-ctl/src/bench/load/client.rs
@@ -51,6 +51,7 @@
             class: planned.class,
             workspace: planned.workspace,
             wanted_tokens: planned.answer.len() as u32,
+            planned_at_us: planned.at_us,
             sent_at_us,
             first_byte_at_us: None,
             token_at_us: Vec::new(),
--- a/crates/godwit-ctl/src/bench/load/outcome.rs
+++ b/crates/godwit-ctl/src/bench/load/outcome.rs
@@ -26,6 +26,8 @@
     pub(super) workspace: usize,
     /// Tokens that the request asked for.
     pub(super) wanted_tokens: u32,
+    /// When the request was to be sent.
+    pub(super) planned_at_us: u64,
     pub(super) sent_at_us: u64,
     pub(super) first_byte_at_us: Option<u64>,
     pub(super) token_at_us: Vec<u64>,
--- a/crates/godwit-ctl/src/bench/load/report.rs
+++ b/crates/godwit-ctl/src/bench/load/report.rs
@@ -101,6 +101,8 @@
     pub(super) refused_but_ran: Option<usize>,
     /// Requests not sent because too many were in progress.
     pub(super) not_sent: usize,
+    /// How much later than planned requests were sent; a run on a busy machine shows here.
+    pub(super) send_lag: Percentiles,
     pub(super) first_token: Percentiles,
     pub(super) between_tokens: Percentiles,
     pub(super) lookup_first_byte: Percentiles,
@@ -141,6 +143,7 @@
             all,
             refused_but_ran: self.refused_but_ran(),
             not_sent: self.not_sent,
+            send_lag: percentiles(self.outcomes.iter().map(send_lag_us)),
             first_token: percentiles(self.outcomes.iter().filter_map(first_token_us)),
             between_tokens: percentiles(self.outcomes.iter().flat_map(gaps_us)),
             lookup_first_byte: percentiles(self.lookups().filter_map(first_byte_us)),
@@ -235,6 +238,10 @@
     }
 }
 
+fn send_lag_us(outcome: &Outcome) -> u64 {
+    outcome.sent_at_us.saturating_sub(outcome.planned_at_us)
+}
+
 fn first_byte_us(outcome: &Outcome) -> Option<u64> {
     if !matches!(outcome.ending, Ending::InTime | Ending::Late) {
         return None;
--- a/crates/godwit-ctl/src/bench/load/table.rs
+++ b/crates/godwit-ctl/src/bench/load/table.rs
@@ -5,7 +5,7 @@
 
 use super::report::{LoadRow, Percentiles};
 
-const HEADER: [&str; 14] = [
+const HEADER: [&str; 15] = [
     "POLICY",
     "LOAD %",
     "OFFERED",
@@ -20,6 +20,7 @@
     "BETWEEN",
     "LOOKUP",
     "FAIRNESS",
+    "SEND LAG",
 ];
 
 /// Prints the rows; times are p50/p95/p99 in milliseconds, rates are tokens a second.
@@ -56,6 +57,7 @@
         times(&row.between_tokens),
         times(&row.lookup_first_byte),
         format!("{:.3}", row.fairness),
+        times(&row.send_lag),
     ]
 }
 
