Attack a whole site: store, hosts, servers, drains and configuration

Cause: the promises were shown part by part, not over hosts, stand-ins and sockets together. Change: 13 tests over the demo's site with the stand-ins' journals as the oracle: store away, lost and late writes, one key through all hosts, a host killed, a domain without engines, a server killed in the middle, drains, the host list's leaving server, a stalled watch, a host started without the store, two operators who race.

--- a/crates/godwit-ctl/tests/site/main.rs
+++ b/crates/godwit-ctl/tests/site/main.rs
@@ -1,5 +1,6 @@
 //! Tests against a whole site over real sockets.
 
 mod bad_input;
+mod faults;
 mod sessions;
 mod support;
