Let a workspace limit single kinds

Cause: the code and the result code for limits of kinds (3005) were there, but no configuration could set one. Change: kind_rates in the workspace's object, checked like the rest (kind known, rate above 0); applied with the workspace, and taken away with it.

--- a/crates/godwit-core/src/config/check.rs
+++ b/crates/godwit-core/src/config/check.rs
@@ -100,15 +100,28 @@
         check_event(event, &format!("events[{index}]"), &kinds, &mut findings);
     }
     check_rules(workspace, fleet, &kinds, &mut findings);
-    if workspace.requests_per_s.is_some_and(|rate| !rate.is_finite() || rate <= 0.0) {
+    if workspace.requests_per_s.is_some_and(|rate| !is_rate(rate)) {
         findings.error("requests_per_s", "must be above 0");
     }
+    for (index, limit) in workspace.kind_rates.iter().enumerate() {
+        let path = format!("kind_rates[{index}]");
+        if !kinds.contains(limit.kind.as_str()) {
+            findings.error(format!("{path}.kind"), format!("there is no kind `{}`", limit.kind));
+        }
+        if !is_rate(limit.requests_per_s) {
+            findings.error(format!("{path}.requests_per_s"), "must be above 0");
+        }
+    }
     if workspace.share_weight == 0 {
         findings.error("share_weight", "must be at least 1");
     }
     findings.0
 }
 
+fn is_rate(requests_per_s: f64) -> bool {
+    requests_per_s.is_finite() && requests_per_s > 0.0
+}
+
 fn check_keys(workspace: &Workspace, findings: &mut Findings) {
     for (index, hash) in workspace.key_sha256.iter().enumerate() {
         let is_hash = hash.len() == 64 && hash.chars().all(|c| c.is_ascii_hexdigit());
--- a/crates/godwit-core/src/limit/rate.rs
+++ b/crates/godwit-core/src/limit/rate.rs
@@ -1,6 +1,6 @@
 //! Requests a second of workspaces and kinds, of which each host enforces its share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::UnixMs;
 
@@ -24,6 +24,14 @@
     },
 }
 
+impl RateKey {
+    fn workspace(&self) -> &str {
+        match self {
+            RateKey::Workspace(workspace) | RateKey::Kind { workspace, .. } => workspace,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     requests_per_s: f64,
@@ -106,6 +114,11 @@
             .or_insert(Bucket { requests_per_s: rate, tokens: full, filled_at: now });
     }
 
+    /// Takes away all limits of a workspace and its kinds, except those among `kept`.
+    pub fn keep_only(&mut self, workspace: &str, kept: &BTreeSet<RateKey>) {
+        self.buckets.retain(|key, _| key.workspace() != workspace || kept.contains(key));
+    }
+
     /// Sets the count of live hosts over which requests are spread.
     pub fn set_host_count(&mut self, hosts: u32, now: UnixMs) {
         let held = self.hosts;
--- a/crates/godwit-core/src/placement/placer.rs
+++ b/crates/godwit-core/src/placement/placer.rs
@@ -1,6 +1,6 @@
 //! Router, queues and limits of one host together.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use godwit_schema::config::{Fleet, Workspace};
 use godwit_schema::engine::Stage;
@@ -83,14 +83,17 @@
     /// Takes a configuration of a workspace.
     pub fn apply_workspace(&mut self, workspace: &Workspace, now: UnixMs) {
         self.weights.insert(workspace.name.clone(), workspace.share_weight);
-        let key = RateKey::Workspace(workspace.name.clone());
-        self.limits.set(key, workspace.requests_per_s, now);
+        let rates = rates_of(workspace);
+        self.limits.keep_only(&workspace.name, &rates.keys().cloned().collect());
+        for (key, requests_per_s) in rates {
+            self.limits.set(key, Some(requests_per_s), now);
+        }
     }
 
     /// Forgets a workspace that was taken out of the configuration.
-    pub fn forget_workspace(&mut self, workspace: &str, now: UnixMs) {
+    pub fn forget_workspace(&mut self, workspace: &str) {
         self.weights.remove(workspace);
-        self.limits.set(RateKey::Workspace(workspace.to_string()), None, now);
+        self.limits.keep_only(workspace, &BTreeSet::new());
     }
 
     /// Sets the count of live hosts, this one included.
@@ -367,3 +370,13 @@
         queue.share_expires_at = now.plus_ms(SHARE_INTERVAL_MS);
     }
 }
+
+fn rates_of(workspace: &Workspace) -> BTreeMap<RateKey, f64> {
+    let name = &workspace.name;
+    let of_kinds = workspace.kind_rates.iter().map(|limit| {
+        let key = RateKey::Kind { workspace: name.clone(), kind: limit.kind.clone() };
+        (key, limit.requests_per_s)
+    });
+    let of_all = workspace.requests_per_s.map(|rate| (RateKey::Workspace(name.clone()), rate));
+    of_all.into_iter().chain(of_kinds).collect()
+}
--- a/crates/godwit-core/tests/config_rules.rs
+++ b/crates/godwit-core/tests/config_rules.rs
@@ -5,7 +5,7 @@
     check_workspace_change,
 };
 use godwit_core::{Admission, Code, UnixMs};
-use godwit_schema::config::{Fleet, Workspace};
+use godwit_schema::config::{Fleet, KindRate, Workspace};
 use serde_json::json;
 
 const NOW: UnixMs = UnixMs(1_000_000);
@@ -100,6 +100,17 @@
     );
 }
 
+#[test]
+fn check_workspace_finds_bad_kind_rates() {
+    let mut broken = workspace();
+    let rate = |kind: &str, requests_per_s| KindRate { kind: kind.to_string(), requests_per_s };
+    let kind = broken.kinds[0].clone();
+    broken.kind_rates = vec![rate(&kind, 1.0), rate("unheard", 1.0), rate(&kind, 0.0)];
+    let found = check_workspace(&broken, Some(&fleet()));
+    let paths: Vec<&str> = found.iter().map(|finding| finding.path.as_str()).collect();
+    assert_eq!(paths, ["kind_rates[1].kind", "kind_rates[2].requests_per_s"]);
+}
+
 #[test]
 fn check_workspace_warns_of_unreachable_rules() {
     let mut covered = workspace();
--- a/crates/godwit-core/tests/limit.rs
+++ b/crates/godwit-core/tests/limit.rs
@@ -1,5 +1,7 @@
 //! Rates and the retry budget.
 
+use std::collections::BTreeSet;
+
 use godwit_core::UnixMs;
 use godwit_core::limit::{RateKey, RateLimits, RetryBudget};
 
@@ -80,3 +82,19 @@
     }
     assert!((198..=200).contains(&retries), "{retries}");
 }
+
+#[test]
+fn keep_only_takes_the_other_limits_of_the_workspace_away() {
+    let other = RateKey::Workspace("farm".to_string());
+    let mut limits = RateLimits::default();
+    for key in [workspace(), kind(), other.clone()] {
+        limits.set(key, Some(0.0), UnixMs(0));
+    }
+    limits.keep_only("shop", &BTreeSet::from([kind()]));
+    let is_limited = |limits: &mut RateLimits, key: RateKey| {
+        (0..2).any(|_| limits.take(std::slice::from_ref(&key), UnixMs(0)).is_err())
+    };
+    assert!(!is_limited(&mut limits, workspace()));
+    assert!(is_limited(&mut limits, kind()));
+    assert!(is_limited(&mut limits, other));
+}
--- a/crates/godwit-ctl/src/site/configuration.rs
+++ b/crates/godwit-ctl/src/site/configuration.rs
@@ -101,6 +101,7 @@
         rules: rules(),
         share_weight: 1,
         requests_per_s: None,
+        kind_rates: Vec::new(),
     }
 }
 
--- a/crates/godwit-host/src/placement/place.rs
+++ b/crates/godwit-host/src/placement/place.rs
@@ -147,7 +147,7 @@
 
     /// Forgets a workspace that was taken out of the configuration.
     pub fn forget_workspace(&self, workspace: &str) {
-        self.change(|placer, now| placer.forget_workspace(workspace, now));
+        self.change(|placer, _| placer.forget_workspace(workspace));
     }
 
     /// Takes a load reading.
--- a/crates/godwit-host/tests/placement.rs
+++ b/crates/godwit-host/tests/placement.rs
@@ -162,6 +162,19 @@
     assert!(ask().is_ok());
 }
 
+#[test]
+fn kind_keeps_to_its_rate() {
+    let site = site();
+    let limited = r#"{"name": "shop", "kinds": ["draft"], "kind_rates": [{"kind": "draft", "requests_per_s": 0.2}]}"#;
+    site.placement.apply_workspace(&serde_json::from_str(limited).expect("one"));
+    let ask = || acquire(&site.placement, &admission(1, 60_000)).map(Grant::done);
+    let refusal = (0..100).find_map(|_| ask().err()).expect("rate is used up");
+    assert_eq!(refusal.code, Code::KindLimit);
+    let free = r#"{"name": "shop", "kinds": ["draft"]}"#;
+    site.placement.apply_workspace(&serde_json::from_str(free).expect("one"));
+    assert!(ask().is_ok());
+}
+
 #[test]
 fn many_threads_lose_no_request() {
     let site = site();
