Keep a distance between a host's calls after an outage of the store

Cause: the first answer after an outage let all waiting slices of a host call at once. Ruled out: the retry delay of each slice (it has long passed by then), the budget of calls (it has saved up calls during the outage).

Change: for 3 s after the store came back, the calls of a host are 75 to 150 ms apart. The first form of it met the reading before contended updates: a read was stale by the time its update was allowed, was read again, and no update was ever sent. A read is now good for one update whatever its age, as the version check decides; the failing case is a test of its own, which fails under the former rule on a scratch copy.

--- a/crates/godwit-core/src/ledger/context.rs
+++ b/crates/godwit-core/src/ledger/context.rs
@@ -27,7 +27,7 @@
 
     /// The next call and its point in the order.
     pub(super) fn next_call(&mut self) -> (CallId, u64) {
-        self.gate.call_began();
+        self.gate.call_began(self.now, self.limits, self.rng);
         let point = self.next_in_order();
         (CallId(point), point)
     }
--- a/crates/godwit-core/src/ledger/gate.rs
+++ b/crates/godwit-core/src/ledger/gate.rs
@@ -19,27 +19,28 @@
     rng.random_range(delay_ms.div_ceil(2)..=delay_ms)
 }
 
-/// While the store is away, one call at a time probes it, with growing delays.
+/// While the store is away, one call at a time probes it, with growing delays. After it came back, the calls of this host
+/// keep a distance for a while, so that many hosts do not call it all at once.
 #[derive(Debug, Default)]
 pub(super) struct Gate {
     failures: u32,
-    retry_at: UnixMs,
+    /// No call begins before.
+    opens_at: UnixMs,
+    /// The store came back; calls keep a distance until then.
+    recovers_until: UnixMs,
     probing: bool,
 }
 
 impl Gate {
     /// Whether a call may begin.
     pub(super) fn may_call(&self, now: UnixMs) -> bool {
-        !self.is_away() || (!self.probing && self.retry_at.is_past(now))
+        self.opens_at().is_some_and(|opens_at| opens_at.is_past(now))
     }
 
     /// When a call may begin at the earliest; `None` while the answer of a probe is awaited.
     pub(super) fn opens_at(&self) -> Option<UnixMs> {
-        match (self.is_away(), self.probing) {
-            (false, _) => Some(UnixMs(0)),
-            (true, false) => Some(self.retry_at),
-            (true, true) => None,
-        }
+        let is_probed = self.is_away() && self.probing;
+        (!is_probed).then_some(self.opens_at)
     }
 
     /// The store counts as away.
@@ -48,12 +49,19 @@
     }
 
     /// A call begins.
-    pub(super) fn call_began(&mut self) {
+    pub(super) fn call_began(&mut self, now: UnixMs, limits: &LedgerLimits, rng: &mut SmallRng) {
         self.probing = self.is_away();
+        if !self.recovers_until.is_past(now) {
+            let distance_ms = limits.recovery_distance_ms;
+            self.opens_at = now.plus_ms(jittered_ms(distance_ms, distance_ms, 0, rng));
+        }
     }
 
     /// The store answered.
-    pub(super) fn call_answered(&mut self) {
+    pub(super) fn call_answered(&mut self, now: UnixMs, limits: &LedgerLimits) {
+        if self.is_away() {
+            self.recovers_until = now.plus_ms(limits.recovery_ms);
+        }
         self.failures = 0;
         self.probing = false;
     }
@@ -67,7 +75,9 @@
     pub(super) fn call_failed(&mut self, now: UnixMs, limits: &LedgerLimits, rng: &mut SmallRng) {
         let delay_ms = jittered_ms(limits.retry_base_ms, limits.retry_cap_ms, self.failures, rng);
         self.failures = self.failures.saturating_add(1);
-        self.retry_at = now.plus_ms(delay_ms);
         self.probing = false;
+        if self.is_away() {
+            self.opens_at = now.plus_ms(delay_ms);
+        }
     }
 }
--- a/crates/godwit-core/src/ledger/limits.rs
+++ b/crates/godwit-core/src/ledger/limits.rs
@@ -13,6 +13,10 @@
     pub retry_base_ms: u64,
     /// Longest delay of a retry.
     pub retry_cap_ms: u64,
+    /// After the store came back, calls keep a distance for so long.
+    pub recovery_ms: u64,
+    /// Longest distance between two calls while the store recovers.
+    pub recovery_distance_ms: u64,
     /// Longest delay of a retry after a lost race.
     pub conflict_cap_ms: u64,
     /// After a lost race a slice is read before each update for so long.
@@ -41,6 +45,8 @@
             batch_operations: 128,
             retry_base_ms: 20,
             retry_cap_ms: 1_000,
+            recovery_ms: 3_000,
+            recovery_distance_ms: 150,
             conflict_cap_ms: 100,
             contended_ms: 10_000,
             finish_delay_ms: 50,
--- a/crates/godwit-core/src/ledger/machine.rs
+++ b/crates/godwit-core/src/ledger/machine.rs
@@ -159,11 +159,11 @@
 fn read_done(slice: &mut Slice, call: CallId, result: ReadResult, context: &mut Context<'_>) {
     match result {
         ReadResult::Found { version, value } => {
-            context.gate.call_answered();
+            context.gate.call_answered(context.now, context.limits);
             slice.read_done(call, Some((version, value)), context);
         }
         ReadResult::Absent => {
-            context.gate.call_answered();
+            context.gate.call_answered(context.now, context.limits);
             slice.read_done(call, None, context);
         }
         ReadResult::Failed => {
@@ -180,11 +180,11 @@
 fn write_done(slice: &mut Slice, call: CallId, result: WriteResult, context: &mut Context<'_>) {
     match result {
         WriteResult::Written { version } => {
-            context.gate.call_answered();
+            context.gate.call_answered(context.now, context.limits);
             slice.write_done(call, version, context);
         }
         WriteResult::Conflict => {
-            context.gate.call_answered();
+            context.gate.call_answered(context.now, context.limits);
             slice.write_conflicted(call, context);
         }
         WriteResult::NotSent => {
--- a/crates/godwit-core/src/ledger/slice.rs
+++ b/crates/godwit-core/src/ledger/slice.rs
@@ -23,8 +23,8 @@
     slice: Arc<LedgerSlice>,
     /// Operations that arrived before this point of the order were there when the slice was read.
     as_of: u64,
-    /// When the store answered.
-    known_at: UnixMs,
+    /// This host's own update gave it, so that others may have written since; else a read did.
+    by_own_update: bool,
 }
 
 /// The call of the store in flight.
@@ -120,7 +120,7 @@
         self.call = Call::Idle;
         self.failures = 0;
         let (version, slice) = found.unwrap_or_else(|| (0, super::empty_slice()));
-        self.known = Some(Known { version, slice: Arc::new(slice), as_of, known_at: context.now });
+        self.known = Some(Known { version, slice: Arc::new(slice), as_of, by_own_update: false });
         self.look_again_later(context);
     }
 
@@ -130,7 +130,7 @@
         self.expire(context);
         let Some(Update { batch, slice, as_of, .. }) = self.take_write(call) else { return };
         self.failures = 0;
-        self.known = Some(Known { version, slice, as_of, known_at: context.now });
+        self.known = Some(Known { version, slice, as_of, by_own_update: true });
         for (queued, outcome) in batch {
             self.settle(queued, outcome, context);
         }
--- a/crates/godwit-core/src/ledger/slice/work.rs
+++ b/crates/godwit-core/src/ledger/slice/work.rs
@@ -167,7 +167,8 @@
             self.read(context);
             return false;
         };
-        let is_stale = known.known_at < context.now && !self.contended_until.is_past(context.now);
+        let is_contended = !self.contended_until.is_past(context.now);
+        let is_stale = is_contended && known.by_own_update;
         if is_stale || !self.is_write_due(context.now) {
             self.read(context);
             return false;
--- a/crates/godwit-core/tests/ledger_model/main.rs
+++ b/crates/godwit-core/tests/ledger_model/main.rs
@@ -196,3 +196,26 @@
 fn model_catches_grant_on_unknown() {
     assert!(run::<GrantingOnUnknown>(DEFAULT_CASES, 1).is_err());
 }
+
+/// Found by the model: calls that keep a distance made each read stale before its update, so that none was ever sent.
+#[test]
+fn contended_slice_while_the_store_recovers() {
+    let call = |host, fate| Step::Call { host, pick: 0, fate };
+    let claim = |host, wait_ms| Step::Claim { host, key: 0, body: 0, wait_ms, via: None };
+    let mut world = World::new(PlantedFault::None);
+    for step in [
+        claim(0, 1),
+        call(0, Fate::Answered),
+        call(0, Fate::AnswerLost),
+        Step::Advance { ms: 14 },
+        Step::Resume { host: 0 },
+        call(0, Fate::AnswerLost),
+        call(0, Fate::Answered),
+        Step::Advance { ms: 20 },
+        claim(1, 161),
+        call(0, Fate::AnswerLost),
+    ] {
+        world.apply(step);
+    }
+    world.heal_and_check();
+}
