Judge the pace of a server while answers still run

Cause: a server that had become slow was judged by whole answers only: at a tenth of its pace the first verdict took as long as ten answers. Change: progress reports are judged in laps of 16 tokens, against the peers as before. Hedging was ruled out: it adds load when there is least to spare, and non-idempotent requests cannot use it.

--- a/crates/godwit-core/src/placement/placer.rs
+++ b/crates/godwit-core/src/placement/placer.rs
@@ -134,9 +134,9 @@
         }
     }
 
-    /// Counts tokens that a dispatch has brought.
-    pub fn progressed(&mut self, dispatch: &OwnDispatch, tokens: u32) {
-        self.router.progressed(&dispatch.server, dispatch.id, tokens);
+    /// Counts tokens that a dispatch has brought; true when its server is ejected for bringing them slowly.
+    pub fn progressed(&mut self, dispatch: &OwnDispatch, tokens: u32, now: UnixMs) -> bool {
+        self.router.progressed(&dispatch.server, dispatch.id, tokens, now)
     }
 
     /// Counts the end of a dispatch; true when its server is ejected for it.
--- a/crates/godwit-core/src/route/dispatch.rs
+++ b/crates/godwit-core/src/route/dispatch.rs
@@ -3,8 +3,8 @@
 use super::fleet::{Candidates, ServerIndex};
 use super::health::{Pace, may_eject_one_more};
 use super::load::DispatchId;
+use super::own::OwnDispatch;
 use super::router::Router;
-use super::view::OwnDispatch;
 use crate::UnixMs;
 
 /// How a dispatch ended, as far as it tells of its server.
@@ -33,23 +33,29 @@
         if let Some(index) = self.index(server) {
             let view = &mut self.views[index as usize];
             let tokens_left = u64::from(max_tokens);
-            view.own.insert(id, OwnDispatch { started_at: now, tokens_left });
+            view.own.insert(id, OwnDispatch::new(tokens_left, now));
             view.load.begin(tokens_left);
         }
         id
     }
 
-    /// Counts tokens that a dispatch has brought.
-    pub fn progressed(&mut self, server: &str, id: DispatchId, tokens: u32) {
+    /// Counts tokens that a dispatch has brought; true when its server is ejected for bringing them slowly.
+    pub fn progressed(&mut self, server: &str, id: DispatchId, tokens: u32, now: UnixMs) -> bool {
         let Some(index) = self.index(server) else {
-            return;
+            return false;
         };
         let view = &mut self.views[index as usize];
-        if let Some(own) = view.own.get_mut(&id) {
-            let tokens = u64::from(tokens).min(own.tokens_left);
-            own.tokens_left -= tokens;
-            view.load.progress(tokens);
-        }
+        let Some(own) = view.own.get_mut(&id) else {
+            return false;
+        };
+        let progress = own.progress(u64::from(tokens), now);
+        view.load.progress(progress.tokens);
+        let Some(lap) = progress.lap else {
+            return false;
+        };
+        let pace = self.pace(index, lap.tokens, lap.took_ms as f64);
+        self.views[index as usize].health.observe_pace(pace);
+        self.eject_if_slow(index, now)
     }
 
     /// Counts the end of a dispatch; true when its server is ejected for it.
@@ -65,29 +71,39 @@
             DispatchEnd::Cancelled => false,
             DispatchEnd::Failed | DispatchEnd::Refused => view.health.failed(now),
             DispatchEnd::Done { tokens, took_ms } => {
-                let pace = self.pace(index, tokens, took_ms as f64);
+                let pace = self.pace(index, tokens.saturating_sub(1), took_ms as f64);
                 let view = &mut self.views[index as usize];
                 view.health.succeeded(pace, now);
-                view.health.looks_slow() && self.is_slower_than_peers(index)
+                return self.eject_if_slow(index, now);
             }
         };
-        let ejected = should_eject && self.may_eject(index, now);
-        if ejected {
+        should_eject && self.eject(index, now)
+    }
+
+    fn eject_if_slow(&mut self, index: ServerIndex, now: UnixMs) -> bool {
+        let looks_slow = self.views[index as usize].health.looks_slow();
+        looks_slow && self.is_slower_than_peers(index) && self.eject(index, now)
+    }
+
+    /// Ejects a server if one more may be out.
+    fn eject(&mut self, index: ServerIndex, now: UnixMs) -> bool {
+        let may_eject = self.may_eject(index, now);
+        if may_eject {
             self.views[index as usize].health.eject(now);
         }
-        ejected
+        may_eject
     }
 
-    fn pace(&self, index: ServerIndex, tokens: u32, took_ms: f64) -> Pace {
+    fn pace(&self, index: ServerIndex, steps: u32, took_ms: f64) -> Pace {
         let traits = &self.table.servers[index as usize];
         let tokens_per_ms = self.nominal_tokens_per_ms(index);
         if !traits.is_engine {
             return Pace::Call { took_ms };
         }
-        if !traits.holds_whole_model || tokens_per_ms <= 0.0 || tokens < 2 {
+        if !traits.holds_whole_model || tokens_per_ms <= 0.0 || steps == 0 {
             return Pace::Unjudged;
         }
-        Pace::Tokens { took_ms, expected_ms: f64::from(tokens - 1) / tokens_per_ms }
+        Pace::Tokens { took_ms, expected_ms: f64::from(steps) / tokens_per_ms }
     }
 
     pub(super) fn may_eject(&self, index: ServerIndex, now: UnixMs) -> bool {
--- a/crates/godwit-core/src/route/health.rs
+++ b/crates/godwit-core/src/route/health.rs
@@ -5,8 +5,8 @@
 /// Failures in a row after which a server is ejected.
 const FAILURES_TO_EJECT: u32 = 3;
 
-/// Answers after which the speed of a server is judged.
-const ANSWERS_TO_JUDGE: u32 = 3;
+/// Paces seen after which the speed of a server is judged.
+const PACES_TO_JUDGE: u32 = 3;
 
 /// How many times slower than its peers a server may be.
 const SLOWNESS_TO_EJECT: f64 = 3.0;
@@ -57,6 +57,21 @@
     Unjudged,
 }
 
+impl Pace {
+    /// How many times slower than expected the tokens came, or the time of a call in milliseconds.
+    fn slowness(self) -> f64 {
+        match self {
+            Pace::Tokens { took_ms, expected_ms } => took_ms / (expected_ms + PACE_SLACK_MS),
+            Pace::Call { took_ms } => took_ms,
+            Pace::Unjudged => 0.0,
+        }
+    }
+
+    fn is_slow(self) -> bool {
+        matches!(self, Pace::Tokens { .. }) && self.slowness() > SLOWNESS_TO_EJECT
+    }
+}
+
 /// What the answers of a server tell of it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Health {
@@ -65,7 +80,7 @@
     ejected_until: Option<UnixMs>,
     suspected_until: Option<UnixMs>,
     readmitted_at: Option<UnixMs>,
-    answers: u32,
+    paces: u32,
     slowdown: f64,
     call_ms: f64,
 }
@@ -101,30 +116,30 @@
         self.suspected_until.is_some_and(|until| !until.is_past(now))
     }
 
-    /// Takes an answer.
+    /// Takes a whole answer.
     pub(crate) fn succeeded(&mut self, pace: Pace, now: UnixMs) {
         self.failures = 0;
-        let newest = match pace {
-            Pace::Tokens { took_ms, expected_ms } => took_ms / (expected_ms + PACE_SLACK_MS),
-            Pace::Call { took_ms } => took_ms,
-            Pace::Unjudged => 0.0,
-        };
-        match pace {
-            Pace::Tokens { .. } => self.slowdown = average(self.slowdown, newest),
-            Pace::Call { .. } => self.call_ms = average(self.call_ms, newest),
-            Pace::Unjudged => {}
-        }
-        self.answers = self.answers.saturating_add(u32::from(pace != Pace::Unjudged));
+        self.observe_pace(pace);
         if self.fitness(now) != Fitness::Probing {
             return;
         }
-        if matches!(pace, Pace::Tokens { .. }) && newest > SLOWNESS_TO_EJECT {
+        if pace.is_slow() {
             self.eject(now);
         } else {
             self.readmit(now);
         }
     }
 
+    /// Takes the pace of an answer, or of a part of one.
+    pub(crate) fn observe_pace(&mut self, pace: Pace) {
+        match pace {
+            Pace::Tokens { .. } => self.slowdown = average(self.slowdown, pace.slowness()),
+            Pace::Call { .. } => self.call_ms = average(self.call_ms, pace.slowness()),
+            Pace::Unjudged => return,
+        }
+        self.paces = self.paces.saturating_add(1);
+    }
+
     /// Takes a failure; true when the server should be ejected.
     pub(crate) fn failed(&mut self, now: UnixMs) -> bool {
         self.failures = self.failures.saturating_add(1);
@@ -149,7 +164,7 @@
     /// How many times slower than expected an engine is, or how long a service's calls take, once enough were seen.
     pub(crate) fn judged_slowness(&self) -> Option<f64> {
         let slowness = if self.slowdown > 0.0 { self.slowdown } else { self.call_ms };
-        (self.answers >= ANSWERS_TO_JUDGE).then_some(slowness)
+        (self.paces >= PACES_TO_JUDGE).then_some(slowness)
     }
 
     /// How many times slower than expected the next answer is taken to be.
@@ -192,7 +207,7 @@
         self.suspected_until = None;
         self.ejections = 0;
         self.readmitted_at = Some(now);
-        self.answers = 0;
+        self.paces = 0;
         self.slowdown = 0.0;
         self.call_ms = 0.0;
     }
--- a/crates/godwit-core/src/route/view.rs
+++ b/crates/godwit-core/src/route/view.rs
@@ -9,6 +9,7 @@
 use super::fleet::ServerIndex;
 use super::health::{Fitness, Health};
 use super::load::{DispatchId, Load, LoadNow};
+use super::own::OwnDispatch;
 use super::router::{Obstacle, Router};
 use crate::UnixMs;
 
@@ -28,12 +29,6 @@
     pub token_ms: f64,
 }
 
-#[derive(Clone, Copy, Debug)]
-pub(super) struct OwnDispatch {
-    pub(super) started_at: UnixMs,
-    pub(super) tokens_left: u64,
-}
-
 /// What is known of one server beside its traits.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct View {
--- a/crates/godwit-core/tests/route_health.rs
+++ b/crates/godwit-core/tests/route_health.rs
@@ -137,6 +137,23 @@
     assert!(ejected);
 }
 
+#[test]
+fn slow_server_is_ejected_in_the_middle_of_an_answer() {
+    let mut router = router(&fleet(engines(6, "hall-a")));
+    let id = router.started("engine-000", 1_000, START);
+    let reports = (0..20_u64).map(|n| START.plus_ms(8 * 50 * n));
+    let ejected_at = reports.into_iter().find(|at| router.progressed("engine-000", id, 8, *at));
+    assert_eq!(ejected_at, Some(START.plus_ms(8 * 50 * 6)), "after three laps of 16 tokens");
+}
+
+#[test]
+fn server_at_its_pace_is_not_ejected_by_progress() {
+    let mut router = router(&fleet(engines(6, "hall-a")));
+    let id = router.started("engine-000", 1_000, START);
+    let mut reports = (0..100_u64).map(|n| START.plus_ms(30_000 + 8 * 12 * n));
+    assert!(reports.all(|at| !router.progressed("engine-000", id, 8, at)), "a late first token");
+}
+
 #[test]
 fn server_as_slow_as_its_peers_is_not_ejected() {
     let mut router = router(&fleet(engines(6, "hall-a")));
--- a/crates/godwit-host/src/placement/place.rs
+++ b/crates/godwit-host/src/placement/place.rs
@@ -205,17 +205,25 @@
     }
 
     pub(super) fn progressed(&self, dispatch: &OwnDispatch, tokens: u32) {
-        self.change(|placer, _| placer.progressed(dispatch, tokens));
+        if self.change(|placer, now| placer.progressed(dispatch, tokens, now)) {
+            self.tell_of_ejection(&dispatch.server);
+        }
     }
 
     pub(super) fn ended(&self, dispatch: &OwnDispatch, end: DispatchEnd) {
         let ejected = self.change(|placer, now| placer.ended(dispatch, end, now));
-        report::ended(&dispatch.server, end, ejected);
-        if let (true, Some(hints)) = (ejected, self.hints.get()) {
+        report::ended(end);
+        if ejected {
+            self.tell_of_ejection(&dispatch.server);
+        }
+    }
+
+    fn tell_of_ejection(&self, server: &str) {
+        report::ejected(server);
+        if let Some(hints) = self.hints.get() {
             let expires_at = self.now().plus_ms(SUSPICION_MS);
-            let server = dispatch.server.clone();
             // Without a receiver the host is stopping; the hint is lost without harm.
-            let _ = hints.try_send(Hint::ServerSuspect { server, expires_at });
+            let _ = hints.try_send(Hint::ServerSuspect { server: server.to_string(), expires_at });
         }
     }
 
--- a/crates/godwit-host/src/placement/report.rs
+++ b/crates/godwit-host/src/placement/report.rs
@@ -32,8 +32,8 @@
     metrics::histogram!("godwit_finish_estimate_error_ms").record(error_ms);
 }
 
-/// Tells of the end of a dispatch, and of an ejection for it.
-pub(super) fn ended(server: &str, end: DispatchEnd, ejected: bool) {
+/// Tells of the end of a dispatch.
+pub(super) fn ended(end: DispatchEnd) {
     let end = match end {
         DispatchEnd::Done { .. } => "done",
         DispatchEnd::Failed => "failed",
@@ -41,8 +41,10 @@
         DispatchEnd::Cancelled => "cancelled",
     };
     metrics::counter!("godwit_dispatches_total", "end" => end).increment(1);
-    if ejected {
-        metrics::counter!("godwit_ejections_total").increment(1);
-        tracing::warn!(server, end, "server ejected");
-    }
+}
+
+/// Tells of a server that was ejected.
+pub(super) fn ejected(server: &str) {
+    metrics::counter!("godwit_ejections_total").increment(1);
+    tracing::warn!(event = "server_ejected", server);
 }
