Hand out decisions that follow from a grant nobody takes

Cause: when a waiting request's thread was gone, its grant ended inside the round of answers, and what that end decided was told only at the next change. Change: the round goes on until nothing is decided.

--- a/crates/godwit-host/src/placement/place.rs
+++ b/crates/godwit-host/src/placement/place.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use flume::{Receiver, Sender};
-use godwit_core::placement::{Granted, OwnDispatch, PlaceRequest, Placer, Reception, Refusal};
+use godwit_core::placement::{
+    Decision, Granted, OwnDispatch, PlaceRequest, Placer, Reception, Refusal,
+};
 use godwit_core::queue::Ticket;
 use godwit_core::route::{DispatchEnd, Policy, PromptPrefix, Router, StageLoad};
 use godwit_core::{Admission, Code, Hint, Reading, UnixMs};
@@ -295,17 +297,25 @@
 }
 
 impl State {
+    /// Tells waiting requests what was decided; a grant that nobody takes ends, which may decide on others.
     fn tell_decisions(&mut self, now: UnixMs) {
-        for decision in self.placer.take_decisions() {
-            let reply = self.replies.remove(&decision.ticket);
-            let untold = match reply {
-                Some(reply) => reply.send(decision.outcome).err().map(flume::SendError::into_inner),
-                None => Some(decision.outcome),
-            };
-            if let Some(Ok(granted)) = untold {
-                for dispatch in &granted.dispatches {
-                    self.placer.ended(dispatch, DispatchEnd::Cancelled, now);
-                }
+        loop {
+            let decisions = self.placer.take_decisions();
+            if decisions.is_empty() {
+                return;
+            }
+            decisions.into_iter().for_each(|decision| self.tell(decision, now));
+        }
+    }
+
+    fn tell(&mut self, decision: Decision, now: UnixMs) {
+        let untold = match self.replies.remove(&decision.ticket) {
+            Some(reply) => reply.send(decision.outcome).err().map(flume::SendError::into_inner),
+            None => Some(decision.outcome),
+        };
+        if let Some(Ok(granted)) = untold {
+            for dispatch in &granted.dispatches {
+                self.placer.ended(dispatch, DispatchEnd::Cancelled, now);
             }
         }
     }
