--- a/crates/godwit-host/src/placement/place.rs
+++ b/crates/godwit-host/src/placement/place.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use flume::{Receiver, Sender};
-use godwit_core::placement::{Granted, OwnDispatch, PlaceRequest, Placer, Reception, Refusal};
+use godwit_core::placement::{
+    Decision, Granted, OwnDispatch, PlaceRequest, Placer, Reception, Refusal,
+};
 use godwit_core::queue::Ticket;
 use godwit_core::route::{DispatchEnd, Policy, PromptPrefix, Router, StageLoad};
 use godwit_core::{Admission, Code, Hint, Reading, UnixMs};
@@ -205,17 +207,25 @@
     }
 
     pub(super) fn progressed(&self, dispatch: &OwnDispatch, tokens: u32) {
-        self.change(|placer, _| placer.progressed(dispatch, tokens));
+        if self.change(|placer, now| placer.progressed(dispatch, tokens, now)) {
+            self.tell_of_ejection(&dispatch.server);
+        }
     }
 
     pub(super) fn ended(&self, dispatch: &OwnDispatch, end: DispatchEnd) {
         let ejected = self.change(|placer, now| placer.ended(dispatch, end, now));
-        report::ended(&dispatch.server, end, ejected);
-        if let (true, Some(hints)) = (ejected, self.hints.get()) {
+        report::ended(end);
+        if ejected {
+            self.tell_of_ejection(&dispatch.server);
+        }
+    }
+
+    fn tell_of_ejection(&self, server: &str) {
+        report::ejected(server);
+        if let Some(hints) = self.hints.get() {
             let expires_at = self.now().plus_ms(SUSPICION_MS);
-            let server = dispatch.server.clone();
             // Without a receiver the host is stopping; the hint is lost without harm.
-            let _ = hints.try_send(Hint::ServerSuspect { server, expires_at });
+            let _ = hints.try_send(Hint::ServerSuspect { server: server.to_string(), expires_at });
         }
     }
 
@@ -287,17 +297,25 @@
 }
 
 impl State {
+    /// Tells waiting requests what was decided; a grant that nobody takes ends, which may decide on others.
     fn tell_decisions(&mut self, now: UnixMs) {
-        for decision in self.placer.take_decisions() {
-            let reply = self.replies.remove(&decision.ticket);
-            let untold = match reply {
-                Some(reply) => reply.send(decision.outcome).err().map(flume::SendError::into_inner),
-                None => Some(decision.outcome),
-            };
-            if let Some(Ok(granted)) = untold {
-                for dispatch in &granted.dispatches {
-                    self.placer.ended(dispatch, DispatchEnd::Cancelled, now);
-                }
+        loop {
+            let decisions = self.placer.take_decisions();
+            if decisions.is_empty() {
+                return;
+            }
+            decisions.into_iter().for_each(|decision| self.tell(decision, now));
+        }
+    }
+
+    fn tell(&mut self, decision: Decision, now: UnixMs) {
+        let untold = match self.replies.remove(&decision.ticket) {
+            Some(reply) => reply.send(decision.outcome).err().map(flume::SendError::into_inner),
+            None => Some(decision.outcome),
+        };
+        if let Some(Ok(granted)) = untold {
+            for dispatch in &granted.dispatches {
+                self.placer.ended(dispatch, DispatchEnd::Cancelled, now);
             }
         }
     }
