Forget silent senders once their datagrams are stale

Cause: a host whose clock went back across a restart was refused as replayed for ever. Change: the window of a sender that was silent for 60 s is dropped; datagrams older than 30 s are stale anyway. Conclusion: the new test passes; a replay after the silence is still refused.

--- a/crates/godwit-peer/src/replay.rs
+++ b/crates/godwit-peer/src/replay.rs
@@ -6,6 +6,8 @@
 
 /// How far the clocks of two hosts may differ, and how long a datagram may be on its way.
 const MAX_CLOCK_DIFFERENCE_MS: u64 = 30_000;
+/// A sender that was silent for so long is forgotten: any datagram of before is stale by now.
+const FORGET_AFTER_MS: u64 = 2 * MAX_CLOCK_DIFFERENCE_MS;
 /// Senders remembered; the one that was silent longest is forgotten first.
 const MAX_SENDERS: usize = 4_096;
 /// Counters below the highest one that are told apart.
@@ -67,7 +69,9 @@
             return Err(Refusal::Stale);
         }
         let first = Window { incarnation, highest: counter, seen: 1, received_at: now };
-        let Some(window) = self.senders.get_mut(sender) else {
+        let known = self.senders.get_mut(sender);
+        let known = known.filter(|window| now.since_ms(window.received_at) < FORGET_AFTER_MS);
+        let Some(window) = known else {
             self.make_room();
             self.senders.insert(sender.to_string(), first);
             return Ok(());
--- a/crates/godwit-peer/tests/datagram.rs
+++ b/crates/godwit-peer/tests/datagram.rs
@@ -79,6 +79,18 @@
     assert_eq!(opener.open::<String>(&old, NOW).unwrap_err(), DatagramError::Replayed);
 }
 
+#[test]
+fn open_older_incarnation_after_silence() {
+    // The clock of the host went back across a restart; no datagram of before can be replayed any more.
+    let new = sealed(&mut Sealer::new(key(), "entry-1", 8), "new");
+    let mut opener = Opener::new(key());
+    assert!(opener.open::<String>(&new, NOW).is_ok());
+    let later = NOW.plus_ms(60_000);
+    let old = Sealer::new(key(), "entry-1", 7).seal(&"old", later).unwrap();
+    assert!(opener.open::<String>(&old, later).is_ok());
+    assert_eq!(opener.open::<String>(&new, later).unwrap_err(), DatagramError::Stale);
+}
+
 #[test]
 fn open_counter_far_back() {
     let mut sealer = Sealer::new(key(), "entry-1", 7);
