--- a/crates/godwit-core/src/knowledge/mod.rs
+++ b/crates/godwit-core/src/knowledge/mod.rs
@@ -9,4 +9,4 @@
 pub(crate) use domain::{Domains, FactKey, HOSTS_PER_FACT};
 pub use notice::{Listing, Notice, ServerNotice};
 pub use polling::{POLL_INTERVAL_MS, PollResult, PollSchedule, PollTarget};
-pub(crate) use spread::{Spread, encoded_bytes};
+pub(crate) use spread::{MAX_PER_MESSAGE, Spread, encoded_bytes, longest_fit};
--- a/crates/godwit-core/src/member/message.rs
+++ b/crates/godwit-core/src/member/message.rs
@@ -34,8 +34,10 @@
     /// The sender's own state.
     pub sender: MemberRecord,
     /// State of other members of the sender's domain.
+    #[serde(with = "super::wire::records")]
     pub members: Vec<MemberRecord>,
     /// Load readings of servers of the domain.
+    #[serde(with = "super::wire::readings")]
     pub readings: Vec<Reading>,
     /// Notices of servers of the domain.
     pub notices: Vec<ServerNotice>,
--- a/crates/godwit-core/src/member/mod.rs
+++ b/crates/godwit-core/src/member/mod.rs
@@ -11,6 +11,7 @@
 mod state;
 mod summaries;
 mod table;
+mod wire;
 
 pub use message::{Gossip, MemberAction, MemberEvent, Purpose};
 pub use record::{Doubt, MemberRecord, Phase};
--- a/crates/godwit-core/src/member/packing.rs
+++ b/crates/godwit-core/src/member/packing.rs
@@ -4,11 +4,12 @@
 
 use rand::seq::{IteratorRandom, SliceRandom};
 
-use crate::knowledge::{ServerNotice, encoded_bytes};
+use crate::knowledge::{MAX_PER_MESSAGE, ServerNotice, encoded_bytes, longest_fit};
 use crate::member::ring::Ring;
 use crate::member::settings::{
     MAX_GOSSIP_BYTES, NOTICE_LIFE_MS, RANDOM_TARGETS, READING_LIFE_MS, WATCHERS,
 };
+use crate::member::wire::{readings_bytes, records_bytes};
 use crate::member::{Gossip, Member, MemberAction, MemberRecord, Purpose};
 use crate::{Reading, UnixMs};
 
@@ -76,10 +77,15 @@
         *left -= before - part;
         let share = *left / PART_DIVISOR;
         gossip.notices = take_part(left, share, |room| {
-            self.notices.take(max_sends, room, |notice| is_fresh_notice(notice, now))
+            let is_fresh = |notice: &ServerNotice| is_fresh_notice(notice, now);
+            self.notices.take(max_sends, room, is_fresh, encoded_bytes)
+        });
+        gossip.hints = take_part(left, share, |room| {
+            self.hints.take(max_sends, room, |_| true, encoded_bytes)
+        });
+        gossip.domains = take_part(left, share, |room| {
+            self.facts.take(max_sends, room, |_| true, encoded_bytes)
         });
-        gossip.hints = take_part(left, share, |room| self.hints.take(max_sends, room, |_| true));
-        gossip.domains = take_part(left, share, |room| self.facts.take(max_sends, room, |_| true));
     }
 
     /// One notice, hint and fact that were told often enough, for hosts that missed them.
@@ -101,7 +107,8 @@
         let max_sends = self.max_sends();
         let share = left.saturating_sub(MEMBERS_RESERVE_BYTES);
         gossip.readings = take_part(left, share, |room| {
-            self.readings.take(max_sends, room, |reading| is_fresh_reading(reading, now))
+            let is_fresh = |reading: &Reading| is_fresh_reading(reading, now);
+            self.readings.take(max_sends, room, is_fresh, readings_bytes)
         });
     }
 
@@ -117,18 +124,20 @@
         mut order: Vec<(u32, u64, String)>,
         left: &mut usize,
     ) {
+        let is_in = |host: &str| gossip.members.iter().any(|record| record.host == host);
+        order.retain(|(_, _, host)| !is_in(host));
         order.sort_unstable();
-        for (_, _, host) in order {
-            if gossip.members.iter().any(|record| record.host == host) {
-                continue;
-            }
-            let size_bytes = self.table.get(&host).map(|entry| encoded_bytes(&entry.record));
-            let Some(size_bytes) = size_bytes.filter(|size_bytes| size_bytes <= left) else {
-                return;
-            };
-            *left -= size_bytes;
-            gossip.members.extend(self.table.tell(&host));
+        order.truncate(MAX_PER_MESSAGE);
+        let before_bytes = records_bytes(&gossip.members);
+        let before_count = gossip.members.len();
+        let records = order.iter().filter_map(|(_, _, host)| self.table.get(host));
+        gossip.members.extend(records.map(|entry| entry.record.clone()));
+        let count = longest_fit(&gossip.members, before_bytes + *left, records_bytes);
+        gossip.members.truncate(count);
+        for record in &gossip.members[before_count.min(count)..] {
+            self.table.tell(&record.host);
         }
+        *left = (before_bytes + *left).saturating_sub(records_bytes(&gossip.members));
     }
 
     fn targets(&mut self) -> Vec<SocketAddr> {
--- a/crates/godwit-core/src/member/summaries.rs
+++ b/crates/godwit-core/src/member/summaries.rs
@@ -56,7 +56,7 @@
         }
         let mut left = MAX_GOSSIP_BYTES.saturating_sub(encoded_bytes(&gossip));
         let max_sends = self.max_sends() * self.domains.names().count().max(1) as u32;
-        gossip.hints = self.outgoing_hints.take(max_sends, &mut left, |_| true);
+        gossip.hints = self.outgoing_hints.take(max_sends, &mut left, |_| true, encoded_bytes);
         gossip
     }
 
--- a/crates/godwit-core/src/member/table.rs
+++ b/crates/godwit-core/src/member/table.rs
@@ -96,13 +96,13 @@
         change
     }
 
-    /// Marks an entry as told; returns its record.
-    pub(crate) fn tell(&mut self, host: &str) -> Option<MemberRecord> {
+    /// Marks an entry as told.
+    pub(crate) fn tell(&mut self, host: &str) {
         self.serial += 1;
-        let entry = self.entries.get_mut(host)?;
-        entry.sends = entry.sends.saturating_add(1);
-        entry.last_told = self.serial;
-        Some(entry.record.clone())
+        if let Some(entry) = self.entries.get_mut(host) {
+            entry.sends = entry.sends.saturating_add(1);
+            entry.last_told = self.serial;
+        }
     }
 
     /// Forgets members that have been dead for long.
--- /dev/null
+++ b/crates/godwit-core/src/member/wire.rs
@@ -0,0 +1,183 @@
+//! Compact forms of lists in messages.
+//!
+//! The entries go by name, each name as the length of what it shares with the one before and the rest. Times go as
+//! the distance to the newest one, and a configuration only where it differs from the one before.
+
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::config::ConfigDigest;
+use crate::knowledge::encoded_bytes;
+use crate::member::{Doubt, MemberRecord, Phase};
+use crate::{Reading, UnixMs};
+
+/// A name as its difference from the one before.
+#[derive(Deserialize, Serialize)]
+struct NameStep {
+    shared_bytes: u8,
+    rest: String,
+}
+
+/// Undoes the steps of a list of names.
+#[derive(Default)]
+struct Names(String);
+
+impl Names {
+    fn step_to(&mut self, name: &str) -> NameStep {
+        let pairs = self.0.char_indices().zip(name.chars());
+        let shared = pairs.take_while(|((_, before), next)| before == next);
+        let shared = shared.map(|((start, found), _)| start + found.len_utf8()).last();
+        let shared_bytes = u8::try_from(shared.unwrap_or_default()).unwrap_or_default();
+        let rest = name[usize::from(shared_bytes)..].to_string();
+        self.0 = name.to_string();
+        NameStep { shared_bytes, rest }
+    }
+
+    fn follow(&mut self, step: &NameStep) -> Option<String> {
+        let shared = self.0.get(..usize::from(step.shared_bytes))?;
+        self.0 = format!("{shared}{}", step.rest);
+        Some(self.0.clone())
+    }
+}
+
+#[derive(Deserialize, Serialize)]
+struct CompactReadings {
+    newest_at: UnixMs,
+    readings: Vec<CompactReading>,
+}
+
+#[derive(Deserialize, Serialize)]
+struct CompactReading {
+    name: NameStep,
+    age_ms: u64,
+    up_ms: u64,
+    slots: u32,
+    running: u32,
+    waiting: u32,
+    pending_tokens: u64,
+    tokens_per_s: f32,
+}
+
+/// Length of readings in a message.
+pub(super) fn readings_bytes(readings: &[Reading]) -> usize {
+    #[derive(Serialize)]
+    struct Compact<'a>(#[serde(serialize_with = "readings::serialize")] &'a [Reading]);
+    encoded_bytes(&Compact(readings))
+}
+
+/// Length of member records in a message.
+pub(super) fn records_bytes(records: &[MemberRecord]) -> usize {
+    #[derive(Serialize)]
+    struct Compact<'a>(#[serde(serialize_with = "records::serialize")] &'a [MemberRecord]);
+    encoded_bytes(&Compact(records))
+}
+
+/// The compact form of load readings.
+pub(super) mod readings {
+    use super::*;
+
+    pub(crate) fn serialize<S: Serializer>(
+        readings: &[Reading],
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let newest_at = readings.iter().map(|reading| reading.measured_at).max();
+        let newest_at = newest_at.unwrap_or_default();
+        let mut sorted: Vec<&Reading> = readings.iter().collect();
+        sorted.sort_unstable_by(|a, b| a.server.cmp(&b.server));
+        let mut names = Names::default();
+        let readings = sorted.into_iter().map(|reading| CompactReading {
+            name: names.step_to(&reading.server),
+            age_ms: newest_at.since_ms(reading.measured_at),
+            up_ms: newest_at.0.wrapping_sub(reading.started_at.0),
+            slots: reading.slots,
+            running: reading.running,
+            waiting: reading.waiting,
+            pending_tokens: reading.pending_tokens,
+            tokens_per_s: reading.tokens_per_s as f32,
+        });
+        CompactReadings { newest_at, readings: readings.collect() }.serialize(serializer)
+    }
+
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Vec<Reading>, D::Error> {
+        let CompactReadings { newest_at, readings } = CompactReadings::deserialize(deserializer)?;
+        let mut names = Names::default();
+        let expand = |compact: CompactReading| {
+            Some(Reading {
+                server: names.follow(&compact.name)?,
+                measured_at: newest_at.minus_ms(compact.age_ms),
+                started_at: UnixMs(newest_at.0.wrapping_sub(compact.up_ms)),
+                slots: compact.slots,
+                running: compact.running,
+                waiting: compact.waiting,
+                pending_tokens: compact.pending_tokens,
+                tokens_per_s: f64::from(compact.tokens_per_s),
+            })
+        };
+        let expanded: Option<Vec<Reading>> = readings.into_iter().map(expand).collect();
+        expanded.ok_or_else(|| D::Error::custom("name shares more than there is"))
+    }
+}
+
+#[derive(Deserialize, Serialize)]
+struct CompactRecord {
+    name: NameStep,
+    address: std::net::SocketAddr,
+    incarnation: u64,
+    heartbeat: u64,
+    phase: Phase,
+    doubt: Doubt,
+    changed_configuration: Option<ConfigDigest>,
+}
+
+/// The compact form of member records.
+pub(super) mod records {
+    use super::*;
+
+    pub(crate) fn serialize<S: Serializer>(
+        records: &[MemberRecord],
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let mut sorted: Vec<&MemberRecord> = records.iter().collect();
+        sorted.sort_unstable_by(|a, b| a.host.cmp(&b.host));
+        let mut names = Names::default();
+        let mut configuration = ConfigDigest::default();
+        let compact = sorted.into_iter().map(|record| {
+            let is_changed = record.configuration != configuration;
+            configuration = record.configuration;
+            CompactRecord {
+                name: names.step_to(&record.host),
+                address: record.address,
+                incarnation: record.incarnation,
+                heartbeat: record.heartbeat,
+                phase: record.phase,
+                doubt: record.doubt,
+                changed_configuration: is_changed.then_some(configuration),
+            }
+        });
+        compact.collect::<Vec<CompactRecord>>().serialize(serializer)
+    }
+
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Vec<MemberRecord>, D::Error> {
+        let mut names = Names::default();
+        let mut configuration = ConfigDigest::default();
+        let expand = |compact: CompactRecord| {
+            configuration = compact.changed_configuration.unwrap_or(configuration);
+            Some(MemberRecord {
+                host: names.follow(&compact.name)?,
+                address: compact.address,
+                incarnation: compact.incarnation,
+                heartbeat: compact.heartbeat,
+                phase: compact.phase,
+                doubt: compact.doubt,
+                configuration,
+            })
+        };
+        let compact = Vec::<CompactRecord>::deserialize(deserializer)?;
+        let expanded: Option<Vec<MemberRecord>> = compact.into_iter().map(expand).collect();
+        expanded.ok_or_else(|| D::Error::custom("name shares more than there is"))
+    }
+}
--- a/crates/godwit-core/tests/member/detection.rs
+++ b/crates/godwit-core/tests/member/detection.rs
@@ -2,6 +2,7 @@
 
 use crate::network::{Network, STEP_MS};
 use godwit_core::UnixMs;
+use godwit_core::knowledge::{Listing, Notice, PollResult, ServerNotice};
 use godwit_core::member::{Doubt, Gossip, Member, MemberRecord, Purpose};
 
 /// Within this time all neighbours know that a host was killed.
@@ -138,6 +139,28 @@
     assert!(member.own_record().is_newer_than(&doubted));
 }
 
+/// A server that the host list calls leaving gets no new work after 3 s; the list is read about once a second.
+const LEAVING_KNOWN_WITHIN_MS: u64 = 1_000;
+
+#[test]
+fn notice_reaches_all_hosts() {
+    let mut network = settled(50, 11);
+    network.loss_percent = 2;
+    network.max_delay_ms = 20;
+    let notice = ServerNotice {
+        server: "assistant-1".to_string(),
+        notice: Notice::Listed(Listing::Leaving),
+        noticed_at: network.now,
+    };
+    let result = PollResult::Notice(notice);
+    network.act(7, |member, now| member.learn_poll(&result, now));
+    let is_known =
+        |network: &Network| network.nodes.iter().all(|node| node.has_listing("assistant-1"));
+    let known_ms = network.run_until(20_000, is_known).expect("the notice reaches all hosts");
+    println!("50 hosts, 2% loss: a notice is known to all after {known_ms} ms");
+    assert!(known_ms <= LEAVING_KNOWN_WITHIN_MS, "{known_ms} ms");
+}
+
 #[test]
 fn other_domain_forgets_dead_hosts() {
     let names = names(20);
--- a/crates/godwit-core/tests/member/main.rs
+++ b/crates/godwit-core/tests/member/main.rs
@@ -4,3 +4,4 @@
 mod found;
 mod network;
 mod schedules;
+mod wire;
--- a/crates/godwit-core/tests/member/network.rs
+++ b/crates/godwit-core/tests/member/network.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use godwit_core::knowledge::Notice;
 use godwit_core::member::{Gossip, Member, MemberAction, MemberEvent, MemberSettings, Phase};
 use godwit_core::{Hint, Reading, UnixMs};
 use rand::rngs::SmallRng;
@@ -34,6 +35,7 @@
     heartbeats: BTreeMap<String, (u64, u64)>,
     readings: BTreeMap<String, (UnixMs, UnixMs)>,
     hints: BTreeMap<(u64, String), UnixMs>,
+    notices: BTreeMap<(String, bool), UnixMs>,
 }
 
 /// The hosts and what is on its way between them.
@@ -167,7 +169,10 @@
     }
 
     fn send(&mut self, from: usize, to: SocketAddr, gossip: Gossip) {
-        let size_bytes = postcard::experimental::serialized_size(&gossip).unwrap();
+        // Through the form in which it travels.
+        let encoded = postcard::to_stdvec(&gossip).unwrap();
+        let gossip: Gossip = postcard::from_bytes(&encoded).unwrap();
+        let size_bytes = encoded.len();
         assert!(size_bytes <= MAX_BODY_BYTES, "a body of {size_bytes} bytes fits no datagram");
         if self.random.random_range(0..100) < self.loss_percent {
             return;
@@ -271,12 +276,24 @@
                 let is_newer = before.is_none_or(|before| before < *expires_at);
                 assert!(is_newer, "mark {fingerprint} until {expires_at:?} after {before:?}");
             }
+            MemberEvent::Notice(notice) => {
+                let is_listing = matches!(notice.notice, Notice::Listed(_));
+                let key = (notice.server.clone(), is_listing);
+                let before = self.notices.insert(key, notice.noticed_at);
+                let is_newer = before.is_none_or(|before| before < notice.noticed_at);
+                assert!(is_newer, "{notice:?} after {before:?}");
+            }
             _ => {}
         }
     }
 }
 
 impl Node {
+    /// Whether the host has heard of what the host list says of a server.
+    pub(crate) fn has_listing(&self, server: &str) -> bool {
+        self.seen.notices.contains_key(&(server.to_string(), true))
+    }
+
     /// Hints that the host has heard of, by fingerprint and server.
     pub(crate) fn has_mark(&self, fingerprint: u64) -> bool {
         self.seen.hints.keys().any(|key| key.0 == fingerprint)
--- /dev/null
+++ b/crates/godwit-core/tests/member/wire.rs
@@ -0,0 +1,94 @@
+//! The form in which messages travel.
+
+use std::net::{IpAddr, SocketAddr};
+
+use godwit_core::config::ConfigDigest;
+use godwit_core::member::{Doubt, Gossip, MemberRecord, Phase, Purpose};
+use godwit_core::{Reading, UnixMs};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+prop_compose! {
+    fn record()(
+        host in "[a-cé]{0,5}(-[0-9]{2})?",
+        address in any::<(IpAddr, u16)>().prop_map(SocketAddr::from),
+        numbers in any::<[u64; 4]>(),
+        doubt in prop_oneof![Just(Doubt::None), Just(Doubt::Suspect), Just(Doubt::Dead)],
+        is_leaving in any::<bool>(),
+    ) -> MemberRecord {
+        let [incarnation, heartbeat, highest_version, hash] = numbers;
+        let configuration = ConfigDigest { highest_version: highest_version % 3, hash: hash % 3 };
+        let phase = if is_leaving { Phase::Leaving } else { Phase::Serving };
+        MemberRecord { host, address, incarnation, heartbeat, phase, doubt, configuration }
+    }
+}
+
+prop_compose! {
+    fn reading()(
+        server in "[a-cé]{0,5}(-[0-9]{2})?",
+        times in any::<[u64; 2]>(),
+        load in any::<[u32; 3]>(),
+        pending_tokens in any::<u64>(),
+        tokens_per_s in any::<f32>().prop_filter("not a number", |rate| !rate.is_nan()),
+    ) -> Reading {
+        Reading {
+            server,
+            measured_at: UnixMs(times[0]),
+            started_at: UnixMs(times[1]),
+            slots: load[0],
+            running: load[1],
+            waiting: load[2],
+            pending_tokens,
+            tokens_per_s: f64::from(tokens_per_s),
+        }
+    }
+}
+
+prop_compose! {
+    fn gossip()(
+        sender in record(),
+        mut members in vec(record(), 0..12),
+        mut readings in vec(reading(), 0..12),
+    ) -> Gossip {
+        members.sort_by(|a, b| a.host.cmp(&b.host));
+        members.dedup_by(|a, b| a.host == b.host);
+        readings.sort_by(|a, b| a.server.cmp(&b.server));
+        readings.dedup_by(|a, b| a.server == b.server);
+        Gossip {
+            purpose: Purpose::Heartbeat,
+            failure_domain: "hall-a".to_string(),
+            sender,
+            members,
+            readings,
+            notices: Vec::new(),
+            hints: Vec::new(),
+            domains: Vec::new(),
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(0x60D3),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn gossip_there_and_back(gossip in gossip()) {
+        let encoded = postcard::to_stdvec(&gossip).unwrap();
+        prop_assert_eq!(postcard::from_bytes::<Gossip>(&encoded).unwrap(), gossip);
+    }
+
+    /// Bytes that a holder of the key could send: decoded or refused, never a panic.
+    #[test]
+    fn gossip_damaged(gossip in gossip(), place in any::<prop::sample::Index>(), byte in any::<u8>()) {
+        let mut encoded = postcard::to_stdvec(&gossip).unwrap();
+        let place = place.index(encoded.len());
+        encoded[place] = byte;
+        if let Ok(decoded) = postcard::from_bytes::<Gossip>(&encoded) {
+            let _ = postcard::to_stdvec(&decoded).unwrap();
+        }
+    }
+}
