--- a/crates/godwit-core/src/placement/placer.rs
+++ b/crates/godwit-core/src/placement/placer.rs
@@ -1,11 +1,12 @@
 //! Router, queues and limits of one host together.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use godwit_schema::config::{Fleet, Workspace};
+use godwit_schema::engine::Stage;
 use rand::rngs::SmallRng;
 
-use super::request::{Decision, Granted, PlaceRequest, Reception, Refusal};
+use super::request::{Decision, Granted, OwnDispatch, PlaceRequest, Reception, Refusal};
 use super::target_queue::{TargetQueue, cost_tokens, queue_key};
 use crate::limit::{RateKey, RateLimits, RetryBudget};
 use crate::queue::{Ticket, WaitClass, Waiting};
@@ -15,9 +16,19 @@
 /// Time between two looks at the whole queue, in milliseconds.
 const REVIEW_INTERVAL_MS: u64 = 20;
 
+/// Time for which a queue's share of the capacity is taken to stay, in milliseconds.
+const SHARE_INTERVAL_MS: u64 = 100;
+
 /// Time after which a caller may come back when nothing better is known, in milliseconds.
 const RETRY_MS: u64 = 1_000;
 
+/// Where and how a request starts.
+struct Start {
+    server: String,
+    estimate: Estimate,
+    stages: Vec<Stage>,
+}
+
 /// Places requests on servers.
 ///
 /// Every input may decide on waiting requests; [`take_decisions`](Placer::take_decisions) hands these decisions out.
@@ -72,14 +83,17 @@
     /// Takes a configuration of a workspace.
     pub fn apply_workspace(&mut self, workspace: &Workspace, now: UnixMs) {
         self.weights.insert(workspace.name.clone(), workspace.share_weight);
-        let key = RateKey::Workspace(workspace.name.clone());
-        self.limits.set(key, workspace.requests_per_s, now);
+        let rates = rates_of(workspace);
+        self.limits.keep_only(&workspace.name, &rates.keys().cloned().collect());
+        for (key, requests_per_s) in rates {
+            self.limits.set(key, Some(requests_per_s), now);
+        }
     }
 
     /// Forgets a workspace that was taken out of the configuration.
-    pub fn forget_workspace(&mut self, workspace: &str, now: UnixMs) {
+    pub fn forget_workspace(&mut self, workspace: &str) {
         self.weights.remove(workspace);
-        self.limits.set(RateKey::Workspace(workspace.to_string()), None, now);
+        self.limits.keep_only(workspace, &BTreeSet::new());
     }
 
     /// Sets the count of live hosts, this one included.
@@ -91,41 +105,44 @@
     /// Takes a load reading.
     pub fn observe_reading(&mut self, reading: &Reading, now: UnixMs) {
         self.router.observe_reading(reading, now);
-        self.advance(now);
+        self.advance_on(&reading.server, now);
     }
 
     /// Decides on a request, or lets it wait.
-    pub fn receive(&mut self, request: PlaceRequest, now: UnixMs) -> Reception {
+    ///
+    /// A retry may use the reserve: its caller may have a part of the answer already.
+    pub fn receive(&mut self, mut request: PlaceRequest, now: UnixMs) -> Reception {
         if let Err(refusal) = self.check_limits(&request, now) {
             return Reception::Refused(refusal);
         }
+        request.admission.may_use_reserve |= !request.excluded.is_empty();
         let key = queue_key(&request.admission.target);
         let queue = self.queues.get(&key);
         let backlog = queue.is_some_and(|queue| !queue.queue.is_empty());
         let choice = if queue.is_some_and(|queue| queue.goes_before(&request.admission)) {
-            self.router.choose_to_wait(request.wanted(backlog), now)
+            self.router.choose_to_wait(request.wanted(backlog), now, &mut self.rng)
         } else {
             self.router.choose(request.wanted(backlog), now, &mut self.rng)
         };
         match choice {
-            Choice::Start { server, estimate } => {
-                let granted = self.begin(&server, estimate, request.admission.max_tokens, now);
-                Reception::Granted(granted)
+            Choice::Start { server, estimate, stages } => {
+                let start = Start { server, estimate, stages };
+                Reception::Granted(self.begin(start, request.admission.max_tokens, now))
             }
             Choice::Refuse { code } => Reception::Refused(self.refusal(code, &key, now)),
             Choice::Wait { start_by } => self.wait(request, &key, start_by, now),
         }
     }
 
-    /// Counts a dispatch that was chosen elsewhere, as each stage of a split model.
-    pub fn begin_unasked(&mut self, server: &str, max_tokens: u32, now: UnixMs) -> Granted {
-        self.begin(server, Estimate::default(), max_tokens, now)
+    /// Counts tokens that a dispatch has brought.
+    pub fn progressed(&mut self, dispatch: &OwnDispatch, tokens: u32) {
+        self.router.progressed(&dispatch.server, dispatch.id, tokens);
     }
 
     /// Counts the end of a dispatch; true when its server is ejected for it.
-    pub fn ended(&mut self, granted: &Granted, end: DispatchEnd, now: UnixMs) -> bool {
-        let ejected = self.router.ended(&granted.server, granted.dispatch, end, now);
-        self.advance(now);
+    pub fn ended(&mut self, dispatch: &OwnDispatch, end: DispatchEnd, now: UnixMs) -> bool {
+        let ejected = self.router.ended(&dispatch.server, dispatch.id, end, now);
+        self.advance_on(&dispatch.server, now);
         ejected
     }
 
@@ -166,6 +183,33 @@
         self.waiting.len()
     }
 
+    /// Grants what can start on one server, after something has changed there.
+    fn advance_on(&mut self, server: &str, now: UnixMs) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let targets: Vec<Target> = self.queues.keys().cloned().collect();
+        for target in targets {
+            while self.grant_on(&target, server, now) {}
+        }
+    }
+
+    /// Grants the first waiting request that can start on one server; false when there is none.
+    fn grant_on(&mut self, target: &Target, server: &str, now: UnixMs) -> bool {
+        let heads = self.queues.get(target).map(TargetQueue::heads).unwrap_or_default();
+        for head in heads {
+            let Some(request) = self.waiting.get(&head.ticket) else {
+                continue;
+            };
+            let choice = self.router.choose_on(server, request.wanted(true), now, &mut self.rng);
+            if let Some(Choice::Start { server, estimate, stages }) = choice {
+                self.grant(target, head.ticket, Start { server, estimate, stages }, now);
+                return true;
+            }
+        }
+        false
+    }
+
     /// Grants what can start now, after something has changed.
     fn advance(&mut self, now: UnixMs) {
         if self.waiting.is_empty() {
@@ -177,10 +221,15 @@
         }
     }
 
+    /// Takes one retry out of the budget, if there is one left.
+    pub fn take_retry(&mut self) -> bool {
+        self.retries.try_retry()
+    }
+
     fn check_limits(&mut self, request: &PlaceRequest, now: UnixMs) -> Result<(), Refusal> {
         if !request.excluded.is_empty() {
-            let refusal = Refusal { code: Code::ServersRefused, retry_at: None };
-            return if self.retries.try_retry() { Ok(()) } else { Err(refusal) };
+            // It was counted at its first try; its retries come out of the budget before it asks again.
+            return Ok(());
         }
         let workspace = request.admission.workspace.clone();
         let kind = request.admission.kind.clone();
@@ -248,8 +297,8 @@
                 continue;
             };
             match self.router.choose(request.wanted(true), now, &mut self.rng) {
-                Choice::Start { server, estimate } => {
-                    self.grant(target, head.ticket, &server, estimate, now);
+                Choice::Start { server, estimate, stages } => {
+                    self.grant(target, head.ticket, Start { server, estimate, stages }, now);
                     return true;
                 }
                 Choice::Refuse { code } => {
@@ -264,19 +313,12 @@
         false
     }
 
-    fn grant(
-        &mut self,
-        target: &Target,
-        ticket: Ticket,
-        server: &str,
-        estimate: Estimate,
-        now: UnixMs,
-    ) {
+    fn grant(&mut self, target: &Target, ticket: Ticket, start: Start, now: UnixMs) {
         if let Some(queue) = self.queues.get_mut(target) {
             queue.grant(ticket, now);
         }
         let max_tokens = self.waiting.get(&ticket).map_or(0, |held| held.admission.max_tokens);
-        let granted = self.begin(server, estimate, max_tokens, now);
+        let granted = self.begin(start, max_tokens, now);
         self.decide(ticket, Ok(granted));
     }
 
@@ -300,15 +342,41 @@
         Refusal { code, retry_at: code.retry_can_help().then_some(retry_at) }
     }
 
-    fn begin(&mut self, server: &str, estimate: Estimate, max_tokens: u32, now: UnixMs) -> Granted {
-        let dispatch = self.router.started(server, max_tokens, now);
-        Granted { server: server.to_string(), dispatch, estimate, granted_at: now }
+    fn begin(&mut self, start: Start, max_tokens: u32, now: UnixMs) -> Granted {
+        let servers: Vec<String> = if start.stages.is_empty() {
+            vec![start.server]
+        } else {
+            start.stages.iter().map(|stage| stage.server.clone()).collect()
+        };
+        let begun = servers.into_iter().map(|server| {
+            let id = self.router.started(&server, max_tokens, now);
+            OwnDispatch { server, id }
+        });
+        Granted {
+            dispatches: begun.collect(),
+            stages: start.stages,
+            estimate: start.estimate,
+            granted_at: now,
+        }
     }
 
     fn refresh_rate(&mut self, target: &Target, now: UnixMs) {
-        let capacity = self.router.capacity_per_s(target, now);
-        let share = capacity / f64::from(self.router.host_count());
         let queue = self.queues.entry(target.clone()).or_insert_with(TargetQueue::new);
-        queue.rate.set_share(share);
+        if !queue.share_expires_at.is_past(now) {
+            return;
+        }
+        let capacity = self.router.capacity_per_s(target, now);
+        queue.rate.set_share(capacity / f64::from(self.router.host_count()));
+        queue.share_expires_at = now.plus_ms(SHARE_INTERVAL_MS);
     }
 }
+
+fn rates_of(workspace: &Workspace) -> BTreeMap<RateKey, f64> {
+    let name = &workspace.name;
+    let of_kinds = workspace.kind_rates.iter().map(|limit| {
+        let key = RateKey::Kind { workspace: name.clone(), kind: limit.kind.clone() };
+        (key, limit.requests_per_s)
+    });
+    let of_all = workspace.requests_per_s.map(|rate| (RateKey::Workspace(name.clone()), rate));
+    of_all.into_iter().chain(of_kinds).collect()
+}
--- /dev/null
+++ b/crates/godwit-ctl/src/bench/mod.rs
@@ -0,0 +1,4 @@
+//! Benches of a site with hosts and stand-ins.
+
+pub(crate) mod load;
+pub(crate) mod recovery;
--- a/crates/godwit-host/src/dispatch/acquire.rs
+++ b/crates/godwit-host/src/dispatch/acquire.rs
@@ -5,7 +5,7 @@
 use godwit_core::Code;
 use godwit_core::quarantine::{Standing, Start};
 
-use crate::dispatch::blame::unanswered;
+use crate::dispatch::blame::dead;
 use crate::dispatch::tries::{Tries, refusal, servers};
 use crate::dispatch::{AttemptEnding, AttemptReport, GrantedServer, Refusal};
 
@@ -54,7 +54,7 @@
         match start {
             Start::Quarantined => return Err(refusal(Code::Quarantined)),
             Start::OtherServers { taken } => self.taken.extend(taken),
-            Start::Later | Start::Run => self.wait_for_end(),
+            Start::Later | Start::Run => self.wait_for_change(),
         }
         Ok(false)
     }
@@ -66,7 +66,7 @@
         if crashes.standing(self.fingerprint, self.tools.clock.now()) == Standing::Clear {
             return true;
         }
-        let dead = unanswered(granted, self.tools.settings.probe_wait_ms);
+        let dead = dead(granted, self.tools.settings.probe_wait_ms);
         if dead.is_empty() {
             return true;
         }
@@ -78,7 +78,7 @@
 
     /// Eases what a refusal may be due to: a doubted stage, or servers taken by other suspects.
     fn after_refusal(&mut self, refusal: Refusal) -> Result<(), Refusal> {
-        if refusal.code != Code::NoServer {
+        if !matches!(refusal.code, Code::NoServer | Code::ServersRefused) {
             return Err(refusal);
         }
         if self.doubted.pop_front().is_some() {
@@ -88,13 +88,13 @@
             return Err(self.explain(refusal));
         }
         self.taken.clear();
-        self.wait_for_end();
+        self.wait_for_change();
         Ok(())
     }
 
-    fn wait_for_end(&self) {
+    fn wait_for_change(&self) {
         let left_ms = self.admission.deadline.since_ms(self.tools.clock.now());
-        self.tools.crashes.wait_for_end(left_ms.min(SUSPECT_WAIT_MS));
+        self.tools.crashes.wait_for_change(left_ms.min(SUSPECT_WAIT_MS));
     }
 
     fn give_back(&self, granted: &GrantedServer, ending: AttemptEnding, blamed: &[String]) {
--- a/crates/godwit-host/src/dispatch/generate.rs
+++ b/crates/godwit-host/src/dispatch/generate.rs
@@ -6,11 +6,11 @@
 use godwit_schema::engine::{FinishReason, GenerateRequest};
 
 use crate::dispatch::attempt::{Attempt, AttemptEnd};
-use crate::dispatch::blame::blamed;
+use crate::dispatch::blame::{blamed, unanswered};
 use crate::dispatch::progress::Progress;
 use crate::dispatch::tries::{Ending, Failure, Next, Tries};
 use crate::dispatch::{
-    AttemptEnding, AttemptReport, GeneratedAnswer, GrantedServer, Run, TokenSink, Tools,
+    AttemptEnding, AttemptReport, GeneratedAnswer, GrantedServer, Retry, Run, TokenSink, Tools,
 };
 
 /// What is sent to the engines.
@@ -74,15 +74,16 @@
         let started_at = self.tries.tools.clock.now();
         let progress = progress.begin();
         let (end, tokens) = self.attempt(&granted, sink);
-        let blamed = blamed(&end, &granted, self.tries.tools.settings.probe_wait_ms);
+        let blamed = blamed(&end, &granted);
+        let ending = ending(&end, &granted, self.tries.tools.settings.probe_wait_ms);
         self.tries.tell(&AttemptReport {
             granted: &granted,
-            ending: ending(&end),
+            ending,
             blamed: &blamed,
             tokens,
             duration_ms: self.tries.tools.clock.now().since_ms(started_at),
         });
-        self.decide(progress, end, &granted, &blamed)
+        self.decide(progress, end, ending, &granted, &blamed)
     }
 
     /// Runs one attempt; gives its end and the tokens accepted in it.
@@ -151,6 +152,7 @@
         &mut self,
         progress: Progress,
         end: AttemptEnd,
+        ending: AttemptEnding,
         granted: &GrantedServer,
         blamed: &[String],
     ) -> Next<FinishReason> {
@@ -164,16 +166,21 @@
             AttemptEnd::DeadlinePassed => Failure::TimedOut,
             AttemptEnd::Refused(proof) => Failure::Refused(proof),
             AttemptEnd::Unreachable(proof) => Failure::Unreachable(proof),
-            AttemptEnd::Failed { .. }
-            | AttemptEnd::Closed
-            | AttemptEnd::Malformed
-            | AttemptEnd::Silent => Failure::Lost,
+            AttemptEnd::Failed { .. } if ending == AttemptEnding::Failed => {
+                Failure::Lost(Retry::Failed)
+            }
+            AttemptEnd::Failed { .. } | AttemptEnd::Closed | AttemptEnd::Malformed => {
+                Failure::Lost(Retry::Lost)
+            }
+            AttemptEnd::Silent { .. } => Failure::Lost(Retry::Silent),
         };
         self.tries.after(progress, failure, granted, blamed)
     }
 
     fn finish(mut self, progress: Progress, ending: Ending<FinishReason>) -> Run<GeneratedAnswer> {
-        self.tries.report.dropped = self.assembly.dropped();
+        let dropped = self.assembly.dropped();
+        metrics::counter!("godwit_dropped_pieces_total").increment(dropped.total());
+        self.tries.report.dropped = dropped;
         let delivered_tokens = self.assembly.next_position();
         let ending = match ending {
             Ending::Whole(finish_reason) => {
@@ -188,14 +195,20 @@
     }
 }
 
-fn ending(end: &AttemptEnd) -> AttemptEnding {
+fn ending(end: &AttemptEnd, granted: &GrantedServer, probe_wait_ms: u64) -> AttemptEnding {
     match end {
         AttemptEnd::Whole(_) => AttemptEnding::Whole,
         AttemptEnd::Refused(_) => AttemptEnding::Refused,
         AttemptEnd::Unreachable(_) => AttemptEnding::Unreachable,
-        AttemptEnd::Failed { .. } | AttemptEnd::Closed => AttemptEnding::Lost,
+        AttemptEnd::Closed => AttemptEnding::Lost,
+        AttemptEnd::Failed { failed_server: Some(server) }
+            if unanswered(granted, probe_wait_ms).contains(server) =>
+        {
+            AttemptEnding::Lost
+        }
+        AttemptEnd::Failed { .. } => AttemptEnding::Failed,
         AttemptEnd::Malformed => AttemptEnding::Malformed,
-        AttemptEnd::Silent => AttemptEnding::Silent,
+        AttemptEnd::Silent { .. } => AttemptEnding::Silent,
         AttemptEnd::CallerGone | AttemptEnd::DeadlinePassed => AttemptEnding::Cancelled,
     }
 }
--- a/crates/godwit-host/src/dispatch/ports.rs
+++ b/crates/godwit-host/src/dispatch/ports.rs
@@ -59,10 +59,28 @@
 /// Why a request is tried again.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Retry {
-    /// The attempt is proved not to have run.
-    NeverSent,
-    /// The attempt was lost.
+    /// The server refused the attempt.
+    Refused,
+    /// No connection could be opened.
+    Unreachable,
+    /// The server was lost, or its answer made no sense.
     Lost,
+    /// The server lives and reported an error.
+    Failed,
+    /// The server was silent.
+    Silent,
+}
+
+impl Retry {
+    /// Whether the retry adds load to servers that live, so that it has to come out of a budget.
+    ///
+    /// Losses and refused connections are bounded by the servers lost, the attempt limit and the quarantine.
+    pub fn adds_load(self) -> bool {
+        match self {
+            Retry::Refused | Retry::Failed | Retry::Silent => true,
+            Retry::Unreachable | Retry::Lost => false,
+        }
+    }
 }
 
 /// The retries that the host allows itself.
@@ -80,8 +98,10 @@
     Refused,
     /// No connection could be opened.
     Unreachable,
-    /// The server was lost: the connection broke, or another server reported the loss.
+    /// The server was lost: the connection broke, or another server reported the loss and it answers no probe.
     Lost,
+    /// The server reported an error, or another one reported that it failed though it answers probes.
+    Failed,
     /// The server sent nothing for too long.
     Silent,
     /// The server sent something that makes no sense.
@@ -90,6 +110,22 @@
     Cancelled,
 }
 
+impl AttemptEnding {
+    /// The ending as in the label `ending` of `godwit_attempts_total`.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            AttemptEnding::Whole => "whole",
+            AttemptEnding::Refused => "refused",
+            AttemptEnding::Unreachable => "unreachable",
+            AttemptEnding::Lost => "lost",
+            AttemptEnding::Failed => "failed",
+            AttemptEnding::Silent => "silent",
+            AttemptEnding::Malformed => "malformed",
+            AttemptEnding::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// What an attempt showed.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptReport<'a> {
--- a/crates/godwit-host/src/dispatch/tries.rs
+++ b/crates/godwit-host/src/dispatch/tries.rs
@@ -22,7 +22,9 @@
     /// No connection could be opened.
     Unreachable(NeverSent),
     /// It may have run.
-    Lost,
+    Lost(Retry),
+    /// It may still be running; another server is tried first, the same one if there is none.
+    Slow,
     /// The deadline passed while it may have been running.
     TimedOut,
 }
@@ -93,14 +95,14 @@
         let servers = servers(report.granted);
         match report.ending {
             AttemptEnding::Whole => crashes.finished(self.fingerprint, &servers, now),
-            _ => crashes.stopped(self.fingerprint, &servers),
-        }
-        if report.ending == AttemptEnding::Lost {
-            self.lost_after_tokens = self.lost_after_tokens.max(Some(report.tokens));
-            for server in report.blamed {
-                crashes.server_lost(self.fingerprint, server, now);
+            AttemptEnding::Lost => {
+                let lost: Vec<&str> = report.blamed.iter().map(String::as_str).collect();
+                crashes.servers_lost(self.fingerprint, &servers, &lost, now);
+                self.lost_after_tokens = self.lost_after_tokens.max(Some(report.tokens));
             }
+            _ => crashes.stopped(self.fingerprint, &servers),
         }
+        metrics::counter!("godwit_attempts_total", "ending" => report.ending.as_str()).increment(1);
         self.tools.reports.attempt_ended(report);
     }
 
@@ -115,20 +117,24 @@
         match failure {
             Failure::Refused(proof) => {
                 self.refused.insert(granted.server.clone());
-                self.retry(progress.never_sent(proof), Retry::NeverSent)
+                self.retry(progress.never_sent(proof), Retry::Refused)
             }
             Failure::Unreachable(proof) => {
                 self.refused.insert(granted.server.clone());
                 self.attempts.server_failed(&granted.server);
-                self.retry(progress.never_sent(proof), Retry::NeverSent)
+                self.retry(progress.never_sent(proof), Retry::Unreachable)
             }
-            Failure::Lost => {
+            Failure::Lost(retry) => {
                 blamed.iter().for_each(|server| self.attempts.server_failed(server));
                 if blamed.is_empty() {
                     self.doubted =
                         granted.stages.iter().map(|stage| stage.server.clone()).collect();
                 }
-                self.after_loss(progress.may_have_run())
+                self.after_loss(progress.may_have_run(), retry)
+            }
+            Failure::Slow => {
+                self.doubted = VecDeque::from([granted.server.clone()]);
+                self.after_loss(progress.may_have_run(), Retry::Silent)
             }
             Failure::TimedOut => Next::End(progress.may_have_run(), Ending::Lost(Code::TimedOut)),
         }
@@ -157,11 +163,11 @@
         Run { outcome, report: self.report }
     }
 
-    fn after_loss<A>(&self, progress: Progress) -> Next<A> {
+    fn after_loss<A>(&self, progress: Progress, retry: Retry) -> Next<A> {
         if self.admission.non_idempotent {
             return Next::End(progress, Ending::Lost(Code::OutcomeUnknown));
         }
-        self.retry(progress, Retry::Lost)
+        self.retry(progress, retry)
     }
 
     fn retry<A>(&self, progress: Progress, retry: Retry) -> Next<A> {
--- a/crates/godwit-host/src/placement/mod.rs
+++ b/crates/godwit-host/src/placement/mod.rs
@@ -3,7 +3,8 @@
 mod grant;
 mod place;
 mod report;
+mod review;
 
 pub use godwit_core::placement::Refusal;
-pub use grant::Grant;
+pub use grant::{Grant, StageGrants};
 pub use place::{Ask, Placement, PlacementSettings};
--- a/crates/godwit-host/src/placement/place.rs
+++ b/crates/godwit-host/src/placement/place.rs
@@ -1,26 +1,26 @@
 //! The blocking driver around the router, the queues and the limits.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
-use flume::{Receiver, RecvTimeoutError, Sender};
-use godwit_core::placement::{Granted, PlaceRequest, Placer, Reception, Refusal};
+use flume::{Receiver, Sender};
+use godwit_core::placement::{Granted, OwnDispatch, PlaceRequest, Placer, Reception, Refusal};
 use godwit_core::queue::Ticket;
 use godwit_core::route::{DispatchEnd, Policy, PromptPrefix, Router, StageLoad};
-use godwit_core::{Admission, Code, Reading, UnixMs};
+use godwit_core::{Admission, Code, Hint, Reading, UnixMs};
 use godwit_schema::config::{Fleet, Workspace};
 use godwit_schema::engine::CacheEvent;
 use godwit_schema::operator::ServerStatus;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use super::grant::Grant;
+use super::grant::{Grant, StageGrants};
 use super::report;
+use super::review::{self, Wake};
 use crate::Clock;
 
-/// Time between two looks at the queue by one waiting request.
-const LOOK_INTERVAL: Duration = Duration::from_millis(25);
+/// Time for which the other hosts suspect a server that this one ejects, in milliseconds.
+const SUSPICION_MS: u64 = 5_000;
 
 /// Settings of a [`Placement`].
 #[derive(Clone, Debug)]
@@ -40,7 +40,7 @@
     pub admission: &'a Admission,
     /// Prefixes of its prompt, shortest first.
     pub prefixes: &'a [PromptPrefix],
-    /// Names of servers that refused or failed it before; with any, it counts as a retry.
+    /// Names of servers that it cannot use; with any, it was counted against the rates before.
     pub excluded: &'a BTreeSet<String>,
 }
 
@@ -84,6 +84,8 @@
 pub struct Placement {
     clock: Arc<dyn Clock>,
     state: Mutex<State>,
+    wake_reviewer: Sender<Wake>,
+    hints: OnceLock<Sender<Hint>>,
 }
 
 impl std::fmt::Debug for Placement {
@@ -98,7 +100,12 @@
         let router = Router::new(&settings.failure_domain, settings.policy, settings.seed);
         let placer = Placer::new(router, SmallRng::seed_from_u64(settings.seed));
         let state = State { placer, replies: BTreeMap::new() };
-        Arc::new(Placement { clock, state: Mutex::new(state) })
+        let (wake_reviewer, woken) = flume::bounded(1);
+        let placement =
+            Placement { clock, state: Mutex::new(state), wake_reviewer, hints: OnceLock::new() };
+        let placement = Arc::new(placement);
+        review::spawn(Arc::downgrade(&placement), woken);
+        placement
     }
 
     /// Blocks until the request may start on a server.
@@ -107,19 +114,25 @@
     ///
     /// [`Refusal`] as soon as it is known that the request cannot run in time or is not worth it under the load.
     pub fn acquire(self: &Arc<Placement>, ask: Ask<'_>) -> Result<Grant, Refusal> {
-        let asked_at = self.now();
-        let outcome = self.ask(ask, asked_at);
-        match &outcome {
-            Ok(granted) => report::granted(granted.granted_at.since_ms(asked_at)),
-            Err(refusal) => report::refused(refusal),
-        }
-        outcome.map(|granted| Grant::new(Arc::clone(self), granted))
+        let granted = self.ask(ask)?;
+        let mut grants = self.grants(&granted);
+        grants.pop().ok_or(Refusal { code: Code::Internal, retry_at: None })
+    }
+
+    /// Blocks until the request of a split model may start on the servers of a plan.
+    ///
+    /// # Errors
+    ///
+    /// As for [`acquire`](Placement::acquire).
+    pub fn acquire_stages(self: &Arc<Placement>, ask: Ask<'_>) -> Result<StageGrants, Refusal> {
+        let granted = self.ask(ask)?;
+        let grants = self.grants(&granted);
+        Ok(StageGrants { stages: granted.stages, estimate: granted.estimate, grants })
     }
 
-    /// Counts a dispatch that was chosen elsewhere, as each stage of a split model.
-    pub fn hold(self: &Arc<Placement>, server: &str, max_tokens: u32) -> Grant {
-        let granted = self.change(|placer, now| placer.begin_unasked(server, max_tokens, now));
-        Grant::new(Arc::clone(self), granted)
+    /// Takes one retry out of the host's budget, if there is one left.
+    pub fn take_retry(&self) -> bool {
+        self.change(|placer, _| placer.take_retry())
     }
 
     /// Takes a configuration of the fleet.
@@ -134,7 +147,7 @@
 
     /// Forgets a workspace that was taken out of the configuration.
     pub fn forget_workspace(&self, workspace: &str) {
-        self.change(|placer, now| placer.forget_workspace(workspace, now));
+        self.change(|placer, _| placer.forget_workspace(workspace));
     }
 
     /// Takes a load reading.
@@ -164,7 +177,12 @@
 
     /// Takes the word of another host that a server fails.
     pub fn suspect(&self, server: &str, expires_at: UnixMs) {
-        self.change(|placer, _| placer.router_mut().suspect(server, expires_at));
+        self.change(|placer, now| placer.router_mut().suspect(server, expires_at, now));
+    }
+
+    /// Sends a hint to `hints` for each server that this host ejects; only the first call counts.
+    pub fn pass_hints_to(&self, hints: Sender<Hint>) {
+        let _ = self.hints.set(hints);
     }
 
     /// Loads of all engines, for the planner of split models.
@@ -186,18 +204,38 @@
         self.clock.now()
     }
 
-    pub(super) fn progressed(&self, granted: &Granted, tokens: u32) {
-        self.change(|placer, _| {
-            placer.router_mut().progressed(&granted.server, granted.dispatch, tokens)
-        });
+    pub(super) fn progressed(&self, dispatch: &OwnDispatch, tokens: u32) {
+        self.change(|placer, _| placer.progressed(dispatch, tokens));
+    }
+
+    pub(super) fn ended(&self, dispatch: &OwnDispatch, end: DispatchEnd) {
+        let ejected = self.change(|placer, now| placer.ended(dispatch, end, now));
+        report::ended(&dispatch.server, end, ejected);
+        if let (true, Some(hints)) = (ejected, self.hints.get()) {
+            let expires_at = self.now().plus_ms(SUSPICION_MS);
+            let server = dispatch.server.clone();
+            // Without a receiver the host is stopping; the hint is lost without harm.
+            let _ = hints.try_send(Hint::ServerSuspect { server, expires_at });
+        }
     }
 
-    pub(super) fn ended(&self, granted: &Granted, end: DispatchEnd) {
-        let ejected = self.change(|placer, now| placer.ended(granted, end, now));
-        report::ended(&granted.server, end, ejected);
+    fn grants(self: &Arc<Placement>, granted: &Granted) -> Vec<Grant> {
+        let (estimate, at) = (granted.estimate, granted.granted_at);
+        let dispatches = granted.dispatches.iter().cloned();
+        dispatches.map(|dispatch| Grant::new(Arc::clone(self), dispatch, estimate, at)).collect()
     }
 
-    fn ask(&self, ask: Ask<'_>, now: UnixMs) -> Outcome {
+    fn ask(&self, ask: Ask<'_>) -> Outcome {
+        let asked_at = self.now();
+        let outcome = self.receive(ask, asked_at);
+        match &outcome {
+            Ok(granted) => report::granted(granted.granted_at.since_ms(asked_at)),
+            Err(refusal) => report::refused(refusal),
+        }
+        outcome
+    }
+
+    fn receive(&self, ask: Ask<'_>, now: UnixMs) -> Outcome {
         let request = PlaceRequest {
             admission: ask.admission.clone(),
             prefixes: ask.prefixes.to_vec(),
@@ -219,21 +257,19 @@
     }
 
     fn wait(&self, answer: &Receiver<Outcome>) -> Outcome {
-        loop {
-            match answer.recv_timeout(LOOK_INTERVAL) {
-                Ok(outcome) => return outcome,
-                Err(RecvTimeoutError::Timeout) => {
-                    let waiting = self.change(|placer, now| {
-                        placer.review(now);
-                        placer.waiting()
-                    });
-                    report::queue_length(waiting);
-                }
-                Err(RecvTimeoutError::Disconnected) => {
-                    return Err(Refusal { code: Code::Internal, retry_at: None });
-                }
-            }
-        }
+        // A full channel means that the reviewer has been woken already.
+        let _ = self.wake_reviewer.try_send(Wake);
+        answer.recv().unwrap_or(Err(Refusal { code: Code::Internal, retry_at: None }))
+    }
+
+    /// Looks at the whole queue; the count of requests that still wait.
+    pub(super) fn review(&self) -> usize {
+        let waiting = self.change(|placer, now| {
+            placer.review(now);
+            placer.waiting()
+        });
+        report::queue_length(waiting);
+        waiting
     }
 
     /// Changes or reads the placer, and tells waiting requests what was decided by it.
@@ -259,7 +295,9 @@
                 None => Some(decision.outcome),
             };
             if let Some(Ok(granted)) = untold {
-                self.placer.ended(&granted, DispatchEnd::Cancelled, now);
+                for dispatch in &granted.dispatches {
+                    self.placer.ended(dispatch, DispatchEnd::Cancelled, now);
+                }
             }
         }
     }
