Share the pool of threads between the stand-ins and the load bench

Cause: on a busy machine the load bench fell seconds behind its schedule. Timed in a run at 150%: to start one thread took 70 to 214 ms while the other threads of the process mapped and unmapped stacks; sending lagged more with each.

Change: the stand-ins' pool becomes the crate godwit-workers, and the bench sends from it. A run whose journals dropped entries no longer reports refused_but_ran, which it can't know.

--- a/crates/godwit-ctl/src/bench/load/run.rs
+++ b/crates/godwit-ctl/src/bench/load/run.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use godwit_host::{Clock, PolicyName, SystemClock};
+use godwit_workers::Workers;
 
 use super::LoadPlan;
 use super::client::Sender;
@@ -14,8 +15,6 @@
 use super::schedule::{Offer, Planned, schedule};
 use super::target::Target;
 
-/// Small enough for the C library to keep the stacks of hundreds of threads for the next ones.
-const STACK_BYTES: usize = 96 * 1024;
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(500);
 
 /// One policy at one load.
@@ -75,6 +74,7 @@
             ),
             total: planned.len(),
         };
+        let workers = Workers::new("caller");
         let mut not_sent = 0;
         for (sent, request) in planned.into_iter().enumerate() {
             wait_until(started + Duration::from_micros(request.at_us));
@@ -90,7 +90,7 @@
                 run: run.clone(),
                 started,
             };
-            not_sent += usize::from(!start(sender, request, results, &in_flight));
+            not_sent += usize::from(!start(&workers, sender, request, results, &in_flight));
         }
         while in_flight.load(Ordering::Relaxed) > 0 {
             progress.show(progress.total, in_flight.load(Ordering::Relaxed), results.len());
@@ -101,6 +101,7 @@
 }
 
 fn start(
+    workers: &Workers,
     sender: Sender,
     request: Planned,
     results: &flume::Sender<Outcome>,
@@ -114,7 +115,7 @@
         let _ = results.send(outcome);
         counter.fetch_sub(1, Ordering::Relaxed);
     };
-    let started = std::thread::Builder::new().stack_size(STACK_BYTES).spawn(work).is_ok();
+    let started = workers.run(work).is_ok();
     if !started {
         in_flight.fetch_sub(1, Ordering::Relaxed);
     }
--- a/crates/godwit-ctl/src/bench/load/target.rs
+++ b/crates/godwit-ctl/src/bench/load/target.rs
@@ -55,9 +55,13 @@
         Ok(Target { addresses, keys, bound_tokens_per_s, site: Some(site) })
     }
 
-    /// Requests of which some token or call ran, where the servers' journals can be seen.
+    /// Requests of which some token or call ran; none where the servers' journals can't be seen whole.
     pub(super) fn ran(&self) -> Option<BTreeSet<String>> {
         let site = self.site.as_ref()?;
+        let engines_dropped = site.engines.values().map(|unit| unit.standin.journal_dropped());
+        if engines_dropped.sum::<u64>() + site.service.journal_dropped() > 0 {
+            return None;
+        }
         let engines = site.engines.values().flat_map(|unit| unit.standin.journal());
         let entries = engines.chain(site.service.journal());
         let ran = entries
--- a/crates/godwit-standin/src/http/mod.rs
+++ b/crates/godwit-standin/src/http/mod.rs
@@ -5,7 +5,6 @@
 mod port;
 mod reader;
 mod responder;
-mod workers;
 
 pub(crate) use call::Call;
 pub(crate) use port::{Handler, Port};
--- a/crates/godwit-standin/src/http/port.rs
+++ b/crates/godwit-standin/src/http/port.rs
@@ -6,11 +6,12 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use godwit_workers::Workers;
+
 use super::call::Call;
 use super::connections::Connections;
 use super::reader::CallReader;
 use super::responder::{Flow, Responder};
-use super::workers::Workers;
 use crate::StandinError;
 use crate::time::lock;
 
@@ -51,7 +52,7 @@
             address: source_address,
             handler: Mutex::new(None),
             connections: Arc::default(),
-            workers: Arc::new(Workers::new()),
+            workers: Arc::new(Workers::new("standin-call")),
             listening: Arc::new(AtomicBool::new(false)),
             acceptor: Mutex::new(None),
             unserved: Mutex::new(Some(listener)),
--- a/crates/godwit-standin/src/service/api.rs
+++ b/crates/godwit-standin/src/service/api.rs
@@ -81,6 +81,10 @@
         self.journal.entries()
     }
 
+    pub(super) fn journal_dropped(&self) -> u64 {
+        self.journal.dropped()
+    }
+
     pub(super) fn stop(&self) {
         lock(&self.state).stopped = true;
         self.changed.notify_all();
--- a/crates/godwit-standin/src/service/mod.rs
+++ b/crates/godwit-standin/src/service/mod.rs
@@ -61,6 +61,11 @@
     pub fn journal(&self) -> Vec<JournalEntry> {
         self.api.journal()
     }
+
+    /// Journal entries that went because the journal was full.
+    pub fn journal_dropped(&self) -> u64 {
+        self.api.journal_dropped()
+    }
 }
 
 impl Drop for ServiceStandin {
--- a/crates/godwit-standin/src/http/workers.rs
+++ b/crates/godwit-workers/src/workers.rs
@@ -1,4 +1,4 @@
-//! Threads that are used again, as to start and end one for each connection costs more than most calls.
+//! A pool that grows as needed and shrinks when idle.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -13,22 +13,36 @@
 
 type Job = Box<dyn FnOnce() + Send>;
 
-/// Threads that are used again; idle ones end when this is dropped.
-pub(crate) struct Workers {
+/// Threads that are used again; there are as many as jobs at a time, and idle ones end after 10 s or when this is
+/// dropped.
+///
+/// ```
+/// use godwit_workers::Workers;
+/// let workers = Workers::new("greeter");
+/// let (sender, receiver) = flume::bounded(1);
+/// workers.run(move || sender.send("hello").unwrap_or_default())?;
+/// assert_eq!(receiver.recv(), Ok("hello"));
+/// # Ok::<(), std::io::Error>(())
+/// ```
+pub struct Workers {
+    name: &'static str,
     jobs: Sender<Job>,
     waiting_jobs: Receiver<Job>,
     idle: Arc<AtomicUsize>,
 }
 
 impl Workers {
-    /// No threads yet.
-    pub(crate) fn new() -> Workers {
+    /// No threads yet; `name` is given to each.
+    pub fn new(name: &'static str) -> Workers {
         let (jobs, waiting_jobs) = flume::unbounded();
-        Workers { jobs, waiting_jobs, idle: Arc::default() }
+        Workers { name, jobs, waiting_jobs, idle: Arc::default() }
     }
 
     /// Runs a job on an idle thread, or on a new one.
-    pub(crate) fn run(&self, job: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+    ///
+    /// # Errors
+    /// When no thread can be started; the job does not run then.
+    pub fn run(&self, job: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
         let job: Job = Box::new(job);
         if reserve(&self.idle) {
             // The reserved thread receives; the channel is open as long as this lives.
@@ -36,7 +50,7 @@
             return Ok(());
         }
         let (jobs, idle) = (self.waiting_jobs.clone(), self.idle.clone());
-        let builder = thread::Builder::new().name("standin-call".to_string());
+        let builder = thread::Builder::new().name(self.name.to_string());
         builder.stack_size(STACK_BYTES).spawn(move || work(job, &jobs, &idle))?;
         Ok(())
     }
