Wait for a stop by a signal, not by looking each 50 ms

Cause: at rest a host used 2.2% of a core on a busy machine (22 ticks in 10 s, of which 9 in threads that look each 50 ms whether to stop), above the 1.3% budget for control. Change: these threads wait on a channel that a stop closes; the configuration's poll is woken when something newer is heard of.

--- a/crates/godwit-host/src/configuration/driver.rs
+++ b/crates/godwit-host/src/configuration/driver.rs
@@ -14,6 +14,7 @@
 use super::fetch;
 use super::source::{ConfigSource, Neighbours, SourceError};
 use crate::clock::Clock;
+use crate::stop::Stop;
 
 /// How long one watch waits.
 const WATCH_WAIT_MS: u64 = 10_000;
@@ -30,8 +31,8 @@
 /// A neighbour that did not answer is asked again after this long.
 const FETCH_RETRY_MS: u64 = 200;
 
-/// Step in which waiting threads look whether to stop.
-const STOP_CHECK_MS: u64 = 50;
+/// Longest wait of a thread before it looks whether to stop.
+const LONGEST_WAIT_MS: u64 = 1_000;
 
 /// Most messages of neighbours that wait to be looked at.
 const HEARD_QUEUE: usize = 64;
@@ -62,7 +63,9 @@
     newest_heard: AtomicU64,
     last_contact_ms: AtomicU64,
     is_platform_reachable: AtomicBool,
-    is_stopping: AtomicBool,
+    stop: Stop,
+    wake_sender: Sender<()>,
+    wake: Receiver<()>,
 }
 
 /// The configuration in force on this host; dropping it stops its threads.
@@ -78,6 +81,7 @@
     /// # Errors
     /// When the system has no thread left.
     pub fn start(settings: ConfigurationSettings) -> std::io::Result<Configuration> {
+        let (wake_sender, wake) = flume::bounded(1);
         let shared = Arc::new(Shared {
             settings,
             store: Mutex::new(ConfigStore::default()),
@@ -86,7 +90,9 @@
             newest_heard: AtomicU64::new(0),
             last_contact_ms: AtomicU64::new(0),
             is_platform_reachable: AtomicBool::new(false),
-            is_stopping: AtomicBool::new(false),
+            stop: Stop::new(),
+            wake_sender,
+            wake,
         });
         let (heard, heard_receiver) = flume::bounded(HEARD_QUEUE);
         let mut configuration = Configuration { shared, heard, threads: Vec::new() };
@@ -134,6 +140,7 @@
         self.shared.newest_heard.fetch_max(digest.highest_version, Ordering::SeqCst);
         if digest != self.digest() {
             let _ = self.heard.try_send(Heard { address, digest });
+            let _ = self.shared.wake_sender.try_send(());
         }
     }
 
@@ -161,7 +168,8 @@
 
 impl Drop for Configuration {
     fn drop(&mut self) {
-        self.shared.is_stopping.store(true, Ordering::SeqCst);
+        self.shared.stop.set();
+        let _ = self.shared.wake_sender.try_send(());
         // The watch thread may wait in a call for seconds and ends by itself.
         self.threads.clear();
     }
@@ -181,13 +189,20 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::SeqCst)
+        self.stop.is_set()
     }
 
-    /// Waits until `deadline`, or until `is_done`, or until the host stops.
-    fn wait_until(&self, deadline: UnixMs, is_done: impl Fn() -> bool) {
-        while !self.is_stopping() && !is_done() && !deadline.is_past(self.settings.clock.now()) {
-            std::thread::sleep(Duration::from_millis(STOP_CHECK_MS));
+    /// Waits until `deadline`, or until something was heard that the neighbours do not bring, or the host stops.
+    fn wait_until(&self, deadline: UnixMs, may_be_behind: bool) {
+        while !self.is_stopping() {
+            let left_ms = deadline.since_ms(self.settings.clock.now());
+            if left_ms == 0 {
+                return;
+            }
+            let wait = Duration::from_millis(left_ms.min(LONGEST_WAIT_MS));
+            if self.wake.recv_timeout(wait).is_ok() && may_be_behind && self.is_still_behind() {
+                return;
+            }
         }
     }
 
@@ -210,8 +225,7 @@
         while !self.is_stopping() {
             let is_complete = self.poll();
             let next = self.settings.clock.now().plus_ms(jittered(self.poll_ms(is_complete)));
-            let is_behind = || is_complete && self.is_behind() && self.is_still_behind();
-            self.wait_until(next, is_behind);
+            self.wait_until(next, is_complete);
         }
     }
 
@@ -222,7 +236,8 @@
 
     /// Whether the neighbours do not bring what was heard of, so that the platform has to be asked.
     fn is_still_behind(&self) -> bool {
-        std::thread::sleep(Duration::from_millis(EAGER_POLL_MS));
+        let patience = self.settings.clock.now().plus_ms(EAGER_POLL_MS);
+        self.stop.wait_until(patience, &*self.settings.clock);
         self.is_behind()
     }
 
@@ -308,7 +323,8 @@
     fn fetch_loop(&self, heard: &Receiver<Heard>) {
         let mut waiting: Option<Heard> = None;
         while !self.is_stopping() {
-            let news = heard.recv_timeout(Duration::from_millis(FETCH_RETRY_MS)).ok();
+            let wait_ms = if waiting.is_some() { FETCH_RETRY_MS } else { LONGEST_WAIT_MS };
+            let news = heard.recv_timeout(Duration::from_millis(wait_ms)).ok();
             let Some(news) = news.or_else(|| waiting.take()) else { continue };
             if news.digest == lock(&self.store).digest() {
                 continue;
--- a/crates/godwit-host/src/lib.rs
+++ b/crates/godwit-host/src/lib.rs
@@ -12,6 +12,7 @@
 mod run;
 pub mod serve;
 mod settings;
+mod stop;
 mod telemetry;
 
 pub use clock::{Clock, ManualClock, SystemClock};
--- a/crates/godwit-host/src/node/news.rs
+++ b/crates/godwit-host/src/node/news.rs
@@ -1,7 +1,6 @@
 //! Passes news between the parts of a host: from other hosts, from own polls, from the configuration.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -16,7 +15,7 @@
 use crate::membership::MembershipEvent;
 
 /// Longest wait for news before the thread looks whether to stop.
-const NEWS_WAIT: Duration = Duration::from_millis(100);
+const NEWS_WAIT: Duration = Duration::from_millis(250);
 
 /// The thread that passes news on.
 pub(super) struct News {
@@ -35,7 +34,7 @@
     pub(super) fn run(&self) {
         let events = self.parts.membership.events();
         self.parts.apply_configuration();
-        while !self.parts.is_stopping.load(Ordering::SeqCst) {
+        while !self.parts.stop.is_set() {
             let item = Selector::new()
                 .recv(&events, |event| event.ok().map(Item::Event))
                 .recv(&self.changes, |changed| changed.ok().map(|()| Item::Changed))
--- a/crates/godwit-host/src/node/start.rs
+++ b/crates/godwit-host/src/node/start.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -31,6 +30,7 @@
 use crate::polling::Poller;
 use crate::serve::{Pipeline, PipelineParts};
 use crate::settings::{PolicyName, Settings};
+use crate::stop::Stop;
 
 /// Tries to find a port that is free for TCP and UDP.
 const FREE_PORT_TRIES: u32 = 16;
@@ -61,7 +61,7 @@
     pub(super) poller: Poller,
     pub(super) pipeline: Arc<Pipeline>,
     pub(super) standings: Mutex<ServerStandings>,
-    pub(super) is_stopping: AtomicBool,
+    pub(super) stop: Stop,
 }
 
 /// A running entry host; dropping it stops it at once.
@@ -227,7 +227,7 @@
             poller: poller.map_err(part("polling"))?,
             pipeline,
             standings: Mutex::new(ServerStandings::default()),
-            is_stopping: AtomicBool::new(false),
+            stop: Stop::new(),
         })
     }
 }
@@ -328,7 +328,7 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        self.parts.is_stopping.store(true, Ordering::SeqCst);
+        self.parts.stop.set();
         for thread in self.threads.drain(..) {
             let _ = thread.join();
         }
--- a/crates/godwit-host/src/node/upkeep.rs
+++ b/crates/godwit-host/src/node/upkeep.rs
@@ -1,8 +1,6 @@
 //! What a host does from time to time.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use godwit_core::UnixMs;
 use rand::Rng;
@@ -11,9 +9,6 @@
 use super::start::Parts;
 use crate::ledger::EventStart;
 
-/// Step in which the threads look whether to stop.
-const STOP_CHECK: Duration = Duration::from_millis(50);
-
 /// A delegate reads the host list this often.
 const HOST_LIST_MS: u64 = 1_000;
 
@@ -28,13 +23,11 @@
 
 impl Parts {
     fn wait_until(&self, deadline: UnixMs) {
-        while !self.is_stopping.load(Ordering::SeqCst) && !deadline.is_past(self.clock.now()) {
-            std::thread::sleep(STOP_CHECK);
-        }
+        self.stop.wait_until(deadline, &*self.clock);
     }
 
     pub(super) fn host_list_loop(&self) {
-        while !self.is_stopping.load(Ordering::SeqCst) {
+        while !self.stop.is_set() {
             self.read_host_list();
             let is_delegate = self.membership.is_delegate();
             let interval_ms = if is_delegate { HOST_LIST_MS } else { LONELY_HOST_LIST_MS };
@@ -61,7 +54,7 @@
 
     pub(super) fn upkeep_loop(&self) {
         let mut collect_at = self.clock.now().plus_ms(COLLECT_MS);
-        while !self.is_stopping.load(Ordering::SeqCst) {
+        while !self.stop.is_set() {
             let now = self.clock.now();
             self.apply_hosts();
             self.crashes.expire(now);
