--- a/crates/godwit-core/benches/decisions.rs
+++ b/crates/godwit-core/benches/decisions.rs
@@ -8,7 +8,7 @@
 use godwit_core::placement::{PlaceRequest, Placer, Reception};
 use godwit_core::route::{Choice, DispatchEnd, Policy, PromptPrefix, Router, Wanted};
 use godwit_core::{Admission, Reading, Target, UnixMs};
-use godwit_schema::config::{BackendServer, Fleet, ServerRole};
+use godwit_schema::config::{BackendServer, Fleet, Model, ServerRole};
 use godwit_schema::engine::{CacheAction, CacheEvent};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -129,6 +129,20 @@
     }
 }
 
+/// A model split in quarters over all servers: a plan over those drawn for each range.
+#[divan::bench(args = SERVERS)]
+fn choose_split(bencher: Bencher<'_, '_>, servers: usize) {
+    let mut fleet = fleet(servers);
+    for (n, server) in fleet.servers.iter_mut().enumerate() {
+        let layer_from = 16 * (n as u32 % 4);
+        (server.layer_from, server.layer_to) = (Some(layer_from), Some(layer_from + 16));
+    }
+    fleet.models = vec![Model { name: "crane".to_string(), layers: 64, adapters: Vec::new() }];
+    let mut router = Router::new("domain-0", Policy::EarliestFinish, 3);
+    router.apply_fleet(&fleet, NOW);
+    bench_choose(bencher, router, &[]);
+}
+
 /// One request comes, is granted at once and ends: the whole cost of the placement without a backlog.
 #[divan::bench(args = SERVERS)]
 fn place_without_backlog(bencher: Bencher<'_, '_>, servers: usize) {
--- a/crates/godwit-core/src/placement/placer.rs
+++ b/crates/godwit-core/src/placement/placer.rs
@@ -3,14 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use godwit_schema::config::{Fleet, Workspace};
-use godwit_schema::engine::Stage;
 use rand::rngs::SmallRng;
 
-use super::request::{Decision, Granted, OwnDispatch, PlaceRequest, Reception, Refusal};
+use super::advance::Start;
+use super::request::{Decision, OwnDispatch, PlaceRequest, Reception, Refusal};
 use super::target_queue::{TargetQueue, cost_tokens, queue_key};
 use crate::limit::{RateKey, RateLimits, RetryBudget};
 use crate::queue::{Ticket, WaitClass, Waiting};
-use crate::route::{Choice, DispatchEnd, Estimate, Router};
+use crate::route::{Choice, DispatchEnd, Router};
 use crate::{Admission, Code, Reading, Target, UnixMs};
 
 /// Time between two looks at the whole queue, in milliseconds.
@@ -19,29 +19,19 @@
 /// Time for which a queue's share of the capacity is taken to stay, in milliseconds.
 const SHARE_INTERVAL_MS: u64 = 100;
 
-/// Time after which a caller may come back when nothing better is known, in milliseconds.
-const RETRY_MS: u64 = 1_000;
-
-/// Where and how a request starts.
-struct Start {
-    server: String,
-    estimate: Estimate,
-    stages: Vec<Stage>,
-}
-
 /// Places requests on servers.
 ///
 /// Every input may decide on waiting requests; [`take_decisions`](Placer::take_decisions) hands these decisions out.
 #[derive(Clone, Debug)]
 pub struct Placer {
-    router: Router,
+    pub(super) router: Router,
     limits: RateLimits,
     retries: RetryBudget,
     weights: BTreeMap<String, u32>,
-    rng: SmallRng,
-    queues: BTreeMap<Target, TargetQueue>,
-    waiting: BTreeMap<Ticket, PlaceRequest>,
-    decisions: Vec<Decision>,
+    pub(super) rng: SmallRng,
+    pub(super) queues: BTreeMap<Target, TargetQueue>,
+    pub(super) waiting: BTreeMap<Ticket, PlaceRequest>,
+    pub(super) decisions: Vec<Decision>,
     next_ticket: u64,
     reviewed_at: UnixMs,
 }
@@ -183,44 +173,6 @@
         self.waiting.len()
     }
 
-    /// Grants what can start on one server, after something has changed there.
-    fn advance_on(&mut self, server: &str, now: UnixMs) {
-        if self.waiting.is_empty() {
-            return;
-        }
-        let targets: Vec<Target> = self.queues.keys().cloned().collect();
-        for target in targets {
-            while self.grant_on(&target, server, now) {}
-        }
-    }
-
-    /// Grants the first waiting request that can start on one server; false when there is none.
-    fn grant_on(&mut self, target: &Target, server: &str, now: UnixMs) -> bool {
-        let heads = self.queues.get(target).map(TargetQueue::heads).unwrap_or_default();
-        for head in heads {
-            let Some(request) = self.waiting.get(&head.ticket) else {
-                continue;
-            };
-            let choice = self.router.choose_on(server, request.wanted(true), now, &mut self.rng);
-            if let Some(Choice::Start { server, estimate, stages }) = choice {
-                self.grant(target, head.ticket, Start { server, estimate, stages }, now);
-                return true;
-            }
-        }
-        false
-    }
-
-    /// Grants what can start now, after something has changed.
-    fn advance(&mut self, now: UnixMs) {
-        if self.waiting.is_empty() {
-            return;
-        }
-        let targets: Vec<Target> = self.queues.keys().cloned().collect();
-        for target in targets {
-            while self.decide_next(&target, now) {}
-        }
-    }
-
     /// Takes one retry out of the budget, if there is one left.
     pub fn take_retry(&mut self) -> bool {
         self.retries.try_retry()
@@ -285,81 +237,6 @@
         }
     }
 
-    /// Decides on the first waiting request on which that is possible; false when there is none.
-    fn decide_next(&mut self, target: &Target, now: UnixMs) -> bool {
-        let heads = self.queues.get(target).map(TargetQueue::heads).unwrap_or_default();
-        let mut ordinary_full = false;
-        for head in heads {
-            if ordinary_full && head.is_ordinary {
-                continue;
-            }
-            let Some(request) = self.waiting.get(&head.ticket) else {
-                continue;
-            };
-            match self.router.choose(request.wanted(true), now, &mut self.rng) {
-                Choice::Start { server, estimate, stages } => {
-                    self.grant(target, head.ticket, Start { server, estimate, stages }, now);
-                    return true;
-                }
-                Choice::Refuse { code } => {
-                    self.refuse(target, head.ticket, code, now);
-                    return true;
-                }
-                Choice::Wait { .. } if !request.excluded.is_empty() => {}
-                Choice::Wait { .. } if head.is_ordinary => ordinary_full = true,
-                Choice::Wait { .. } => return false,
-            }
-        }
-        false
-    }
-
-    fn grant(&mut self, target: &Target, ticket: Ticket, start: Start, now: UnixMs) {
-        if let Some(queue) = self.queues.get_mut(target) {
-            queue.grant(ticket, now);
-        }
-        let max_tokens = self.waiting.get(&ticket).map_or(0, |held| held.admission.max_tokens);
-        let granted = self.begin(start, max_tokens, now);
-        self.decide(ticket, Ok(granted));
-    }
-
-    fn refuse(&mut self, target: &Target, ticket: Ticket, code: Code, now: UnixMs) {
-        if let Some(queue) = self.queues.get_mut(target) {
-            queue.queue.remove(ticket);
-        }
-        let refusal = self.refusal(code, target, now);
-        self.decide(ticket, Err(refusal));
-    }
-
-    fn decide(&mut self, ticket: Ticket, outcome: Result<Granted, Refusal>) {
-        if self.waiting.remove(&ticket).is_some() {
-            self.decisions.push(Decision { ticket, outcome });
-        }
-    }
-
-    fn refusal(&self, code: Code, target: &Target, now: UnixMs) -> Refusal {
-        let queue = self.queues.get(target);
-        let retry_at = queue.map_or(now.plus_ms(RETRY_MS), |queue| queue.outlook(now).retry_at());
-        Refusal { code, retry_at: code.retry_can_help().then_some(retry_at) }
-    }
-
-    fn begin(&mut self, start: Start, max_tokens: u32, now: UnixMs) -> Granted {
-        let servers: Vec<String> = if start.stages.is_empty() {
-            vec![start.server]
-        } else {
-            start.stages.iter().map(|stage| stage.server.clone()).collect()
-        };
-        let begun = servers.into_iter().map(|server| {
-            let id = self.router.started(&server, max_tokens, now);
-            OwnDispatch { server, id }
-        });
-        Granted {
-            dispatches: begun.collect(),
-            stages: start.stages,
-            estimate: start.estimate,
-            granted_at: now,
-        }
-    }
-
     fn refresh_rate(&mut self, target: &Target, now: UnixMs) {
         let queue = self.queues.entry(target.clone()).or_insert_with(TargetQueue::new);
         if !queue.share_expires_at.is_past(now) {
--- a/crates/godwit-core/src/route/mod.rs
+++ b/crates/godwit-core/src/route/mod.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod health;
 mod load;
+mod offer;
 mod own;
 mod prefix;
 mod router;
--- a/crates/godwit-core/src/route/scan.rs
+++ b/crates/godwit-core/src/route/scan.rs
@@ -3,9 +3,10 @@
 use rand::Rng;
 
 use super::choice::{Choice, Wanted};
-use super::estimate::{Estimate, Work, estimate};
+use super::estimate::{Work, estimate};
 use super::fleet::{Candidates, Pool, ServerIndex};
 use super::load::LoadNow;
+use super::offer::{Best, Offer, Reservoir};
 use super::prefix::Holder;
 use super::router::{Obstacle, Router};
 use crate::{Code, UnixMs};
@@ -22,12 +23,6 @@
 /// Servers considered because they hold a prefix of the prompt.
 const PREFIX_HOLDERS: usize = 4;
 
-/// Gain in estimated finish below which work stays in the own failure domain, in milliseconds.
-const REMOTE_GAIN_MS: f64 = 5.0;
-
-/// The same gain as a share of the local finish.
-const REMOTE_GAIN_SHARE: f64 = 0.1;
-
 /// The decision for one request.
 pub(crate) struct Scan<'a> {
     pub(crate) router: &'a Router,
@@ -39,14 +34,6 @@
     allow_silent: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Offer {
-    server: ServerIndex,
-    is_local: bool,
-    estimate: Estimate,
-    rank_ms: f64,
-}
-
 #[derive(Debug, Default)]
 struct Tally {
     usable: usize,
@@ -272,54 +259,3 @@
         }
     }
 }
-
-/// The best offers of the own failure domain and of the others.
-#[derive(Debug, Default)]
-struct Best {
-    local: Option<Offer>,
-    remote: Option<Offer>,
-}
-
-impl Best {
-    fn take(&mut self, offer: Option<Offer>) {
-        let Some(offer) = offer else {
-            return;
-        };
-        let held = if offer.is_local { &mut self.local } else { &mut self.remote };
-        if held.is_none_or(|held| offer.rank_ms < held.rank_ms) {
-            *held = Some(offer);
-        }
-    }
-
-    /// The local offer unless the remote one gains enough.
-    fn pick(self) -> Option<Offer> {
-        match (self.local, self.remote) {
-            (Some(local), Some(remote)) => {
-                let gain_ms = REMOTE_GAIN_MS.max(local.rank_ms * REMOTE_GAIN_SHARE);
-                Some(if remote.rank_ms + gain_ms < local.rank_ms { remote } else { local })
-            }
-            (local, remote) => local.or(remote),
-        }
-    }
-}
-
-/// A uniform sample of two of the offers seen.
-#[derive(Debug, Default)]
-struct Reservoir {
-    offers: Vec<Offer>,
-    seen: usize,
-}
-
-impl Reservoir {
-    fn take(&mut self, offer: Offer, rng: &mut impl Rng) {
-        self.seen += 1;
-        if self.offers.len() < LOCAL_SAMPLES {
-            self.offers.push(offer);
-            return;
-        }
-        let at = rng.random_range(0..self.seen);
-        if let Some(slot) = self.offers.get_mut(at) {
-            *slot = offer;
-        }
-    }
-}
