Offer a free slot to the queues of all models by priority and deadline

Cause: a server may hold several models, each with a queue of its own. A slot that came free was offered to the queues in the order of their names, until the first of them was empty: a backlog for one model starved the others. Change: queues are tried by the priority and deadline of their next request, anew after each grant. One queue over all models was ruled out: a model without free servers would stand in the way of the others.

--- a/crates/godwit-core/src/placement/advance.rs
+++ b/crates/godwit-core/src/placement/advance.rs
@@ -1,5 +1,7 @@
 //! Grants and refusals of waiting requests, as servers and time change.
 
+use std::cmp::Reverse;
+
 use godwit_schema::engine::Stage;
 
 use super::placer::Placer;
@@ -22,13 +24,7 @@
 impl Placer {
     /// Grants what can start on one server, after something has changed there.
     pub(super) fn advance_on(&mut self, server: &str, now: UnixMs) {
-        if self.waiting.is_empty() {
-            return;
-        }
-        let targets: Vec<Target> = self.queues.keys().cloned().collect();
-        for target in targets {
-            while self.grant_on(&target, server, now) {}
-        }
+        while self.targets_in_order().iter().any(|target| self.grant_on(target, server, now)) {}
     }
 
     /// Grants the first waiting request that can start on one server; false when there is none.
@@ -49,13 +45,20 @@
 
     /// Grants what can start now, after something has changed.
     pub(super) fn advance(&mut self, now: UnixMs) {
-        if self.waiting.is_empty() {
-            return;
-        }
-        let targets: Vec<Target> = self.queues.keys().cloned().collect();
-        for target in targets {
-            while self.decide_next(&target, now) {}
-        }
+        while self.targets_in_order().iter().any(|target| self.decide_next(target, now)) {}
+    }
+
+    /// Targets with waiting requests, by the priority and deadline of the next one: their servers may be the same.
+    fn targets_in_order(&self) -> Vec<Target> {
+        let next = |queue: &TargetQueue| {
+            let first = queue.queue.in_order().next()?;
+            Some((Reverse(first.priority), first.deadline))
+        };
+        let queues = self.queues.iter();
+        let mut targets: Vec<_> =
+            queues.filter_map(|(target, queue)| Some((next(queue)?, target.clone()))).collect();
+        targets.sort();
+        targets.into_iter().map(|(_, target)| target).collect()
     }
 
     /// Decides on the first waiting request on which that is possible; false when there is none.
