Send summaries and ask for cache events less often

Cause: a delegate among 350 hosts moved 21638 B/s of datagrams (load average 90), which with its polls does not keep within 24 KB/s; idle looks at the polls and at the live hosts took processor time. Change: summaries every 2 s in place of 1 s, a domain counts as unreachable after 6 s in place of 5 s; cache events, which come late anyway, every second in place of each poll; polls are looked at every 50 ms, live hosts are counted when they change. The example takes its first port from GODWIT_COST_PORT.

--- a/crates/godwit-core/src/knowledge/domain.rs
+++ b/crates/godwit-core/src/knowledge/domain.rs
@@ -11,7 +11,7 @@
 /// Hosts named in one fact.
 pub(crate) const HOSTS_PER_FACT: usize = 8;
 /// A domain of which no newer summary was heard for this long counts as unreachable.
-const UNREACHABLE_AFTER_MS: u64 = 5_000;
+const UNREACHABLE_AFTER_MS: u64 = 6_000;
 /// A host of another domain that no summary names any more is forgotten.
 const FORGET_HOST_AFTER_MS: u64 = 60_000;
 /// A fact this much older than the newest one of its domain is not taken in or passed on.
--- a/crates/godwit-core/src/member/settings.rs
+++ b/crates/godwit-core/src/member/settings.rs
@@ -33,7 +33,7 @@
 /// Time between two tries to reach a seed or a dead host.
 pub(crate) const CONTACT_INTERVAL_MS: u64 = 1_000;
 /// Time between two summaries of a delegate.
-pub(crate) const SUMMARY_INTERVAL_MS: u64 = 1_000;
+pub(crate) const SUMMARY_INTERVAL_MS: u64 = 2_000;
 /// Delegates of a failure domain.
 pub(crate) const DELEGATES: usize = 2;
 /// Members remembered.
--- a/crates/godwit-host/examples/membership_cost.rs
+++ b/crates/godwit-host/examples/membership_cost.rs
@@ -9,7 +9,8 @@
 //!
 //! The first one stands for so many hosts less one, in failure domains of 50, with 2 backend servers for each host. The
 //! second one is one host as in production, which measures for so many seconds and prints what it took. With `delegate`
-//! in place of `node`, its name makes it a delegate of its failure domain.
+//! in place of `node`, its name makes it a delegate of its failure domain. Both use the ports from 21999 on, or from
+//! `GODWIT_COST_PORT` on.
 
 use std::collections::BTreeMap;
 use std::error::Error;
@@ -29,9 +30,12 @@
 use godwit_peer::{Opener, PeerKey, Sealer};
 use metrics_exporter_prometheus::PrometheusBuilder;
 
-const NODE_PORT: u16 = 42_000;
-const FIRST_NEIGHBOUR_PORT: u16 = 42_001;
-const SERVERS_PORT: u16 = 41_999;
+/// First of the ports used, unless `GODWIT_COST_PORT` gives another one.
+const FIRST_PORT: u16 = 21_999;
+/// Distances from the first port.
+const SERVERS_PORT: u16 = 0;
+const NODE_PORT: u16 = 1;
+const FIRST_NEIGHBOUR_PORT: u16 = 2;
 const HOSTS_PER_DOMAIN: usize = 50;
 const SERVERS_PER_HOST: usize = 2;
 const POLL_MS: u64 = 500;
@@ -65,8 +69,9 @@
     PeerKey::new(b"the shared key of the measurement")
 }
 
-fn address(port: u16) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+fn address(distance: u16) -> SocketAddr {
+    let first = env::var("GODWIT_COST_PORT").ok().and_then(|port| port.parse().ok());
+    SocketAddr::from((Ipv4Addr::LOCALHOST, first.unwrap_or(FIRST_PORT) + distance))
 }
 
 fn host_name(index: usize) -> String {
--- a/crates/godwit-host/src/membership/driver.rs
+++ b/crates/godwit-host/src/membership/driver.rs
@@ -82,6 +82,7 @@
             is_stopping: AtomicBool::new(false),
         });
         let mut membership = Membership { shared, events, threads: Vec::new() };
+        membership.shared.show_live_hosts();
         membership.spawn("member-receive", Shared::receive_loop)?;
         membership.spawn("member-tick", Shared::tick_loop)?;
         Ok(membership)
@@ -183,6 +184,7 @@
             member.leave();
             member.tick(now)
         });
+        self.shared.show_live_hosts();
     }
 }
 
@@ -212,14 +214,24 @@
     }
 
     fn tell(&self, event: MembershipEvent) {
-        if let MembershipEvent::Superseded { incarnation } = &event {
-            tracing::warn!(incarnation, "another process has the name of this host");
+        match &event {
+            MembershipEvent::Superseded { incarnation } => {
+                tracing::warn!(incarnation, "another process has the name of this host");
+            }
+            MembershipEvent::HostsChanged => self.show_live_hosts(),
+            _ => {}
         }
         if self.events.try_send(event).is_err() {
             metrics::counter!("godwit_membership_dropped_events_total").increment(1);
         }
     }
 
+    fn show_live_hosts(&self) {
+        let live = self.lock().live_hosts().len();
+        metrics::gauge!("godwit_membership_live_hosts").set(live as f64);
+        tracing::info!(live, "live hosts of the failure domain changed");
+    }
+
     fn receive_loop(&self) {
         while !self.is_stopping.load(Ordering::SeqCst) {
             if let Some(gossip) = self.socket.receive(|| self.clock.now()) {
@@ -231,8 +243,6 @@
     fn tick_loop(&self) {
         while !self.is_stopping.load(Ordering::SeqCst) {
             self.act(Member::tick);
-            let live = self.lock().live_hosts().len();
-            metrics::gauge!("godwit_membership_live_hosts").set(live as f64);
             thread::sleep(TICK);
         }
     }
--- a/crates/godwit-host/src/polling/driver.rs
+++ b/crates/godwit-host/src/polling/driver.rs
@@ -17,13 +17,15 @@
 use crate::membership::Membership;
 
 /// Time between two looks at what is due.
-const TICK: Duration = Duration::from_millis(25);
+const TICK: Duration = Duration::from_millis(50);
 /// Polls that run at a time.
 const WORKERS: usize = 8;
 /// Polls that wait for a worker; further ones are left out.
 const QUEUE: usize = 64;
 /// Longest wait for an answer of a server.
 const ANSWER_LIMIT_MS: u64 = 1_000;
+/// Time between two questions for the cache events of a server.
+const CACHE_EVENTS_INTERVAL_MS: u64 = 1_000;
 /// A server that gave no cache events is asked for them again after this long.
 const NO_CACHE_EVENTS_MS: u64 = 10_000;
 
@@ -188,6 +190,7 @@
             Ok(reply) => {
                 let after = cursor.sequence;
                 cursor.sequence = reply.newest_sequence;
+                cursor.not_before = now.plus_ms(CACHE_EVENTS_INTERVAL_MS);
                 lock(&self.cursors).insert(target.server.clone(), cursor);
                 if !reply.events.is_empty() {
                     (self.on_cache_news)(CacheNews { server: target.server.clone(), after, reply });
