Add the parts of a capacity bench: seed, watch and drive

No command told what one host takes by the size of its configuration or by its load.

A bench inside one process was ruled out, since stand-ins and callers would be counted with the host.

--- /dev/null
+++ b/crates/godwit-ctl/src/bench/capacity/drive.rs
@@ -0,0 +1,124 @@
+//! A steady number of requests in progress on one host.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use godwit_core::Code;
+use godwit_host::{Clock, SystemClock};
+use serde_json::json;
+
+use crate::error::CtlError;
+use crate::site::{Names, WORKSPACE_KEY};
+
+const REQUEST_TIMEOUT_S: u64 = 60;
+const CLIENT_STACK_BYTES: usize = 256 * 1024;
+const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(100);
+const EVENT_PREFIX: &str = "data: ";
+
+/// What is sent.
+#[derive(Clone, Debug)]
+pub(crate) struct DrivePlan {
+    /// Address of the host for callers.
+    pub(crate) address: SocketAddr,
+    /// Requests in progress at a time.
+    pub(crate) streams: usize,
+    /// Tokens of each answer.
+    pub(crate) max_tokens: u32,
+    /// Whether the requests are non-idempotent, and so claimed first and not streamed.
+    pub(crate) is_once: bool,
+    /// For how long requests are sent.
+    pub(crate) duration_s: u64,
+}
+
+/// What the callers saw.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    requests: u64,
+    failures: u64,
+    tokens: u64,
+}
+
+/// Sends requests and prints how many were answered whole.
+pub(crate) fn run(plan: &DrivePlan) -> Result<(), CtlError> {
+    let until = Instant::now() + Duration::from_secs(plan.duration_s);
+    let run = format!("{:x}", SystemClock.now().0);
+    let mut callers = Vec::new();
+    for number in 0..plan.streams {
+        let (plan, run) = (plan.clone(), format!("{run}-{number}"));
+        let builder = thread::Builder::new().stack_size(CLIENT_STACK_BYTES);
+        callers.push(builder.spawn(move || call(&plan, &run, until))?);
+    }
+    let mut all = Seen::default();
+    for caller in callers {
+        let seen = caller.join().unwrap_or_default();
+        all.requests += seen.requests;
+        all.failures += seen.failures;
+        all.tokens += seen.tokens;
+    }
+    println!("requests={} failures={} tokens={}", all.requests, all.failures, all.tokens);
+    Ok(())
+}
+
+fn call(plan: &DrivePlan, run: &str, until: Instant) -> Seen {
+    let mut seen = Seen::default();
+    let mut number = 0_u64;
+    while Instant::now() < until {
+        number += 1;
+        match send(plan, &format!("{run}-{number}")) {
+            Some(tokens) => {
+                seen.requests += 1;
+                seen.tokens += tokens;
+            }
+            None => {
+                seen.failures += 1;
+                thread::sleep(PAUSE_AFTER_FAILURE);
+            }
+        }
+    }
+    seen
+}
+
+/// Tokens of the answer, when it came whole.
+fn send(plan: &DrivePlan, idempotency_key: &str) -> Option<u64> {
+    let kind = if plan.is_once { Names::KIND_ONCE } else { Names::KIND };
+    let body = json!({
+        "model": Names::MODEL,
+        "prompt": format!("A note on the produce of request {idempotency_key}."),
+        "max_tokens": plan.max_tokens,
+        "stream": !plan.is_once,
+    });
+    let response = minreq::post(format!("http://{}/v1/completions", plan.address))
+        .with_timeout(REQUEST_TIMEOUT_S)
+        .with_header("Connection", "close")
+        .with_header("Content-Type", "application/json")
+        .with_header("Authorization", format!("Bearer {WORKSPACE_KEY}"))
+        .with_header("Godwit-Kind", kind)
+        .with_header("Godwit-Event", Names::EVENT)
+        .with_header("Idempotency-Key", idempotency_key)
+        .with_body(body.to_string())
+        .send_lazy()
+        .ok()?;
+    let code = response.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("godwit-code"));
+    let code = code.and_then(|(_, value)| value.parse().ok()).and_then(Code::from_number)?;
+    let lines = BufReader::new(response).lines().map_while(Result::ok);
+    match code {
+        Code::Ok => Some(lines.map(|_| 0).sum::<u64>() + u64::from(plan.max_tokens)),
+        Code::Streaming => count_tokens(lines),
+        _ => None,
+    }
+}
+
+fn count_tokens(lines: impl Iterator<Item = String>) -> Option<u64> {
+    let mut tokens = 0;
+    for line in lines {
+        match line.strip_prefix(EVENT_PREFIX) {
+            Some("[DONE]") => return Some(tokens),
+            Some(event) if event.contains("\"error\"") => return None,
+            Some(event) => tokens += u64::from(event.contains("\"text\"")),
+            None => {}
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/godwit-ctl/src/bench/capacity/mod.rs
@@ -0,0 +1,10 @@
+//! What one running host costs by the size of its configuration and by its load.
+
+mod drive;
+mod process;
+mod seed;
+mod watch;
+
+pub(crate) use drive::{DrivePlan, run as drive};
+pub(crate) use seed::{SeedPlan, run as seed};
+pub(crate) use watch::{WatchPlan, WatchedHost, run as watch};
--- /dev/null
+++ b/crates/godwit-ctl/src/bench/capacity/watch.rs
@@ -0,0 +1,105 @@
+//! What running hosts use and count over a time.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::process::ProcessUsage;
+use crate::error::CtlError;
+
+const ANSWER_TIMEOUT_S: u64 = 5;
+const COUNTED: [&str; 6] = [
+    "godwit_platform_calls_total",
+    "godwit_requests_total",
+    "godwit_polls_total",
+    "godwit_ledger_forwards_total",
+    "godwit_membership_sent",
+    "godwit_membership_received",
+];
+
+/// A running host: its process and its operator address, as `PID@IP:PORT`.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WatchedHost {
+    pid: u32,
+    operator: SocketAddr,
+}
+
+impl FromStr for WatchedHost {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<WatchedHost, String> {
+        let wrong = || "expected `PID@IP:PORT`".to_string();
+        let (pid, operator) = text.split_once('@').ok_or_else(wrong)?;
+        Ok(WatchedHost {
+            pid: pid.parse().map_err(|_| wrong())?,
+            operator: operator.parse().map_err(|_| wrong())?,
+        })
+    }
+}
+
+/// What is watched.
+#[derive(Clone, Debug)]
+pub(crate) struct WatchPlan {
+    /// The hosts.
+    pub(crate) hosts: Vec<WatchedHost>,
+    /// For how long.
+    pub(crate) duration_s: u64,
+}
+
+/// Counters of a host by their name with labels.
+type Counters = BTreeMap<String, f64>;
+
+struct Sample {
+    at: Instant,
+    process: ProcessUsage,
+    counters: Counters,
+}
+
+/// Watches the hosts and prints what they used, one line of key=value pairs for each host.
+pub(crate) fn run(plan: &WatchPlan) -> Result<(), CtlError> {
+    let before: Result<Vec<Sample>, CtlError> = plan.hosts.iter().map(sample).collect();
+    thread::sleep(Duration::from_secs(plan.duration_s));
+    for (host, before) in plan.hosts.iter().zip(before?) {
+        print(host, &before, &sample(host)?);
+    }
+    Ok(())
+}
+
+fn sample(host: &WatchedHost) -> Result<Sample, CtlError> {
+    let failed = |error: minreq::Error| CtlError::Failed(format!("{}: {error}", host.operator));
+    let request = minreq::get(format!("http://{}/metrics", host.operator));
+    let response = request.with_timeout(ANSWER_TIMEOUT_S).send().map_err(failed)?;
+    let text = response.as_str().map_err(failed)?;
+    let counters = text.lines().filter_map(counter).collect();
+    Ok(Sample { at: Instant::now(), process: ProcessUsage::read(host.pid)?, counters })
+}
+
+fn counter(line: &str) -> Option<(String, f64)> {
+    let (name, value) = line.rsplit_once(' ')?;
+    let is_counted = COUNTED.iter().any(|counted| name.starts_with(counted));
+    Some((name.to_string(), value.parse().ok()?)).filter(|_| is_counted)
+}
+
+fn print(host: &WatchedHost, before: &Sample, after: &Sample) {
+    let seconds = after.at.duration_since(before.at).as_secs_f64();
+    let (old, new) = (before.process, after.process);
+    let processor_ms = new.processor_ms.saturating_sub(old.processor_ms);
+    println!(
+        "host={} seconds={seconds:.1} processor_ms={processor_ms} core_percent={:.2} resident_kib={} \
+         peak_resident_kib={} virtual_kib={} threads={}",
+        host.operator,
+        processor_ms as f64 / seconds / 10.0,
+        new.resident_kib,
+        new.peak_resident_kib,
+        new.virtual_kib,
+        new.threads,
+    );
+    for (name, value) in &after.counters {
+        let count = value - before.counters.get(name).copied().unwrap_or_default();
+        if count > 0.0 {
+            println!("  {name} count={count} per_s={:.2}", count / seconds);
+        }
+    }
+}
--- a/crates/godwit-ctl/src/site/configuration.rs
+++ b/crates/godwit-ctl/src/site/configuration.rs
@@ -85,7 +85,7 @@
 }
 
 /// A workspace of a site with its key.
-pub(super) fn workspace(name: &str, key: &str, now: UnixMs) -> Workspace {
+pub(crate) fn workspace(name: &str, key: &str, now: UnixMs) -> Workspace {
     let kinds = strings(&[Names::KIND, Names::KIND_LOOKUP, Names::KIND_ONCE]);
     let event = Event {
         name: Names::EVENT.to_string(),
@@ -106,7 +106,7 @@
 }
 
 /// The fleet of a site.
-pub(super) fn fleet(models: &[(String, u32)], servers: Vec<BackendServer>) -> Fleet {
+pub(crate) fn fleet(models: &[(String, u32)], servers: Vec<BackendServer>) -> Fleet {
     let model = |(name, layers): &(String, u32)| Model {
         name: name.clone(),
         layers: *layers,
--- a/crates/godwit-ctl/src/site/mod.rs
+++ b/crates/godwit-ctl/src/site/mod.rs
@@ -7,5 +7,6 @@
 
 pub use backends::{EngineSpec, EngineUnit};
 pub use configuration::{Names, WORKSPACE_KEY};
+pub(crate) use configuration::{fleet, workspace};
 pub use ports::FirstPorts;
 pub use start::{Site, SiteSettings};
