Parse only the configuration objects that changed

Cause: each change parsed all objects anew and held two whole views meanwhile. At 740 workspaces a host held more than its budget of 32 MB. Change: a view takes over what was parsed from the same version of an object. Versions grow over the whole store, so a version stands for one value. Ruled out: a store of parsed JSON; the store holds text already.

--- a/crates/godwit-core/src/config/view.rs
+++ b/crates/godwit-core/src/config/view.rs
@@ -9,12 +9,19 @@
 use super::objects::{ObjectKind, object_kind};
 use super::store::{ConfigStore, Stored};
 
+/// An object as parsed from one version of it.
+#[derive(Clone, Debug, Default)]
+struct Parsed<T> {
+    version: u64,
+    value: Arc<T>,
+}
+
 /// The configuration in force on one host.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigView {
-    fleet: Arc<Fleet>,
+    fleet: Parsed<Fleet>,
     has_fleet: bool,
-    workspaces: BTreeMap<String, Arc<Workspace>>,
+    workspaces: BTreeMap<String, Parsed<Workspace>>,
     workspace_by_key: BTreeMap<String, String>,
     unreadable: Vec<String>,
 }
@@ -29,13 +36,13 @@
 }
 
 impl ConfigView {
-    /// Parses what `store` holds; an object that cannot be read keeps its part of `previous`.
+    /// Parses what `store` holds and `previous` does not; an object that cannot be read keeps its part of `previous`.
     pub fn build(store: &ConfigStore, previous: &ConfigView) -> ConfigView {
         let mut view = ConfigView::default();
         for stored in store.iter() {
             view.add(stored, previous);
         }
-        let workspaces = view.workspaces.values();
+        let workspaces = view.workspaces();
         let keys = workspaces.flat_map(|workspace| {
             let by_key = |hash: &String| (hash.to_lowercase(), workspace.name.clone());
             workspace.key_sha256.iter().map(by_key).collect::<Vec<_>>()
@@ -47,33 +54,43 @@
     fn add(&mut self, stored: &Stored, previous: &ConfigView) {
         let Some(text) = &stored.text else { return };
         match object_kind(&stored.name) {
-            ObjectKind::Fleet => self.add_fleet(text, previous),
-            ObjectKind::Workspace(name) => self.add_workspace(name, text, previous),
+            ObjectKind::Fleet => self.add_fleet(stored.version, text, previous),
+            ObjectKind::Workspace(name) => {
+                self.add_workspace(name, stored.version, text, previous);
+            }
             ObjectKind::Other => {}
         }
     }
 
-    fn add_fleet(&mut self, text: &str, previous: &ConfigView) {
+    fn add_fleet(&mut self, version: u64, text: &str, previous: &ConfigView) {
+        self.fleet = previous.fleet.clone();
+        self.has_fleet = previous.has_fleet;
+        if self.has_fleet && self.fleet.version == version {
+            return;
+        }
         match serde_json::from_str::<Fleet>(text) {
             Ok(fleet) => {
-                self.fleet = Arc::new(fleet);
+                self.fleet = Parsed { version, value: Arc::new(fleet) };
                 self.has_fleet = true;
             }
-            Err(_) => {
-                self.fleet = previous.fleet.clone();
-                self.has_fleet = previous.has_fleet;
-                self.unreadable.push("fleet".to_string());
-            }
+            Err(_) => self.unreadable.push("fleet".to_string()),
         }
     }
 
-    fn add_workspace(&mut self, name: &str, text: &str, previous: &ConfigView) {
+    fn add_workspace(&mut self, name: &str, version: u64, text: &str, previous: &ConfigView) {
+        let known = previous.workspaces.get(name);
+        if let Some(known) = known.filter(|known| known.version == version) {
+            self.workspaces.insert(name.to_string(), known.clone());
+            return;
+        }
         let parsed = serde_json::from_str::<Workspace>(text);
         let workspace = match parsed {
-            Ok(workspace) if workspace.name == name => Some(Arc::new(workspace)),
+            Ok(workspace) if workspace.name == name => {
+                Some(Parsed { version, value: Arc::new(workspace) })
+            }
             _ => {
                 self.unreadable.push(format!("workspaces/{name}"));
-                previous.workspaces.get(name).cloned()
+                known.cloned()
             }
         };
         if let Some(workspace) = workspace {
@@ -88,23 +105,23 @@
 
     /// The fleet.
     pub fn fleet(&self) -> &Arc<Fleet> {
-        &self.fleet
+        &self.fleet.value
     }
 
     /// The workspace with this name.
     pub fn workspace(&self, name: &str) -> Option<&Arc<Workspace>> {
-        self.workspaces.get(name)
+        self.workspaces.get(name).map(|parsed| &parsed.value)
     }
 
     /// All workspaces, by name.
     pub fn workspaces(&self) -> impl Iterator<Item = &Arc<Workspace>> {
-        self.workspaces.values()
+        self.workspaces.values().map(|parsed| &parsed.value)
     }
 
     /// The workspace to which a key belongs.
     pub fn workspace_of_key(&self, key: &str) -> Option<&Arc<Workspace>> {
         let name = self.workspace_by_key.get(&key_sha256(key))?;
-        self.workspaces.get(name)
+        self.workspace(name)
     }
 
     /// Objects whose newest version cannot be read.
