Fall silent at once when a host is dropped, end runs in one place, and read the host list less

A dropped host's threads that waited in a call held on to its membership, so that its heartbeats went on for a while after the kill. Also: hosts that are not alone read a host list of 137 KB (at the planned size) each 10 s, more than half of their budget; and the end of a run stood twice. Change: a dropped host halts its heartbeats first; hosts with live neighbours that are no delegates read the list each 60 s; serve/end.rs ends runs of models and services. Host lists of a host that is neither delegate nor alone: 0.1/s before, 1/60 s after by the constant.

--- a/crates/godwit-host/src/membership/driver.rs
+++ b/crates/godwit-host/src/membership/driver.rs
@@ -188,9 +188,16 @@
     }
 }
 
+impl Membership {
+    /// Falls silent without a word to the other hosts, also while others still hold this value.
+    pub fn halt(&self) {
+        self.shared.is_stopping.store(true, Ordering::SeqCst);
+    }
+}
+
 impl Drop for Membership {
     fn drop(&mut self) {
-        self.shared.is_stopping.store(true, Ordering::SeqCst);
+        self.halt();
         for thread in self.threads.drain(..) {
             let _ = thread.join();
         }
--- a/crates/godwit-host/src/node/start.rs
+++ b/crates/godwit-host/src/node/start.rs
@@ -328,6 +328,8 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
+        // Threads that wait in a call hold on to the membership; heartbeats must not go on meanwhile.
+        self.parts.membership.halt();
         self.parts.stop.set();
         for thread in self.threads.drain(..) {
             let _ = thread.join();
--- a/crates/godwit-host/src/node/upkeep.rs
+++ b/crates/godwit-host/src/node/upkeep.rs
@@ -12,9 +12,12 @@
 /// A delegate reads the host list this often.
 const HOST_LIST_MS: u64 = 1_000;
 
-/// Any other host reads the host list this often, to find hosts when it is alone.
+/// A host that knows no other live host reads the host list this often, to find some.
 const LONELY_HOST_LIST_MS: u64 = 10_000;
 
+/// Any other host reads the host list this often, in case that its neighbours do not.
+const BACKSTOP_HOST_LIST_MS: u64 = 60_000;
+
 /// Time between two rounds of upkeep.
 const UPKEEP_MS: u64 = 500;
 
@@ -29,13 +32,20 @@
     pub(super) fn host_list_loop(&self) {
         while !self.stop.is_set() {
             self.read_host_list();
-            let is_delegate = self.membership.is_delegate();
-            let interval_ms = if is_delegate { HOST_LIST_MS } else { LONELY_HOST_LIST_MS };
+            let interval_ms = self.host_list_interval_ms();
             let jitter_ms = rand::rng().random_range(0..=interval_ms / 10);
             self.wait_until(self.clock.now().plus_ms(interval_ms + jitter_ms));
         }
     }
 
+    fn host_list_interval_ms(&self) -> u64 {
+        if self.membership.is_delegate() {
+            return HOST_LIST_MS;
+        }
+        let is_alone = self.membership.live_hosts().len() <= 1;
+        if is_alone { LONELY_HOST_LIST_MS } else { BACKSTOP_HOST_LIST_MS }
+    }
+
     fn read_host_list(&self) {
         match self.platform.hosts() {
             Ok(list) => {
--- a/crates/godwit-host/src/serve/generate.rs
+++ b/crates/godwit-host/src/serve/generate.rs
@@ -1,18 +1,17 @@
 //! Requests that a model answers.
 
-use godwit_caller::{Call, Finish, GenerateAsk, Responder};
-use godwit_core::ledger::Answer;
+use godwit_caller::{Finish, GenerateAsk, Responder};
 use godwit_core::route::PromptPrefix;
 use godwit_core::{Admission, Claimed, Code, Life, Target};
 
-use super::claim::{self, HeldClaim};
+use super::claim;
+use super::end::{Whole, end};
 use super::pipeline::{Admitting, Pipeline};
 use super::source::{Grants, PlacementRetries, PlacementSource};
 use super::split_source::{SplitSource, is_split};
 use super::{replay, report};
 use crate::dispatch::{
-    CallerGone, GenerateJob, GeneratedAnswer, Outcome, Run, ServerSource, TokenSink, Tools,
-    run_generate,
+    CallerGone, GenerateJob, GeneratedAnswer, Run, ServerSource, TokenSink, Tools, run_generate,
 };
 
 /// Passes tokens on to the caller and counts them on the grants in use.
@@ -61,7 +60,7 @@
     };
     let grants = Grants::default();
     let prefixes = PromptPrefix::of_prompt(&ask.prompt);
-    let whole = PlacementSource {
+    let unsplit = PlacementSource {
         placement: &pipeline.parts.placement,
         fleet: &fleet,
         admission: &admission,
@@ -73,10 +72,10 @@
         admission: &admission,
         grants: &grants,
     };
-    let source: &dyn ServerSource = if is_split(&fleet, model) { &split } else { &whole };
+    let source: &dyn ServerSource = if is_split(&fleet, model) { &split } else { &unsplit };
     let run = dispatch(pipeline, life, &job, source, &grants, &mut responder, &admission);
     report::run(&call.request_id, received_at, &run.report);
-    end(call, responder, held, run.outcome);
+    end(call, responder, held, run.outcome, whole);
 }
 
 fn dispatch(
@@ -100,28 +99,8 @@
     run_generate(life, job, &tools, &mut sink)
 }
 
-fn stored(answer: &GeneratedAnswer) -> Answer {
-    replay::stored_tokens(&answer.tokens, &answer.finish_reason.to_string())
-}
-
-fn end(call: &Call, responder: Responder, held: HeldClaim, outcome: Outcome<GeneratedAnswer>) {
-    let finish = match outcome {
-        Outcome::Answered { answer, .. } => {
-            let finish_reason = answer.finish_reason.to_string();
-            held.finish(stored(&answer));
-            Finish::Whole { code: Code::Ok, finish_reason }
-        }
-        Outcome::Late { answer, .. } => {
-            held.finish(stored(&answer));
-            report::failed(Code::LateAnswer, None)
-        }
-        Outcome::NotRun { reply, retry_at } => {
-            held.release();
-            report::failed(reply.code(), retry_at)
-        }
-        Outcome::Unknown(reply) => report::failed(reply.code(), None),
-        Outcome::Incomplete { reply, retry_at, .. } => report::failed(reply.code(), retry_at),
-        Outcome::CallerGone => return report::caller_gone(call),
-    };
-    report::finish(call, responder, &finish);
+fn whole(answer: GeneratedAnswer) -> Whole {
+    let finish_reason = answer.finish_reason.to_string();
+    let stored = replay::stored_tokens(&answer.tokens, &finish_reason);
+    Whole { stored, finish: Finish::Whole { code: Code::Ok, finish_reason } }
 }
--- a/crates/godwit-host/src/serve/mod.rs
+++ b/crates/godwit-host/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! The path of a request: from a call that was read to its answer.
 
 mod claim;
+mod end;
 mod generate;
 mod pipeline;
 mod replay;
--- a/crates/godwit-host/src/serve/service.rs
+++ b/crates/godwit-host/src/serve/service.rs
@@ -4,11 +4,12 @@
 use godwit_core::Code;
 use godwit_service::{Header, ServiceReply};
 
-use super::claim::{self, HeldClaim};
+use super::claim;
+use super::end::{Whole, end};
 use super::pipeline::{Admitting, Pipeline};
 use super::source::{Grants, PlacementRetries, PlacementSource};
 use super::{replay, report};
-use crate::dispatch::{Outcome, ServiceJob, Tools, run_service};
+use crate::dispatch::{ServiceJob, Tools, run_service};
 
 /// First HTTP status by which a server tells of an error of its own.
 const FIRST_SERVER_ERROR: u16 = 500;
@@ -53,7 +54,7 @@
     };
     let run = run_service(life, &job, &tools);
     report::run(&call.request_id, received_at, &run.report);
-    end(call, responder, held, run.outcome);
+    end(call, responder, held, run.outcome, whole);
 }
 
 fn headers(call: &Call, ask: &ServiceAsk) -> Vec<Header> {
@@ -66,32 +67,13 @@
     headers
 }
 
-fn service_answer(reply: ServiceReply) -> (Code, ServiceAnswer) {
+fn whole(reply: ServiceReply) -> Whole {
     let code = if reply.status >= FIRST_SERVER_ERROR { Code::ServerError } else { Code::Ok };
     let header = |header: Header| CallHeader { name: header.name, value: header.value };
     let headers = reply.headers.into_iter().map(header).collect();
-    (code, ServiceAnswer { status: reply.status, headers, body: reply.body })
-}
-
-fn end(call: &Call, responder: Responder, held: HeldClaim, outcome: Outcome<ServiceReply>) {
-    let finish = match outcome {
-        Outcome::Answered { answer, .. } => {
-            let (code, answer) = service_answer(answer);
-            held.finish(replay::stored_service(&answer, code));
-            Finish::Service { code, answer }
-        }
-        Outcome::Late { answer, .. } => {
-            let (code, answer) = service_answer(answer);
-            held.finish(replay::stored_service(&answer, code));
-            report::failed(Code::LateAnswer, None)
-        }
-        Outcome::NotRun { reply, retry_at } => {
-            held.release();
-            report::failed(reply.code(), retry_at)
-        }
-        Outcome::Unknown(reply) => report::failed(reply.code(), None),
-        Outcome::Incomplete { reply, retry_at, .. } => report::failed(reply.code(), retry_at),
-        Outcome::CallerGone => return report::caller_gone(call),
-    };
-    report::finish(call, responder, &finish);
+    let answer = ServiceAnswer { status: reply.status, headers, body: reply.body };
+    Whole {
+        stored: replay::stored_service(&answer, code),
+        finish: Finish::Service { code, answer },
+    }
 }
