--- a/crates/godwit-ctl/src/site/configuration.rs
+++ b/crates/godwit-ctl/src/site/configuration.rs
@@ -69,7 +69,7 @@
         ..Admit::default()
     };
     let lookup = Admit {
-        priority: 5,
+        priority: 9,
         may_use_reserve: true,
         max_tokens: Some(64),
         timeout_ms: Some(LOOKUP_TIMEOUT_MS),
