Compute the fingerprint of a request once

Cause: found by reading the change: each admitted request hashed its whole body twice, once for the quarantine's check and once for its run, on the path of every request. Change: it is computed once and passed on; behaviour is as before. Conclusion: one pass over the body less for each admitted request.

--- a/crates/godwit-host/src/serve/pipeline.rs
+++ b/crates/godwit-host/src/serve/pipeline.rs
@@ -89,15 +89,11 @@
             let models = view.fleet().models.iter().map(|model| model.name.clone()).collect();
             return report::finish(call, responder, &Finish::Models(models));
         }
-        match self.admit(call, &view, workspace) {
+        let fingerprint = fingerprint(&workspace.name, &call.path, &call.body);
+        match self.admit(call, &view, workspace, fingerprint) {
             Ok(admission) => {
-                let admitting = Admitting {
-                    call,
-                    view: &view,
-                    workspace,
-                    fingerprint: fingerprint(&workspace.name, &call.path, &call.body),
-                    life: life.admit(admission),
-                };
+                let life = life.admit(admission);
+                let admitting = Admitting { call, view: &view, workspace, fingerprint, life };
                 self.run(admitting, responder);
             }
             Err(failure) => refuse(call, responder, life, failure),
@@ -121,6 +117,7 @@
         call: &Call,
         view: &ConfigView,
         workspace: &Workspace,
+        fingerprint: u64,
     ) -> Result<Admission, Failure> {
         let kind = call.kind.as_deref();
         let ask = config::Ask {
@@ -136,7 +133,6 @@
         };
         let admitted = config::admit(workspace, view.fleet(), &ask, self.now());
         let admission = admitted.map_err(failure)?;
-        let fingerprint = fingerprint(&workspace.name, &call.path, &call.body);
         if self.parts.crashes.standing(fingerprint, self.now()) == Standing::Quarantined {
             return Err(Failure::code(Code::Quarantined));
         }
