--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -17,6 +17,7 @@
 mod reading;
 pub mod rendezvous;
 pub mod route;
+pub mod site;
 pub mod split;
 pub mod store_budget;
 pub mod stream;
@@ -29,4 +30,4 @@
     Admitted, Answered, Claimed, Dispatched, Life, NeverSent, NotRun, Received, Unknown,
 };
 pub use reading::Reading;
-pub use time::UnixMs;
+pub use time::{SteadyMs, UnixMs};
--- /dev/null
+++ b/crates/godwit-core/src/site/mod.rs
@@ -0,0 +1,25 @@
+//! A site as its router sees it: the configuration in force, the backend servers, where the layers of the model lie,
+//! and the choices made from these for each request.
+
+mod configuration;
+mod health;
+mod layout;
+mod load;
+mod path;
+mod plain;
+mod retry;
+mod roster;
+mod server;
+
+pub use configuration::{
+    CallerLimits, Configuration, KindTraits, ModelTraits, Route, Service, WeightedService, Work,
+    Workspace,
+};
+pub use health::{HealthLimits, ServerHealth};
+pub use layout::{Placement, plan_layout};
+pub use load::{Load, LoadBook, PeerLoads};
+pub use path::{Hop, Path, PathError, PathRequest, find_path};
+pub use plain::choose_server;
+pub use retry::{RetryBudget, RetryLimits};
+pub use roster::{Roster, RosterLimits};
+pub use server::{BackendServer, LayerRange, ServerState};
--- a/crates/godwit-core/src/time.rs
+++ b/crates/godwit-core/src/time.rs
@@ -40,3 +40,35 @@
         now >= self
     }
 }
+
+/// A point on the steady clock of one process, in milliseconds since the process started. It never jumps, and says
+/// nothing to another process.
+///
+/// ```
+/// use godwit_core::SteadyMs;
+/// let deadline = SteadyMs(100).plus_ms(50);
+/// assert!(deadline.is_past(SteadyMs(150)));
+/// assert_eq!(deadline.since_ms(SteadyMs(120)), 30);
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct SteadyMs(pub u64);
+
+impl SteadyMs {
+    /// The end of time, for what has no deadline.
+    pub const NEVER: SteadyMs = SteadyMs(u64::MAX);
+
+    /// The point `ms` milliseconds later.
+    pub fn plus_ms(self, ms: u64) -> SteadyMs {
+        SteadyMs(self.0.saturating_add(ms))
+    }
+
+    /// Milliseconds from `earlier` to this point, 0 when `earlier` is later.
+    pub fn since_ms(self, earlier: SteadyMs) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// Whether this point, as a deadline, has been reached at `now`.
+    pub fn is_past(self, now: SteadyMs) -> bool {
+        now >= self
+    }
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/coordinator.rs
@@ -0,0 +1,345 @@
+//! Orders to servers: which layers each takes. One host orders at a time; the revision of one object of the store is
+//! its fencing number, and a host that loses a conditional update, or is fenced by a server, orders no more until it
+//! holds the object again.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwit_adapter::{
+    Forward, NewObject, ORDER_PATH, Order, OrderReply, REPORT_PATH, ServerReport, decode_object,
+    decode_order_reply, decode_report, encode_forward, encode_object, encode_order, object_path,
+};
+use godwit_core::SteadyMs;
+use godwit_core::site::{BackendServer, ModelTraits, Placement, plan_layout};
+use serde::{Deserialize, Serialize};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
+
+use crate::site::Site;
+use crate::store::StoreClient;
+use crate::wire::{Connection, OutgoingRequest, WireError};
+
+/// Kind and name of the object that the ordering host holds.
+const HOLDER_KIND: &str = "godwit-layout";
+const HOLDER_NAME: &str = "holder";
+
+/// Pause between two looks at the layout.
+const LOOK_PAUSE: Duration = Duration::from_millis(250);
+
+/// How long no new empty server may have come before a first layout is planned, in milliseconds.
+const SETTLE_MS: u64 = 1_500;
+
+/// The same while callers are being served, in milliseconds.
+const SETTLE_SERVING_MS: u64 = 300;
+
+/// How long work must be outstanding before a host takes over from another, in milliseconds.
+const TAKEOVER_MS: u64 = 4_000;
+
+/// Spread of that time over the hosts, in milliseconds.
+const TAKEOVER_SPREAD_MS: u64 = 3_000;
+
+/// Time after an order's expected end at which the server's entry must show it, in milliseconds.
+const ORDER_SLACK_MS: u64 = 3_500;
+
+/// Time after an order that was not answered before it is made again, in milliseconds.
+const UNANSWERED_PAUSE_MS: u64 = 1_500;
+
+const ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Longest answer to an order, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+/// What the holder writes.
+#[derive(Deserialize, Serialize)]
+struct HolderRecord {
+    host: String,
+}
+
+/// What this host knows of the right to order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Right {
+    /// Nothing.
+    Unknown,
+    /// Another host holds the object at a revision.
+    Other { revision: u64 },
+    /// This host holds it.
+    Own { fence: u64 },
+}
+
+struct Coordinator {
+    site: Rc<Site>,
+    store: StoreClient,
+    right: Right,
+    /// Orders in progress, each with the time until which its server is left alone.
+    pending: BTreeMap<String, SteadyMs>,
+    /// Orders that each incarnation has accepted, where more than none.
+    accepted: BTreeMap<(String, u64), u64>,
+    /// Empty servers, each with the time at which it was first seen.
+    empty_since: BTreeMap<(String, u64), SteadyMs>,
+    takeover_spread_ms: u64,
+}
+
+/// Keeps the layout for as long as the process runs.
+pub(crate) async fn coordinate(site: Rc<Site>) {
+    let store = StoreClient::new(site.settings.store_address);
+    let mut coordinator = Coordinator {
+        site,
+        store,
+        right: Right::Unknown,
+        pending: BTreeMap::new(),
+        accepted: BTreeMap::new(),
+        empty_since: BTreeMap::new(),
+        takeover_spread_ms: rand::random::<u64>() % TAKEOVER_SPREAD_MS,
+    };
+    loop {
+        sleep(LOOK_PAUSE).await;
+        coordinator.look().await;
+    }
+}
+
+fn owned(site: &Site, service: &str) -> Vec<BackendServer> {
+    let roster = site.roster.borrow();
+    roster.servers().filter(|server| server.service == service).cloned().collect()
+}
+
+impl Coordinator {
+    async fn look(&mut self) {
+        let Some(configuration) = self.site.configuration() else { return };
+        let now = self.site.now();
+        self.pending.retain(|_, until| !until.is_past(now));
+        for (service, traits) in configuration.services() {
+            if let Some(model) = &traits.model {
+                self.look_at(service, model).await;
+            }
+        }
+    }
+
+    async fn look_at(&mut self, service: &str, model: &ModelTraits) {
+        let servers = owned(&self.site, service);
+        let now = self.site.now();
+        if !self.is_settled(&servers, now) {
+            return;
+        }
+        let refs: Vec<&BackendServer> = servers.iter().collect();
+        let mut plan = plan_layout(model, &refs);
+        plan.retain(|placement| !self.pending.contains_key(&placement.server_id));
+        if plan.is_empty() {
+            return;
+        }
+        if let Some(fence) = self.acquire(now).await {
+            self.order_all(model, &servers, plan, fence).await;
+        }
+    }
+
+    /// Whether the set of empty servers has been still for long enough.
+    fn is_settled(&mut self, servers: &[BackendServer], now: SteadyMs) -> bool {
+        let empty: Vec<(String, u64)> = servers
+            .iter()
+            .filter(|server| server.layers.is_none())
+            .map(|server| (server.id.clone(), server.born_unix_ms))
+            .collect();
+        self.empty_since.retain(|key, _| empty.contains(key));
+        for key in empty {
+            self.empty_since.entry(key).or_insert(now);
+        }
+        let is_serving = servers.iter().any(|server| server.layers.is_some());
+        let settle_ms = if is_serving { SETTLE_SERVING_MS } else { SETTLE_MS };
+        let newest = self.empty_since.values().max();
+        newest.is_some_and(|newest| newest.plus_ms(settle_ms).is_past(now))
+    }
+
+    /// How long the oldest outstanding work has waited.
+    fn waited_ms(&self, now: SteadyMs) -> u64 {
+        self.empty_since.values().min().map_or(0, |oldest| now.since_ms(*oldest))
+    }
+
+    /// The fencing number, if this host may order.
+    async fn acquire(&mut self, now: SteadyMs) -> Option<u64> {
+        let expected_revision = match self.right {
+            Right::Own { fence } => return Some(fence),
+            Right::Unknown => None,
+            Right::Other { revision } => {
+                if self.waited_ms(now) < TAKEOVER_MS + self.takeover_spread_ms {
+                    return None;
+                }
+                Some(revision)
+            }
+        };
+        let record = HolderRecord { host: self.site.settings.host.clone() };
+        let object = NewObject { name: HOLDER_NAME, expected_revision, specification: &record };
+        let body = match encode_object(&object) {
+            Ok(body) => body,
+            Err(error) => {
+                warn!(event = "holder_not_encoded", %error);
+                return None;
+            }
+        };
+        let method = if expected_revision.is_some() { "PUT" } else { "POST" };
+        let path = object_path(HOLDER_KIND, HOLDER_NAME);
+        let reply = self.store.call(method, &path, body, STORE_TIMEOUT).await;
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(error) => {
+                warn!(event = "holder_not_written", %error);
+                return None;
+            }
+        };
+        let object = decode_object(&reply.body);
+        self.right = match (reply.status, object) {
+            (200 | 201, Ok(object)) => Right::Own { fence: object.revision },
+            (409, Ok(object)) => Right::Other { revision: object.revision },
+            (status, _) => {
+                warn!(event = "holder_not_written", status);
+                Right::Unknown
+            }
+        };
+        info!(event = "holder", right = ?self.right);
+        match self.right {
+            Right::Own { fence } => Some(fence),
+            Right::Other { .. } | Right::Unknown => None,
+        }
+    }
+
+    async fn order_all(
+        &mut self,
+        model: &ModelTraits,
+        servers: &[BackendServer],
+        plan: Vec<Placement>,
+        fence: u64,
+    ) {
+        let mut orders = JoinSet::new();
+        let concurrent = plan.len() as u64;
+        let now = self.site.now();
+        for placement in plan {
+            let server = servers.iter().find(|server| server.id == placement.server_id);
+            let Some(server) = server.cloned() else { continue };
+            let share = f64::from(placement.range.len()) / f64::from(model.layers.max(1));
+            let crowding = concurrent.div_ceil(u64::from(model.loads_at_once.max(1)));
+            let load_ms = (model.load_ms as f64 * share) as u64 * crowding;
+            let until = now.plus_ms(load_ms + ORDER_SLACK_MS);
+            self.pending.insert(placement.server_id.clone(), until);
+            let incarnation = (server.id.clone(), server.born_unix_ms);
+            let accepted = self.accepted.get(&incarnation).copied().unwrap_or(0);
+            let order = Order { range: placement.range, fence, expected_orders: Some(accepted) };
+            orders.spawn_local(async move {
+                let result = send_order(&server, &order).await;
+                let is_conflict = matches!(result, Ok(status) if is_conflict(status));
+                let report = if is_conflict { read_report(&server).await } else { None };
+                (server, order, result, report)
+            });
+        }
+        while let Some(joined) = orders.join_next().await {
+            match joined {
+                Ok((server, order, result, report)) => {
+                    self.ordered(&server, &order, &result, report);
+                }
+                Err(error) => warn!(event = "order_task_failed", %error),
+            }
+        }
+    }
+
+    fn ordered(
+        &mut self,
+        server: &BackendServer,
+        order: &Order,
+        result: &Result<u16, WireError>,
+        report: Option<ServerReport>,
+    ) {
+        let reply = result.as_ref().map(|status| decode_order_reply(*status));
+        let range = order.range;
+        info!(
+            event = "order",
+            server = server.id,
+            layers = format!("{}-{}", range.from, range.to),
+            fence = order.fence,
+            expected_orders = order.expected_orders,
+            outcome = ?reply,
+            ?report,
+        );
+        let incarnation = (server.id.clone(), server.born_unix_ms);
+        let retry_at = self.site.now().plus_ms(UNANSWERED_PAUSE_MS);
+        match reply {
+            Ok(OrderReply::Begun) => {
+                *self.accepted.entry(incarnation).or_default() += 1;
+            }
+            Ok(OrderReply::Done) => {}
+            Ok(OrderReply::Fenced) => {
+                self.right = Right::Unknown;
+                self.pending.remove(&server.id);
+            }
+            Ok(OrderReply::Conflict) => {
+                let Some(report) = report else {
+                    self.pending.insert(server.id.clone(), retry_at);
+                    return;
+                };
+                self.accepted.insert(incarnation, report.orders_accepted);
+                if !report.is_busy && report.layers.is_none() {
+                    self.pending.insert(server.id.clone(), retry_at);
+                }
+            }
+            Ok(OrderReply::OtherServer | OrderReply::Refused) | Err(_) => {
+                self.pending.insert(server.id.clone(), retry_at);
+            }
+        }
+    }
+}
+
+fn is_conflict(status: u16) -> bool {
+    decode_order_reply(status) == OrderReply::Conflict
+}
+
+/// What the server says of itself, none when it does not answer.
+async fn read_report(server: &BackendServer) -> Option<ServerReport> {
+    let exchange = call_server(server, "GET", REPORT_PATH, Bytes::new());
+    let body = match timeout(ORDER_TIMEOUT, exchange).await {
+        Ok(Ok((_, body))) => body,
+        Ok(Err(error)) => {
+            warn!(event = "report_not_read", server = server.id, %error);
+            return None;
+        }
+        Err(_) => {
+            warn!(event = "report_not_read", server = server.id, error = "timeout");
+            return None;
+        }
+    };
+    decode_report(&body)
+        .inspect_err(|error| warn!(event = "report_unreadable", server = server.id, %error))
+        .ok()
+}
+
+async fn send_order(server: &BackendServer, order: &Order) -> Result<u16, WireError> {
+    let exchange = call_server(server, "POST", ORDER_PATH, Bytes::from(encode_order(order)));
+    let answer = timeout(ORDER_TIMEOUT, exchange).await.unwrap_or(Err(WireError::TimedOut));
+    answer.map(|(status, _)| status)
+}
+
+/// One call of a server's own interface, on a connection of its own.
+async fn call_server(
+    server: &BackendServer,
+    method: &str,
+    target: &str,
+    body: Bytes,
+) -> Result<(u16, Bytes), WireError> {
+    let mut connection = Connection::open(server.address).await?;
+    let forward = Forward {
+        time_left_ms: None,
+        server_id: &server.id,
+        workspace: None,
+        hops: &[],
+        rank: None,
+        last_event_id: None,
+    };
+    let added = encode_forward(&forward);
+    let host = server.address.to_string();
+    let mut headers: Vec<(&str, &[u8])> =
+        vec![("host", host.as_bytes()), ("content-type", b"application/json")];
+    headers.extend(added.iter().map(|(name, value)| (*name, value.as_bytes())));
+    let request = OutgoingRequest { method, target, headers, body };
+    let head = connection.exchange(&request).await?;
+    let body = connection.read_body(MAX_ANSWER_BYTES).await?;
+    Ok((head.status, body))
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/followers.rs
@@ -0,0 +1,134 @@
+//! What a host takes from the store: the configuration and the backend servers.
+
+use godwit_adapter::{
+    CONFIGURATION_KIND, CONFIGURATION_NAME, Change, Object, SERVERS_KIND, decode_configuration,
+    decode_server,
+};
+use godwit_core::site::BackendServer;
+use tracing::{error, info, warn};
+
+use crate::site::Site;
+use crate::store::Follower;
+
+/// Follows the configuration.
+pub(crate) struct ConfigurationFollower;
+
+impl ConfigurationFollower {
+    fn take(site: &Site, object: &Object) {
+        if object.name != CONFIGURATION_NAME {
+            return;
+        }
+        match decode_configuration(&object.specification) {
+            Ok(configuration) => site.set_configuration(configuration),
+            Err(error) => {
+                error!(event = "configuration_unreadable", revision = object.revision, %error);
+            }
+        }
+    }
+}
+
+impl Follower for ConfigurationFollower {
+    fn kind(&self) -> &str {
+        CONFIGURATION_KIND
+    }
+
+    fn replace(&mut self, site: &Site, objects: Vec<Object>) {
+        objects.iter().for_each(|object| ConfigurationFollower::take(site, object));
+    }
+
+    fn change(&mut self, site: &Site, change: Change) {
+        match change {
+            Change::Put(object) => ConfigurationFollower::take(site, &object),
+            Change::Removed { name } => warn!(event = "configuration_removed", name),
+            Change::Unreadable => error!(event = "configuration_unreadable"),
+        }
+    }
+}
+
+/// Follows the backend servers.
+pub(crate) struct ServerFollower;
+
+impl ServerFollower {
+    fn decode(object: &Object) -> Option<BackendServer> {
+        match decode_server(&object.name, &object.specification) {
+            Ok(server) => Some(server),
+            Err(error) => {
+                warn!(event = "server_unreadable", server = object.name, %error);
+                None
+            }
+        }
+    }
+
+    fn update(site: &Site, server: BackendServer) {
+        let mut roster = site.roster.borrow_mut();
+        let known = roster.get(&server.id);
+        let is_restarted = known.is_some_and(|known| known.is_restarted_as(&server));
+        if is_restarted {
+            site.health.borrow_mut().forget(&server.id);
+            site.pool.borrow_mut().forget(&server.id);
+        }
+        let layers =
+            server.layers.map_or_else(String::new, |range| format!("{}-{}", range.from, range.to));
+        info!(
+            event = "server",
+            server = server.id,
+            service = server.service,
+            state = ?server.state,
+            domain = server.failure_domain,
+            kind = server.kind,
+            layers,
+            born_unix_ms = server.born_unix_ms,
+            heartbeats = server.heartbeats,
+            restarted = is_restarted,
+        );
+        roster.update(server);
+    }
+}
+
+impl Follower for ServerFollower {
+    fn kind(&self) -> &str {
+        SERVERS_KIND
+    }
+
+    fn replace(&mut self, site: &Site, objects: Vec<Object>) {
+        let servers: Vec<BackendServer> =
+            objects.iter().filter_map(ServerFollower::decode).collect();
+        info!(event = "servers_listed", servers = servers.len());
+        let before: Vec<String> =
+            site.roster.borrow().servers().map(|server| server.id.clone()).collect();
+        site.roster.borrow_mut().replace(servers, site.now());
+        for id in before {
+            if site.roster.borrow().get(&id).is_none() {
+                site.server_gone(&id);
+            }
+        }
+    }
+
+    fn change(&mut self, site: &Site, change: Change) {
+        match change {
+            Change::Put(object) => match ServerFollower::decode(&object) {
+                Some(server) => ServerFollower::update(site, server),
+                None => ServerFollower::remove(site, &object.name),
+            },
+            Change::Removed { name } => ServerFollower::remove(site, &name),
+            Change::Unreadable => warn!(event = "server_unreadable"),
+        }
+    }
+
+    fn lost(&mut self, site: &Site) {
+        site.roster.borrow_mut().store_lost();
+    }
+
+    fn regained(&mut self, site: &Site) {
+        site.roster.borrow_mut().store_regained(site.now());
+    }
+}
+
+impl ServerFollower {
+    fn remove(site: &Site, id: &str) {
+        site.roster.borrow_mut().remove(id, site.now());
+        if site.roster.borrow().get(id).is_none() {
+            site.server_gone(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/forward/answer.rs
@@ -0,0 +1,103 @@
+//! Answers to callers.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+
+use bytes::Bytes;
+use godwit_core::Code;
+use http::{HeaderName, HeaderValue, Response, StatusCode};
+use http_body_util::{Full, StreamBody};
+use hyper::body::Frame;
+
+use crate::wire::{ReplyHead, is_connection_header};
+
+/// Ends a body early, so that the caller sees that it is not whole.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer could not be completed")]
+pub(crate) struct Incomplete;
+
+/// Pieces of a body as they come.
+pub(crate) type Pieces =
+    Pin<Box<dyn futures_util::Stream<Item = Result<Frame<Bytes>, Incomplete>>>>;
+
+/// Body of an answer.
+pub(crate) type ReplyBody = LocalBody;
+
+/// A body that stays on the thread of the event loop.
+pub(crate) enum LocalBody {
+    /// All of it is known.
+    Whole(Full<Bytes>),
+    /// It is sent as it comes.
+    Streamed(StreamBody<Pieces>),
+}
+
+impl hyper::body::Body for LocalBody {
+    type Data = Bytes;
+    type Error = Incomplete;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, Incomplete>>> {
+        match self.get_mut() {
+            LocalBody::Whole(body) => {
+                Pin::new(body).poll_frame(context).map_err(|never: Infallible| match never {})
+            }
+            LocalBody::Streamed(body) => Pin::new(body).poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            LocalBody::Whole(body) => body.is_end_stream(),
+            LocalBody::Streamed(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        match self {
+            LocalBody::Whole(body) => body.size_hint(),
+            LocalBody::Streamed(body) => body.size_hint(),
+        }
+    }
+}
+
+/// An answer of the host itself.
+pub(crate) fn own_answer(code: Code, return_after_ms: Option<u64>) -> Response<ReplyBody> {
+    let status = StatusCode::from_u16(code.http_status());
+    let body = format!("{{\"code\":{},\"type\":\"{}\"}}", code.number(), code.name());
+    let mut response = Response::new(LocalBody::Whole(Full::new(Bytes::from(body))));
+    *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(ms) = return_after_ms {
+        let seconds = format!("{}.{:03}", ms / 1_000, ms % 1_000);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(http::header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// A server's answer, unchanged but for what concerns its connection.
+pub(crate) fn server_answer(head: &ReplyHead, body: LocalBody) -> Response<ReplyBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for (name, value) in head.header_pairs().filter(|(name, _)| !is_connection_header(name)) {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(value)) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
+
+/// A body that is known whole.
+pub(crate) fn whole(body: Bytes) -> LocalBody {
+    LocalBody::Whole(Full::new(body))
+}
+
+/// A body that is sent as it comes.
+pub(crate) fn streamed(pieces: Pieces) -> LocalBody {
+    LocalBody::Streamed(StreamBody::new(pieces))
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -0,0 +1,198 @@
+//! One attempt at one server: the request on the wire, and what its answer says.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwit_adapter::{Forward, ServerHead, decode_server_head, encode_forward, is_replaced_header};
+use godwit_core::{NeverSent, SteadyMs};
+use tokio::time::{timeout, timeout_at};
+
+use super::admit::Granted;
+use super::target::Destination;
+use crate::site::Site;
+use crate::wire::{Connection, OutgoingRequest, ReplyHead, WireError, is_connection_header};
+
+/// Longest time to open a connection to a server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest answer that is held whole, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// Answers to other requests that are skipped on one connection.
+const MAX_STRAY_ANSWERS: u32 = 3;
+
+/// Work in progress on the servers of an attempt, for as long as it lives.
+pub(crate) struct InProgress {
+    site: Rc<Site>,
+    destination: Destination,
+}
+
+impl InProgress {
+    pub(crate) fn start(site: &Rc<Site>, destination: &Destination) -> InProgress {
+        let mut loads = site.loads.borrow_mut();
+        for id in destination.server_ids() {
+            loads.start(id, destination.load);
+        }
+        InProgress { site: site.clone(), destination: destination.clone() }
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        let mut loads = self.site.loads.borrow_mut();
+        for id in self.destination.server_ids() {
+            loads.end(id, self.destination.load);
+        }
+    }
+}
+
+/// An attempt whose answer has begun.
+pub(crate) struct Answering {
+    pub(crate) head: ReplyHead,
+    pub(crate) server: ServerHead,
+    pub(crate) connection: Connection,
+    pub(crate) in_progress: InProgress,
+}
+
+/// An attempt that brought no answer.
+pub(crate) enum AttemptError {
+    /// Nothing reached the server, or it says that it did not run the request.
+    NotRun { proof: NeverSent, cause: String, faulty_server: Option<String>, is_full: bool },
+    /// The server may have run it.
+    Unknown { error: WireError },
+}
+
+fn time_left_ms(site: &Site, granted: &Granted) -> u64 {
+    granted.answer_deadline.since_ms(site.now()).max(1)
+}
+
+async fn connect(site: &Site, destination: &Destination) -> Result<Connection, WireError> {
+    let pooled = site.pool.borrow_mut().take(&destination.server_id, site.now());
+    if let Some(connection) = pooled {
+        return Ok(connection);
+    }
+    metrics::counter!("server_connections_total").increment(1);
+    timeout(CONNECT_TIMEOUT, Connection::open(destination.address))
+        .await
+        .unwrap_or_else(|_| Err(WireError::Connect(std::io::ErrorKind::TimedOut.into())))
+}
+
+/// Reads heads until one answers this request; others belong to earlier ones and are skipped.
+async fn own_head(
+    connection: &mut Connection,
+    request: &OutgoingRequest<'_>,
+    request_id: &str,
+) -> Result<(ReplyHead, ServerHead), WireError> {
+    let mut head = connection.exchange(request).await?;
+    for _ in 0..MAX_STRAY_ANSWERS {
+        let server = decode_server_head(head.header_pairs());
+        let is_success = (200..300).contains(&head.status);
+        match &server.request_id {
+            Some(id) if id != request_id => {}
+            None if is_success && !request_id.is_empty() => return Err(WireError::NotHttp),
+            _ if is_success && !server.is_stamped => return Err(WireError::NotHttp),
+            _ => return Ok((head, server)),
+        }
+        metrics::counter!("stray_answers_total").increment(1);
+        connection.read_body(MAX_ANSWER_BYTES).await?;
+        head = connection.next_head(request.method == "HEAD").await?;
+    }
+    Err(WireError::NotHttp)
+}
+
+/// Sends the request and waits for the head of its answer until `head_deadline`.
+pub(crate) async fn send(
+    site: &Rc<Site>,
+    granted: &Granted,
+    destination: &Destination,
+    last_event_id: Option<u64>,
+    head_deadline: SteadyMs,
+) -> Result<Answering, AttemptError> {
+    let in_progress = InProgress::start(site, destination);
+    let never_sent = |error: &WireError| AttemptError::NotRun {
+        proof: NeverSent::connect_failed(),
+        cause: error.to_string(),
+        faulty_server: Some(destination.server_id.clone()),
+        is_full: false,
+    };
+    let mut connection = connect(site, destination).await.map_err(|error| never_sent(&error))?;
+    let forward = Forward {
+        time_left_ms: Some(time_left_ms(site, granted)),
+        server_id: &destination.server_id,
+        workspace: granted.workspace.as_deref(),
+        hops: &destination.hops,
+        rank: None,
+        last_event_id,
+    };
+    let added = encode_forward(&forward);
+    let kept = granted.parts.headers.iter().filter(|(name, _)| {
+        !is_connection_header(name.as_str()) && !is_replaced_header(name.as_str())
+    });
+    let mut headers: Vec<(&str, &[u8])> =
+        kept.map(|(name, value)| (name.as_str(), value.as_bytes())).collect();
+    headers.extend(added.iter().map(|(name, value)| (*name, value.as_bytes())));
+    let request = OutgoingRequest {
+        method: granted.parts.method.as_str(),
+        target: granted.target(),
+        headers,
+        body: granted.body.clone(),
+    };
+    let answer = own_head(&mut connection, &request, &granted.head.request_id);
+    let result = timeout_at(site.clock.instant(head_deadline), answer).await;
+    let (head, server) = match result {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) if error.is_never_sent() => return Err(never_sent(&error)),
+        Ok(Err(error)) => return Err(AttemptError::Unknown { error }),
+        Err(_) => return Err(AttemptError::Unknown { error: WireError::TimedOut }),
+    };
+    let says_not_run = server.is_not_executed || head.status == 421;
+    if says_not_run {
+        let faulty = server.faulty_address;
+        let faulty_server = match faulty {
+            Some(address) => destination.server_at(address).map(str::to_string),
+            None if head.status == 421 => Some(destination.server_id.clone()),
+            None => None,
+        };
+        let cause = format!("status {}", head.status);
+        let is_full = faulty_server.is_none();
+        finish(site, destination, connection, &head).await;
+        let proof = NeverSent::refused_by_server();
+        return Err(AttemptError::NotRun { proof, cause, faulty_server, is_full });
+    }
+    Ok(Answering { head, server, connection, in_progress })
+}
+
+/// Reads what is left of an answer that is not passed on, to keep the connection.
+async fn finish(
+    site: &Site,
+    destination: &Destination,
+    mut connection: Connection,
+    head: &ReplyHead,
+) {
+    let rest = timeout(CONNECT_TIMEOUT, connection.read_body(MAX_ANSWER_BYTES)).await;
+    if matches!(rest, Ok(Ok(_))) {
+        keep(site, destination, connection, head);
+    }
+}
+
+/// Keeps the connection for another request.
+pub(crate) fn keep(
+    site: &Site,
+    destination: &Destination,
+    connection: Connection,
+    head: &ReplyHead,
+) {
+    let now = site.now();
+    site.pool.borrow_mut().put(&destination.server_id, connection, head.keep_alive_ms, now);
+}
+
+/// Reads the whole body of an answer by a deadline.
+pub(crate) async fn whole_body(
+    site: &Site,
+    answering: &mut Answering,
+    deadline: SteadyMs,
+) -> Result<Bytes, WireError> {
+    let body = answering.connection.read_body(MAX_ANSWER_BYTES);
+    timeout_at(site.clock.instant(deadline), body).await.map_err(|_| WireError::TimedOut)?
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/forward/call.rs
@@ -0,0 +1,287 @@
+//! A request from its head to the start of its final answer.
+
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use godwit_core::{Claimed, Code, Life, SteadyMs};
+use http::{Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tracing::info;
+
+use super::admit::{Asked, Granted, admit};
+use super::answer::{ReplyBody, own_answer, server_answer, whole};
+use super::attempt::{Answering, AttemptError, keep, send, whole_body};
+use super::stream::relay;
+use super::target::{Destination, choose};
+use crate::site::Site;
+use crate::wire::WireError;
+
+/// Longest body while no configuration tells a limit, in bytes.
+const DEFAULT_BODY_BYTES: usize = 1 << 20;
+
+/// Factor on a call's latency target after which another server is tried, where that is allowed.
+const SLOW_CALL_FACTOR: u64 = 3;
+
+/// Earliest return that a refused caller is told, in milliseconds.
+const RETURN_AFTER_MS: u64 = 250;
+
+/// Spread of the time of return, in milliseconds, so that refused callers do not come back together.
+const RETURN_SPREAD_MS: u64 = 250;
+
+/// Counts a request for as long as it is being answered.
+pub(crate) struct Counted(Rc<Site>);
+
+impl Counted {
+    pub(crate) fn new(site: &Rc<Site>) -> Counted {
+        count(&site.requests_in_progress, |requests| requests + 1);
+        Counted(site.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        count(&self.0.requests_in_progress, |requests| requests.saturating_sub(1));
+    }
+}
+
+fn count(cell: &Cell<usize>, change: impl FnOnce(usize) -> usize) {
+    cell.set(change(cell.get()));
+}
+
+/// Answers one request.
+pub(crate) async fn serve(
+    site: Rc<Site>,
+    request: Request<Incoming>,
+) -> Result<Response<ReplyBody>, std::convert::Infallible> {
+    let counted = Counted::new(&site);
+    let received = site.now();
+    let (parts, body) = request.into_parts();
+    let asked = Asked::new(parts, received);
+    let limits = site.configuration().map(|configuration| configuration.limits());
+    let max_bytes = limits.map_or(DEFAULT_BODY_BYTES, |limits| limits.body_bytes);
+    let body = match Limited::new(body, max_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            let is_too_long = error.downcast_ref::<LengthLimitError>().is_some();
+            let code = if is_too_long { Code::BodyTooLong } else { Code::BadFraming };
+            return Ok(refuse(&site, &asked.head.request_id, "", code, received));
+        }
+    };
+    match admit(&site, asked, body) {
+        Ok(granted) => Ok(forward(&site, granted, counted).await),
+        Err((asked, code)) => {
+            Ok(refuse(&site, &asked.head.request_id, asked.parts.uri.path(), code, received))
+        }
+    }
+}
+
+/// Logs and answers a request that this host gives up on.
+fn refuse(
+    site: &Site,
+    request_id: &str,
+    service: &str,
+    code: Code,
+    received: SteadyMs,
+) -> Response<ReplyBody> {
+    let after_ms = site.now().since_ms(received);
+    info!(event = "refused", request = request_id, service, code = code.name(), after_ms);
+    metrics::counter!("refused_total", "code" => code.name()).increment(1);
+    let return_after_ms =
+        code.retry_can_help().then(|| RETURN_AFTER_MS + rand::random::<u64>() % RETURN_SPREAD_MS);
+    own_answer(code, return_after_ms)
+}
+
+/// What the attempts so far leave of a request.
+enum Standing {
+    /// No server can have run it.
+    Unsent(Life<Claimed>),
+    /// Some server may have run it, and it may run again.
+    MayHaveRun,
+}
+
+/// An attempt's result, as the loop over attempts needs it.
+enum Step {
+    Final(Response<ReplyBody>),
+    Again { standing: Standing, code: Code, avoided: Option<String>, wants_budget: bool },
+}
+
+async fn forward(site: &Rc<Site>, granted: Granted, counted: Counted) -> Response<ReplyBody> {
+    let granted = Rc::new(granted);
+    let request_id = granted.head.request_id.clone();
+    let admission = granted.admission(site);
+    let mut standing = Standing::Unsent(Life::received(&request_id).admit(admission).claimed());
+    let mut avoided = BTreeSet::new();
+    let mut runs = 0;
+    let mut code = Code::NoServer;
+    let mut counted = Some(counted);
+    site.first_send(&granted.service);
+    for attempt in 1.. {
+        if granted.answer_deadline.is_past(site.now()) || runs >= granted.max_attempts {
+            break;
+        }
+        let destination = match choose(site, &granted, &avoided) {
+            Ok(destination) => destination,
+            Err(reason) => {
+                code = if attempt == 1 { reason } else { code };
+                break;
+            }
+        };
+        info!(
+            event = "dispatch",
+            request = request_id,
+            attempt,
+            service = granted.service,
+            path = destination.log_text(),
+            expected_first_ms = destination.first_event_ms.round(),
+            expected_gap_ms = destination.event_gap_ms.round(),
+            left_ms = granted.answer_deadline.since_ms(site.now()),
+            version = granted.configuration.version(),
+        );
+        let is_last = runs + 1 >= granted.max_attempts;
+        match try_once(site, &granted, &destination, standing, is_last, &mut counted).await {
+            Step::Final(response) => return response,
+            Step::Again { standing: left, code: cause, avoided: server, wants_budget } => {
+                code = cause;
+                runs += u32::from(matches!(left, Standing::MayHaveRun));
+                standing = left;
+                avoided.extend(server);
+                if wants_budget && !site.try_retry(&granted.service) {
+                    info!(
+                        event = "retry_budget_spent",
+                        request = request_id,
+                        service = granted.service
+                    );
+                    break;
+                }
+            }
+        }
+    }
+    let is_late = granted.answer_deadline.is_past(site.now());
+    let code = match standing {
+        Standing::Unsent(life) => life.refuse(if is_late { Code::TooLate } else { code }).code(),
+        Standing::MayHaveRun if is_late => Code::TimedOut,
+        Standing::MayHaveRun => Code::OutcomeUnknown,
+    };
+    refuse(site, &request_id, &granted.service, code, granted.received)
+}
+
+/// When the head of an attempt's answer is due: sooner where another attempt may follow.
+fn head_deadline(site: &Site, granted: &Granted, is_last: bool) -> SteadyMs {
+    if granted.work.is_stream() || !granted.work.may_run_again() || is_last {
+        return granted.answer_deadline;
+    }
+    let patience_ms = SLOW_CALL_FACTOR * granted.target_latency_ms;
+    site.now().plus_ms(patience_ms).min(granted.answer_deadline)
+}
+
+async fn try_once(
+    site: &Rc<Site>,
+    granted: &Rc<Granted>,
+    destination: &Destination,
+    standing: Standing,
+    is_last: bool,
+    counted: &mut Option<Counted>,
+) -> Step {
+    let sent_at = site.now();
+    let dispatched = match standing {
+        Standing::Unsent(life) => Some(life.dispatch()),
+        Standing::MayHaveRun => None,
+    };
+    let deadline = head_deadline(site, granted, is_last);
+    let sent = send(site, granted, destination, granted.head.last_event_id, deadline).await;
+    let answering = match sent {
+        Ok(answering) => answering,
+        Err(AttemptError::NotRun { proof, cause, faulty_server, is_full }) => {
+            log_failed_attempt(granted, destination, &cause, true);
+            if let Some(id) = &faulty_server {
+                site.server_failed(id, &cause);
+            }
+            let standing = match dispatched {
+                Some(life) => Standing::Unsent(life.never_sent(proof)),
+                None => Standing::MayHaveRun,
+            };
+            let avoided = faulty_server.or_else(|| Some(destination.server_id.clone()));
+            let code = if is_full { Code::Overloaded } else { Code::ServersRefused };
+            return Step::Again { standing, code, avoided, wants_budget: true };
+        }
+        Err(AttemptError::Unknown { error }) => {
+            return after_break(site, granted, destination, &error);
+        }
+    };
+    let latency_ms = site.now().since_ms(sent_at);
+    metrics::histogram!("head_latency_ms", "service" => granted.service.clone())
+        .record(latency_ms as f64);
+    if destination.hops.is_empty() {
+        site.health.borrow_mut().answered(&destination.server_id, latency_ms);
+    }
+    let is_stream = granted.work.is_stream() && answering.head.status == 200;
+    if is_stream {
+        let counted = counted.take();
+        return Step::Final(relay(site, granted, destination.clone(), answering, counted));
+    }
+    whole_answer(site, granted, destination, answering).await
+}
+
+async fn whole_answer(
+    site: &Rc<Site>,
+    granted: &Granted,
+    destination: &Destination,
+    mut answering: Answering,
+) -> Step {
+    match whole_body(site, &mut answering, granted.answer_deadline).await {
+        Ok(body) => {
+            let Answering { head, connection, .. } = answering;
+            keep(site, destination, connection, &head);
+            log_answered(site, granted, destination, head.status);
+            Step::Final(server_answer(&head, whole(body)))
+        }
+        Err(error) => after_break(site, granted, destination, &error),
+    }
+}
+
+/// An attempt broke after it was sent: it is over for work that must not run again.
+fn after_break(
+    site: &Site,
+    granted: &Granted,
+    destination: &Destination,
+    error: &WireError,
+) -> Step {
+    let cause = error.to_string();
+    log_failed_attempt(granted, destination, &cause, false);
+    if destination.hops.is_empty() {
+        site.server_failed(&destination.server_id, &cause);
+    }
+    let is_late = granted.answer_deadline.is_past(site.now());
+    let code = if is_late { Code::TimedOut } else { Code::OutcomeUnknown };
+    if granted.work.may_run_again() && !is_late {
+        let avoided = Some(destination.server_id.clone());
+        return Step::Again { standing: Standing::MayHaveRun, code, avoided, wants_budget: true };
+    }
+    let request_id = &granted.head.request_id;
+    Step::Final(refuse(site, request_id, &granted.service, code, granted.received))
+}
+
+fn log_failed_attempt(granted: &Granted, destination: &Destination, cause: &str, not_run: bool) {
+    info!(
+        event = "attempt_failed",
+        request = granted.head.request_id,
+        server = destination.server_id,
+        cause,
+        not_run,
+    );
+}
+
+/// Logs a request whose final answer is a server's.
+pub(super) fn log_answered(site: &Site, granted: &Granted, destination: &Destination, status: u16) {
+    let after_ms = site.now().since_ms(granted.received);
+    info!(
+        event = "answered",
+        request = granted.head.request_id,
+        server = destination.server_id,
+        status,
+        after_ms,
+    );
+    metrics::counter!("answered_total", "status" => status.to_string()).increment(1);
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/forward/events.rs
@@ -0,0 +1,27 @@
+//! Events of a stream, cut at their ends.
+
+use bytes::{Bytes, BytesMut};
+
+const EVENT_END: &[u8] = b"\n\n";
+
+/// Takes all whole events from the buffer, without those that the caller has: of a run that goes on after another,
+/// events up to `last_event_id` are dropped.
+pub(super) fn take_events(buffer: &mut BytesMut, last_event_id: &mut Option<u64>) -> Bytes {
+    let mut taken = BytesMut::new();
+    while let Some(at) = buffer.windows(EVENT_END.len()).position(|window| window == EVENT_END) {
+        let event = buffer.split_to(at + EVENT_END.len());
+        let id = event_id(&event);
+        let is_known = matches!((id, *last_event_id), (Some(id), Some(last)) if id <= last);
+        if !is_known {
+            *last_event_id = id.or(*last_event_id);
+            taken.extend_from_slice(&event);
+        }
+    }
+    taken.freeze()
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|byte| *byte == b'\n');
+    let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/forward/mod.rs
@@ -0,0 +1,11 @@
+//! The path of a request: from a caller's head to its final answer.
+
+mod admit;
+mod answer;
+mod attempt;
+mod call;
+mod events;
+mod stream;
+mod target;
+
+pub(crate) use call::serve;
--- /dev/null
+++ b/crates/godwit-gateway/src/forward/target.rs
@@ -0,0 +1,118 @@
+//! The server or path that an attempt goes to.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use godwit_core::Code;
+use godwit_core::site::{Hop, Load, PathError, PathRequest, choose_server, find_path};
+
+use super::admit::Granted;
+use crate::site::Site;
+
+/// Where an attempt goes.
+#[derive(Clone, Debug)]
+pub(crate) struct Destination {
+    /// The server that takes the request.
+    pub(crate) server_id: String,
+    pub(crate) address: SocketAddr,
+    /// Stages of a split model, the first server among them; empty for a plain service.
+    pub(crate) hops: Vec<Hop>,
+    /// What the attempt adds to each server.
+    pub(crate) load: Load,
+    /// Expected time to the first event in milliseconds, 0 for a plain service.
+    pub(crate) first_event_ms: f64,
+    /// Expected time between events in milliseconds, 0 for a plain service.
+    pub(crate) event_gap_ms: f64,
+}
+
+impl Destination {
+    /// All servers that the attempt uses.
+    pub(crate) fn server_ids(&self) -> Vec<&str> {
+        if self.hops.is_empty() {
+            return vec![&self.server_id];
+        }
+        self.hops.iter().map(|hop| hop.server_id.as_str()).collect()
+    }
+
+    /// The server of a stage that listens at an address.
+    pub(crate) fn server_at(&self, address: SocketAddr) -> Option<&str> {
+        let hop = self.hops.iter().find(|hop| hop.address == address);
+        hop.map(|hop| hop.server_id.as_str())
+    }
+
+    /// Servers for the log, in order.
+    pub(crate) fn log_text(&self) -> String {
+        if self.hops.is_empty() {
+            return self.server_id.clone();
+        }
+        let stages = self
+            .hops
+            .iter()
+            .map(|hop| format!("{}:{}-{}", hop.server_id, hop.range.from, hop.range.to));
+        stages.collect::<Vec<_>>().join(",")
+    }
+}
+
+/// Tokens that an answer is expected to have: the caller's guess within its bound, else the usual length.
+fn expected_answer_tokens(granted: &Granted, usual: u64) -> u64 {
+    let most = granted.head.max_answer_tokens.unwrap_or(u64::MAX);
+    granted.head.hinted_answer_tokens.unwrap_or(usual).min(most).max(1)
+}
+
+/// Chooses a server or path, leaving out `avoided` and those that failed lately.
+pub(crate) fn choose(
+    site: &Site,
+    granted: &Granted,
+    avoided: &BTreeSet<String>,
+) -> Result<Destination, Code> {
+    let mut left_out = site.health.borrow().ejected(site.now());
+    left_out.extend(avoided.iter().cloned());
+    let service = granted.configuration.service(&granted.service).ok_or(Code::NoServer)?;
+    let roster = site.roster.borrow();
+    let loads = site.loads.borrow();
+    let Some(model) = &service.model else {
+        let health = site.health.borrow();
+        let server = choose_server(
+            roster.servers(),
+            &loads,
+            &granted.service,
+            &site.settings.failure_domain,
+            &left_out,
+            |id| health.latency_ms(id),
+            granted.seed,
+        );
+        let server = server.ok_or(Code::NoServer)?;
+        return Ok(Destination {
+            server_id: server.id.clone(),
+            address: server.address,
+            hops: Vec::new(),
+            load: Load { requests: 1, kv_tokens: 0 },
+            first_event_ms: 0.0,
+            event_gap_ms: 0.0,
+        });
+    };
+    let prompt_tokens = granted.head.prompt_tokens.unwrap_or(model.usual_prompt_tokens);
+    let answer_tokens = expected_answer_tokens(granted, model.usual_answer_tokens);
+    let request = PathRequest {
+        service: &granted.service,
+        prompt_tokens,
+        answer_tokens,
+        home_domain: &site.settings.failure_domain,
+        avoided: &left_out,
+        seed: granted.seed,
+    };
+    let path =
+        find_path(model, roster.servers(), &loads, &request).map_err(|error| match error {
+            PathError::LayerMissing => Code::NoServer,
+            PathError::NoRoom => Code::Overloaded,
+        })?;
+    let first = path.hops.first().ok_or(Code::NoServer)?;
+    Ok(Destination {
+        server_id: first.server_id.clone(),
+        address: first.address,
+        load: Load { requests: 1, kv_tokens: prompt_tokens + answer_tokens },
+        first_event_ms: path.first_event_ms,
+        event_gap_ms: path.event_gap_ms,
+        hops: path.hops,
+    })
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/front.rs
@@ -0,0 +1,146 @@
+//! Connections of callers, of the platform's readiness checks and of metrics collectors.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwit_adapter::READINESS_PATH;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics_exporter_prometheus::PrometheusHandle;
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tracing::{debug, warn};
+
+use crate::forward::serve;
+use crate::site::Site;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// Pause after a connection could not be accepted, so that a full descriptor table does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time that a caller may take for a request's head, its idle time before included, while no configuration tells.
+const DEFAULT_IDLE: Duration = Duration::from_millis(15_000);
+
+/// Size of the buffer for a request's head, in bytes.
+const HEAD_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Listens on an address, also right after another process did.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Err(error) = stream.set_nodelay(true) {
+                    debug!(event = "nodelay_failed", %error);
+                }
+                return stream;
+            }
+            Err(error) => {
+                warn!(event = "accept_failed", %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves callers until `stopping` turns true; connections then end after the request that they carry.
+pub(crate) async fn serve_callers(
+    site: Rc<Site>,
+    listener: TcpListener,
+    mut stopping: watch::Receiver<bool>,
+) {
+    loop {
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
+            _ = stopping.wait_for(|stopping| *stopping) => return,
+        };
+        spawn_local(serve_caller(site.clone(), stream, stopping.clone()));
+    }
+}
+
+async fn serve_caller(site: Rc<Site>, stream: TcpStream, mut stopping: watch::Receiver<bool>) {
+    let limits = site.configuration().map(|configuration| configuration.limits());
+    let idle = limits.map_or(DEFAULT_IDLE, |limits| Duration::from_millis(limits.idle_timeout_ms));
+    let service = service_fn(move |request: Request<Incoming>| serve(site.clone(), request));
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(idle).max_buf_size(HEAD_BUFFER_BYTES);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = stopping.wait_for(|stopping| *stopping) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!(event = "caller_connection_ended", %error);
+    }
+}
+
+type OwnBody = Full<Bytes>;
+
+/// Serves short answers of the host itself, one task for each connection.
+async fn serve_own<F, A>(listener: TcpListener, answer: F)
+where
+    F: Fn(Request<Incoming>) -> A + Clone + 'static,
+    A: Future<Output = Result<Response<OwnBody>, Infallible>> + 'static,
+{
+    loop {
+        let stream = accept(&listener).await;
+        let answer = answer.clone();
+        spawn_local(async move {
+            let service = service_fn(answer);
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                debug!(event = "own_connection_ended", %error);
+            }
+        });
+    }
+}
+
+fn short_answer(status: StatusCode, body: impl Into<Bytes>) -> Response<OwnBody> {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Answers the platform's readiness checks.
+pub(crate) async fn serve_readiness(site: Rc<Site>, listener: TcpListener) {
+    let answer = move |request: Request<Incoming>| {
+        let is_ready = site.is_ready() && request.uri().path() == READINESS_PATH;
+        let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        std::future::ready(Ok(short_answer(status, "")))
+    };
+    serve_own(listener, answer).await;
+}
+
+/// Serves the metrics as text.
+pub(crate) async fn serve_metrics(listener: TcpListener, metrics: PrometheusHandle) {
+    let answer = move |_: Request<Incoming>| {
+        std::future::ready(Ok(short_answer(StatusCode::OK, metrics.render())))
+    };
+    serve_own(listener, answer).await;
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/pool.rs
@@ -0,0 +1,75 @@
+//! Idle connections to backend servers.
+
+use std::collections::BTreeMap;
+
+use godwit_core::SteadyMs;
+
+use crate::wire::Connection;
+
+/// How long an idle connection is kept where the server does not say, in milliseconds.
+const DEFAULT_IDLE_MS: u64 = 4_000;
+
+/// Time before a server's own idle timeout at which a connection is not used any more, in milliseconds.
+const IDLE_MARGIN_MS: u64 = 700;
+
+/// Idle connections kept to one server.
+const MAX_IDLE_PER_SERVER: usize = 24;
+
+struct Idle {
+    connection: Connection,
+    usable_until: SteadyMs,
+}
+
+/// Idle connections by server.
+pub(crate) struct Pool {
+    idle: BTreeMap<String, Vec<Idle>>,
+}
+
+impl Pool {
+    pub(crate) fn new() -> Pool {
+        Pool { idle: BTreeMap::new() }
+    }
+
+    /// Takes the connection that was used last, if one is still sound.
+    pub(crate) fn take(&mut self, server_id: &str, now: SteadyMs) -> Option<Connection> {
+        let idle = self.idle.get_mut(server_id)?;
+        while let Some(last) = idle.pop() {
+            if !last.usable_until.is_past(now) && last.connection.is_idle() {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was whole.
+    pub(crate) fn put(
+        &mut self,
+        server_id: &str,
+        connection: Connection,
+        keep_alive_ms: Option<u64>,
+        now: SteadyMs,
+    ) {
+        if !connection.is_idle() {
+            return;
+        }
+        let idle_ms = keep_alive_ms.unwrap_or(DEFAULT_IDLE_MS).saturating_sub(IDLE_MARGIN_MS);
+        let idle = self.idle.entry(server_id.to_string()).or_default();
+        idle.retain(|entry| !entry.usable_until.is_past(now));
+        if idle.len() < MAX_IDLE_PER_SERVER {
+            idle.push(Idle { connection, usable_until: now.plus_ms(idle_ms) });
+        }
+    }
+
+    /// Closes all idle connections to a server.
+    pub(crate) fn forget(&mut self, server_id: &str) {
+        self.idle.remove(server_id);
+    }
+
+    /// Closes connections that are past their use.
+    pub(crate) fn expire(&mut self, now: SteadyMs) {
+        for idle in self.idle.values_mut() {
+            idle.retain(|entry| !entry.usable_until.is_past(now));
+        }
+        self.idle.retain(|_, idle| !idle.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/run.rs
@@ -0,0 +1,125 @@
+//! The process on the users' platform, from its settings to its exit.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use eyre::WrapErr;
+use godwit_adapter::{PlatformSettings, load_settings};
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+use tracing::{error, info};
+
+use crate::clock::Clock;
+use crate::coordinator::coordinate;
+use crate::followers::{ConfigurationFollower, ServerFollower};
+use crate::front::{listen, serve_callers, serve_metrics, serve_readiness};
+use crate::gossip;
+use crate::site::Site;
+use crate::store::{keep_hosts, keep_up};
+use crate::telemetry;
+
+/// Time after SIGTERM in which new connections are still taken, so that the platform sees first that the host is not
+/// ready.
+const LEAVE_ROTATION: Duration = Duration::from_millis(2_600);
+
+/// Part of the time between SIGTERM and SIGKILL that is kept in reserve, in milliseconds.
+const STOP_RESERVE_MS: u64 = 600;
+
+/// Step in which a stopping host looks whether it is idle.
+const IDLE_CHECK: Duration = Duration::from_millis(25);
+
+/// How the process runs on the users' platform.
+#[derive(Bpaf, Clone, Debug)]
+pub struct GatewayOptions {
+    /// Settings file of the platform
+    #[bpaf(long, env("GODWITDEAL_SETTINGS"), argument("FILE"))]
+    pub settings: String,
+    /// What is logged, as `tracing` filters say it
+    #[bpaf(long, argument("FILTER"), fallback("info".to_string()))]
+    pub log: String,
+}
+
+/// Runs the host until SIGTERM or SIGINT; then finishes the requests in progress.
+///
+/// # Errors
+/// When the settings are wrong, or an address cannot be listened on.
+pub fn run(options: &GatewayOptions) -> eyre::Result<()> {
+    let settings = load_settings(&options.settings)?;
+    let _log_guard = telemetry::start_logs(&options.log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let result = LocalSet::new().block_on(&runtime, host(settings, &options.settings));
+    if let Err(error) = &result {
+        error!(event = "failed", %error);
+    }
+    result
+}
+
+async fn host(settings: PlatformSettings, settings_path: &str) -> eyre::Result<()> {
+    info!(
+        event = "started",
+        host = settings.host,
+        domain = settings.failure_domain,
+        callers = %settings.caller_address,
+        store = %settings.store_address,
+        first_start = settings.is_first_start,
+    );
+    let metrics = telemetry::start_metrics()?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let listening = |what: &'static str| move || format!("cannot listen for {what}");
+    let callers = listen(settings.caller_address).wrap_err_with(listening("callers"))?;
+    let readiness = listen(settings.readiness_address).wrap_err_with(listening("readiness"))?;
+    let metrics_listener = listen(settings.metrics_address).wrap_err_with(listening("metrics"))?;
+    let gossip_socket = UdpSocket::bind(settings.peer_address).await;
+    let gossip_socket = Rc::new(gossip_socket.wrap_err_with(listening("hosts"))?);
+
+    let site = Rc::new(Site::new(settings, Clock::new()));
+    let (stop, stopping) = watch::channel(false);
+    spawn_local(serve_metrics(metrics_listener, metrics));
+    spawn_local(serve_readiness(site.clone(), readiness));
+    spawn_local(keep_up(site.clone(), ConfigurationFollower));
+    spawn_local(keep_up(site.clone(), ServerFollower));
+    spawn_local(keep_hosts(site.clone()));
+    spawn_local(gossip::tell(site.clone(), gossip_socket.clone()));
+    spawn_local(gossip::hear(site.clone(), gossip_socket));
+    spawn_local(coordinate(site.clone()));
+    spawn_local(serve_callers(site.clone(), callers, stopping));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => check_settings(settings_path),
+        }
+    }
+    stop_serving(&site, &stop).await;
+    Ok(())
+}
+
+/// Reads the settings file again. What it holds takes effect with the next start; addresses cannot change before.
+fn check_settings(path: &str) {
+    match load_settings(path) {
+        Ok(_) => info!(event = "settings_read", path),
+        Err(error) => error!(event = "settings_rejected", path, %error),
+    }
+}
+
+/// Leaves the rotation, then ends connections as they become idle.
+async fn stop_serving(site: &Site, stop: &watch::Sender<bool>) {
+    let grace_ms = site.settings.bounds.stop_grace_ms.saturating_sub(STOP_RESERVE_MS);
+    let deadline = Instant::now() + Duration::from_millis(grace_ms);
+    site.is_stopping.set(true);
+    info!(event = "stopping", requests = site.requests_in_progress.get());
+    sleep(LEAVE_ROTATION).await;
+    let _ = stop.send(true);
+    sleep(IDLE_CHECK).await;
+    while site.requests_in_progress.get() > 0 && Instant::now() < deadline {
+        sleep(IDLE_CHECK).await;
+    }
+    sleep(IDLE_CHECK).await;
+    info!(event = "stopped", host = site.settings.host, cut = site.requests_in_progress.get());
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/site.rs
@@ -0,0 +1,146 @@
+//! What a host knows, shared by all its tasks on the one thread of the event loop.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use godwit_adapter::PlatformSettings;
+use godwit_core::SteadyMs;
+use godwit_core::site::{
+    Configuration, HealthLimits, LoadBook, RetryBudget, RetryLimits, Roster, RosterLimits,
+    ServerHealth,
+};
+use tracing::info;
+
+use crate::clock::Clock;
+use crate::pool::Pool;
+
+/// How long an entry may be missing after the store is back; servers return within about two seconds.
+const LAPSE_GRACE_MS: u64 = 2_000;
+
+/// Age at which another host's word on its load counts no more, in milliseconds.
+const PEER_EXPIRY_MS: u64 = 1_500;
+
+/// How long the first failure keeps a server out of choices, in milliseconds.
+const FIRST_EJECTION_MS: u64 = 1_500;
+
+/// Longest time that failures keep a server out of choices, in milliseconds.
+const LONGEST_EJECTION_MS: u64 = 6_000;
+
+/// The state of a host.
+pub(crate) struct Site {
+    pub(crate) settings: PlatformSettings,
+    pub(crate) clock: Clock,
+    pub(crate) roster: RefCell<Roster>,
+    pub(crate) loads: RefCell<LoadBook>,
+    pub(crate) health: RefCell<ServerHealth>,
+    pub(crate) pool: RefCell<Pool>,
+    pub(crate) is_stopping: Cell<bool>,
+    pub(crate) requests_in_progress: Cell<usize>,
+    configuration: RefCell<Option<Rc<Configuration>>>,
+    budgets: RefCell<BTreeMap<String, RetryBudget>>,
+    peers: RefCell<Vec<SocketAddr>>,
+}
+
+impl Site {
+    pub(crate) fn new(settings: PlatformSettings, clock: Clock) -> Site {
+        let health = HealthLimits {
+            first_ejection_ms: FIRST_EJECTION_MS,
+            longest_ejection_ms: LONGEST_EJECTION_MS,
+        };
+        Site {
+            settings,
+            clock,
+            roster: RefCell::new(Roster::new(RosterLimits { lapse_grace_ms: LAPSE_GRACE_MS })),
+            loads: RefCell::new(LoadBook::new(PEER_EXPIRY_MS)),
+            health: RefCell::new(ServerHealth::new(health)),
+            pool: RefCell::new(Pool::new()),
+            is_stopping: Cell::new(false),
+            requests_in_progress: Cell::new(0),
+            configuration: RefCell::new(None),
+            budgets: RefCell::new(BTreeMap::new()),
+            peers: RefCell::new(Vec::new()),
+        }
+    }
+
+    pub(crate) fn now(&self) -> SteadyMs {
+        self.clock.now()
+    }
+
+    /// The configuration in force, none until the store has told one.
+    pub(crate) fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Puts a version in force, unless a newer one is.
+    pub(crate) fn set_configuration(&self, configuration: Configuration) {
+        let mut in_force = self.configuration.borrow_mut();
+        let version = configuration.version();
+        let old_version = in_force.as_ref().map(|known| known.version());
+        let is_newer = old_version.is_none_or(|old| version > old);
+        info!(event = "configuration", version, ?old_version, in_force = is_newer);
+        if is_newer {
+            *in_force = Some(Rc::new(configuration));
+        }
+    }
+
+    /// Whether callers can be served.
+    pub(crate) fn is_ready(&self) -> bool {
+        let has_servers = self.roster.borrow().servers().next().is_some();
+        !self.is_stopping.get() && has_servers && self.configuration.borrow().is_some()
+    }
+
+    pub(crate) fn peers(&self) -> Vec<SocketAddr> {
+        self.peers.borrow().clone()
+    }
+
+    pub(crate) fn set_peers(&self, addresses: Vec<SocketAddr>) {
+        *self.peers.borrow_mut() = addresses;
+    }
+
+    /// Hosts that share the retry budget, this one included.
+    pub(crate) fn hosts(&self) -> usize {
+        self.peers.borrow().len().max(self.loads.borrow().live_peers()) + 1
+    }
+
+    fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let bounds = &self.settings.bounds;
+        let limits = RetryLimits {
+            ratio: bounds.retry_ratio,
+            extra: bounds.retry_extra,
+            window_ms: bounds.retry_window_ms,
+        };
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.to_string());
+        act(budget.or_insert_with(|| RetryBudget::new(limits)))
+    }
+
+    /// Notes the first send of a request to a service.
+    pub(crate) fn first_send(&self, service: &str) {
+        self.with_budget(service, |budget| budget.first_send(self.now()));
+    }
+
+    /// Takes one retry from the budget of a service, if it has one.
+    pub(crate) fn try_retry(&self, service: &str) -> bool {
+        let hosts = self.hosts();
+        self.with_budget(service, |budget| budget.try_retry(hosts, self.now()))
+    }
+
+    /// A server failed a request; it is left out of choices for a while.
+    pub(crate) fn server_failed(&self, server_id: &str, cause: &str) {
+        let now = self.now();
+        let until = self.health.borrow_mut().failed(server_id, now);
+        self.pool.borrow_mut().forget(server_id);
+        let out_ms = until.since_ms(now);
+        info!(event = "server_failed", server = server_id, cause, out_ms);
+        metrics::counter!("server_failures_total").increment(1);
+    }
+
+    /// A server is gone from the list.
+    pub(crate) fn server_gone(&self, server_id: &str) {
+        self.health.borrow_mut().forget(server_id);
+        self.pool.borrow_mut().forget(server_id);
+        info!(event = "server_gone", server = server_id);
+    }
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/store/hosts.rs
@@ -0,0 +1,105 @@
+//! How the hosts of the system find each other: each writes one object, and reads those of the others now and then.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use godwit_adapter::{
+    DecodeError, NewObject, decode_listing, decode_object, encode_object, list_path, object_path,
+};
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use crate::site::Site;
+use crate::store::client::StoreClient;
+
+/// Kind of the hosts' objects.
+const HOSTS_KIND: &str = "godwit-hosts";
+
+/// Longest time of a call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Pause between two lists while the system starts.
+const EARLY_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Pause between two lists later on.
+const PAUSE: Duration = Duration::from_millis(6_000);
+
+/// Lists that count as early.
+const EARLY_LISTS: u32 = 3;
+
+const STATUS_OK: u16 = 200;
+const STATUS_CREATED: u16 = 201;
+const STATUS_CONFLICT: u16 = 409;
+
+/// What a host writes of itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct HostRecord {
+    peer_address: SocketAddr,
+}
+
+async fn write_own(site: &Site, client: &mut StoreClient) -> Result<(), String> {
+    let host = &site.settings.host;
+    let record = HostRecord { peer_address: site.settings.peer_address };
+    let object = NewObject { name: host, expected_revision: None, specification: &record };
+    let body = encode_object(&object).map_err(|error| error.to_string())?;
+    let path = object_path(HOSTS_KIND, host);
+    let reply = client.call("POST", &path, body.clone(), CALL_TIMEOUT).await;
+    let reply = reply.map_err(|error| error.to_string())?;
+    if reply.status != STATUS_CONFLICT {
+        let is_written = matches!(reply.status, STATUS_OK | STATUS_CREATED);
+        return if is_written { Ok(()) } else { Err(format!("status {}", reply.status)) };
+    }
+    let known = decode_object(&reply.body).ok();
+    let known = known.and_then(|known| HostRecord::deserialize(known.specification).ok());
+    if known == Some(record) {
+        return Ok(());
+    }
+    let reply = client.call("PUT", &path, body, CALL_TIMEOUT).await;
+    let reply = reply.map_err(|error| error.to_string())?;
+    if reply.status == STATUS_OK { Ok(()) } else { Err(format!("status {}", reply.status)) }
+}
+
+async fn read_others(site: &Site, client: &mut StoreClient) -> Result<(), String> {
+    let path = list_path(HOSTS_KIND, None, true);
+    let reply = client.call("GET", &path, Vec::new(), CALL_TIMEOUT).await;
+    let reply = reply.map_err(|error| error.to_string())?;
+    if reply.status != STATUS_OK {
+        return Err(format!("status {}", reply.status));
+    }
+    let listing = decode_listing(&reply.body).map_err(|error: DecodeError| error.to_string())?;
+    let mut addresses = Vec::new();
+    for object in listing.objects {
+        match HostRecord::deserialize(&object.specification) {
+            Ok(record) if object.name != site.settings.host => addresses.push(record.peer_address),
+            Ok(_) => {}
+            Err(error) => warn!(event = "host_unreadable", name = object.name, %error),
+        }
+    }
+    site.set_peers(addresses);
+    Ok(())
+}
+
+/// Writes this host's object, then keeps the list of the others.
+pub(crate) async fn keep_hosts(site: Rc<Site>) {
+    let mut client = StoreClient::new(site.settings.store_address);
+    let mut is_written = false;
+    let mut lists = 0;
+    loop {
+        if !is_written {
+            match write_own(&site, &mut client).await {
+                Ok(()) => {
+                    is_written = true;
+                    info!(event = "host_registered", host = site.settings.host);
+                }
+                Err(cause) => warn!(event = "host_not_registered", cause),
+            }
+        }
+        if let Err(cause) = read_others(&site, &mut client).await {
+            warn!(event = "hosts_not_read", cause);
+        }
+        lists += 1;
+        sleep(if lists < EARLY_LISTS { EARLY_PAUSE } else { PAUSE }).await;
+    }
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/store/keep_up.rs
@@ -0,0 +1,144 @@
+//! Keeps up with the objects of a kind: a whole list, then a watch from its revision, a list again when the history
+//! is gone.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use godwit_adapter::{Change, Object, decode_changes, decode_listing, list_path, watch_path};
+use rand::Rng;
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use crate::site::Site;
+use crate::store::client::StoreClient;
+
+/// How long a watch waits for a change, in milliseconds; the connection's probes notice a silent store before.
+const WATCH_WAIT_MS: u64 = 20_000;
+
+/// Time that a watch may take beyond its wait.
+const WATCH_SLACK: Duration = Duration::from_millis(1_500);
+
+/// Longest time of a list.
+const LIST_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Pause before a failed call is made again, in milliseconds; drawn evenly, so that hosts do not call in step.
+const RETRY_PAUSE_MS: std::ops::Range<u64> = 150..450;
+
+const STATUS_OK: u16 = 200;
+const STATUS_GONE: u16 = 410;
+
+/// What becomes of the objects.
+pub(crate) trait Follower {
+    /// Kind of the objects.
+    fn kind(&self) -> &str;
+    /// A whole list.
+    fn replace(&mut self, site: &Site, objects: Vec<Object>);
+    /// One change.
+    fn change(&mut self, site: &Site, change: Change);
+    /// The store failed a call.
+    fn lost(&mut self, _site: &Site) {}
+    /// The store answers again after failed calls; called before what it says is taken.
+    fn regained(&mut self, _site: &Site) {}
+}
+
+/// Why a step of the loop failed, for the log.
+enum Failure {
+    HistoryGone,
+    Call(String),
+}
+
+struct Loop<F> {
+    client: StoreClient,
+    follower: F,
+    is_lost: bool,
+}
+
+impl<F: Follower> Loop<F> {
+    async fn list(&mut self, site: &Site) -> Result<u64, Failure> {
+        let mut objects = Vec::new();
+        let mut after: Option<String> = None;
+        loop {
+            let path = list_path(self.follower.kind(), after.as_deref(), false);
+            let body = self.get(&path, LIST_TIMEOUT).await?;
+            let listing =
+                decode_listing(&body).map_err(|error| Failure::Call(error.to_string()))?;
+            if listing.unreadable > 0 {
+                warn!(
+                    event = "objects_unreadable",
+                    kind = self.follower.kind(),
+                    count = listing.unreadable
+                );
+            }
+            objects.extend(listing.objects);
+            let last = objects.last().map(|object| object.name.clone());
+            if !listing.has_more || last.is_none() || last == after {
+                self.answered(site);
+                self.follower.replace(site, objects);
+                return Ok(listing.revision);
+            }
+            after = last;
+        }
+    }
+
+    async fn watch(&mut self, site: &Site, revision: u64) -> Result<u64, Failure> {
+        let path = watch_path(self.follower.kind(), revision, WATCH_WAIT_MS);
+        let wait = Duration::from_millis(WATCH_WAIT_MS) + WATCH_SLACK;
+        let body = self.get(&path, wait).await?;
+        let (changes, revision) =
+            decode_changes(&body).map_err(|error| Failure::Call(error.to_string()))?;
+        self.answered(site);
+        for change in changes {
+            self.follower.change(site, change);
+        }
+        Ok(revision)
+    }
+
+    async fn get(&mut self, path: &str, wait: Duration) -> Result<bytes::Bytes, Failure> {
+        let reply = self.client.call("GET", path, Vec::new(), wait).await;
+        let reply = reply.map_err(|error| Failure::Call(error.to_string()))?;
+        match reply.status {
+            STATUS_OK => Ok(reply.body),
+            STATUS_GONE => Err(Failure::HistoryGone),
+            status => Err(Failure::Call(format!("status {status}"))),
+        }
+    }
+
+    fn answered(&mut self, site: &Site) {
+        if self.is_lost {
+            self.is_lost = false;
+            info!(event = "store_regained", kind = self.follower.kind());
+            self.follower.regained(site);
+        }
+    }
+
+    async fn failed(&mut self, site: &Site, cause: &str) {
+        if !self.is_lost {
+            self.is_lost = true;
+            warn!(event = "store_lost", kind = self.follower.kind(), cause);
+            self.follower.lost(site);
+        }
+        let pause_ms = rand::rng().random_range(RETRY_PAUSE_MS);
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+/// Follows the objects of a kind for as long as the process runs.
+pub(crate) async fn keep_up<F: Follower>(site: Rc<Site>, follower: F) {
+    let client = StoreClient::new(site.settings.store_address);
+    let mut state = Loop { client, follower, is_lost: false };
+    let mut known_revision = None;
+    loop {
+        let step = match known_revision {
+            None => state.list(&site).await,
+            Some(revision) => state.watch(&site, revision).await,
+        };
+        match step {
+            Ok(revision) => known_revision = Some(revision),
+            Err(Failure::HistoryGone) => {
+                info!(event = "history_gone", kind = state.follower.kind());
+                known_revision = None;
+            }
+            Err(Failure::Call(cause)) => state.failed(&site, &cause).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -0,0 +1,267 @@
+//! One connection to a backend server or to the store.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use super::error::WireError;
+use super::reply::{Framing, ReplyHead, take_head};
+
+/// Bytes asked for in one read.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Longest line of a chunk's size.
+const MAX_CHUNK_LINE_BYTES: usize = 1024;
+
+/// Silence after which the kernel probes a connection, in seconds; shorter than the platform's contact window.
+const PROBE_IDLE_S: u64 = 1;
+
+/// Time between two probes, in seconds.
+const PROBE_INTERVAL_S: u64 = 1;
+
+/// Probes without an answer after which the connection counts as broken.
+const PROBES: u32 = 2;
+
+/// A request to send.
+pub(crate) struct OutgoingRequest<'a> {
+    pub(crate) method: &'a str,
+    /// Path with its query.
+    pub(crate) target: &'a str,
+    /// Headers besides the body's length.
+    pub(crate) headers: Vec<(&'a str, &'a [u8])>,
+    pub(crate) body: Bytes,
+}
+
+impl OutgoingRequest<'_> {
+    fn head(&self) -> Vec<u8> {
+        let mut head = Vec::with_capacity(512);
+        head.extend_from_slice(self.method.as_bytes());
+        head.push(b' ');
+        head.extend_from_slice(self.target.as_bytes());
+        head.extend_from_slice(b" HTTP/1.1\r\n");
+        for (name, value) in &self.headers {
+            head.extend_from_slice(name.as_bytes());
+            head.extend_from_slice(b": ");
+            head.extend_from_slice(value);
+            head.extend_from_slice(b"\r\n");
+        }
+        let has_no_body = self.body.is_empty() && matches!(self.method, "GET" | "HEAD" | "DELETE");
+        if !has_no_body {
+            let length = format!("content-length: {}\r\n", self.body.len());
+            head.extend_from_slice(length.as_bytes());
+        }
+        head.extend_from_slice(b"\r\n");
+        head
+    }
+}
+
+/// State of the body that is being read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Body {
+    Length(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailer,
+    UntilClose,
+    Done,
+}
+
+/// An open connection.
+pub(crate) struct Connection {
+    stream: TcpStream,
+    buffer: BytesMut,
+    body: Body,
+    is_reusable: bool,
+}
+
+impl Connection {
+    /// Opens a connection; the caller bounds the time.
+    pub(crate) async fn open(address: SocketAddr) -> Result<Connection, WireError> {
+        let stream = TcpStream::connect(address).await.map_err(WireError::Connect)?;
+        stream.set_nodelay(true).map_err(WireError::Connect)?;
+        let probes = TcpKeepalive::new()
+            .with_time(Duration::from_secs(PROBE_IDLE_S))
+            .with_interval(Duration::from_secs(PROBE_INTERVAL_S))
+            .with_retries(PROBES);
+        SockRef::from(&stream).set_tcp_keepalive(&probes).map_err(WireError::Connect)?;
+        Ok(Connection { stream, buffer: BytesMut::new(), body: Body::Done, is_reusable: true })
+    }
+
+    /// Sends a request and reads the head of the next answer. A server may answer before it has read the body.
+    pub(crate) async fn exchange(
+        &mut self,
+        request: &OutgoingRequest<'_>,
+    ) -> Result<ReplyHead, WireError> {
+        self.is_reusable = true;
+        let mut bytes = request.head();
+        bytes.extend_from_slice(&request.body);
+        let is_head_request = request.method == "HEAD";
+        let (mut reader, mut writer) = self.stream.split();
+        let mut written = 0;
+        let head = loop {
+            if written == bytes.len() {
+                break None;
+            }
+            tokio::select! {
+                biased;
+                result = writer.write(&bytes[written..]) => match result {
+                    Ok(0) => return Err(WireError::Ended),
+                    Ok(count) => written += count,
+                    Err(error) => return Err(WireError::Broken(error)),
+                },
+                result = reader.read_buf(&mut self.buffer) => {
+                    if result.map_err(WireError::Broken)? == 0 {
+                        return Err(WireError::Ended);
+                    }
+                    if let Some(head) = take_head(&mut self.buffer, is_head_request)? {
+                        break Some(head);
+                    }
+                }
+            }
+        };
+        match head {
+            Some(head) => {
+                self.is_reusable = false;
+                self.begin_body(&head);
+                Ok(head)
+            }
+            None => self.next_head(is_head_request).await,
+        }
+    }
+
+    /// Reads the head of a further answer, after one that belonged to another request.
+    pub(crate) async fn next_head(
+        &mut self,
+        is_head_request: bool,
+    ) -> Result<ReplyHead, WireError> {
+        loop {
+            if let Some(head) = take_head(&mut self.buffer, is_head_request)? {
+                self.begin_body(&head);
+                return Ok(head);
+            }
+            self.fill().await?;
+        }
+    }
+
+    fn begin_body(&mut self, head: &ReplyHead) {
+        self.body = match head.framing {
+            Framing::Length(0) => Body::Done,
+            Framing::Length(bytes) => Body::Length(bytes),
+            Framing::Chunked => Body::ChunkSize,
+            Framing::UntilClose => Body::UntilClose,
+        };
+        self.is_reusable &= !head.closes;
+    }
+
+    async fn fill(&mut self) -> Result<(), WireError> {
+        self.buffer.reserve(READ_BYTES);
+        match self.stream.read_buf(&mut self.buffer).await {
+            Ok(0) => Err(WireError::Ended),
+            Ok(_) => Ok(()),
+            Err(error) => Err(WireError::Broken(error)),
+        }
+    }
+
+    /// Reads the next piece of the body; none once it is whole.
+    pub(crate) async fn next_piece(&mut self) -> Result<Option<Bytes>, WireError> {
+        loop {
+            match self.body {
+                Body::Done => return Ok(None),
+                Body::Length(left) => {
+                    if let Some(piece) = self.take(left) {
+                        let left = left - piece.len() as u64;
+                        self.body = if left == 0 { Body::Done } else { Body::Length(left) };
+                        return Ok(Some(piece));
+                    }
+                }
+                Body::ChunkData(left) => {
+                    if let Some(piece) = self.take(left) {
+                        let left = left - piece.len() as u64;
+                        self.body = if left == 0 { Body::ChunkEnd } else { Body::ChunkData(left) };
+                        return Ok(Some(piece));
+                    }
+                }
+                Body::UntilClose => {
+                    if let Some(piece) = self.take(u64::MAX) {
+                        return Ok(Some(piece));
+                    }
+                    match self.fill().await {
+                        Err(WireError::Ended) => self.body = Body::Done,
+                        result => result?,
+                    }
+                    continue;
+                }
+                Body::ChunkSize | Body::ChunkEnd | Body::Trailer => {
+                    if let Some(line) = self.take_line()? {
+                        self.body = next_chunk_state(self.body, &line)?;
+                        continue;
+                    }
+                }
+            }
+            self.fill().await?;
+        }
+    }
+
+    /// Reads the rest of the body, up to `max_bytes`.
+    pub(crate) async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, WireError> {
+        let mut whole = BytesMut::new();
+        while let Some(piece) = self.next_piece().await? {
+            if whole.len() + piece.len() > max_bytes {
+                return Err(WireError::NotHttp);
+            }
+            whole.extend_from_slice(&piece);
+        }
+        Ok(whole.freeze())
+    }
+
+    fn take(&mut self, at_most: u64) -> Option<Bytes> {
+        if self.buffer.is_empty() {
+            return None;
+        }
+        let count = at_most.min(self.buffer.len() as u64) as usize;
+        Some(self.buffer.split_to(count).freeze())
+    }
+
+    fn take_line(&mut self) -> Result<Option<Bytes>, WireError> {
+        let Some(at) = self.buffer.iter().position(|byte| *byte == b'\n') else {
+            let is_too_long = self.buffer.len() > MAX_CHUNK_LINE_BYTES;
+            return if is_too_long { Err(WireError::NotHttp) } else { Ok(None) };
+        };
+        let line = self.buffer.split_to(at).freeze();
+        self.buffer.advance(1);
+        let line = line.strip_suffix(b"\r").map_or(line.clone(), |bare| line.slice_ref(bare));
+        Ok(Some(line))
+    }
+
+    /// Whether another request may be sent: the last answer was whole and nothing came after it.
+    pub(crate) fn is_idle(&self) -> bool {
+        if !self.is_reusable || self.body != Body::Done || !self.buffer.is_empty() {
+            return false;
+        }
+        let mut byte = [0_u8; 1];
+        match self.stream.try_read(&mut byte) {
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+            Ok(_) => false,
+        }
+    }
+}
+
+fn next_chunk_state(state: Body, line: &[u8]) -> Result<Body, WireError> {
+    match state {
+        Body::ChunkEnd if line.is_empty() => Ok(Body::ChunkSize),
+        Body::ChunkEnd => Err(WireError::NotHttp),
+        Body::Trailer => Ok(if line.is_empty() { Body::Done } else { Body::Trailer }),
+        _ => {
+            let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+            let text = std::str::from_utf8(digits).map_err(|_| WireError::NotHttp)?.trim();
+            let bytes = u64::from_str_radix(text, 16).map_err(|_| WireError::NotHttp)?;
+            Ok(if bytes == 0 { Body::Trailer } else { Body::ChunkData(bytes) })
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/wire/error.rs
@@ -0,0 +1,30 @@
+//! How a call over a connection can fail.
+
+use std::io;
+
+/// A call that brought no whole answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum WireError {
+    /// The connection could not be opened, so that nothing was sent.
+    #[error("cannot connect: {0}")]
+    Connect(io::Error),
+    /// The connection broke.
+    #[error("connection broke: {0}")]
+    Broken(io::Error),
+    /// The connection ended before the answer was whole.
+    #[error("connection ended before the answer was whole")]
+    Ended,
+    /// What came is no answer of the protocol.
+    #[error("not an HTTP answer")]
+    NotHttp,
+    /// No answer by the deadline.
+    #[error("no answer by the deadline")]
+    TimedOut,
+}
+
+impl WireError {
+    /// Whether nothing can have reached the server.
+    pub(crate) fn is_never_sent(&self) -> bool {
+        matches!(self, WireError::Connect(_))
+    }
+}
--- /dev/null
+++ b/crates/godwit-gateway/src/wire/reply.rs
@@ -0,0 +1,138 @@
+//! Heads of answers.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+use super::error::WireError;
+
+/// Headers of an answer; more are refused.
+const MAX_HEADERS: usize = 64;
+
+/// Size of an answer's head; more is refused.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Framing {
+    /// So many bytes are left.
+    Length(u64),
+    /// Chunks follow.
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose,
+}
+
+/// The head of an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct ReplyHead {
+    /// Status code.
+    pub(crate) status: u16,
+    /// Headers in the order in which they came.
+    pub(crate) headers: Vec<(String, Bytes)>,
+    /// Whether the server closes the connection after this answer.
+    pub(crate) closes: bool,
+    /// Time that the server keeps an idle connection, in milliseconds, if it says so.
+    pub(crate) keep_alive_ms: Option<u64>,
+    pub(super) framing: Framing,
+}
+
+impl ReplyHead {
+    /// Names and values of the headers.
+    pub(crate) fn header_pairs(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.headers.iter().map(|(name, value)| (name.as_str(), value.as_ref()))
+    }
+}
+
+/// Whether a header concerns one connection only and is never passed on.
+pub(crate) fn is_connection_header(name: &str) -> bool {
+    const NAMES: [&str; 10] = [
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    ];
+    NAMES.iter().any(|known| name.eq_ignore_ascii_case(known))
+}
+
+fn keep_alive_ms(value: &str) -> Option<u64> {
+    let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse::<u64>().ok().map(|seconds| seconds * 1_000)
+}
+
+fn framing(
+    status: u16,
+    is_head_request: bool,
+    headers: &[(String, Bytes)],
+) -> Result<Framing, WireError> {
+    if is_head_request || status == 204 || status == 304 {
+        return Ok(Framing::Length(0));
+    }
+    let mut length = None;
+    let mut is_chunked = false;
+    for (name, value) in headers {
+        let text = std::str::from_utf8(value).map_err(|_| WireError::NotHttp)?.trim();
+        if name.eq_ignore_ascii_case("content-length") {
+            let bytes: u64 = text.parse().map_err(|_| WireError::NotHttp)?;
+            if length.is_some_and(|known| known != bytes) {
+                return Err(WireError::NotHttp);
+            }
+            length = Some(bytes);
+        } else if name.eq_ignore_ascii_case("transfer-encoding") {
+            if !text.eq_ignore_ascii_case("chunked") {
+                return Err(WireError::NotHttp);
+            }
+            is_chunked = true;
+        }
+    }
+    match (is_chunked, length) {
+        (true, Some(_)) => Err(WireError::NotHttp),
+        (true, None) => Ok(Framing::Chunked),
+        (false, Some(bytes)) => Ok(Framing::Length(bytes)),
+        (false, None) => Ok(Framing::UntilClose),
+    }
+}
+
+/// Takes a head from the buffer once it is whole; interim answers are dropped.
+pub(super) fn take_head(
+    buffer: &mut BytesMut,
+    is_head_request: bool,
+) -> Result<Option<ReplyHead>, WireError> {
+    loop {
+        let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut response = httparse::Response::new(&mut slots);
+        let parsed = response.parse(buffer).map_err(|_| WireError::NotHttp)?;
+        let httparse::Status::Complete(head_bytes) = parsed else {
+            let is_too_long = buffer.len() > MAX_HEAD_BYTES;
+            return if is_too_long { Err(WireError::NotHttp) } else { Ok(None) };
+        };
+        let status = response.code.ok_or(WireError::NotHttp)?;
+        let is_old = response.version == Some(0);
+        let headers: Vec<(String, Bytes)> = response
+            .headers
+            .iter()
+            .map(|header| (header.name.to_string(), Bytes::copy_from_slice(header.value)))
+            .collect();
+        buffer.advance(head_bytes);
+        if (100..200).contains(&status) {
+            continue;
+        }
+        let framing = framing(status, is_head_request, &headers)?;
+        let text = |wanted: &str| {
+            let found = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case(wanted));
+            found
+                .and_then(|(_, value)| std::str::from_utf8(value).ok())
+                .map(str::to_ascii_lowercase)
+        };
+        let connection = text("connection").unwrap_or_default();
+        let closes = connection.contains("close")
+            || (is_old && !connection.contains("keep-alive"))
+            || framing == Framing::UntilClose;
+        let keep_alive_ms = text("keep-alive").as_deref().and_then(keep_alive_ms);
+        return Ok(Some(ReplyHead { status, headers, closes, keep_alive_ms, framing }));
+    }
+}
--- a/crates/godwit-host/src/settings.rs
+++ b/crates/godwit-host/src/settings.rs
@@ -35,7 +35,7 @@
 
 /// Settings of an entry host.
 #[derive(Bpaf, Clone, Debug)]
-#[bpaf(options, version)]
+#[bpaf(generate(settings))]
 /// Entry host of godwitdeal: a router for pipelines over mixed accelerators
 pub struct Settings {
     /// Name of this host, unique in the fleet
