--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -50,7 +50,6 @@
 /// An attempt whose answer has begun.
 pub(crate) struct Answering {
     pub(crate) head: ReplyHead,
-    pub(crate) server: ServerHead,
     pub(crate) connection: Connection,
     pub(crate) in_progress: InProgress,
 }
@@ -64,7 +63,7 @@
 }
 
 fn time_left_ms(site: &Site, granted: &Granted) -> u64 {
-    granted.answer_deadline.since_ms(site.now()).max(1)
+    granted.terms.answer_deadline.since_ms(site.now()).max(1)
 }
 
 async fn connect(site: &Site, destination: &Destination) -> Result<Connection, WireError> {
@@ -120,25 +119,25 @@
     let forward = Forward {
         time_left_ms: Some(time_left_ms(site, granted)),
         server_id: &destination.server_id,
-        workspace: granted.workspace.as_deref(),
+        workspace: granted.terms.workspace.as_deref(),
         hops: &destination.hops,
         rank: None,
         last_event_id,
     };
     let added = encode_forward(&forward);
-    let kept = granted.parts.headers.iter().filter(|(name, _)| {
+    let kept = granted.asked.parts.headers.iter().filter(|(name, _)| {
         !is_connection_header(name.as_str()) && !is_replaced_header(name.as_str())
     });
     let mut headers: Vec<(&str, &[u8])> =
         kept.map(|(name, value)| (name.as_str(), value.as_bytes())).collect();
     headers.extend(added.iter().map(|(name, value)| (*name, value.as_bytes())));
     let request = OutgoingRequest {
-        method: granted.parts.method.as_str(),
+        method: granted.asked.parts.method.as_str(),
         target: granted.target(),
         headers,
         body: granted.body.clone(),
     };
-    let answer = own_head(&mut connection, &request, &granted.head.request_id);
+    let answer = own_head(&mut connection, &request, &granted.asked.head.request_id);
     let result = timeout_at(site.clock.instant(head_deadline), answer).await;
     let (head, server) = match result {
         Ok(Ok(answer)) => answer,
@@ -160,7 +159,7 @@
         let proof = NeverSent::refused_by_server();
         return Err(AttemptError::NotRun { proof, cause, faulty_server, is_full });
     }
-    Ok(Answering { head, server, connection, in_progress })
+    Ok(Answering { head, connection, in_progress })
 }
 
 /// Reads what is left of an answer that is not passed on, to keep the connection.
--- a/crates/godwit-gateway/src/forward/call.rs
+++ b/crates/godwit-gateway/src/forward/call.rs
@@ -69,9 +69,9 @@
             return Ok(refuse(&site, &asked.head.request_id, "", code, received));
         }
     };
-    match admit(&site, asked, body) {
-        Ok(granted) => Ok(forward(&site, granted, counted).await),
-        Err((asked, code)) => {
+    match admit(&site, &asked) {
+        Ok(terms) => Ok(forward(&site, Granted { asked, body, terms }, counted).await),
+        Err(code) => {
             Ok(refuse(&site, &asked.head.request_id, asked.parts.uri.path(), code, received))
         }
     }
@@ -109,16 +109,16 @@
 
 async fn forward(site: &Rc<Site>, granted: Granted, counted: Counted) -> Response<ReplyBody> {
     let granted = Rc::new(granted);
-    let request_id = granted.head.request_id.clone();
+    let request_id = granted.asked.head.request_id.clone();
     let admission = granted.admission(site);
     let mut standing = Standing::Unsent(Life::received(&request_id).admit(admission).claimed());
     let mut avoided = BTreeSet::new();
     let mut runs = 0;
     let mut code = Code::NoServer;
     let mut counted = Some(counted);
-    site.first_send(&granted.service);
+    site.first_send(&granted.terms.service);
     for attempt in 1.. {
-        if granted.answer_deadline.is_past(site.now()) || runs >= granted.max_attempts {
+        if granted.terms.answer_deadline.is_past(site.now()) || runs >= granted.terms.max_attempts {
             break;
         }
         let destination = match choose(site, &granted, &avoided) {
@@ -132,14 +132,14 @@
             event = "dispatch",
             request = request_id,
             attempt,
-            service = granted.service,
+            service = granted.terms.service,
             path = destination.log_text(),
             expected_first_ms = destination.first_event_ms.round(),
             expected_gap_ms = destination.event_gap_ms.round(),
-            left_ms = granted.answer_deadline.since_ms(site.now()),
-            version = granted.configuration.version(),
+            left_ms = granted.terms.answer_deadline.since_ms(site.now()),
+            version = granted.terms.configuration.version(),
         );
-        let is_last = runs + 1 >= granted.max_attempts;
+        let is_last = runs + 1 >= granted.terms.max_attempts;
         match try_once(site, &granted, &destination, standing, is_last, &mut counted).await {
             Step::Final(response) => return response,
             Step::Again { standing: left, code: cause, avoided: server, wants_budget } => {
@@ -147,33 +147,33 @@
                 runs += u32::from(matches!(left, Standing::MayHaveRun));
                 standing = left;
                 avoided.extend(server);
-                if wants_budget && !site.try_retry(&granted.service) {
+                if wants_budget && !site.try_retry(&granted.terms.service) {
                     info!(
                         event = "retry_budget_spent",
                         request = request_id,
-                        service = granted.service
+                        service = granted.terms.service
                     );
                     break;
                 }
             }
         }
     }
-    let is_late = granted.answer_deadline.is_past(site.now());
+    let is_late = granted.terms.answer_deadline.is_past(site.now());
     let code = match standing {
         Standing::Unsent(life) => life.refuse(if is_late { Code::TooLate } else { code }).code(),
         Standing::MayHaveRun if is_late => Code::TimedOut,
         Standing::MayHaveRun => Code::OutcomeUnknown,
     };
-    refuse(site, &request_id, &granted.service, code, granted.received)
+    refuse(site, &request_id, &granted.terms.service, code, granted.asked.received)
 }
 
 /// When the head of an attempt's answer is due: sooner where another attempt may follow.
 fn head_deadline(site: &Site, granted: &Granted, is_last: bool) -> SteadyMs {
-    if granted.work.is_stream() || !granted.work.may_run_again() || is_last {
-        return granted.answer_deadline;
+    if granted.terms.work.is_stream() || !granted.terms.work.may_run_again() || is_last {
+        return granted.terms.answer_deadline;
     }
-    let patience_ms = SLOW_CALL_FACTOR * granted.target_latency_ms;
-    site.now().plus_ms(patience_ms).min(granted.answer_deadline)
+    let patience_ms = SLOW_CALL_FACTOR * granted.terms.target_latency_ms;
+    site.now().plus_ms(patience_ms).min(granted.terms.answer_deadline)
 }
 
 async fn try_once(
@@ -190,7 +190,7 @@
         Standing::MayHaveRun => None,
     };
     let deadline = head_deadline(site, granted, is_last);
-    let sent = send(site, granted, destination, granted.head.last_event_id, deadline).await;
+    let sent = send(site, granted, destination, granted.asked.head.last_event_id, deadline).await;
     let answering = match sent {
         Ok(answering) => answering,
         Err(AttemptError::NotRun { proof, cause, faulty_server, is_full }) => {
@@ -211,12 +211,12 @@
         }
     };
     let latency_ms = site.now().since_ms(sent_at);
-    metrics::histogram!("head_latency_ms", "service" => granted.service.clone())
+    metrics::histogram!("head_latency_ms", "service" => granted.terms.service.clone())
         .record(latency_ms as f64);
     if destination.hops.is_empty() {
         site.health.borrow_mut().answered(&destination.server_id, latency_ms);
     }
-    let is_stream = granted.work.is_stream() && answering.head.status == 200;
+    let is_stream = granted.terms.work.is_stream() && answering.head.status == 200;
     if is_stream {
         let counted = counted.take();
         return Step::Final(relay(site, granted, destination.clone(), answering, counted));
@@ -230,7 +230,7 @@
     destination: &Destination,
     mut answering: Answering,
 ) -> Step {
-    match whole_body(site, &mut answering, granted.answer_deadline).await {
+    match whole_body(site, &mut answering, granted.terms.answer_deadline).await {
         Ok(body) => {
             let Answering { head, connection, .. } = answering;
             keep(site, destination, connection, &head);
@@ -253,20 +253,20 @@
     if destination.hops.is_empty() {
         site.server_failed(&destination.server_id, &cause);
     }
-    let is_late = granted.answer_deadline.is_past(site.now());
+    let is_late = granted.terms.answer_deadline.is_past(site.now());
     let code = if is_late { Code::TimedOut } else { Code::OutcomeUnknown };
-    if granted.work.may_run_again() && !is_late {
+    if granted.terms.work.may_run_again() && !is_late {
         let avoided = Some(destination.server_id.clone());
         return Step::Again { standing: Standing::MayHaveRun, code, avoided, wants_budget: true };
     }
-    let request_id = &granted.head.request_id;
-    Step::Final(refuse(site, request_id, &granted.service, code, granted.received))
+    let request_id = &granted.asked.head.request_id;
+    Step::Final(refuse(site, request_id, &granted.terms.service, code, granted.asked.received))
 }
 
 fn log_failed_attempt(granted: &Granted, destination: &Destination, cause: &str, not_run: bool) {
     info!(
         event = "attempt_failed",
-        request = granted.head.request_id,
+        request = granted.asked.head.request_id,
         server = destination.server_id,
         cause,
         not_run,
@@ -275,10 +275,10 @@
 
 /// Logs a request whose final answer is a server's.
 pub(super) fn log_answered(site: &Site, granted: &Granted, destination: &Destination, status: u16) {
-    let after_ms = site.now().since_ms(granted.received);
+    let after_ms = site.now().since_ms(granted.asked.received);
     info!(
         event = "answered",
-        request = granted.head.request_id,
+        request = granted.asked.head.request_id,
         server = destination.server_id,
         status,
         after_ms,
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -55,7 +55,7 @@
         connection: Some(connection),
         in_progress: Some(in_progress),
         buffer: BytesMut::new(),
-        last_event_id: granted.head.last_event_id,
+        last_event_id: granted.asked.head.last_event_id,
         resumes: 0,
         avoided: BTreeSet::new(),
         _counted: counted,
@@ -86,7 +86,7 @@
 
     async fn read(&mut self) -> Result<Option<Bytes>, WireError> {
         let connection = self.connection.as_mut().ok_or(WireError::Ended)?;
-        let deadline = self.site.clock.instant(self.granted.answer_deadline);
+        let deadline = self.site.clock.instant(self.granted.terms.answer_deadline);
         let piece = timeout_at(deadline, connection.next_piece()).await;
         let Some(piece) = piece.map_err(|_| WireError::TimedOut)?? else { return Ok(None) };
         self.buffer.extend_from_slice(&piece);
@@ -112,7 +112,7 @@
         loop {
             info!(
                 event = "stream_broken",
-                request = self.granted.head.request_id,
+                request = self.granted.asked.head.request_id,
                 server = self.destination.server_id,
                 cause,
                 last_event_id = self.last_event_id,
@@ -120,14 +120,14 @@
             );
             self.avoided.insert(self.destination.server_id.clone());
             if !self.may_resume() {
-                info!(event = "stream_given_up", request = self.granted.head.request_id);
+                info!(event = "stream_given_up", request = self.granted.asked.head.request_id);
                 metrics::counter!("streams_given_up_total").increment(1);
                 return Err(Incomplete);
             }
             self.resumes += 1;
             self.destination =
                 choose(&self.site, &self.granted, &self.avoided).map_err(|_| Incomplete)?;
-            let deadline: SteadyMs = self.granted.answer_deadline;
+            let deadline: SteadyMs = self.granted.terms.answer_deadline;
             let sent =
                 send(&self.site, &self.granted, &self.destination, self.last_event_id, deadline)
                     .await;
@@ -135,7 +135,7 @@
                 Ok(answering) if answering.head.status == 200 => {
                     info!(
                         event = "stream_resumed",
-                        request = self.granted.head.request_id,
+                        request = self.granted.asked.head.request_id,
                         path = self.destination.log_text(),
                         last_event_id = self.last_event_id,
                     );
@@ -157,9 +157,9 @@
     }
 
     fn may_resume(&self) -> bool {
-        self.granted.work.may_run_again()
+        self.granted.terms.work.may_run_again()
             && self.resumes < MAX_RESUMES
-            && !self.granted.answer_deadline.is_past(self.site.now())
-            && self.site.try_retry(&self.granted.service)
+            && !self.granted.terms.answer_deadline.is_past(self.site.now())
+            && self.site.try_retry(&self.granted.terms.service)
     }
 }
--- a/crates/godwit-gateway/src/forward/target.rs
+++ b/crates/godwit-gateway/src/forward/target.rs
@@ -55,8 +55,8 @@
 
 /// Tokens that an answer is expected to have: the caller's guess within its bound, else the usual length.
 fn expected_answer_tokens(granted: &Granted, usual: u64) -> u64 {
-    let most = granted.head.max_answer_tokens.unwrap_or(u64::MAX);
-    granted.head.hinted_answer_tokens.unwrap_or(usual).min(most).max(1)
+    let most = granted.asked.head.max_answer_tokens.unwrap_or(u64::MAX);
+    granted.asked.head.hinted_answer_tokens.unwrap_or(usual).min(most).max(1)
 }
 
 /// Chooses a server or path, leaving out `avoided` and those that failed lately.
@@ -67,7 +67,8 @@
 ) -> Result<Destination, Code> {
     let mut left_out = site.health.borrow().ejected(site.now());
     left_out.extend(avoided.iter().cloned());
-    let service = granted.configuration.service(&granted.service).ok_or(Code::NoServer)?;
+    let service =
+        granted.terms.configuration.service(&granted.terms.service).ok_or(Code::NoServer)?;
     let roster = site.roster.borrow();
     let loads = site.loads.borrow();
     let Some(model) = &service.model else {
@@ -75,11 +76,11 @@
         let server = choose_server(
             roster.servers(),
             &loads,
-            &granted.service,
+            &granted.terms.service,
             &site.settings.failure_domain,
             &left_out,
             |id| health.latency_ms(id),
-            granted.seed,
+            granted.terms.seed,
         );
         let server = server.ok_or(Code::NoServer)?;
         return Ok(Destination {
@@ -91,15 +92,15 @@
             event_gap_ms: 0.0,
         });
     };
-    let prompt_tokens = granted.head.prompt_tokens.unwrap_or(model.usual_prompt_tokens);
+    let prompt_tokens = granted.asked.head.prompt_tokens.unwrap_or(model.usual_prompt_tokens);
     let answer_tokens = expected_answer_tokens(granted, model.usual_answer_tokens);
     let request = PathRequest {
-        service: &granted.service,
+        service: &granted.terms.service,
         prompt_tokens,
         answer_tokens,
         home_domain: &site.settings.failure_domain,
         avoided: &left_out,
-        seed: granted.seed,
+        seed: granted.terms.seed,
     };
     let path =
         find_path(model, roster.servers(), &loads, &request).map_err(|error| match error {
