Run an idempotent call at another server when one fails it

Cause: 14 in 100 lookups end in a server's own 500; each was passed on, and the caller's one return failed again at times.

Change: within the route's attempts and the retry budget, another server is asked.

Ruled out: non-idempotent calls, which must not run again.

--- a/crates/godwit-gateway/src/forward/call.rs
+++ b/crates/godwit-gateway/src/forward/call.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use godwit_core::site::Work;
 use godwit_core::{Claimed, Code, Life, SteadyMs};
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -221,9 +222,25 @@
         let counted = counted.take();
         return Step::Final(relay(site, granted, destination.clone(), answering, counted));
     }
+    if is_worth_another_try(site, granted, answering.head.status, is_last) {
+        let cause = format!("status {}", answering.head.status);
+        log_failed_attempt(granted, destination, &cause, false);
+        let avoided = Some(destination.server_id.clone());
+        let code = Code::OutcomeUnknown;
+        return Step::Again { standing: Standing::MayHaveRun, code, avoided, wants_budget: false };
+    }
     whole_answer(site, granted, destination, answering).await
 }
 
+/// Whether a server's own failure is worth a run elsewhere; takes the retry from the budget.
+fn is_worth_another_try(site: &Site, granted: &Granted, status: u16, is_last: bool) -> bool {
+    (500..600).contains(&status)
+        && granted.terms.work == Work::IdempotentCall
+        && !is_last
+        && !granted.terms.answer_deadline.is_past(site.now())
+        && site.try_retry(&granted.terms.service)
+}
+
 async fn whole_answer(
     site: &Rc<Site>,
     granted: &Granted,
