Look into silent streams, and tell all hosts which servers stall or run slowly

Cause: a server that goes dark held every stream through it for the 3 s that the servers themselves wait; each host learnt it from its own losses.

Change: a stream that is silent for longer than its path predicts has the first server asked for its report, once for all streams of a host; what it waits for is left out and told to the other hosts. Crossings that stall are told apart from servers that do. Requests wait for half their latency target at most while all servers are full, and for 0.3 s for a first configuration.

--- a/crates/godwit-core/src/site/mod.rs
+++ b/crates/godwit-core/src/site/mod.rs
@@ -2,10 +2,12 @@
 //! and the choices made from these for each request.
 
 mod configuration;
+mod findings;
 mod health;
 mod layout;
 mod load;
 mod path;
+mod patience;
 mod plain;
 mod relay;
 mod retry;
@@ -16,10 +18,12 @@
     CallerLimits, Configuration, KindTraits, ModelTraits, Route, Service, WeightedService, Work,
     Workspace,
 };
+pub use findings::{Findings, ToldCut, ToldFinding};
 pub use health::{HealthLimits, ServerHealth};
 pub use layout::{Placement, plan_layout};
 pub use load::{Load, LoadBook, LoadSource, PeerLoads};
 pub use path::{Hop, Path, PathError, PathRequest, find_path};
+pub use patience::{first_patience_ms, gap_patience_ms};
 pub use plain::choose_server;
 pub use relay::{PeerHost, Recipients, Relay, RelayLimits};
 pub use retry::{RetryBudget, RetryLimits};
--- a/crates/godwit-core/src/site/path.rs
+++ b/crates/godwit-core/src/site/path.rs
@@ -21,14 +21,15 @@
 /// Cost of a first server outside the host's own failure domain, as a share of an unloaded path.
 const FOREIGN_ENTRY_SHARE: f64 = 0.1;
 
-/// Share of a server's KV cache that may be planned; the rest absorbs answers that grow longer than expected.
-const KV_PLANNED_SHARE: f64 = 0.9;
+/// Share of a server's KV cache that may be planned. Requests are planned at their full length, and hold less for most
+/// of their time.
+const KV_PLANNED_SHARE: f64 = 1.05;
 
 /// Spread of the random factor on each stage, which keeps hosts from choosing the same servers in step.
 const JITTER: f64 = 0.1;
 
 /// What the search has to know of a request.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct PathRequest<'a> {
     /// Service that runs the model.
     pub service: &'a str,
@@ -40,6 +41,10 @@
     pub home_domain: &'a str,
     /// Servers that must not be on the path.
     pub avoided: &'a BTreeSet<String>,
+    /// How many times slower than its kind a server runs.
+    pub slowdown: &'a dyn Fn(&str) -> f64,
+    /// Whether two failure domains reach each other.
+    pub is_open: &'a dyn Fn(&str, &str) -> bool,
     /// Any number, for the random factor.
     pub seed: u64,
 }
@@ -84,11 +89,25 @@
     range: LayerRange,
     load: Load,
     domain: usize,
+    slowdown: f64,
     factor: f64,
     has_room: bool,
 }
 
 impl Holder<'_> {
+    /// Whether work can come from another failure domain.
+    fn is_reached_from(
+        &self,
+        domain: usize,
+        usable: &[&Holder<'_>],
+        request: &PathRequest<'_>,
+    ) -> bool {
+        let other = usable.iter().find(|holder| holder.domain == domain);
+        other.is_none_or(|other| {
+            (request.is_open)(&other.server.failure_domain, &self.server.failure_domain)
+        })
+    }
+
     fn share(&self, model: &ModelTraits, layers: u32) -> f64 {
         f64::from(layers) / f64::from(model.layers.max(1))
     }
@@ -100,12 +119,12 @@
             + model.step_per_request_ms * requests
             + model.step_per_kilotoken_ms * kilotokens;
         let steps = f64::from(model.steps_per_pass.max(1));
-        steps * self.kind.step_factor * step_ms * self.share(model, layers)
+        steps * self.slowdown * self.kind.step_factor * step_ms * self.share(model, layers)
     }
 
     fn read_ms(&self, model: &ModelTraits, prompt_tokens: u64, layers: u32) -> f64 {
         let full_ms = prompt_tokens as f64 * 1e3 / model.read_tokens_per_s.max(1.0);
-        full_ms * self.kind.read_factor * self.share(model, layers)
+        full_ms * self.slowdown * self.kind.read_factor * self.share(model, layers)
     }
 
     fn cost_ms(&self, model: &ModelTraits, request: &PathRequest<'_>, layers: u32) -> f64 {
@@ -145,6 +164,7 @@
     let mut found = Vec::new();
     for server in servers {
         let is_usable = server.service == request.service
+            && (request.is_open)(request.home_domain, &server.failure_domain)
             && server.state == ServerState::Ready
             && !request.avoided.contains(&server.id);
         let Some(range) = server.layers.filter(|range| is_usable && !range.is_empty()) else {
@@ -161,7 +181,8 @@
         let room = KV_PLANNED_SHARE * kv_capacity_tokens(model, kind, range.len());
         let has_room = (tokens as f64) <= room && load.requests < server.slots;
         let factor = jitter(&server.id, request.seed);
-        found.push(Holder { server, kind, range, load, domain, factor, has_room });
+        let slowdown = (request.slowdown)(&server.id);
+        found.push(Holder { server, kind, range, load, domain, slowdown, factor, has_room });
     }
     found
 }
@@ -204,6 +225,9 @@
                 let is_foreign =
                     state.1 == NO_DOMAIN && holder.server.failure_domain != request.home_domain;
                 let is_crossing = state.1 != NO_DOMAIN && state.1 != holder.domain;
+                if is_crossing && !holder.is_reached_from(state.1, usable, request) {
+                    continue;
+                }
                 let mut entry_ms = cost_ms;
                 entry_ms += if is_foreign { FOREIGN_ENTRY_SHARE * base_ms } else { 0.0 };
                 entry_ms += if is_crossing { CROSSING_SHARE * base_ms } else { 0.0 };
@@ -265,7 +289,8 @@
 /// };
 /// let avoided = BTreeSet::new();
 /// let request = PathRequest {
-///     service: "chat", prompt_tokens: 700, answer_tokens: 200, home_domain: "a", avoided: &avoided, seed: 1,
+///     service: "chat", prompt_tokens: 700, answer_tokens: 200, home_domain: "a", avoided: &avoided, slowdown: &|_| 1.0, is_open: &|_, _| true,
+///     seed: 1,
 /// };
 /// let found = find_path(&model, std::iter::empty(), &LoadBook::new(1_000), &request);
 /// assert_eq!(found, Err(PathError::LayerMissing));
--- a/crates/godwit-gateway/src/coordinator.rs
+++ b/crates/godwit-gateway/src/coordinator.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use godwit_adapter::{
-    Forward, NewObject, ORDER_PATH, Order, OrderReply, REPORT_PATH, ServerReport, decode_object,
-    decode_order_reply, decode_report, encode_forward, encode_object, encode_order, object_path,
+    NewObject, ORDER_PATH, Order, OrderReply, ServerReport, decode_object, decode_order_reply,
+    encode_object, encode_order, object_path,
 };
 use godwit_core::SteadyMs;
 use godwit_core::site::{BackendServer, ModelTraits, Placement, plan_layout};
@@ -18,9 +18,10 @@
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
+use crate::server_call::{call_server, read_report};
 use crate::site::Site;
 use crate::store::StoreClient;
-use crate::wire::{Connection, OutgoingRequest, WireError};
+use crate::wire::WireError;
 
 /// Kind and name of the object that the ordering host holds.
 const HOLDER_KIND: &str = "godwit-layout";
@@ -50,9 +51,6 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Longest answer to an order, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 * 1024;
-
 /// What the holder writes.
 #[derive(Deserialize, Serialize)]
 struct HolderRecord {
@@ -228,7 +226,8 @@
             orders.spawn_local(async move {
                 let result = send_order(&server, &order).await;
                 let is_conflict = matches!(result, Ok(status) if is_conflict(status));
-                let report = if is_conflict { read_report(&server).await } else { None };
+                let report =
+                    if is_conflict { read_report(&server, ORDER_TIMEOUT).await } else { None };
                 (server, order, result, report)
             });
         }
@@ -292,54 +291,9 @@
     decode_order_reply(status) == OrderReply::Conflict
 }
 
-/// What the server says of itself, none when it does not answer.
-async fn read_report(server: &BackendServer) -> Option<ServerReport> {
-    let exchange = call_server(server, "GET", REPORT_PATH, Bytes::new());
-    let body = match timeout(ORDER_TIMEOUT, exchange).await {
-        Ok(Ok((_, body))) => body,
-        Ok(Err(error)) => {
-            warn!(event = "report_not_read", server = server.id, %error);
-            return None;
-        }
-        Err(_) => {
-            warn!(event = "report_not_read", server = server.id, error = "timeout");
-            return None;
-        }
-    };
-    decode_report(&body)
-        .inspect_err(|error| warn!(event = "report_unreadable", server = server.id, %error))
-        .ok()
-}
-
 async fn send_order(server: &BackendServer, order: &Order) -> Result<u16, WireError> {
-    let exchange = call_server(server, "POST", ORDER_PATH, Bytes::from(encode_order(order)));
+    let body = Bytes::from(encode_order(order));
+    let exchange = call_server(server, "POST", ORDER_PATH, body);
     let answer = timeout(ORDER_TIMEOUT, exchange).await.unwrap_or(Err(WireError::TimedOut));
     answer.map(|(status, _)| status)
 }
-
-/// One call of a server's own interface, on a connection of its own.
-async fn call_server(
-    server: &BackendServer,
-    method: &str,
-    target: &str,
-    body: Bytes,
-) -> Result<(u16, Bytes), WireError> {
-    let mut connection = Connection::open(server.address).await?;
-    let forward = Forward {
-        time_left_ms: None,
-        server_id: &server.id,
-        workspace: None,
-        hops: &[],
-        rank: None,
-        last_event_id: None,
-    };
-    let added = encode_forward(&forward);
-    let host = server.address.to_string();
-    let mut headers: Vec<(&str, &[u8])> =
-        vec![("host", host.as_bytes()), ("content-type", b"application/json")];
-    headers.extend(added.iter().map(|(name, value)| (*name, value.as_bytes())));
-    let request = OutgoingRequest { method, target, headers, body };
-    let head = connection.exchange(&request).await?;
-    let body = connection.read_body(MAX_ANSWER_BYTES).await?;
-    Ok((head.status, body))
-}
--- a/crates/godwit-gateway/src/followers.rs
+++ b/crates/godwit-gateway/src/followers.rs
@@ -76,8 +76,7 @@
         let known = roster.get(&server.id);
         let is_restarted = known.is_some_and(|known| known.is_restarted_as(&server));
         if is_restarted {
-            site.health.borrow_mut().forget(&server.id);
-            site.pool.borrow_mut().forget(&server.id);
+            site.forget_server(&server.id);
         }
         let layers =
             server.layers.map_or_else(String::new, |range| format!("{}-{}", range.from, range.to));
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -1,45 +1,59 @@
 //! One attempt at one server: the request on the wire, and what its answer says.
 
+use std::future::Future;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use godwit_adapter::{Forward, ServerHead, decode_server_head, encode_forward, is_replaced_header};
+use godwit_core::site::first_patience_ms;
 use godwit_core::{NeverSent, SteadyMs};
 use tokio::time::{timeout, timeout_at};
 
 use super::admit::Granted;
+use super::investigate::find_stalled;
 use super::target::Destination;
 use crate::site::Site;
 use crate::wire::{Connection, OutgoingRequest, ReplyHead, WireError, is_connection_header};
 
 /// Longest time to open a connection to a server.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Longest answer that is held whole, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
+/// Pause before a silent attempt is looked into again, in milliseconds.
+const LOOK_AGAIN_MS: u64 = 250;
+
 /// Answers to other requests that are skipped on one connection.
 const MAX_STRAY_ANSWERS: u32 = 3;
 
 /// Work in progress on the servers of an attempt, for as long as it lives.
 pub(crate) struct InProgress {
     site: Rc<Site>,
+    request_id: String,
     destination: Destination,
 }
 
 impl InProgress {
-    pub(crate) fn start(site: &Rc<Site>, destination: &Destination) -> InProgress {
+    fn start(site: &Rc<Site>, request_id: &str, destination: &Destination) -> InProgress {
+        site.paths.borrow_mut().insert(request_id.to_string(), destination.clone());
         let mut loads = site.loads.borrow_mut();
         for id in destination.server_ids() {
             loads.start(id, destination.load);
         }
-        InProgress { site: site.clone(), destination: destination.clone() }
+        InProgress {
+            site: site.clone(),
+            request_id: request_id.to_string(),
+            destination: destination.clone(),
+        }
     }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
+        self.site.paths.borrow_mut().remove(&self.request_id);
         let mut loads = self.site.loads.borrow_mut();
         for id in self.destination.server_ids() {
             loads.end(id, self.destination.load);
@@ -100,6 +114,42 @@
     Err(WireError::NotHttp)
 }
 
+/// Whether a silent attempt may be given up for another.
+fn may_look(granted: &Granted, destination: &Destination) -> bool {
+    granted.terms.work.may_run_again() && !destination.hops.is_empty()
+}
+
+/// Waits for the first event; a silence longer than expected is looked into, and ends the attempt if a server of the
+/// path stalls.
+async fn wait_and_look<T>(
+    site: &Rc<Site>,
+    request_id: &str,
+    destination: &Destination,
+    deadline: SteadyMs,
+    mut answer: Pin<&mut impl Future<Output = Result<T, WireError>>>,
+) -> Result<T, WireError> {
+    let mut look_at = site.now().plus_ms(first_patience_ms(destination.first_event_ms));
+    loop {
+        let until = look_at.min(deadline);
+        if let Ok(result) = timeout_at(site.clock.instant(until), answer.as_mut()).await {
+            return result;
+        }
+        if deadline.is_past(site.now()) {
+            return Err(WireError::TimedOut);
+        }
+        tokio::select! {
+            biased;
+            result = answer.as_mut() => return result,
+            is_stalled = find_stalled(site, request_id, destination) => {
+                if is_stalled {
+                    return Err(WireError::Stalled);
+                }
+            }
+        }
+        look_at = site.now().plus_ms(LOOK_AGAIN_MS);
+    }
+}
+
 /// Sends the request and waits for the head of its answer until `head_deadline`.
 pub(crate) async fn send(
     site: &Rc<Site>,
@@ -108,7 +158,7 @@
     last_event_id: Option<u64>,
     head_deadline: SteadyMs,
 ) -> Result<Answering, AttemptError> {
-    let in_progress = InProgress::start(site, destination);
+    let in_progress = InProgress::start(site, &granted.asked.head.request_id, destination);
     let never_sent = |error: &WireError| AttemptError::NotRun {
         proof: NeverSent::connect_failed(),
         cause: error.to_string(),
@@ -137,13 +187,20 @@
         headers,
         body: granted.body.clone(),
     };
-    let answer = own_head(&mut connection, &request, &granted.asked.head.request_id);
-    let result = timeout_at(site.clock.instant(head_deadline), answer).await;
+    let request_id = &granted.asked.head.request_id;
+    let result = {
+        let answer = pin!(own_head(&mut connection, &request, request_id));
+        if may_look(granted, destination) {
+            wait_and_look(site, request_id, destination, head_deadline, answer).await
+        } else {
+            let head = timeout_at(site.clock.instant(head_deadline), answer).await;
+            head.unwrap_or(Err(WireError::TimedOut))
+        }
+    };
     let (head, server) = match result {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(error)) if error.is_never_sent() => return Err(never_sent(&error)),
-        Ok(Err(error)) => return Err(AttemptError::Unknown { error }),
-        Err(_) => return Err(AttemptError::Unknown { error: WireError::TimedOut }),
+        Ok(answer) => answer,
+        Err(error) if error.is_never_sent() => return Err(never_sent(&error)),
+        Err(error) => return Err(AttemptError::Unknown { error }),
     };
     let says_not_run = server.is_not_executed || head.status == 421;
     if says_not_run {
--- a/crates/godwit-gateway/src/forward/call.rs
+++ b/crates/godwit-gateway/src/forward/call.rs
@@ -3,12 +3,14 @@
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use godwit_core::site::Work;
 use godwit_core::{Claimed, Code, Life, SteadyMs};
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use tokio::time::sleep;
 use tracing::info;
 
 use super::admit::{Asked, Granted, admit};
@@ -25,6 +27,18 @@
 /// Factor on a call's latency target after which another server is tried, where that is allowed.
 const SLOW_CALL_FACTOR: u64 = 3;
 
+/// Part of the latency target, as its divisor, for which a request waits for a server that is not full.
+const QUEUE_SHARE: u64 = 2;
+
+/// Requests that may wait for a server at the same time; more are refused at once.
+const MAX_QUEUED: usize = 24;
+
+/// Step in which a waiting request looks again.
+const QUEUE_LOOK: Duration = Duration::from_millis(20);
+
+/// Longest wait for the first configuration of a process that has just started, in milliseconds.
+const CONFIGURATION_WAIT_MS: u64 = 300;
+
 /// Earliest return that a refused caller is told, in milliseconds.
 const RETURN_AFTER_MS: u64 = 250;
 
@@ -70,6 +84,7 @@
             return Ok(refuse(&site, &asked.head.request_id, "", code, received));
         }
     };
+    wait_for_configuration(&site).await;
     match admit(&site, &asked) {
         Ok(terms) => Ok(forward(&site, Granted { asked, body, terms }, counted).await),
         Err(code) => {
@@ -122,7 +137,7 @@
         if granted.terms.answer_deadline.is_past(site.now()) || runs >= granted.terms.max_attempts {
             break;
         }
-        let destination = match choose(site, &granted, &avoided) {
+        let destination = match choose_in_time(site, &granted, &avoided).await {
             Ok(destination) => destination,
             Err(reason) => {
                 code = if attempt == 1 { reason } else { code };
@@ -140,8 +155,7 @@
             left_ms = granted.terms.answer_deadline.since_ms(site.now()),
             version = granted.terms.configuration.version(),
         );
-        let is_last = runs + 1 >= granted.terms.max_attempts;
-        match try_once(site, &granted, &destination, standing, is_last, &mut counted).await {
+        match try_once(site, &granted, &destination, standing, runs, &mut counted).await {
             Step::Final(response) => return response,
             Step::Again { standing: left, code: cause, avoided: server, wants_budget } => {
                 code = cause;
@@ -168,6 +182,56 @@
     refuse(site, &request_id, &granted.terms.service, code, granted.asked.received)
 }
 
+/// Chooses a server or path. While all are full, the request waits for the part of its latency target that leaves
+/// time to answer it; the longest waiting goes first only by chance, as all wait for a short time.
+async fn choose_in_time(
+    site: &Rc<Site>,
+    granted: &Granted,
+    avoided: &BTreeSet<String>,
+) -> Result<Destination, Code> {
+    let wait_ms = granted.terms.target_latency_ms / QUEUE_SHARE;
+    let give_up_at = granted.asked.received.plus_ms(wait_ms).min(granted.terms.answer_deadline);
+    let mut queued: Option<Queued> = None;
+    loop {
+        let chosen = choose(site, granted, avoided);
+        let may_wait = !give_up_at.is_past(site.now());
+        if chosen.is_ok() || !may_wait {
+            return chosen;
+        }
+        if queued.is_none() {
+            if site.requests_queued.get() >= MAX_QUEUED {
+                return chosen;
+            }
+            queued = Some(Queued::new(site));
+        }
+        sleep(QUEUE_LOOK).await;
+    }
+}
+
+/// Counts a request for as long as it waits for a server.
+struct Queued(Rc<Site>);
+
+impl Queued {
+    fn new(site: &Rc<Site>) -> Queued {
+        count(&site.requests_queued, |requests| requests + 1);
+        Queued(site.clone())
+    }
+}
+
+impl Drop for Queued {
+    fn drop(&mut self) {
+        count(&self.0.requests_queued, |requests| requests.saturating_sub(1));
+    }
+}
+
+/// Waits for the first configuration for as long as a process needs that has just started.
+async fn wait_for_configuration(site: &Site) {
+    let give_up_at = site.now().plus_ms(CONFIGURATION_WAIT_MS);
+    while site.configuration().is_none() && !give_up_at.is_past(site.now()) {
+        sleep(QUEUE_LOOK).await;
+    }
+}
+
 /// When the head of an attempt's answer is due: sooner where another attempt may follow.
 fn head_deadline(site: &Site, granted: &Granted, is_last: bool) -> SteadyMs {
     if granted.terms.work.is_stream() || !granted.terms.work.may_run_again() || is_last {
@@ -182,9 +246,10 @@
     granted: &Rc<Granted>,
     destination: &Destination,
     standing: Standing,
-    is_last: bool,
+    earlier_runs: u32,
     counted: &mut Option<Counted>,
 ) -> Step {
+    let is_last = earlier_runs + 1 >= granted.terms.max_attempts;
     let sent_at = site.now();
     let dispatched = match standing {
         Standing::Unsent(life) => Some(life.dispatch()),
@@ -220,7 +285,14 @@
     let is_stream = granted.terms.work.is_stream() && answering.head.status == 200;
     if is_stream {
         let counted = counted.take();
-        return Step::Final(relay(site, granted, destination.clone(), answering, counted));
+        return Step::Final(relay(
+            site,
+            granted,
+            destination.clone(),
+            answering,
+            earlier_runs + 1,
+            counted,
+        ));
     }
     if is_worth_another_try(site, granted, answering.head.status, is_last) {
         let cause = format!("status {}", answering.head.status);
--- a/crates/godwit-gateway/src/forward/mod.rs
+++ b/crates/godwit-gateway/src/forward/mod.rs
@@ -5,7 +5,9 @@
 mod attempt;
 mod call;
 mod events;
+mod investigate;
 mod stream;
 mod target;
 
 pub(crate) use call::serve;
+pub(crate) use target::Destination;
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -1,13 +1,16 @@
 //! A stream of events from a server to its caller, which goes on at another server where the route allows.
 
 use std::collections::BTreeSet;
+use std::pin::pin;
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::unfold;
 use godwit_core::SteadyMs;
+use godwit_core::site::gap_patience_ms;
 use http::Response;
 use hyper::body::Frame;
+use tokio::task::spawn_local;
 use tokio::time::timeout_at;
 use tracing::info;
 
@@ -16,12 +19,37 @@
 use super::attempt::{Answering, AttemptError, InProgress, keep, send};
 use super::call::{Counted, log_answered};
 use super::events::take_events;
+use super::investigate::{examine, find_stalled};
 use super::target::{Destination, choose};
 use crate::site::Site;
 use crate::wire::{Connection, ReplyHead, WireError};
 
-/// Servers at which one stream is resumed within one answer, besides the first.
-const MAX_RESUMES: u32 = 3;
+/// Factor on the expected gap between events from which a path counts as slow.
+const SLOW_FACTOR: f64 = 1.8;
+
+/// Gap between events below which no path counts as slow, in milliseconds.
+const SLOW_FLOOR_MS: f64 = 25.0;
+
+/// When the pieces of a stream came.
+#[derive(Default)]
+struct Pace {
+    first: Option<SteadyMs>,
+    last: SteadyMs,
+    gaps: u64,
+}
+
+impl Pace {
+    fn event(&mut self, now: SteadyMs) {
+        self.gaps += u64::from(self.first.is_some());
+        self.first.get_or_insert(now);
+        self.last = now;
+    }
+
+    fn mean_gap_ms(&self) -> Option<f64> {
+        let first = self.first.filter(|_| self.gaps > 0)?;
+        Some(self.last.since_ms(first) as f64 / self.gaps as f64)
+    }
+}
 
 /// A stream in progress.
 struct Relay {
@@ -33,7 +61,9 @@
     in_progress: Option<InProgress>,
     buffer: BytesMut,
     last_event_id: Option<u64>,
-    resumes: u32,
+    pace: Pace,
+    /// Servers that may have run the request.
+    runs: u32,
     avoided: BTreeSet<String>,
     _counted: Option<Counted>,
 }
@@ -44,6 +74,7 @@
     granted: &Rc<Granted>,
     destination: Destination,
     answering: Answering,
+    runs: u32,
     counted: Option<Counted>,
 ) -> Response<ReplyBody> {
     let Answering { head, connection, in_progress, .. } = answering;
@@ -56,7 +87,8 @@
         in_progress: Some(in_progress),
         buffer: BytesMut::new(),
         last_event_id: granted.asked.head.last_event_id,
-        resumes: 0,
+        pace: Pace::default(),
+        runs,
         avoided: BTreeSet::new(),
         _counted: counted,
     };
@@ -85,20 +117,59 @@
     }
 
     async fn read(&mut self) -> Result<Option<Bytes>, WireError> {
-        let connection = self.connection.as_mut().ok_or(WireError::Ended)?;
-        let deadline = self.site.clock.instant(self.granted.terms.answer_deadline);
-        let piece = timeout_at(deadline, connection.next_piece()).await;
-        let Some(piece) = piece.map_err(|_| WireError::TimedOut)?? else { return Ok(None) };
+        let Some(piece) = self.next_piece().await? else { return Ok(None) };
+        self.pace.event(self.site.now());
         self.buffer.extend_from_slice(&piece);
         Ok(Some(take_events(&mut self.buffer, &mut self.last_event_id)))
     }
 
+    /// Waits for more of the stream; a pause longer than expected is looked into.
+    async fn next_piece(&mut self) -> Result<Option<Bytes>, WireError> {
+        let connection = self.connection.as_mut().ok_or(WireError::Ended)?;
+        let deadline = self.granted.terms.answer_deadline;
+        let mut piece = pin!(connection.next_piece());
+        let patience_ms = gap_patience_ms(self.destination.event_gap_ms);
+        loop {
+            let look_at = self.site.now().plus_ms(patience_ms).min(deadline);
+            if let Ok(piece) = timeout_at(self.site.clock.instant(look_at), piece.as_mut()).await {
+                return piece;
+            }
+            if deadline.is_past(self.site.now()) {
+                return Err(WireError::TimedOut);
+            }
+            if !self.granted.terms.work.may_run_again() {
+                continue;
+            }
+            let request_id = &self.granted.asked.head.request_id;
+            tokio::select! {
+                biased;
+                piece = piece.as_mut() => return piece,
+                is_stalled = find_stalled(&self.site, request_id, &self.destination) => {
+                    if is_stalled {
+                        return Err(WireError::Stalled);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Has the servers of the path examined if the stream was much slower than expected.
+    fn look_at_pace(&self) {
+        let expected_ms = self.destination.event_gap_ms;
+        let Some(gap_ms) = self.pace.mean_gap_ms() else { return };
+        metrics::histogram!("event_gap_ms").record(gap_ms);
+        if gap_ms > SLOW_FACTOR * expected_ms + SLOW_FLOOR_MS {
+            spawn_local(examine(self.site.clone(), self.destination.clone()));
+        }
+    }
+
     fn finish(&mut self) -> Option<Bytes> {
         if let Some(connection) = self.connection.take() {
             keep(&self.site, &self.destination, connection, &self.head);
             log_answered(&self.site, &self.granted, &self.destination, self.head.status);
         }
         self.in_progress = None;
+        self.look_at_pace();
         let rest = self.buffer.split().freeze();
         (!rest.is_empty()).then_some(rest)
     }
@@ -116,7 +187,7 @@
                 server = self.destination.server_id,
                 cause,
                 last_event_id = self.last_event_id,
-                resumes = self.resumes,
+                runs = self.runs,
             );
             self.avoided.insert(self.destination.server_id.clone());
             if !self.may_resume() {
@@ -124,7 +195,6 @@
                 metrics::counter!("streams_given_up_total").increment(1);
                 return Err(Incomplete);
             }
-            self.resumes += 1;
             self.destination =
                 choose(&self.site, &self.granted, &self.avoided).map_err(|_| Incomplete)?;
             let deadline: SteadyMs = self.granted.terms.answer_deadline;
@@ -133,6 +203,7 @@
                     .await;
             match sent {
                 Ok(answering) if answering.head.status == 200 => {
+                    self.runs += 1;
                     info!(
                         event = "stream_resumed",
                         request = self.granted.asked.head.request_id,
@@ -142,23 +213,30 @@
                     self.connection = Some(answering.connection);
                     self.in_progress = Some(answering.in_progress);
                     self.head = answering.head;
+                    self.pace = Pace::default();
                     return Ok(());
                 }
-                Ok(answering) => cause = format!("status {}", answering.head.status),
+                Ok(answering) => {
+                    self.runs += 1;
+                    cause = format!("status {}", answering.head.status);
+                }
                 Err(AttemptError::NotRun { cause: reason, faulty_server, .. }) => {
                     if let Some(id) = &faulty_server {
                         self.site.server_failed(id, &reason);
                     }
                     cause = reason;
                 }
-                Err(AttemptError::Unknown { error }) => cause = error.to_string(),
+                Err(AttemptError::Unknown { error }) => {
+                    self.runs += 1;
+                    cause = error.to_string();
+                }
             }
         }
     }
 
     fn may_resume(&self) -> bool {
         self.granted.terms.work.may_run_again()
-            && self.resumes < MAX_RESUMES
+            && self.runs < self.granted.terms.max_attempts
             && !self.granted.terms.answer_deadline.is_past(self.site.now())
             && self.site.try_retry(&self.granted.terms.service)
     }
--- a/crates/godwit-gateway/src/forward/target.rs
+++ b/crates/godwit-gateway/src/forward/target.rs
@@ -65,7 +65,10 @@
     granted: &Granted,
     avoided: &BTreeSet<String>,
 ) -> Result<Destination, Code> {
-    let mut left_out = site.health.borrow().ejected(site.now());
+    let now = site.now();
+    let mut left_out = site.health.borrow().ejected(now);
+    let findings = site.findings.borrow();
+    left_out.extend(findings.stalling(now));
     left_out.extend(avoided.iter().cloned());
     let service =
         granted.terms.configuration.service(&granted.terms.service).ok_or(Code::NoServer)?;
@@ -73,8 +76,9 @@
     let loads = site.loads.borrow();
     let Some(model) = &service.model else {
         let health = site.health.borrow();
+        let home = &site.settings.failure_domain;
         let server = choose_server(
-            roster.servers(),
+            roster.servers().filter(|server| findings.is_open(home, &server.failure_domain, now)),
             &loads,
             &granted.terms.service,
             &site.settings.failure_domain,
@@ -100,6 +104,8 @@
         answer_tokens,
         home_domain: &site.settings.failure_domain,
         avoided: &left_out,
+        slowdown: &|id| findings.slowdown(id, now),
+        is_open: &|one, other| findings.is_open(one, other, now),
         seed: granted.terms.seed,
     };
     let path =
--- a/crates/godwit-gateway/src/gossip.rs
+++ b/crates/godwit-gateway/src/gossip.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use godwit_core::site::{Load, LoadSource, PeerLoads};
+use godwit_core::site::{Load, LoadSource, PeerLoads, ToldCut, ToldFinding};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -40,6 +40,8 @@
     born_unix_ms: u64,
     sequence: u64,
     loads: Vec<ServerWork>,
+    findings: Vec<ServerFinding>,
+    cuts: Vec<DomainCut>,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -49,6 +51,36 @@
     kv_tokens: u64,
 }
 
+#[derive(Debug, Deserialize, Serialize)]
+struct ServerFinding {
+    server_id: String,
+    stalls_for_ms: u64,
+    slowdown: f64,
+    slow_for_ms: u64,
+    examined_ago_ms: u64,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct DomainCut {
+    domains: [String; 2],
+    for_ms: u64,
+}
+
+impl From<ToldFinding> for ServerFinding {
+    fn from(told: ToldFinding) -> ServerFinding {
+        let ToldFinding { server_id, stalls_for_ms, slowdown, slow_for_ms, examined_ago_ms } = told;
+        ServerFinding { server_id, stalls_for_ms, slowdown, slow_for_ms, examined_ago_ms }
+    }
+}
+
+impl From<ServerFinding> for ToldFinding {
+    fn from(finding: ServerFinding) -> ToldFinding {
+        let ServerFinding { server_id, stalls_for_ms, slowdown, slow_for_ms, examined_ago_ms } =
+            finding;
+        ToldFinding { server_id, stalls_for_ms, slowdown, slow_for_ms, examined_ago_ms }
+    }
+}
+
 /// The exchange of loads with the other hosts.
 pub(crate) struct Gossip {
     site: Rc<Site>,
@@ -87,13 +119,18 @@
             requests: load.requests,
             kv_tokens: load.kv_tokens,
         });
+        let now = self.site.now();
+        let findings = self.site.findings.borrow().told(now);
+        let cuts = self.site.findings.borrow().told_cuts(now).into_iter();
         let message = LoadMessage {
             host: self.site.settings.host.clone(),
             failure_domain: self.site.settings.failure_domain.clone(),
             scope,
             born_unix_ms: self.born_unix_ms,
-            sequence: self.site.now().0,
+            sequence: now.0,
             loads: work.collect(),
+            findings: findings.into_iter().map(ServerFinding::from).collect(),
+            cuts: cuts.map(|ToldCut { domains, for_ms }| DomainCut { domains, for_ms }).collect(),
         };
         let bytes = match postcard::to_stdvec(&message) {
             Ok(bytes) => bytes,
@@ -137,6 +174,13 @@
             Scope::Domain => LoadSource::Domain(message.failure_domain),
             Scope::Others => LoadSource::Collector,
         };
+        let now = self.site.now();
+        for finding in message.findings {
+            self.site.findings.borrow_mut().hear(&finding.into(), now);
+        }
+        for DomainCut { domains, for_ms } in message.cuts {
+            self.site.findings.borrow_mut().hear_cut(&ToldCut { domains, for_ms }, now);
+        }
         let work = message.loads.into_iter().map(|work| {
             (work.server_id, Load { requests: work.requests, kv_tokens: work.kv_tokens })
         });
@@ -146,7 +190,7 @@
             born_unix_ms: message.born_unix_ms,
             sequence: message.sequence,
         };
-        self.site.loads.borrow_mut().hear(source, loads, self.site.now());
+        self.site.loads.borrow_mut().hear(source, loads, now);
         if message.scope == Scope::Host {
             let others = self.site.loads.borrow().sum_without(&message.host);
             self.send(sender, Scope::Others, others).await;
--- a/crates/godwit-gateway/src/lib.rs
+++ b/crates/godwit-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod gossip;
 mod pool;
 mod run;
+mod server_call;
 mod site;
 mod store;
 mod telemetry;
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -7,12 +7,13 @@
 use godwit_adapter::PlatformSettings;
 use godwit_core::SteadyMs;
 use godwit_core::site::{
-    Configuration, HealthLimits, LoadBook, PeerHost, Relay, RelayLimits, RetryBudget, RetryLimits,
-    Roster, RosterLimits, ServerHealth,
+    Configuration, Findings, HealthLimits, LoadBook, PeerHost, Relay, RelayLimits, RetryBudget,
+    RetryLimits, Roster, RosterLimits, ServerHealth,
 };
 use tracing::info;
 
 use crate::clock::Clock;
+use crate::forward::Destination;
 use crate::pool::Pool;
 
 /// How long an entry may be missing after the store is back; servers return within about two seconds.
@@ -41,9 +42,13 @@
     pub(crate) loads: RefCell<LoadBook>,
     pub(crate) relay: RefCell<Relay>,
     pub(crate) health: RefCell<ServerHealth>,
+    pub(crate) findings: RefCell<Findings>,
+    /// Paths of the requests in progress, by request.
+    pub(crate) paths: RefCell<BTreeMap<String, Destination>>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) is_stopping: Cell<bool>,
     pub(crate) requests_in_progress: Cell<usize>,
+    pub(crate) requests_queued: Cell<usize>,
     configuration: RefCell<Option<Rc<Configuration>>>,
     budgets: RefCell<BTreeMap<String, RetryBudget>>,
 }
@@ -63,9 +68,12 @@
             roster: RefCell::new(Roster::new(RosterLimits { lapse_grace_ms: LAPSE_GRACE_MS })),
             loads: RefCell::new(LoadBook::new(PEER_EXPIRY_MS)),
             health: RefCell::new(ServerHealth::new(health)),
+            findings: RefCell::new(Findings::new()),
+            paths: RefCell::new(BTreeMap::new()),
             pool: RefCell::new(Pool::new()),
             is_stopping: Cell::new(false),
             requests_in_progress: Cell::new(0),
+            requests_queued: Cell::new(0),
             configuration: RefCell::new(None),
             budgets: RefCell::new(BTreeMap::new()),
         }
@@ -149,10 +157,16 @@
         metrics::counter!("server_failures_total").increment(1);
     }
 
-    /// A server is gone from the list.
-    pub(crate) fn server_gone(&self, server_id: &str) {
+    /// Forgets what was seen of a server, whose incarnation has ended.
+    pub(crate) fn forget_server(&self, server_id: &str) {
         self.health.borrow_mut().forget(server_id);
+        self.findings.borrow_mut().forget(server_id);
         self.pool.borrow_mut().forget(server_id);
+    }
+
+    /// A server is gone from the list.
+    pub(crate) fn server_gone(&self, server_id: &str) {
+        self.forget_server(server_id);
         info!(event = "server_gone", server = server_id);
     }
 }
--- a/crates/godwit-gateway/src/wire/error.rs
+++ b/crates/godwit-gateway/src/wire/error.rs
@@ -17,6 +17,9 @@
     /// What came is no answer of the protocol.
     #[error("not an HTTP answer")]
     NotHttp,
+    /// A server of the path stalls the work.
+    #[error("a server of the path stalls")]
+    Stalled,
     /// No answer by the deadline.
     #[error("no answer by the deadline")]
     TimedOut,
