Blame a server for a stall only if its whole path lies in its own domain

Cause: a server that waits for a cut link is itself reported as the one waited for, so that sound servers of a cut zone were left out by all.

--- a/crates/godwit-gateway/src/forward/investigate.rs
+++ b/crates/godwit-gateway/src/forward/investigate.rs
@@ -46,7 +46,7 @@
         // Requests of other hosts are left to these, which know their paths.
         let Some(path) = site.paths.borrow().get(&stalled.request_id).cloned() else { continue };
         if let Some(server) = server_at(site, stalled.waits_for) {
-            let from = waiting_domain(site, &path, &first, &server);
+            let from = waiting_domain(site, &path, &server);
             note_stall(site, &stalled.request_id, &from, &server, "stalled");
         }
     }
@@ -58,19 +58,23 @@
     roster.servers().find(|server| server.address == address).cloned()
 }
 
-/// Failure domain of the servers that wait for another: the first of the path, which tokens come back to, and the stage
-/// before. Where they differ, the one that is not the server's own.
-fn waiting_domain(
-    site: &Site,
-    path: &Destination,
-    first: &BackendServer,
-    waits_for: &BackendServer,
-) -> String {
-    let at = path.hops.iter().position(|hop| hop.address == waits_for.address);
-    let before = at.and_then(|at| path.hops.get(at.checked_sub(1)?));
-    let before = before.and_then(|hop| server(site, &hop.server_id));
-    let foreign = before.filter(|server| server.failure_domain != waits_for.failure_domain);
-    foreign.map_or_else(|| first.failure_domain.clone(), |server| server.failure_domain)
+/// Failure domains of a path, in its order, each once.
+fn domains(site: &Site, path: &Destination) -> Vec<String> {
+    let mut domains: Vec<String> = Vec::new();
+    for server in path.server_ids().into_iter().filter_map(|id| server(site, id)) {
+        if !domains.contains(&server.failure_domain) {
+            domains.push(server.failure_domain);
+        }
+    }
+    domains
+}
+
+/// Failure domain from which work stalls at a server: its own where the whole path lies there. Elsewhere the server may
+/// itself be waiting for a link, so that the path's other domain counts.
+fn waiting_domain(site: &Site, path: &Destination, waits_for: &BackendServer) -> String {
+    let domains = domains(site, path);
+    let other = domains.into_iter().find(|domain| *domain != waits_for.failure_domain);
+    other.unwrap_or_else(|| waits_for.failure_domain.clone())
 }
 
 /// Whether something that stalls the path is known.
