Make failure domains whole after a loss, and order by one host at a time

Change: servers whose layers others of the domain hold are moved into gaps, the slowest first; a new server waits 1 s for a drain, each by itself; the holder renews its object before each round, and a takeover waits from the last renewal that was read.

Ruled out: settling by the newest server (a release keeps bringing new ones and starved all); orders without renewing the right.

--- a/crates/godwit-core/src/site/layout.rs
+++ b/crates/godwit-core/src/site/layout.rs
@@ -118,6 +118,55 @@
     1.0 / kind.step_factor.max(0.01)
 }
 
+/// A server that holds layers.
+struct Held<'a> {
+    server: &'a BackendServer,
+    kind: &'a KindTraits,
+    range: LayerRange,
+}
+
+/// Servers of one failure domain that hold layers of which others there hold each as well, and could close a gap.
+fn moves_in_domain(model: &ModelTraits, grid: &Grid, held: &mut Vec<Held<'_>>) -> Vec<Placement> {
+    let mut placements = Vec::new();
+    let holders = |held: &[Held<'_>], cell: usize| {
+        held.iter().filter(|server| grid.holds(server.range, cell)).count()
+    };
+    while let Some(gap) = (0..grid.cells).find(|cell| holders(held, *cell) == 0) {
+        let is_spare = |server: &Held<'_>| {
+            let mut cells = (0..grid.cells).filter(|cell| grid.holds(server.range, *cell));
+            cells.all(|cell| holders(held, cell) > 1)
+        };
+        let spares = held.iter().enumerate().filter(|(_, server)| is_spare(server));
+        // The slowest spare loses least where it is.
+        let slowest =
+            spares.min_by(|(_, left), (_, right)| speed(left.kind).total_cmp(&speed(right.kind)));
+        let Some((index, _)) = slowest else { break };
+        let window = grid.window(model, held[index].kind).max(1);
+        let range = grid.range(gap.min(grid.cells - window), window);
+        held[index].range = range;
+        placements.push(Placement { server_id: held[index].server.id.clone(), range });
+    }
+    placements
+}
+
+/// Moves that make failure domains whole which lack some layers though their servers could hold all. Servers whose
+/// layers others of the domain hold as well are moved, the slowest first.
+pub fn plan_moves(model: &ModelTraits, servers: &[&BackendServer]) -> Vec<Placement> {
+    let ready: Vec<&BackendServer> =
+        servers.iter().copied().filter(|server| server.state == ServerState::Ready).collect();
+    let Some(grid) = Grid::new(model, &ready) else { return Vec::new() };
+    let mut domains: BTreeMap<&str, Vec<Held<'_>>> = BTreeMap::new();
+    for server in ready {
+        let kind = model.kinds.get(&server.kind);
+        let range = server.layers.filter(|range| !range.is_empty());
+        if let (Some(kind), Some(range)) = (kind, range) {
+            let held = domains.entry(&server.failure_domain).or_default();
+            held.push(Held { server, kind, range });
+        }
+    }
+    domains.values_mut().flat_map(|held| moves_in_domain(model, &grid, held)).collect()
+}
+
 /// Where the empty servers should take layers, given what the others hold.
 ///
 /// ```
--- a/crates/godwit-gateway/src/coordinator.rs
+++ b/crates/godwit-gateway/src/coordinator.rs
@@ -2,7 +2,7 @@
 //! its fencing number, and a host that loses a conditional update, or is fenced by a server, orders no more until it
 //! holds the object again.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
     encode_object, encode_order, object_path,
 };
 use godwit_core::SteadyMs;
-use godwit_core::site::{BackendServer, ModelTraits, Placement, plan_layout};
+use godwit_core::site::{BackendServer, ModelTraits, Placement, plan_layout, plan_moves};
 use serde::{Deserialize, Serialize};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
@@ -33,11 +33,21 @@
 /// How long no new empty server may have come before a first layout is planned, in milliseconds.
 const SETTLE_MS: u64 = 1_500;
 
-/// The same while callers are being served, in milliseconds.
-const SETTLE_SERVING_MS: u64 = 300;
+/// Longest wait for a first layout while servers keep coming, in milliseconds.
+const LONGEST_SETTLE_MS: u64 = 5_000;
+
+/// The same while callers are being served, in milliseconds; a server that replaces another comes before that one
+/// drains.
+const SETTLE_SERVING_MS: u64 = 1_000;
+
+/// How long a failure domain must lack layers before servers are moved, in milliseconds.
+const GAP_SETTLE_MS: u64 = 1_000;
+
+/// How long a host that holds the object orders without making sure of it again, in milliseconds.
+const CONFIRMED_MS: u64 = 1_000;
 
 /// How long work must be outstanding before a host takes over from another, in milliseconds.
-const TAKEOVER_MS: u64 = 4_000;
+const TAKEOVER_MS: u64 = 5_000;
 
 /// Spread of that time over the hosts, in milliseconds.
 const TAKEOVER_SPREAD_MS: u64 = 3_000;
@@ -62,10 +72,10 @@
 enum Right {
     /// Nothing.
     Unknown,
-    /// Another host holds the object at a revision.
-    Other { revision: u64 },
-    /// This host holds it.
-    Own { fence: u64 },
+    /// Another host held the object at a revision, when it was last read.
+    Other { revision: u64, read: SteadyMs },
+    /// This host holds it, as it last made sure.
+    Own { fence: u64, confirmed: SteadyMs },
 }
 
 struct Coordinator {
@@ -78,6 +88,8 @@
     accepted: BTreeMap<(String, u64), u64>,
     /// Empty servers, each with the time at which it was first seen.
     empty_since: BTreeMap<(String, u64), SteadyMs>,
+    /// Since when moves have been called for.
+    gap_since: Option<SteadyMs>,
     takeover_spread_ms: u64,
 }
 
@@ -91,6 +103,7 @@
         pending: BTreeMap::new(),
         accepted: BTreeMap::new(),
         empty_since: BTreeMap::new(),
+        gap_since: None,
         takeover_spread_ms: rand::random::<u64>() % TAKEOVER_SPREAD_MS,
     };
     loop {
@@ -119,11 +132,11 @@
     async fn look_at(&mut self, service: &str, model: &ModelTraits) {
         let servers = owned(&self.site, service);
         let now = self.site.now();
-        if !self.is_settled(&servers, now) {
-            return;
-        }
         let refs: Vec<&BackendServer> = servers.iter().collect();
-        let mut plan = plan_layout(model, &refs);
+        let settled = self.settled(&servers, now);
+        let mut plan = if settled.is_empty() { Vec::new() } else { plan_layout(model, &refs) };
+        plan.retain(|placement| settled.contains(&placement.server_id));
+        plan.extend(self.moves(model, &refs, now));
         plan.retain(|placement| !self.pending.contains_key(&placement.server_id));
         if plan.is_empty() {
             return;
@@ -133,9 +146,10 @@
         }
     }
 
-    /// Whether the set of empty servers has been still for long enough.
-    fn is_settled(&mut self, servers: &[BackendServer], now: SteadyMs) -> bool {
-        let empty: Vec<(String, u64)> = servers
+    /// The empty servers that may be ordered: at the start all at once, when no more have come for a while; later each
+    /// by itself.
+    fn settled(&mut self, servers: &[BackendServer], now: SteadyMs) -> BTreeSet<String> {
+        let empty: BTreeSet<(String, u64)> = servers
             .iter()
             .filter(|server| server.layers.is_none())
             .map(|server| (server.id.clone(), server.born_unix_ms))
@@ -144,24 +158,58 @@
         for key in empty {
             self.empty_since.entry(key).or_insert(now);
         }
+        let is_old = |since: &SteadyMs, ms: u64| since.plus_ms(ms).is_past(now);
         let is_serving = servers.iter().any(|server| server.layers.is_some());
-        let settle_ms = if is_serving { SETTLE_SERVING_MS } else { SETTLE_MS };
+        let all = self.empty_since.iter();
+        if is_serving {
+            let settled = all.filter(|(_, since)| is_old(since, SETTLE_SERVING_MS));
+            return settled.map(|((id, _), _)| id.clone()).collect();
+        }
         let newest = self.empty_since.values().max();
-        newest.is_some_and(|newest| newest.plus_ms(settle_ms).is_past(now))
+        let oldest = self.empty_since.values().min();
+        let is_still = newest.is_some_and(|newest| is_old(newest, SETTLE_MS))
+            || oldest.is_some_and(|oldest| is_old(oldest, LONGEST_SETTLE_MS));
+        if is_still { all.map(|((id, _), _)| id.clone()).collect() } else { BTreeSet::new() }
+    }
+
+    /// Moves, once a gap has been there for long enough.
+    fn moves(
+        &mut self,
+        model: &ModelTraits,
+        servers: &[&BackendServer],
+        now: SteadyMs,
+    ) -> Vec<Placement> {
+        let is_starting = servers.iter().all(|server| server.layers.is_none());
+        let moves = if is_starting || !self.pending.is_empty() {
+            Vec::new()
+        } else {
+            plan_moves(model, servers)
+        };
+        if moves.is_empty() {
+            self.gap_since = None;
+            return moves;
+        }
+        let since = *self.gap_since.get_or_insert(now);
+        if since.plus_ms(GAP_SETTLE_MS).is_past(now) { moves } else { Vec::new() }
     }
 
     /// How long the oldest outstanding work has waited.
     fn waited_ms(&self, now: SteadyMs) -> u64 {
-        self.empty_since.values().min().map_or(0, |oldest| now.since_ms(*oldest))
+        let oldest = self.empty_since.values().chain(&self.gap_since).min();
+        oldest.map_or(0, |oldest| now.since_ms(*oldest))
     }
 
     /// The fencing number, if this host may order.
     async fn acquire(&mut self, now: SteadyMs) -> Option<u64> {
         let expected_revision = match self.right {
-            Right::Own { fence } => return Some(fence),
+            Right::Own { fence, confirmed } if !confirmed.plus_ms(CONFIRMED_MS).is_past(now) => {
+                return Some(fence);
+            }
+            Right::Own { fence, .. } => Some(fence),
             Right::Unknown => None,
-            Right::Other { revision } => {
-                if self.waited_ms(now) < TAKEOVER_MS + self.takeover_spread_ms {
+            Right::Other { revision, read } => {
+                let waited_ms = self.waited_ms(now).min(now.since_ms(read));
+                if waited_ms < TAKEOVER_MS + self.takeover_spread_ms {
                     return None;
                 }
                 Some(revision)
@@ -188,8 +236,8 @@
         };
         let object = decode_object(&reply.body);
         self.right = match (reply.status, object) {
-            (200 | 201, Ok(object)) => Right::Own { fence: object.revision },
-            (409, Ok(object)) => Right::Other { revision: object.revision },
+            (200 | 201, Ok(object)) => Right::Own { fence: object.revision, confirmed: now },
+            (409, Ok(object)) => Right::Other { revision: object.revision, read: now },
             (status, _) => {
                 warn!(event = "holder_not_written", status);
                 Right::Unknown
@@ -197,7 +245,7 @@
         };
         info!(event = "holder", right = ?self.right);
         match self.right {
-            Right::Own { fence } => Some(fence),
+            Right::Own { fence, .. } => Some(fence),
             Right::Other { .. } | Right::Unknown => None,
         }
     }
