--- a/crates/godwit-core/src/site/findings.rs
+++ b/crates/godwit-core/src/site/findings.rs
@@ -7,7 +7,7 @@
 
 use crate::SteadyMs;
 
-/// How long a finding holds, in milliseconds; about as long as a server takes to come back.
+/// How long a server counts as stalling work, in milliseconds; about as long as it takes to come back.
 const FINDING_MS: u64 = 3_000;
 
 /// How long a cut between failure domains counts before crossings are tried again, in milliseconds.
@@ -22,6 +22,9 @@
 /// Age up to which an examination is told to other hosts, in milliseconds.
 const EXAMINED_TOLD_MS: u64 = 5_000;
 
+/// How long a slowdown counts before the server is tried again, in milliseconds.
+const SLOW_MS: u64 = 5_000;
+
 /// Smallest slowdown that counts; reports vary below it.
 const SLOWDOWN_FLOOR: f64 = 1.3;
 
@@ -155,7 +158,7 @@
         finding.examined = now;
         finding.slowdown = slowdown.max(1.0);
         let is_slow = slowdown >= SLOWDOWN_FLOOR;
-        finding.slow_until = if is_slow { now.plus_ms(FINDING_MS) } else { now };
+        finding.slow_until = if is_slow { now.plus_ms(SLOW_MS) } else { now };
     }
 
     /// Whether a server was examined within the last `age_ms`.
@@ -202,10 +205,9 @@
     /// Takes what another host tells; what holds longer is kept.
     pub fn hear(&mut self, told: &ToldFinding, now: SteadyMs) {
         let finding = self.by_server.entry(told.server_id.clone()).or_default();
-        let limit_ms = |ms: u64| ms.min(FINDING_MS);
-        let stalls_until = now.plus_ms(limit_ms(told.stalls_for_ms));
+        let stalls_until = now.plus_ms(told.stalls_for_ms.min(FINDING_MS));
         finding.stalls_until = finding.stalls_until.max(stalls_until);
-        let slow_until = now.plus_ms(limit_ms(told.slow_for_ms));
+        let slow_until = now.plus_ms(told.slow_for_ms.min(SLOW_MS));
         if told.slow_for_ms > 0 && slow_until > finding.slow_until {
             finding.slow_until = slow_until;
             finding.slowdown = told.slowdown;
--- a/crates/godwit-core/src/site/path.rs
+++ b/crates/godwit-core/src/site/path.rs
@@ -231,13 +231,13 @@
                 let mut entry_ms = cost_ms;
                 entry_ms += if is_foreign { FOREIGN_ENTRY_SHARE * base_ms } else { 0.0 };
                 entry_ms += if is_crossing { CROSSING_SHARE * base_ms } else { 0.0 };
-                for to in boundaries.range(at + 1..=holder.range.to) {
-                    let cost_ms = entry_ms + holder.cost_ms(model, request, to - at);
-                    let step = Step { cost_ms, holder: index, from: state };
-                    let known = steps.entry((*to, holder.domain)).or_insert(step);
-                    if step.cost_ms < known.cost_ms {
-                        *known = step;
-                    }
+                // Each server is used up to its last layer, so that none can be entered twice.
+                let to = holder.range.to.min(model.layers);
+                let cost_ms = entry_ms + holder.cost_ms(model, request, to - at);
+                let step = Step { cost_ms, holder: index, from: state };
+                let known = steps.entry((to, holder.domain)).or_insert(step);
+                if step.cost_ms < known.cost_ms {
+                    *known = step;
                 }
             }
         }
@@ -268,12 +268,6 @@
     Some(path)
 }
 
-/// The first server that a path names twice.
-fn repeated_server(path: &Path) -> Option<&str> {
-    let mut seen = BTreeSet::new();
-    path.hops.iter().map(|hop| hop.server_id.as_str()).find(|id| !seen.insert(*id))
-}
-
 /// The cheapest path for a request over the servers that hold layers and have room.
 ///
 /// # Errors
@@ -303,13 +297,10 @@
 ) -> Result<Path, PathError> {
     let all = holders(model, servers, loads, request);
     let base_ms = unloaded_path_ms(model, request, &all);
-    let mut usable: Vec<&Holder<'_>> = all.iter().filter(|holder| holder.has_room).collect();
-    loop {
-        let steps = search(model, request, &usable, base_ms);
-        let Some(path) = trace(model, request, &usable, &steps) else { break };
-        let Some(repeated) = repeated_server(&path) else { return Ok(path) };
-        let repeated = repeated.to_string();
-        usable.retain(|holder| holder.server.id != repeated);
+    let usable: Vec<&Holder<'_>> = all.iter().filter(|holder| holder.has_room).collect();
+    let steps = search(model, request, &usable, base_ms);
+    if let Some(path) = trace(model, request, &usable, &steps) {
+        return Ok(path);
     }
     let everyone: Vec<&Holder<'_>> = all.iter().collect();
     let steps = search(model, request, &everyone, base_ms);
--- /dev/null
+++ b/crates/godwit-core/tests/site/relay.rs
@@ -0,0 +1,66 @@
+use godwit_core::SteadyMs;
+use godwit_core::site::{PeerHost, Relay, RelayLimits};
+
+const LIMITS: RelayLimits = RelayLimits { silence_ms: 700, passed_over_ms: 4_000 };
+
+fn host(name: &str) -> PeerHost {
+    let domain = &name[..1];
+    PeerHost {
+        name: name.to_string(),
+        failure_domain: domain.to_string(),
+        address: ([10, 0, 0, 1], 7_000).into(),
+    }
+}
+
+fn relay(own: &str) -> Relay {
+    let mut relay = Relay::new(own, &own[..1], LIMITS);
+    relay.set_hosts(["a-1", "a-2", "a-3", "b-1", "b-2"].map(host).into());
+    relay
+}
+
+#[test]
+fn relay_reports_to_the_first_host_of_the_domain() {
+    let recipients = relay("a-2").recipients(SteadyMs(0));
+    assert_eq!(recipients.collector, Some(host("a-1")));
+    assert!(recipients.other_collectors.is_empty());
+}
+
+#[test]
+fn relay_of_the_first_host_reports_to_other_domains() {
+    let recipients = relay("a-1").recipients(SteadyMs(0));
+    assert_eq!(recipients.collector, None);
+    assert_eq!(recipients.other_collectors, [host("b-1")]);
+}
+
+#[test]
+fn relay_passes_over_a_silent_host() {
+    let mut relay = relay("a-3");
+    relay.recipients(SteadyMs(0));
+    let recipients = relay.recipients(SteadyMs(700));
+    assert_eq!(recipients.collector, Some(host("a-2")));
+}
+
+#[test]
+fn relay_collects_itself_when_those_before_it_are_silent() {
+    let mut relay = relay("a-2");
+    relay.recipients(SteadyMs(0));
+    let recipients = relay.recipients(SteadyMs(700));
+    assert_eq!(recipients.collector, None);
+    assert_eq!(recipients.other_collectors, [host("b-1")]);
+}
+
+#[test]
+fn relay_keeps_to_a_host_that_answers() {
+    let mut relay = relay("a-2");
+    relay.recipients(SteadyMs(0));
+    relay.heard("a-1");
+    assert_eq!(relay.recipients(SteadyMs(900)).collector, Some(host("a-1")));
+}
+
+#[test]
+fn relay_tries_a_silent_host_again_later() {
+    let mut relay = relay("a-2");
+    relay.recipients(SteadyMs(0));
+    relay.recipients(SteadyMs(700));
+    assert_eq!(relay.recipients(SteadyMs(4_700)).collector, Some(host("a-1")));
+}
--- /dev/null
+++ b/crates/godwit-core/tests/site/retry.rs
@@ -0,0 +1,55 @@
+use godwit_core::SteadyMs;
+use godwit_core::site::{RetryBudget, RetryLimits};
+use proptest::prelude::*;
+
+const LIMITS: RetryLimits = RetryLimits { ratio: 0.2, extra: 20.0, window_ms: 10_000 };
+
+#[test]
+fn retry_budget_is_shared_by_the_hosts() {
+    let mut budget = RetryBudget::new(LIMITS);
+    let taken = (0..100).filter(|_| budget.try_retry(4, SteadyMs(0))).count();
+    assert_eq!(taken, 4, "0.8 of 20 over 4 hosts");
+}
+
+#[test]
+fn retry_budget_grows_with_first_sends() {
+    let mut budget = RetryBudget::new(LIMITS);
+    (0..50).for_each(|_| budget.first_send(SteadyMs(0)));
+    let taken = (0..100).filter(|_| budget.try_retry(4, SteadyMs(0))).count();
+    assert_eq!(taken, 12, "0.8 of 10 and 5");
+}
+
+#[test]
+fn retry_budget_comes_back_with_the_window() {
+    let mut budget = RetryBudget::new(LIMITS);
+    while budget.try_retry(1, SteadyMs(0)) {}
+    assert!(!budget.try_retry(1, SteadyMs(9_999)));
+    assert!(budget.try_retry(1, SteadyMs(10_000)));
+}
+
+proptest! {
+    /// Over any sliding window the retries of all hosts stay within what the site allows.
+    #[test]
+    fn retry_budget_holds_in_every_window(
+        steps in prop::collection::vec((0_u64..400, 0_usize..4, any::<bool>()), 1..400)
+    ) {
+        let mut budgets: Vec<RetryBudget> = (0..4).map(|_| RetryBudget::new(LIMITS)).collect();
+        let (mut firsts, mut retries) = (Vec::new(), Vec::new());
+        let mut now = SteadyMs(0);
+        for (pause_ms, host, is_first) in steps {
+            now = now.plus_ms(pause_ms);
+            if is_first {
+                budgets[host].first_send(now);
+                firsts.push(now);
+            } else if budgets[host].try_retry(4, now) {
+                retries.push(now);
+            }
+            let within = |at: &&SteadyMs| !at.plus_ms(LIMITS.window_ms).is_past(now);
+            let first_count = firsts.iter().filter(within).count() as f64;
+            let retry_count = retries.iter().filter(within).count() as f64;
+            // Sends that have left the window since a retry was granted lower the bound again by their share.
+            let older = firsts.len() as f64 - first_count;
+            prop_assert!(retry_count <= LIMITS.ratio * (first_count + older) + LIMITS.extra);
+        }
+    }
+}
--- a/crates/godwit-gateway/src/forward/call.rs
+++ b/crates/godwit-gateway/src/forward/call.rs
@@ -363,7 +363,7 @@
 }
 
 /// Logs a request whose final answer is a server's.
-pub(super) fn log_answered(site: &Site, granted: &Granted, destination: &Destination, status: u16) {
+fn log_answered(site: &Site, granted: &Granted, destination: &Destination, status: u16) {
     let after_ms = site.now().since_ms(granted.asked.received);
     info!(
         event = "answered",
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -17,7 +17,7 @@
 use super::admit::Granted;
 use super::answer::{Incomplete, ReplyBody, server_answer, streamed};
 use super::attempt::{Answering, AttemptError, InProgress, keep, send};
-use super::call::{Counted, log_answered};
+use super::call::Counted;
 use super::events::take_events;
 use super::investigate::{examine, find_stalled};
 use super::target::{Destination, choose};
@@ -36,11 +36,15 @@
     first: Option<SteadyMs>,
     last: SteadyMs,
     gaps: u64,
+    longest_gap_ms: u64,
 }
 
 impl Pace {
     fn event(&mut self, now: SteadyMs) {
-        self.gaps += u64::from(self.first.is_some());
+        if self.first.is_some() {
+            self.gaps += 1;
+            self.longest_gap_ms = self.longest_gap_ms.max(now.since_ms(self.last));
+        }
         self.first.get_or_insert(now);
         self.last = now;
     }
@@ -148,11 +152,30 @@
                     if is_stalled {
                         return Err(WireError::Stalled);
                     }
+                    spawn_local(examine(self.site.clone(), self.destination.clone()));
                 }
             }
         }
     }
 
+    fn log_ended(&self) {
+        let received = self.granted.asked.received;
+        let first = self.pace.first.unwrap_or(received);
+        info!(
+            event = "stream_ended",
+            request = self.granted.asked.head.request_id,
+            path = self.destination.log_text(),
+            first_ms = first.since_ms(received),
+            expected_first_ms = self.destination.first_event_ms.round(),
+            mean_gap_ms = self.pace.mean_gap_ms().unwrap_or_default().round(),
+            longest_gap_ms = self.pace.longest_gap_ms,
+            expected_gap_ms = self.destination.event_gap_ms.round(),
+            after_ms = self.site.now().since_ms(received),
+            runs = self.runs,
+        );
+        metrics::counter!("answered_total", "status" => "200").increment(1);
+    }
+
     /// Has the servers of the path examined if the stream was much slower than expected.
     fn look_at_pace(&self) {
         let expected_ms = self.destination.event_gap_ms;
@@ -166,7 +189,7 @@
     fn finish(&mut self) -> Option<Bytes> {
         if let Some(connection) = self.connection.take() {
             keep(&self.site, &self.destination, connection, &self.head);
-            log_answered(&self.site, &self.granted, &self.destination, self.head.status);
+            self.log_ended();
         }
         self.in_progress = None;
         self.look_at_pace();
--- a/crates/godwit-gateway/src/run.rs
+++ b/crates/godwit-gateway/src/run.rs
@@ -59,14 +59,6 @@
 }
 
 async fn host(settings: PlatformSettings, settings_path: &str) -> eyre::Result<()> {
-    info!(
-        event = "started",
-        host = settings.host,
-        domain = settings.failure_domain,
-        callers = %settings.caller_address,
-        store = %settings.store_address,
-        first_start = settings.is_first_start,
-    );
     let metrics = telemetry::start_metrics()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -78,6 +70,16 @@
     let gossip_socket = UdpSocket::bind(settings.peer_address).await;
     let gossip_socket = gossip_socket.wrap_err_with(listening("hosts"))?;
 
+    info!(
+        event = "started",
+        host = settings.host,
+        domain = settings.failure_domain,
+        callers = %callers.local_addr()?,
+        readiness = %readiness.local_addr()?,
+        metrics = %metrics_listener.local_addr()?,
+        store = %settings.store_address,
+        first_start = settings.is_first_start,
+    );
     let site = Rc::new(Site::new(settings, Clock::new()));
     let (stop, stopping) = watch::channel(false);
     spawn_local(serve_metrics(metrics_listener, metrics));
--- /dev/null
+++ b/tests/gateway/host.rs
@@ -0,0 +1,193 @@
+//! A gateway process with a store of its own.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+use crate::http::{Message, STEP_TIMEOUT, call};
+use crate::store::Store;
+
+pub(crate) const HOST_NAME: &str = "shop.example";
+pub(crate) const KEY: &str = "farm-key";
+
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
+
+/// A running gateway.
+pub(crate) struct Host {
+    child: Child,
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    metrics: SocketAddr,
+    pub(crate) store: Store,
+}
+
+fn settings(store: SocketAddr) -> String {
+    format!(
+        "NodeName = \"front-hall-a-1\"\nZone = \"hall-a\"\nIpAddress = \"127.0.0.1\"\nInternalPorts = [0, 0]\n\
+         FirstStart = true\nHeartbeatIntervalMs = 1200\n\
+         [ListenAddresses]\nFront = \"127.0.0.1:0\"\nReady = \"127.0.0.1:0\"\n\
+         [Limits]\nFileDescriptors = 4100\n\
+         [Bounds]\nDrainTimeoutMs = 2000\nGracePeriodS = 8\nRetryBudgetRatio = 0.2\nBudgetWindowS = 10\n\
+         BudgetExtraRetries = 200\nstall_ms = 3000\n\
+         [Platform]\nAddress = \"{store}\"\n"
+    )
+}
+
+fn route(prefix: &str, kind: &str, service: &str, timeout_ms: u64) -> Value {
+    json!({
+        "Name": prefix, "Host": HOST_NAME, "PathPrefix": prefix, "Kind": kind, "TimeoutMs": timeout_ms,
+        "TargetLatencyMs": 150, "Priority": 1, "Service": service, "Attempts": 2, "Public": false,
+        "Resumable": kind == "streaming", "TargetGapMs": 200
+    })
+}
+
+/// A configuration with a plain service `api` and a model `chat` of 16 layers.
+pub(crate) fn configuration(version: u64) -> Value {
+    let engine = json!({
+        "Slots": 8, "KvTokenBytes": 1000.0, "Stride": 3, "Models": [{"Name": "m", "LoadTimeS": 1.0}],
+        "step_ms": 1.0, "per_seq_ms": 0.01, "context_per_k": 0.01, "read_per_s": 100000.0, "loads_at_once": 5,
+        "usual": {"prompt": 500, "answer": 100}, "Layers": 16, "LayerMb": 100.0,
+        "Kinds": [{"Name": "l40s", "SizeMb": 43200.0, "pace": 1.0, "ReadFactor": 1.0}]
+    });
+    json!({
+        "Version": version,
+        "Routes": [
+            route("/read/", "idempotent", "api", 3_000),
+            route("/order/", "non_idempotent", "api", 3_000),
+            route("/slow/", "non_idempotent", "api", 300),
+            route("/chat/", "streaming", "chat", 10_000),
+        ],
+        "Services": [
+            {"Name": "api", "HealthPath": "/health", "MaxConnections": 100},
+            {"Name": "chat", "HealthPath": "/health", "MaxConnections": 100, "Engine": engine}
+        ],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1000, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+        "Tenants": [{"Name": "farm", "ApiKeys": [KEY]}]
+    })
+}
+
+impl Host {
+    /// Starts a gateway on a store that holds a configuration and these entries of servers.
+    pub(crate) fn start(servers: &[(&str, Value)]) -> Host {
+        let store = Store::start();
+        store.put("config", "main", configuration(1));
+        for (id, entry) in servers {
+            store.put("servers", id, entry.clone());
+        }
+        let host = Host::start_on(store);
+        host.wait_until_ready();
+        host
+    }
+
+    /// Starts a gateway on a store as it is.
+    pub(crate) fn start_on(store: Store) -> Host {
+        let number = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
+        let name = format!("godwit-gateway-{}-{number}.toml", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, settings(store.address)).expect("the folder can be written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_godwitdeal"))
+            .arg("gateway")
+            .arg("--settings")
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the gateway starts");
+        let mut lines = BufReader::new(child.stdout.take().expect("it is piped")).lines();
+        let started =
+            lines.find_map(|line| line.ok().filter(|line| line.contains("event=started")));
+        let started = started.expect("the gateway says that it started");
+        std::thread::spawn(move || lines.for_each(drop));
+        std::fs::remove_file(&path).expect("the settings were read");
+        let address = |name: &str| {
+            let prefix = format!("{name}=");
+            let word = started.split(' ').find_map(|word| word.strip_prefix(&prefix));
+            word.and_then(|word| word.trim_matches('"').parse().ok()).expect("the address is told")
+        };
+        Host {
+            callers: address("callers"),
+            readiness: address("readiness"),
+            metrics: address("metrics"),
+            child,
+            store,
+        }
+    }
+
+    pub(crate) fn wait_until_ready(&self) {
+        self.wait_for("readiness", || self.readiness() == 200);
+    }
+
+    /// Waits until something holds.
+    pub(crate) fn wait_for(&self, what: &str, mut holds: impl FnMut() -> bool) {
+        let give_up = Instant::now() + STEP_TIMEOUT;
+        while !holds() {
+            assert!(Instant::now() < give_up, "{what} does not come");
+            std::thread::sleep(LOOK_INTERVAL);
+        }
+    }
+
+    pub(crate) fn readiness(&self) -> u16 {
+        call(self.readiness, "GET", "/api/readiness", &[], b"").map_or(0, |answer| answer.status())
+    }
+
+    pub(crate) fn metrics(&self) -> String {
+        call(self.metrics, "GET", "/metrics", &[], b"").expect("metrics are served").text()
+    }
+
+    pub(crate) fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// A caller's request with the key of its workspace.
+    pub(crate) fn call(&self, method: &str, path: &str, body: &[u8]) -> std::io::Result<Message> {
+        self.call_with(method, path, &[("authorization", &format!("Bearer {KEY}"))], body)
+    }
+
+    pub(crate) fn call_with(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> std::io::Result<Message> {
+        let id = format!("r-{}", NEXT_REQUEST.fetch_add(1, Ordering::Relaxed));
+        let mut all = vec![
+            ("host", HOST_NAME),
+            ("godwitdeal-request-id", id.as_str()),
+            ("godwitdeal-deadline-ms", "9000"),
+            ("godwitdeal-token-counts", "500,60"),
+        ];
+        all.extend_from_slice(headers);
+        call(self.callers, method, path, &all, body)
+    }
+
+    /// Asks the process to stop.
+    pub(crate) fn terminate(&self) {
+        kill_process(Pid::from_child(&self.child), Signal::TERM).expect("the process is there");
+    }
+
+    /// Waits for the end of the process and tells whether it was clean.
+    pub(crate) fn has_ended_cleanly(&mut self) -> bool {
+        self.child.wait().expect("it can be waited for").success()
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Reads what is left of a connection.
+pub(crate) fn read_rest(stream: &mut impl Read) -> Vec<u8> {
+    let mut rest = Vec::new();
+    let _ = stream.read_to_end(&mut rest);
+    rest
+}
--- /dev/null
+++ b/tests/gateway/http.rs
@@ -0,0 +1,149 @@
+//! Just enough of HTTP/1.1 for stand-ins and callers, with each byte under the test's control.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A step that takes longer fails the test.
+pub(crate) const STEP_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A request or an answer.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Message {
+    /// First line, without its end.
+    pub(crate) line: String,
+    /// Headers, by their names in lower case.
+    pub(crate) headers: BTreeMap<String, String>,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Message {
+    pub(crate) fn word(&self, index: usize) -> &str {
+        self.line.split(' ').nth(index).unwrap_or_default()
+    }
+
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+
+    pub(crate) fn status(&self) -> u16 {
+        self.word(1).parse().unwrap_or(0)
+    }
+
+    pub(crate) fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Reads a head; none at the end of the connection.
+pub(crate) fn read_head(reader: &mut impl BufRead) -> Option<Message> {
+    let mut message = Message::default();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end();
+        if line.is_empty() && !message.line.is_empty() {
+            return Some(message);
+        }
+        if message.line.is_empty() {
+            message.line = line.to_string();
+        } else if let Some((name, value)) = line.split_once(':') {
+            message.headers.insert(name.to_ascii_lowercase(), value.trim().to_string());
+        }
+    }
+}
+
+/// Reads a message with its body; an error when the body ends early.
+pub(crate) fn read_message(reader: &mut impl BufRead) -> std::io::Result<Option<Message>> {
+    let Some(mut message) = read_head(reader) else { return Ok(None) };
+    if message.header("transfer-encoding").is_some() {
+        message.body = read_chunks(reader)?;
+    } else if let Some(length) = message.header("content-length") {
+        let length = length.parse().expect("a length is a number");
+        message.body = vec![0; length];
+        reader.read_exact(&mut message.body)?;
+    }
+    Ok(Some(message))
+}
+
+fn read_chunks(reader: &mut impl BufRead) -> std::io::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
+        let size = usize::from_str_radix(line.trim(), 16).expect("a chunk has a size");
+        let mut chunk = vec![0; size + 2];
+        reader.read_exact(&mut chunk)?;
+        if size == 0 {
+            return Ok(body);
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
+
+/// Sends one request on a connection of its own and reads the whole answer.
+pub(crate) fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> std::io::Result<Message> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(STEP_TIMEOUT))?;
+    let mut head = format!("{method} {path} HTTP/1.1\r\ncontent-length: {}\r\n", body.len());
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    stream.write_all(format!("{head}\r\n").as_bytes())?;
+    stream.write_all(body)?;
+    let answer = read_message(&mut BufReader::new(stream))?;
+    answer.ok_or_else(|| std::io::ErrorKind::UnexpectedEof.into())
+}
+
+/// Serves each connection on a thread of its own until `serve` says that it ends.
+pub(crate) fn serve_connections(
+    serve: impl Fn(&Message, &mut TcpStream) -> bool + Send + Sync + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let serve = Arc::new(serve);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve_connection(stream, &*serve));
+        }
+    });
+    address
+}
+
+fn serve_connection(stream: TcpStream, serve: &dyn Fn(&Message, &mut TcpStream) -> bool) {
+    let mut writer = stream.try_clone().expect("a socket can be cloned");
+    let mut reader = BufReader::new(stream);
+    while let Ok(Some(request)) = read_message(&mut reader) {
+        if !serve(&request, &mut writer) {
+            return;
+        }
+    }
+}
+
+/// Writes an answer with a length.
+pub(crate) fn answer(
+    stream: &mut TcpStream,
+    status: u16,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> bool {
+    let mut head = format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n", body.len());
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    let bytes = [format!("{head}\r\n").as_bytes(), body].concat();
+    stream.write_all(&bytes).is_ok()
+}
--- /dev/null
+++ b/tests/gateway/store.rs
@@ -0,0 +1,137 @@
+//! A stand-in of the users' store: objects by kind, with revisions, watches and conditional writes.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::http::{Message, answer, serve_connections};
+
+/// Longest wait of a watch here, so that threads end soon.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+
+#[derive(Default)]
+struct Objects {
+    revision: u64,
+    by_path: BTreeMap<(String, String), Value>,
+    changes: Vec<(u64, String, Value)>,
+}
+
+/// The store.
+#[derive(Clone)]
+pub(crate) struct Store {
+    pub(crate) address: SocketAddr,
+    objects: Arc<(Mutex<Objects>, Condvar)>,
+}
+
+impl Store {
+    pub(crate) fn start() -> Store {
+        let objects: Arc<(Mutex<Objects>, Condvar)> = Arc::default();
+        let served = objects.clone();
+        let address = serve_connections(move |request, stream| serve(&served, request, stream));
+        Store { address, objects }
+    }
+
+    pub(crate) fn put(&self, kind: &str, name: &str, specification: Value) {
+        let (objects, changed) = &*self.objects;
+        objects.lock().expect("no panic").write(kind, name, specification);
+        changed.notify_all();
+    }
+
+    pub(crate) fn remove(&self, kind: &str, name: &str) {
+        let (objects, changed) = &*self.objects;
+        let mut objects = objects.lock().expect("no panic");
+        objects.revision += 1;
+        let removed = objects.by_path.remove(&(kind.to_string(), name.to_string()));
+        let event = json!({"Removed": true, "Object": removed.expect("it is there")});
+        let revision = objects.revision;
+        objects.changes.push((revision, kind.to_string(), event));
+        changed.notify_all();
+    }
+}
+
+impl Objects {
+    fn write(&mut self, kind: &str, name: &str, specification: Value) -> Value {
+        self.revision += 1;
+        let metadata = json!({"Name": name, "Revision": self.revision, "Finalizers": []});
+        let object = json!({"Metadata": metadata, "Specification": specification, "Status": null});
+        self.by_path.insert((kind.to_string(), name.to_string()), object.clone());
+        let event = json!({"Removed": false, "Object": object});
+        self.changes.push((self.revision, kind.to_string(), event));
+        object
+    }
+}
+
+fn query(target: &str, name: &str) -> Option<u64> {
+    let (_, query) = target.split_once('?')?;
+    let value = query.split('&').find_map(|pair| pair.strip_prefix(&format!("{name}=")))?;
+    value.parse().ok()
+}
+
+fn serve(objects: &(Mutex<Objects>, Condvar), request: &Message, stream: &mut TcpStream) -> bool {
+    let target = request.word(1);
+    let path = target.split('?').next().unwrap_or_default();
+    let mut parts = path.trim_start_matches("/api/objects/").split('/');
+    let kind = parts.next().unwrap_or_default();
+    let (status, body) = match (request.word(0), parts.next()) {
+        ("GET", None) => match query(target, "Watch") {
+            Some(revision) => (200, watch(objects, kind, revision, query(target, "WaitMs"))),
+            None => (200, list(&objects.0.lock().expect("no panic"), kind)),
+        },
+        (method, Some(name)) => write(objects, method, kind, name, &request.body),
+        _ => (400, Value::Null),
+    };
+    answer(stream, status, &[], body.to_string().as_bytes())
+}
+
+fn list(objects: &Objects, kind: &str) -> Value {
+    let of_kind = objects.by_path.iter().filter(|((known, _), _)| known == kind);
+    let items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
+    json!({"Items": items, "HasMore": false, "At": objects.revision})
+}
+
+fn watch(
+    (objects, changed): &(Mutex<Objects>, Condvar),
+    kind: &str,
+    revision: u64,
+    wait_ms: Option<u64>,
+) -> Value {
+    let wait = Duration::from_millis(wait_ms.unwrap_or(0)).min(LONGEST_WAIT);
+    let is_quiet = |objects: &mut Objects| {
+        !objects.changes.iter().any(|(at, known, _)| *at > revision && known == kind)
+    };
+    let guard = objects.lock().expect("no panic");
+    let (objects, _) = changed.wait_timeout_while(guard, wait, is_quiet).expect("no panic");
+    let events = objects.changes.iter().filter(|(at, known, _)| *at > revision && known == kind);
+    let events: Vec<&Value> = events.map(|(_, _, event)| event).collect();
+    json!({"events": events, "At": objects.revision})
+}
+
+fn write(
+    (objects, changed): &(Mutex<Objects>, Condvar),
+    method: &str,
+    kind: &str,
+    name: &str,
+    body: &[u8],
+) -> (u16, Value) {
+    let mut objects = objects.lock().expect("no panic");
+    let key = (kind.to_string(), name.to_string());
+    let known = objects.by_path.get(&key).cloned();
+    if method == "GET" {
+        return known.map_or((404, Value::Null), |object| (200, object));
+    }
+    let body: Value = serde_json::from_slice(body).expect("writes carry JSON");
+    let expected = body.pointer("/Metadata/Revision").and_then(Value::as_u64);
+    let revision = known.as_ref().and_then(|object| object.pointer("/Metadata/Revision")?.as_u64());
+    if let Some(object) = known {
+        let is_conflict = method == "POST" || expected.is_some_and(|at| Some(at) != revision);
+        if is_conflict {
+            return (409, object);
+        }
+    }
+    let object = objects.write(kind, name, body["Specification"].clone());
+    changed.notify_all();
+    (200, object)
+}
--- /dev/null
+++ b/tests/gateway/streams.rs
@@ -0,0 +1,86 @@
+//! Streams of events over a split model.
+
+use serde_json::Value;
+
+use crate::host::Host;
+use crate::server::{Manner, Server};
+
+const EVENTS: u64 = 40;
+const WHOLE: Manner = Manner::Stream { events: EVENTS, is_whole: true };
+const CUT: Manner = Manner::Stream { events: 7, is_whole: false };
+
+fn entries<'a>(servers: &[(&'a Server, (u32, u32))]) -> Vec<(&'a str, Value)> {
+    let entry = |(server, layers): &(&'a Server, (u32, u32))| {
+        (server.id.as_str(), server.entry("chat", Some(*layers)))
+    };
+    servers.iter().map(entry).collect()
+}
+
+/// The pieces that a caller gets, in order.
+fn pieces(text: &str) -> Vec<u64> {
+    let lines = text.lines().filter_map(|line| line.strip_prefix("data: piece "));
+    lines.map(|number| number.parse().expect("a number")).collect()
+}
+
+#[test]
+fn stream_names_its_path_to_the_first_server() {
+    let first = Server::start("s-1", &[WHOLE]);
+    let second = Server::start("s-2", &[WHOLE]);
+    let host = Host::start(&entries(&[(&first, (0, 8)), (&second, (8, 16))]));
+    let answer = host.call("POST", "/chat/1", b"hello").expect("answered");
+    assert_eq!(pieces(&answer.text()), (1..=EVENTS).collect::<Vec<_>>());
+    let path = format!("{}=0-8,{}=8-16", first.address, second.address);
+    assert_eq!(first.requests()[0].header("godwitdeal-hop-count"), Some(path.as_str()));
+    assert!(second.requests().is_empty());
+}
+
+#[test]
+fn stream_cut_in_an_event_goes_on_at_another_server() {
+    let cutting = Server::start("s-1", &[CUT]);
+    let sound = Server::start("s-2", &[WHOLE]);
+    let host = Host::start(&entries(&[(&cutting, (0, 16)), (&sound, (0, 16))]));
+    host.wait_for("a stream that is cut", || {
+        let answer = host.call("POST", "/chat/1", b"hello").expect("whole");
+        assert_eq!(pieces(&answer.text()), (1..=EVENTS).collect::<Vec<_>>());
+        !cutting.requests().is_empty()
+    });
+    let resumed =
+        sound.requests().into_iter().filter_map(|seen| seen.headers.get("last-event-id").cloned());
+    assert_eq!(resumed.collect::<Vec<_>>(), ["6"]);
+}
+
+#[test]
+fn stream_cut_at_each_server_never_looks_complete() {
+    let only = Server::start("s-1", &[CUT]);
+    let other = Server::start("s-2", &[CUT]);
+    let host = Host::start(&entries(&[(&only, (0, 16)), (&other, (0, 16))]));
+    assert!(host.call("POST", "/chat/1", b"hello").is_err());
+    assert!(
+        only.requests().len() + other.requests().len() <= 2,
+        "no more runs than the route allows"
+    );
+}
+
+#[test]
+fn stream_over_a_layer_that_nobody_holds_is_refused_at_once() {
+    let part = Server::start("s-1", &[WHOLE]);
+    let host = Host::start(&entries(&[(&part, (0, 8))]));
+    assert_eq!(host.call("POST", "/chat/1", b"hello").expect("answered").status(), 503);
+    assert!(part.requests().is_empty());
+}
+
+#[test]
+fn stop_lets_a_stream_end_whole() {
+    let long = Manner::Stream { events: 300, is_whole: true };
+    let server = Server::start("s-1", &[long]);
+    let mut host = Host::start(&entries(&[(&server, (0, 16))]));
+    let answer = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| host.call("POST", "/chat/1", b"hello"));
+        host.wait_for("the stream", || !server.requests().is_empty());
+        host.terminate();
+        host.wait_for("the end of readiness", || host.readiness() != 200);
+        caller.join().expect("no panic")
+    });
+    assert_eq!(pieces(&answer.expect("whole").text()).len(), 300);
+    assert!(host.has_ended_cleanly());
+}
