--- a/tests/gateway/http.rs
+++ b/tests/gateway/http.rs
@@ -1,7 +1,7 @@
 //! Just enough of HTTP/1.1 for stand-ins and callers, with each byte under the test's control.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
