Move streams off stalled stages, and bound crossings by the links' rate

Cause: a stream whose path lost a stage was run again, within a route's two attempts and the retry budget, and given up beyond; attempts were left although nothing could follow them. On the grown site 300 to 700 prompts a second crossed links that carry about 57 each, and their first events took 1.2 s at the median.

Change: a stalled stream is moved by a repath order and goes on in the same run; an attempt is left only if another can follow. Loads are kept for links as well, a crossing costs more as its link fills and none is planned over a full one. The layout counts kinds nearly alike, as KV cache and not speed runs out first. Calls of the store back off to 1.2 s.

--- a/crates/godwit-core/src/site/configuration.rs
+++ b/crates/godwit-core/src/site/configuration.rs
@@ -124,6 +124,10 @@
     pub usual_answer_tokens: u64,
     /// Time after which work that depends on a lost server is given up by the servers, in milliseconds.
     pub report_lag_ms: u64,
+    /// What a stage passes to the next for each token, in bytes.
+    pub activation_bytes: f64,
+    /// Rate of the link between two failure domains, in megabits per second; 0 where there is no bound.
+    pub link_mbps: f64,
     /// Kinds of accelerators, by name.
     pub kinds: BTreeMap<String, KindTraits>,
 }
--- a/crates/godwit-core/src/site/layout.rs
+++ b/crates/godwit-core/src/site/layout.rs
@@ -3,7 +3,7 @@
 //! The layers are cut into cells of equal length, so that ranges of different servers meet at common boundaries and
 //! can stand in for each other. A server gets as many neighbouring cells as leave room in its memory for the KV cache
 //! of [`REQUESTS_AT_ONCE`] usual requests. Servers are placed one by one, the one with most cells first, where cells
-//! lack speed most: within its failure domain, so that domains become complete, and over the whole site.
+//! are weakest: within its failure domain, so that domains become complete, and over the whole site.
 
 use std::collections::BTreeMap;
 
@@ -13,8 +13,11 @@
 /// Usual requests for which each server keeps KV cache.
 const REQUESTS_AT_ONCE: u64 = 80;
 
-/// Speed of a cell below which it counts as empty; bounds the weight of a hole.
-const SPEED_FLOOR: f64 = 0.02;
+/// Strength of a cell below which it counts as empty; bounds the weight of a hole.
+const STRENGTH_FLOOR: f64 = 0.05;
+
+/// Factor on the time of a step at which a server counts half.
+const HALF_STRENGTH_FACTOR: f64 = 40.0;
 
 /// Layers that a server should take.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -79,26 +82,26 @@
     }
 }
 
-/// Speed of the holders of each cell, by failure domain and over the site.
+/// Strength of the holders of each cell, by failure domain and over the site.
 struct Coverage {
     by_domain: BTreeMap<String, Vec<f64>>,
     site: Vec<f64>,
 }
 
 impl Coverage {
-    fn add(&mut self, grid: &Grid, domain: &str, range: LayerRange, speed: f64) {
+    fn add(&mut self, grid: &Grid, domain: &str, range: LayerRange, strength: f64) {
         let cells = grid.cells;
         let in_domain =
             self.by_domain.entry(domain.to_string()).or_insert_with(|| vec![0.0; cells]);
         for cell in (0..cells).filter(|cell| grid.holds(range, *cell)) {
-            in_domain[cell] += speed;
-            self.site[cell] += speed;
+            in_domain[cell] += strength;
+            self.site[cell] += strength;
         }
     }
 
     fn need(&self, domain: &str, cell: usize) -> f64 {
-        let in_domain = self.by_domain.get(domain).map_or(0.0, |speeds| speeds[cell]);
-        1.0 / (SPEED_FLOOR + in_domain) + 1.0 / (SPEED_FLOOR + self.site[cell])
+        let in_domain = self.by_domain.get(domain).map_or(0.0, |strengths| strengths[cell]);
+        1.0 / (STRENGTH_FLOOR + in_domain) + 1.0 / (STRENGTH_FLOOR + self.site[cell])
     }
 
     fn neediest(&self, grid: &Grid, domain: &str, window: usize) -> usize {
@@ -113,9 +116,10 @@
     }
 }
 
-/// Speed that a server of a kind lends to each cell that it holds.
-fn speed(kind: &KindTraits) -> f64 {
-    1.0 / kind.step_factor.max(0.01)
+/// What a server of a kind lends to each cell that it holds. All kinds have KV cache for the same number of requests,
+/// so that they count alike but for slow kinds, whose requests stay longer.
+fn strength(kind: &KindTraits) -> f64 {
+    1.0 / (1.0 + kind.step_factor / HALF_STRENGTH_FACTOR)
 }
 
 /// A server that holds layers.
@@ -138,8 +142,8 @@
         };
         let spares = held.iter().enumerate().filter(|(_, server)| is_spare(server));
         // The slowest spare loses least where it is.
-        let slowest =
-            spares.min_by(|(_, left), (_, right)| speed(left.kind).total_cmp(&speed(right.kind)));
+        let slowest = spares
+            .min_by(|(_, left), (_, right)| strength(left.kind).total_cmp(&strength(right.kind)));
         let Some((index, _)) = slowest else { break };
         let window = grid.window(model, held[index].kind).max(1);
         let range = grid.range(gap.min(grid.cells - window), window);
@@ -177,6 +181,7 @@
 ///     layers: 4, layer_mb: 100.0, kv_token_bytes: 4e3, load_ms: 1_000, loads_at_once: 5, step_ms: 1.0,
 ///     step_per_request_ms: 0.01, step_per_kilotoken_ms: 0.01, read_tokens_per_s: 1e5, steps_per_pass: 3,
 ///     usual_prompt_tokens: 700, usual_answer_tokens: 200, report_lag_ms: 200,
+///     activation_bytes: 1e4, link_mbps: 1e4,
 ///     kinds: BTreeMap::from([("fast".to_string(), kind)]),
 /// };
 /// assert!(plan_layout(&model, &[]).is_empty());
@@ -191,7 +196,7 @@
         let Some(kind) = model.kinds.get(&server.kind) else { continue };
         match server.layers {
             Some(range) if !range.is_empty() => {
-                coverage.add(&grid, &server.failure_domain, range, speed(kind));
+                coverage.add(&grid, &server.failure_domain, range, strength(kind));
             }
             _ => empty.push((grid.window(model, kind), server, kind)),
         }
@@ -204,7 +209,7 @@
         }
         let first = coverage.neediest(&grid, &server.failure_domain, window);
         let range = grid.range(first, window);
-        coverage.add(&grid, &server.failure_domain, range, speed(kind));
+        coverage.add(&grid, &server.failure_domain, range, strength(kind));
         placements.push(Placement { server_id: server.id.clone(), range });
     }
     placements
--- a/crates/godwit-core/src/site/path.rs
+++ b/crates/godwit-core/src/site/path.rs
@@ -18,12 +18,18 @@
 /// narrowest part of a site.
 const CROSSING_SHARE: f64 = 1.0;
 
+/// Time for which a request counts on the links that it crosses, in milliseconds; about as long as one lasts.
+const CROSSING_STAY_MS: f64 = 2_000.0;
+
+/// Share of a link's rate that may be planned.
+const LINK_PLANNED_SHARE: f64 = 0.6;
+
 /// Cost of a first server outside the host's own failure domain, as a share of an unloaded path.
 const FOREIGN_ENTRY_SHARE: f64 = 0.1;
 
 /// Share of a server's KV cache that may be planned. Requests are planned at their full length, and hold less for most
 /// of their time.
-const KV_PLANNED_SHARE: f64 = 1.05;
+const KV_PLANNED_SHARE: f64 = 1.0;
 
 /// Spread of the random factor on each stage, which keeps hosts from choosing the same servers in step.
 const JITTER: f64 = 0.1;
@@ -39,6 +45,8 @@
     pub answer_tokens: u64,
     /// Failure domain of the host.
     pub home_domain: &'a str,
+    /// Stage that the path must begin with, for a request that runs there already.
+    pub start: Option<&'a Hop>,
     /// Servers that must not be on the path.
     pub avoided: &'a BTreeSet<String>,
     /// How many times slower than its kind a server runs.
@@ -69,6 +77,34 @@
     pub first_event_ms: f64,
     /// Time between two events, in milliseconds.
     pub event_gap_ms: f64,
+    /// Links between failure domains that the request crosses, as [`link_key`] names them.
+    pub crossings: Vec<String>,
+}
+
+/// Name under which loads are kept for the link between two failure domains.
+///
+/// ```
+/// use godwit_core::site::link_key;
+/// assert_eq!(link_key("b", "a"), link_key("a", "b"));
+/// ```
+pub fn link_key(one: &str, other: &str) -> String {
+    format!("{}|{}", one.min(other), one.max(other))
+}
+
+/// Share of a link's planned rate that is used with one more request.
+fn link_use(
+    model: &ModelTraits,
+    loads: &LoadBook,
+    request: &PathRequest<'_>,
+    one: &str,
+    other: &str,
+) -> f64 {
+    if model.link_mbps <= 0.0 {
+        return 0.0;
+    }
+    let tokens = loads.total(&link_key(one, other)).kv_tokens + request.prompt_tokens;
+    let busy_ms = tokens as f64 * model.activation_bytes * 8.0 / (model.link_mbps * 1e3);
+    busy_ms / (CROSSING_STAY_MS * LINK_PLANNED_SHARE)
 }
 
 /// Why there is no path.
@@ -89,25 +125,13 @@
     range: LayerRange,
     load: Load,
     domain: usize,
+    domain_name: &'a str,
     slowdown: f64,
     factor: f64,
     has_room: bool,
 }
 
 impl Holder<'_> {
-    /// Whether work can come from another failure domain.
-    fn is_reached_from(
-        &self,
-        domain: usize,
-        usable: &[&Holder<'_>],
-        request: &PathRequest<'_>,
-    ) -> bool {
-        let other = usable.iter().find(|holder| holder.domain == domain);
-        other.is_none_or(|other| {
-            (request.is_open)(&other.server.failure_domain, &self.server.failure_domain)
-        })
-    }
-
     fn share(&self, model: &ModelTraits, layers: u32) -> f64 {
         f64::from(layers) / f64::from(model.layers.max(1))
     }
@@ -166,7 +190,8 @@
         let is_usable = server.service == request.service
             && (request.is_open)(request.home_domain, &server.failure_domain)
             && server.state == ServerState::Ready
-            && !request.avoided.contains(&server.id);
+            && !request.avoided.contains(&server.id)
+            && request.start.is_none_or(|start| start.server_id != server.id);
         let Some(range) = server.layers.filter(|range| is_usable && !range.is_empty()) else {
             continue;
         };
@@ -182,7 +207,17 @@
         let has_room = (tokens as f64) <= room && load.requests < server.slots;
         let factor = jitter(&server.id, request.seed);
         let slowdown = (request.slowdown)(&server.id);
-        found.push(Holder { server, kind, range, load, domain, slowdown, factor, has_room });
+        found.push(Holder {
+            server,
+            kind,
+            range,
+            load,
+            domain,
+            domain_name: &server.failure_domain,
+            slowdown,
+            factor,
+            has_room,
+        });
     }
     found
 }
@@ -196,6 +231,30 @@
 /// Boundaries reached, each with the cheapest step into it.
 type Steps = BTreeMap<(u32, usize), Step>;
 
+/// Cost of each link between domains that has room, by the numbers of the domains.
+type LinkCosts = BTreeMap<(usize, usize), f64>;
+
+fn link_costs(
+    model: &ModelTraits,
+    loads: &LoadBook,
+    request: &PathRequest<'_>,
+    all: &[Holder<'_>],
+    base_ms: f64,
+) -> LinkCosts {
+    let domains: BTreeMap<usize, &str> =
+        all.iter().map(|holder| (holder.domain, holder.domain_name)).collect();
+    let mut costs = LinkCosts::new();
+    for (one, one_name) in &domains {
+        for (other, other_name) in domains.range(one + 1..) {
+            let used = link_use(model, loads, request, one_name, other_name);
+            if used < 1.0 && (request.is_open)(one_name, other_name) {
+                costs.insert((*one, *other), CROSSING_SHARE * base_ms / (1.0 - used));
+            }
+        }
+    }
+    costs
+}
+
 /// Domain of the start, before any server.
 const NO_DOMAIN: usize = usize::MAX;
 
@@ -203,6 +262,7 @@
     model: &ModelTraits,
     request: &PathRequest<'_>,
     usable: &[&Holder<'_>],
+    links: &LinkCosts,
     base_ms: f64,
 ) -> Steps {
     let mut boundaries: BTreeSet<u32> = BTreeSet::from([0, model.layers]);
@@ -210,9 +270,11 @@
         boundaries.extend([holder.range.from, holder.range.to.min(model.layers)]);
     }
     let mut steps: Steps = BTreeMap::new();
-    for at in &boundaries {
-        let reached: Vec<((u32, usize), f64)> = if *at == 0 {
-            vec![((0, NO_DOMAIN), 0.0)]
+    let first = request.start.map_or(0, |start| start.range.to);
+    boundaries.insert(first);
+    for at in boundaries.range(first..) {
+        let reached: Vec<((u32, usize), f64)> = if *at == first {
+            vec![((first, NO_DOMAIN), 0.0)]
         } else {
             let here = steps.range((*at, 0)..=(*at, usize::MAX));
             here.map(|(state, step)| (*state, step.cost_ms)).collect()
@@ -225,12 +287,15 @@
                 let is_foreign =
                     state.1 == NO_DOMAIN && holder.server.failure_domain != request.home_domain;
                 let is_crossing = state.1 != NO_DOMAIN && state.1 != holder.domain;
-                if is_crossing && !holder.is_reached_from(state.1, usable, request) {
-                    continue;
-                }
+                let crossing_cost_ms = if is_crossing {
+                    links.get(&(state.1.min(holder.domain), state.1.max(holder.domain)))
+                } else {
+                    Some(&0.0)
+                };
+                let Some(crossing_cost_ms) = crossing_cost_ms else { continue };
                 let mut entry_ms = cost_ms;
                 entry_ms += if is_foreign { FOREIGN_ENTRY_SHARE * base_ms } else { 0.0 };
-                entry_ms += if is_crossing { CROSSING_SHARE * base_ms } else { 0.0 };
+                entry_ms += crossing_cost_ms;
                 // Each server is used up to its last layer, so that none can be entered twice.
                 let to = holder.range.to.min(model.layers);
                 let cost_ms = entry_ms + holder.cost_ms(model, request, to - at);
@@ -253,17 +318,23 @@
 ) -> Option<Path> {
     let ends = steps.range((model.layers, 0)..=(model.layers, usize::MAX));
     let (mut state, _) = ends.min_by(|left, right| left.1.cost_ms.total_cmp(&right.1.cost_ms))?;
-    let mut path = Path { hops: Vec::new(), first_event_ms: 0.0, event_gap_ms: 0.0 };
+    let mut path =
+        Path { hops: Vec::new(), first_event_ms: 0.0, event_gap_ms: 0.0, crossings: Vec::new() };
     while let Some(step) = steps.get(state) {
         let holder = usable[step.holder];
         let range = LayerRange { from: step.from.0, to: state.0 };
         path.event_gap_ms += holder.pass_ms(model, range.len());
         path.first_event_ms += holder.read_ms(model, request.prompt_tokens, range.len());
+        let before = steps.get(&step.from).map(|before| usable[before.holder].domain_name);
+        if let Some(before) = before.filter(|before| *before != holder.domain_name) {
+            path.crossings.push(link_key(before, holder.domain_name));
+        }
         let server = holder.server;
         path.hops.push(Hop { server_id: server.id.clone(), address: server.address, range });
         state = &step.from;
     }
     path.first_event_ms += path.event_gap_ms;
+    path.hops.extend(request.start.cloned());
     path.hops.reverse();
     Some(path)
 }
@@ -279,11 +350,13 @@
 /// let model = ModelTraits {
 ///     layers: 4, layer_mb: 100.0, kv_token_bytes: 4e3, load_ms: 1_000, loads_at_once: 5, step_ms: 1.0,
 ///     step_per_request_ms: 0.01, step_per_kilotoken_ms: 0.01, read_tokens_per_s: 1e5, steps_per_pass: 3,
-///     usual_prompt_tokens: 700, usual_answer_tokens: 200, report_lag_ms: 200, kinds: BTreeMap::new(),
+///     usual_prompt_tokens: 700, usual_answer_tokens: 200, report_lag_ms: 200,
+///     activation_bytes: 1e4, link_mbps: 1e4, kinds: BTreeMap::new(),
 /// };
 /// let avoided = BTreeSet::new();
 /// let request = PathRequest {
-///     service: "chat", prompt_tokens: 700, answer_tokens: 200, home_domain: "a", avoided: &avoided, slowdown: &|_| 1.0, is_open: &|_, _| true,
+///     service: "chat", prompt_tokens: 700, answer_tokens: 200, home_domain: "a", start: None, avoided: &avoided,
+///     slowdown: &|_| 1.0, is_open: &|_, _| true,
 ///     seed: 1,
 /// };
 /// let found = find_path(&model, std::iter::empty(), &LoadBook::new(1_000), &request);
@@ -298,12 +371,13 @@
     let all = holders(model, servers, loads, request);
     let base_ms = unloaded_path_ms(model, request, &all);
     let usable: Vec<&Holder<'_>> = all.iter().filter(|holder| holder.has_room).collect();
-    let steps = search(model, request, &usable, base_ms);
+    let links = link_costs(model, loads, request, &all, base_ms);
+    let steps = search(model, request, &usable, &links, base_ms);
     if let Some(path) = trace(model, request, &usable, &steps) {
         return Ok(path);
     }
     let everyone: Vec<&Holder<'_>> = all.iter().collect();
-    let steps = search(model, request, &everyone, base_ms);
+    let steps = search(model, request, &everyone, &links, base_ms);
     let is_covered = trace(model, request, &everyone, &steps).is_some();
     Err(if is_covered { PathError::NoRoom } else { PathError::LayerMissing })
 }
--- a/crates/godwit-core/src/site/retry.rs
+++ b/crates/godwit-core/src/site/retry.rs
@@ -48,16 +48,21 @@
 
     /// Takes one retry if this host's part of the allowance, one of `hosts`, has room.
     pub fn try_retry(&mut self, hosts: usize, now: SteadyMs) -> bool {
-        self.forget_old(now);
-        let extra = self.limits.extra / hosts.max(1) as f64;
-        let allowed = USED_SHARE * (self.limits.ratio * self.first_sends.len() as f64 + extra);
-        let has_room = ((self.retries.len() + 1) as f64) <= allowed;
+        let has_room = self.has_room(hosts, now);
         if has_room {
             self.retries.push_back(now);
         }
         has_room
     }
 
+    /// Whether one more retry fits this host's part of the allowance.
+    pub fn has_room(&mut self, hosts: usize, now: SteadyMs) -> bool {
+        self.forget_old(now);
+        let extra = self.limits.extra / hosts.max(1) as f64;
+        let allowed = USED_SHARE * (self.limits.ratio * self.first_sends.len() as f64 + extra);
+        ((self.retries.len() + 1) as f64) <= allowed
+    }
+
     fn forget_old(&mut self, now: SteadyMs) {
         for sends in [&mut self.first_sends, &mut self.retries] {
             while sends.front().is_some_and(|at| at.plus_ms(self.limits.window_ms).is_past(now)) {
--- a/crates/godwit-core/tests/site/layout.rs
+++ b/crates/godwit-core/tests/site/layout.rs
@@ -61,7 +61,8 @@
 #[test]
 fn moves_close_the_gap_of_a_domain() {
     let mut fleet = laid_out(empty_fleet());
-    fleet.retain(|server| server.id != "a-large-0");
+    let holds_first = |server: &BackendServer| server.layers.is_some_and(|range| range.from == 0);
+    fleet.retain(|server| server.failure_domain != "a" || !holds_first(server));
     assert!(!missing_layers(&fleet, "a").is_empty());
     for placement in plan_moves(&model(), &refs(&fleet)) {
         let moved = fleet.iter_mut().find(|server| server.id == placement.server_id);
--- a/crates/godwit-core/tests/site/path.rs
+++ b/crates/godwit-core/tests/site/path.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 
 use godwit_core::site::{
-    BackendServer, Load, LoadBook, Path, PathError, PathRequest, ServerState, find_path,
+    BackendServer, Hop, Load, LoadBook, Path, PathError, PathRequest, ServerState, find_path,
 };
 use proptest::prelude::*;
 
@@ -11,6 +11,7 @@
     fleet: Vec<BackendServer>,
     loads: LoadBook,
     avoided: BTreeSet<String>,
+    start: Option<Hop>,
     home: &'static str,
     slow: Option<(&'static str, f64)>,
     cut: Option<(&'static str, &'static str)>,
@@ -22,6 +23,7 @@
             fleet,
             loads: LoadBook::new(1_000),
             avoided: BTreeSet::new(),
+            start: None,
             home: "a",
             slow: None,
             cut: None,
@@ -41,6 +43,7 @@
             prompt_tokens: 774,
             answer_tokens: 200,
             home_domain: self.home,
+            start: self.start.as_ref(),
             avoided: &self.avoided,
             slowdown: &slowdown,
             is_open: &is_open,
@@ -141,6 +144,29 @@
     assert!(!domains(&search.fleet, &path).contains("a"), "{path:?}");
 }
 
+#[test]
+fn path_goes_on_from_the_stage_where_a_request_runs() {
+    let mut search = Search::new(laid_out(empty_fleet()));
+    let whole = search.find(1).expect("there is one");
+    search.start = Some(whole.hops[0].clone());
+    search.avoided.insert(whole.hops[1].server_id.clone());
+    let path = search.find(2).expect("there is one");
+    assert_whole(&path);
+    assert_eq!(path.hops[0], whole.hops[0]);
+    assert!(path.hops.iter().all(|hop| hop.server_id != whole.hops[1].server_id));
+}
+
+#[test]
+fn path_does_not_cross_a_link_that_is_used_up() {
+    let mut search = Search::new(laid_out(empty_fleet()));
+    search.fleet.retain(|server| server.failure_domain != "a" || server.kind == "small");
+    search.fleet.retain(|server| server.failure_domain != "c");
+    let crossing = Load { requests: 90, kv_tokens: 90_000 };
+    search.loads.start(&godwit_core::site::link_key("b", "a"), crossing);
+    let path = search.find(1).expect("there is one");
+    assert!(path.crossings.is_empty(), "{path:?}");
+}
+
 proptest! {
     #[test]
     fn path_runs_every_layer_once(seed: u64, lost in prop::collection::btree_set(0_usize..33, 0..8)) {
--- a/crates/godwit-core/tests/site/support.rs
+++ b/crates/godwit-core/tests/site/support.rs
@@ -30,6 +30,8 @@
         usual_prompt_tokens: 774,
         usual_answer_tokens: 200,
         report_lag_ms: 200,
+        activation_bytes: 45_900.0,
+        link_mbps: 26_000.0,
         kinds: kinds.map(|(name, traits)| (name.to_string(), traits)).into(),
     }
 }
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at one server: the request on the wire, and what its answer says.
 
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -13,7 +14,7 @@
 
 use super::admit::Granted;
 use super::investigate::find_stalled;
-use super::target::Destination;
+use super::target::{Destination, choose};
 use crate::site::Site;
 use crate::wire::{Connection, OutgoingRequest, ReplyHead, WireError, is_connection_header};
 
@@ -37,10 +38,14 @@
 }
 
 impl InProgress {
-    fn start(site: &Rc<Site>, request_id: &str, destination: &Destination) -> InProgress {
+    pub(crate) fn start(
+        site: &Rc<Site>,
+        request_id: &str,
+        destination: &Destination,
+    ) -> InProgress {
         site.paths.borrow_mut().insert(request_id.to_string(), destination.clone());
         let mut loads = site.loads.borrow_mut();
-        for id in destination.server_ids() {
+        for id in destination.load_keys() {
             loads.start(id, destination.load);
         }
         InProgress {
@@ -53,9 +58,14 @@
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        self.site.paths.borrow_mut().remove(&self.request_id);
+        let mut paths = self.site.paths.borrow_mut();
+        // A later path of the same request may have taken its place.
+        if paths.get(&self.request_id).is_some_and(|path| path.hops == self.destination.hops) {
+            paths.remove(&self.request_id);
+        }
+        drop(paths);
         let mut loads = self.site.loads.borrow_mut();
-        for id in self.destination.server_ids() {
+        for id in self.destination.load_keys() {
             loads.end(id, self.destination.load);
         }
     }
@@ -119,15 +129,25 @@
     granted.terms.work.may_run_again() && !destination.hops.is_empty()
 }
 
+/// Whether a stalled attempt can be followed by another: by the route's attempts, the retry budget and the servers that
+/// have room. An attempt without a successor goes on waiting, as its server may come back.
+pub(super) fn has_other_path(site: &Site, granted: &Granted, runs: u32) -> bool {
+    runs < granted.terms.max_attempts
+        && site.may_retry(&granted.terms.service)
+        && choose(site, granted, &BTreeSet::new()).is_ok()
+}
+
 /// Waits for the first event; a silence longer than expected is looked into, and ends the attempt if a server of the
 /// path stalls.
 async fn wait_and_look<T>(
     site: &Rc<Site>,
-    request_id: &str,
+    granted: &Granted,
     destination: &Destination,
+    earlier_runs: u32,
     deadline: SteadyMs,
     mut answer: Pin<&mut impl Future<Output = Result<T, WireError>>>,
 ) -> Result<T, WireError> {
+    let request_id = &granted.asked.head.request_id;
     let mut look_at = site.now().plus_ms(first_patience_ms(destination.first_event_ms));
     loop {
         let until = look_at.min(deadline);
@@ -141,7 +161,7 @@
             biased;
             result = answer.as_mut() => return result,
             is_stalled = find_stalled(site, request_id, destination) => {
-                if is_stalled {
+                if is_stalled && has_other_path(site, granted, earlier_runs + 1) {
                     return Err(WireError::Stalled);
                 }
             }
@@ -156,6 +176,7 @@
     granted: &Granted,
     destination: &Destination,
     last_event_id: Option<u64>,
+    earlier_runs: u32,
     head_deadline: SteadyMs,
 ) -> Result<Answering, AttemptError> {
     let in_progress = InProgress::start(site, &granted.asked.head.request_id, destination);
@@ -191,7 +212,7 @@
     let result = {
         let answer = pin!(own_head(&mut connection, &request, request_id));
         if may_look(granted, destination) {
-            wait_and_look(site, request_id, destination, head_deadline, answer).await
+            wait_and_look(site, granted, destination, earlier_runs, head_deadline, answer).await
         } else {
             let head = timeout_at(site.clock.instant(head_deadline), answer).await;
             head.unwrap_or(Err(WireError::TimedOut))
--- a/crates/godwit-gateway/src/forward/call.rs
+++ b/crates/godwit-gateway/src/forward/call.rs
@@ -16,6 +16,7 @@
 use super::admit::{Asked, Granted, admit};
 use super::answer::{ReplyBody, own_answer, server_answer, whole};
 use super::attempt::{Answering, AttemptError, keep, send, whole_body};
+use super::investigate::note_failure;
 use super::stream::relay;
 use super::target::{Destination, choose};
 use crate::site::Site;
@@ -30,6 +31,9 @@
 /// Part of the latency target, as its divisor, for which a request waits for a server that is not full.
 const QUEUE_SHARE: u64 = 2;
 
+/// Servers that one request is offered to, those that do not run it included.
+const MAX_ATTEMPTS: u32 = 4;
+
 /// Requests that may wait for a server at the same time; more are refused at once.
 const MAX_QUEUED: usize = 24;
 
@@ -133,7 +137,7 @@
     let mut code = Code::NoServer;
     let mut counted = Some(counted);
     site.first_send(&granted.terms.service);
-    for attempt in 1.. {
+    for attempt in 1..=MAX_ATTEMPTS {
         if granted.terms.answer_deadline.is_past(site.now()) || runs >= granted.terms.max_attempts {
             break;
         }
@@ -256,13 +260,15 @@
         Standing::MayHaveRun => None,
     };
     let deadline = head_deadline(site, granted, is_last);
-    let sent = send(site, granted, destination, granted.asked.head.last_event_id, deadline).await;
+    let sent =
+        send(site, granted, destination, granted.asked.head.last_event_id, earlier_runs, deadline)
+            .await;
     let answering = match sent {
         Ok(answering) => answering,
         Err(AttemptError::NotRun { proof, cause, faulty_server, is_full }) => {
             log_failed_attempt(granted, destination, &cause, true);
             if let Some(id) = &faulty_server {
-                site.server_failed(id, &cause);
+                note_failure(site, destination, id, &cause);
             }
             let standing = match dispatched {
                 Some(life) => Standing::Unsent(life.never_sent(proof)),
--- a/crates/godwit-gateway/src/forward/investigate.rs
+++ b/crates/godwit-gateway/src/forward/investigate.rs
@@ -114,6 +114,22 @@
     metrics::counter!("server_stalls_total").increment(1);
 }
 
+/// Notes that a server of an attempt failed. Where the attempt crossed failure domains, the link may be the cause.
+pub(super) fn note_failure(site: &Site, path: &Destination, server_id: &str, cause: &str) {
+    site.server_failed(server_id, cause);
+    let Some(failed) = server(site, server_id) else { return };
+    let home = &site.settings.failure_domain;
+    let from = if server_id == path.server_id {
+        home.clone()
+    } else {
+        waiting_domain(site, path, &failed)
+    };
+    if from != failed.failure_domain {
+        let to = &failed.failure_domain;
+        site.findings.borrow_mut().crossing_stalls(&from, to, server_id, site.now());
+    }
+}
+
 /// Asks the servers of a slow path how fast they run, those that were not asked lately.
 pub(super) async fn examine(site: Rc<Site>, path: Destination) {
     let now = site.now();
--- a/crates/godwit-gateway/src/forward/mod.rs
+++ b/crates/godwit-gateway/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod events;
 mod investigate;
+mod repath;
 mod stream;
 mod target;
 
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -16,10 +16,11 @@
 
 use super::admit::Granted;
 use super::answer::{Incomplete, ReplyBody, server_answer, streamed};
-use super::attempt::{Answering, AttemptError, InProgress, keep, send};
+use super::attempt::{Answering, AttemptError, InProgress, has_other_path, keep, send};
 use super::call::Counted;
 use super::events::take_events;
-use super::investigate::{examine, find_stalled};
+use super::investigate::{examine, find_stalled, note_failure};
+use super::repath::repath;
 use super::target::{Destination, choose};
 use crate::site::Site;
 use crate::wire::{Connection, ReplyHead, WireError};
@@ -145,15 +146,26 @@
                 continue;
             }
             let request_id = &self.granted.asked.head.request_id;
-            tokio::select! {
+            let is_stalled = tokio::select! {
                 biased;
                 piece = piece.as_mut() => return piece,
-                is_stalled = find_stalled(&self.site, request_id, &self.destination) => {
-                    if is_stalled {
-                        return Err(WireError::Stalled);
-                    }
-                    spawn_local(examine(self.site.clone(), self.destination.clone()));
-                }
+                is_stalled = find_stalled(&self.site, request_id, &self.destination) => is_stalled,
+            };
+            if !is_stalled {
+                spawn_local(examine(self.site.clone(), self.destination.clone()));
+                continue;
+            }
+            let new_path = tokio::select! {
+                biased;
+                piece = piece.as_mut() => return piece,
+                new_path = repath(&self.site, &self.granted, &self.destination) => new_path,
+            };
+            if let Some(new_path) = new_path {
+                let load = InProgress::start(&self.site, request_id, &new_path);
+                self.in_progress = Some(load);
+                self.destination = new_path;
+            } else if has_other_path(&self.site, &self.granted, self.runs) {
+                return Err(WireError::Stalled);
             }
         }
     }
@@ -221,9 +233,15 @@
             self.destination =
                 choose(&self.site, &self.granted, &self.avoided).map_err(|_| Incomplete)?;
             let deadline: SteadyMs = self.granted.terms.answer_deadline;
-            let sent =
-                send(&self.site, &self.granted, &self.destination, self.last_event_id, deadline)
-                    .await;
+            let sent = send(
+                &self.site,
+                &self.granted,
+                &self.destination,
+                self.last_event_id,
+                self.runs,
+                deadline,
+            )
+            .await;
             match sent {
                 Ok(answering) if answering.head.status == 200 => {
                     self.runs += 1;
@@ -245,7 +263,7 @@
                 }
                 Err(AttemptError::NotRun { cause: reason, faulty_server, .. }) => {
                     if let Some(id) = &faulty_server {
-                        self.site.server_failed(id, &reason);
+                        note_failure(&self.site, &self.destination, id, &reason);
                     }
                     cause = reason;
                 }
--- a/crates/godwit-gateway/src/forward/target.rs
+++ b/crates/godwit-gateway/src/forward/target.rs
@@ -17,6 +17,8 @@
     pub(crate) address: SocketAddr,
     /// Stages of a split model, the first server among them; empty for a plain service.
     pub(crate) hops: Vec<Hop>,
+    /// Links between failure domains that it crosses.
+    pub(crate) crossings: Vec<String>,
     /// What the attempt adds to each server.
     pub(crate) load: Load,
     /// Expected time to the first event in milliseconds, 0 for a plain service.
@@ -34,6 +36,11 @@
         self.hops.iter().map(|hop| hop.server_id.as_str()).collect()
     }
 
+    /// What loads are kept for: its servers and the links that it crosses.
+    pub(crate) fn load_keys(&self) -> impl Iterator<Item = &str> {
+        self.server_ids().into_iter().chain(self.crossings.iter().map(String::as_str))
+    }
+
     /// The server of a stage that listens at an address.
     pub(crate) fn server_at(&self, address: SocketAddr) -> Option<&str> {
         let hop = self.hops.iter().find(|hop| hop.address == address);
@@ -64,6 +71,16 @@
     site: &Site,
     granted: &Granted,
     avoided: &BTreeSet<String>,
+) -> Result<Destination, Code> {
+    choose_from(site, granted, None, avoided)
+}
+
+/// Chooses a server or path that begins with a stage.
+pub(crate) fn choose_from(
+    site: &Site,
+    granted: &Granted,
+    start: Option<&Hop>,
+    avoided: &BTreeSet<String>,
 ) -> Result<Destination, Code> {
     let now = site.now();
     let mut left_out = site.health.borrow().ejected(now);
@@ -91,6 +108,7 @@
             server_id: server.id.clone(),
             address: server.address,
             hops: Vec::new(),
+            crossings: Vec::new(),
             load: Load { requests: 1, kv_tokens: 0 },
             first_event_ms: 0.0,
             event_gap_ms: 0.0,
@@ -103,6 +121,7 @@
         prompt_tokens,
         answer_tokens,
         home_domain: &site.settings.failure_domain,
+        start,
         avoided: &left_out,
         slowdown: &|id| findings.slowdown(id, now),
         is_open: &|one, other| findings.is_open(one, other, now),
@@ -121,5 +140,6 @@
         first_event_ms: path.first_event_ms,
         event_gap_ms: path.event_gap_ms,
         hops: path.hops,
+        crossings: path.crossings,
     })
 }
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -147,6 +147,12 @@
         self.with_budget(service, |budget| budget.try_retry(hosts, self.now()))
     }
 
+    /// Whether the budget of a service has room for a retry.
+    pub(crate) fn may_retry(&self, service: &str) -> bool {
+        let hosts = self.hosts();
+        self.with_budget(service, |budget| budget.has_room(hosts, self.now()))
+    }
+
     /// A server failed a request; it is left out of choices for a while.
     pub(crate) fn server_failed(&self, server_id: &str, cause: &str) {
         let now = self.now();
--- a/crates/godwit-gateway/src/store/keep_up.rs
+++ b/crates/godwit-gateway/src/store/keep_up.rs
@@ -21,8 +21,11 @@
 /// Longest time of a list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Pause before a failed call is made again, in milliseconds; drawn evenly, so that hosts do not call in step.
-const RETRY_PAUSE_MS: std::ops::Range<u64> = 150..450;
+/// Pause before a failed call is made again, in milliseconds; doubled for each further failure in a row.
+const FIRST_RETRY_PAUSE_MS: u64 = 200;
+
+/// Longest such pause, in milliseconds; the bounds on a configuration leave a few seconds after an outage.
+const LONGEST_RETRY_PAUSE_MS: u64 = 1_200;
 
 /// A watch that ends sooner than this shows that changes come in a row.
 const QUICK_WATCH: Duration = Duration::from_millis(600);
@@ -56,6 +59,8 @@
     client: StoreClient,
     follower: F,
     is_lost: bool,
+    /// Failed calls in a row.
+    failures: u32,
 }
 
 impl<F: Follower> Loop<F> {
@@ -114,6 +119,7 @@
     }
 
     fn answered(&mut self, site: &Site) {
+        self.failures = 0;
         if self.is_lost {
             self.is_lost = false;
             info!(event = "store_regained", kind = self.follower.kind());
@@ -127,15 +133,19 @@
             warn!(event = "store_lost", kind = self.follower.kind(), cause);
             self.follower.lost(site);
         }
-        let pause_ms = rand::rng().random_range(RETRY_PAUSE_MS);
-        sleep(Duration::from_millis(pause_ms)).await;
+        let doublings = self.failures.min(8);
+        self.failures += 1;
+        let pause_ms = (FIRST_RETRY_PAUSE_MS << doublings).min(LONGEST_RETRY_PAUSE_MS);
+        // Drawn, so that hosts do not call in step.
+        let drawn_ms = rand::rng().random_range(pause_ms / 2..=pause_ms);
+        sleep(Duration::from_millis(drawn_ms)).await;
     }
 }
 
 /// Follows the objects of a kind for as long as the process runs.
 pub(crate) async fn keep_up<F: Follower>(site: Rc<Site>, follower: F) {
     let client = StoreClient::new(site.settings.store_address);
-    let mut state = Loop { client, follower, is_lost: false };
+    let mut state = Loop { client, follower, is_lost: false, failures: 0 };
     let mut known_revision = None;
     loop {
         let step = match known_revision {
