Wait for a path before a stream is given up, and call the store less on large sites

Change: a resume waits 1.5 s for a path; the pause between watches of servers grows with the hosts to 1 s, that after failures to 2 s.

--- a/crates/godwit-core/src/site/layout.rs
+++ b/crates/godwit-core/src/site/layout.rs
@@ -154,7 +154,7 @@
 }
 
 /// Moves that make failure domains whole which lack some layers though their servers could hold all. Servers whose
-/// layers others of the domain hold as well are moved, the slowest first.
+/// layers others of the domain hold as well are moved, the slowest first. [`plan_layout`] shows how a model is made.
 pub fn plan_moves(model: &ModelTraits, servers: &[&BackendServer]) -> Vec<Placement> {
     let ready: Vec<&BackendServer> =
         servers.iter().copied().filter(|server| server.state == ServerState::Ready).collect();
--- a/crates/godwit-core/src/site/plain.rs
+++ b/crates/godwit-core/src/site/plain.rs
@@ -10,6 +10,14 @@
 
 /// The server with most free slots, by the work of all hosts; the host's own failure domain goes before another when
 /// equally free. `seed` breaks the remaining ties. `latency_ms` is what the host has seen of a server's answers.
+///
+/// ```
+/// use std::collections::BTreeSet;
+/// use godwit_core::site::{LoadBook, choose_server};
+/// let loads = LoadBook::new(1_000);
+/// let none = choose_server(std::iter::empty(), &loads, "shop", "a", &BTreeSet::new(), |_| 0.0, 1);
+/// assert!(none.is_none());
+/// ```
 pub fn choose_server<'a>(
     servers: impl Iterator<Item = &'a BackendServer>,
     loads: &LoadBook,
--- a/crates/godwit-gateway/src/followers.rs
+++ b/crates/godwit-gateway/src/followers.rs
@@ -15,8 +15,15 @@
 /// Pause between changes of the configuration that come in a row.
 const CONFIGURATION_PAUSE: Duration = Duration::from_millis(100);
 
-/// Pause between changes of servers that come in a row; a leaving server serves for seconds after its notice.
-const SERVERS_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between changes of servers that come in a row, in milliseconds; a leaving server serves for seconds after its
+/// notice.
+const SERVERS_PAUSE_MS: u64 = 400;
+
+/// What each host adds to that pause, in milliseconds, as each change costs a call of every host.
+const SERVERS_PAUSE_PER_HOST_MS: u64 = 8;
+
+/// Longest such pause, in milliseconds; half of the shortest time for which a leaving server serves.
+const LONGEST_SERVERS_PAUSE_MS: u64 = 1_000;
 
 /// Follows the configuration.
 pub(crate) struct ConfigurationFollower;
@@ -40,7 +47,7 @@
         CONFIGURATION_KIND
     }
 
-    fn batch_pause(&self) -> Duration {
+    fn batch_pause(&self, _site: &Site) -> Duration {
         CONFIGURATION_PAUSE
     }
 
@@ -101,8 +108,10 @@
         SERVERS_KIND
     }
 
-    fn batch_pause(&self) -> Duration {
-        SERVERS_PAUSE
+    fn batch_pause(&self, site: &Site) -> Duration {
+        let hosts = site.hosts() as u64;
+        let pause_ms = SERVERS_PAUSE_MS + SERVERS_PAUSE_PER_HOST_MS * hosts;
+        Duration::from_millis(pause_ms.min(LONGEST_SERVERS_PAUSE_MS))
     }
 
     fn replace(&mut self, site: &Site, objects: Vec<Object>) {
--- a/crates/godwit-gateway/src/forward/answer.rs
+++ b/crates/godwit-gateway/src/forward/answer.rs
@@ -20,18 +20,15 @@
 pub(crate) type Pieces =
     Pin<Box<dyn futures_util::Stream<Item = Result<Frame<Bytes>, Incomplete>>>>;
 
-/// Body of an answer.
-pub(crate) type ReplyBody = LocalBody;
-
-/// A body that stays on the thread of the event loop.
-pub(crate) enum LocalBody {
+/// Body of an answer; it stays on the thread of the event loop.
+pub(crate) enum ReplyBody {
     /// All of it is known.
     Whole(Full<Bytes>),
     /// It is sent as it comes.
     Streamed(StreamBody<Pieces>),
 }
 
-impl hyper::body::Body for LocalBody {
+impl hyper::body::Body for ReplyBody {
     type Data = Bytes;
     type Error = Incomplete;
 
@@ -40,24 +37,24 @@
         context: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<Frame<Bytes>, Incomplete>>> {
         match self.get_mut() {
-            LocalBody::Whole(body) => {
+            ReplyBody::Whole(body) => {
                 Pin::new(body).poll_frame(context).map_err(|never: Infallible| match never {})
             }
-            LocalBody::Streamed(body) => Pin::new(body).poll_frame(context),
+            ReplyBody::Streamed(body) => Pin::new(body).poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            LocalBody::Whole(body) => body.is_end_stream(),
-            LocalBody::Streamed(body) => body.is_end_stream(),
+            ReplyBody::Whole(body) => body.is_end_stream(),
+            ReplyBody::Streamed(body) => body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> hyper::body::SizeHint {
         match self {
-            LocalBody::Whole(body) => body.size_hint(),
-            LocalBody::Streamed(body) => body.size_hint(),
+            ReplyBody::Whole(body) => body.size_hint(),
+            ReplyBody::Streamed(body) => body.size_hint(),
         }
     }
 }
@@ -66,7 +63,7 @@
 pub(crate) fn own_answer(code: Code, return_after_ms: Option<u64>) -> Response<ReplyBody> {
     let status = StatusCode::from_u16(code.http_status());
     let body = format!("{{\"code\":{},\"type\":\"{}\"}}", code.number(), code.name());
-    let mut response = Response::new(LocalBody::Whole(Full::new(Bytes::from(body))));
+    let mut response = Response::new(ReplyBody::Whole(Full::new(Bytes::from(body))));
     *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
     headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -80,7 +77,7 @@
 }
 
 /// A server's answer, unchanged but for what concerns its connection.
-pub(crate) fn server_answer(head: &ReplyHead, body: LocalBody) -> Response<ReplyBody> {
+pub(crate) fn server_answer(head: &ReplyHead, body: ReplyBody) -> Response<ReplyBody> {
     let mut response = Response::new(body);
     *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     for (name, value) in head.header_pairs().filter(|(name, _)| !is_connection_header(name)) {
@@ -93,11 +90,11 @@
 }
 
 /// A body that is known whole.
-pub(crate) fn whole(body: Bytes) -> LocalBody {
-    LocalBody::Whole(Full::new(body))
+pub(crate) fn whole(body: Bytes) -> ReplyBody {
+    ReplyBody::Whole(Full::new(body))
 }
 
 /// A body that is sent as it comes.
-pub(crate) fn streamed(pieces: Pieces) -> LocalBody {
-    LocalBody::Streamed(StreamBody::new(pieces))
+pub(crate) fn streamed(pieces: Pieces) -> ReplyBody {
+    ReplyBody::Streamed(StreamBody::new(pieces))
 }
--- a/crates/godwit-gateway/src/forward/call.rs
+++ b/crates/godwit-gateway/src/forward/call.rs
@@ -1,16 +1,13 @@
 //! A request from its head to the start of its final answer.
 
-use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
 
 use godwit_core::site::Work;
 use godwit_core::{Claimed, Code, Life, SteadyMs};
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::sleep;
 use tracing::info;
 
 use super::admit::{Asked, Granted, admit};
@@ -18,7 +15,8 @@
 use super::attempt::{Answering, AttemptError, keep, send, whole_body};
 use super::investigate::note_failure;
 use super::stream::relay;
-use super::target::{Destination, choose};
+use super::target::Destination;
+use super::wait::{Counted, choose_in_time, wait_for_configuration};
 use crate::site::Site;
 use crate::wire::WireError;
 
@@ -28,53 +26,21 @@
 /// Factor on a call's latency target after which another server is tried, where that is allowed.
 const SLOW_CALL_FACTOR: u64 = 3;
 
-/// Part of the latency target, as its divisor, for which a request waits for a server that is not full.
-const QUEUE_SHARE: u64 = 2;
-
 /// Servers that one request is offered to, those that do not run it included.
 const MAX_ATTEMPTS: u32 = 4;
 
-/// Requests that may wait for a server at the same time; more are refused at once.
-const MAX_QUEUED: usize = 24;
-
-/// Step in which a waiting request looks again.
-const QUEUE_LOOK: Duration = Duration::from_millis(20);
-
-/// Longest wait for the first configuration of a process that has just started, in milliseconds.
-const CONFIGURATION_WAIT_MS: u64 = 300;
-
 /// Earliest return that a refused caller is told, in milliseconds.
 const RETURN_AFTER_MS: u64 = 250;
 
 /// Spread of the time of return, in milliseconds, so that refused callers do not come back together.
 const RETURN_SPREAD_MS: u64 = 250;
 
-/// Counts a request for as long as it is being answered.
-pub(crate) struct Counted(Rc<Site>);
-
-impl Counted {
-    pub(crate) fn new(site: &Rc<Site>) -> Counted {
-        count(&site.requests_in_progress, |requests| requests + 1);
-        Counted(site.clone())
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        count(&self.0.requests_in_progress, |requests| requests.saturating_sub(1));
-    }
-}
-
-fn count(cell: &Cell<usize>, change: impl FnOnce(usize) -> usize) {
-    cell.set(change(cell.get()));
-}
-
 /// Answers one request.
 pub(crate) async fn serve(
     site: Rc<Site>,
     request: Request<Incoming>,
 ) -> Result<Response<ReplyBody>, std::convert::Infallible> {
-    let counted = Counted::new(&site);
+    let counted = Counted::new(&site, |site| &site.requests_in_progress);
     let received = site.now();
     let (parts, body) = request.into_parts();
     let asked = Asked::new(parts, received);
@@ -186,56 +152,6 @@
     refuse(site, &request_id, &granted.terms.service, code, granted.asked.received)
 }
 
-/// Chooses a server or path. While all are full, the request waits for the part of its latency target that leaves
-/// time to answer it; the longest waiting goes first only by chance, as all wait for a short time.
-async fn choose_in_time(
-    site: &Rc<Site>,
-    granted: &Granted,
-    avoided: &BTreeSet<String>,
-) -> Result<Destination, Code> {
-    let wait_ms = granted.terms.target_latency_ms / QUEUE_SHARE;
-    let give_up_at = granted.asked.received.plus_ms(wait_ms).min(granted.terms.answer_deadline);
-    let mut queued: Option<Queued> = None;
-    loop {
-        let chosen = choose(site, granted, avoided);
-        let may_wait = !give_up_at.is_past(site.now());
-        if chosen.is_ok() || !may_wait {
-            return chosen;
-        }
-        if queued.is_none() {
-            if site.requests_queued.get() >= MAX_QUEUED {
-                return chosen;
-            }
-            queued = Some(Queued::new(site));
-        }
-        sleep(QUEUE_LOOK).await;
-    }
-}
-
-/// Counts a request for as long as it waits for a server.
-struct Queued(Rc<Site>);
-
-impl Queued {
-    fn new(site: &Rc<Site>) -> Queued {
-        count(&site.requests_queued, |requests| requests + 1);
-        Queued(site.clone())
-    }
-}
-
-impl Drop for Queued {
-    fn drop(&mut self) {
-        count(&self.0.requests_queued, |requests| requests.saturating_sub(1));
-    }
-}
-
-/// Waits for the first configuration for as long as a process needs that has just started.
-async fn wait_for_configuration(site: &Site) {
-    let give_up_at = site.now().plus_ms(CONFIGURATION_WAIT_MS);
-    while site.configuration().is_none() && !give_up_at.is_past(site.now()) {
-        sleep(QUEUE_LOOK).await;
-    }
-}
-
 /// When the head of an attempt's answer is due: sooner where another attempt may follow.
 fn head_deadline(site: &Site, granted: &Granted, is_last: bool) -> SteadyMs {
     if granted.terms.work.is_stream() || !granted.terms.work.may_run_again() || is_last {
--- a/crates/godwit-gateway/src/forward/mod.rs
+++ b/crates/godwit-gateway/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod repath;
 mod stream;
 mod target;
+mod wait;
 
 pub(crate) use call::serve;
 pub(crate) use target::Destination;
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::unfold;
@@ -11,20 +12,26 @@
 use http::Response;
 use hyper::body::Frame;
 use tokio::task::spawn_local;
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 use tracing::info;
 
 use super::admit::Granted;
 use super::answer::{Incomplete, ReplyBody, server_answer, streamed};
 use super::attempt::{Answering, AttemptError, InProgress, has_other_path, keep, send};
-use super::call::Counted;
 use super::events::take_events;
 use super::investigate::{examine, find_stalled, note_failure};
 use super::repath::repath;
 use super::target::{Destination, choose};
+use super::wait::Counted;
 use crate::site::Site;
 use crate::wire::{Connection, ReplyHead, WireError};
 
+/// Longest wait for a server that may go on with a stream, in milliseconds.
+const RESUME_WAIT_MS: u64 = 1_500;
+
+/// Step in which a stream that waits looks again.
+const RESUME_LOOK: Duration = Duration::from_millis(50);
+
 /// Factor on the expected gap between events from which a path counts as slow.
 const SLOW_FACTOR: f64 = 1.8;
 
@@ -230,8 +237,7 @@
                 metrics::counter!("streams_given_up_total").increment(1);
                 return Err(Incomplete);
             }
-            self.destination =
-                choose(&self.site, &self.granted, &self.avoided).map_err(|_| Incomplete)?;
+            self.destination = self.next_destination().await?;
             let deadline: SteadyMs = self.granted.terms.answer_deadline;
             let sent = send(
                 &self.site,
@@ -275,6 +281,22 @@
         }
     }
 
+    /// Waits for a server or path that may go on with the stream; the caller has part of the answer already.
+    async fn next_destination(&self) -> Result<Destination, Incomplete> {
+        let give_up_at = self.site.now().plus_ms(RESUME_WAIT_MS);
+        loop {
+            match choose(&self.site, &self.granted, &self.avoided) {
+                Ok(destination) => return Ok(destination),
+                Err(code) if give_up_at.is_past(self.site.now()) => {
+                    let request = &self.granted.asked.head.request_id;
+                    info!(event = "stream_given_up", request, code = code.name());
+                    return Err(Incomplete);
+                }
+                Err(_) => sleep(RESUME_LOOK).await,
+            }
+        }
+    }
+
     fn may_resume(&self) -> bool {
         self.granted.terms.work.may_run_again()
             && self.runs < self.granted.terms.max_attempts
--- /dev/null
+++ b/crates/godwit-gateway/src/forward/wait.rs
@@ -0,0 +1,79 @@
+//! Short waits before a request is sent: for a first configuration, and for a server that is not full.
+
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use godwit_core::Code;
+use tokio::time::sleep;
+
+use super::admit::Granted;
+use super::target::{Destination, choose};
+use crate::site::Site;
+
+/// Part of the latency target, as its divisor, for which a request waits for a server that is not full.
+const QUEUE_SHARE: u64 = 2;
+
+/// Requests that may wait for a server at the same time; more are refused at once.
+const MAX_QUEUED: usize = 24;
+
+/// Step in which a waiting request looks again.
+const QUEUE_LOOK: Duration = Duration::from_millis(20);
+
+/// Longest wait for the first configuration of a process that has just started, in milliseconds.
+const CONFIGURATION_WAIT_MS: u64 = 300;
+
+/// Counts a request in one of the site's counters for as long as it lives.
+pub(crate) struct Counted {
+    site: Rc<Site>,
+    counter: fn(&Site) -> &Cell<usize>,
+}
+
+impl Counted {
+    pub(crate) fn new(site: &Rc<Site>, counter: fn(&Site) -> &Cell<usize>) -> Counted {
+        let cell = counter(site);
+        cell.set(cell.get() + 1);
+        Counted { site: site.clone(), counter }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let cell = (self.counter)(&self.site);
+        cell.set(cell.get().saturating_sub(1));
+    }
+}
+
+/// Chooses a server or path. While all are full, the request waits for the part of its latency target that leaves
+/// time to answer it.
+pub(super) async fn choose_in_time(
+    site: &Rc<Site>,
+    granted: &Granted,
+    avoided: &BTreeSet<String>,
+) -> Result<Destination, Code> {
+    let wait_ms = granted.terms.target_latency_ms / QUEUE_SHARE;
+    let give_up_at = granted.asked.received.plus_ms(wait_ms).min(granted.terms.answer_deadline);
+    let mut queued: Option<Counted> = None;
+    loop {
+        let chosen = choose(site, granted, avoided);
+        if chosen.is_ok() || give_up_at.is_past(site.now()) {
+            return chosen;
+        }
+        if queued.is_none() {
+            if site.requests_queued.get() >= MAX_QUEUED {
+                return chosen;
+            }
+            queued = Some(Counted::new(site, |site| &site.requests_queued));
+        }
+        sleep(QUEUE_LOOK).await;
+    }
+}
+
+/// Waits for the first configuration for as long as a process needs that has just started.
+pub(super) async fn wait_for_configuration(site: &Site) {
+    let give_up_at = site.now().plus_ms(CONFIGURATION_WAIT_MS);
+    while site.configuration().is_none() && !give_up_at.is_past(site.now()) {
+        sleep(QUEUE_LOOK).await;
+    }
+}
--- a/crates/godwit-gateway/src/store/keep_up.rs
+++ b/crates/godwit-gateway/src/store/keep_up.rs
@@ -24,8 +24,8 @@
 /// Pause before a failed call is made again, in milliseconds; doubled for each further failure in a row.
 const FIRST_RETRY_PAUSE_MS: u64 = 200;
 
-/// Longest such pause, in milliseconds; the bounds on a configuration leave a few seconds after an outage.
-const LONGEST_RETRY_PAUSE_MS: u64 = 1_200;
+/// Longest such pause, in milliseconds; shorter than the platform's contact window, after which its bounds hold again.
+const LONGEST_RETRY_PAUSE_MS: u64 = 2_000;
 
 /// A watch that ends sooner than this shows that changes come in a row.
 const QUICK_WATCH: Duration = Duration::from_millis(600);
@@ -38,7 +38,7 @@
     /// Kind of the objects.
     fn kind(&self) -> &str;
     /// Pause before the next watch while changes come in a row, so that one call brings several.
-    fn batch_pause(&self) -> Duration;
+    fn batch_pause(&self, site: &Site) -> Duration;
     /// A whole list.
     fn replace(&mut self, site: &Site, objects: Vec<Object>);
     /// One change.
@@ -103,7 +103,7 @@
             self.follower.change(site, change);
         }
         if is_quick {
-            sleep(self.follower.batch_pause()).await;
+            sleep(self.follower.batch_pause(site)).await;
         }
         Ok(revision)
     }
