Let a cut that is found again hold for longer

Cause: during a zone cut crossings were tried again each 1.5 s, and each time a few streams stalled for up to a second.

Change: a cut found within 2 s of its end counts twice as long, up to 5 s; a slow path's servers may be examined again after 2 s, not 3 s.

--- a/crates/godwit-core/src/site/findings.rs
+++ b/crates/godwit-core/src/site/findings.rs
@@ -13,6 +13,12 @@
 /// How long a cut between failure domains counts before crossings are tried again, in milliseconds.
 const CUT_MS: u64 = 1_500;
 
+/// Time after a cut in which it counts as the same when found again, in milliseconds.
+const CUT_AGAIN_MS: u64 = 2_000;
+
+/// Longest time for which a cut counts before crossings are tried again, in milliseconds.
+const LONGEST_CUT_MS: u64 = 5_000;
+
 /// How long a server stays suspect after crossing work stalled at it, in milliseconds.
 const SUSPECT_MS: u64 = 800;
 
@@ -71,11 +77,18 @@
     pub examined_ago_ms: u64,
 }
 
+/// A cut of a link.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cut {
+    until: SteadyMs,
+    length_ms: u64,
+}
+
 /// All findings that still hold.
 #[derive(Debug, Default)]
 pub struct Findings {
     by_server: BTreeMap<String, Finding>,
-    cut_until: BTreeMap<Link, SteadyMs>,
+    cuts: BTreeMap<Link, Cut>,
     suspects: BTreeMap<Link, BTreeMap<String, SteadyMs>>,
 }
 
@@ -122,24 +135,31 @@
         since.any(|since| !since.plus_ms(SUSPECT_MS).is_past(now))
     }
 
-    /// Work that crosses from one failure domain to another stalls.
+    /// Two failure domains do not reach each other. Found again soon after it ended, a cut counts for twice as long.
     pub fn is_cut(&mut self, one: &str, other: &str, now: SteadyMs) {
-        self.cut_until.insert(Link::new(one, other), now.plus_ms(CUT_MS));
+        let cut = self.cuts.entry(Link::new(one, other)).or_default();
+        if !cut.until.is_past(now) {
+            return;
+        }
+        let is_again = cut.length_ms > 0 && !cut.until.plus_ms(CUT_AGAIN_MS).is_past(now);
+        let length_ms = if is_again { cut.length_ms * 2 } else { CUT_MS };
+        cut.length_ms = length_ms.min(LONGEST_CUT_MS);
+        cut.until = now.plus_ms(cut.length_ms);
     }
 
     /// Whether two failure domains reach each other, as far as is known.
     pub fn is_open(&self, one: &str, other: &str, now: SteadyMs) -> bool {
-        if self.cut_until.is_empty() || one == other {
+        if self.cuts.is_empty() || one == other {
             return true;
         }
-        self.cut_until.get(&Link::new(one, other)).is_none_or(|until| until.is_past(now))
+        self.cuts.get(&Link::new(one, other)).is_none_or(|cut| cut.until.is_past(now))
     }
 
     /// The cuts, for other hosts.
     pub fn told_cuts(&self, now: SteadyMs) -> Vec<ToldCut> {
-        let told = self.cut_until.iter().map(|(link, until)| ToldCut {
+        let told = self.cuts.iter().map(|(link, cut)| ToldCut {
             domains: [link.0.clone(), link.1.clone()],
-            for_ms: until.since_ms(now),
+            for_ms: cut.until.since_ms(now),
         });
         told.filter(|told| told.for_ms > 0).collect()
     }
@@ -147,9 +167,10 @@
     /// Takes a cut that another host tells.
     pub fn hear_cut(&mut self, told: &ToldCut, now: SteadyMs) {
         let [one, other] = &told.domains;
-        let until = now.plus_ms(told.for_ms.min(CUT_MS));
-        let known = self.cut_until.entry(Link::new(one, other)).or_default();
-        *known = until.max(*known);
+        let until = now.plus_ms(told.for_ms.min(LONGEST_CUT_MS));
+        let cut = self.cuts.entry(Link::new(one, other)).or_default();
+        cut.until = until.max(cut.until);
+        cut.length_ms = cut.length_ms.max(CUT_MS);
     }
 
     /// A server told how many times slower than its kind it runs.
--- a/crates/godwit-core/tests/site/findings.rs
+++ b/crates/godwit-core/tests/site/findings.rs
@@ -72,3 +72,31 @@
     findings.forget("s-1");
     assert!(findings.stalling(SteadyMs(1)).is_empty());
 }
+
+#[test]
+fn cut_found_again_holds_for_longer() {
+    let mut findings = Findings::new();
+    findings.is_cut("a", "b", SteadyMs(10_000));
+    assert!(findings.is_open("a", "b", SteadyMs(11_500)));
+    findings.is_cut("a", "b", SteadyMs(11_600));
+    assert!(!findings.is_open("a", "b", SteadyMs(14_599)));
+    assert!(findings.is_open("a", "b", SteadyMs(14_600)));
+}
+
+#[test]
+fn cut_long_after_another_is_a_new_one() {
+    let mut findings = Findings::new();
+    findings.is_cut("a", "b", SteadyMs(10_000));
+    findings.is_cut("a", "b", SteadyMs(20_000));
+    assert!(findings.is_open("a", "b", SteadyMs(21_500)));
+}
+
+#[test]
+fn cut_told_by_another_host_counts() {
+    let mut one = Findings::new();
+    let mut other = Findings::new();
+    one.is_cut("a", "b", SteadyMs(1_000));
+    one.told_cuts(SteadyMs(1_500)).iter().for_each(|told| other.hear_cut(told, SteadyMs(80)));
+    assert!(!other.is_open("a", "b", SteadyMs(1_079)));
+    assert!(other.is_open("a", "b", SteadyMs(1_080)));
+}
--- a/crates/godwit-gateway/src/forward/investigate.rs
+++ b/crates/godwit-gateway/src/forward/investigate.rs
@@ -19,7 +19,7 @@
 const REPORT_AGE_MS: u64 = 200;
 
 /// Age up to which a slow path's servers are not examined again, in milliseconds.
-const EXAMINE_AGE_MS: u64 = 3_000;
+const EXAMINE_AGE_MS: u64 = 2_000;
 
 fn server(site: &Site, id: &str) -> Option<BackendServer> {
     site.roster.borrow().get(id).cloned()
