Leave a watch that hangs once other hosts know more

Change: hosts tell each other the newest configuration version and the newest revision of a server's entry; a watch is left 1.3 s after another host is known to have more, and made again at once. Tests of the decision: core, freshness; no test plays the hang over sockets yet.

Ruled out: shorter waits of watches, which cost each host a call a second; the object revisions alone as a measure, since removed entries would leave hosts behind for good.

--- a/crates/godwit-core/src/site/mod.rs
+++ b/crates/godwit-core/src/site/mod.rs
@@ -3,6 +3,7 @@
 
 mod configuration;
 mod findings;
+mod freshness;
 mod health;
 mod layout;
 mod load;
@@ -19,6 +20,7 @@
     Workspace,
 };
 pub use findings::{Findings, ToldCut, ToldFinding};
+pub use freshness::Freshness;
 pub use health::{HealthLimits, ServerHealth};
 pub use layout::{Placement, plan_layout, plan_moves};
 pub use load::{Load, LoadBook, LoadSource, PeerLoads};
--- a/crates/godwit-core/tests/site/main.rs
+++ b/crates/godwit-core/tests/site/main.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod findings;
+mod freshness;
 mod health;
 mod layout;
 mod load;
--- a/crates/godwit-gateway/src/followers.rs
+++ b/crates/godwit-gateway/src/followers.rs
@@ -1,12 +1,13 @@
 //! What a host takes from the store: the configuration and the backend servers.
 
+use std::cell::RefCell;
 use std::time::Duration;
 
 use godwit_adapter::{
     CONFIGURATION_KIND, CONFIGURATION_NAME, Change, Object, SERVERS_KIND, decode_configuration,
     decode_server,
 };
-use godwit_core::site::BackendServer;
+use godwit_core::site::{BackendServer, Freshness};
 use tracing::{error, info, warn};
 
 use crate::site::Site;
@@ -51,6 +52,10 @@
         CONFIGURATION_PAUSE
     }
 
+    fn freshness<'a>(&self, site: &'a Site) -> &'a RefCell<Freshness> {
+        &site.configuration_freshness
+    }
+
     fn replace(&mut self, site: &Site, objects: Vec<Object>) {
         objects.iter().for_each(|object| ConfigurationFollower::take(site, object));
     }
@@ -78,6 +83,10 @@
         }
     }
 
+    fn note(site: &Site, object: &Object) {
+        site.servers_freshness.borrow_mut().read(object.revision);
+    }
+
     fn update(site: &Site, server: BackendServer) {
         let mut roster = site.roster.borrow_mut();
         let known = roster.get(&server.id);
@@ -114,7 +123,16 @@
         Duration::from_millis(pause_ms.min(LONGEST_SERVERS_PAUSE_MS))
     }
 
+    fn freshness<'a>(&self, site: &'a Site) -> &'a RefCell<Freshness> {
+        &site.servers_freshness
+    }
+
+    fn covered(&self, site: &Site, revision: u64) {
+        site.servers_freshness.borrow_mut().covers(revision);
+    }
+
     fn replace(&mut self, site: &Site, objects: Vec<Object>) {
+        objects.iter().for_each(|object| ServerFollower::note(site, object));
         let servers: Vec<BackendServer> =
             objects.iter().filter_map(ServerFollower::decode).collect();
         info!(event = "servers_listed", servers = servers.len());
@@ -130,10 +148,13 @@
 
     fn change(&mut self, site: &Site, change: Change) {
         match change {
-            Change::Put(object) => match ServerFollower::decode(&object) {
-                Some(server) => ServerFollower::update(site, server),
-                None => ServerFollower::remove(site, &object.name),
-            },
+            Change::Put(object) => {
+                ServerFollower::note(site, &object);
+                match ServerFollower::decode(&object) {
+                    Some(server) => ServerFollower::update(site, server),
+                    None => ServerFollower::remove(site, &object.name),
+                }
+            }
             Change::Removed { name } => ServerFollower::remove(site, &name),
             Change::Unreadable => warn!(event = "server_unreadable"),
         }
--- a/crates/godwit-gateway/src/gossip.rs
+++ b/crates/godwit-gateway/src/gossip.rs
@@ -42,6 +42,10 @@
     loads: Vec<ServerWork>,
     findings: Vec<ServerFinding>,
     cuts: Vec<DomainCut>,
+    /// Newest version of the configuration that the sender knows of.
+    configuration_version: u64,
+    /// Newest revision of a server's entry that the sender knows of.
+    servers_revision: u64,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -130,6 +134,8 @@
             sequence: now.0,
             loads: work.collect(),
             findings: findings.into_iter().map(ServerFinding::from).collect(),
+            configuration_version: self.site.configuration_freshness.borrow().newest(),
+            servers_revision: self.site.servers_freshness.borrow().newest(),
             cuts: cuts.map(|ToldCut { domains, for_ms }| DomainCut { domains, for_ms }).collect(),
         };
         let bytes = match postcard::to_stdvec(&message) {
@@ -175,6 +181,9 @@
             Scope::Others => LoadSource::Collector,
         };
         let now = self.site.now();
+        let site = &self.site;
+        site.configuration_freshness.borrow_mut().heard(message.configuration_version, now);
+        site.servers_freshness.borrow_mut().heard(message.servers_revision, now);
         for finding in message.findings {
             self.site.findings.borrow_mut().hear(&finding.into(), now);
         }
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -7,8 +7,8 @@
 use godwit_adapter::PlatformSettings;
 use godwit_core::SteadyMs;
 use godwit_core::site::{
-    Configuration, Findings, HealthLimits, LoadBook, PeerHost, Relay, RelayLimits, RetryBudget,
-    RetryLimits, Roster, RosterLimits, ServerHealth,
+    Configuration, Findings, Freshness, HealthLimits, LoadBook, PeerHost, Relay, RelayLimits,
+    RetryBudget, RetryLimits, Roster, RosterLimits, ServerHealth,
 };
 use tracing::info;
 
@@ -43,6 +43,10 @@
     pub(crate) relay: RefCell<Relay>,
     pub(crate) health: RefCell<ServerHealth>,
     pub(crate) findings: RefCell<Findings>,
+    /// Versions of the configuration, here and at other hosts.
+    pub(crate) configuration_freshness: RefCell<Freshness>,
+    /// Revisions of the servers' entries, here and at other hosts.
+    pub(crate) servers_freshness: RefCell<Freshness>,
     /// Paths of the requests in progress, by request.
     pub(crate) paths: RefCell<BTreeMap<String, Destination>>,
     pub(crate) pool: RefCell<Pool>,
@@ -69,6 +73,8 @@
             loads: RefCell::new(LoadBook::new(PEER_EXPIRY_MS)),
             health: RefCell::new(ServerHealth::new(health)),
             findings: RefCell::new(Findings::new()),
+            configuration_freshness: RefCell::new(Freshness::new()),
+            servers_freshness: RefCell::new(Freshness::new()),
             paths: RefCell::new(BTreeMap::new()),
             pool: RefCell::new(Pool::new()),
             is_stopping: Cell::new(false),
@@ -92,6 +98,7 @@
     pub(crate) fn set_configuration(&self, configuration: Configuration) {
         let mut in_force = self.configuration.borrow_mut();
         let version = configuration.version();
+        self.configuration_freshness.borrow_mut().read(version);
         let old_version = in_force.as_ref().map(|known| known.version());
         let is_newer = old_version.is_none_or(|old| version > old);
         info!(event = "configuration", version, ?old_version, in_force = is_newer);
--- a/crates/godwit-gateway/src/store/keep_up.rs
+++ b/crates/godwit-gateway/src/store/keep_up.rs
@@ -1,10 +1,12 @@
 //! Keeps up with the objects of a kind: a whole list, then a watch from its revision, a list again when the history
 //! is gone.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use godwit_adapter::{Change, Object, decode_changes, decode_listing, list_path, watch_path};
+use godwit_core::site::Freshness;
 use rand::Rng;
 use tokio::time::{Instant, sleep};
 use tracing::{info, warn};
@@ -33,16 +35,29 @@
 const STATUS_OK: u16 = 200;
 const STATUS_GONE: u16 = 410;
 
+/// Step in which a waiting watch is compared with what other hosts know.
+const FRESHNESS_LOOK: Duration = Duration::from_millis(200);
+
+async fn wait_until_behind(site: &Site, freshness: &RefCell<Freshness>) {
+    while !freshness.borrow().is_behind(site.now()) {
+        sleep(FRESHNESS_LOOK).await;
+    }
+}
+
 /// What becomes of the objects.
 pub(crate) trait Follower {
     /// Kind of the objects.
     fn kind(&self) -> &str;
     /// Pause before the next watch while changes come in a row, so that one call brings several.
     fn batch_pause(&self, site: &Site) -> Duration;
+    /// How this host's knowledge of the objects compares with that of others.
+    fn freshness<'a>(&self, site: &'a Site) -> &'a RefCell<Freshness>;
     /// A whole list.
     fn replace(&mut self, site: &Site, objects: Vec<Object>);
     /// One change.
     fn change(&mut self, site: &Site, change: Change);
+    /// All up to a revision of the store has been read.
+    fn covered(&self, _site: &Site, _revision: u64) {}
     /// The store failed a call.
     fn lost(&mut self, _site: &Site) {}
     /// The store answers again after failed calls; called before what it says is taken.
@@ -52,11 +67,28 @@
 /// Why a step of the loop failed, for the log.
 enum Failure {
     HistoryGone,
+    /// Other hosts know more, so that the call hangs.
+    Behind,
     Call(String),
 }
 
+/// Reads from the store.
+struct Reader(StoreClient);
+
+impl Reader {
+    async fn get(&mut self, path: &str, wait: Duration) -> Result<bytes::Bytes, Failure> {
+        let reply = self.0.call("GET", path, Vec::new(), wait).await;
+        let reply = reply.map_err(|error| Failure::Call(error.to_string()))?;
+        match reply.status {
+            STATUS_OK => Ok(reply.body),
+            STATUS_GONE => Err(Failure::HistoryGone),
+            status => Err(Failure::Call(format!("status {status}"))),
+        }
+    }
+}
+
 struct Loop<F> {
-    client: StoreClient,
+    client: Reader,
     follower: F,
     is_lost: bool,
     /// Failed calls in a row.
@@ -69,7 +101,7 @@
         let mut after: Option<String> = None;
         loop {
             let path = list_path(self.follower.kind(), after.as_deref(), false);
-            let body = self.get(&path, LIST_TIMEOUT).await?;
+            let body = self.client.get(&path, LIST_TIMEOUT).await?;
             let listing =
                 decode_listing(&body).map_err(|error| Failure::Call(error.to_string()))?;
             if listing.unreadable > 0 {
@@ -94,7 +126,16 @@
         let path = watch_path(self.follower.kind(), revision, WATCH_WAIT_MS);
         let wait = Duration::from_millis(WATCH_WAIT_MS) + WATCH_SLACK;
         let started = Instant::now();
-        let body = self.get(&path, wait).await?;
+        let freshness = self.follower.freshness(site);
+        freshness.borrow_mut().called(site.now());
+        // A call that was sent while the store was silent may hang for its whole wait after the store is back.
+        let body = tokio::select! {
+            biased;
+            body = self.client.get(&path, wait) => body?,
+            () = wait_until_behind(site, freshness) => {
+                return Err(Failure::Behind);
+            }
+        };
         let is_quick = started.elapsed() < QUICK_WATCH;
         let (changes, revision) =
             decode_changes(&body).map_err(|error| Failure::Call(error.to_string()))?;
@@ -108,16 +149,6 @@
         Ok(revision)
     }
 
-    async fn get(&mut self, path: &str, wait: Duration) -> Result<bytes::Bytes, Failure> {
-        let reply = self.client.call("GET", path, Vec::new(), wait).await;
-        let reply = reply.map_err(|error| Failure::Call(error.to_string()))?;
-        match reply.status {
-            STATUS_OK => Ok(reply.body),
-            STATUS_GONE => Err(Failure::HistoryGone),
-            status => Err(Failure::Call(format!("status {status}"))),
-        }
-    }
-
     fn answered(&mut self, site: &Site) {
         self.failures = 0;
         if self.is_lost {
@@ -144,7 +175,7 @@
 
 /// Follows the objects of a kind for as long as the process runs.
 pub(crate) async fn keep_up<F: Follower>(site: Rc<Site>, follower: F) {
-    let client = StoreClient::new(site.settings.store_address);
+    let client = Reader(StoreClient::new(site.settings.store_address));
     let mut state = Loop { client, follower, is_lost: false, failures: 0 };
     let mut known_revision = None;
     loop {
@@ -153,11 +184,17 @@
             Some(revision) => state.watch(&site, revision).await,
         };
         match step {
-            Ok(revision) => known_revision = Some(revision),
+            Ok(revision) => {
+                state.follower.covered(&site, revision);
+                known_revision = Some(revision);
+            }
             Err(Failure::HistoryGone) => {
                 info!(event = "history_gone", kind = state.follower.kind());
                 known_revision = None;
             }
+            Err(Failure::Behind) => {
+                warn!(event = "watch_hangs", kind = state.follower.kind(), known_revision);
+            }
             Err(Failure::Call(cause)) => state.failed(&site, &cause).await,
         }
     }
