--- a/crates/godwit-core/src/site/configuration.rs
+++ b/crates/godwit-core/src/site/configuration.rs
@@ -122,7 +122,7 @@
     pub usual_prompt_tokens: u64,
     /// Mean tokens of an answer.
     pub usual_answer_tokens: u64,
-    /// Time after which work that depends on a lost server is given up by the servers, in milliseconds.
+    /// How old what a server reports of itself may be, in milliseconds.
     pub report_lag_ms: u64,
     /// What a stage passes to the next for each token, in bytes.
     pub activation_bytes: f64,
