Keep a stalled run of a stream until another has begun

Cause: a stream whose path stalled was broken off as soon as some path was free, but the resume then left out the first server; where every path needs that server, none was left and the stream was given up. Change: the look for another path leaves out what the resume leaves out, and the stalled run is kept until another has begun, and goes on if none does. Hosts tell each other the port that the system chose where the settings say 0. Tests: stalled_stream_keeps_its_run_where_no_other_path_is_left failed before (the answer ended early); a moved stream, a hanging watch and the orders are now tested over sockets, the last two seen to fail with the mend taken out. Ruled out: budget and attempts, which are looked at in the same step.

--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -130,11 +130,17 @@
 }
 
 /// Whether a stalled attempt can be followed by another: by the route's attempts, the retry budget and the servers that
-/// have room. An attempt without a successor goes on waiting, as its server may come back.
-pub(super) fn has_other_path(site: &Site, granted: &Granted, runs: u32) -> bool {
+/// have room, besides those that the other attempt will leave out. An attempt without a successor goes on waiting, as
+/// its server may come back.
+pub(super) fn has_other_path(
+    site: &Site,
+    granted: &Granted,
+    runs: u32,
+    avoided: &BTreeSet<String>,
+) -> bool {
     runs < granted.terms.max_attempts
         && site.may_retry(&granted.terms.service)
-        && choose(site, granted, &BTreeSet::new()).is_ok()
+        && choose(site, granted, avoided).is_ok()
 }
 
 /// Waits for the first event; a silence longer than expected is looked into, and ends the attempt if a server of the
@@ -148,6 +154,7 @@
     mut answer: Pin<&mut impl Future<Output = Result<T, WireError>>>,
 ) -> Result<T, WireError> {
     let request_id = &granted.asked.head.request_id;
+    let avoided = BTreeSet::from([destination.server_id.clone()]);
     let mut look_at = site.now().plus_ms(first_patience_ms(destination.first_event_ms));
     loop {
         let until = look_at.min(deadline);
@@ -161,7 +168,7 @@
             biased;
             result = answer.as_mut() => return result,
             is_stalled = find_stalled(site, request_id, destination) => {
-                if is_stalled && has_other_path(site, granted, earlier_runs + 1) {
+                if is_stalled && has_other_path(site, granted, earlier_runs + 1, &avoided) {
                     return Err(WireError::Stalled);
                 }
             }
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -63,17 +63,37 @@
     }
 }
 
-/// A stream in progress.
-struct Relay {
-    site: Rc<Site>,
-    granted: Rc<Granted>,
+/// One run of a stream at the servers of a path.
+struct Run {
     destination: Destination,
     head: ReplyHead,
+    /// None once the answer has ended or broken.
     connection: Option<Connection>,
     in_progress: Option<InProgress>,
+    /// Start of an event whose end has not come.
     buffer: BytesMut,
-    last_event_id: Option<u64>,
     pace: Pace,
+}
+
+impl Run {
+    fn new(destination: Destination, answering: Answering) -> Run {
+        Run {
+            destination,
+            head: answering.head,
+            connection: Some(answering.connection),
+            in_progress: Some(answering.in_progress),
+            buffer: BytesMut::new(),
+            pace: Pace::default(),
+        }
+    }
+}
+
+/// A stream in progress.
+struct Relay {
+    site: Rc<Site>,
+    granted: Rc<Granted>,
+    run: Run,
+    last_event_id: Option<u64>,
     /// Servers that may have run the request.
     runs: u32,
     avoided: BTreeSet<String>,
@@ -89,17 +109,12 @@
     runs: u32,
     counted: Option<Counted>,
 ) -> Response<ReplyBody> {
-    let Answering { head, connection, in_progress, .. } = answering;
+    let head = answering.head.clone();
     let relay = Relay {
         site: site.clone(),
         granted: granted.clone(),
-        destination,
-        head: head.clone(),
-        connection: Some(connection),
-        in_progress: Some(in_progress),
-        buffer: BytesMut::new(),
+        run: Run::new(destination, answering),
         last_event_id: granted.asked.head.last_event_id,
-        pace: Pace::default(),
         runs,
         avoided: BTreeSet::new(),
         _counted: counted,
@@ -130,17 +145,19 @@
 
     async fn read(&mut self) -> Result<Option<Bytes>, WireError> {
         let Some(piece) = self.next_piece().await? else { return Ok(None) };
-        self.pace.event(self.site.now());
-        self.buffer.extend_from_slice(&piece);
-        Ok(Some(take_events(&mut self.buffer, &mut self.last_event_id)))
+        self.run.pace.event(self.site.now());
+        self.run.buffer.extend_from_slice(&piece);
+        Ok(Some(take_events(&mut self.run.buffer, &mut self.last_event_id)))
     }
 
     /// Waits for more of the stream; a pause longer than expected is looked into.
     async fn next_piece(&mut self) -> Result<Option<Bytes>, WireError> {
-        let connection = self.connection.as_mut().ok_or(WireError::Ended)?;
+        let mut avoided = self.avoided.clone();
+        avoided.insert(self.run.destination.server_id.clone());
+        let connection = self.run.connection.as_mut().ok_or(WireError::Ended)?;
         let deadline = self.granted.terms.answer_deadline;
         let mut piece = pin!(connection.next_piece());
-        let patience_ms = gap_patience_ms(self.destination.event_gap_ms);
+        let patience_ms = gap_patience_ms(self.run.destination.event_gap_ms);
         loop {
             let look_at = self.site.now().plus_ms(patience_ms).min(deadline);
             if let Ok(piece) = timeout_at(self.site.clock.instant(look_at), piece.as_mut()).await {
@@ -156,22 +173,22 @@
             let is_stalled = tokio::select! {
                 biased;
                 piece = piece.as_mut() => return piece,
-                is_stalled = find_stalled(&self.site, request_id, &self.destination) => is_stalled,
+                is_stalled = find_stalled(&self.site, request_id, &self.run.destination) => is_stalled,
             };
             if !is_stalled {
-                spawn_local(examine(self.site.clone(), self.destination.clone()));
+                spawn_local(examine(self.site.clone(), self.run.destination.clone()));
                 continue;
             }
             let new_path = tokio::select! {
                 biased;
                 piece = piece.as_mut() => return piece,
-                new_path = repath(&self.site, &self.granted, &self.destination) => new_path,
+                new_path = repath(&self.site, &self.granted, &self.run.destination) => new_path,
             };
             if let Some(new_path) = new_path {
                 let load = InProgress::start(&self.site, request_id, &new_path);
-                self.in_progress = Some(load);
-                self.destination = new_path;
-            } else if has_other_path(&self.site, &self.granted, self.runs) {
+                self.run.in_progress = Some(load);
+                self.run.destination = new_path;
+            } else if has_other_path(&self.site, &self.granted, self.runs, &avoided) {
                 return Err(WireError::Stalled);
             }
         }
@@ -179,16 +196,16 @@
 
     fn log_ended(&self) {
         let received = self.granted.asked.received;
-        let first = self.pace.first.unwrap_or(received);
+        let first = self.run.pace.first.unwrap_or(received);
         info!(
             event = "stream_ended",
             request = self.granted.asked.head.request_id,
-            path = self.destination.log_text(),
+            path = self.run.destination.log_text(),
             first_ms = first.since_ms(received),
-            expected_first_ms = self.destination.first_event_ms.round(),
-            mean_gap_ms = self.pace.mean_gap_ms().unwrap_or_default().round(),
-            longest_gap_ms = self.pace.longest_gap_ms,
-            expected_gap_ms = self.destination.event_gap_ms.round(),
+            expected_first_ms = self.run.destination.first_event_ms.round(),
+            mean_gap_ms = self.run.pace.mean_gap_ms().unwrap_or_default().round(),
+            longest_gap_ms = self.run.pace.longest_gap_ms,
+            expected_gap_ms = self.run.destination.event_gap_ms.round(),
             after_ms = self.site.now().since_ms(received),
             runs = self.runs,
         );
@@ -197,55 +214,71 @@
 
     /// Has the servers of the path examined if the stream was much slower than expected.
     fn look_at_pace(&self) {
-        let expected_ms = self.destination.event_gap_ms;
-        let Some(gap_ms) = self.pace.mean_gap_ms() else { return };
+        let expected_ms = self.run.destination.event_gap_ms;
+        let Some(gap_ms) = self.run.pace.mean_gap_ms() else { return };
         metrics::histogram!("event_gap_ms").record(gap_ms);
         if gap_ms > SLOW_FACTOR * expected_ms + SLOW_FLOOR_MS {
-            spawn_local(examine(self.site.clone(), self.destination.clone()));
+            spawn_local(examine(self.site.clone(), self.run.destination.clone()));
         }
     }
 
     fn finish(&mut self) -> Option<Bytes> {
-        if let Some(connection) = self.connection.take() {
-            keep(&self.site, &self.destination, connection, &self.head);
+        if let Some(connection) = self.run.connection.take() {
+            keep(&self.site, &self.run.destination, connection, &self.run.head);
             self.log_ended();
         }
-        self.in_progress = None;
+        self.run.in_progress = None;
         self.look_at_pace();
-        let rest = self.buffer.split().freeze();
+        let rest = self.run.buffer.split().freeze();
         (!rest.is_empty()).then_some(rest)
     }
 
-    /// Goes on at another server after a break.
+    /// Goes on at another server after a break. A run that only stalls is kept until another has begun, and goes on if
+    /// none does.
     async fn resume(&mut self, error: &WireError) -> Result<(), Incomplete> {
-        self.connection = None;
-        self.in_progress = None;
-        self.buffer.clear();
-        let mut cause = error.to_string();
+        let is_stalled = matches!(error, WireError::Stalled);
+        if !is_stalled {
+            self.run.connection = None;
+            self.run.in_progress = None;
+        }
+        match self.next_run(error.to_string(), is_stalled).await {
+            Ok(run) => {
+                self.run = run;
+                Ok(())
+            }
+            Err(_) if is_stalled => Ok(()),
+            Err(incomplete) => {
+                info!(event = "stream_given_up", request = self.granted.asked.head.request_id);
+                metrics::counter!("streams_given_up_total").increment(1);
+                Err(incomplete)
+            }
+        }
+    }
+
+    /// Has the rest of the stream run at another server.
+    async fn next_run(&mut self, mut cause: String, is_stalled: bool) -> Result<Run, Incomplete> {
+        let mut broken_at = self.run.destination.server_id.clone();
         loop {
             info!(
                 event = "stream_broken",
                 request = self.granted.asked.head.request_id,
-                server = self.destination.server_id,
+                server = broken_at,
                 cause,
                 last_event_id = self.last_event_id,
                 runs = self.runs,
             );
-            self.avoided.insert(self.destination.server_id.clone());
+            self.avoided.insert(broken_at);
             if !self.may_resume() {
-                info!(event = "stream_given_up", request = self.granted.asked.head.request_id);
-                metrics::counter!("streams_given_up_total").increment(1);
                 return Err(Incomplete);
             }
-            self.destination = self.next_destination().await?;
-            let deadline: SteadyMs = self.granted.terms.answer_deadline;
+            let destination = self.next_destination(is_stalled).await?;
             let sent = send(
                 &self.site,
                 &self.granted,
-                &self.destination,
+                &destination,
                 self.last_event_id,
                 self.runs,
-                deadline,
+                self.granted.terms.answer_deadline,
             )
             .await;
             match sent {
@@ -254,14 +287,10 @@
                     info!(
                         event = "stream_resumed",
                         request = self.granted.asked.head.request_id,
-                        path = self.destination.log_text(),
+                        path = destination.log_text(),
                         last_event_id = self.last_event_id,
                     );
-                    self.connection = Some(answering.connection);
-                    self.in_progress = Some(answering.in_progress);
-                    self.head = answering.head;
-                    self.pace = Pace::default();
-                    return Ok(());
+                    return Ok(Run::new(destination, answering));
                 }
                 Ok(answering) => {
                     self.runs += 1;
@@ -269,7 +298,7 @@
                 }
                 Err(AttemptError::NotRun { cause: reason, faulty_server, .. }) => {
                     if let Some(id) = &faulty_server {
-                        note_failure(&self.site, &self.destination, id, &reason);
+                        note_failure(&self.site, &destination, id, &reason);
                     }
                     cause = reason;
                 }
@@ -278,18 +307,20 @@
                     cause = error.to_string();
                 }
             }
+            broken_at = destination.server_id;
         }
     }
 
-    /// Waits for a server or path that may go on with the stream; the caller has part of the answer already.
-    async fn next_destination(&self) -> Result<Destination, Incomplete> {
-        let give_up_at = self.site.now().plus_ms(RESUME_WAIT_MS);
+    /// Waits for a server or path that may go on with the stream; the caller has part of the answer already. A stalled
+    /// run may still go on by itself, so that there is no wait beside it.
+    async fn next_destination(&self, is_stalled: bool) -> Result<Destination, Incomplete> {
+        let give_up_at = self.site.now().plus_ms(if is_stalled { 0 } else { RESUME_WAIT_MS });
         loop {
             match choose(&self.site, &self.granted, &self.avoided) {
                 Ok(destination) => return Ok(destination),
                 Err(code) if give_up_at.is_past(self.site.now()) => {
                     let request = &self.granted.asked.head.request_id;
-                    info!(event = "stream_given_up", request, code = code.name());
+                    info!(event = "stream_not_resumed", request, code = code.name());
                     return Err(Incomplete);
                 }
                 Err(_) => sleep(RESUME_LOOK).await,
--- a/crates/godwit-gateway/src/run.rs
+++ b/crates/godwit-gateway/src/run.rs
@@ -58,7 +58,7 @@
     result
 }
 
-async fn host(settings: PlatformSettings, settings_path: &str) -> eyre::Result<()> {
+async fn host(mut settings: PlatformSettings, settings_path: &str) -> eyre::Result<()> {
     let metrics = telemetry::start_metrics()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -69,6 +69,8 @@
     let metrics_listener = listen(settings.metrics_address).wrap_err_with(listening("metrics"))?;
     let gossip_socket = UdpSocket::bind(settings.peer_address).await;
     let gossip_socket = gossip_socket.wrap_err_with(listening("hosts"))?;
+    // Port 0 in the settings lets the system choose; other hosts are told what it chose.
+    settings.peer_address.set_port(gossip_socket.local_addr()?.port());
 
     info!(
         event = "started",
--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -28,9 +28,9 @@
     pub(crate) store: Store,
 }
 
-fn settings(store: SocketAddr) -> String {
+fn settings(store: SocketAddr, name: &str) -> String {
     format!(
-        "NodeName = \"front-hall-a-1\"\nZone = \"hall-a\"\nIpAddress = \"127.0.0.1\"\nInternalPorts = [0, 0]\n\
+        "NodeName = \"{name}\"\nZone = \"hall-a\"\nIpAddress = \"127.0.0.1\"\nInternalPorts = [0, 0]\n\
          FirstStart = true\nHeartbeatIntervalMs = 1200\n\
          [ListenAddresses]\nFront = \"127.0.0.1:0\"\nReady = \"127.0.0.1:0\"\n\
          [Limits]\nFileDescriptors = 4100\n\
@@ -88,10 +88,16 @@
 
     /// Starts a gateway on a store as it is.
     pub(crate) fn start_on(store: Store) -> Host {
+        Host::start_named(store, "front-hall-a-1")
+    }
+
+    /// Starts one of several gateways on a store.
+    pub(crate) fn start_named(store: Store, host_name: &str) -> Host {
         let number = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
         let name = format!("godwit-gateway-{}-{number}.toml", std::process::id());
         let path = std::env::temp_dir().join(name);
-        std::fs::write(&path, settings(store.address)).expect("the folder can be written");
+        std::fs::write(&path, settings(store.address, host_name))
+            .expect("the folder can be written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_godwitdeal"))
             .arg("gateway")
             .arg("--settings")
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,8 @@
 mod calls;
 mod host;
 mod http;
+mod orders;
 mod server;
 mod store;
 mod streams;
+mod watches;
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -1,9 +1,10 @@
 //! Stand-ins of backend servers, whose answers a test chooses.
 
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -29,6 +30,19 @@
     CutBody,
     /// So many events, the last one cut in its middle if not whole.
     Stream { events: u64, is_whole: bool },
+    /// Whole, but silent after so many events for a time or until an order takes the request over another path;
+    /// meanwhile its reports name the second stage.
+    Stall { events: u64, after: u64, silent: Duration },
+}
+
+/// What a server's own interface shows and was told.
+struct OwnCalls {
+    /// Stalled requests, each with the stage that it waits for.
+    stalled: BTreeMap<String, String>,
+    /// Status of the answers to orders.
+    order_status: u16,
+    /// Orders it was given.
+    orders: Vec<Value>,
 }
 
 /// A backend server that keeps what it is asked.
@@ -37,24 +51,33 @@
     pub(crate) id: String,
     pub(crate) address: SocketAddr,
     requests: Arc<Mutex<Vec<Message>>>,
+    own: Arc<Mutex<OwnCalls>>,
 }
 
 impl Server {
     /// Starts a server that answers the n-th request in the n-th manner, and all later ones in the last.
     pub(crate) fn start(id: &str, manners: &[Manner]) -> Server {
+        Server::start_with_orders(id, manners, 202)
+    }
+
+    /// Starts a server that answers orders with this status.
+    pub(crate) fn start_with_orders(id: &str, manners: &[Manner], order_status: u16) -> Server {
+        let own = OwnCalls { stalled: BTreeMap::new(), order_status, orders: Vec::new() };
+        let own = Arc::new(Mutex::new(own));
         let requests: Arc<Mutex<Vec<Message>>> = Arc::default();
         let (kept, name, manners) = (requests.clone(), id.to_string(), manners.to_vec());
+        let own_calls = own.clone();
         let address = serve_connections(move |request, stream| {
             if request.word(1).starts_with("/api/") {
-                return own_call(request, stream);
+                return own_call(&own_calls, request, stream);
             }
             let mut requests = kept.lock().expect("no panic");
             let manner = manners[requests.len().min(manners.len() - 1)];
             requests.push(request.clone());
             drop(requests);
-            serve(&name, manner, request, stream)
+            serve(&name, manner, &own_calls, request, stream)
         });
-        Server { id: id.to_string(), address, requests }
+        Server { id: id.to_string(), address, requests, own }
     }
 
     /// What was sent to it, besides calls of its own interface.
@@ -62,6 +85,11 @@
         self.requests.lock().expect("no panic").clone()
     }
 
+    /// Orders it was given.
+    pub(crate) fn orders(&self) -> Vec<Value> {
+        self.own.lock().expect("no panic").orders.clone()
+    }
+
     /// Its entry in the store.
     pub(crate) fn entry(&self, service: &str, layers: Option<(u32, u32)>) -> Value {
         let layers = layers.map(|(from, to)| json!({"From": from, "To": to, "Version": 1}));
@@ -72,15 +100,25 @@
     }
 }
 
-fn own_call(request: &Message, stream: &mut TcpStream) -> bool {
+fn own_call(own: &Mutex<OwnCalls>, request: &Message, stream: &mut TcpStream) -> bool {
+    let mut own = own.lock().expect("no panic");
     if request.word(0) == "POST" {
-        return answer(stream, 202, &[], b"");
+        own.orders.push(serde_json::from_slice(&request.body).expect("orders carry JSON"));
+        return answer(stream, own.order_status, &[], b"");
     }
-    let report = json!({"Sequence": 0, "Busy": false, "pace": 1.0, "Stalled": []});
+    let stalled = own.stalled.iter().map(|(id, address)| json!({"Id": id, "Address": address}));
+    let stalled: Vec<Value> = stalled.collect();
+    let report = json!({"Sequence": 0, "Busy": false, "pace": 1.0, "Stalled": stalled});
     answer(stream, 200, &[], report.to_string().as_bytes())
 }
 
-fn serve(name: &str, manner: Manner, request: &Message, stream: &mut TcpStream) -> bool {
+fn serve(
+    name: &str,
+    manner: Manner,
+    own: &Mutex<OwnCalls>,
+    request: &Message,
+    stream: &mut TcpStream,
+) -> bool {
     let id = request.header("godwitdeal-request-id").unwrap_or_default();
     let stamped = [("Godwitdeal-Request-Id", id), ("Godwitdeal-Response-Stamp", name)];
     match manner {
@@ -105,19 +143,44 @@
             false
         }
         Manner::Stream { events, is_whole } => {
-            stream_events(name, id, request, events, is_whole, stream)
+            stream_events(name, request, events, is_whole, stream, |_| {})
+        }
+        Manner::Stall { events, after, silent } => {
+            stream_events(name, request, events, true, stream, |number| {
+                if number == after {
+                    stall(own, request, silent);
+                }
+            })
         }
     }
 }
 
+/// Holds a stream back as a stage does whose successor is gone.
+fn stall(own: &Mutex<OwnCalls>, request: &Message, silent: Duration) {
+    let id = request.header("godwitdeal-request-id").unwrap_or_default();
+    let second = request.header("godwitdeal-hop-count").and_then(|hops| hops.split(',').nth(1));
+    let address = second.and_then(|hop| hop.split('=').next()).unwrap_or_default();
+    own.lock().expect("no panic").stalled.insert(id.to_string(), address.to_string());
+    let give_up = Instant::now() + silent;
+    let is_moved = || {
+        let own = own.lock().expect("no panic");
+        own.order_status < 300 && own.orders.iter().any(|order| order["Id"] == id)
+    };
+    while Instant::now() < give_up && !is_moved() {
+        std::thread::sleep(EVENT_PAUSE);
+    }
+    own.lock().expect("no panic").stalled.remove(id);
+}
+
 fn stream_events(
     name: &str,
-    id: &str,
     request: &Message,
     events: u64,
     is_whole: bool,
     stream: &mut TcpStream,
+    before_event: impl Fn(u64),
 ) -> bool {
+    let id = request.header("godwitdeal-request-id").unwrap_or_default();
     let head = format!(
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-type: text/event-stream\r\n\
          godwitdeal-request-id: {id}\r\ngodwitdeal-response-stamp: {name}\r\n\r\n"
@@ -127,6 +190,7 @@
     }
     let last = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0_u64);
     for number in last + 1..=events {
+        before_event(number);
         let is_cut = number == events && !is_whole;
         let event = format!("id: {number}\ndata: piece {number}\n\n");
         let event = if is_cut { &event[..event.len() / 2] } else { &event };
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -12,11 +12,16 @@
 /// Longest wait of a watch here, so that threads end soon.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 
+/// How long a watch hangs that is made to; longer than any step of a test.
+const HANGING: Duration = Duration::from_secs(60);
+
 #[derive(Default)]
 struct Objects {
     revision: u64,
     by_path: BTreeMap<(String, String), Value>,
     changes: Vec<(u64, String, Value)>,
+    /// Watches of these kinds that will hang, with how many.
+    hanging: BTreeMap<String, usize>,
 }
 
 /// The store.
@@ -40,6 +45,24 @@
         changed.notify_all();
     }
 
+    /// Has the next watches of a kind hang without an answer, so many of them.
+    pub(crate) fn hang_watches(&self, kind: &str, count: usize) {
+        self.objects.0.lock().expect("no panic").hanging.insert(kind.to_string(), count);
+    }
+
+    /// Watches of a kind that have yet to hang.
+    pub(crate) fn left_to_hang(&self, kind: &str) -> usize {
+        let objects = self.objects.0.lock().expect("no panic");
+        objects.hanging.get(kind).copied().unwrap_or(0)
+    }
+
+    /// Revision of the last change of an object.
+    pub(crate) fn revision(&self, kind: &str, name: &str) -> Option<u64> {
+        let objects = self.objects.0.lock().expect("no panic");
+        let object = objects.by_path.get(&(kind.to_string(), name.to_string()))?;
+        object.pointer("/Metadata/Revision")?.as_u64()
+    }
+
     pub(crate) fn remove(&self, kind: &str, name: &str) {
         let (objects, changed) = &*self.objects;
         let mut objects = objects.lock().expect("no panic");
@@ -102,7 +125,13 @@
     let is_quiet = |objects: &mut Objects| {
         !objects.changes.iter().any(|(at, known, _)| *at > revision && known == kind)
     };
-    let guard = objects.lock().expect("no panic");
+    let mut guard = objects.lock().expect("no panic");
+    if let Some(left) = guard.hanging.get_mut(kind).filter(|left| **left > 0) {
+        *left -= 1;
+        drop(guard);
+        std::thread::sleep(HANGING);
+        return json!({"events": [], "At": revision});
+    }
     let (objects, _) = changed.wait_timeout_while(guard, wait, is_quiet).expect("no panic");
     let events = objects.changes.iter().filter(|(at, known, _)| *at > revision && known == kind);
     let events: Vec<&Value> = events.map(|(_, _, event)| event).collect();
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -1,5 +1,7 @@
 //! Streams of events over a split model.
 
+use std::time::Duration;
+
 use serde_json::Value;
 
 use crate::host::Host;
@@ -49,6 +51,21 @@
     assert_eq!(resumed.collect::<Vec<_>>(), ["6"]);
 }
 
+#[test]
+fn cut_stream_waits_for_a_server_that_may_go_on() {
+    let cutting = Server::start("s-1", &[CUT]);
+    let later = Server::start("s-2", &[WHOLE]);
+    let host = Host::start(&entries(&[(&cutting, (0, 16))]));
+    let answer = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| host.call("POST", "/chat/1", b"hello"));
+        host.wait_for("the first run", || !cutting.requests().is_empty());
+        std::thread::sleep(Duration::from_millis(300));
+        host.store.put("servers", "s-2", later.entry("chat", Some((0, 16))));
+        caller.join().expect("no panic")
+    });
+    assert_eq!(pieces(&answer.expect("whole").text()), (1..=EVENTS).collect::<Vec<_>>());
+}
+
 #[test]
 fn stream_cut_at_each_server_never_looks_complete() {
     let only = Server::start("s-1", &[CUT]);
@@ -84,3 +101,34 @@
     assert_eq!(pieces(&answer.expect("whole").text()).len(), 300);
     assert!(host.has_ended_cleanly());
 }
+
+#[test]
+fn stalled_stream_is_moved_by_one_order() {
+    let stalling = Manner::Stall { events: EVENTS, after: 5, silent: Duration::from_secs(5) };
+    let first = Server::start("s-1", &[stalling]);
+    let second = Server::start("s-2", &[WHOLE]);
+    let third = Server::start("s-3", &[WHOLE]);
+    let host = Host::start(&entries(&[(&first, (0, 8)), (&second, (8, 16)), (&third, (8, 16))]));
+    let answer = host.call("POST", "/chat/1", b"hello").expect("whole");
+    assert_eq!(pieces(&answer.text()), (1..=EVENTS).collect::<Vec<_>>());
+    let requests = first.requests();
+    assert_eq!(requests.len(), 1, "it is not run again");
+    let hops = requests[0].header("godwitdeal-hop-count").expect("a path");
+    let orders = first.orders();
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0]["Operation"], "repath");
+    let new_path = orders[0]["Path"].as_str().expect("a path");
+    assert_ne!(new_path, hops);
+    assert!(new_path.starts_with(&format!("{}=0-8,", first.address)));
+}
+
+#[test]
+fn stalled_stream_keeps_its_run_where_no_other_path_is_left() {
+    let stalling = Manner::Stall { events: EVENTS, after: 5, silent: Duration::from_secs(3) };
+    let first = Server::start_with_orders("s-1", &[stalling, WHOLE], 404);
+    let second = Server::start("s-2", &[WHOLE]);
+    let third = Server::start("s-3", &[WHOLE]);
+    let host = Host::start(&entries(&[(&first, (0, 8)), (&second, (8, 16)), (&third, (8, 16))]));
+    let answer = host.call("POST", "/chat/1", b"hello").expect("whole");
+    assert_eq!(pieces(&answer.text()), (1..=EVENTS).collect::<Vec<_>>());
+}
