Add a fault soak of real host processes

Three hosts, their store and seven servers, with a proxy before the store of each host and before each server. From what callers and servers saw it checks: one run of an order, no run behind a refusal, no more servers than the route allows, answers whole and one's own, pieces of streams in order, unknown keys, versions that never go back, stops in time that cut nothing, service again after the faults.

--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -93,10 +93,16 @@
 
     /// Starts one of several gateways on a store.
     pub(crate) fn start_named(store: Store, host_name: &str) -> Host {
+        let address = store.address;
+        Host::start_behind(store, address, host_name)
+    }
+
+    /// Starts a gateway that reaches its store under another address.
+    pub(crate) fn start_behind(store: Store, store_address: SocketAddr, host_name: &str) -> Host {
         let number = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
         let name = format!("godwit-gateway-{}-{number}.toml", std::process::id());
         let path = std::env::temp_dir().join(name);
-        std::fs::write(&path, settings(store.address, host_name))
+        std::fs::write(&path, settings(store_address, host_name))
             .expect("the folder can be written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_godwitdeal"))
             .arg("gateway")
@@ -175,7 +181,16 @@
 
     /// Asks the process to stop.
     pub(crate) fn terminate(&self) {
-        kill_process(Pid::from_child(&self.child), Signal::TERM).expect("the process is there");
+        self.signal(Signal::TERM);
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("the process is there");
+    }
+
+    /// How the process ended, none while it runs.
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("it can be waited for")
     }
 
     /// Waits for the end of the process and tells whether it was clean.
--- a/tests/gateway/http.rs
+++ b/tests/gateway/http.rs
@@ -61,32 +61,47 @@
 pub(crate) fn read_message(reader: &mut impl BufRead) -> std::io::Result<Option<Message>> {
     let Some(mut message) = read_head(reader) else { return Ok(None) };
     if message.header("transfer-encoding").is_some() {
-        message.body = read_chunks(reader)?;
+        read_chunks(reader, &mut message.body)?;
     } else if let Some(length) = message.header("content-length") {
-        let length = length.parse().expect("a length is a number");
+        let length = length.parse().map_err(std::io::Error::other)?;
         message.body = vec![0; length];
         reader.read_exact(&mut message.body)?;
     }
     Ok(Some(message))
 }
 
-fn read_chunks(reader: &mut impl BufRead) -> std::io::Result<Vec<u8>> {
-    let mut body = Vec::new();
+/// Reads chunks into `body`, which keeps those before an error.
+pub(crate) fn read_chunks(reader: &mut impl BufRead, body: &mut Vec<u8>) -> std::io::Result<()> {
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
             return Err(std::io::ErrorKind::UnexpectedEof.into());
         }
-        let size = usize::from_str_radix(line.trim(), 16).expect("a chunk has a size");
+        let size = usize::from_str_radix(line.trim(), 16).map_err(std::io::Error::other)?;
         let mut chunk = vec![0; size + 2];
         reader.read_exact(&mut chunk)?;
         if size == 0 {
-            return Ok(body);
+            return Ok(());
         }
         body.extend_from_slice(&chunk[..size]);
     }
 }
 
+/// Writes a request.
+pub(crate) fn write_request(
+    stream: &mut TcpStream,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> std::io::Result<()> {
+    let mut head = format!("{method} {path} HTTP/1.1\r\ncontent-length: {}\r\n", body.len());
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    stream.write_all(&[format!("{head}\r\n").as_bytes(), body].concat())
+}
+
 /// Sends one request on a connection of its own and reads the whole answer.
 pub(crate) fn call(
     address: SocketAddr,
@@ -97,12 +112,7 @@
 ) -> std::io::Result<Message> {
     let mut stream = TcpStream::connect(address)?;
     stream.set_read_timeout(Some(STEP_TIMEOUT))?;
-    let mut head = format!("{method} {path} HTTP/1.1\r\ncontent-length: {}\r\n", body.len());
-    for (name, value) in headers {
-        head.push_str(&format!("{name}: {value}\r\n"));
-    }
-    stream.write_all(format!("{head}\r\n").as_bytes())?;
-    stream.write_all(body)?;
+    write_request(&mut stream, method, path, headers, body)?;
     let answer = read_message(&mut BufReader::new(stream))?;
     answer.ok_or_else(|| std::io::ErrorKind::UnexpectedEof.into())
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod orders;
 mod server;
+mod soak;
 mod store;
 mod streams;
 mod watches;
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -11,7 +11,7 @@
 use crate::http::{Message, answer, serve_connections};
 
 /// Time between two events of a stream.
-const EVENT_PAUSE: Duration = Duration::from_millis(5);
+pub(crate) const EVENT_PAUSE: Duration = Duration::from_millis(5);
 
 /// How a server answers a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,6 +50,7 @@
 pub(crate) struct Server {
     pub(crate) id: String,
     pub(crate) address: SocketAddr,
+    manners: Vec<Manner>,
     requests: Arc<Mutex<Vec<Message>>>,
     own: Arc<Mutex<OwnCalls>>,
 }
@@ -65,7 +66,9 @@
         let own = OwnCalls { stalled: BTreeMap::new(), order_status, orders: Vec::new() };
         let own = Arc::new(Mutex::new(own));
         let requests: Arc<Mutex<Vec<Message>>> = Arc::default();
-        let (kept, name, manners) = (requests.clone(), id.to_string(), manners.to_vec());
+        let manners = manners.to_vec();
+        let server_manners = manners.clone();
+        let (kept, name) = (requests.clone(), id.to_string());
         let own_calls = own.clone();
         let address = serve_connections(move |request, stream| {
             if request.word(1).starts_with("/api/") {
@@ -77,7 +80,7 @@
             drop(requests);
             serve(&name, manner, &own_calls, request, stream)
         });
-        Server { id: id.to_string(), address, requests, own }
+        Server { id: id.to_string(), address, manners: server_manners, requests, own }
     }
 
     /// What was sent to it, besides calls of its own interface.
@@ -85,6 +88,13 @@
         self.requests.lock().expect("no panic").clone()
     }
 
+    /// What was sent to it, each with the manner of its answer.
+    pub(crate) fn handled(&self) -> Vec<(Message, Manner)> {
+        let last = self.manners.len() - 1;
+        let requests = self.requests().into_iter().enumerate();
+        requests.map(|(index, request)| (request, self.manners[index.min(last)])).collect()
+    }
+
     /// Orders it was given.
     pub(crate) fn orders(&self) -> Vec<Value> {
         self.own.lock().expect("no panic").orders.clone()
@@ -200,5 +210,5 @@
         }
         std::thread::sleep(EVENT_PAUSE);
     }
-    stream.write_all(b"0\r\n\r\n").is_ok()
+    is_whole && stream.write_all(b"0\r\n\r\n").is_ok()
 }
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -9,8 +9,8 @@
 
 use crate::http::{Message, answer, serve_connections};
 
-/// Longest wait of a watch here, so that threads end soon.
-const LONGEST_WAIT: Duration = Duration::from_secs(5);
+/// Longest wait of a watch, as the platform bounds it.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
 /// How long a watch hangs that is made to; longer than any step of a test.
 const HANGING: Duration = Duration::from_secs(60);
--- a/tests/gateway/watches.rs
+++ b/tests/gateway/watches.rs
@@ -4,6 +4,7 @@
 
 use crate::host::{Host, configuration};
 use crate::server::{Manner, Server};
+use crate::soak::{Passage, Proxy};
 use crate::store::Store;
 
 fn moved_to(version: u64, prefix: &str) -> serde_json::Value {
@@ -58,3 +59,19 @@
         |seen: &crate::http::Message| seen.header("godwitdeal-target-instance") == Some("s-1");
     assert!(server.requests().iter().all(is_addressed_right));
 }
+
+#[test]
+fn return_of_the_store_is_known_before_the_next_change() {
+    let server = Server::start("s-1", &[Manner::Answer]);
+    let store = Store::start();
+    store.put("config", "main", configuration(1));
+    store.put("servers", "s-1", server.entry("api", None));
+    let proxy = Proxy::start(store.address);
+    let host = Host::start_behind(store, proxy.address, "front-hall-a-1");
+    host.wait_until_ready();
+    let counts = |name: &str| host.metrics().contains(&format!("{name}{{kind=\"servers\"}} 1"));
+    proxy.set(Passage::Reset);
+    host.wait_for("the loss", || counts("store_lost_total"));
+    proxy.set(Passage::Open);
+    host.wait_for("the return", || counts("store_regained_total"));
+}
