Learn of the store's return at once

Cause: after a loss the next watch waited for a change like any other, so that a host on a quiet site took the store for lost for up to 20 s after its return. A server's removal that came with that change was then held for 2 s, the time in which entries come back that lapsed in an outage. Change: the first watch after a failed call waits 1 ms. Losses and returns are counted on the metrics address. Ruled out: the server's address used again, the relay of other hosts.

--- a/crates/godwit-gateway/src/store/keep_up.rs
+++ b/crates/godwit-gateway/src/store/keep_up.rs
@@ -17,6 +17,9 @@
 /// How long a watch waits for a change, in milliseconds; the connection's probes notice a silent store before.
 const WATCH_WAIT_MS: u64 = 20_000;
 
+/// The same after failed calls, in milliseconds: the answer comes at once and tells that the store is back.
+const RETURN_WATCH_WAIT_MS: u64 = 1;
+
 /// Time that a watch may take beyond its wait.
 const WATCH_SLACK: Duration = Duration::from_millis(1_500);
 
@@ -123,8 +126,9 @@
     }
 
     async fn watch(&mut self, site: &Site, revision: u64) -> Result<u64, Failure> {
-        let path = watch_path(self.follower.kind(), revision, WATCH_WAIT_MS);
-        let wait = Duration::from_millis(WATCH_WAIT_MS) + WATCH_SLACK;
+        let wait_ms = if self.is_lost { RETURN_WATCH_WAIT_MS } else { WATCH_WAIT_MS };
+        let path = watch_path(self.follower.kind(), revision, wait_ms);
+        let wait = Duration::from_millis(wait_ms) + WATCH_SLACK;
         let started = Instant::now();
         let freshness = self.follower.freshness(site);
         freshness.borrow_mut().called(site.now());
@@ -149,11 +153,16 @@
         Ok(revision)
     }
 
+    fn kind(&self) -> String {
+        self.follower.kind().to_string()
+    }
+
     fn answered(&mut self, site: &Site) {
         self.failures = 0;
         if self.is_lost {
             self.is_lost = false;
             info!(event = "store_regained", kind = self.follower.kind());
+            metrics::counter!("store_regained_total", "kind" => self.kind()).increment(1);
             self.follower.regained(site);
         }
     }
@@ -162,6 +171,7 @@
         if !self.is_lost {
             self.is_lost = true;
             warn!(event = "store_lost", kind = self.follower.kind(), cause);
+            metrics::counter!("store_lost_total", "kind" => self.kind()).increment(1);
             self.follower.lost(site);
         }
         let doublings = self.failures.min(8);
