Name what the planted old version shows

The model's expected message was wrong, so that its test failed: a host that tells an old version leaves the others without notice of the new one.

--- a/crates/godwit-core/tests/site_model/freshness.rs
+++ b/crates/godwit-core/tests/site_model/freshness.rs
@@ -72,8 +72,8 @@
     const HEARS: bool = false;
 }
 
-struct ReadsOld;
-impl Fault for ReadsOld {
+struct TellsOld;
+impl Fault for TellsOld {
     fn read(version: u64) -> u64 {
         version - 1
     }
@@ -170,6 +170,6 @@
     fn host_that_hears_nothing_is_found(sequential 1..40 => Checked<Deaf>);
 
     #[test]
-    #[should_panic(expected = "behind for nothing")]
-    fn host_that_reads_an_old_version_is_found(sequential 1..40 => Checked<ReadsOld>);
+    #[should_panic(expected = "has not noticed")]
+    fn host_that_tells_an_old_version_is_found(sequential 1..40 => Checked<TellsOld>);
 }
