--- a/crates/godwit-core/benches/decisions.rs
+++ b/crates/godwit-core/benches/decisions.rs
@@ -7,6 +7,9 @@
 use divan::Bencher;
 use godwit_core::placement::{PlaceRequest, Placer, Reception};
 use godwit_core::route::{Choice, DispatchEnd, Policy, PromptPrefix, Router, Wanted};
+use godwit_core::site::{
+    BackendServer as SiteServer, KindTraits, ModelTraits, ServerState, plan_layout,
+};
 use godwit_core::{Admission, Reading, Target, UnixMs};
 use godwit_schema::config::{BackendServer, Fleet, Model, ServerRole};
 use godwit_schema::engine::{CacheAction, CacheEvent};
@@ -214,3 +217,55 @@
         choice
     });
 }
+
+/// Accelerators of a site: large, middle and small in each of three failure domains.
+const SMALL_SITE: [[usize; 3]; 3] = [[1, 3, 8], [1, 6, 5], [2, 2, 5]];
+const GROWN_SITE: [[usize; 3]; 3] = [[2, 9, 22], [2, 15, 12], [4, 6, 14]];
+
+fn site_model() -> ModelTraits {
+    let kind =
+        |step_factor, read_factor, memory_mb| KindTraits { step_factor, read_factor, memory_mb };
+    let kinds = [kind(2.4, 3.2, 72e3), kind(5.6, 2.7, 43e3), kind(16.0, 8.2, 22e3)];
+    ModelTraits {
+        layers: 80,
+        layer_mb: 1_750.0,
+        kv_token_bytes: 918e3,
+        load_ms: 14_000,
+        loads_at_once: 5,
+        step_ms: 1.02,
+        step_per_request_ms: 0.007,
+        step_per_kilotoken_ms: 0.01,
+        read_tokens_per_s: 164e3,
+        steps_per_pass: 5,
+        usual_prompt_tokens: 774,
+        usual_answer_tokens: 200,
+        report_lag_ms: 200,
+        activation_bytes: 45_900.0,
+        link_mbps: 10_400.0,
+        kinds: (0..).map(|kind: usize| kind.to_string()).zip(kinds).collect(),
+    }
+}
+
+#[divan::bench(args = [SMALL_SITE, GROWN_SITE])]
+fn layout_of_an_empty_site(bencher: Bencher<'_, '_>, counts: [[usize; 3]; 3]) {
+    let model = site_model();
+    let mut servers = Vec::new();
+    for (domain, kinds) in counts.iter().enumerate() {
+        for (kind, count) in kinds.iter().enumerate() {
+            servers.extend((0..*count).map(|number| SiteServer {
+                id: format!("{domain}-{kind}-{number}"),
+                service: "model".to_string(),
+                address: ([10, 0, 0, 1], 80).into(),
+                failure_domain: domain.to_string(),
+                state: ServerState::Ready,
+                slots: 192,
+                kind: kind.to_string(),
+                layers: None,
+                born_unix_ms: 0,
+                heartbeats: 1,
+            }));
+        }
+    }
+    let refs: Vec<&SiteServer> = servers.iter().collect();
+    bencher.bench(|| plan_layout(&model, &refs));
+}
--- a/crates/godwit-core/src/site/mod.rs
+++ b/crates/godwit-core/src/site/mod.rs
@@ -3,6 +3,7 @@
 
 mod configuration;
 mod findings;
+mod forecast;
 mod freshness;
 mod health;
 mod layout;
@@ -20,6 +21,7 @@
     Workspace,
 };
 pub use findings::{Findings, ToldCut, ToldFinding};
+pub use forecast::{DomainForecast, Forecast, forecast};
 pub use freshness::Freshness;
 pub use health::{HealthLimits, ServerHealth};
 pub use layout::{Placement, plan_layout, plan_moves};
--- a/crates/godwit-core/tests/site/main.rs
+++ b/crates/godwit-core/tests/site/main.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod findings;
+mod forecast;
 mod freshness;
 mod health;
 mod layout;
--- a/crates/godwit-ctl/src/cli.rs
+++ b/crates/godwit-ctl/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line: parsing and the way to each command.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::{Bpaf, Parser};
@@ -8,7 +9,7 @@
 use crate::command::events::{self, set::Wanted};
 use crate::command::rules::{self, explain::Asked};
 use crate::command::standin::{self, StandinCommand, standin_command};
-use crate::command::{demo, fleet, host, object};
+use crate::command::{demo, fleet, host, layout, object};
 use crate::error::CtlError;
 use crate::output::Format;
 use crate::site::FirstPorts;
@@ -180,6 +181,17 @@
         #[bpaf(long("exit"))]
         exits: bool,
     },
+    /// Plans which layers the servers of a fleet hold and predicts what that brings, without a platform, for example
+    /// `godwitctl layout docs/examples/fleet.toml`
+    #[bpaf(command("layout"))]
+    Layout {
+        /// Output as JSON for programs
+        #[bpaf(long("json"))]
+        is_json: bool,
+        /// File that describes the model, the kinds of accelerators and the servers
+        #[bpaf(positional("FLEET"))]
+        path: PathBuf,
+    },
     /// Prints a configuration object in the form that `apply` takes, or the list of all objects
     #[bpaf(command("get"))]
     Get {
@@ -326,6 +338,7 @@
 fn run_command(command: &Command) -> Result<(), CtlError> {
     match command {
         Command::Demo { ports, exits } => demo::run(*ports, *exits),
+        Command::Layout { is_json, path } => layout::run(path, Format::new(*is_json)),
         Command::Get { common, name } => {
             let (store, format) = parts(common);
             object::get::run(&store, name.as_deref(), format)
--- /dev/null
+++ b/crates/godwit-ctl/src/command/layout/mod.rs
@@ -0,0 +1,91 @@
+//! Plans which layers the servers of a fleet hold, without a platform, and predicts what that brings.
+
+mod fleet_file;
+
+use std::path::Path;
+
+use godwit_core::site::{BackendServer, Forecast, forecast, plan_layout};
+use serde::Serialize;
+
+use crate::error::CtlError;
+use crate::output::{Format, print_rows};
+
+/// One server with its planned layers.
+#[derive(Debug, Serialize)]
+struct Planned<'a> {
+    server: &'a str,
+    domain: &'a str,
+    kind: &'a str,
+    /// First layer, and the layer behind the last; none for a server that is left empty.
+    layers: Option<(u32, u32)>,
+}
+
+/// What the command prints.
+#[derive(Debug, Serialize)]
+struct Report<'a> {
+    servers: Vec<Planned<'a>>,
+    forecast: Forecast,
+}
+
+fn rows(report: &Report<'_>) -> Vec<Vec<String>> {
+    let layers = |planned: &Planned<'_>| {
+        planned.layers.map_or("none".to_string(), |(from, to)| format!("{from}-{to}"))
+    };
+    let row = |planned: &Planned<'_>| {
+        vec![
+            planned.server.to_string(),
+            planned.domain.to_string(),
+            planned.kind.to_string(),
+            layers(planned),
+        ]
+    };
+    report.servers.iter().map(row).collect()
+}
+
+fn list(names: &[String]) -> String {
+    if names.is_empty() { "none".to_string() } else { names.join(", ") }
+}
+
+fn print_forecast(forecast: &Forecast) {
+    println!();
+    for domain in &forecast.domains {
+        println!(
+            "callers in {}: first event after {:.0} ms, then one each {:.0} ms, {} links crossed",
+            domain.domain, domain.first_event_ms, domain.event_gap_ms, domain.crossings
+        );
+    }
+    println!("usual requests at once: {}", forecast.requests_at_once);
+    println!("servers without which no path is left: {}", list(&forecast.needed_servers));
+    println!("domains without which no path is left: {}", list(&forecast.needed_domains));
+}
+
+/// Prints the plan for the fleet in a file.
+pub(crate) fn run(path: &Path, format: Format) -> Result<(), CtlError> {
+    let (model, mut servers) = fleet_file::read(path)?;
+    let empty: Vec<&BackendServer> = servers.iter().collect();
+    let plan = plan_layout(&model, &empty);
+    for placement in plan {
+        let server = servers.iter_mut().find(|server| server.id == placement.server_id);
+        if let Some(server) = server {
+            server.layers = Some(placement.range);
+        }
+    }
+    let planned: Vec<&BackendServer> = servers.iter().collect();
+    let report = Report {
+        servers: servers
+            .iter()
+            .map(|server| Planned {
+                server: &server.id,
+                domain: &server.failure_domain,
+                kind: &server.kind,
+                layers: server.layers.map(|range| (range.from, range.to)),
+            })
+            .collect(),
+        forecast: forecast(&model, &planned),
+    };
+    print_rows(format, &["server", "domain", "kind", "layers"], &rows(&report), &report)?;
+    if format == Format::Table {
+        print_forecast(&report.forecast);
+    }
+    Ok(())
+}
--- a/crates/godwit-ctl/src/command/mod.rs
+++ b/crates/godwit-ctl/src/command/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod events;
 pub(crate) mod fleet;
 pub(crate) mod host;
+pub(crate) mod layout;
 pub(crate) mod object;
 pub(crate) mod rules;
 pub(crate) mod standin;
