Tell which layers each failure domain lacks

Each host logs a line when a domain's missing layers change, and serves them as a gauge. Unused since they were written and gone: the rank of a forwarded request, and an arm for errors that cannot occur once a connection is open.

--- a/crates/godwit-core/src/site/layout.rs
+++ b/crates/godwit-core/src/site/layout.rs
@@ -214,3 +214,24 @@
     }
     placements
 }
+
+/// Layers that no ready server of a failure domain holds, by domain; every domain with a server is there.
+///
+/// ```
+/// use std::collections::BTreeMap;
+/// use godwit_core::site::missing_layers;
+/// assert_eq!(missing_layers(80, &[]), BTreeMap::new());
+/// ```
+pub fn missing_layers(layers: u32, servers: &[&BackendServer]) -> BTreeMap<String, u32> {
+    let mut held: BTreeMap<&str, Vec<LayerRange>> = BTreeMap::new();
+    for server in servers {
+        let ranges = held.entry(&server.failure_domain).or_default();
+        ranges.extend(server.layers.filter(|_| server.state == ServerState::Ready));
+    }
+    let count = |ranges: Vec<LayerRange>| {
+        let is_held =
+            |layer: u32| ranges.iter().any(|range| (range.from..range.to).contains(&layer));
+        (0..layers).filter(|layer| !is_held(*layer)).count() as u32
+    };
+    held.into_iter().map(|(domain, ranges)| (domain.to_string(), count(ranges))).collect()
+}
--- a/crates/godwit-core/src/site/mod.rs
+++ b/crates/godwit-core/src/site/mod.rs
@@ -24,7 +24,7 @@
 pub use forecast::{DomainForecast, Forecast, forecast};
 pub use freshness::Freshness;
 pub use health::{HealthLimits, ServerHealth};
-pub use layout::{Placement, plan_layout, plan_moves};
+pub use layout::{Placement, missing_layers, plan_layout, plan_moves};
 pub use load::{Load, LoadBook, LoadSource, PeerLoads};
 pub use path::{Hop, Path, PathError, PathRequest, find_path, link_key};
 pub use patience::{first_patience_ms, gap_patience_ms, suspect_patience_ms};
--- a/crates/godwit-core/tests/site/layout.rs
+++ b/crates/godwit-core/tests/site/layout.rs
@@ -104,3 +104,20 @@
 fn moves_of_a_whole_fleet_are_none() {
     assert!(plan_moves(&model(), &refs(&laid_out(empty_fleet()))).is_empty());
 }
+
+#[test]
+fn missing_layers_are_counted_by_domain() {
+    let mut leaving = server("s-3", "b", "large", Some((40, 80)));
+    leaving.state = ServerState::Draining;
+    let fleet = [
+        server("s-1", "a", "large", Some((0, 50))),
+        server("s-2", "a", "large", Some((40, 80))),
+        leaving,
+        server("s-4", "b", "large", Some((0, 30))),
+        server("s-5", "c", "large", None),
+    ];
+    let refs: Vec<&BackendServer> = fleet.iter().collect();
+    let missing = godwit_core::site::missing_layers(80, &refs);
+    let expected = [("a", 0), ("b", 50), ("c", 80)].map(|(name, count)| (name.to_string(), count));
+    assert_eq!(missing, expected.into());
+}
--- a/crates/godwit-gateway/src/coordinator.rs
+++ b/crates/godwit-gateway/src/coordinator.rs
@@ -12,7 +12,9 @@
     encode_object, encode_order, object_path,
 };
 use godwit_core::SteadyMs;
-use godwit_core::site::{BackendServer, ModelTraits, Placement, plan_layout, plan_moves};
+use godwit_core::site::{
+    BackendServer, ModelTraits, Placement, missing_layers, plan_layout, plan_moves,
+};
 use serde::{Deserialize, Serialize};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
@@ -90,6 +92,8 @@
     empty_since: BTreeMap<(String, u64), SteadyMs>,
     /// Since when moves have been called for.
     gap_since: Option<SteadyMs>,
+    /// Layers that each failure domain lacks, by service, as last told.
+    missing: BTreeMap<String, BTreeMap<String, u32>>,
     takeover_spread_ms: u64,
 }
 
@@ -104,6 +108,7 @@
         accepted: BTreeMap::new(),
         empty_since: BTreeMap::new(),
         gap_since: None,
+        missing: BTreeMap::new(),
         takeover_spread_ms: rand::random::<u64>() % TAKEOVER_SPREAD_MS,
     };
     loop {
@@ -133,6 +138,7 @@
         let servers = owned(&self.site, service);
         let now = self.site.now();
         let refs: Vec<&BackendServer> = servers.iter().collect();
+        self.tell_missing(service, missing_layers(model.layers, &refs));
         let settled = self.settled(&servers, now);
         let mut plan = if settled.is_empty() { Vec::new() } else { plan_layout(model, &refs) };
         plan.retain(|placement| settled.contains(&placement.server_id));
@@ -172,6 +178,20 @@
         if is_still { all.map(|((id, _), _)| id.clone()).collect() } else { BTreeSet::new() }
     }
 
+    /// Logs and counts what failure domains lack, where that has changed.
+    fn tell_missing(&mut self, service: &str, missing: BTreeMap<String, u32>) {
+        let told = self.missing.entry(service.to_string()).or_default();
+        for (domain, layers) in &missing {
+            if told.get(domain) == Some(layers) {
+                continue;
+            }
+            info!(event = "layers_missing", service, domain, layers);
+            let labels = [("service", service.to_string()), ("domain", domain.clone())];
+            metrics::gauge!("layers_missing", &labels).set(f64::from(*layers));
+        }
+        *told = missing;
+    }
+
     /// Moves, once a gap has been there for long enough.
     fn moves(
         &mut self,
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -187,19 +187,18 @@
     head_deadline: SteadyMs,
 ) -> Result<Answering, AttemptError> {
     let in_progress = InProgress::start(site, &granted.asked.head.request_id, destination);
-    let never_sent = |error: &WireError| AttemptError::NotRun {
+    let never_sent = |error: WireError| AttemptError::NotRun {
         proof: NeverSent::connect_failed(),
         cause: error.to_string(),
         faulty_server: Some(destination.server_id.clone()),
         is_full: false,
     };
-    let mut connection = connect(site, destination).await.map_err(|error| never_sent(&error))?;
+    let mut connection = connect(site, destination).await.map_err(never_sent)?;
     let forward = Forward {
         time_left_ms: Some(time_left_ms(site, granted)),
         server_id: &destination.server_id,
         workspace: granted.terms.workspace.as_deref(),
         hops: &destination.hops,
-        rank: None,
         last_event_id,
     };
     let added = encode_forward(&forward);
@@ -227,7 +226,6 @@
     };
     let (head, server) = match result {
         Ok(answer) => answer,
-        Err(error) if error.is_never_sent() => return Err(never_sent(&error)),
         Err(error) => return Err(AttemptError::Unknown { error }),
     };
     let says_not_run = server.is_not_executed || head.status == 421;
--- a/crates/godwit-gateway/src/server_call.rs
+++ b/crates/godwit-gateway/src/server_call.rs
@@ -26,7 +26,6 @@
         server_id: &server.id,
         workspace: None,
         hops: &[],
-        rank: None,
         last_event_id: None,
     };
     let added = encode_forward(&forward);
--- a/crates/godwit-gateway/src/wire/error.rs
+++ b/crates/godwit-gateway/src/wire/error.rs
@@ -24,10 +24,3 @@
     #[error("no answer by the deadline")]
     TimedOut,
 }
-
-impl WireError {
-    /// Whether nothing can have reached the server.
-    pub(crate) fn is_never_sent(&self) -> bool {
-        matches!(self, WireError::Connect(_))
-    }
-}
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -42,6 +42,9 @@
         store.put("servers", &server.id, server.entry("chat", Some((from, to))));
     }
     assert!(covered.iter().all(|is_covered| *is_covered));
+    host.wait_for("the gauge of missing layers", || {
+        host.metrics().contains("layers_missing{service=\"chat\",domain=\"hall-a\"} 0")
+    });
     host.wait_for("a stream", || {
         host.call("POST", "/chat/1", b"hello").is_ok_and(|answer| answer.status() == 200)
     });
