--- a/crates/godwit-core/src/site/mod.rs
+++ b/crates/godwit-core/src/site/mod.rs
@@ -27,7 +27,7 @@
 pub use layout::{Placement, missing_layers, plan_layout, plan_moves};
 pub use load::{Load, LoadBook, LoadSource, PeerLoads};
 pub use path::{Hop, Path, PathError, PathRequest, find_path, link_key};
-pub use patience::{first_patience_ms, gap_patience_ms, suspect_patience_ms};
+pub use patience::{first_patience_ms, gap_patience_ms};
 pub use plain::choose_server;
 pub use relay::{PeerHost, Recipients, Relay, RelayLimits};
 pub use retry::{RetryBudget, RetryLimits};
--- a/crates/godwit-gateway/src/forward/investigate.rs
+++ b/crates/godwit-gateway/src/forward/investigate.rs
@@ -94,12 +94,6 @@
     false
 }
 
-/// Whether a server behind the first of a path has failed a request lately: a sign earlier than any report.
-pub(super) fn has_failed_stage(site: &Site, path: &Destination) -> bool {
-    let failed = site.health.borrow().ejected(site.now());
-    path.hops.iter().skip(1).any(|hop| failed.contains(&hop.server_id))
-}
-
 /// Marks a server as examined, so that many silent streams have it examined once.
 fn mark_examined(site: &Site, server_id: &str) {
     let now = site.now();
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::unfold;
 use godwit_core::SteadyMs;
-use godwit_core::site::{gap_patience_ms, suspect_patience_ms};
+use godwit_core::site::gap_patience_ms;
 use http::Response;
 use hyper::body::Frame;
 use tokio::task::spawn_local;
@@ -19,7 +19,7 @@
 use super::answer::{Incomplete, ReplyBody, server_answer, streamed};
 use super::attempt::{Answering, AttemptError, InProgress, has_other_path, keep, send};
 use super::events::take_events;
-use super::investigate::{examine, find_stalled, has_failed_stage, note_failure};
+use super::investigate::{examine, find_stalled, note_failure};
 use super::repath::repath;
 use super::target::{Destination, choose};
 use super::wait::Counted;
@@ -32,12 +32,6 @@
 /// Step in which a stream that waits looks again.
 const RESUME_LOOK: Duration = Duration::from_millis(50);
 
-/// Step in which a silent stream looks whether a server of its path has failed, in milliseconds.
-const SUSPECT_LOOK_MS: u64 = 30;
-
-/// Pause before a silent stream is looked into again, in milliseconds; about the age of a report.
-const LOOK_AGAIN_MS: u64 = 200;
-
 /// Factor on the expected gap between events from which a path counts as slow.
 const SLOW_FACTOR: f64 = 1.8;
 
@@ -69,33 +63,6 @@
     }
 }
 
-/// When a silent stream is looked into.
-struct Silence {
-    /// From when on a failed server of the path is reason enough.
-    suspect_at: SteadyMs,
-    /// When it is looked into without such a reason.
-    look_at: SteadyMs,
-}
-
-impl Silence {
-    fn start(now: SteadyMs, event_gap_ms: f64) -> Silence {
-        Silence {
-            suspect_at: now.plus_ms(suspect_patience_ms(event_gap_ms)),
-            look_at: now.plus_ms(gap_patience_ms(event_gap_ms)),
-        }
-    }
-
-    fn next_look(&self, now: SteadyMs) -> SteadyMs {
-        self.suspect_at.max(now.plus_ms(SUSPECT_LOOK_MS)).min(self.look_at)
-    }
-
-    /// Reports lag behind, so that the next look comes soon.
-    fn looked(&mut self, now: SteadyMs) {
-        self.suspect_at = now.plus_ms(LOOK_AGAIN_MS);
-        self.look_at = self.suspect_at;
-    }
-}
-
 /// One run of a stream at the servers of a path.
 struct Run {
     destination: Destination,
@@ -190,30 +157,25 @@
         let connection = self.run.connection.as_mut().ok_or(WireError::Ended)?;
         let deadline = self.granted.terms.answer_deadline;
         let mut piece = pin!(connection.next_piece());
-        let mut silence = Silence::start(self.site.now(), self.run.destination.event_gap_ms);
+        let patience_ms = gap_patience_ms(self.run.destination.event_gap_ms);
         loop {
-            let may_look = self.granted.terms.work.may_run_again();
-            let look_at = if may_look { silence.next_look(self.site.now()) } else { deadline };
-            let wake_at = look_at.min(deadline);
-            if let Ok(piece) = timeout_at(self.site.clock.instant(wake_at), piece.as_mut()).await {
+            let look_at = self.site.now().plus_ms(patience_ms).min(deadline);
+            if let Ok(piece) = timeout_at(self.site.clock.instant(look_at), piece.as_mut()).await {
                 return piece;
             }
-            let now = self.site.now();
-            if deadline.is_past(now) {
+            if deadline.is_past(self.site.now()) {
                 return Err(WireError::TimedOut);
             }
-            let is_suspect = has_failed_stage(&self.site, &self.run.destination);
-            if !is_suspect && !silence.look_at.is_past(now) {
+            if !self.granted.terms.work.may_run_again() {
                 continue;
             }
-            silence.looked(now);
             let request_id = &self.granted.asked.head.request_id;
             let is_stalled = tokio::select! {
                 biased;
                 piece = piece.as_mut() => return piece,
                 is_stalled = find_stalled(&self.site, request_id, &self.run.destination) => is_stalled,
             };
-            if !is_stalled && !is_suspect {
+            if !is_stalled {
                 spawn_local(examine(self.site.clone(), self.run.destination.clone()));
                 continue;
             }
@@ -226,7 +188,7 @@
                 let load = InProgress::start(&self.site, request_id, &new_path);
                 self.run.in_progress = Some(load);
                 self.run.destination = new_path;
-            } else if is_stalled && has_other_path(&self.site, &self.granted, self.runs, &avoided) {
+            } else if has_other_path(&self.site, &self.granted, self.runs, &avoided) {
                 return Err(WireError::Stalled);
             }
         }
