--- a/crates/godwit-gateway/src/forward/call.rs
+++ b/crates/godwit-gateway/src/forward/call.rs
@@ -56,13 +56,43 @@
     };
     wait_for_configuration(&site).await;
     match admit(&site, &asked) {
-        Ok(terms) => Ok(forward(&site, Granted { asked, body, terms }, counted).await),
+        Ok(terms) => {
+            let granted = Rc::new(Granted { asked, body, terms });
+            let mut presence = Presence { site: &site, granted: &granted, is_answered: false };
+            let response = forward(&site, &granted, counted).await;
+            presence.is_answered = true;
+            Ok(response)
+        }
         Err(code) => {
             Ok(refuse(&site, &asked.head.request_id, asked.parts.uri.path(), code, received))
         }
     }
 }
 
+/// Tells of a caller that left before its answer began.
+struct Presence<'a> {
+    site: &'a Site,
+    granted: &'a Granted,
+    is_answered: bool,
+}
+
+impl Drop for Presence<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            log_caller_left(self.site, &self.granted.asked, None);
+        }
+    }
+}
+
+/// Logs a caller that left, or that a stopping host left; what ran for it ends with its connections.
+pub(super) fn log_caller_left(site: &Site, asked: &Asked, last_event_id: Option<u64>) {
+    let after_ms = site.now().since_ms(asked.received);
+    let is_stopping = site.is_stopping.get();
+    let request = &asked.head.request_id;
+    info!(event = "caller_left", request, last_event_id, after_ms, is_stopping);
+    metrics::counter!("callers_left_total").increment(1);
+}
+
 /// Logs and answers a request that this host gives up on.
 fn refuse(
     site: &Site,
@@ -93,8 +123,7 @@
     Again { standing: Standing, code: Code, avoided: Option<String>, wants_budget: bool },
 }
 
-async fn forward(site: &Rc<Site>, granted: Granted, counted: Counted) -> Response<ReplyBody> {
-    let granted = Rc::new(granted);
+async fn forward(site: &Rc<Site>, granted: &Rc<Granted>, counted: Counted) -> Response<ReplyBody> {
     let request_id = granted.asked.head.request_id.clone();
     let admission = granted.admission(site);
     let mut standing = Standing::Unsent(Life::received(&request_id).admit(admission).claimed());
@@ -107,7 +136,7 @@
         if granted.terms.answer_deadline.is_past(site.now()) || runs >= granted.terms.max_attempts {
             break;
         }
-        let destination = match choose_in_time(site, &granted, &avoided).await {
+        let destination = match choose_in_time(site, granted, &avoided).await {
             Ok(destination) => destination,
             Err(reason) => {
                 code = if attempt == 1 { reason } else { code };
@@ -125,7 +154,7 @@
             left_ms = granted.terms.answer_deadline.since_ms(site.now()),
             version = granted.terms.configuration.version(),
         );
-        match try_once(site, &granted, &destination, standing, runs, &mut counted).await {
+        match try_once(site, granted, &destination, standing, runs, &mut counted).await {
             Step::Final(response) => return response,
             Step::Again { standing: left, code: cause, avoided: server, wants_budget } => {
                 code = cause;
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -18,6 +18,7 @@
 use super::admit::Granted;
 use super::answer::{Incomplete, ReplyBody, server_answer, streamed};
 use super::attempt::{Answering, AttemptError, InProgress, has_other_path, keep, send};
+use super::call::log_caller_left;
 use super::events::take_events;
 use super::investigate::{examine, find_stalled, note_failure};
 use super::repath::repath;
@@ -97,9 +98,19 @@
     /// Servers that may have run the request.
     runs: u32,
     avoided: BTreeSet<String>,
+    /// The answer has ended, whole or not.
+    is_over: bool,
     _counted: Option<Counted>,
 }
 
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.is_over {
+            log_caller_left(&self.site, &self.granted.asked, self.last_event_id);
+        }
+    }
+}
+
 /// Starts the answer with a stream whose head has come.
 pub(super) fn relay(
     site: &Rc<Site>,
@@ -117,6 +128,7 @@
         last_event_id: granted.asked.head.last_event_id,
         runs,
         avoided: BTreeSet::new(),
+        is_over: false,
         _counted: counted,
     };
     let pieces = unfold(Some(relay), |relay| async move {
@@ -223,6 +235,7 @@
     }
 
     fn finish(&mut self) -> Option<Bytes> {
+        self.is_over = true;
         if let Some(connection) = self.run.connection.take() {
             keep(&self.site, &self.run.destination, connection, &self.run.head);
             self.log_ended();
@@ -248,6 +261,7 @@
             }
             Err(_) if is_stalled => Ok(()),
             Err(incomplete) => {
+                self.is_over = true;
                 info!(event = "stream_given_up", request = self.granted.asked.head.request_id);
                 metrics::counter!("streams_given_up_total").increment(1);
                 Err(incomplete)
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -1,10 +1,12 @@
 //! Streams of events over a split model.
 
+use std::net::TcpStream;
 use std::time::Duration;
 
 use serde_json::Value;
 
-use crate::host::Host;
+use crate::host::{HOST_NAME, Host, KEY};
+use crate::http::write_request;
 use crate::server::{Manner, Server};
 
 const EVENTS: u64 = 40;
@@ -140,3 +142,21 @@
     let answer = host.call("POST", "/chat/1", b"hello").expect("whole");
     assert_eq!(pieces(&answer.text()), (1..=EVENTS).collect::<Vec<_>>());
 }
+
+#[test]
+fn caller_that_leaves_is_told_of() {
+    let long = Manner::Stream { events: 2_000, is_whole: true };
+    let server = Server::start("s-1", &[long]);
+    let host = Host::start(&entries(&[(&server, (0, 16))]));
+    let mut caller = TcpStream::connect(host.callers()).expect("connected");
+    let authorization = format!("Bearer {KEY}");
+    let headers = [
+        ("host", HOST_NAME),
+        ("godwitdeal-request-id", "leaving"),
+        ("authorization", authorization.as_str()),
+    ];
+    write_request(&mut caller, "POST", "/chat/1", &headers, b"hello").expect("sent");
+    host.wait_for("the stream", || !server.requests().is_empty());
+    drop(caller);
+    host.wait_for("the leaving", || host.metrics().contains("callers_left_total 1"));
+}
