Build the set of servers left out only for a stalled stream

Each event of a stream copied the set of avoided servers, which is needed only once a stall was found. has_other_path now builds it from what its two callers both had to add. No change in behaviour.

--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -130,17 +130,20 @@
 }
 
 /// Whether a stalled attempt can be followed by another: by the route's attempts, the retry budget and the servers that
-/// have room, besides those that the other attempt will leave out. An attempt without a successor goes on waiting, as
-/// its server may come back.
+/// have room, besides those that the other attempt will leave out: `avoided` and the first server of the stalled one. An
+/// attempt without a successor goes on waiting, as its server may come back.
 pub(super) fn has_other_path(
     site: &Site,
     granted: &Granted,
     runs: u32,
     avoided: &BTreeSet<String>,
+    stalled: &Destination,
 ) -> bool {
+    let mut left_out = avoided.clone();
+    left_out.insert(stalled.server_id.clone());
     runs < granted.terms.max_attempts
         && site.may_retry(&granted.terms.service)
-        && choose(site, granted, avoided).is_ok()
+        && choose(site, granted, &left_out).is_ok()
 }
 
 /// Waits for the first event; a silence longer than expected is looked into, and ends the attempt if a server of the
@@ -154,7 +157,7 @@
     mut answer: Pin<&mut impl Future<Output = Result<T, WireError>>>,
 ) -> Result<T, WireError> {
     let request_id = &granted.asked.head.request_id;
-    let avoided = BTreeSet::from([destination.server_id.clone()]);
+    let none = BTreeSet::new();
     let mut look_at = site.now().plus_ms(first_patience_ms(destination.first_event_ms));
     loop {
         let until = look_at.min(deadline);
@@ -168,7 +171,7 @@
             biased;
             result = answer.as_mut() => return result,
             is_stalled = find_stalled(site, request_id, destination) => {
-                if is_stalled && has_other_path(site, granted, earlier_runs + 1, &avoided) {
+                if is_stalled && has_other_path(site, granted, earlier_runs + 1, &none, destination) {
                     return Err(WireError::Stalled);
                 }
             }
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -164,8 +164,6 @@
 
     /// Waits for more of the stream; a pause longer than expected is looked into.
     async fn next_piece(&mut self) -> Result<Option<Bytes>, WireError> {
-        let mut avoided = self.avoided.clone();
-        avoided.insert(self.run.destination.server_id.clone());
         let connection = self.run.connection.as_mut().ok_or(WireError::Ended)?;
         let deadline = self.granted.terms.answer_deadline;
         let mut piece = pin!(connection.next_piece());
@@ -200,7 +198,13 @@
                 let load = InProgress::start(&self.site, request_id, &new_path);
                 self.run.in_progress = Some(load);
                 self.run.destination = new_path;
-            } else if has_other_path(&self.site, &self.granted, self.runs, &avoided) {
+            } else if has_other_path(
+                &self.site,
+                &self.granted,
+                self.runs,
+                &self.avoided,
+                &self.run.destination,
+            ) {
                 return Err(WireError::Stalled);
             }
         }
