Reproduce the repeats of requests that end their servers

Callers saw one request sent on after three servers had ended under it; the users report BUDGET. The fake servers can now end like a process (listener and connections closed) and are replaced 1.8 s later under another id. No logic is changed.

--- /dev/null
+++ b/tests/gateway/fleet.rs
@@ -0,0 +1,112 @@
+//! Fake servers that are replaced after they end, as an orchestrator does.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use crate::server::{Behavior, FakeServer};
+use crate::store::FakeStore;
+
+/// Time between the end of a server and the start of the next one in its place.
+const RESTART_DELAY: Duration = Duration::from_millis(1_800);
+
+/// Time between the end of a server and the removal of its entry: three heartbeat intervals of the settings.
+const LAPSE_DELAY: Duration = Duration::from_millis(3_600);
+
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Servers of one service, and the layers that each holds.
+#[derive(Clone)]
+pub(crate) struct FleetPlan {
+    pub(crate) service: &'static str,
+    pub(crate) layers: Vec<Option<(u32, u32)>>,
+    pub(crate) behavior: Behavior,
+}
+
+struct Member {
+    server: FakeServer,
+    layers: Option<(u32, u32)>,
+    is_replaced: bool,
+    is_removed: bool,
+}
+
+struct Fleet {
+    plan: FleetPlan,
+    store: FakeStore,
+    members: Vec<Member>,
+}
+
+impl Fleet {
+    fn add(&mut self, layers: Option<(u32, u32)>) {
+        let id = format!("{}-{}", self.plan.service, self.members.len());
+        let server = FakeServer::start(&id, &[self.plan.behavior]);
+        self.store.put("servers", &id, server.entry(self.plan.service, layers));
+        self.members.push(Member { server, layers, is_replaced: false, is_removed: false });
+    }
+
+    /// Starts the servers that are due in place of those that ended, and removes the entries that have expired.
+    fn advance(&mut self, now: Instant) {
+        let mut replaced = Vec::new();
+        for member in &mut self.members {
+            let Some(ended_at) = member.server.ended_at() else { continue };
+            if !member.is_replaced && now >= ended_at + RESTART_DELAY {
+                member.is_replaced = true;
+                replaced.push(member.layers);
+            }
+            if !member.is_removed && now >= ended_at + LAPSE_DELAY {
+                member.is_removed = true;
+                self.store.remove("servers", &member.server.id);
+            }
+        }
+        replaced.into_iter().for_each(|layers| self.add(layers));
+    }
+}
+
+/// A running fleet. Dropping it ends the replacement of servers.
+pub(crate) struct RunningFleet {
+    fleet: Arc<Mutex<Fleet>>,
+    is_stopping: Arc<AtomicBool>,
+    replacing: Option<JoinHandle<()>>,
+}
+
+impl RunningFleet {
+    /// Starts the servers of a plan and registers them in a store.
+    pub(crate) fn start(store: &FakeStore, plan: &FleetPlan) -> RunningFleet {
+        let mut fleet = Fleet { plan: plan.clone(), store: store.clone(), members: Vec::new() };
+        plan.layers.iter().for_each(|layers| fleet.add(*layers));
+        let fleet = Arc::new(Mutex::new(fleet));
+        let is_stopping = Arc::new(AtomicBool::new(false));
+        let (shared_fleet, shared_flag) = (fleet.clone(), is_stopping.clone());
+        let replacing = std::thread::spawn(move || {
+            while !shared_flag.load(Ordering::Relaxed) {
+                shared_fleet.lock().expect("no panic").advance(Instant::now());
+                std::thread::sleep(POLL_INTERVAL);
+            }
+        });
+        RunningFleet { fleet, is_stopping, replacing: Some(replacing) }
+    }
+
+    /// Returns all servers that were ever started.
+    pub(crate) fn all_servers(&self) -> Vec<FakeServer> {
+        let fleet = self.fleet.lock().expect("no panic");
+        fleet.members.iter().map(|member| member.server.clone()).collect()
+    }
+
+    /// Returns the times at which servers ended, in order.
+    pub(crate) fn end_times(&self) -> Vec<Instant> {
+        let servers = self.all_servers();
+        let mut times: Vec<Instant> = servers.iter().filter_map(FakeServer::ended_at).collect();
+        times.sort();
+        times
+    }
+}
+
+impl Drop for RunningFleet {
+    fn drop(&mut self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+        if let Some(replacing) = self.replacing.take() {
+            let _ = replacing.join();
+        }
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the gateway as a separate process, against fakes of the users' store and backend servers.
 
 mod calls;
+mod crashes;
+mod fleet;
 mod host;
 mod http;
 mod orders;
