Log the fingerprint of each dispatch and the runs that end with their server

The logs could not show that several request ids are the same request, nor that a server has ended rather than cut a connection, so the hypotheses on the repeats could not be told apart. When a run breaks, its host now opens a connection to the server: refused means that the process has ended, silence that it may be behind a partition. Runs that break together share one check; a server that was announced to leave is not checked. fingerprint() covers the method too, for both interfaces.

No decision changes yet.

--- a/crates/godwit-caller/src/call.rs
+++ b/crates/godwit-caller/src/call.rs
@@ -92,6 +92,15 @@
         bytes as u64
     }
 
+    /// HTTP method of the call.
+    pub fn method(&self) -> &str {
+        match &self.operation {
+            Operation::Models => "GET",
+            Operation::Generate(_) => "POST",
+            Operation::Service(params) => &params.method,
+        }
+    }
+
     /// Model requested by a generate call.
     pub fn model(&self) -> Option<&str> {
         match &self.operation {
--- a/crates/godwit-core/src/site/registry.rs
+++ b/crates/godwit-core/src/site/registry.rs
@@ -8,6 +8,13 @@
 use crate::SteadyMs;
 use crate::site::server::{BackendServer, ServerState};
 
+/// Shortest time between the announcement that a server leaves and its planned stop, in milliseconds; half of the
+/// shortest time for which a draining server serves.
+const MIN_DEPARTURE_NOTICE_MS: u64 = 1_000;
+
+/// Time for which the departure of a server is remembered, in milliseconds; longer than a draining server serves.
+const DEPARTURE_MEMORY_MS: u64 = 120_000;
+
 /// Limits of a [`ServerRegistry`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RegistryLimits {
@@ -30,6 +37,8 @@
     is_store_unreachable: bool,
     /// End of the grace period after the last store outage.
     grace_ends_at: SteadyMs,
+    /// Time at which each server that drains or is no longer listed was first seen so.
+    departed_at: BTreeMap<String, SteadyMs>,
 }
 
 impl ServerRegistry {
@@ -42,7 +51,13 @@
     /// ```
     pub fn new(limits: RegistryLimits) -> ServerRegistry {
         let entries = BTreeMap::new();
-        ServerRegistry { limits, entries, is_store_unreachable: false, grace_ends_at: SteadyMs(0) }
+        ServerRegistry {
+            limits,
+            entries,
+            is_store_unreachable: false,
+            grace_ends_at: SteadyMs(0),
+            departed_at: BTreeMap::new(),
+        }
     }
 
     /// Records that a call to the store failed.
@@ -68,18 +83,25 @@
             self.remove(&id, now);
         }
         for server in listed.into_values() {
-            self.update(server);
+            self.update(server, now);
         }
     }
 
     /// Adds or updates an entry.
-    pub fn update(&mut self, server: BackendServer) {
+    pub fn update(&mut self, server: BackendServer, now: SteadyMs) {
+        match server.state {
+            ServerState::Draining => self.record_departure(&server.id, now),
+            ServerState::Ready => drop(self.departed_at.remove(&server.id)),
+        }
         self.entries.insert(server.id.clone(), Entry { server, missing_until: None });
     }
 
     /// Removes an entry. Within the grace period after a store outage, a ready server is kept until the period ends; a
     /// draining one is removed at once.
     pub fn remove(&mut self, id: &str, now: SteadyMs) {
+        if self.entries.contains_key(id) {
+            self.record_departure(id, now);
+        }
         let may_have_expired = !self.grace_ends_at.is_past(now);
         let Some(entry) = self.entries.get_mut(id) else { return };
         if may_have_expired && entry.server.state == ServerState::Ready {
@@ -91,6 +113,7 @@
 
     /// Drops the entries that were not listed again within the grace period, and returns their identities.
     pub fn expire(&mut self, now: SteadyMs) -> Vec<String> {
+        self.departed_at.retain(|_, at| now.since_ms(*at) < DEPARTURE_MEMORY_MS);
         let has_expired =
             |entry: &Entry| entry.missing_until.is_some_and(|until| until.is_past(now));
         let expired: Vec<String> = self
@@ -105,6 +128,17 @@
         expired
     }
 
+    fn record_departure(&mut self, id: &str, now: SteadyMs) {
+        self.departed_at.entry(id.to_string()).or_insert(now);
+    }
+
+    /// Whether a server was known to leave well before a time: a server that leaves as planned is announced long before
+    /// it stops, while the entry of one that crashed may be removed right after the crash.
+    pub fn was_leaving(&self, id: &str, at: SteadyMs) -> bool {
+        let departed_at = self.departed_at.get(id);
+        departed_at.is_some_and(|departed_at| at.since_ms(*departed_at) >= MIN_DEPARTURE_NOTICE_MS)
+    }
+
     /// Returns the server with an identity.
     pub fn get(&self, id: &str) -> Option<&BackendServer> {
         self.entries.get(id).map(|entry| &entry.server)
--- a/crates/godwit-core/tests/quarantine.rs
+++ b/crates/godwit-core/tests/quarantine.rs
@@ -337,6 +337,6 @@
 
 #[test]
 fn fingerprint_separates_parts() {
-    assert_ne!(fingerprint("ab", "c", b"d"), fingerprint("a", "bc", b"d"));
-    assert_ne!(fingerprint("a", "bc", b"d"), fingerprint("a", "b", b"cd"));
+    assert_ne!(fingerprint("ab", "M", "c", b"d"), fingerprint("a", "M", "bc", b"d"));
+    assert_ne!(fingerprint("a", "M", "bc", b"d"), fingerprint("a", "M", "b", b"cd"));
 }
--- a/crates/godwit-core/tests/site/registry.rs
+++ b/crates/godwit-core/tests/site/registry.rs
@@ -41,7 +41,7 @@
     registry.mark_store_unreachable();
     registry.mark_store_reachable(SteadyMs(10_000));
     registry.replace(vec![server("s-2", "a", "", None)], SteadyMs(10_000));
-    registry.update(server("s-1", "a", "", None));
+    registry.update(server("s-1", "a", "", None), SteadyMs(10_100));
     assert!(registry.expire(SteadyMs(20_000)).is_empty());
     assert_eq!(ids(&registry), ["s-1", "s-2"]);
 }
@@ -51,7 +51,7 @@
     let mut registry = registry();
     let mut draining = server("s-1", "a", "", None);
     draining.state = ServerState::Draining;
-    registry.update(draining);
+    registry.update(draining, SteadyMs(9_000));
     registry.mark_store_unreachable();
     registry.mark_store_reachable(SteadyMs(10_000));
     registry.remove("s-1", SteadyMs(10_001));
@@ -77,3 +77,18 @@
     assert!(known.was_restarted_as(&restarted));
     assert!(newer.was_restarted_as(&known));
 }
+
+#[test]
+fn was_leaving_needs_notice_before_the_time() {
+    let mut registry = registry();
+    let mut draining = server("s-1", "a", "", None);
+    draining.state = ServerState::Draining;
+    registry.update(draining, SteadyMs(9_000));
+    registry.remove("s-1", SteadyMs(11_000));
+    registry.remove("s-2", SteadyMs(11_000));
+    assert!(registry.was_leaving("s-1", SteadyMs(11_010)), "drained before");
+    assert!(!registry.was_leaving("s-2", SteadyMs(11_010)), "removed right after its end");
+    assert!(registry.was_leaving("s-2", SteadyMs(13_000)), "removed long before its end");
+    registry.update(server("s-2", "a", "", None), SteadyMs(13_100));
+    assert!(!registry.was_leaving("s-2", SteadyMs(15_000)), "listed again");
+}
--- a/crates/godwit-core/tests/site_model/registry.rs
+++ b/crates/godwit-core/tests/site_model/registry.rs
@@ -92,7 +92,7 @@
 impl<F: Fault> Harness<F> {
     fn update(&mut self, number: u8, state: ServerState) {
         let reported = if F::DRAINING_IS_READY { ServerState::Ready } else { state };
-        self.registry.update(server(number, reported));
+        self.registry.update(server(number, reported), self.now);
         self.expected.insert(id(number), Expected::Listed(state));
     }
 
--- a/crates/godwit-gateway/src/forward/admit.rs
+++ b/crates/godwit-gateway/src/forward/admit.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use godwit_adapter::{CallerHead, decode_caller_head};
+use godwit_core::quarantine::fingerprint;
 use godwit_core::site::{Configuration, Work};
 use godwit_core::{Admission, Code, SteadyMs, Target};
 use http::request::Parts;
@@ -13,6 +14,16 @@
 /// Deadline of a request whose caller sets none, in milliseconds after its arrival.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
+/// Fingerprint of a request, shown as hexadecimal digits.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Fingerprint(pub(crate) u64);
+
+impl std::fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
 /// Settings that the configuration gives to a request.
 pub(crate) struct RequestPolicy {
     pub(crate) configuration: Rc<Configuration>,
@@ -33,12 +44,25 @@
     pub(crate) incoming: IncomingRequest,
     pub(crate) body: Bytes,
     pub(crate) policy: RequestPolicy,
+    /// Identifies the same request in other attempts of callers and at other hosts.
+    pub(crate) fingerprint: Fingerprint,
 }
 
 impl AdmittedRequest {
+    pub(crate) fn new(
+        incoming: IncomingRequest,
+        body: Bytes,
+        policy: RequestPolicy,
+    ) -> AdmittedRequest {
+        let workspace = policy.workspace.as_deref().unwrap_or_default();
+        let method = incoming.parts.method.as_str();
+        let fingerprint = Fingerprint(fingerprint(workspace, method, incoming.target(), &body));
+        AdmittedRequest { incoming, body, policy, fingerprint }
+    }
+
     /// Returns the path and query as the caller sent them.
     pub(crate) fn request_target(&self) -> &str {
-        self.incoming.parts.uri.path_and_query().map_or("/", |target| target.as_str())
+        self.incoming.target()
     }
 
     /// Returns the terms with which the request's lifecycle starts.
@@ -74,6 +98,10 @@
         IncomingRequest { parts, head, received }
     }
 
+    fn target(&self) -> &str {
+        self.parts.uri.path_and_query().map_or("/", |target| target.as_str())
+    }
+
     fn host_name(&self) -> Option<&str> {
         let header = self.parts.headers.get(http::header::HOST);
         let header = header.and_then(|value| value.to_str().ok());
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -16,6 +16,7 @@
 
 use super::admit::AdmittedRequest;
 use super::destination::{Destination, choose_destination};
+use super::in_flight::{InFlightGuard, Run};
 use super::stall_detection::detect_stall;
 use crate::site::Site;
 use crate::wire::{Connection, OutgoingRequest, ReplyHead, WireError, is_connection_header};
@@ -32,47 +33,6 @@
 /// Maximum number of responses to other requests that are skipped before the response to a request.
 const MAX_STRAY_RESPONSES: u32 = 3;
 
-/// Registers the path of an attempt and adds its load to the servers and links; dropping it reverts both.
-pub(crate) struct InFlightGuard {
-    site: Rc<Site>,
-    request_id: String,
-    destination: Destination,
-}
-
-impl InFlightGuard {
-    pub(crate) fn start(
-        site: &Rc<Site>,
-        request_id: &str,
-        destination: &Destination,
-    ) -> InFlightGuard {
-        site.destinations.borrow_mut().insert(request_id.to_string(), destination.clone());
-        let mut loads = site.loads.borrow_mut();
-        for id in destination.load_keys() {
-            loads.start(id, destination.load);
-        }
-        InFlightGuard {
-            site: site.clone(),
-            request_id: request_id.to_string(),
-            destination: destination.clone(),
-        }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        let mut paths = self.site.destinations.borrow_mut();
-        // The entry may already hold a later path of the same request.
-        if paths.get(&self.request_id).is_some_and(|path| path.hops == self.destination.hops) {
-            paths.remove(&self.request_id);
-        }
-        drop(paths);
-        let mut loads = self.site.loads.borrow_mut();
-        for id in self.destination.load_keys() {
-            loads.end(id, self.destination.load);
-        }
-    }
-}
-
 /// An attempt whose response head has arrived.
 pub(crate) struct StartedResponse {
     pub(crate) head: ReplyHead,
@@ -92,7 +52,7 @@
         is_overloaded: bool,
     },
     /// The server may have run the request.
-    Unknown { error: WireError },
+    Unknown { error: WireError, run: Rc<Run> },
 }
 
 fn time_left_ms(site: &Site, admitted: &AdmittedRequest) -> u64 {
@@ -197,13 +157,13 @@
 /// Sends the request and waits until `head_deadline` for the head of its response.
 pub(crate) async fn send(
     site: &Rc<Site>,
-    admitted: &AdmittedRequest,
+    admitted: &Rc<AdmittedRequest>,
     destination: &Destination,
     last_event_id: Option<u64>,
     earlier_runs: u32,
     head_deadline: SteadyMs,
 ) -> Result<StartedResponse, AttemptError> {
-    let in_flight = InFlightGuard::start(site, &admitted.incoming.head.request_id, destination);
+    let in_flight = InFlightGuard::start(site, admitted, destination);
     let connect_failed = |error: WireError| AttemptError::NotRun {
         proof: NotExecutedProof::connect_failed(),
         cause: error.to_string(),
@@ -251,7 +211,7 @@
     };
     let (head, server) = match result {
         Ok(response) => response,
-        Err(error) => return Err(AttemptError::Unknown { error }),
+        Err(error) => return Err(AttemptError::Unknown { error, run: in_flight.run().clone() }),
     };
     let is_not_run = server.is_not_executed || head.status == 421;
     if is_not_run {
--- a/crates/godwit-gateway/src/forward/destination.rs
+++ b/crates/godwit-gateway/src/forward/destination.rs
@@ -47,6 +47,14 @@
         hop.map(|hop| hop.server_id.as_str())
     }
 
+    /// Returns the address of a server of the attempt.
+    pub(crate) fn address_of(&self, server_id: &str) -> Option<SocketAddr> {
+        if server_id == self.server_id {
+            return Some(self.address);
+        }
+        self.hops.iter().find(|hop| hop.server_id == server_id).map(|hop| hop.address)
+    }
+
     /// Formats the servers in path order for the log, each stage with its layers.
     pub(crate) fn log_text(&self) -> String {
         if self.hops.is_empty() {
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -8,12 +8,15 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use tokio::task::spawn_local;
 use tracing::info;
 
 use super::admit::{AdmittedRequest, IncomingRequest, admit};
 use super::attempt::{AttemptError, StartedResponse, read_body, release_connection, send};
 use super::destination::Destination;
+use super::in_flight::Run;
 use super::response::{ResponseBody, buffered_body, local_response, server_response};
+use super::server_end::{check_broken_run, may_be_end};
 use super::stall_detection::record_failure;
 use super::stream::relay_stream;
 use super::wait::{CounterGuard, wait_for_configuration, wait_for_destination};
@@ -58,7 +61,7 @@
     wait_for_configuration(&site).await;
     match admit(&site, &incoming) {
         Ok(policy) => {
-            let admitted = Rc::new(AdmittedRequest { incoming, body, policy });
+            let admitted = Rc::new(AdmittedRequest::new(incoming, body, policy));
             let mut disconnect_guard =
                 DisconnectGuard { site: &site, admitted: &admitted, is_answered: false };
             let response = forward(&site, &admitted, counter_guard).await;
@@ -163,6 +166,7 @@
         info!(
             event = "dispatch",
             request = request_id,
+            fingerprint = %admitted.fingerprint,
             attempt,
             service = admitted.policy.service,
             path = destination.log_text(),
@@ -253,8 +257,8 @@
             let code = if is_overloaded { Code::Overloaded } else { Code::ServersRefused };
             return AttemptOutcome::Retry { execution, code, avoided, needs_budget: true };
         }
-        Err(AttemptError::Unknown { error }) => {
-            return handle_broken_attempt(site, admitted, destination, &error);
+        Err(AttemptError::Unknown { error, run }) => {
+            return handle_broken_attempt(site, &run, &error).await;
         }
     };
     let latency_ms = site.now().since_ms(sent_at);
@@ -313,20 +317,26 @@
             log_answered(site, admitted, destination, head.status);
             AttemptOutcome::Final(server_response(&head, buffered_body(body)))
         }
-        Err(error) => handle_broken_attempt(site, admitted, destination, &error),
+        Err(error) => {
+            let run = response.in_flight.run().clone();
+            handle_broken_attempt(site, &run, &error).await
+        }
     }
 }
 
 /// Handles an attempt that failed after the request was sent. The request is retried only if it may run again and its
 /// deadline has not passed.
-fn handle_broken_attempt(
-    site: &Site,
-    admitted: &AdmittedRequest,
-    destination: &Destination,
+async fn handle_broken_attempt(
+    site: &Rc<Site>,
+    run: &Rc<Run>,
     error: &WireError,
 ) -> AttemptOutcome {
+    let Run { admitted, destination, .. } = run.as_ref();
     let cause = error.to_string();
     log_attempt_failed(admitted, destination, &cause, false);
+    if may_be_end(error) {
+        spawn_local(check_broken_run(site.clone(), run.clone(), site.now()));
+    }
     if destination.hops.is_empty() {
         site.record_server_failure(&destination.server_id, &cause);
     }
--- /dev/null
+++ b/crates/godwit-gateway/src/forward/in_flight.rs
@@ -0,0 +1,105 @@
+//! Requests in flight: which servers each of them runs on, since when and how far it has come.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use godwit_core::SteadyMs;
+
+use super::admit::AdmittedRequest;
+use super::destination::Destination;
+use crate::site::Site;
+
+/// A request that was sent to a server or path. Moving it to another path begins another run.
+pub(crate) struct Run {
+    pub(crate) admitted: Rc<AdmittedRequest>,
+    pub(crate) destination: Destination,
+    pub(crate) started_at: SteadyMs,
+    /// Number of pieces of the response that have arrived.
+    pieces: Cell<u64>,
+}
+
+impl Run {
+    pub(crate) fn request_id(&self) -> &str {
+        &self.admitted.incoming.head.request_id
+    }
+
+    pub(crate) fn pieces(&self) -> u64 {
+        self.pieces.get()
+    }
+
+    pub(crate) fn record_piece(&self) {
+        self.pieces.set(self.pieces.get() + 1);
+    }
+}
+
+/// Runs in flight, by request id and number of the run.
+#[derive(Default)]
+pub(crate) struct Runs {
+    by_request: RefCell<BTreeMap<(String, u64), Rc<Run>>>,
+    next_number: Cell<u64>,
+}
+
+impl Runs {
+    fn insert(&self, run: &Rc<Run>) -> u64 {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        let key = (run.request_id().to_string(), number);
+        self.by_request.borrow_mut().insert(key, run.clone());
+        number
+    }
+
+    fn remove(&self, run: &Run, number: u64) {
+        self.by_request.borrow_mut().remove(&(run.request_id().to_string(), number));
+    }
+
+    /// Returns the latest run of a request.
+    pub(crate) fn latest(&self, request_id: &str) -> Option<Rc<Run>> {
+        let runs = self.by_request.borrow();
+        let range = (request_id.to_string(), 0)..=(request_id.to_string(), u64::MAX);
+        runs.range(range).next_back().map(|(_, run)| run.clone())
+    }
+}
+
+/// Registers a run and adds its load to the servers and links; dropping it reverts both.
+pub(crate) struct InFlightGuard {
+    site: Rc<Site>,
+    run: Rc<Run>,
+    number: u64,
+}
+
+impl InFlightGuard {
+    pub(crate) fn start(
+        site: &Rc<Site>,
+        admitted: &Rc<AdmittedRequest>,
+        destination: &Destination,
+    ) -> InFlightGuard {
+        let run = Rc::new(Run {
+            admitted: admitted.clone(),
+            destination: destination.clone(),
+            started_at: site.now(),
+            pieces: Cell::new(0),
+        });
+        let number = site.runs.insert(&run);
+        let mut loads = site.loads.borrow_mut();
+        for id in destination.load_keys() {
+            loads.start(id, destination.load);
+        }
+        InFlightGuard { site: site.clone(), run, number }
+    }
+
+    pub(crate) fn run(&self) -> &Rc<Run> {
+        &self.run
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.site.runs.remove(&self.run, self.number);
+        let destination = &self.run.destination;
+        let mut loads = self.site.loads.borrow_mut();
+        for id in destination.load_keys() {
+            loads.end(id, destination.load);
+        }
+    }
+}
--- a/crates/godwit-gateway/src/forward/mod.rs
+++ b/crates/godwit-gateway/src/forward/mod.rs
@@ -5,11 +5,13 @@
 mod destination;
 mod events;
 mod handler;
+mod in_flight;
 mod repath;
 mod response;
+mod server_end;
 mod stall_detection;
 mod stream;
 mod wait;
 
-pub(crate) use destination::Destination;
 pub(crate) use handler::serve;
+pub(crate) use in_flight::Runs;
--- a/crates/godwit-gateway/src/forward/stall_detection.rs
+++ b/crates/godwit-gateway/src/forward/stall_detection.rs
@@ -6,9 +6,11 @@
 
 use futures_util::future::join_all;
 use godwit_core::site::BackendServer;
+use tokio::task::spawn_local;
 use tracing::info;
 
 use super::destination::Destination;
+use super::server_end::check_run_on;
 use crate::server_call::read_report;
 use crate::site::Site;
 
@@ -44,12 +46,11 @@
     site.findings.borrow_mut().record_slowdown(&first.id, report.slowdown, site.now());
     for stalled in &report.stalled {
         // Skips requests of other hosts, because only those hosts know the paths.
-        let Some(path) = site.destinations.borrow().get(&stalled.request_id).cloned() else {
-            continue;
-        };
+        let Some(run) = site.runs.latest(&stalled.request_id) else { continue };
         if let Some(server) = server_by_address(site, stalled.waits_for) {
-            let from = stall_origin_domain(site, &path, &server);
+            let from = stall_origin_domain(site, &run.destination, &server);
             record_stall(site, &stalled.request_id, &from, &server, "stalled");
+            spawn_local(check_run_on(site.clone(), run, server.id, site.now()));
         }
     }
     has_known_stall(site, path)
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -16,14 +16,14 @@
 use tracing::info;
 
 use super::admit::AdmittedRequest;
-use super::attempt::{
-    AttemptError, InFlightGuard, StartedResponse, can_fail_over, release_connection, send,
-};
+use super::attempt::{AttemptError, StartedResponse, can_fail_over, release_connection, send};
 use super::destination::{Destination, choose_destination};
 use super::events::take_complete_events;
 use super::handler::log_caller_disconnect;
+use super::in_flight::{InFlightGuard, Run};
 use super::repath::repath;
 use super::response::{IncompleteBody, ResponseBody, server_response, streamed_body};
+use super::server_end::{check_broken_run, may_be_end};
 use super::stall_detection::{detect_stall, examine_path, record_failure};
 use super::wait::CounterGuard;
 use crate::site::Site;
@@ -161,6 +161,9 @@
     async fn read_events(&mut self) -> Result<Option<Bytes>, WireError> {
         let Some(piece) = self.next_piece().await? else { return Ok(None) };
         self.attempt.timing.record_piece(self.site.now());
+        if let Some(in_flight) = &self.attempt.in_flight {
+            in_flight.run().record_piece();
+        }
         self.attempt.buffer.extend_from_slice(&piece);
         Ok(Some(take_complete_events(&mut self.attempt.buffer, &mut self.last_event_id)))
     }
@@ -201,7 +204,7 @@
                 new_path = repath(&self.site, &self.admitted, &self.attempt.destination) => new_path,
             };
             if let Some(new_path) = new_path {
-                let in_flight = InFlightGuard::start(&self.site, request_id, &new_path);
+                let in_flight = InFlightGuard::start(&self.site, &self.admitted, &new_path);
                 self.attempt.in_flight = Some(in_flight);
                 self.attempt.destination = new_path;
             } else if can_fail_over(
@@ -267,7 +270,9 @@
         let is_stalled = matches!(error, WireError::Stalled);
         if !is_stalled {
             self.attempt.connection = None;
-            self.attempt.in_flight = None;
+            if let Some(in_flight) = self.attempt.in_flight.take() {
+                self.check_server(error, in_flight.run());
+            }
         }
         match self.start_next_attempt(error.to_string(), is_stalled).await {
             Ok(attempt) => {
@@ -336,8 +341,9 @@
                     }
                     cause = reason;
                 }
-                Err(AttemptError::Unknown { error }) => {
+                Err(AttemptError::Unknown { error, run }) => {
                     self.runs += 1;
+                    self.check_server(&error, &run);
                     cause = error.to_string();
                 }
             }
@@ -345,6 +351,12 @@
         }
     }
 
+    fn check_server(&self, error: &WireError, run: &Rc<Run>) {
+        if may_be_end(error) {
+            spawn_local(check_broken_run(self.site.clone(), run.clone(), self.site.now()));
+        }
+    }
+
     /// Waits for a server or path on which the stream can be resumed, because the caller may already have part of the
     /// response. For a stalled attempt there is no wait, because it may still continue by itself.
     async fn next_destination(&self, is_stalled: bool) -> Result<Destination, IncompleteBody> {
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -10,10 +10,11 @@
     Configuration, Findings, FreshnessTracker, HealthLimits, LoadTable, PeerHost, RegistryLimits,
     Relay, RelayLimits, RetryBudget, RetryLimits, ServerHealth, ServerRegistry,
 };
+use tokio::sync::OnceCell;
 use tracing::info;
 
 use crate::clock::Clock;
-use crate::forward::Destination;
+use crate::forward::Runs;
 use crate::pool::ConnectionPool;
 
 /// Time for which a missing server entry is kept after a store outage, in milliseconds. Servers are listed
@@ -48,8 +49,9 @@
     pub(crate) configuration_freshness: RefCell<FreshnessTracker>,
     /// Revisions of the server entries that this host and other hosts have seen.
     pub(crate) servers_freshness: RefCell<FreshnessTracker>,
-    /// Destinations of the requests in progress, by request id.
-    pub(crate) destinations: RefCell<BTreeMap<String, Destination>>,
+    pub(crate) runs: Runs,
+    /// Checks under way of servers that may have ended, by incarnation.
+    pub(crate) server_checks: RefCell<BTreeMap<String, Rc<OnceCell<bool>>>>,
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) is_stopping: Cell<bool>,
     pub(crate) requests_in_progress: Cell<usize>,
@@ -75,7 +77,8 @@
             findings: RefCell::new(Findings::new()),
             configuration_freshness: RefCell::new(FreshnessTracker::new()),
             servers_freshness: RefCell::new(FreshnessTracker::new()),
-            destinations: RefCell::new(BTreeMap::new()),
+            runs: Runs::default(),
+            server_checks: RefCell::new(BTreeMap::new()),
             pool: RefCell::new(ConnectionPool::new()),
             is_stopping: Cell::new(false),
             requests_in_progress: Cell::new(0),
@@ -161,6 +164,12 @@
         self.with_budget(service, |budget| budget.has_room(hosts, self.now()))
     }
 
+    /// Returns the name of a server's current incarnation; none if the server is not listed.
+    pub(crate) fn incarnation(&self, server_id: &str) -> Option<String> {
+        let registry = self.registry.borrow();
+        registry.get(server_id).map(|server| format!("{server_id}/{}", server.born_unix_ms))
+    }
+
     /// Records that a server failed a request, which ejects it for a time, and closes its idle connections.
     pub(crate) fn record_server_failure(&self, server_id: &str, cause: &str) {
         let now = self.now();
--- a/crates/godwit-gateway/src/watch_handlers.rs
+++ b/crates/godwit-gateway/src/watch_handlers.rs
@@ -109,7 +109,7 @@
             heartbeats = server.heartbeats,
             restarted = is_restarted,
         );
-        registry.update(server);
+        registry.update(server, site.now());
     }
 }
 
--- a/crates/godwit-host/src/serve/pipeline.rs
+++ b/crates/godwit-host/src/serve/pipeline.rs
@@ -89,7 +89,7 @@
             let models = view.fleet().models.iter().map(|model| model.name.clone()).collect();
             return report::finish(call, responder, &Finish::Models(models));
         }
-        let fingerprint = fingerprint(&workspace.name, &call.path, &call.body);
+        let fingerprint = fingerprint(&workspace.name, call.method(), &call.path, &call.body);
         match self.admit(call, &view, workspace, fingerprint) {
             Ok(admission) => {
                 let lifecycle = lifecycle.admit(admission);
--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -1,7 +1,9 @@
 //! A gateway process with its fake store.
 
-use std::io::{BufRead, BufReader, Read};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -21,6 +23,25 @@
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
+/// File that keeps the log of a host, in the directory of the variable `GATEWAY_LOGS`; without it the log is dropped.
+struct LogFile(Option<File>);
+
+impl LogFile {
+    fn create(name: &str) -> LogFile {
+        let directory = std::env::var_os("GATEWAY_LOGS").map(PathBuf::from);
+        let file = directory.map(|directory| File::create(directory.join(name)));
+        LogFile(file.map(|file| file.expect("the log file can be created")))
+    }
+
+    fn keep(mut self, lines: impl Iterator<Item = String>) {
+        for line in lines {
+            if let Some(file) = &mut self.0 {
+                writeln!(file, "{line}").expect("the log file is writable");
+            }
+        }
+    }
+}
+
 /// A gateway process, killed when dropped.
 pub(crate) struct Host {
     child: Child,
@@ -122,7 +143,8 @@
         let started_line =
             lines.find_map(|line| line.ok().filter(|line| line.contains("event=started")));
         let started_line = started_line.expect("the gateway logs the started event");
-        std::thread::spawn(move || lines.for_each(drop));
+        let log = LogFile::create(&format!("{host_name}-{number}"));
+        std::thread::spawn(move || log.keep(lines.map_while(Result::ok)));
         std::fs::remove_file(&settings_path).expect("the settings file can be removed");
         let address = |name: &str| {
             let prefix = format!("{name}=");
