--- a/crates/godwit-core/src/code.rs
+++ b/crates/godwit-core/src/code.rs
@@ -139,6 +139,8 @@
         "The host has no configuration yet."
     ShutOutByDomain 3013 "shut_out_by_domain" NotRun 503 true
         "What the request needs is in a failure domain that is cut off."
+    CrashQuarantine 3014 "crash_quarantine" NotRun 503 true
+        "Several servers ended while they ran this request; it is not run before the time in `Retry-After`."
     OutcomeUnknown 4000 "outcome_unknown" Unknown 502 false
         "The connection to the server was lost; whether the request ran is not known."
     StartedElsewhere 4001 "started_elsewhere" Unknown 409 true
@@ -147,6 +149,8 @@
         "The answer could not be completed."
     TimedOut 4003 "timed_out" Unknown 504 false
         "The deadline passed while a server was running the request."
+    CrashQuarantineAfterRun 4004 "crash_quarantine_after_run" Unknown 502 true
+        "Servers ended while they ran this request, in this attempt too; it is not run before the time in `Retry-After`."
     LateAnswer 5000 "late_answer" Ran 504 false
         "The request ran, but its answer came after the deadline."
     ServerError 5001 "server_error" Ran 502 false
--- /dev/null
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -0,0 +1,628 @@
+//! Register of server ends, and of the requests that ran on the servers, as known to a host of the users' platform.
+//!
+//! Hosts exchange reports of single losses and derive all else from them, so that reports may arrive late, repeatedly
+//! and in any order. Ages are exchanged instead of times, because the clocks of hosts differ.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::SteadyMs;
+use crate::quarantine::marks::MARK_LIFETIME_MS;
+
+/// Weight of the loss of a server before the response began. Divisible by all shares up to [`MAX_SHARED_ENDS`].
+const LOSS_WEIGHT: u64 = 12;
+
+/// Weight of the loss of a server in the middle of a response, which the request is less likely to have caused.
+const LATE_LOSS_WEIGHT: u64 = 6;
+
+/// Weight of losses at which a request is quarantined: three servers lost before the response began.
+const QUARANTINE_WEIGHT: u64 = 3 * LOSS_WEIGHT;
+
+/// Time within which servers that end count as one event, in milliseconds. The end of a later stage of a path shows
+/// only when the first stage reports that it waits.
+const SHARED_END_MS: u64 = 1_000;
+
+/// Largest number of servers that end in one event for which a request may be to blame. More are the doing of a rack,
+/// a failure domain or an operator.
+const MAX_SHARED_ENDS: u64 = 4;
+
+/// Number of runs that lost a server before the response began, from which a request is a likelier cause of a server's
+/// end than an event that ended other servers too.
+const REPEATED_LOSSES: usize = 2;
+
+/// Maximum number of doublings of the quarantine, one for each further loss.
+const MAX_QUARANTINE_DOUBLINGS: u64 = 3;
+
+/// Period in which one host after the other may run a request on probation, in milliseconds.
+const PROBATION_TURN_MS: u64 = 6_000;
+
+/// Part of a turn in which the run may start, in milliseconds. In the rest, a loss reaches the next host.
+const PROBATION_START_MS: u64 = PROBATION_TURN_MS / 2;
+
+/// Maximum number of requests in the register.
+pub const MAX_SUSPECTS: usize = 4_096;
+
+/// Maximum number of server ends in the register.
+pub const MAX_SERVER_ENDS: usize = 1_024;
+
+/// Maximum number of losses kept for a request; the latest are kept.
+const MAX_LOSSES: usize = 16;
+
+/// Maximum number of requests in a report to other hosts.
+pub const MAX_REPORTED_SUSPECTS: usize = 48;
+
+/// Maximum number of losses of all requests in a report to other hosts.
+pub const MAX_REPORTED_LOSSES: usize = 128;
+
+/// Maximum number of server ends in a report to other hosts.
+pub const MAX_REPORTED_ENDS: usize = 64;
+
+/// Time for which a change is reported to other hosts, in milliseconds; the platform's contact window.
+const REPORT_MS: u64 = 3_000;
+
+/// Time for which a change is reported if the request has repeated losses, in milliseconds, so that it also reaches hosts
+/// that were cut off. Requests that are quarantined or on probation are reported all the time.
+const REPEATED_REPORT_MS: u64 = 30_000;
+
+/// Time for which the clearing of a request is remembered, in milliseconds. Longer than a report of an earlier loss is
+/// under way.
+const CLEARING_MEMORY_MS: u64 = 30_000;
+
+/// Longest request id that is kept, in bytes.
+const MAX_REQUEST_ID_BYTES: usize = 64;
+
+/// A run that was broken off because a server ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LostRun<'a> {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Identity of the run among those of all hosts.
+    pub run: u64,
+    /// Number of pieces of the response that had arrived.
+    pub pieces: u64,
+    /// Id of the request at the caller's attempt.
+    pub request_id: &'a str,
+}
+
+/// Loss of a server under a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Loss {
+    /// Time at which the server ended.
+    pub ended_at: SteadyMs,
+    /// Identity of the run. A run over several servers may lose more than one.
+    pub run: u64,
+    /// Number of pieces of the response that had arrived.
+    pub pieces: u64,
+    /// Id of the request at the caller's attempt that lost the server.
+    pub request_id: String,
+    /// Host that reported the loss; none for this host.
+    pub heard_from: Option<String>,
+}
+
+/// Loss of a server under a request, as reported to other hosts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LossReport {
+    /// Incarnation of the server.
+    pub server: String,
+    /// Time since the server ended, in milliseconds.
+    pub ended_ago_ms: u64,
+    /// Identity of the run.
+    pub run: u64,
+    /// Number of pieces of the response that had arrived.
+    pub pieces: u64,
+    /// Id of the request at the caller's attempt that lost the server.
+    pub request_id: String,
+}
+
+/// Losses of one request, as reported to other hosts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SuspectReport {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Losses since the request was last cleared.
+    pub losses: Vec<LossReport>,
+    /// Time since the request last completed, in milliseconds, if that is known.
+    pub cleared_ago_ms: Option<u64>,
+}
+
+/// End of a server, as reported to other hosts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerEndReport {
+    /// Incarnation of the server.
+    pub server: String,
+    /// Time since the server ended, in milliseconds.
+    pub ended_ago_ms: u64,
+}
+
+/// What a host reports to other hosts.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CrashReport {
+    /// Servers that have ended.
+    pub ends: Vec<ServerEndReport>,
+    /// Requests that ran on them.
+    pub suspects: Vec<SuspectReport>,
+}
+
+/// Status of a request by the servers lost under it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashStatus {
+    /// The request may run.
+    Clear,
+    /// The request is not run.
+    Quarantined {
+        /// End of the quarantine.
+        until: SteadyMs,
+    },
+    /// The quarantine has ended; the request may run once at a time, on one host after the other.
+    Probation {
+        /// End of the quarantine.
+        since: SteadyMs,
+    },
+}
+
+/// Position of this host in the order in which hosts may run a request on probation.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ProbationTurn {
+    /// Rank of this host among all hosts, from 0.
+    pub rank: usize,
+    /// Number of hosts.
+    pub hosts: usize,
+}
+
+/// Whether a request may be sent to a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashAdmission {
+    /// It may.
+    Allowed,
+    /// It may, and the run decides whether the quarantine is lifted.
+    OnProbation,
+    /// It may not.
+    Refused {
+        /// Time from which this host may run the request.
+        retry_at: SteadyMs,
+    },
+}
+
+/// A change of the status of a request, for the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StatusChange {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// New status.
+    pub status: CrashStatus,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    /// Losses by incarnation of the server.
+    losses: BTreeMap<String, Loss>,
+    cleared_at: Option<SteadyMs>,
+    changed_at: SteadyMs,
+    /// Status at the last call of [`CrashRegister::status_changes`].
+    last_status: Option<CrashStatus>,
+}
+
+impl Suspect {
+    fn last_loss_at(&self) -> SteadyMs {
+        self.losses.values().map(|loss| loss.ended_at).max().unwrap_or_default()
+    }
+
+    /// Number of runs that lost a server before the response began.
+    fn early_losses(&self) -> usize {
+        let early = self.losses.values().filter(|loss| loss.pieces == 0);
+        early.map(|loss| loss.run).collect::<BTreeSet<_>>().len()
+    }
+
+    /// Adds a loss or merges another report of it, and returns whether that changed anything.
+    fn add(&mut self, server: &str, loss: Loss) -> bool {
+        if self.cleared_at.is_some_and(|cleared_at| loss.ended_at <= cleared_at) {
+            return false;
+        }
+        if let Some(known) = self.losses.get_mut(server) {
+            let is_changed = loss.pieces < known.pieces;
+            known.pieces = known.pieces.min(loss.pieces);
+            // Ages grow by the delay of each message on the way, so that the earliest time is the most accurate.
+            known.ended_at = known.ended_at.min(loss.ended_at);
+            return is_changed;
+        }
+        self.losses.insert(server.to_string(), loss);
+        if self.losses.len() > MAX_LOSSES {
+            let oldest = self.losses.iter().min_by_key(|(_, loss)| loss.ended_at);
+            if let Some(server) = oldest.map(|(server, _)| server.clone()) {
+                self.losses.remove(&server);
+            }
+        }
+        true
+    }
+
+    fn clear(&mut self, at: SteadyMs) {
+        self.losses.retain(|_, loss| loss.ended_at > at);
+        self.cleared_at = self.cleared_at.max(Some(at));
+    }
+}
+
+/// Servers that ended, and the requests that ran on them.
+///
+/// ```
+/// use godwit_core::SteadyMs;
+/// use godwit_core::quarantine::{CrashRegister, CrashStatus, LostRun};
+/// let mut register = CrashRegister::new(60_000);
+/// for second in 1..=3 {
+///     let (server, now) = (format!("s-{second}"), SteadyMs(second * 5_000));
+///     assert_eq!(register.status(7, now), CrashStatus::Clear);
+///     let lost = LostRun { fingerprint: 7, run: second, pieces: 0, request_id: "r-1" };
+///     register.record_loss(lost, &server, now);
+/// }
+/// let until = SteadyMs(75_000);
+/// assert_eq!(register.status(7, SteadyMs(15_000)), CrashStatus::Quarantined { until });
+/// ```
+#[derive(Debug)]
+pub struct CrashRegister {
+    quarantine_ms: u64,
+    /// Time of the end of each server, by incarnation.
+    ends: BTreeMap<String, SteadyMs>,
+    suspects: BTreeMap<u64, Suspect>,
+    /// Fingerprint after which the next report of repeated losses continues.
+    report_cursor: u64,
+}
+
+impl CrashRegister {
+    /// Creates an empty register. `quarantine_ms` is the length of a quarantine after the first losses that lead to it.
+    pub fn new(quarantine_ms: u64) -> CrashRegister {
+        CrashRegister {
+            quarantine_ms,
+            ends: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            report_cursor: 0,
+        }
+    }
+
+    /// Records that a server has ended. Returns false if that was known.
+    pub fn record_end(&mut self, server: &str, ended_at: SteadyMs) -> bool {
+        if let Some(known_at) = self.ends.get_mut(server) {
+            *known_at = ended_at.min(*known_at);
+            return false;
+        }
+        self.ends.insert(server.to_string(), ended_at);
+        if self.ends.len() > MAX_SERVER_ENDS {
+            let oldest = self.ends.iter().min_by_key(|(_, ended_at)| **ended_at);
+            if let Some(server) = oldest.map(|(server, _)| server.clone()) {
+                self.forget_end(&server);
+            }
+        }
+        true
+    }
+
+    /// Removes the end of a server together with its losses, whose weight depends on the ends at the same time.
+    fn forget_end(&mut self, server: &str) {
+        self.ends.remove(server);
+        for suspect in self.suspects.values_mut() {
+            suspect.losses.remove(server);
+        }
+    }
+
+    /// Time at which a server ended, if that is known.
+    pub fn ended_at(&self, server: &str) -> Option<SteadyMs> {
+        self.ends.get(server).copied()
+    }
+
+    /// Records that a server ended while a request ran on it. Returns false if the loss was known or is older than the
+    /// last completed run.
+    pub fn record_loss(&mut self, lost: LostRun<'_>, server: &str, now: SteadyMs) -> bool {
+        self.record_end(server, now);
+        let loss = Loss {
+            ended_at: self.ended_at(server).unwrap_or(now),
+            run: lost.run,
+            pieces: lost.pieces,
+            request_id: truncated(lost.request_id),
+            heard_from: None,
+        };
+        self.add_loss(lost.fingerprint, server, loss, now)
+    }
+
+    fn add_loss(&mut self, fingerprint: u64, server: &str, loss: Loss, now: SteadyMs) -> bool {
+        let suspect = self.suspects.entry(fingerprint).or_default();
+        let is_changed = suspect.add(server, loss);
+        if is_changed {
+            suspect.changed_at = now;
+        }
+        self.evict_excess(fingerprint);
+        is_changed
+    }
+
+    /// Records that a request completed, which clears it of its losses. Returns false if it had none.
+    pub fn record_completion(&mut self, fingerprint: u64, now: SteadyMs) -> bool {
+        let suspect = self.suspects.get_mut(&fingerprint);
+        let Some(suspect) = suspect.filter(|suspect| !suspect.losses.is_empty()) else {
+            return false;
+        };
+        suspect.clear(now);
+        suspect.changed_at = now;
+        true
+    }
+
+    /// Whether servers were lost under a request since it last completed.
+    pub fn is_suspect(&self, fingerprint: u64) -> bool {
+        self.suspects.get(&fingerprint).is_some_and(|suspect| !suspect.losses.is_empty())
+    }
+
+    /// Losses of a request by incarnation of the server.
+    pub fn losses(&self, fingerprint: u64) -> impl Iterator<Item = (&str, &Loss)> {
+        let losses = self.suspects.get(&fingerprint).into_iter();
+        losses.flat_map(|suspect| &suspect.losses).map(|(server, loss)| (server.as_str(), loss))
+    }
+
+    /// Number of requests in the register.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Whether the register has no requests.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Status of a request.
+    pub fn status(&self, fingerprint: u64, now: SteadyMs) -> CrashStatus {
+        let Some(suspect) = self.suspects.get(&fingerprint) else { return CrashStatus::Clear };
+        let total = self.total_weight(fingerprint, suspect);
+        if total < QUARANTINE_WEIGHT {
+            return CrashStatus::Clear;
+        }
+        let doublings = (total - QUARANTINE_WEIGHT) / LOSS_WEIGHT;
+        let duration_ms = self.quarantine_ms << doublings.min(MAX_QUARANTINE_DOUBLINGS);
+        let until = suspect.last_loss_at().plus_ms(duration_ms);
+        if until.is_past(now) {
+            CrashStatus::Probation { since: until }
+        } else {
+            CrashStatus::Quarantined { until }
+        }
+    }
+
+    /// Whether a request may be sent to a server now. `is_running` tells whether this host runs it already.
+    pub fn admit(
+        &self,
+        fingerprint: u64,
+        turn: ProbationTurn,
+        is_running: bool,
+        now: SteadyMs,
+    ) -> CrashAdmission {
+        let since = match self.status(fingerprint, now) {
+            CrashStatus::Clear => return CrashAdmission::Allowed,
+            CrashStatus::Quarantined { until } => until,
+            CrashStatus::Probation { since } => since,
+        };
+        let hosts = turn.hosts.max(1) as u64;
+        let round_ms = PROBATION_TURN_MS * hosts;
+        let first_turn = since.plus_ms(PROBATION_TURN_MS * (turn.rank as u64 % hosts));
+        let rounds = now.since_ms(first_turn) / round_ms;
+        let this_turn = first_turn.plus_ms(rounds * round_ms);
+        let is_turn = this_turn.is_past(now) && !this_turn.plus_ms(PROBATION_START_MS).is_past(now);
+        if is_turn && !is_running {
+            return CrashAdmission::OnProbation;
+        }
+        let retry_at = if this_turn.is_past(now) { this_turn.plus_ms(round_ms) } else { this_turn };
+        CrashAdmission::Refused { retry_at }
+    }
+
+    /// Weight of the losses of a request. A run counts once, with the heaviest of its losses.
+    fn total_weight(&self, fingerprint: u64, suspect: &Suspect) -> u64 {
+        let full_weight =
+            |loss: &Loss| if loss.pieces == 0 { LOSS_WEIGHT } else { LATE_LOSS_WEIGHT };
+        let total = weight_of_runs(suspect, full_weight);
+        if total < QUARANTINE_WEIGHT {
+            return total;
+        }
+        weight_of_runs(suspect, |loss| {
+            let others = self.unexplained_ends(fingerprint, suspect, loss.ended_at);
+            if others < MAX_SHARED_ENDS { full_weight(loss) / (others + 1) } else { 0 }
+        })
+    }
+
+    /// Number of other servers that ended at about the same time, without those that a request with repeated losses
+    /// ended.
+    fn unexplained_ends(&self, fingerprint: u64, suspect: &Suspect, at: SteadyMs) -> u64 {
+        let is_shared =
+            |ended_at: SteadyMs| at.since_ms(ended_at).max(ended_at.since_ms(at)) <= SHARED_END_MS;
+        let others = self
+            .ends
+            .iter()
+            .filter(|(server, ended_at)| {
+                is_shared(**ended_at) && !suspect.losses.contains_key(*server)
+            })
+            .filter(|(server, _)| !self.is_explained(fingerprint, server));
+        others.count() as u64
+    }
+
+    /// Whether another request with repeated losses was running on a server when it ended.
+    fn is_explained(&self, except: u64, server: &str) -> bool {
+        self.suspects.iter().any(|(fingerprint, suspect)| {
+            *fingerprint != except
+                && suspect.losses.get(server).is_some_and(|loss| loss.pieces == 0)
+                && suspect.early_losses() >= REPEATED_LOSSES
+        })
+    }
+
+    /// Removes the request with the fewest and oldest losses if there are too many, but not the one just added.
+    fn evict_excess(&mut self, added: u64) {
+        if self.suspects.len() <= MAX_SUSPECTS {
+            return;
+        }
+        let others = self.suspects.iter().filter(|(fingerprint, _)| **fingerprint != added);
+        let least = others
+            .min_by_key(|(_, suspect)| (suspect.losses.len(), suspect.last_loss_at()))
+            .map(|(fingerprint, _)| *fingerprint);
+        if let Some(fingerprint) = least {
+            self.suspects.remove(&fingerprint);
+        }
+    }
+
+    /// Removes what is too old to matter.
+    pub fn expire(&mut self, now: SteadyMs) {
+        let quarantine_ms = self.quarantine_ms << MAX_QUARANTINE_DOUBLINGS;
+        let kept_ms = MARK_LIFETIME_MS + quarantine_ms;
+        self.ends.retain(|_, ended_at| !ended_at.plus_ms(kept_ms).is_past(now));
+        self.suspects.retain(|_, suspect| {
+            if suspect.losses.is_empty() {
+                let cleared_at = suspect.cleared_at.unwrap_or_default();
+                return !cleared_at.plus_ms(CLEARING_MEMORY_MS).is_past(now);
+            }
+            let is_repeated = suspect.losses.len() >= REPEATED_LOSSES;
+            let kept_ms = if is_repeated { kept_ms } else { MARK_LIFETIME_MS };
+            !suspect.last_loss_at().plus_ms(kept_ms).is_past(now)
+        });
+    }
+
+    /// Returns the changes of status since the last call.
+    pub fn status_changes(&mut self, now: SteadyMs) -> Vec<StatusChange> {
+        let fingerprints: Vec<u64> = self.suspects.keys().copied().collect();
+        let mut changes = Vec::new();
+        for fingerprint in fingerprints {
+            let status = self.status(fingerprint, now);
+            let Some(suspect) = self.suspects.get_mut(&fingerprint) else { continue };
+            let before = suspect.last_status.replace(status).unwrap_or(CrashStatus::Clear);
+            if std::mem::discriminant(&before) != std::mem::discriminant(&status) {
+                changes.push(StatusChange { fingerprint, status });
+            }
+        }
+        changes
+    }
+
+    /// Returns the next report to other hosts. Recent changes come first; requests that are quarantined or on probation
+    /// fill the rest by turns.
+    pub fn next_report(&mut self, now: SteadyMs) -> CrashReport {
+        let mut ends: Vec<(&String, &SteadyMs)> = self.ends.iter().collect();
+        ends.retain(|(_, ended_at)| !ended_at.plus_ms(2 * REPORT_MS).is_past(now));
+        ends.sort_by_key(|(_, ended_at)| std::cmp::Reverse(**ended_at));
+        let ends = ends.into_iter().take(MAX_REPORTED_ENDS).map(|(server, ended_at)| {
+            ServerEndReport { server: server.clone(), ended_ago_ms: now.since_ms(*ended_at) }
+        });
+        let ends = ends.collect();
+        let mut report = CrashReport { ends, suspects: Vec::new() };
+        let mut losses_left = MAX_REPORTED_LOSSES;
+        for fingerprint in self.recent_changes(now) {
+            self.add_to_report(&mut report, &mut losses_left, fingerprint, now);
+        }
+        let after_cursor = self.suspects.range(self.report_cursor..).map(|(key, _)| *key);
+        let before_cursor = self.suspects.range(..self.report_cursor).map(|(key, _)| *key);
+        let mut cursor = self.report_cursor;
+        for fingerprint in after_cursor.chain(before_cursor) {
+            let is_reported =
+                report.suspects.iter().any(|suspect| suspect.fingerprint == fingerprint);
+            if is_reported || self.status(fingerprint, now) == CrashStatus::Clear {
+                continue;
+            }
+            if !self.add_to_report(&mut report, &mut losses_left, fingerprint, now) {
+                break;
+            }
+            cursor = fingerprint.wrapping_add(1);
+        }
+        self.report_cursor = cursor;
+        report
+    }
+
+    /// Returns the requests whose losses have changed recently, those with most losses first; as many as leave room for
+    /// others in a report.
+    fn recent_changes(&self, now: SteadyMs) -> Vec<u64> {
+        let is_recent = |suspect: &Suspect| {
+            let is_repeated = suspect.losses.len() >= REPEATED_LOSSES;
+            let report_ms = if is_repeated { REPEATED_REPORT_MS } else { REPORT_MS };
+            !suspect.changed_at.plus_ms(report_ms).is_past(now)
+        };
+        let mut recent: Vec<(&u64, &Suspect)> =
+            self.suspects.iter().filter(|(_, suspect)| is_recent(suspect)).collect();
+        recent.sort_by_key(|(_, suspect)| {
+            std::cmp::Reverse((suspect.losses.len(), suspect.changed_at))
+        });
+        let recent = recent.into_iter().take(MAX_REPORTED_SUSPECTS / 2);
+        recent.map(|(fingerprint, _)| *fingerprint).collect()
+    }
+
+    /// Adds a request to a report if there is room for all its losses.
+    fn add_to_report(
+        &self,
+        report: &mut CrashReport,
+        losses_left: &mut usize,
+        fingerprint: u64,
+        now: SteadyMs,
+    ) -> bool {
+        let losses = self.suspects[&fingerprint].losses.len();
+        if losses > *losses_left || report.suspects.len() >= MAX_REPORTED_SUSPECTS {
+            return false;
+        }
+        *losses_left -= losses;
+        report.suspects.push(self.suspect_report(fingerprint, now));
+        true
+    }
+
+    fn suspect_report(&self, fingerprint: u64, now: SteadyMs) -> SuspectReport {
+        let suspect = &self.suspects[&fingerprint];
+        let losses = suspect.losses.iter().map(|(server, loss)| LossReport {
+            server: server.clone(),
+            ended_ago_ms: now.since_ms(loss.ended_at),
+            run: loss.run,
+            pieces: loss.pieces,
+            request_id: loss.request_id.clone(),
+        });
+        SuspectReport {
+            fingerprint,
+            losses: losses.collect(),
+            cleared_ago_ms: suspect.cleared_at.map(|cleared_at| now.since_ms(cleared_at)),
+        }
+    }
+
+    /// Merges the report of another host. Returns the servers whose end was not known before.
+    pub fn merge(&mut self, report: &CrashReport, sender: &str, now: SteadyMs) -> Vec<String> {
+        let time = |ago_ms: u64| SteadyMs(now.0.saturating_sub(ago_ms));
+        let mut new_ends = Vec::new();
+        for end in report.ends.iter().take(MAX_REPORTED_ENDS) {
+            if self.record_end(&end.server, time(end.ended_ago_ms)) {
+                new_ends.push(end.server.clone());
+            }
+        }
+        for suspect in report.suspects.iter().take(MAX_REPORTED_SUSPECTS) {
+            if let Some(ago_ms) = suspect.cleared_ago_ms {
+                self.merge_clearing(suspect.fingerprint, time(ago_ms), now);
+            }
+            for loss in suspect.losses.iter().take(MAX_LOSSES) {
+                let heard = Loss {
+                    ended_at: time(loss.ended_ago_ms),
+                    run: loss.run,
+                    pieces: loss.pieces,
+                    request_id: truncated(&loss.request_id),
+                    heard_from: Some(sender.to_string()),
+                };
+                self.record_end(&loss.server, heard.ended_at);
+                self.add_loss(suspect.fingerprint, &loss.server, heard, now);
+            }
+        }
+        new_ends
+    }
+
+    fn merge_clearing(&mut self, fingerprint: u64, cleared_at: SteadyMs, now: SteadyMs) {
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return };
+        let losses_before = suspect.losses.len();
+        suspect.clear(cleared_at);
+        if suspect.losses.len() != losses_before {
+            suspect.changed_at = now;
+        }
+    }
+}
+
+/// Sums the heaviest loss of each run.
+fn weight_of_runs(suspect: &Suspect, weight: impl Fn(&Loss) -> u64) -> u64 {
+    let mut by_run: BTreeMap<u64, u64> = BTreeMap::new();
+    for loss in suspect.losses.values() {
+        let heaviest = by_run.entry(loss.run).or_default();
+        *heaviest = weight(loss).max(*heaviest);
+    }
+    by_run.values().sum()
+}
+
+/// Returns the start of a request id, which the caller chooses, up to the length that is kept.
+fn truncated(request_id: &str) -> String {
+    let mut end = request_id.len().min(MAX_REQUEST_ID_BYTES);
+    while !request_id.is_char_boundary(end) {
+        end -= 1;
+    }
+    request_id[..end].to_string()
+}
--- a/crates/godwit-core/src/quarantine/mod.rs
+++ b/crates/godwit-core/src/quarantine/mod.rs
@@ -1,13 +1,23 @@
 //! Quarantine of requests that crash the servers on which they run.
 //!
-//! Each loss of a server marks the requests that ran on it. A request with one mark is a suspect, on probation until
-//! the first tokens of its next attempt. Two suspects on probation never share a server, so that the next loss shows
-//! which of them is at fault. A request with two marks is quarantined. A request that completes loses its marks.
+//! [`Quarantine`] serves the product's own interface. Each loss of a server marks the requests that ran on it. A request
+//! with one mark is a suspect, on probation until the first tokens of its next attempt. Two suspects on probation never
+//! share a server, so that the next loss shows which of them is at fault. A request with two marks is quarantined. A
+//! request that completes loses its marks.
+//!
+//! [`CrashRegister`] serves the users' platform, where many suspects share a server and servers also crash in groups:
+//! losses are weighed by what else ended at the same time, and the quarantine ends with a probation.
 
+mod crash_register;
 mod fingerprint;
 mod marks;
 mod register;
 
+pub use crash_register::{
+    CrashAdmission, CrashRegister, CrashReport, CrashStatus, Loss, LossReport, LostRun,
+    MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES, MAX_REPORTED_SUSPECTS, MAX_SERVER_ENDS, MAX_SUSPECTS,
+    ProbationTurn, ServerEndReport, StatusChange, SuspectReport,
+};
 pub use fingerprint::fingerprint;
 pub use marks::MARK_LIFETIME_MS;
 pub use register::{Quarantine, QuarantineStatus, StartDecision};
--- a/crates/godwit-core/src/site/relay.rs
+++ b/crates/godwit-core/src/site/relay.rs
@@ -89,6 +89,11 @@
         self.hosts.len()
     }
 
+    /// Iterates over the names of the other hosts.
+    pub fn host_names(&self) -> impl Iterator<Item = &str> {
+        self.hosts.values().map(|host| host.name.as_str())
+    }
+
     /// Records a message from a host, which counts as an answer.
     pub fn record_message(&mut self, name: &str) {
         self.contacts.insert(name.to_string(), Contact::default());
--- /dev/null
+++ b/crates/godwit-core/tests/crash_register.rs
@@ -0,0 +1,319 @@
+//! Register of server ends and of the requests that ran on them, at one host and at several that exchange reports.
+
+use godwit_core::SteadyMs;
+use godwit_core::quarantine::{
+    CrashAdmission, CrashRegister, CrashStatus, LostRun, MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES,
+    MAX_REPORTED_SUSPECTS, MAX_SERVER_ENDS, MAX_SUSPECTS, ProbationTurn,
+};
+use godwit_core::rendezvous::weight;
+
+const QUARANTINE_MS: u64 = 300_000;
+const START: SteadyMs = SteadyMs(20_000_000);
+
+/// Fingerprint of a request that ends its servers, and of one that does not.
+const GUILTY: u64 = 7;
+const SOUND: u64 = 8;
+
+const ALONE: ProbationTurn = ProbationTurn { rank: 0, hosts: 1 };
+
+fn register() -> CrashRegister {
+    CrashRegister::new(QUARANTINE_MS)
+}
+
+fn at(ms: u64) -> SteadyMs {
+    START.plus_ms(ms)
+}
+
+/// Records that a server ended under a run of its own.
+fn lose(register: &mut CrashRegister, fingerprint: u64, server: &str, pieces: u64, ms: u64) {
+    let run = weight(server, &fingerprint.to_string());
+    register.record_loss(LostRun { fingerprint, run, pieces, request_id: "r-1" }, server, at(ms));
+}
+
+fn is_quarantined(register: &CrashRegister, fingerprint: u64, ms: u64) -> bool {
+    matches!(register.status(fingerprint, at(ms)), CrashStatus::Quarantined { .. })
+}
+
+/// Loses servers one after the other, from `first` on, until the request is quarantined. Returns their number.
+fn losses_until_quarantine(register: &mut CrashRegister, pieces: u64, interval_ms: u64) -> usize {
+    (1..=16)
+        .find(|number| {
+            let ms = *number as u64 * interval_ms;
+            lose(register, GUILTY, &format!("g-{number}"), pieces, ms);
+            is_quarantined(register, GUILTY, ms)
+        })
+        .expect("the request is quarantined")
+}
+
+#[test]
+fn status_is_quarantined_at_the_third_early_loss() {
+    assert_eq!(losses_until_quarantine(&mut register(), 0, 300), 3);
+    assert_eq!(losses_until_quarantine(&mut register(), 0, 5_000), 3);
+}
+
+#[test]
+fn status_is_quarantined_at_the_sixth_loss_midway() {
+    assert_eq!(losses_until_quarantine(&mut register(), 3, 5_000), 6);
+}
+
+/// The servers of a path that crash with their rack are one loss to each request on it.
+#[test]
+fn status_counts_the_stages_of_one_run_once() {
+    let mut register = register();
+    for (run, ms) in [(1, 1_000), (2, 5_000), (3, 9_000)] {
+        assert_eq!(register.status(GUILTY, at(ms)), CrashStatus::Clear, "before run {run}");
+        for stage in ["a", "b", "c"] {
+            let lost = LostRun { fingerprint: GUILTY, run, pieces: 0, request_id: "r-1" };
+            register.record_loss(lost, &format!("{stage}-{run}"), at(ms));
+        }
+    }
+    assert!(is_quarantined(&register, GUILTY, 9_000));
+}
+
+#[test]
+fn status_is_clear_after_crashes_of_half_the_servers() {
+    let mut register = register();
+    for wave in 0..10_u64 {
+        for server in 0..16 {
+            register.record_end(&format!("w-{wave}-{server}"), at(wave * 3_000 + server * 20));
+        }
+        lose(&mut register, SOUND, &format!("w-{wave}-0"), 0, wave * 3_000);
+        assert_eq!(register.status(SOUND, at(wave * 3_000 + 500)), CrashStatus::Clear);
+    }
+    assert_eq!(register.status(SOUND, at(120_000)), CrashStatus::Clear);
+}
+
+#[test]
+fn status_is_clear_after_two_crashes_of_three_servers() {
+    let mut register = register();
+    for wave in 0..2 {
+        for server in 0..3 {
+            register.record_end(&format!("w-{wave}-{server}"), at(wave * 3_000));
+        }
+        lose(&mut register, SOUND, &format!("w-{wave}-0"), 0, wave * 3_000);
+        lose(&mut register, SOUND, &format!("w-{wave}-1"), 0, wave * 3_000);
+    }
+    assert_eq!(register.status(SOUND, at(4_000)), CrashStatus::Clear);
+}
+
+/// Four requests that end servers at the same time were once taken for a crash of a group of servers.
+#[test]
+fn status_is_quarantined_although_other_requests_end_servers_too() {
+    let mut register = register();
+    let guilty = [1, 2, 3, 4, 5, 6, 7, 8];
+    for round in 0..3 {
+        for fingerprint in guilty {
+            let server = format!("s-{round}-{fingerprint}");
+            lose(&mut register, fingerprint, &server, 0, round * 1_000 + fingerprint);
+        }
+    }
+    for fingerprint in guilty {
+        assert!(is_quarantined(&register, fingerprint, 3_000), "request {fingerprint}");
+    }
+}
+
+#[test]
+fn record_completion_clears_the_losses_before() {
+    let mut register = register();
+    lose(&mut register, SOUND, "s-1", 0, 0);
+    lose(&mut register, SOUND, "s-2", 0, 5_000);
+    assert!(register.record_completion(SOUND, at(6_000)));
+    assert!(!register.record_completion(SOUND, at(6_100)), "nothing is left to clear");
+    lose(&mut register, SOUND, "s-3", 0, 10_000);
+    assert_eq!(register.status(SOUND, at(10_000)), CrashStatus::Clear);
+    assert_eq!(register.losses(SOUND).count(), 1);
+}
+
+#[test]
+fn admit_refuses_until_the_end_of_the_quarantine() {
+    let mut register = register();
+    losses_until_quarantine(&mut register, 0, 5_000);
+    let until = at(15_000 + QUARANTINE_MS);
+    let refused = CrashAdmission::Refused { retry_at: until };
+    assert_eq!(register.admit(GUILTY, ALONE, false, at(15_000)), refused);
+    assert_eq!(register.admit(GUILTY, ALONE, false, SteadyMs(until.0 - 1)), refused);
+    assert_eq!(register.admit(GUILTY, ALONE, false, until), CrashAdmission::OnProbation);
+    assert_eq!(register.admit(SOUND, ALONE, false, at(15_000)), CrashAdmission::Allowed);
+}
+
+#[test]
+fn admit_on_probation_allows_one_run_at_a_time() {
+    let mut register = register();
+    losses_until_quarantine(&mut register, 0, 5_000);
+    let released = at(15_000 + QUARANTINE_MS);
+    let second = register.admit(GUILTY, ALONE, true, released);
+    assert!(matches!(second, CrashAdmission::Refused { .. }), "{second:?}");
+}
+
+#[test]
+fn admit_on_probation_allows_one_host_at_a_time() {
+    let mut register = register();
+    losses_until_quarantine(&mut register, 0, 5_000);
+    let released = at(15_000 + QUARANTINE_MS);
+    for ms in (0..60_000).step_by(500) {
+        let allowed = (0..5).filter(|rank| {
+            let turn = ProbationTurn { rank: *rank, hosts: 5 };
+            register.admit(GUILTY, turn, false, released.plus_ms(ms)) == CrashAdmission::OnProbation
+        });
+        assert!(allowed.count() <= 1, "{ms} ms after the release");
+    }
+    for rank in 0..5 {
+        let turn = ProbationTurn { rank, hosts: 5 };
+        let mut now = released;
+        while let CrashAdmission::Refused { retry_at } = register.admit(GUILTY, turn, false, now) {
+            assert!(retry_at > now, "host {rank} is told to retry at once");
+            now = retry_at;
+        }
+        assert!(now.since_ms(released) <= 30_000, "host {rank} waits for more than a round");
+    }
+}
+
+#[test]
+fn loss_on_probation_doubles_the_quarantine() {
+    let mut register = register();
+    losses_until_quarantine(&mut register, 0, 5_000);
+    let released_ms = 15_000 + QUARANTINE_MS;
+    lose(&mut register, GUILTY, "s-next", 0, released_ms);
+    let until = at(released_ms + 2 * QUARANTINE_MS);
+    assert_eq!(register.status(GUILTY, at(released_ms)), CrashStatus::Quarantined { until });
+    assert!(register.record_completion(GUILTY, at(released_ms + 1)));
+    assert_eq!(register.status(GUILTY, at(released_ms + 1)), CrashStatus::Clear);
+}
+
+#[test]
+fn status_changes_reports_each_change_once() {
+    let mut register = register();
+    losses_until_quarantine(&mut register, 0, 5_000);
+    let released_ms = 15_000 + QUARANTINE_MS;
+    let mut seen = Vec::new();
+    for ms in [15_000, 15_200, released_ms, released_ms + 200] {
+        seen.extend(register.status_changes(at(ms)).into_iter().map(|change| change.status));
+    }
+    register.record_completion(GUILTY, at(released_ms + 300));
+    seen.extend(register.status_changes(at(released_ms + 400)).into_iter().map(|it| it.status));
+    let until = at(released_ms);
+    assert_eq!(
+        seen,
+        [
+            CrashStatus::Quarantined { until },
+            CrashStatus::Probation { since: until },
+            CrashStatus::Clear
+        ]
+    );
+}
+
+#[test]
+fn merge_adds_up_the_losses_of_all_hosts() {
+    let mut hosts = [register(), register(), register()];
+    for number in 0..3 {
+        let ms = number as u64 * 2_000;
+        lose(&mut hosts[number], GUILTY, &format!("s-{number}"), 0, ms);
+        let report = hosts[number].next_report(at(ms + 10));
+        hosts.iter_mut().for_each(|host| drop(host.merge(&report, "peer", at(ms + 20))));
+    }
+    for (number, host) in hosts.iter().enumerate() {
+        assert!(is_quarantined(host, GUILTY, 4_110), "host {number}");
+        assert_eq!(host.losses(GUILTY).count(), 3);
+    }
+}
+
+/// The loss of one server that several hosts see counts once.
+#[test]
+fn merge_counts_the_same_loss_once() {
+    let mut here = register();
+    let mut there = register();
+    for (server, ms) in [("s-1", 0), ("s-2", 3_000)] {
+        lose(&mut here, SOUND, server, 0, ms);
+        lose(&mut there, SOUND, server, 0, ms + 40);
+    }
+    for _ in 0..5 {
+        here.merge(&there.next_report(at(3_100)), "there", at(3_150));
+        there.merge(&here.next_report(at(3_200)), "here", at(3_250));
+    }
+    assert_eq!(here.losses(SOUND).count(), 2);
+    assert_eq!(there.status(SOUND, at(3_300)), CrashStatus::Clear);
+}
+
+#[test]
+fn merge_does_not_bring_back_cleared_losses() {
+    let mut here = register();
+    let mut there = register();
+    lose(&mut here, SOUND, "s-1", 0, 0);
+    let report = here.next_report(at(100));
+    there.merge(&report, "here", at(110));
+    here.record_completion(SOUND, at(200));
+    there.merge(&here.next_report(at(300)), "here", at(310));
+    assert!(!there.is_suspect(SOUND), "the clearing reaches the other host");
+    there.merge(&report, "late", at(210));
+    assert!(!there.is_suspect(SOUND), "a late report has no effect");
+}
+
+/// A host that starts after the losses learns of the quarantine from any later report.
+#[test]
+fn next_report_repeats_quarantined_requests() {
+    let mut here = register();
+    losses_until_quarantine(&mut here, 0, 5_000);
+    let mut started = register();
+    started.merge(&here.next_report(at(100_000)), "here", at(100_010));
+    assert!(is_quarantined(&started, GUILTY, 100_020));
+    let until = at(15_000 + QUARANTINE_MS);
+    assert_eq!(here.status(GUILTY, at(100_020)), CrashStatus::Quarantined { until });
+}
+
+#[test]
+fn next_report_is_bounded_and_comes_to_all_quarantined_requests() {
+    let mut here = register();
+    for fingerprint in 0..200_u64 {
+        for server in 0..3 {
+            let ms = fingerprint * 3_000 + server * 1_000;
+            lose(&mut here, fingerprint, &format!("s-{fingerprint}-{server}"), 0, ms);
+        }
+    }
+    let now_ms = 700_000;
+    let mut started = register();
+    for round in 0..20 {
+        let report = here.next_report(at(now_ms + round));
+        let losses: usize = report.suspects.iter().map(|suspect| suspect.losses.len()).sum();
+        assert!(report.suspects.len() <= MAX_REPORTED_SUSPECTS);
+        assert!(losses <= MAX_REPORTED_LOSSES && report.ends.len() <= MAX_REPORTED_ENDS);
+        started.merge(&report, "here", at(now_ms + round));
+    }
+    let is_known = |fingerprint: &u64| started.is_suspect(*fingerprint);
+    assert_eq!((0..200).filter(is_known).count(), 200);
+}
+
+#[test]
+fn full_register_evicts_the_requests_with_fewest_and_oldest_losses() {
+    let mut register = register();
+    losses_until_quarantine(&mut register, 0, 5_000);
+    for number in 0..2 * MAX_SUSPECTS as u64 {
+        lose(&mut register, 1_000 + number, "s-lone", 0, 100_000 + number);
+    }
+    assert_eq!(register.len(), MAX_SUSPECTS);
+    assert!(is_quarantined(&register, GUILTY, 120_000));
+    let newest = 1_000 + 2 * MAX_SUSPECTS as u64 - 1;
+    assert!(register.is_suspect(newest));
+}
+
+#[test]
+fn full_list_of_ends_forgets_the_oldest_with_their_losses() {
+    let mut register = register();
+    lose(&mut register, SOUND, "s-old", 0, 0);
+    for number in 0..MAX_SERVER_ENDS as u64 {
+        register.record_end(&format!("e-{number}"), at(1 + number));
+    }
+    assert_eq!(register.ended_at("s-old"), None);
+    assert!(!register.is_suspect(SOUND));
+    assert_eq!(register.ended_at("e-0"), Some(at(1)));
+}
+
+#[test]
+fn expire_forgets_everything_in_time() {
+    let mut register = register();
+    losses_until_quarantine(&mut register, 0, 5_000);
+    lose(&mut register, SOUND, "s-1", 0, 0);
+    register.expire(at(16 * 60_000));
+    assert!(register.is_suspect(GUILTY) && !register.is_suspect(SOUND));
+    register.expire(at(2 * 3_600_000));
+    assert!(register.is_empty());
+}
--- a/crates/godwit-gateway/src/clock.rs
+++ b/crates/godwit-gateway/src/clock.rs
@@ -5,7 +5,11 @@
 use godwit_core::{SteadyMs, UnixMs};
 use tokio::time::Instant;
 
-/// Monotonic clock that starts with the process, with conversions to timer instants and to wall-clock time.
+/// Time of the clock at the start of the process, in milliseconds. Longer than anything is remembered, so that events
+/// before the start, of which other hosts report, have a time too.
+const START_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Monotonic clock, with conversions to timer instants and to wall-clock time.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock {
     start: Instant,
@@ -17,12 +21,13 @@
     }
 
     pub(crate) fn now(self) -> SteadyMs {
-        SteadyMs(self.start.elapsed().as_millis() as u64)
+        SteadyMs(START_MS + self.start.elapsed().as_millis() as u64)
     }
 
     /// Converts a monotonic time to an instant for the timers of the event loop.
     pub(crate) fn instant(self, at: SteadyMs) -> Instant {
-        self.start + Duration::from_millis(at.0.min(u64::from(u32::MAX)))
+        let after_start_ms = at.since_ms(SteadyMs(START_MS));
+        self.start + Duration::from_millis(after_start_ms.min(u64::from(u32::MAX)))
     }
 
     /// Returns the wall-clock time, which may jump. Only for values that leave the process.
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -17,6 +17,7 @@
 use super::admit::AdmittedRequest;
 use super::destination::{Destination, choose_destination};
 use super::in_flight::{InFlightGuard, Run};
+use super::quarantine::is_quarantined;
 use super::stall_detection::detect_stall;
 use crate::site::Site;
 use crate::wire::{Connection, OutgoingRequest, ReplyHead, WireError, is_connection_header};
@@ -145,6 +146,9 @@
             biased;
             result = response_head.as_mut() => return result,
             is_stalled = detect_stall(site, request_id, destination) => {
+                if is_stalled && is_quarantined(site, admitted) {
+                    return Err(WireError::Quarantined);
+                }
                 if is_stalled && can_fail_over(site, admitted, earlier_runs + 1, &no_servers, destination) {
                     return Err(WireError::Stalled);
                 }
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -8,15 +8,15 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::task::spawn_local;
 use tracing::info;
 
 use super::admit::{AdmittedRequest, IncomingRequest, admit};
 use super::attempt::{AttemptError, StartedResponse, read_body, release_connection, send};
 use super::destination::Destination;
 use super::in_flight::Run;
+use super::quarantine::{check_quarantine, log_quarantined, record_completion};
 use super::response::{ResponseBody, buffered_body, local_response, server_response};
-use super::server_end::{check_broken_run, may_be_end};
+use super::server_end::check_broken_run;
 use super::stall_detection::record_failure;
 use super::stream::relay_stream;
 use super::wait::{CounterGuard, wait_for_configuration, wait_for_destination};
@@ -111,13 +111,19 @@
     code: Code,
     received: SteadyMs,
 ) -> Response<ResponseBody> {
+    log_refusal(site, request_id, service, code, received);
+    local_response(code, code.retry_can_help().then(retry_after_ms))
+}
+
+fn log_refusal(site: &Site, request_id: &str, service: &str, code: Code, received: SteadyMs) {
     let after_ms = site.now().since_ms(received);
     info!(event = "refused", request = request_id, service, code = code.name(), after_ms);
     metrics::counter!("refused_total", "code" => code.name()).increment(1);
-    let retry_after_ms = code
-        .retry_can_help()
-        .then(|| MIN_RETRY_AFTER_MS + rand::random::<u64>() % RETRY_AFTER_JITTER_MS);
-    local_response(code, retry_after_ms)
+}
+
+/// Returns the time after which a refused caller may return, in milliseconds.
+fn retry_after_ms() -> u64 {
+    MIN_RETRY_AFTER_MS + rand::random::<u64>() % RETRY_AFTER_JITTER_MS
 }
 
 /// Whether the attempts so far may have run a request.
@@ -148,6 +154,7 @@
     let mut avoided = BTreeSet::new();
     let mut runs = 0;
     let mut code = Code::NoServer;
+    let mut quarantined_until = None;
     let mut counter_guard = Some(counter_guard);
     site.record_first_send(&admitted.policy.service);
     for attempt in 1..=MAX_DISPATCHES {
@@ -156,6 +163,10 @@
         {
             break;
         }
+        if let Err(until) = check_quarantine(site, admitted) {
+            quarantined_until = Some(until);
+            break;
+        }
         let destination = match wait_for_destination(site, admitted, &avoided).await {
             Ok(destination) => destination,
             Err(reason) => {
@@ -163,6 +174,11 @@
                 break;
             }
         };
+        // Servers may have ended under the same request while this one waited.
+        if let Err(until) = check_quarantine(site, admitted) {
+            quarantined_until = Some(until);
+            break;
+        }
         info!(
             event = "dispatch",
             request = request_id,
@@ -198,6 +214,9 @@
             }
         }
     }
+    if let Some(until) = quarantined_until {
+        return refuse_quarantined(site, admitted, execution, until);
+    }
     let is_late = admitted.policy.response_deadline.is_past(site.now());
     let code = match execution {
         Execution::NotRun(lifecycle) => {
@@ -209,6 +228,23 @@
     refuse(site, &request_id, &admitted.policy.service, code, admitted.incoming.received)
 }
 
+/// Refuses a quarantined request until a time.
+fn refuse_quarantined(
+    site: &Site,
+    admitted: &AdmittedRequest,
+    execution: Execution,
+    until: SteadyMs,
+) -> Response<ResponseBody> {
+    log_quarantined(site, admitted, until);
+    let code = match execution {
+        Execution::NotRun(lifecycle) => lifecycle.refuse(Code::CrashQuarantine).code(),
+        Execution::MayHaveRun => Code::CrashQuarantineAfterRun,
+    };
+    let AdmittedRequest { incoming, policy, .. } = admitted;
+    log_refusal(site, &incoming.head.request_id, &policy.service, code, incoming.received);
+    local_response(code, Some(until.since_ms(site.now()) + retry_after_ms()))
+}
+
 /// Returns the deadline for the response head of an attempt. For calls it is earlier if another attempt may follow.
 fn head_deadline(site: &Site, admitted: &AdmittedRequest, is_last: bool) -> SteadyMs {
     if admitted.policy.work.is_stream() || !admitted.policy.work.may_run_again() || is_last {
@@ -315,6 +351,9 @@
             let StartedResponse { head, connection, .. } = response;
             release_connection(site, destination, connection, &head);
             log_answered(site, admitted, destination, head.status);
+            if head.status < 500 {
+                record_completion(site, admitted);
+            }
             AttemptOutcome::Final(server_response(&head, buffered_body(body)))
         }
         Err(error) => {
@@ -334,9 +373,7 @@
     let Run { admitted, destination, .. } = run.as_ref();
     let cause = error.to_string();
     log_attempt_failed(admitted, destination, &cause, false);
-    if may_be_end(error) {
-        spawn_local(check_broken_run(site.clone(), run.clone(), site.now()));
-    }
+    check_broken_run(site, run, error).await;
     if destination.hops.is_empty() {
         site.record_server_failure(&destination.server_id, &cause);
     }
--- a/crates/godwit-gateway/src/forward/in_flight.rs
+++ b/crates/godwit-gateway/src/forward/in_flight.rs
@@ -6,12 +6,14 @@
 
 use godwit_core::SteadyMs;
 
-use super::admit::AdmittedRequest;
+use super::admit::{AdmittedRequest, Fingerprint};
 use super::destination::Destination;
 use crate::site::Site;
 
 /// A request that was sent to a server or path. Moving it to another path begins another run.
 pub(crate) struct Run {
+    /// Identity among the runs of all hosts.
+    pub(crate) id: u64,
     pub(crate) admitted: Rc<AdmittedRequest>,
     pub(crate) destination: Destination,
     pub(crate) started_at: SteadyMs,
@@ -53,6 +55,19 @@
         self.by_request.borrow_mut().remove(&(run.request_id().to_string(), number));
     }
 
+    /// Returns the runs on a server that started before a time.
+    pub(crate) fn on_server(&self, server_id: &str, before: SteadyMs) -> Vec<Rc<Run>> {
+        let runs = self.by_request.borrow();
+        let runs = runs.values().filter(|run| run.started_at < before);
+        runs.filter(|run| run.destination.server_ids().contains(&server_id)).cloned().collect()
+    }
+
+    /// Whether a request with a fingerprint is running.
+    pub(crate) fn is_running(&self, fingerprint: Fingerprint) -> bool {
+        let runs = self.by_request.borrow();
+        runs.values().any(|run| run.admitted.fingerprint == fingerprint)
+    }
+
     /// Returns the latest run of a request.
     pub(crate) fn latest(&self, request_id: &str) -> Option<Rc<Run>> {
         let runs = self.by_request.borrow();
@@ -75,6 +90,7 @@
         destination: &Destination,
     ) -> InFlightGuard {
         let run = Rc::new(Run {
+            id: rand::random(),
             admitted: admitted.clone(),
             destination: destination.clone(),
             started_at: site.now(),
--- a/crates/godwit-gateway/src/forward/mod.rs
+++ b/crates/godwit-gateway/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod events;
 mod handler;
 mod in_flight;
+mod quarantine;
 mod repath;
 mod response;
 mod server_end;
@@ -15,3 +16,4 @@
 
 pub(crate) use handler::serve;
 pub(crate) use in_flight::Runs;
+pub(crate) use quarantine::{log_status_changes, record_server_end};
--- /dev/null
+++ b/crates/godwit-gateway/src/forward/quarantine.rs
@@ -0,0 +1,150 @@
+//! Quarantine of requests under which servers have ended: records losses, and decides whether a request may still be sent
+//! to a server.
+
+use std::rc::Rc;
+
+use godwit_core::SteadyMs;
+use godwit_core::quarantine::{CrashAdmission, CrashStatus, LostRun, ProbationTurn};
+use godwit_core::rendezvous::ranked;
+use tracing::info;
+
+use super::admit::{AdmittedRequest, Fingerprint};
+use super::in_flight::Run;
+use crate::site::Site;
+
+/// Returns the losses of a request for the log: server, age, id of the request at that attempt, and where the loss was
+/// heard.
+fn losses_text(site: &Site, fingerprint: Fingerprint, now: SteadyMs) -> String {
+    let crashes = site.crashes.borrow();
+    let losses = crashes.losses(fingerprint.0).map(|(server, loss)| {
+        let from = loss.heard_from.as_deref().unwrap_or(&site.settings.host);
+        let age_ms = now.since_ms(loss.ended_at);
+        format!("{server}:{age_ms}ms:{}:{from}", loss.request_id)
+    });
+    losses.collect::<Vec<_>>().join(",")
+}
+
+/// Records that a server ended while a run was on it.
+pub(super) fn record_lost_run(site: &Site, run: &Run, incarnation: &str, broke_at: SteadyMs) {
+    let fingerprint = run.admitted.fingerprint;
+    let lost = LostRun {
+        fingerprint: fingerprint.0,
+        run: run.id,
+        pieces: run.pieces(),
+        request_id: run.request_id(),
+    };
+    if !site.crashes.borrow_mut().record_loss(lost, incarnation, broke_at) {
+        return;
+    }
+    info!(
+        event = "crash_marked",
+        request = run.request_id(),
+        fingerprint = %fingerprint,
+        server = incarnation,
+        ran_ms = broke_at.since_ms(run.started_at),
+        pieces = run.pieces(),
+        losses = losses_text(site, fingerprint, site.now()),
+    );
+    metrics::counter!("crash_marks_total").increment(1);
+}
+
+/// Records the end of a server for all runs of this host that were on it.
+pub(crate) fn record_server_end(site: &Site, incarnation: &str) {
+    let Some(ended_at) = site.crashes.borrow().ended_at(incarnation) else { return };
+    let server_id = incarnation.rsplit_once('/').map_or(incarnation, |(id, _)| id);
+    for run in site.runs.on_server(server_id, ended_at) {
+        record_lost_run(site, &run, incarnation, ended_at);
+    }
+}
+
+/// Records that a request completed, so that the losses before are not its doing.
+pub(super) fn record_completion(site: &Site, admitted: &AdmittedRequest) {
+    let fingerprint = admitted.fingerprint;
+    if !site.crashes.borrow().is_suspect(fingerprint.0) {
+        return;
+    }
+    let request = &admitted.incoming.head.request_id;
+    let losses = losses_text(site, fingerprint, site.now());
+    info!(event = "crash_marks_cleared", request, fingerprint = %fingerprint, losses);
+    site.crashes.borrow_mut().record_completion(fingerprint.0, site.now());
+}
+
+/// Returns this host's turn to run a request on probation. Every host computes the same order.
+fn probation_turn(site: &Site, fingerprint: Fingerprint) -> ProbationTurn {
+    let relay = site.relay.borrow();
+    let own_name = site.settings.host.as_str();
+    let names: Vec<&str> = relay.host_names().chain([own_name]).collect();
+    let hosts = names.len();
+    let order = ranked(&fingerprint.to_string(), names, hosts);
+    ProbationTurn { rank: order.iter().position(|name| *name == own_name).unwrap_or(0), hosts }
+}
+
+/// Whether a request may be sent to a server now.
+///
+/// # Errors
+/// The time from which it may, if it is quarantined.
+pub(super) fn check_quarantine(site: &Site, admitted: &AdmittedRequest) -> Result<(), SteadyMs> {
+    let fingerprint = admitted.fingerprint;
+    if !site.crashes.borrow().is_suspect(fingerprint.0) {
+        return Ok(());
+    }
+    let turn = probation_turn(site, fingerprint);
+    let is_running = site.runs.is_running(fingerprint);
+    match site.crashes.borrow().admit(fingerprint.0, turn, is_running, site.now()) {
+        CrashAdmission::Allowed => Ok(()),
+        CrashAdmission::OnProbation => {
+            let request = &admitted.incoming.head.request_id;
+            info!(event = "probation_run", request, fingerprint = %fingerprint, ?turn);
+            metrics::counter!("probation_runs_total").increment(1);
+            Ok(())
+        }
+        CrashAdmission::Refused { retry_at } => Err(retry_at),
+    }
+}
+
+/// Logs that a request is not sent to a server because it is quarantined.
+pub(super) fn log_quarantined(site: &Site, admitted: &AdmittedRequest, retry_at: SteadyMs) {
+    let now = site.now();
+    info!(
+        event = "quarantine_refused",
+        request = admitted.incoming.head.request_id,
+        fingerprint = %admitted.fingerprint,
+        retry_after_ms = retry_at.since_ms(now),
+        losses = losses_text(site, admitted.fingerprint, now),
+    );
+    metrics::counter!("quarantine_refusals_total").increment(1);
+}
+
+/// Logs the requests that were quarantined, released on probation or cleared since the last call.
+pub(crate) fn log_status_changes(site: &Site, now: SteadyMs) {
+    let changes = site.crashes.borrow_mut().status_changes(now);
+    for change in changes {
+        let fingerprint = Fingerprint(change.fingerprint);
+        let losses = losses_text(site, fingerprint, now);
+        match change.status {
+            CrashStatus::Quarantined { until } => {
+                let for_ms = until.since_ms(now);
+                info!(event = "quarantined", fingerprint = %fingerprint, for_ms, losses);
+                metrics::counter!("quarantines_total").increment(1);
+            }
+            CrashStatus::Probation { .. } => {
+                info!(event = "quarantine_ended", fingerprint = %fingerprint, losses);
+                metrics::counter!("quarantine_releases_total").increment(1);
+            }
+            CrashStatus::Clear => {
+                info!(event = "quarantine_lifted", fingerprint = %fingerprint, losses);
+            }
+        }
+    }
+    metrics::gauge!("crash_suspects").set(site.crashes.borrow().len() as f64);
+}
+
+/// Whether servers were lost under a request since it last completed.
+pub(super) fn is_suspect(site: &Site, admitted: &AdmittedRequest) -> bool {
+    site.crashes.borrow().is_suspect(admitted.fingerprint.0)
+}
+
+/// Whether a request may not be sent to a server now.
+pub(super) fn is_quarantined(site: &Rc<Site>, admitted: &AdmittedRequest) -> bool {
+    check_quarantine(site, admitted).is_err()
+}
--- a/crates/godwit-gateway/src/forward/server_end.rs
+++ b/crates/godwit-gateway/src/forward/server_end.rs
@@ -8,10 +8,12 @@
 
 use godwit_core::SteadyMs;
 use tokio::sync::OnceCell;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tracing::info;
 
 use super::in_flight::Run;
+use super::quarantine::{is_suspect, record_lost_run, record_server_end};
 use crate::site::Site;
 use crate::wire::{Connection, WireError};
 
@@ -46,7 +48,7 @@
 
 /// Whether the error of a run may be due to the end of its server's process. Silence, invalid responses and refused
 /// connections are not: a run needs a connection, and the end of a process closes it.
-pub(super) fn may_be_end(error: &WireError) -> bool {
+fn may_be_end(error: &WireError) -> bool {
     match error {
         WireError::Ended => true,
         WireError::Broken(error) => matches!(
@@ -79,7 +81,7 @@
     ServerCheck::Running
 }
 
-async fn check_server(
+async fn server_state(
     site: &Site,
     server_id: &str,
     incarnation: &str,
@@ -103,47 +105,55 @@
     check
 }
 
-/// Finds out whether a server of a run had ended at `broke_at`. Runs that break at the same time share one check.
-async fn has_ended(site: &Rc<Site>, run: &Run, server_id: &str, broke_at: SteadyMs) -> bool {
-    let destination = &run.destination;
-    let Some(address) = destination.address_of(server_id) else { return false };
-    let incarnation = site.incarnation(server_id).unwrap_or_else(|| server_id.to_string());
+/// Finds out whether a server of a run had ended at `broke_at`, and records it for all runs of this host. Runs that break
+/// at the same time share one check.
+async fn has_ended(
+    site: &Rc<Site>,
+    run: &Run,
+    server_id: &str,
+    incarnation: &str,
+    broke_at: SteadyMs,
+) -> bool {
+    let Some(address) = run.destination.address_of(server_id) else { return false };
     let shared: Rc<OnceCell<bool>> =
-        site.server_checks.borrow_mut().entry(incarnation.clone()).or_default().clone();
+        site.server_checks.borrow_mut().entry(incarnation.to_string()).or_default().clone();
     let check = async || {
-        let outcome = check_server(site, server_id, &incarnation, address, broke_at).await;
+        let outcome = server_state(site, server_id, incarnation, address, broke_at).await;
         info!(event = "server_checked", server = server_id, incarnation, ?outcome);
-        if outcome == ServerCheck::Ended {
+        let has_ended = outcome == ServerCheck::Ended;
+        if has_ended {
             metrics::counter!("servers_ended_total").increment(1);
+            site.crashes.borrow_mut().record_end(incarnation, broke_at);
+            record_server_end(site, incarnation);
         }
-        site.server_checks.borrow_mut().remove(&incarnation);
-        outcome == ServerCheck::Ended
+        site.server_checks.borrow_mut().remove(incarnation);
+        has_ended
     };
     *shared.get_or_init(check).await
 }
 
-/// Checks the server to which a broken run was sent, and logs the run if the server has ended.
-pub(super) async fn check_broken_run(site: Rc<Site>, run: Rc<Run>, broke_at: SteadyMs) {
-    check_run_on(site, run.clone(), run.destination.server_id.clone(), broke_at).await;
+/// Checks a server of a run that has broken or waits for it, and records the loss if the server has ended.
+async fn check_server_of(site: Rc<Site>, run: Rc<Run>, server_id: String, broke_at: SteadyMs) {
+    let incarnation = site.incarnation(&server_id).unwrap_or_else(|| server_id.clone());
+    if has_ended(&site, &run, &server_id, &incarnation, broke_at).await {
+        record_lost_run(&site, &run, &incarnation, broke_at);
+    }
+}
+
+/// Starts the check of a server of a run that has broken or waits for it. For a request under which other servers have
+/// ended, returns only after the check, so that a next attempt knows of this loss.
+pub(super) async fn check_server(site: &Rc<Site>, run: &Rc<Run>, server_id: &str) {
+    let check = check_server_of(site.clone(), run.clone(), server_id.to_string(), site.now());
+    if is_suspect(site, &run.admitted) {
+        check.await;
+    } else {
+        spawn_local(check);
+    }
 }
 
-/// Checks one server of a run that waits for it or has broken, and logs the run if the server has ended.
-pub(super) async fn check_run_on(
-    site: Rc<Site>,
-    run: Rc<Run>,
-    server_id: String,
-    broke_at: SteadyMs,
-) {
-    if !has_ended(&site, &run, &server_id, broke_at).await {
-        return;
+/// Checks the server of a run that ended with an error, as [`check_server`] does, if the error may be due to its end.
+pub(super) async fn check_broken_run(site: &Rc<Site>, run: &Rc<Run>, error: &WireError) {
+    if may_be_end(error) {
+        check_server(site, run, &run.destination.server_id).await;
     }
-    info!(
-        event = "run_lost",
-        request = run.request_id(),
-        fingerprint = %run.admitted.fingerprint,
-        server = server_id,
-        ran_ms = broke_at.since_ms(run.started_at),
-        pieces = run.pieces(),
-    );
-    metrics::counter!("runs_lost_total").increment(1);
 }
--- a/crates/godwit-gateway/src/forward/stall_detection.rs
+++ b/crates/godwit-gateway/src/forward/stall_detection.rs
@@ -6,11 +6,10 @@
 
 use futures_util::future::join_all;
 use godwit_core::site::BackendServer;
-use tokio::task::spawn_local;
 use tracing::info;
 
 use super::destination::Destination;
-use super::server_end::check_run_on;
+use super::server_end::check_server;
 use crate::server_call::read_report;
 use crate::site::Site;
 
@@ -44,15 +43,19 @@
         return true;
     };
     site.findings.borrow_mut().record_slowdown(&first.id, report.slowdown, site.now());
+    let mut waiting = Vec::new();
     for stalled in &report.stalled {
         // Skips requests of other hosts, because only those hosts know the paths.
         let Some(run) = site.runs.latest(&stalled.request_id) else { continue };
         if let Some(server) = server_by_address(site, stalled.waits_for) {
             let from = stall_origin_domain(site, &run.destination, &server);
             record_stall(site, &stalled.request_id, &from, &server, "stalled");
-            spawn_local(check_run_on(site.clone(), run, server.id, site.now()));
+            waiting.push((run, server.id));
         }
     }
+    for (run, server_id) in waiting {
+        check_server(site, &run, &server_id).await;
+    }
     has_known_stall(site, path)
 }
 
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -20,10 +20,11 @@
 use super::destination::{Destination, choose_destination};
 use super::events::take_complete_events;
 use super::handler::log_caller_disconnect;
-use super::in_flight::{InFlightGuard, Run};
+use super::in_flight::InFlightGuard;
+use super::quarantine::{check_quarantine, is_quarantined, log_quarantined, record_completion};
 use super::repath::repath;
 use super::response::{IncompleteBody, ResponseBody, server_response, streamed_body};
-use super::server_end::{check_broken_run, may_be_end};
+use super::server_end::check_broken_run;
 use super::stall_detection::{detect_stall, examine_path, record_failure};
 use super::wait::CounterGuard;
 use crate::site::Site;
@@ -198,6 +199,9 @@
                 spawn_local(examine_path(self.site.clone(), self.attempt.destination.clone()));
                 continue;
             }
+            if is_quarantined(&self.site, &self.admitted) {
+                return Err(WireError::Quarantined);
+            }
             let new_path = tokio::select! {
                 biased;
                 piece = piece.as_mut() => return piece,
@@ -257,6 +261,7 @@
                 &self.attempt.head,
             );
             self.log_stream_ended();
+            record_completion(&self.site, &self.admitted);
         }
         self.attempt.in_flight = None;
         self.examine_if_slow();
@@ -271,7 +276,9 @@
         if !is_stalled {
             self.attempt.connection = None;
             if let Some(in_flight) = self.attempt.in_flight.take() {
-                self.check_server(error, in_flight.run());
+                let run = in_flight.run().clone();
+                drop(in_flight);
+                check_broken_run(&self.site, &run, error).await;
             }
         }
         match self.start_next_attempt(error.to_string(), is_stalled).await {
@@ -307,10 +314,13 @@
                 runs = self.runs,
             );
             self.avoided.insert(failed_server);
+            self.check_quarantine()?;
             if !self.try_reserve_resume() {
                 return Err(IncompleteBody);
             }
             let destination = self.next_destination(is_stalled).await?;
+            // Servers may have ended under the same request while this one waited.
+            self.check_quarantine()?;
             let sent = send(
                 &self.site,
                 &self.admitted,
@@ -343,7 +353,7 @@
                 }
                 Err(AttemptError::Unknown { error, run }) => {
                     self.runs += 1;
-                    self.check_server(&error, &run);
+                    check_broken_run(&self.site, &run, &error).await;
                     cause = error.to_string();
                 }
             }
@@ -351,10 +361,12 @@
         }
     }
 
-    fn check_server(&self, error: &WireError, run: &Rc<Run>) {
-        if may_be_end(error) {
-            spawn_local(check_broken_run(self.site.clone(), run.clone(), self.site.now()));
-        }
+    /// Returns an error if the request may not be sent to a server now.
+    fn check_quarantine(&self) -> Result<(), IncompleteBody> {
+        check_quarantine(&self.site, &self.admitted).map_err(|until| {
+            log_quarantined(&self.site, &self.admitted, until);
+            IncompleteBody
+        })
     }
 
     /// Waits for a server or path on which the stream can be resumed, because the caller may already have part of the
--- a/crates/godwit-gateway/src/gossip.rs
+++ b/crates/godwit-gateway/src/gossip.rs
@@ -12,6 +12,8 @@
 use tokio::time::sleep;
 use tracing::{debug, warn};
 
+use crate::crash_message::CrashMessage;
+use crate::forward::record_server_end;
 use crate::site::Site;
 
 /// Interval between two load reports of a host.
@@ -42,6 +44,7 @@
     loads: Vec<ServerLoad>,
     findings: Vec<ServerFinding>,
     partitions: Vec<DomainPartition>,
+    crashes: CrashMessage,
     /// Newest version of the configuration that the sender knows of.
     configuration_version: u64,
     /// Newest revision of a server entry that the sender knows of.
@@ -135,6 +138,7 @@
             sequence: now.0,
             loads: server_loads.collect(),
             findings: findings.into_iter().map(ServerFinding::from).collect(),
+            crashes: self.site.crashes.borrow_mut().next_report(now).into(),
             configuration_version: self.site.configuration_freshness.borrow().newest_known(),
             servers_revision: self.site.servers_freshness.borrow().newest_known(),
             partitions: partitions
@@ -198,6 +202,11 @@
                 .borrow_mut()
                 .merge_partition(&PartitionReport { domains, for_ms }, now);
         }
+        let crashes = message.crashes.into();
+        let new_ends = site.crashes.borrow_mut().merge(&crashes, &message.host, now);
+        for incarnation in new_ends {
+            record_server_end(site, &incarnation);
+        }
         let server_loads = message.loads.into_iter().map(|server_load| {
             (
                 server_load.server_id,
--- a/crates/godwit-gateway/src/lib.rs
+++ b/crates/godwit-gateway/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod clock;
 mod coordinator;
+mod crash_message;
 mod forward;
 mod gossip;
 mod listeners;
--- a/crates/godwit-gateway/src/run.rs
+++ b/crates/godwit-gateway/src/run.rs
@@ -38,6 +38,9 @@
     /// Settings file of the platform
     #[bpaf(long, env("GODWITDEAL_SETTINGS"), argument("FILE"))]
     pub settings: String,
+    /// Time in milliseconds for which a request that ended three servers is refused; it doubles with each further server
+    #[bpaf(long, argument("MS"), fallback(300_000))]
+    pub quarantine_ms: u64,
     /// Log filter, in the syntax of `tracing`
     #[bpaf(long, argument("FILTER"), fallback("info".to_string()))]
     pub log: String,
@@ -51,14 +54,14 @@
     let settings = load_settings(&options.settings)?;
     let _log_guard = telemetry::start_logs(&options.log)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let result = LocalSet::new().block_on(&runtime, run_host(settings, &options.settings));
+    let result = LocalSet::new().block_on(&runtime, run_host(settings, options));
     if let Err(error) = &result {
         error!(event = "failed", %error);
     }
     result
 }
 
-async fn run_host(mut settings: PlatformSettings, settings_path: &str) -> eyre::Result<()> {
+async fn run_host(mut settings: PlatformSettings, options: &GatewayOptions) -> eyre::Result<()> {
     let metrics = telemetry::start_metrics()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -82,7 +85,7 @@
         store = %settings.store_address,
         first_start = settings.is_first_start,
     );
-    let site = Rc::new(Site::new(settings, Clock::new()));
+    let site = Rc::new(Site::new(settings, Clock::new(), options.quarantine_ms));
     let (stop, stopping) = watch::channel(false);
     spawn_local(serve_metrics(metrics_listener, metrics));
     spawn_local(serve_readiness(site.clone(), readiness));
@@ -98,7 +101,7 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => validate_settings_file(settings_path),
+            _ = hangup.recv() => validate_settings_file(&options.settings),
         }
     }
     stop_serving(&site, &stop).await;
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -6,6 +6,7 @@
 
 use godwit_adapter::PlatformSettings;
 use godwit_core::SteadyMs;
+use godwit_core::quarantine::CrashRegister;
 use godwit_core::site::{
     Configuration, Findings, FreshnessTracker, HealthLimits, LoadTable, PeerHost, RegistryLimits,
     Relay, RelayLimits, RetryBudget, RetryLimits, ServerHealth, ServerRegistry,
@@ -14,7 +15,7 @@
 use tracing::info;
 
 use crate::clock::Clock;
-use crate::forward::Runs;
+use crate::forward::{Runs, log_status_changes};
 use crate::pool::ConnectionPool;
 
 /// Time for which a missing server entry is kept after a store outage, in milliseconds. Servers are listed
@@ -50,6 +51,7 @@
     /// Revisions of the server entries that this host and other hosts have seen.
     pub(crate) servers_freshness: RefCell<FreshnessTracker>,
     pub(crate) runs: Runs,
+    pub(crate) crashes: RefCell<CrashRegister>,
     /// Checks under way of servers that may have ended, by incarnation.
     pub(crate) server_checks: RefCell<BTreeMap<String, Rc<OnceCell<bool>>>>,
     pub(crate) pool: RefCell<ConnectionPool>,
@@ -61,7 +63,7 @@
 }
 
 impl Site {
-    pub(crate) fn new(settings: PlatformSettings, clock: Clock) -> Site {
+    pub(crate) fn new(settings: PlatformSettings, clock: Clock, quarantine_ms: u64) -> Site {
         let health =
             HealthLimits { first_ejection_ms: FIRST_EJECTION_MS, max_ejection_ms: MAX_EJECTION_MS };
         let relay = RelayLimits { silence_timeout_ms: PEER_SILENCE_MS, skip_ms: PEER_SKIP_MS };
@@ -78,6 +80,7 @@
             configuration_freshness: RefCell::new(FreshnessTracker::new()),
             servers_freshness: RefCell::new(FreshnessTracker::new()),
             runs: Runs::default(),
+            crashes: RefCell::new(CrashRegister::new(quarantine_ms)),
             server_checks: RefCell::new(BTreeMap::new()),
             pool: RefCell::new(ConnectionPool::new()),
             is_stopping: Cell::new(false),
@@ -127,8 +130,10 @@
         self.relay.borrow().known_hosts() + 1
     }
 
-    /// Drops expired loads, idle connections and server entries.
+    /// Drops expired loads, idle connections, server entries and losses.
     pub(crate) fn expire(&self, now: SteadyMs) {
+        self.crashes.borrow_mut().expire(now);
+        log_status_changes(self, now);
         self.loads.borrow_mut().expire(now);
         self.pool.borrow_mut().expire(now);
         let expired = self.registry.borrow_mut().expire(now);
--- a/crates/godwit-gateway/src/wire/error.rs
+++ b/crates/godwit-gateway/src/wire/error.rs
@@ -21,6 +21,9 @@
     /// A server on the path of the request is stalled.
     #[error("a server on the path is stalled")]
     Stalled,
+    /// Several servers ended while they ran the request, and it is not moved to another one.
+    #[error("the request is quarantined")]
+    Quarantined,
     /// No response arrived before the deadline.
     #[error("no response before the deadline")]
     TimedOut,
