Count runs that are lost at the same time once, and name incarnations alike

Losses of runs that were under way together, and within the same second, are now one round; attempts that follow each other are not.

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -3,7 +3,7 @@
 //! Hosts exchange reports of single losses and derive all else from them, so that reports may arrive late, repeatedly
 //! and in any order. Ages are exchanged instead of times, because the clocks of hosts differ.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::SteadyMs;
 use crate::quarantine::marks::MARK_LIFETIME_MS;
@@ -14,7 +14,7 @@
 /// Weight of the loss of a server in the middle of a response, which the request is less likely to have caused.
 const LATE_LOSS_WEIGHT: u64 = 6;
 
-/// Weight of losses at which a request is quarantined: three servers lost before the response began.
+/// Weight of losses at which a request is quarantined: three servers lost one after the other before the response began.
 const QUARANTINE_WEIGHT: u64 = 3 * LOSS_WEIGHT;
 
 /// Time within which servers that end count as one event, in milliseconds. The end of a later stage of a path shows
@@ -25,7 +25,7 @@
 /// a failure domain or an operator.
 const MAX_SHARED_ENDS: u64 = 4;
 
-/// Number of runs that lost a server before the response began, from which a request is a likelier cause of a server's
+/// Number of rounds that lost a server before the response began, from which a request is a likelier cause of a server's
 /// end than an event that ended other servers too.
 const REPEATED_LOSSES: usize = 2;
 
@@ -75,8 +75,8 @@
 pub struct LostRun<'a> {
     /// Fingerprint of the request.
     pub fingerprint: u64,
-    /// Identity of the run among those of all hosts.
-    pub run: u64,
+    /// Time at which the request was sent to the server.
+    pub started_at: SteadyMs,
     /// Number of pieces of the response that had arrived.
     pub pieces: u64,
     /// Id of the request at the caller's attempt.
@@ -88,8 +88,8 @@
 pub struct Loss {
     /// Time at which the server ended.
     pub ended_at: SteadyMs,
-    /// Identity of the run. A run over several servers may lose more than one.
-    pub run: u64,
+    /// Time for which the request had run, in milliseconds.
+    pub ran_ms: u64,
     /// Number of pieces of the response that had arrived.
     pub pieces: u64,
     /// Id of the request at the caller's attempt that lost the server.
@@ -105,8 +105,8 @@
     pub server: String,
     /// Time since the server ended, in milliseconds.
     pub ended_ago_ms: u64,
-    /// Identity of the run.
-    pub run: u64,
+    /// Time for which the request had run, in milliseconds.
+    pub ran_ms: u64,
     /// Number of pieces of the response that had arrived.
     pub pieces: u64,
     /// Id of the request at the caller's attempt that lost the server.
@@ -191,9 +191,12 @@
     pub status: CrashStatus,
 }
 
-/// Weight of a run that lost servers.
-#[derive(Clone, Copy, Debug, Default)]
-struct LostRunWeight {
+/// Losses of a request whose runs were under way at the same time.
+#[derive(Clone, Copy, Debug)]
+struct Round {
+    /// Time of the first loss.
+    began_at: SteadyMs,
+    /// Time of the last loss.
     ended_at: SteadyMs,
     weight: u64,
 }
@@ -213,10 +216,10 @@
         self.losses.values().map(|loss| loss.ended_at).max().unwrap_or_default()
     }
 
-    /// Number of runs that lost a server before the response began.
+    /// Number of rounds that lost a server before the response began.
     fn early_losses(&self) -> usize {
-        let early = self.losses.values().filter(|loss| loss.pieces == 0);
-        early.map(|loss| loss.run).collect::<BTreeSet<_>>().len()
+        let weight = |loss: &Loss| u64::from(loss.pieces == 0);
+        self.rounds(weight).iter().filter(|round| round.weight > 0).count()
     }
 
     /// Adds a loss or merges another report of it, and returns whether that changed anything.
@@ -241,17 +244,31 @@
         true
     }
 
-    /// Returns the runs that lost servers, by time. A run counts once, with the heaviest of its losses.
-    fn lost_runs(&self, weight: impl Fn(&Loss) -> u64) -> Vec<LostRunWeight> {
-        let mut by_run: BTreeMap<u64, LostRunWeight> = BTreeMap::new();
-        for loss in self.losses.values() {
-            let lost_run = by_run.entry(loss.run).or_default();
-            lost_run.weight = weight(loss).max(lost_run.weight);
-            lost_run.ended_at = loss.ended_at.max(lost_run.ended_at);
+    /// Returns the rounds of losses, by time. Losses close to each other of runs that were under way at the same time are
+    /// one round, which weighs as much as the heaviest of them: an event that ends several servers ends all runs on them.
+    fn rounds(&self, weight: impl Fn(&Loss) -> u64) -> Vec<Round> {
+        let mut losses: Vec<&Loss> = self.losses.values().collect();
+        losses.sort_by_key(|loss| loss.ended_at);
+        let mut rounds: Vec<Round> = Vec::new();
+        for loss in losses {
+            let weight = weight(loss);
+            let started_at = SteadyMs(loss.ended_at.0.saturating_sub(loss.ran_ms));
+            let is_same_round = |round: &&mut Round| {
+                started_at < round.began_at
+                    && loss.ended_at.since_ms(round.began_at) <= SHARED_END_MS
+            };
+            match rounds.last_mut().filter(is_same_round) {
+                Some(round) => {
+                    round.weight = round.weight.max(weight);
+                    round.ended_at = loss.ended_at;
+                }
+                None => {
+                    let (began_at, ended_at) = (loss.ended_at, loss.ended_at);
+                    rounds.push(Round { began_at, ended_at, weight });
+                }
+            }
         }
-        let mut lost_runs: Vec<LostRunWeight> = by_run.into_values().collect();
-        lost_runs.sort_by_key(|lost_run| lost_run.ended_at);
-        lost_runs
+        rounds
     }
 
     fn clear(&mut self, at: SteadyMs) {
@@ -269,7 +286,7 @@
 /// for second in 1..=3 {
 ///     let (server, now) = (format!("s-{second}"), SteadyMs(second * 5_000));
 ///     assert_eq!(register.status(7, now), CrashStatus::Clear);
-///     let lost = LostRun { fingerprint: 7, run: second, pieces: 0, request_id: "r-1" };
+///     let lost = LostRun { fingerprint: 7, started_at: now, pieces: 0, request_id: "r-1" };
 ///     register.record_loss(lost, &server, now);
 /// }
 /// let until = SteadyMs(75_000);
@@ -329,9 +346,10 @@
     /// last completed run.
     pub fn record_loss(&mut self, lost: LostRun<'_>, server: &str, now: SteadyMs) -> bool {
         self.record_end(server, now);
+        let ended_at = self.ended_at(server).unwrap_or(now);
         let loss = Loss {
-            ended_at: self.ended_at(server).unwrap_or(now),
-            run: lost.run,
+            ended_at,
+            ran_ms: ended_at.since_ms(lost.started_at),
             pieces: lost.pieces,
             request_id: truncated(lost.request_id),
             heard_from: None,
@@ -420,23 +438,24 @@
     /// End of the quarantine to which the losses of a request lead; none if they weigh too little. A loss before the end
     /// begins the quarantine anew, a loss on probation doubles it.
     fn quarantine_end(&self, fingerprint: u64, suspect: &Suspect) -> Option<SteadyMs> {
-        if total_weight(&suspect.lost_runs(full_weight)) < QUARANTINE_WEIGHT {
+        let full_weights = suspect.rounds(full_weight);
+        if full_weights.iter().map(|round| round.weight).sum::<u64>() < QUARANTINE_WEIGHT {
             return None;
         }
-        let lost_runs = suspect.lost_runs(|loss| {
+        let rounds = suspect.rounds(|loss| {
             let others = self.unexplained_ends(fingerprint, suspect, loss.ended_at);
             if others < MAX_SHARED_ENDS { full_weight(loss) / (others + 1) } else { 0 }
         });
         let mut total = 0;
         let mut duration_ms = self.quarantine_ms;
         let mut end: Option<SteadyMs> = None;
-        for lost_run in lost_runs.iter().filter(|lost_run| lost_run.weight > 0) {
-            total += lost_run.weight;
-            if end.is_some_and(|end| end.is_past(lost_run.ended_at)) {
+        for round in rounds.iter().filter(|round| round.weight > 0) {
+            total += round.weight;
+            if end.is_some_and(|end| end.is_past(round.ended_at)) {
                 duration_ms = (2 * duration_ms).min(self.max_quarantine_ms());
             }
             if total >= QUARANTINE_WEIGHT {
-                end = Some(lost_run.ended_at.plus_ms(duration_ms));
+                end = Some(round.ended_at.plus_ms(duration_ms));
             }
         }
         end
@@ -586,7 +605,7 @@
         let losses = suspect.losses.iter().map(|(server, loss)| LossReport {
             server: server.clone(),
             ended_ago_ms: now.since_ms(loss.ended_at),
-            run: loss.run,
+            ran_ms: loss.ran_ms,
             pieces: loss.pieces,
             request_id: loss.request_id.clone(),
         });
@@ -613,7 +632,7 @@
             for loss in suspect.losses.iter().take(MAX_LOSSES) {
                 let heard = Loss {
                     ended_at: time(loss.ended_ago_ms),
-                    run: loss.run,
+                    ran_ms: loss.ran_ms,
                     pieces: loss.pieces,
                     request_id: truncated(&loss.request_id),
                     heard_from: Some(sender.to_string()),
@@ -640,10 +659,6 @@
     if loss.pieces == 0 { LOSS_WEIGHT } else { LATE_LOSS_WEIGHT }
 }
 
-fn total_weight(lost_runs: &[LostRunWeight]) -> u64 {
-    lost_runs.iter().map(|lost_run| lost_run.weight).sum()
-}
-
 /// Returns the start of a request id, which the caller chooses, up to the length that is kept.
 fn truncated(request_id: &str) -> String {
     let mut end = request_id.len().min(MAX_REQUEST_ID_BYTES);
--- a/crates/godwit-core/src/site/registry.rs
+++ b/crates/godwit-core/src/site/registry.rs
@@ -37,8 +37,15 @@
     is_store_unreachable: bool,
     /// End of the grace period after the last store outage.
     grace_ends_at: SteadyMs,
-    /// Time at which each server that drains or is no longer listed was first seen so.
-    departed_at: BTreeMap<String, SteadyMs>,
+    /// Servers that drain or are no longer listed.
+    departures: BTreeMap<String, Departure>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    /// Time at which the server was first seen to leave.
+    at: SteadyMs,
+    born_unix_ms: u64,
 }
 
 impl ServerRegistry {
@@ -56,7 +63,7 @@
             entries,
             is_store_unreachable: false,
             grace_ends_at: SteadyMs(0),
-            departed_at: BTreeMap::new(),
+            departures: BTreeMap::new(),
         }
     }
 
@@ -90,8 +97,8 @@
     /// Adds or updates an entry.
     pub fn update(&mut self, server: BackendServer, now: SteadyMs) {
         match server.state {
-            ServerState::Draining => self.record_departure(&server.id, now),
-            ServerState::Ready => drop(self.departed_at.remove(&server.id)),
+            ServerState::Draining => self.record_departure(&server, now),
+            ServerState::Ready => drop(self.departures.remove(&server.id)),
         }
         self.entries.insert(server.id.clone(), Entry { server, missing_until: None });
     }
@@ -99,8 +106,8 @@
     /// Removes an entry. Within the grace period after a store outage, a ready server is kept until the period ends; a
     /// draining one is removed at once.
     pub fn remove(&mut self, id: &str, now: SteadyMs) {
-        if self.entries.contains_key(id) {
-            self.record_departure(id, now);
+        if let Some(server) = self.entries.get(id).map(|entry| entry.server.clone()) {
+            self.record_departure(&server, now);
         }
         let may_have_expired = !self.grace_ends_at.is_past(now);
         let Some(entry) = self.entries.get_mut(id) else { return };
@@ -113,7 +120,7 @@
 
     /// Drops the entries that were not listed again within the grace period, and returns their identities.
     pub fn expire(&mut self, now: SteadyMs) -> Vec<String> {
-        self.departed_at.retain(|_, at| now.since_ms(*at) < DEPARTURE_MEMORY_MS);
+        self.departures.retain(|_, departure| now.since_ms(departure.at) < DEPARTURE_MEMORY_MS);
         let has_expired =
             |entry: &Entry| entry.missing_until.is_some_and(|until| until.is_past(now));
         let expired: Vec<String> = self
@@ -128,15 +135,22 @@
         expired
     }
 
-    fn record_departure(&mut self, id: &str, now: SteadyMs) {
-        self.departed_at.entry(id.to_string()).or_insert(now);
+    fn record_departure(&mut self, server: &BackendServer, now: SteadyMs) {
+        let departure = Departure { at: now, born_unix_ms: server.born_unix_ms };
+        self.departures.entry(server.id.clone()).or_insert(departure);
+    }
+
+    /// Returns the start of the incarnation of a server that is listed, or was until recently.
+    pub fn born_unix_ms(&self, id: &str) -> Option<u64> {
+        let listed = self.get(id).map(|server| server.born_unix_ms);
+        listed.or_else(|| self.departures.get(id).map(|departure| departure.born_unix_ms))
     }
 
     /// Whether a server was known to leave well before a time: a server that leaves as planned is announced long before
     /// it stops, while the entry of one that crashed may be removed right after the crash.
     pub fn was_leaving(&self, id: &str, at: SteadyMs) -> bool {
-        let departed_at = self.departed_at.get(id);
-        departed_at.is_some_and(|departed_at| at.since_ms(*departed_at) >= MIN_DEPARTURE_NOTICE_MS)
+        let departure = self.departures.get(id);
+        departure.is_some_and(|departure| at.since_ms(departure.at) >= MIN_DEPARTURE_NOTICE_MS)
     }
 
     /// Returns the server with an identity.
--- a/crates/godwit-core/tests/crash_register.rs
+++ b/crates/godwit-core/tests/crash_register.rs
@@ -5,7 +5,6 @@
     CrashAdmission, CrashRegister, CrashStatus, LostRun, MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES,
     MAX_REPORTED_SUSPECTS, MAX_SERVER_ENDS, MAX_SUSPECTS, ProbationTurn,
 };
-use godwit_core::rendezvous::weight;
 
 const QUARANTINE_MS: u64 = 300_000;
 const START: SteadyMs = SteadyMs(20_000_000);
@@ -24,10 +23,23 @@
     START.plus_ms(ms)
 }
 
-/// Records that a server ended under a run of its own.
+/// Records that a server ended under a run that had just begun.
 fn lose(register: &mut CrashRegister, fingerprint: u64, server: &str, pieces: u64, ms: u64) {
-    let run = weight(server, &fingerprint.to_string());
-    register.record_loss(LostRun { fingerprint, run, pieces, request_id: "r-1" }, server, at(ms));
+    lose_after(register, fingerprint, server, pieces, ms, 0);
+}
+
+/// Records that a server ended under a run that had begun `ran_ms` before.
+fn lose_after(
+    register: &mut CrashRegister,
+    fingerprint: u64,
+    server: &str,
+    pieces: u64,
+    ms: u64,
+    ran_ms: u64,
+) {
+    let started_at = SteadyMs(at(ms).0 - ran_ms);
+    let lost = LostRun { fingerprint, started_at, pieces, request_id: "r-1" };
+    register.record_loss(lost, server, at(ms));
 }
 
 fn is_quarantined(register: &CrashRegister, fingerprint: u64, ms: u64) -> bool {
@@ -60,14 +72,49 @@
 #[test]
 fn status_counts_the_stages_of_one_run_once() {
     let mut register = register();
-    for (run, ms) in [(1, 1_000), (2, 5_000), (3, 9_000)] {
-        assert_eq!(register.status(GUILTY, at(ms)), CrashStatus::Clear, "before run {run}");
-        for stage in ["a", "b", "c"] {
-            let lost = LostRun { fingerprint: GUILTY, run, pieces: 0, request_id: "r-1" };
-            register.record_loss(lost, &format!("{stage}-{run}"), at(ms));
+    for ms in [1_000, 5_000, 9_000] {
+        assert_eq!(register.status(GUILTY, at(ms)), CrashStatus::Clear, "before {ms} ms");
+        for (number, stage) in ["a", "b", "c"].iter().enumerate() {
+            let shown_after_ms = 100 * number as u64;
+            let server = format!("{stage}-{ms}");
+            let ran_ms = 20 + shown_after_ms;
+            lose_after(&mut register, GUILTY, &server, 0, ms + shown_after_ms, ran_ms);
+        }
+    }
+    assert!(is_quarantined(&register, GUILTY, 9_200));
+}
+
+/// A request that runs on many servers at once was once quarantined by a single crash of half of them.
+#[test]
+fn status_counts_runs_at_the_same_time_once() {
+    let mut register = register();
+    for wave in 0..2 {
+        for server in 0..5 {
+            let ms = 1_000 + wave * 3_000 + server;
+            lose_after(&mut register, SOUND, &format!("s-{wave}-{server}"), 0, ms, 50);
         }
     }
-    assert!(is_quarantined(&register, GUILTY, 9_000));
+    assert_eq!(register.status(SOUND, at(5_000)), CrashStatus::Clear);
+}
+
+/// Callers that repeat before the first run has ended its server keep several runs under way all the time.
+#[test]
+fn status_counts_overlapping_runs_that_end_servers_at_different_times() {
+    let mut register = register();
+    for number in 0..10 {
+        lose_after(&mut register, GUILTY, &format!("s-{number}"), 0, 4_000 + 300 * number, 4_000);
+    }
+    assert!(is_quarantined(&register, GUILTY, 7_000));
+}
+
+/// Attempts of one request follow each other within milliseconds.
+#[test]
+fn status_counts_runs_one_after_the_other() {
+    let mut register = register();
+    for number in 0..3 {
+        lose_after(&mut register, GUILTY, &format!("s-{number}"), 0, 1_000 + 2 * number, 1);
+    }
+    assert!(is_quarantined(&register, GUILTY, 1_004));
 }
 
 #[test]
--- a/crates/godwit-gateway/src/crash_message.rs
+++ b/crates/godwit-gateway/src/crash_message.rs
@@ -27,7 +27,7 @@
 struct Loss {
     server: String,
     ended_ago_ms: u64,
-    run: u64,
+    ran_ms: u64,
     pieces: u64,
     request_id: String,
 }
@@ -64,14 +64,14 @@
 
 impl From<LossReport> for Loss {
     fn from(report: LossReport) -> Loss {
-        let LossReport { server, ended_ago_ms, run, pieces, request_id } = report;
-        Loss { server, ended_ago_ms, run, pieces, request_id }
+        let LossReport { server, ended_ago_ms, ran_ms, pieces, request_id } = report;
+        Loss { server, ended_ago_ms, ran_ms, pieces, request_id }
     }
 }
 
 impl From<Loss> for LossReport {
     fn from(loss: Loss) -> LossReport {
-        let Loss { server, ended_ago_ms, run, pieces, request_id } = loss;
-        LossReport { server, ended_ago_ms, run, pieces, request_id }
+        let Loss { server, ended_ago_ms, ran_ms, pieces, request_id } = loss;
+        LossReport { server, ended_ago_ms, ran_ms, pieces, request_id }
     }
 }
--- a/crates/godwit-gateway/src/forward/in_flight.rs
+++ b/crates/godwit-gateway/src/forward/in_flight.rs
@@ -12,8 +12,6 @@
 
 /// A request that was sent to a server or path. Moving it to another path begins another run.
 pub(crate) struct Run {
-    /// Identity among the runs of all hosts.
-    pub(crate) id: u64,
     pub(crate) admitted: Rc<AdmittedRequest>,
     pub(crate) destination: Destination,
     pub(crate) started_at: SteadyMs,
@@ -90,7 +88,6 @@
         destination: &Destination,
     ) -> InFlightGuard {
         let run = Rc::new(Run {
-            id: rand::random(),
             admitted: admitted.clone(),
             destination: destination.clone(),
             started_at: site.now(),
--- a/crates/godwit-gateway/src/forward/mod.rs
+++ b/crates/godwit-gateway/src/forward/mod.rs
@@ -17,3 +17,4 @@
 pub(crate) use handler::serve;
 pub(crate) use in_flight::Runs;
 pub(crate) use quarantine::{log_status_changes, record_server_end};
+pub(crate) use server_end::ServerCheck;
--- a/crates/godwit-gateway/src/forward/quarantine.rs
+++ b/crates/godwit-gateway/src/forward/quarantine.rs
@@ -29,7 +29,7 @@
     let fingerprint = run.admitted.fingerprint;
     let lost = LostRun {
         fingerprint: fingerprint.0,
-        run: run.id,
+        started_at: run.started_at,
         pieces: run.pieces(),
         request_id: run.request_id(),
     };
--- a/crates/godwit-gateway/src/forward/server_end.rs
+++ b/crates/godwit-gateway/src/forward/server_end.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use godwit_core::SteadyMs;
+use godwit_core::site::ServerState;
 use tokio::sync::OnceCell;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -27,14 +28,23 @@
 /// Pause between two checks of a server that closes new connections.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Maximum number of checks of a server that closes new connections; together shorter than the platform's contact
-/// window.
-const MAX_CHECKS: u32 = 8;
+/// Maximum number of checks of a server that closes new connections.
+const MAX_CHECKS: u32 = 3;
+
+/// Time after a run broke within which the removal of its server shows that the server had ended, although its address
+/// accepts connections. Longer than the pause between two watches of the servers.
+const REMOVAL_WINDOW_MS: u64 = 1_500;
+
+/// Interval at which the removal of a server is checked.
+const REMOVAL_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Shortest time between the end of a server and its next start, in milliseconds.
+const MIN_RESTART_MS: u64 = 1_000;
 
 /// What a check shows of a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ServerCheck {
-    /// Nothing listens at its address, or it has been replaced.
+pub(crate) enum ServerCheck {
+    /// Nothing listens at its address.
     Ended,
     /// It was leaving as planned.
     Leaving,
@@ -84,7 +94,6 @@
 async fn server_state(
     site: &Site,
     server_id: &str,
-    incarnation: &str,
     address: SocketAddr,
     broke_at: SteadyMs,
 ) -> ServerCheck {
@@ -96,47 +105,116 @@
         if check != ServerCheck::Closing {
             break;
         }
-        if site.incarnation(server_id).as_deref() != Some(incarnation) {
-            return ServerCheck::Ended;
-        }
         sleep(RECHECK_INTERVAL).await;
         check = connect_once(site, server_id, address).await;
     }
     check
 }
 
-/// Finds out whether a server of a run had ended at `broke_at`, and records it for all runs of this host. Runs that break
-/// at the same time share one check.
-async fn has_ended(
+/// Whether a server is no longer listed, or in another incarnation, although it was not known to leave before a time.
+fn was_removed(site: &Site, server_id: &str, incarnation: &str, at: SteadyMs) -> bool {
+    let registry = site.registry.borrow();
+    if registry.was_leaving(server_id, at) {
+        return false;
+    }
+    let is_ready = registry.get(server_id).is_none_or(|it| it.state == ServerState::Ready);
+    let is_listed = registry.get(server_id).is_some();
+    is_ready && (!is_listed || incarnation.trim_end_matches('+') != site.incarnation(server_id))
+}
+
+/// Checks a server of a run that broke at a time. Runs that break at the same time share one check.
+async fn shared_check(
     site: &Rc<Site>,
     run: &Run,
     server_id: &str,
     incarnation: &str,
     broke_at: SteadyMs,
-) -> bool {
-    let Some(address) = run.destination.address_of(server_id) else { return false };
-    let shared: Rc<OnceCell<bool>> =
+) -> ServerCheck {
+    let Some(address) = run.destination.address_of(server_id) else { return ServerCheck::Silent };
+    let shared: Rc<OnceCell<ServerCheck>> =
         site.server_checks.borrow_mut().entry(incarnation.to_string()).or_default().clone();
     let check = async || {
-        let outcome = server_state(site, server_id, incarnation, address, broke_at).await;
+        let outcome = server_state(site, server_id, address, broke_at).await;
         info!(event = "server_checked", server = server_id, incarnation, ?outcome);
-        let has_ended = outcome == ServerCheck::Ended;
-        if has_ended {
-            metrics::counter!("servers_ended_total").increment(1);
-            site.crashes.borrow_mut().record_end(incarnation, broke_at);
-            record_server_end(site, incarnation);
+        if outcome == ServerCheck::Ended {
+            record_end(site, incarnation, broke_at);
         }
         site.server_checks.borrow_mut().remove(incarnation);
-        has_ended
+        outcome
     };
     *shared.get_or_init(check).await
 }
 
+/// Records that a server has ended, for all runs of this host on it.
+fn record_end(site: &Site, incarnation: &str, ended_at: SteadyMs) {
+    if site.crashes.borrow_mut().record_end(incarnation, ended_at) {
+        metrics::counter!("servers_ended_total").increment(1);
+        record_server_end(site, incarnation);
+    }
+}
+
+/// What is known of the end of a server under a run.
+enum KnownEnd {
+    /// Nothing yet of this incarnation.
+    Unknown { incarnation: String },
+    /// The server ended during the run.
+    DuringRun { incarnation: String, ended_at: SteadyMs },
+    /// The server had ended when the run was sent, over a connection that it had left open.
+    BeforeRun,
+}
+
+fn known_end(site: &Site, run: &Run, server_id: &str) -> KnownEnd {
+    let mut incarnation = site.incarnation(server_id);
+    loop {
+        let ended_at = site.crashes.borrow().ended_at(&incarnation);
+        match ended_at {
+            None => return KnownEnd::Unknown { incarnation },
+            Some(ended_at) if run.started_at <= ended_at => {
+                return KnownEnd::DuringRun { incarnation, ended_at };
+            }
+            Some(ended_at) if run.started_at < ended_at.plus_ms(MIN_RESTART_MS) => {
+                return KnownEnd::BeforeRun;
+            }
+            // The server has returned although its entry does not tell.
+            Some(_) => incarnation.push('+'),
+        }
+    }
+}
+
 /// Checks a server of a run that has broken or waits for it, and records the loss if the server has ended.
 async fn check_server_of(site: Rc<Site>, run: Rc<Run>, server_id: String, broke_at: SteadyMs) {
-    let incarnation = site.incarnation(&server_id).unwrap_or_else(|| server_id.clone());
-    if has_ended(&site, &run, &server_id, &incarnation, broke_at).await {
-        record_lost_run(&site, &run, &incarnation, broke_at);
+    let incarnation = match known_end(&site, &run, &server_id) {
+        KnownEnd::Unknown { incarnation } => incarnation,
+        KnownEnd::DuringRun { incarnation, ended_at } => {
+            return record_lost_run(&site, &run, &incarnation, ended_at);
+        }
+        KnownEnd::BeforeRun => return,
+    };
+    match shared_check(&site, &run, &server_id, &incarnation, broke_at).await {
+        ServerCheck::Ended => record_lost_run(&site, &run, &incarnation, broke_at),
+        ServerCheck::Running | ServerCheck::Closing => {
+            spawn_local(await_removal(site, run, server_id, incarnation, broke_at));
+        }
+        ServerCheck::Leaving | ServerCheck::Silent => {}
+    }
+}
+
+/// Records the loss if the server of a run that broke is removed soon after. Another process may listen at its address.
+async fn await_removal(
+    site: Rc<Site>,
+    run: Rc<Run>,
+    server_id: String,
+    incarnation: String,
+    broke_at: SteadyMs,
+) {
+    let deadline = broke_at.plus_ms(REMOVAL_WINDOW_MS);
+    while !deadline.is_past(site.now()) {
+        if was_removed(&site, &server_id, &incarnation, broke_at) {
+            record_end(&site, &incarnation, broke_at);
+            record_lost_run(&site, &run, &incarnation, broke_at);
+            return;
+        }
+        sleep(REMOVAL_POLL_INTERVAL).await;
     }
 }
 
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -15,7 +15,7 @@
 use tracing::info;
 
 use crate::clock::Clock;
-use crate::forward::{Runs, log_status_changes};
+use crate::forward::{Runs, ServerCheck, log_status_changes};
 use crate::pool::ConnectionPool;
 
 /// Time for which a missing server entry is kept after a store outage, in milliseconds. Servers are listed
@@ -53,7 +53,7 @@
     pub(crate) runs: Runs,
     pub(crate) crashes: RefCell<CrashRegister>,
     /// Checks under way of servers that may have ended, by incarnation.
-    pub(crate) server_checks: RefCell<BTreeMap<String, Rc<OnceCell<bool>>>>,
+    pub(crate) server_checks: RefCell<BTreeMap<String, Rc<OnceCell<ServerCheck>>>>,
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) is_stopping: Cell<bool>,
     pub(crate) requests_in_progress: Cell<usize>,
@@ -169,10 +169,10 @@
         self.with_budget(service, |budget| budget.has_room(hosts, self.now()))
     }
 
-    /// Returns the name of a server's current incarnation; none if the server is not listed.
-    pub(crate) fn incarnation(&self, server_id: &str) -> Option<String> {
-        let registry = self.registry.borrow();
-        registry.get(server_id).map(|server| format!("{server_id}/{}", server.born_unix_ms))
+    /// Returns the name of the incarnation of a server that is listed, or was last.
+    pub(crate) fn incarnation(&self, server_id: &str) -> String {
+        let born_unix_ms = self.registry.borrow().born_unix_ms(server_id).unwrap_or(0);
+        format!("{server_id}/{born_unix_ms}")
     }
 
     /// Records that a server failed a request, which ejects it for a time, and closes its idle connections.
--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -38,16 +38,18 @@
 const COMPLETE_STREAM: Behavior = Behavior::Stream { events: 20, is_complete: true };
 
 fn plain_fleet() -> FleetPlan {
-    FleetPlan { service: "api", layers: vec![None; 10], behavior: Behavior::Respond }
+    let layers = vec![None; 10];
+    FleetPlan { service: "api", layers, behavior: Behavior::Respond, keeps_listening: false }
 }
 
 fn model_fleet() -> FleetPlan {
-    FleetPlan { service: "chat", layers: vec![Some((0, 16)); 10], behavior: COMPLETE_STREAM }
+    let layers = vec![Some((0, 16)); 10];
+    FleetPlan { service: "chat", layers, behavior: COMPLETE_STREAM, keeps_listening: false }
 }
 
 fn two_stage_fleet() -> FleetPlan {
     let layers = [vec![Some((0, 8)); 3], vec![Some((8, 16)); 10]].concat();
-    FleetPlan { service: "chat", layers, behavior: COMPLETE_STREAM }
+    FleetPlan { service: "chat", layers, behavior: COMPLETE_STREAM, keeps_listening: false }
 }
 
 /// A fleet before two hosts that share a store. Each request may be sent to four servers.
@@ -163,6 +165,13 @@
     check_repeats(&plain_fleet(), "POST", &format!("/order/{END_SERVER}"));
 }
 
+/// The address of a server that has ended may accept connections, of a proxy or of the next process there.
+#[test]
+fn call_that_ends_servers_whose_address_still_accepts_is_not_sent_on() {
+    let plan = FleetPlan { keeps_listening: true, ..plain_fleet() };
+    check_repeats(&plan, "GET", &format!("/read/{END_SERVER}"));
+}
+
 #[test]
 fn stream_that_ends_three_servers_is_not_sent_on() {
     check_repeats(&model_fleet(), "POST", &format!("/chat/{END_SERVER}"));
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -22,6 +22,9 @@
     pub(crate) service: &'static str,
     pub(crate) layers: Vec<Option<(u32, u32)>>,
     pub(crate) behavior: Behavior,
+    /// Whether another process goes on listening at the address of a server that has ended, whose entry is removed at
+    /// once.
+    pub(crate) keeps_listening: bool,
 }
 
 struct Member {
@@ -43,6 +46,9 @@
     fn add(&mut self, layers: Option<(u32, u32)>) {
         let id = format!("{}-{}", self.plan.service, self.members.len());
         let server = FakeServer::start(&id, &[self.plan.behavior]);
+        if self.plan.keeps_listening {
+            server.keep_listening();
+        }
         if self.is_robust {
             server.make_robust();
         }
@@ -59,7 +65,8 @@
                 member.is_replaced = true;
                 replaced.push(member.layers);
             }
-            if !member.is_removed && now >= ended_at + LAPSE_DELAY {
+            let lapse_delay = if self.plan.keeps_listening { Duration::ZERO } else { LAPSE_DELAY };
+            if !member.is_removed && now >= ended_at + lapse_delay {
                 member.is_removed = true;
                 self.store.remove("servers", &member.server.id);
             }
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -81,6 +81,8 @@
     ended_at: Arc<Mutex<Option<Instant>>>,
     /// Whether requests no longer end the server.
     is_robust: Arc<AtomicBool>,
+    /// Whether another process goes on listening at the address after the end, and closes its connections.
+    keeps_listening: Arc<AtomicBool>,
     handled: Arc<Mutex<Vec<HandledRequest>>>,
     control: Arc<Mutex<ControlState>>,
 }
@@ -104,6 +106,7 @@
             listener: Arc::default(),
             ended_at: Arc::default(),
             is_robust: Arc::default(),
+            keeps_listening: Arc::default(),
             handled: Arc::default(),
             control: Arc::new(Mutex::new(control)),
         };
@@ -120,6 +123,9 @@
 
     /// Serves one request and returns whether the connection stays open.
     fn serve(&self, behaviors: &[Behavior], request: &Message, stream: &mut TcpStream) -> bool {
+        if self.ended_at().is_some() {
+            return false;
+        }
         if request.start_line_part(1).starts_with("/api/") {
             return answer_control_request(&self.control, request, stream);
         }
@@ -153,10 +159,17 @@
         self.is_robust.store(true, Ordering::Relaxed);
     }
 
+    /// Lets another process listen at the address after the end of the server.
+    pub(crate) fn keep_listening(&self) {
+        self.keeps_listening.store(true, Ordering::Relaxed);
+    }
+
     /// Ends the server like the end of its process. Returns false, as the connections are closed.
     pub(crate) fn end(&self) -> bool {
         self.ended_at.lock().expect("no panic").get_or_insert_with(Instant::now);
-        self.listener.get().expect("the server has started").close();
+        if !self.keeps_listening.load(Ordering::Relaxed) {
+            self.listener.get().expect("the server has started").close();
+        }
         false
     }
 
