Store quarantines in the host's object, so that they outlive all hosts

When all hosts were killed at once, the quarantine was gone with them, and a request that ends its servers began anew: three more servers for each loss of all hosts. quarantine_survives_the_loss_of_all_hosts failed.

A host that lost a server under a quarantined request itself writes the quarantine into the object by which it is registered already, and takes over those of all hosts from its first list.

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -63,10 +63,6 @@
 /// that were cut off. Requests that are quarantined or on probation are reported all the time.
 const REPEATED_REPORT_MS: u64 = 30_000;
 
-/// Time for which the clearing of a request is remembered, in milliseconds. Longer than a report of an earlier loss is
-/// under way.
-const CLEARING_MEMORY_MS: u64 = 30_000;
-
 /// Longest request id that is kept, in bytes.
 const MAX_REQUEST_ID_BYTES: usize = 64;
 
@@ -510,7 +506,7 @@
         self.suspects.retain(|_, suspect| {
             if suspect.losses.is_empty() {
                 let cleared_at = suspect.cleared_at.unwrap_or_default();
-                return !cleared_at.plus_ms(CLEARING_MEMORY_MS).is_past(now);
+                return !cleared_at.plus_ms(MARK_LIFETIME_MS).is_past(now);
             }
             let is_repeated = suspect.losses.len() >= REPEATED_LOSSES;
             let kept_ms = if is_repeated { kept_ms } else { MARK_LIFETIME_MS };
@@ -600,19 +596,32 @@
         true
     }
 
-    fn suspect_report(&self, fingerprint: u64, now: SteadyMs) -> SuspectReport {
-        let suspect = &self.suspects[&fingerprint];
-        let losses = suspect.losses.iter().map(|(server, loss)| LossReport {
-            server: server.clone(),
+    /// Returns the requests that are quarantined or on probation, those with the latest losses first.
+    pub fn quarantined(&self, now: SteadyMs) -> Vec<u64> {
+        let mut quarantined: Vec<(SteadyMs, u64)> = self
+            .suspects
+            .iter()
+            .filter(|(fingerprint, _)| self.status(**fingerprint, now) != CrashStatus::Clear)
+            .map(|(fingerprint, suspect)| (suspect.last_loss_at(), *fingerprint))
+            .collect();
+        quarantined.sort_unstable_by(|one, other| other.cmp(one));
+        quarantined.into_iter().map(|(_, fingerprint)| fingerprint).collect()
+    }
+
+    /// Returns the report of one request to other hosts.
+    pub fn suspect_report(&self, fingerprint: u64, now: SteadyMs) -> SuspectReport {
+        let losses = self.losses(fingerprint).map(|(server, loss)| LossReport {
+            server: server.to_string(),
             ended_ago_ms: now.since_ms(loss.ended_at),
             ran_ms: loss.ran_ms,
             pieces: loss.pieces,
             request_id: loss.request_id.clone(),
         });
+        let cleared_at = self.suspects.get(&fingerprint).and_then(|suspect| suspect.cleared_at);
         SuspectReport {
             fingerprint,
             losses: losses.collect(),
-            cleared_ago_ms: suspect.cleared_at.map(|cleared_at| now.since_ms(cleared_at)),
+            cleared_ago_ms: cleared_at.map(|cleared_at| now.since_ms(cleared_at)),
         }
     }
 
--- a/crates/godwit-gateway/src/store/mod.rs
+++ b/crates/godwit-gateway/src/store/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod hosts;
 mod list_watch;
+mod quarantines;
 
 pub(crate) use client::StoreClient;
 pub(crate) use hosts::maintain_host_list;
--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -268,6 +268,21 @@
     assert_eq!(site.fleet.end_times().len(), ended);
 }
 
+#[test]
+fn quarantine_survives_the_loss_of_all_hosts() {
+    let mut site = Site::start(&plain_fleet());
+    let path = format!("/read/{END_SERVER}");
+    site.quarantine("GET", &path);
+    let ended = site.fleet.end_times().len();
+    std::thread::sleep(CONTACT_WINDOW);
+    site.hosts.clear();
+    site.hosts = HOSTS.map(|name| site.start_host(name)).into();
+    site.hosts.iter().for_each(Host::wait_until_ready);
+    std::thread::sleep(CONTACT_WINDOW);
+    assert!(site.hosts.iter().all(|host| is_refused(host, "GET", &path)));
+    assert_eq!(site.fleet.end_times().len(), ended);
+}
+
 #[test]
 fn quarantine_ends_with_a_probation_that_a_sound_run_passes() {
     let site = Site::start_with_arguments(&plain_fleet(), &["--quarantine-ms", "2000"]);
