Keep the retry budget over restarts and while hosts are not yet known

More retries than the operator allows could reach a service: a host that restarts had its whole part of the additional allowance again, so that hosts restarting in a row could spend it twice in one window; and a host that had not yet read the list of hosts took itself for the only one and used the whole allowance. A model with restarts finds the first (retry_budget_that_forgets_retries_at_a_restart_is_detected), a unit test the second.

A host that is not at the first start of the site has no additional allowance until one window has passed, and none while the number of hosts is unknown; hosts gossip that number and use the largest.

--- a/crates/godwit-core/src/site/relay.rs
+++ b/crates/godwit-core/src/site/relay.rs
@@ -60,6 +60,10 @@
     own_domain: String,
     limits: RelayLimits,
     hosts: BTreeMap<(String, String), PeerHost>,
+    /// Whether the list of hosts has been read.
+    is_listed: bool,
+    /// Largest number of hosts that a peer has reported.
+    reported_count: Option<usize>,
     contacts: BTreeMap<String, Contact>,
     /// Time of the last message from any host.
     last_heard: Option<SteadyMs>,
@@ -83,6 +87,8 @@
             own_domain: own_domain.to_string(),
             limits,
             hosts: BTreeMap::new(),
+            is_listed: false,
+            reported_count: None,
             contacts: BTreeMap::new(),
             last_heard: None,
             contacted: 0,
@@ -91,14 +97,21 @@
 
     /// Replaces the list of hosts. This host is left out if it is on the list.
     pub fn set_hosts(&mut self, hosts: Vec<PeerHost>) {
+        self.is_listed = true;
         let peers = hosts.into_iter().filter(|host| host.name != self.own_name);
         self.hosts =
             peers.map(|host| ((host.failure_domain.clone(), host.name.clone()), host)).collect();
     }
 
-    /// Returns the number of other hosts.
-    pub fn known_hosts(&self) -> usize {
-        self.hosts.len()
+    /// Returns the number of hosts including this one: the largest that this host or a peer has read. None until one has.
+    pub fn host_count(&self) -> Option<usize> {
+        let listed = self.is_listed.then_some(self.hosts.len() + 1);
+        listed.max(self.reported_count)
+    }
+
+    /// Records the number of hosts that a peer knows. Hosts may be added while this host cannot read the list.
+    pub fn record_host_count(&mut self, count: usize) {
+        self.reported_count = self.reported_count.max(Some(count));
     }
 
     /// Iterates over the names of the other hosts.
--- a/crates/godwit-core/src/site/retry.rs
+++ b/crates/godwit-core/src/site/retry.rs
@@ -27,6 +27,8 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: RetryLimits,
+    /// Time from which the additional allowance may be used.
+    extra_from: SteadyMs,
     first_sends: VecDeque<SteadyMs>,
     retries: VecDeque<SteadyMs>,
 }
@@ -39,10 +41,27 @@
     /// use godwit_core::site::{RetryBudget, RetryLimits};
     /// let limits = RetryLimits { ratio: 0.2, extra: 5.0, window_ms: 10_000 };
     /// let mut budget = RetryBudget::new(limits);
-    /// assert!(budget.try_retry(1, SteadyMs(0)));
+    /// assert!(budget.try_retry(Some(1), SteadyMs(0)));
     /// ```
     pub fn new(limits: RetryLimits) -> RetryBudget {
-        RetryBudget { limits, first_sends: VecDeque::new(), retries: VecDeque::new() }
+        let (first_sends, retries) = (VecDeque::new(), VecDeque::new());
+        RetryBudget { limits, extra_from: SteadyMs(0), first_sends, retries }
+    }
+
+    /// Creates the budget of a host that started at `started_at` and may have spent its part of the additional allowance
+    /// just before: it has none until the window has passed.
+    ///
+    /// ```
+    /// use godwit_core::SteadyMs;
+    /// use godwit_core::site::{RetryBudget, RetryLimits};
+    /// let limits = RetryLimits { ratio: 0.2, extra: 5.0, window_ms: 10_000 };
+    /// let mut budget = RetryBudget::after_restart(limits, SteadyMs(500));
+    /// assert!(!budget.try_retry(Some(1), SteadyMs(10_400)));
+    /// assert!(budget.try_retry(Some(1), SteadyMs(10_500)));
+    /// ```
+    pub fn after_restart(limits: RetryLimits, started_at: SteadyMs) -> RetryBudget {
+        let extra_from = started_at.plus_ms(limits.window_ms);
+        RetryBudget { extra_from, ..RetryBudget::new(limits) }
     }
 
     /// Records the first send of a request.
@@ -52,8 +71,8 @@
     }
 
     /// Takes one retry from the budget and returns true if this host's part has room. `hosts` is the number of hosts
-    /// that share the budget.
-    pub fn try_retry(&mut self, hosts: usize, now: SteadyMs) -> bool {
+    /// that share the budget; while it is unknown, there is no additional allowance.
+    pub fn try_retry(&mut self, hosts: Option<usize>, now: SteadyMs) -> bool {
         let has_room = self.has_room(hosts, now);
         if has_room {
             self.retries.push_back(now);
@@ -62,10 +81,13 @@
     }
 
     /// Whether this host's part of the budget has room for one more retry.
-    pub fn has_room(&mut self, hosts: usize, now: SteadyMs) -> bool {
+    pub fn has_room(&mut self, hosts: Option<usize>, now: SteadyMs) -> bool {
         self.drop_expired(now);
         let from_ratio = RATIO_USED_SHARE * self.limits.ratio * self.first_sends.len() as f64;
-        let allowed = from_ratio + EXTRA_USED_SHARE * self.limits.extra / hosts.max(1) as f64;
+        let hosts = hosts.filter(|_| self.extra_from.is_past(now));
+        let extra =
+            hosts.map_or(0.0, |hosts| EXTRA_USED_SHARE * self.limits.extra / hosts.max(1) as f64);
+        let allowed = from_ratio + extra;
         ((self.retries.len() + 1) as f64) <= allowed
     }
 
--- a/crates/godwit-core/tests/site/relay.rs
+++ b/crates/godwit-core/tests/site/relay.rs
@@ -89,3 +89,15 @@
     let mut relay = Relay::new("a-1", "a", LIMITS);
     assert!(relay.recipients(SteadyMs(0)).contacts.is_empty());
 }
+
+#[test]
+fn host_count_is_the_largest_that_any_host_has_read() {
+    let mut relay = Relay::new("a-1", "a", LIMITS);
+    assert_eq!(relay.host_count(), None, "nothing was read yet");
+    relay.record_host_count(8);
+    assert_eq!(relay.host_count(), Some(8));
+    relay.set_hosts(["a-1", "a-2"].map(host).into());
+    assert_eq!(relay.host_count(), Some(8), "a peer has read a longer list");
+    relay.record_host_count(1);
+    assert_eq!(relay.host_count(), Some(8));
+}
--- a/crates/godwit-core/tests/site/retry.rs
+++ b/crates/godwit-core/tests/site/retry.rs
@@ -10,7 +10,7 @@
 #[test]
 fn retry_budget_is_shared_by_the_hosts() {
     let mut budget = RetryBudget::new(LIMITS);
-    let granted = (0..100).filter(|_| budget.try_retry(4, SteadyMs(0))).count();
+    let granted = (0..100).filter(|_| budget.try_retry(Some(4), SteadyMs(0))).count();
     assert_eq!(granted, 4, "0.8 of 20 over 4 hosts");
 }
 
@@ -18,16 +18,26 @@
 fn retry_budget_grows_with_first_sends() {
     let mut budget = RetryBudget::new(LIMITS);
     (0..50).for_each(|_| budget.record_first_send(SteadyMs(0)));
-    let granted = (0..100).filter(|_| budget.try_retry(4, SteadyMs(0))).count();
+    let granted = (0..100).filter(|_| budget.try_retry(Some(4), SteadyMs(0))).count();
     assert_eq!(granted, 9, "0.5 of 10 and 0.8 of 5");
 }
 
 #[test]
 fn retry_budget_recovers_after_the_window() {
     let mut budget = RetryBudget::new(LIMITS);
-    while budget.try_retry(1, SteadyMs(0)) {}
-    assert!(!budget.try_retry(1, SteadyMs(9_999)));
-    assert!(budget.try_retry(1, SteadyMs(10_000)));
+    while budget.try_retry(Some(1), SteadyMs(0)) {}
+    assert!(!budget.try_retry(Some(1), SteadyMs(9_999)));
+    assert!(budget.try_retry(Some(1), SteadyMs(10_000)));
+}
+
+/// A host that had not yet read the list of hosts took itself for the only one, and used the whole budget.
+#[test]
+fn retry_budget_without_known_hosts_has_no_extra() {
+    let mut budget = RetryBudget::new(LIMITS);
+    assert!(!budget.try_retry(None, SteadyMs(0)));
+    (0..50).for_each(|_| budget.record_first_send(SteadyMs(0)));
+    let granted = (0..100).filter(|_| budget.try_retry(None, SteadyMs(0))).count();
+    assert_eq!(granted, 5, "0.5 of 10");
 }
 
 proptest! {
@@ -44,7 +54,7 @@
             if is_first {
                 budgets[host].record_first_send(now);
                 firsts.push(now);
-            } else if budgets[host].try_retry(4, now) {
+            } else if budgets[host].try_retry(Some(4), now) {
                 retries.push(now);
             }
             let in_window = |at: &&SteadyMs| !at.plus_ms(LIMITS.window_ms).is_past(now);
--- a/crates/godwit-core/tests/site_model/retry.rs
+++ b/crates/godwit-core/tests/site_model/retry.rs
@@ -17,6 +17,7 @@
 enum Step {
     FirstSends { host: usize, count: usize },
     Retries { host: usize, count: usize },
+    Restart { host: usize },
     Wait(u64),
 }
 
@@ -24,6 +25,7 @@
 trait Fault: 'static {
     const KNOWN_HOSTS: usize = HOSTS;
     const WINDOW_MS: u64 = LIMITS.window_ms;
+    const REMEMBERS_RESTART: bool = true;
 }
 
 struct NoFault;
@@ -41,6 +43,12 @@
     const WINDOW_MS: u64 = LIMITS.window_ms / 4;
 }
 
+/// A host that restarts has its whole part of the budget again.
+struct FreshAfterRestart;
+impl Fault for FreshAfterRestart {
+    const REMEMBERS_RESTART: bool = false;
+}
+
 struct Harness<F> {
     budgets: Vec<RetryBudget>,
     now: SteadyMs,
@@ -65,6 +73,7 @@
         prop_oneof![
             2 => sends.prop_map(|(host, count)| Step::FirstSends { host, count }),
             3 => retries.prop_map(|(host, count)| Step::Retries { host, count }),
+            1 => (0..HOSTS).prop_map(|host| Step::Restart { host }),
             3 => (0..6_000_u64).prop_map(Step::Wait),
         ]
         .boxed()
@@ -91,11 +100,19 @@
             }
             Step::Retries { host, count } => {
                 for _ in 0..count {
-                    if self.budgets[host].try_retry(F::KNOWN_HOSTS, self.now) {
+                    if self.budgets[host].try_retry(Some(F::KNOWN_HOSTS), self.now) {
                         self.retries.push(self.now);
                     }
                 }
             }
+            Step::Restart { host } => {
+                let limits = RetryLimits { window_ms: F::WINDOW_MS, ..LIMITS };
+                self.budgets[host] = if F::REMEMBERS_RESTART {
+                    RetryBudget::after_restart(limits, self.now)
+                } else {
+                    RetryBudget::new(limits)
+                };
+            }
             Step::Wait(ms) => self.now = self.now.plus_ms(ms),
         }
     }
@@ -128,4 +145,10 @@
     #[test]
     #[should_panic(expected = "retries of")]
     fn retry_budget_with_a_short_window_is_detected(sequential 1..40 => Fuzz<ShortWindow>);
+
+    #[test]
+    #[should_panic(expected = "retries of")]
+    fn retry_budget_that_forgets_retries_at_a_restart_is_detected(
+        sequential 1..40 => Fuzz<FreshAfterRestart>
+    );
 }
--- a/crates/godwit-gateway/src/gossip.rs
+++ b/crates/godwit-gateway/src/gossip.rs
@@ -49,6 +49,8 @@
     findings: Vec<ServerFinding>,
     partitions: Vec<DomainPartition>,
     crashes: CrashMessage,
+    /// Number of hosts that the sender knows of, including itself.
+    host_count: Option<u32>,
     /// Newest version of the configuration that the sender knows of.
     configuration_version: u64,
     /// Newest revision of a server entry that the sender knows of.
@@ -137,6 +139,7 @@
         let now = self.site.now();
         let findings = self.site.findings.borrow().finding_reports(now);
         let partitions = self.site.findings.borrow().partition_reports(now).into_iter();
+        let host_count = self.site.relay.borrow().host_count();
         let message = LoadMessage {
             host: self.site.settings.host.clone(),
             failure_domain: self.site.settings.failure_domain.clone(),
@@ -146,6 +149,7 @@
             loads: server_loads.collect(),
             findings: findings.into_iter().map(ServerFinding::from).collect(),
             crashes: self.site.crashes.borrow_mut().next_report(now).into(),
+            host_count: host_count.and_then(|count| u32::try_from(count).ok()),
             configuration_version: self.site.configuration_freshness.borrow().newest_known(),
             servers_revision: self.site.servers_freshness.borrow().newest_known(),
             partitions: partitions
@@ -189,6 +193,9 @@
 
     async fn handle_message(&self, message: LoadMessage, sender: SocketAddr) {
         self.site.relay.borrow_mut().record_message(&message.host, self.site.now());
+        if let Some(count) = message.host_count {
+            self.site.relay.borrow_mut().record_host_count(count as usize);
+        }
         let source = match message.scope {
             Scope::Host => Some(LoadSource::Host(message.host.clone())),
             Scope::Domain => Some(LoadSource::Domain(message.failure_domain)),
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -41,6 +41,7 @@
 pub(crate) struct Site {
     pub(crate) settings: PlatformSettings,
     pub(crate) clock: Clock,
+    started_at: SteadyMs,
     pub(crate) registry: RefCell<ServerRegistry>,
     pub(crate) loads: RefCell<LoadTable>,
     pub(crate) relay: RefCell<Relay>,
@@ -71,6 +72,7 @@
             relay: RefCell::new(Relay::new(&settings.host, &settings.failure_domain, relay)),
             settings,
             clock,
+            started_at: clock.now(),
             registry: RefCell::new(ServerRegistry::new(RegistryLimits {
                 lapse_grace_ms: LAPSE_GRACE_MS,
             })),
@@ -122,12 +124,9 @@
 
     /// Replaces the list of hosts.
     pub(crate) fn set_peers(&self, hosts: Vec<PeerHost>) {
-        self.relay.borrow_mut().set_hosts(hosts);
-    }
-
-    /// Returns the number of hosts that share the retry budget, including this one.
-    pub(crate) fn host_count(&self) -> usize {
-        self.relay.borrow().known_hosts() + 1
+        let mut relay = self.relay.borrow_mut();
+        relay.set_hosts(hosts);
+        metrics::gauge!("hosts_known").set(relay.host_count().unwrap_or(0) as f64);
     }
 
     /// Drops expired loads, idle connections, server entries and losses.
@@ -149,7 +148,13 @@
         };
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.to_string());
-        operation(budget.or_insert_with(|| RetryBudget::new(limits)))
+        operation(budget.or_insert_with(|| {
+            if self.settings.is_first_start {
+                RetryBudget::new(limits)
+            } else {
+                RetryBudget::after_restart(limits, self.started_at)
+            }
+        }))
     }
 
     /// Records the first send of a request in the retry budget of a service.
@@ -159,13 +164,13 @@
 
     /// Takes one retry from the budget of a service. Returns false if the budget is spent.
     pub(crate) fn try_retry(&self, service: &str) -> bool {
-        let hosts = self.host_count();
+        let hosts = self.relay.borrow().host_count();
         self.with_budget(service, |budget| budget.try_retry(hosts, self.now()))
     }
 
     /// Whether the budget of a service has room for a retry.
     pub(crate) fn may_retry(&self, service: &str) -> bool {
-        let hosts = self.host_count();
+        let hosts = self.relay.borrow().host_count();
         self.with_budget(service, |budget| budget.has_room(hosts, self.now()))
     }
 
--- a/crates/godwit-gateway/src/store/hosts.rs
+++ b/crates/godwit-gateway/src/store/hosts.rs
@@ -142,6 +142,15 @@
     let mut lists = 0;
     let mut list_at = site.now();
     loop {
+        if list_at.is_past(site.now()) {
+            match refresh_peers(&site, &mut client, lists == 0).await {
+                Ok(()) => lists += 1,
+                Err(cause) => warn!(event = "hosts_not_read", cause),
+            }
+            let is_starting = lists < STARTUP_LISTS;
+            let interval_ms = if is_starting { STARTUP_LIST_INTERVAL_MS } else { LIST_INTERVAL_MS };
+            list_at = site.now().plus_ms(interval_ms);
+        }
         if written.as_ref().is_none_or(|written| !written.is_same(&HostRecord::current(&site))) {
             match write_own_record(&site, &mut client, written.is_none()).await {
                 Ok(record) => {
@@ -152,15 +161,6 @@
                 Err(cause) => warn!(event = "host_not_registered", cause),
             }
         }
-        if list_at.is_past(site.now()) {
-            match refresh_peers(&site, &mut client, lists == 0).await {
-                Ok(()) => lists += 1,
-                Err(cause) => warn!(event = "hosts_not_read", cause),
-            }
-            let is_starting = lists < STARTUP_LISTS;
-            let interval_ms = if is_starting { STARTUP_LIST_INTERVAL_MS } else { LIST_INTERVAL_MS };
-            list_at = site.now().plus_ms(interval_ms);
-        }
         sleep(WRITE_INTERVAL).await;
     }
 }
--- a/crates/godwit-gateway/src/watch_handlers.rs
+++ b/crates/godwit-gateway/src/watch_handlers.rs
@@ -119,7 +119,7 @@
     }
 
     fn batch_delay(&self, site: &Site) -> Duration {
-        let hosts = site.host_count() as u64;
+        let hosts = site.relay.borrow().host_count().unwrap_or(1) as u64;
         let delay_ms = SERVERS_BATCH_DELAY_MS + SERVERS_BATCH_DELAY_PER_HOST_MS * hosts;
         Duration::from_millis(delay_ms.min(MAX_SERVERS_BATCH_DELAY_MS))
     }
--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -174,6 +174,8 @@
 
     pub(crate) fn wait_until_ready(&self) {
         self.wait_for("readiness", || self.readiness_status() == 200);
+        // Without the list of hosts, the host has no budget for retries.
+        self.wait_for("the list of hosts", || self.metrics().contains("hosts_known"));
     }
 
     /// Polls until `is_met` returns true.
