Play requests that end servers, and crashes of up to half of them, in the soak

The soak had no server that ends: its faults cut connections, and a server left only by a drain. Callers now send requests that end each server on which they run, and the schedule crashes up to half of the servers at once; ended servers come back after 1.8 s under another id. Checked from outside: a request that has ended three servers is sent on at most three times later than 3 s after the third end, by hosts that were not disturbed themselves; no other request is refused as quarantined.

--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -9,10 +9,10 @@
 use crate::store::FakeStore;
 
 /// Time between the end of a server and the start of the next one in its place.
-const RESTART_DELAY: Duration = Duration::from_millis(1_800);
+pub(crate) const RESTART_DELAY: Duration = Duration::from_millis(1_800);
 
 /// Time between the end of a server and the removal of its entry: three heartbeat intervals of the settings.
-const LAPSE_DELAY: Duration = Duration::from_millis(3_600);
+pub(crate) const LAPSE_DELAY: Duration = Duration::from_millis(3_600);
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
--- a/tests/gateway/soak/callers.rs
+++ b/tests/gateway/soak/callers.rs
@@ -6,6 +6,7 @@
 
 use crate::host::{API_KEY, caller_headers};
 use crate::http::{Message, read_body, read_head, write_request};
+use crate::server::END_SERVER;
 
 /// Read timeout of a caller; longer than the timeout of any route.
 const READ_TIMEOUT: Duration = Duration::from_secs(12);
@@ -20,20 +21,33 @@
     UnknownKey,
     /// A read of a path that only one version of the configuration has.
     Version(String),
+    /// A read that ends each server on which it runs.
+    EndServer,
+    /// A stream that ends each server on which it runs, before or after its first events.
+    EndStage(&'static str),
 }
 
 impl RequestKind {
-    fn path(&self) -> &str {
+    pub(super) fn path(&self) -> String {
         match self {
-            RequestKind::Read | RequestKind::UnknownKey => "/read/1",
-            RequestKind::Order => "/order/1",
-            RequestKind::Stream => "/chat/1",
-            RequestKind::Version(path) => path,
+            RequestKind::Read | RequestKind::UnknownKey => "/read/1".to_string(),
+            RequestKind::Order => "/order/1".to_string(),
+            RequestKind::Stream => "/chat/1".to_string(),
+            RequestKind::Version(path) => path.clone(),
+            RequestKind::EndServer => format!("/read/{END_SERVER}"),
+            RequestKind::EndStage(segment) => format!("/chat/{segment}"),
         }
     }
 
+    /// Whether the request ends the servers on which it runs.
+    pub(super) fn ends_servers(&self) -> bool {
+        matches!(self, RequestKind::EndServer | RequestKind::EndStage(_))
+    }
+
     fn method(&self) -> &'static str {
-        if matches!(self, RequestKind::Order | RequestKind::Stream) { "POST" } else { "GET" }
+        let is_post =
+            matches!(self, RequestKind::Order | RequestKind::Stream | RequestKind::EndStage(_));
+        if is_post { "POST" } else { "GET" }
     }
 }
 
@@ -41,6 +55,8 @@
 #[derive(Clone)]
 pub(super) struct RequestRecord {
     pub(super) id: String,
+    /// Index of the host to which the request was sent.
+    pub(super) host: usize,
     pub(super) kind: RequestKind,
     pub(super) sent_at: Instant,
     pub(super) ended_at: Instant,
@@ -103,15 +119,17 @@
     /// Sends a request to a host, over the open connection if that is to the same host.
     pub(super) fn send(
         &mut self,
-        host: SocketAddr,
+        host: usize,
+        address: SocketAddr,
         id: String,
         kind: RequestKind,
     ) -> RequestRecord {
         let sent_at = Instant::now();
-        let reused = self.connection.take().filter(|(address, _)| *address == host);
-        let reader = reused.map_or_else(|| connect(host), |(_, reader)| Ok(reader));
+        let reused = self.connection.take().filter(|(connected_to, _)| *connected_to == address);
+        let reader = reused.map_or_else(|| connect(address), |(_, reader)| Ok(reader));
         let without_response = |is_fully_sent| RequestRecord {
             id: id.clone(),
+            host,
             kind: kind.clone(),
             sent_at,
             ended_at: Instant::now(),
@@ -125,14 +143,14 @@
         let extra = [("godwitdeal-tenant", "forged"), ("authorization", authorization.as_str())];
         let headers = caller_headers(&id, &extra);
         let body: &[u8] = if kind.method() == "POST" { b"hello" } else { b"" };
-        if write_request(reader.get_mut(), kind.method(), kind.path(), &headers, body).is_err() {
+        if write_request(reader.get_mut(), kind.method(), &kind.path(), &headers, body).is_err() {
             return without_response(false);
         }
         let (response, is_complete) = read_response(&mut reader);
         let closes_connection =
             response.as_ref().and_then(|response| response.header("connection")) == Some("close");
         if is_complete && !closes_connection {
-            self.connection = Some((host, reader));
+            self.connection = Some((address, reader));
         }
         RequestRecord { response, is_complete, ..without_response(true) }
     }
--- a/tests/gateway/soak/cluster.rs
+++ b/tests/gateway/soak/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::time::Instant;
 
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -43,6 +44,8 @@
     pub(super) host: Option<Host>,
     /// Number of starts of the process so far.
     pub(super) incarnation: u64,
+    /// Times of the starts.
+    pub(super) started_at: Vec<Instant>,
 }
 
 /// A server that is not draining, behind its proxy.
@@ -50,6 +53,8 @@
     server: FakeServer,
     pub(super) proxy: Proxy,
     layers: Option<(u32, u32)>,
+    /// Whether the replacement of the server after its end is scheduled.
+    is_end_handled: bool,
 }
 
 impl ClusterServer {
@@ -107,7 +112,8 @@
         }
         for name in HOSTS {
             let store_proxy = Proxy::start(cluster.store.address);
-            cluster.hosts.push(ClusterHost { name, store_proxy, host: None, incarnation: 0 });
+            let (host, started_at) = (None, Vec::new());
+            cluster.hosts.push(ClusterHost { name, store_proxy, host, incarnation: 0, started_at });
         }
         (0..HOSTS.len()).for_each(|index| cluster.start_host(index));
         cluster
@@ -117,6 +123,7 @@
         let host = &mut self.hosts[index];
         let address = host.store_proxy.address;
         host.incarnation += 1;
+        host.started_at.push(Instant::now());
         host.host = Some(Host::start_with_store_address(self.store.clone(), address, host.name));
     }
 
@@ -157,7 +164,7 @@
         let server = FakeServer::start(&format!("s-{}", self.all_servers.len()), &behaviors);
         let proxy = Proxy::start(server.address);
         self.all_servers.push(server.clone());
-        let added = ClusterServer { server, proxy, layers };
+        let added = ClusterServer { server, proxy, layers, is_end_handled: false };
         self.store.put("servers", &added.server.id, added.entry("ready"));
         self.servers.push(added);
     }
@@ -172,7 +179,40 @@
     }
 
     pub(super) fn remove_server_entry(&self, server_id: &str) {
-        self.store.remove("servers", server_id);
+        // A server may end while it drains, and its entry is removed once.
+        if self.store.revision("servers", server_id).is_some() {
+            self.store.remove("servers", server_id);
+        }
+    }
+
+    /// Ends several servers at the same moment.
+    pub(super) fn end_servers(&self, indexes: &[usize]) {
+        std::thread::scope(|scope| {
+            for index in indexes {
+                scope.spawn(|| self.servers[*index].server.end());
+            }
+        });
+    }
+
+    /// Returns the ids of the servers that have ended since the last call.
+    pub(super) fn take_ended(&mut self) -> Vec<String> {
+        let mut ended = Vec::new();
+        for server in &mut self.servers {
+            if server.server.ended_at().is_some() && !server.is_end_handled {
+                server.is_end_handled = true;
+                ended.push(server.server.id.clone());
+            }
+        }
+        ended
+    }
+
+    /// Starts a server in place of one that has ended, unless that was replaced already.
+    pub(super) fn replace_ended(&mut self, random: &mut SmallRng, server_id: &str) {
+        let index = self.servers.iter().position(|server| server.server.id == server_id);
+        if let Some(index) = index {
+            let layers = self.servers.remove(index).layers;
+            self.add_server(random, layers);
+        }
     }
 
     pub(super) fn change_configuration(&mut self) {
--- a/tests/gateway/soak/faults.rs
+++ b/tests/gateway/soak/faults.rs
@@ -10,6 +10,7 @@
 use super::cluster::Cluster;
 use super::invariants::FaultWindows;
 use super::proxy::{Proxy, ProxyMode};
+use crate::fleet::{LAPSE_DELAY, RESTART_DELAY};
 
 /// Maximum time between SIGTERM and the exit of a host; `GracePeriodS` of its settings.
 const STOP_GRACE: Duration = Duration::from_secs(8);
@@ -17,6 +18,9 @@
 /// Range of the duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..1_500;
 
+/// Longest duration of a fault.
+const MAX_FAULT_DURATION: Duration = Duration::from_millis(FAULT_DURATION_MS.end);
+
 /// An action that the schedule runs later.
 enum PendingAction {
     RestoreProxy(Proxy),
@@ -25,6 +29,7 @@
     /// Checks that a host has exited after SIGTERM.
     CheckHostExited(usize),
     RemoveServerEntry(String),
+    ReplaceEndedServer(String),
 }
 
 /// The planned operations and faults of one seed.
@@ -34,6 +39,8 @@
     /// Hosts that are stopping, suspended or killed.
     unavailable_hosts: BTreeSet<usize>,
     pub(super) faults: FaultWindows,
+    /// Times in which a host is disturbed itself or cut off from the store.
+    pub(super) disturbed_hosts: Vec<(usize, Instant, Instant)>,
     /// Violations by host processes: an exit without a stop, a failed exit or one that took too long.
     pub(super) violations: Vec<String>,
 }
@@ -46,10 +53,23 @@
             pending: Vec::new(),
             unavailable_hosts: BTreeSet::new(),
             faults,
+            disturbed_hosts: Vec::new(),
             violations: Vec::new(),
         }
     }
 
+    /// Draws the duration of a fault of one host that starts now, and records it.
+    fn record_host_fault(&mut self, host: usize) -> Duration {
+        let duration = self.record_fault();
+        self.record_disturbed_host(host, duration);
+        duration
+    }
+
+    fn record_disturbed_host(&mut self, host: usize, duration: Duration) {
+        let now = Instant::now();
+        self.disturbed_hosts.push((host, now, now + duration));
+    }
+
     /// Draws the duration of a fault that starts now, and records its time window.
     fn record_fault(&mut self) -> Duration {
         let duration = Duration::from_millis(self.random.random_range(FAULT_DURATION_MS));
@@ -108,6 +128,7 @@
             _ => {
                 let Some(index) = self.random_running_host(cluster) else { return };
                 cluster.signal_host(index, Signal::TERM);
+                self.record_disturbed_host(index, STOP_GRACE);
                 self.unavailable_hosts.insert(index);
                 self.schedule(STOP_GRACE, PendingAction::CheckHostExited(index));
             }
@@ -117,7 +138,7 @@
     /// Injects a random unplanned fault.
     pub(super) fn inject_fault(&mut self, cluster: &mut Cluster) {
         let mode = self.random_mode();
-        match self.random.random_range(0..6) {
+        match self.random.random_range(0..8) {
             0 | 1 => {
                 let index = self.random.random_range(0..cluster.servers.len());
                 self.disturb_proxies(vec![cluster.servers[index].proxy.clone()], mode);
@@ -125,21 +146,31 @@
             2 => {
                 let index = self.random.random_range(0..cluster.hosts.len());
                 self.disturb_proxies(vec![cluster.hosts[index].store_proxy.clone()], mode);
+                self.record_disturbed_host(index, MAX_FAULT_DURATION);
             }
             3 => {
                 let proxies = cluster.hosts.iter().map(|host| host.store_proxy.clone()).collect();
                 self.disturb_proxies(proxies, mode);
+                (0..cluster.hosts.len())
+                    .for_each(|index| self.record_disturbed_host(index, MAX_FAULT_DURATION));
             }
             4 => {
+                let count = self.random.random_range(1..=cluster.servers.len() / 2);
+                let first = self.random.random_range(0..cluster.servers.len());
+                let indexes: Vec<usize> =
+                    (first..first + count).map(|index| index % cluster.servers.len()).collect();
+                cluster.end_servers(&indexes);
+            }
+            5 | 6 => {
                 let Some(index) = self.random_running_host(cluster) else { return };
-                let duration = self.record_fault();
+                let duration = self.record_host_fault(index);
                 cluster.signal_host(index, Signal::STOP);
                 self.unavailable_hosts.insert(index);
                 self.schedule(duration, PendingAction::ResumeHost(index));
             }
             _ => {
                 let Some(index) = self.random_running_host(cluster) else { return };
-                let duration = self.record_fault();
+                let duration = self.record_host_fault(index);
                 cluster.hosts[index].host = None;
                 self.unavailable_hosts.insert(index);
                 self.schedule(duration, PendingAction::RestartHost(index));
@@ -159,6 +190,11 @@
         for index in 0..cluster.hosts.len() {
             self.restart_exited_host(cluster, index);
         }
+        for id in cluster.take_ended() {
+            self.faults.0.push((now, now + RESTART_DELAY));
+            self.schedule(RESTART_DELAY, PendingAction::ReplaceEndedServer(id.clone()));
+            self.schedule(LAPSE_DELAY, PendingAction::RemoveServerEntry(id));
+        }
     }
 
     /// Waits until all pending actions have run, which ends all faults.
@@ -173,6 +209,9 @@
         match action {
             PendingAction::RestoreProxy(proxy) => proxy.set(ProxyMode::Forward),
             PendingAction::RemoveServerEntry(id) => cluster.remove_server_entry(&id),
+            PendingAction::ReplaceEndedServer(id) => {
+                cluster.replace_ended(&mut self.random, &id);
+            }
             PendingAction::ResumeHost(index) => {
                 cluster.signal_host(index, Signal::CONT);
                 self.unavailable_hosts.remove(&index);
--- a/tests/gateway/soak/invariants.rs
+++ b/tests/gateway/soak/invariants.rs
@@ -15,6 +15,15 @@
 /// Number of servers at which one request may run: `Attempts` of the route.
 const MAX_SERVERS_PER_REQUEST: usize = 2;
 
+/// Time within which all hosts must know that a request ends servers.
+const CONTACT_WINDOW: Duration = Duration::from_secs(3);
+
+/// Number of sends that may follow later than that after the third server has ended.
+const MAX_LATE_SENDS: usize = 3;
+
+/// Longest time between the arrival of a request that ends its server and the end.
+const MAX_RUN_TO_END: Duration = Duration::from_millis(500);
+
 /// Runs by request id, each with the id of the server and the behavior of its response. Refusals as not run are left
 /// out.
 pub(super) struct Runs(BTreeMap<String, Vec<(String, Behavior)>>);
@@ -87,6 +96,11 @@
     if record.kind == RequestKind::Order {
         expect(runs.len() <= 1, "runs at most once");
     }
+    let is_quarantined = record.text().contains("crash_quarantine");
+    expect(
+        !is_quarantined || record.kind.ends_servers(),
+        "only a request that ends servers is quarantined",
+    );
     if record.kind == RequestKind::UnknownKey {
         expect(runs.is_empty(), "does not run without a known key");
         expect(matches!(record.status(), 0 | 401 | 503), "an unknown key is rejected");
@@ -130,6 +144,59 @@
     violations
 }
 
+/// Returns a violation for each request that ends servers and was sent on too often: more than [`MAX_LATE_SENDS`] times
+/// later than [`CONTACT_WINDOW`] after it had ended the third server. Hosts that were disturbed in that time before a
+/// send are left out.
+pub(super) fn find_late_sends(
+    records: &[RequestRecord],
+    servers: &[FakeServer],
+    disturbed_hosts: &[(usize, Instant, Instant)],
+) -> Vec<String> {
+    let host_of: BTreeMap<&str, usize> =
+        records.iter().map(|record| (record.id.as_str(), record.host)).collect();
+    let paths: BTreeSet<String> = records
+        .iter()
+        .filter(|record| record.kind.ends_servers())
+        .map(|record| record.kind.path())
+        .collect();
+    let mut violations = Vec::new();
+    for path in paths {
+        let mut sends: Vec<(Instant, String)> = Vec::new();
+        let mut ends: Vec<Instant> = Vec::new();
+        for server in servers {
+            let handled = server.handled().into_iter();
+            let own = handled.filter(|handled| handled.request.start_line_part(1) == path);
+            let own: Vec<(Instant, String)> = own
+                .map(|handled| {
+                    let id = handled.request.header("godwitdeal-request-id").unwrap_or_default();
+                    (handled.received_at, id.to_string())
+                })
+                .collect();
+            let ended_at = server.ended_at();
+            ends.extend(ended_at.filter(|ended_at| {
+                own.iter().any(|(at, _)| *at <= *ended_at && *ended_at <= *at + MAX_RUN_TO_END)
+            }));
+            sends.extend(own);
+        }
+        ends.sort();
+        let Some(third_end) = ends.get(2).copied() else { continue };
+        let is_disturbed = |host: usize, at: Instant| {
+            disturbed_hosts.iter().any(|(index, from, until)| {
+                *index == host && *from <= at && at <= *until + CONTACT_WINDOW
+            })
+        };
+        let late = sends.iter().filter(|(at, id)| {
+            let host = host_of.get(id.as_str()).copied();
+            *at > third_end + CONTACT_WINDOW && host.is_some_and(|host| !is_disturbed(host, *at))
+        });
+        let late = late.count();
+        if late > MAX_LATE_SENDS {
+            violations.push(format!("{path} was sent {late} times after {} ends", ends.len()));
+        }
+    }
+    violations
+}
+
 /// Returns all violations, each with its request.
 pub(super) fn find_violations(
     records: &[RequestRecord],
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -21,9 +21,11 @@
 use callers::{Caller, RequestKind, RequestRecord};
 use cluster::{Cluster, HOSTS, HostDirectory, version_prefix};
 use faults::FaultSchedule;
-use invariants::{Runs, find_violations};
+use invariants::{Runs, find_late_sends, find_violations};
 pub(crate) use proxy::{Proxy, ProxyMode};
 
+use crate::server::{END_SERVER, END_SERVER_IN_STREAM};
+
 /// Seeds of every test run: the first of each scenario, and those that once failed, with the cause.
 const SEEDS: [u64; 5] = [
     0, 1, 2,
@@ -35,6 +37,10 @@
 const PARALLEL_SEEDS: usize = 5;
 
 const DEFAULT_SECONDS: u64 = 6;
+
+/// Share of the requests that end the servers on which they run, if faults are injected.
+const END_SERVER_SHARE: f64 = 0.02;
+
 const CALLER_COUNT: u64 = 8;
 
 /// Pause of a caller between two requests; also the interval of the other polling loops.
@@ -80,7 +86,14 @@
     is_finished: AtomicBool,
 }
 
-fn draw_request_kind(random: &mut SmallRng) -> RequestKind {
+fn draw_request_kind(random: &mut SmallRng, scenario: Scenario) -> RequestKind {
+    if scenario != Scenario::Planned && random.random_bool(END_SERVER_SHARE) {
+        return match random.random_range(0..3) {
+            0 => RequestKind::EndServer,
+            1 => RequestKind::EndStage(END_SERVER),
+            _ => RequestKind::EndStage(END_SERVER_IN_STREAM),
+        };
+    }
     match random.random_range(0..20) {
         0 => RequestKind::UnknownKey,
         1..=7 => RequestKind::Read,
@@ -107,7 +120,8 @@
             continue;
         };
         let id = format!("soak-{}-{number}-{request}", traffic.seed);
-        let record = caller.send(address, id, draw_request_kind(&mut random));
+        let kind = draw_request_kind(&mut random, Scenario::of(traffic.seed));
+        let record = caller.send(host, address, id, kind);
         if record.response.is_none() {
             host = (host + 1) % HOSTS.len();
         }
@@ -152,7 +166,7 @@
     static NEXT: AtomicU64 = AtomicU64::new(0);
     let id = format!("probe-{}-{host}-{}", traffic.seed, NEXT.fetch_add(1, Ordering::Relaxed));
     let kind = RequestKind::Version(version_prefix(version));
-    let record = Caller::default().send(address, id, kind);
+    let record = Caller::default().send(host, address, id, kind);
     let is_served = record.status() == 200;
     traffic.records.lock().expect("no panic").push(record);
     is_served
@@ -246,6 +260,11 @@
     violations.extend(traffic.violations.into_inner().expect("no panic"));
     violations.extend(schedule.violations);
     violations.extend(find_violations(&records, &Runs::of(&cluster.all_servers), &schedule.faults));
+    let mut disturbed_hosts = schedule.disturbed_hosts;
+    for (index, host) in cluster.hosts.iter().enumerate() {
+        disturbed_hosts.extend(host.started_at.iter().map(|at| (index, *at, *at)));
+    }
+    violations.extend(find_late_sends(&records, &cluster.all_servers, &disturbed_hosts));
     violations
 }
 
--- a/tests/gateway/soak/proxy.rs
+++ b/tests/gateway/soak/proxy.rs
@@ -52,7 +52,8 @@
         let shared = mode.clone();
         std::thread::spawn(move || {
             for client in listener.incoming().map_while(Result::ok) {
-                let Ok(upstream) = TcpStream::connect(target) else { continue };
+                // The server behind the proxy has ended, and so does the proxy.
+                let Ok(upstream) = TcpStream::connect(target) else { return };
                 let (shared, shared_copy) = (shared.clone(), shared.clone());
                 let pair =
                     client.try_clone().and_then(|client| Ok((client, upstream.try_clone()?)));
