Weigh losses beside other crashes, and clear a request by its progress

A run that comes past twice the pieces of any earlier loss and four more now clears the request, as on the own interface. A loss beside up to three other ends counts two thirds, beside more nothing; all losses within one shared event count once, since the next attempt may meet a server that is ending too.

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -8,11 +8,14 @@
 use crate::SteadyMs;
 use crate::quarantine::marks::MARK_LIFETIME_MS;
 
-/// Weight of the loss of a server before the response began. Divisible by all shares up to [`MAX_SHARED_ENDS`].
+/// Weight of the loss of a server before the response began.
 const LOSS_WEIGHT: u64 = 12;
 
-/// Weight of the loss of a server in the middle of a response, which the request is less likely to have caused.
-const LATE_LOSS_WEIGHT: u64 = 6;
+/// Weight of the same loss if other servers ended in the same event.
+const SHARED_LOSS_WEIGHT: u64 = 8;
+
+/// Divisor of the weight of a loss in the middle of a response, which the request is less likely to have caused.
+const LATE_LOSS_DIVISOR: u64 = 2;
 
 /// Weight of losses at which a request is quarantined: three servers lost one after the other before the response began.
 const QUARANTINE_WEIGHT: u64 = 3 * LOSS_WEIGHT;
@@ -21,14 +24,18 @@
 /// only when the first stage reports that it waits.
 const SHARED_END_MS: u64 = 1_000;
 
-/// Largest number of servers that end in one event for which a request may be to blame. More are the doing of a rack,
-/// a failure domain or an operator.
-const MAX_SHARED_ENDS: u64 = 4;
+/// Largest number of other servers that end in the same event for which a request may still be to blame. More are the
+/// doing of a rack, a failure domain or an operator.
+const MAX_SHARED_ENDS: u64 = 3;
 
 /// Number of rounds that lost a server before the response began, from which a request is a likelier cause of a server's
 /// end than an event that ended other servers too.
 const REPEATED_LOSSES: usize = 2;
 
+/// Factor on the pieces of a lost run, and margin on top, beyond which a later run has passed the point of the loss.
+const PASSED_FACTOR: u64 = 2;
+const PASSED_MARGIN_PIECES: u64 = 4;
+
 /// Maximum number of doublings of the quarantine, one for each loss on probation.
 const MAX_QUARANTINE_DOUBLINGS: u64 = 3;
 
@@ -195,6 +202,27 @@
     /// Time of the last loss.
     ended_at: SteadyMs,
     weight: u64,
+    is_shared: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LossWeight {
+    weight: u64,
+    /// Whether other servers ended in the same event.
+    is_shared: bool,
+}
+
+impl LossWeight {
+    /// Weight of a loss, given the number of other servers that ended in the same event.
+    fn new(loss: &Loss, others: u64) -> LossWeight {
+        let weight = match others {
+            0 => LOSS_WEIGHT,
+            1..=MAX_SHARED_ENDS => SHARED_LOSS_WEIGHT,
+            _ => 0,
+        };
+        let weight = if loss.pieces == 0 { weight } else { weight / LATE_LOSS_DIVISOR };
+        LossWeight { weight, is_shared: others > 0 }
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -214,8 +242,9 @@
 
     /// Number of rounds that lost a server before the response began.
     fn early_losses(&self) -> usize {
-        let weight = |loss: &Loss| u64::from(loss.pieces == 0);
-        self.rounds(weight).iter().filter(|round| round.weight > 0).count()
+        let assess =
+            |loss: &Loss| LossWeight { weight: u64::from(loss.pieces == 0), is_shared: false };
+        self.rounds(assess).iter().filter(|round| round.weight > 0).count()
     }
 
     /// Adds a loss or merges another report of it, and returns whether that changed anything.
@@ -240,17 +269,18 @@
         true
     }
 
-    /// Returns the rounds of losses, by time. Losses close to each other of runs that were under way at the same time are
-    /// one round, which weighs as much as the heaviest of them: an event that ends several servers ends all runs on them.
-    fn rounds(&self, weight: impl Fn(&Loss) -> u64) -> Vec<Round> {
+    /// Returns the rounds of losses, by time. A round weighs as much as the heaviest of its losses. It has all losses close
+    /// to each other that one event may have caused: those of runs that were under way at the same time, and those in an
+    /// event that ended other servers too, in which the next attempt may meet a server that is ending as well.
+    fn rounds(&self, assess: impl Fn(&Loss) -> LossWeight) -> Vec<Round> {
         let mut losses: Vec<&Loss> = self.losses.values().collect();
         losses.sort_by_key(|loss| loss.ended_at);
         let mut rounds: Vec<Round> = Vec::new();
         for loss in losses {
-            let weight = weight(loss);
+            let LossWeight { weight, is_shared } = assess(loss);
             let started_at = SteadyMs(loss.ended_at.0.saturating_sub(loss.ran_ms));
             let is_same_round = |round: &&mut Round| {
-                started_at < round.began_at
+                (started_at < round.began_at || (is_shared && round.is_shared))
                     && loss.ended_at.since_ms(round.began_at) <= SHARED_END_MS
             };
             match rounds.last_mut().filter(is_same_round) {
@@ -260,7 +290,7 @@
                 }
                 None => {
                     let (began_at, ended_at) = (loss.ended_at, loss.ended_at);
-                    rounds.push(Round { began_at, ended_at, weight });
+                    rounds.push(Round { began_at, ended_at, weight, is_shared });
                 }
             }
         }
@@ -374,6 +404,26 @@
         true
     }
 
+    /// Records how far a run has come. One that has come well past the point of all earlier losses clears the request of
+    /// them. Returns false if it does not.
+    pub fn record_progress(
+        &mut self,
+        fingerprint: u64,
+        started_at: SteadyMs,
+        pieces: u64,
+        now: SteadyMs,
+    ) -> bool {
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return false };
+        let earlier = suspect.losses.values().filter(|loss| loss.ended_at <= started_at);
+        let Some(lost_pieces) = earlier.map(|loss| loss.pieces).max() else { return false };
+        if pieces <= PASSED_FACTOR * lost_pieces + PASSED_MARGIN_PIECES {
+            return false;
+        }
+        suspect.clear(started_at);
+        suspect.changed_at = now;
+        true
+    }
+
     /// Whether servers were lost under a request since it last completed.
     pub fn is_suspect(&self, fingerprint: u64) -> bool {
         self.suspects.get(&fingerprint).is_some_and(|suspect| !suspect.losses.is_empty())
@@ -434,13 +484,12 @@
     /// End of the quarantine to which the losses of a request lead; none if they weigh too little. A loss before the end
     /// begins the quarantine anew, a loss on probation doubles it.
     fn quarantine_end(&self, fingerprint: u64, suspect: &Suspect) -> Option<SteadyMs> {
-        let full_weights = suspect.rounds(full_weight);
-        if full_weights.iter().map(|round| round.weight).sum::<u64>() < QUARANTINE_WEIGHT {
+        let upper_bounds = suspect.rounds(|loss| LossWeight::new(loss, 0));
+        if upper_bounds.iter().map(|round| round.weight).sum::<u64>() < QUARANTINE_WEIGHT {
             return None;
         }
         let rounds = suspect.rounds(|loss| {
-            let others = self.unexplained_ends(fingerprint, suspect, loss.ended_at);
-            if others < MAX_SHARED_ENDS { full_weight(loss) / (others + 1) } else { 0 }
+            LossWeight::new(loss, self.unexplained_ends(fingerprint, suspect, loss.ended_at))
         });
         let mut total = 0;
         let mut duration_ms = self.quarantine_ms;
@@ -663,11 +712,6 @@
     }
 }
 
-/// Weight of a loss without regard to other servers that ended.
-fn full_weight(loss: &Loss) -> u64 {
-    if loss.pieces == 0 { LOSS_WEIGHT } else { LATE_LOSS_WEIGHT }
-}
-
 /// Returns the start of a request id, which the caller chooses, up to the length that is kept.
 fn truncated(request_id: &str) -> String {
     let mut end = request_id.len().min(MAX_REQUEST_ID_BYTES);
--- a/crates/godwit-core/tests/crash_register.rs
+++ b/crates/godwit-core/tests/crash_register.rs
@@ -130,6 +130,31 @@
     assert_eq!(register.status(SOUND, at(120_000)), CrashStatus::Clear);
 }
 
+/// Crashes of a few servers at the same time once hid a request that ended seven of them.
+#[test]
+fn status_is_quarantined_at_the_fifth_loss_beside_small_crashes() {
+    let mut register = register();
+    let quarantined_at = (1..=16).find(|number| {
+        let ms = number * 2_000;
+        register.record_end(&format!("c-{number}-1"), at(ms + 300));
+        register.record_end(&format!("c-{number}-2"), at(ms + 310));
+        lose(&mut register, GUILTY, &format!("g-{number}"), 0, ms);
+        is_quarantined(&register, GUILTY, ms + 400)
+    });
+    assert_eq!(quarantined_at, Some(5));
+}
+
+/// In a crash of several servers, the next attempt may meet one that is ending too.
+#[test]
+fn status_counts_attempts_within_a_shared_event_once() {
+    let mut register = register();
+    for (number, server) in ["s-1", "s-2", "s-3", "s-4", "s-5"].iter().enumerate() {
+        lose_after(&mut register, SOUND, server, 0, 1_000 + 20 * number as u64, 5);
+    }
+    register.record_end("s-6", at(1_010));
+    assert_eq!(register.status(SOUND, at(1_100)), CrashStatus::Clear);
+}
+
 #[test]
 fn status_is_clear_after_two_crashes_of_three_servers() {
     let mut register = register();
@@ -171,6 +196,20 @@
     assert_eq!(register.losses(SOUND).count(), 1);
 }
 
+/// A stream that many callers repeat was once quarantined after five crashes in four seconds, none of them its doing.
+#[test]
+fn record_progress_past_the_point_of_the_losses_clears_them() {
+    let mut register = register();
+    lose(&mut register, SOUND, "s-1", 0, 1_000);
+    lose(&mut register, SOUND, "s-2", 3, 2_000);
+    assert!(register.record_progress(SOUND, at(1_500), 30, at(2_500)));
+    assert_eq!(register.losses(SOUND).count(), 1, "a loss after its start stays");
+    assert!(!register.record_progress(SOUND, at(2_100), 10, at(2_500)), "not far enough");
+    assert!(register.record_progress(SOUND, at(2_100), 11, at(2_600)));
+    assert!(!register.is_suspect(SOUND));
+    assert!(!register.record_progress(SOUND, at(2_100), 12, at(2_700)), "nothing is left");
+}
+
 #[test]
 fn admit_refuses_until_the_end_of_the_quarantine() {
     let mut register = register();
--- a/crates/godwit-gateway/src/forward/quarantine.rs
+++ b/crates/godwit-gateway/src/forward/quarantine.rs
@@ -69,6 +69,21 @@
     site.crashes.borrow_mut().record_completion(fingerprint.0, site.now());
 }
 
+/// Records a piece of a run's response. A run that has come well past the point of earlier losses clears the request.
+pub(super) fn record_piece(site: &Site, run: &Run) {
+    run.record_piece();
+    let fingerprint = run.admitted.fingerprint;
+    if !site.crashes.borrow().is_suspect(fingerprint.0) {
+        return;
+    }
+    let pieces = run.pieces();
+    let mut crashes = site.crashes.borrow_mut();
+    if crashes.record_progress(fingerprint.0, run.started_at, pieces, site.now()) {
+        let request = run.request_id();
+        info!(event = "crash_marks_cleared", request, fingerprint = %fingerprint, pieces);
+    }
+}
+
 /// Returns this host's turn to run a request on probation. Every host computes the same order.
 fn probation_turn(site: &Site, fingerprint: Fingerprint) -> ProbationTurn {
     let relay = site.relay.borrow();
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -21,7 +21,9 @@
 use super::events::take_complete_events;
 use super::handler::log_caller_disconnect;
 use super::in_flight::InFlightGuard;
-use super::quarantine::{check_quarantine, is_quarantined, log_quarantined, record_completion};
+use super::quarantine::{
+    check_quarantine, is_quarantined, log_quarantined, record_completion, record_piece,
+};
 use super::repath::repath;
 use super::response::{IncompleteBody, ResponseBody, server_response, streamed_body};
 use super::server_end::check_broken_run;
@@ -163,7 +165,7 @@
         let Some(piece) = self.next_piece().await? else { return Ok(None) };
         self.attempt.timing.record_piece(self.site.now());
         if let Some(in_flight) = &self.attempt.in_flight {
-            in_flight.run().record_piece();
+            record_piece(&self.site, in_flight.run());
         }
         self.attempt.buffer.extend_from_slice(&piece);
         Ok(Some(take_complete_events(&mut self.attempt.buffer, &mut self.last_event_id)))
--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -30,6 +30,9 @@
 /// Time after which servers that ended have been replaced and registered.
 const RESTART_TIME: Duration = Duration::from_millis(2_200);
 
+/// Time for which a draining server still serves; shorter than on the platform.
+const DRAIN_TIME: Duration = Duration::from_millis(1_500);
+
 const LARGE_BODY_BYTES: usize = 2 << 20;
 
 /// Number of the code `crash_quarantine`.
@@ -364,3 +367,27 @@
         assert!(site.hosts.iter().all(|host| !is_counted(host, "crash_marks_total")));
     }
 }
+
+/// A server that was announced to leave and stops in the middle of a stream is no loss of the stream's doing.
+#[test]
+fn stop_of_a_draining_server_marks_no_request() {
+    let behavior = Behavior::Stream { events: 400, is_complete: true };
+    let site = Site::start(&FleetPlan { behavior, ..model_fleet() });
+    std::thread::scope(|scope| {
+        let caller = scope.spawn(|| site.hosts[0].call("POST", "/chat/1", b"the same body"));
+        let running = || {
+            let servers = site.fleet.running_servers().into_iter();
+            servers.filter(|server| !server.requests().is_empty()).collect::<Vec<_>>()
+        };
+        site.hosts[0].wait_for("the stream", || !running().is_empty());
+        let server = running().remove(0);
+        let mut entry = server.entry("chat", Some((0, 16)));
+        entry["State"] = json!("draining");
+        site.store.put("servers", &server.id, entry);
+        std::thread::sleep(DRAIN_TIME);
+        server.end();
+        let response = caller.join().expect("no panic").expect("a complete response");
+        assert!(response.text().ends_with("data: piece 400\n\n"), "resumed at another server");
+    });
+    assert!(site.hosts.iter().all(|host| !is_counted(host, "crash_marks_total")));
+}
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -82,6 +82,26 @@
     );
 }
 
+#[test]
+fn stream_resume_carries_the_time_that_is_left() {
+    let truncating = FakeServer::start("s-1", &[TRUNCATED_STREAM]);
+    let added_server = FakeServer::start("s-2", &[COMPLETE_STREAM]);
+    let host = Host::start(&entries(&[(&truncating, (0, 16))]));
+    std::thread::scope(|scope| {
+        let caller = scope.spawn(|| host.call("POST", "/chat/1", b"hello"));
+        host.wait_for("the first run", || !truncating.requests().is_empty());
+        std::thread::sleep(Duration::from_millis(500));
+        host.store.put("servers", "s-2", added_server.entry("chat", Some((0, 16))));
+        caller.join().expect("no panic").expect("a complete response");
+    });
+    let left_ms = |server: &FakeServer| {
+        let request = server.requests().remove(0);
+        let value = request.header("godwitdeal-deadline-ms").map(str::to_string);
+        value.and_then(|value| value.parse::<u64>().ok()).expect("a number")
+    };
+    assert!(left_ms(&added_server) + 500 <= left_ms(&truncating));
+}
+
 /// Retries and resumes count together: counted apart, they let a stream run at three servers where its route allowed
 /// two.
 #[test]
