Count losses beside overlapping ones once, and weigh late and shared ones more

A loss midway now counts two thirds instead of half, one beside other ends three quarters instead of two thirds.

Once two runs that were under way together have lost different servers, all losses within the second are one round.

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -12,10 +12,10 @@
 const LOSS_WEIGHT: u64 = 12;
 
 /// Weight of the same loss if other servers ended in the same event.
-const SHARED_LOSS_WEIGHT: u64 = 8;
+const SHARED_LOSS_WEIGHT: u64 = 9;
 
-/// Divisor of the weight of a loss in the middle of a response, which the request is less likely to have caused.
-const LATE_LOSS_DIVISOR: u64 = 2;
+/// Part of the weight, in thirds, of a loss in the middle of a response, which the request is less likely to have caused.
+const LATE_LOSS_THIRDS: u64 = 2;
 
 /// Weight of losses at which a request is quarantined: three servers lost one after the other before the response began.
 const QUARANTINE_WEIGHT: u64 = 3 * LOSS_WEIGHT;
@@ -202,6 +202,7 @@
     /// Time of the last loss.
     ended_at: SteadyMs,
     weight: u64,
+    /// Whether several servers ended at the same time.
     is_shared: bool,
 }
 
@@ -220,7 +221,7 @@
             1..=MAX_SHARED_ENDS => SHARED_LOSS_WEIGHT,
             _ => 0,
         };
-        let weight = if loss.pieces == 0 { weight } else { weight / LATE_LOSS_DIVISOR };
+        let weight = if loss.pieces == 0 { weight } else { weight * LATE_LOSS_THIRDS / 3 };
         LossWeight { weight, is_shared: others > 0 }
     }
 }
@@ -280,13 +281,14 @@
             let LossWeight { weight, is_shared } = assess(loss);
             let started_at = SteadyMs(loss.ended_at.0.saturating_sub(loss.ran_ms));
             let is_same_round = |round: &&mut Round| {
-                (started_at < round.began_at || (is_shared && round.is_shared))
+                (started_at < round.began_at || round.is_shared)
                     && loss.ended_at.since_ms(round.began_at) <= SHARED_END_MS
             };
             match rounds.last_mut().filter(is_same_round) {
                 Some(round) => {
                     round.weight = round.weight.max(weight);
                     round.ended_at = loss.ended_at;
+                    round.is_shared = true;
                 }
                 None => {
                     let (began_at, ended_at) = (loss.ended_at, loss.ended_at);
--- a/crates/godwit-core/tests/crash_register.rs
+++ b/crates/godwit-core/tests/crash_register.rs
@@ -64,8 +64,8 @@
 }
 
 #[test]
-fn status_is_quarantined_at_the_sixth_loss_midway() {
-    assert_eq!(losses_until_quarantine(&mut register(), 3, 5_000), 6);
+fn status_is_quarantined_at_the_fifth_loss_midway() {
+    assert_eq!(losses_until_quarantine(&mut register(), 3, 5_000), 5);
 }
 
 /// The servers of a path that crash with their rack are one loss to each request on it.
@@ -132,16 +132,18 @@
 
 /// Crashes of a few servers at the same time once hid a request that ended seven of them.
 #[test]
-fn status_is_quarantined_at_the_fifth_loss_beside_small_crashes() {
-    let mut register = register();
-    let quarantined_at = (1..=16).find(|number| {
-        let ms = number * 2_000;
-        register.record_end(&format!("c-{number}-1"), at(ms + 300));
-        register.record_end(&format!("c-{number}-2"), at(ms + 310));
-        lose(&mut register, GUILTY, &format!("g-{number}"), 0, ms);
-        is_quarantined(&register, GUILTY, ms + 400)
-    });
-    assert_eq!(quarantined_at, Some(5));
+fn status_is_quarantined_by_the_sixth_loss_beside_small_crashes() {
+    for (pieces, expected) in [(0, 4), (3, 6)] {
+        let mut register = register();
+        let quarantined_at = (1..=16).find(|number| {
+            let ms = number * 2_000;
+            register.record_end(&format!("c-{number}-1"), at(ms + 300));
+            register.record_end(&format!("c-{number}-2"), at(ms + 310));
+            lose(&mut register, GUILTY, &format!("g-{number}"), pieces, ms);
+            is_quarantined(&register, GUILTY, ms + 400)
+        });
+        assert_eq!(quarantined_at, Some(expected), "losses after {pieces} pieces");
+    }
 }
 
 /// In a crash of several servers, the next attempt may meet one that is ending too.
@@ -155,6 +157,22 @@
     assert_eq!(register.status(SOUND, at(1_100)), CrashStatus::Clear);
 }
 
+/// All servers that crashed ran the same request, from several callers, and its next attempts met others of them.
+#[test]
+fn status_counts_attempts_after_overlapping_losses_once() {
+    let mut register = register();
+    for (server, ms, ran_ms) in [
+        ("s-1", 1_000, 50),
+        ("s-2", 1_001, 40),
+        ("s-3", 1_004, 2),
+        ("s-4", 1_008, 3),
+        ("s-5", 1_012, 3),
+    ] {
+        lose_after(&mut register, SOUND, server, 0, ms, ran_ms);
+    }
+    assert_eq!(register.status(SOUND, at(1_100)), CrashStatus::Clear);
+}
+
 #[test]
 fn status_is_clear_after_two_crashes_of_three_servers() {
     let mut register = register();
