Do not blame a stream for servers that another request ended beside it

A loss midway now counts nothing if a request that has lost two servers before its response began was on the same server, and of several runs on one server the one that came farthest counts. status_is_clear_beside_a_request_that_ends_servers_at_once failed before.

A final answer no longer waits for the check of the server if no attempt can follow; reports skip requests with fewer than three losses at once.

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -20,6 +20,9 @@
 /// Weight of losses at which a request is quarantined: three servers lost one after the other before the response began.
 const QUARANTINE_WEIGHT: u64 = 3 * LOSS_WEIGHT;
 
+/// Smallest number of losses that reaches [`QUARANTINE_WEIGHT`].
+const MIN_QUARANTINE_LOSSES: usize = 3;
+
 /// Time within which servers that end count as one event, in milliseconds. The end of a later stage of a path shows
 /// only when the first stage reports that it waits.
 const SHARED_END_MS: u64 = 1_000;
@@ -243,9 +246,11 @@
 
     /// Number of rounds that lost a server before the response began.
     fn early_losses(&self) -> usize {
-        let assess =
-            |loss: &Loss| LossWeight { weight: u64::from(loss.pieces == 0), is_shared: false };
-        self.rounds(assess).iter().filter(|round| round.weight > 0).count()
+        let is_early = |_: &str, loss: &Loss| LossWeight {
+            weight: u64::from(loss.pieces == 0),
+            is_shared: false,
+        };
+        self.rounds(is_early).iter().filter(|round| round.weight > 0).count()
     }
 
     /// Adds a loss or merges another report of it, and returns whether that changed anything.
@@ -254,8 +259,9 @@
             return false;
         }
         if let Some(known) = self.losses.get_mut(server) {
-            let is_changed = loss.pieces < known.pieces;
-            known.pieces = known.pieces.min(loss.pieces);
+            // Several runs were on the server; it had survived the beginning of the one that came farthest.
+            let is_changed = loss.pieces > known.pieces;
+            known.pieces = known.pieces.max(loss.pieces);
             // Ages grow by the delay of each message on the way, so that the earliest time is the most accurate.
             known.ended_at = known.ended_at.min(loss.ended_at);
             return is_changed;
@@ -273,12 +279,12 @@
     /// Returns the rounds of losses, by time. A round weighs as much as the heaviest of its losses. It has all losses close
     /// to each other that one event may have caused: those of runs that were under way at the same time, and those in an
     /// event that ended other servers too, in which the next attempt may meet a server that is ending as well.
-    fn rounds(&self, assess: impl Fn(&Loss) -> LossWeight) -> Vec<Round> {
-        let mut losses: Vec<&Loss> = self.losses.values().collect();
-        losses.sort_by_key(|loss| loss.ended_at);
+    fn rounds(&self, assess: impl Fn(&str, &Loss) -> LossWeight) -> Vec<Round> {
+        let mut losses: Vec<(&String, &Loss)> = self.losses.iter().collect();
+        losses.sort_by_key(|(_, loss)| loss.ended_at);
         let mut rounds: Vec<Round> = Vec::new();
-        for loss in losses {
-            let LossWeight { weight, is_shared } = assess(loss);
+        for (server, loss) in losses {
+            let LossWeight { weight, is_shared } = assess(server, loss);
             let started_at = SteadyMs(loss.ended_at.0.saturating_sub(loss.ran_ms));
             let is_same_round = |round: &&mut Round| {
                 (started_at < round.began_at || round.is_shared)
@@ -486,11 +492,17 @@
     /// End of the quarantine to which the losses of a request lead; none if they weigh too little. A loss before the end
     /// begins the quarantine anew, a loss on probation doubles it.
     fn quarantine_end(&self, fingerprint: u64, suspect: &Suspect) -> Option<SteadyMs> {
-        let upper_bounds = suspect.rounds(|loss| LossWeight::new(loss, 0));
+        if suspect.losses.len() < MIN_QUARANTINE_LOSSES {
+            return None;
+        }
+        let upper_bounds = suspect.rounds(|_, loss| LossWeight::new(loss, 0));
         if upper_bounds.iter().map(|round| round.weight).sum::<u64>() < QUARANTINE_WEIGHT {
             return None;
         }
-        let rounds = suspect.rounds(|loss| {
+        let rounds = suspect.rounds(|server, loss| {
+            if loss.pieces > 0 && self.is_explained(fingerprint, server) {
+                return LossWeight { weight: 0, is_shared: true };
+            }
             LossWeight::new(loss, self.unexplained_ends(fingerprint, suspect, loss.ended_at))
         });
         let mut total = 0;
@@ -600,8 +612,8 @@
         let mut cursor = self.report_cursor;
         for fingerprint in after_cursor.chain(before_cursor) {
             let is_reported =
-                report.suspects.iter().any(|suspect| suspect.fingerprint == fingerprint);
-            if is_reported || self.status(fingerprint, now) == CrashStatus::Clear {
+                || report.suspects.iter().any(|suspect| suspect.fingerprint == fingerprint);
+            if self.status(fingerprint, now) == CrashStatus::Clear || is_reported() {
                 continue;
             }
             if !self.add_to_report(&mut report, &mut losses_left, fingerprint, now) {
--- a/crates/godwit-core/tests/crash_register.rs
+++ b/crates/godwit-core/tests/crash_register.rs
@@ -202,6 +202,20 @@
     }
 }
 
+/// A stream beside requests that end their servers was once quarantined with them.
+#[test]
+fn status_is_clear_beside_a_request_that_ends_servers_at_once() {
+    let mut register = register();
+    for number in 0..6 {
+        let (server, ms) = (format!("s-{number}"), 2_000 * number);
+        lose_after(&mut register, SOUND, &server, 0, ms, 10);
+        lose_after(&mut register, SOUND, &server, 12, ms, 90);
+        lose(&mut register, GUILTY, &server, 0, ms);
+    }
+    assert!(is_quarantined(&register, GUILTY, 10_000));
+    assert_eq!(register.status(SOUND, at(10_000)), CrashStatus::Clear);
+}
+
 #[test]
 fn record_completion_clears_the_losses_before() {
     let mut register = register();
--- a/crates/godwit-gateway/src/forward/server_end.rs
+++ b/crates/godwit-gateway/src/forward/server_end.rs
@@ -218,11 +218,11 @@
     }
 }
 
-/// Starts the check of a server of a run that has broken or waits for it. For a request under which other servers have
-/// ended, returns only after the check, so that a next attempt knows of this loss.
+/// Starts the check of a server of a run that has broken or waits for it. If another attempt may follow and other servers
+/// have ended under the request, returns only after the check, so that the attempt knows of this loss.
 pub(super) async fn check_server(site: &Rc<Site>, run: &Rc<Run>, server_id: &str) {
     let check = check_server_of(site.clone(), run.clone(), server_id.to_string(), site.now());
-    if is_suspect(site, &run.admitted) {
+    if run.admitted.policy.work.may_run_again() && is_suspect(site, &run.admitted) {
         check.await;
     } else {
         spawn_local(check);
