Split the register of crashes by its parts

Reports, the losses of one request with their weights, and the register are files of their own; no change of behaviour (29 tests of the register pass).

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -3,44 +3,19 @@
 //! Hosts exchange reports of single losses and derive all else from them, so that reports may arrive late, repeatedly
 //! and in any order. Ages are exchanged instead of times, because the clocks of hosts differ.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::SteadyMs;
-use crate::quarantine::marks::{MARK_LIFETIME_MS, SAME_LOSS_WINDOW_MS};
-
-/// Weight of the loss of a server before the response began.
-const LOSS_WEIGHT: u64 = 12;
-
-/// Weight of the same loss if other servers ended in the same event.
-const SHARED_LOSS_WEIGHT: u64 = 9;
-
-/// Part of the weight, in thirds, of a loss in the middle of a response, which the request is less likely to have caused.
-const LATE_LOSS_THIRDS: u64 = 2;
-
-/// Weight of losses at which a request is quarantined: three rounds before the response began.
-const QUARANTINE_WEIGHT: u64 = 3 * LOSS_WEIGHT;
-
-/// Number of runs that lose their servers in one round, from which the round counts twice.
-const MIN_RUNS_OF_HEAVY_ROUND: usize = 3;
-
-/// Smallest number of losses that reaches [`QUARANTINE_WEIGHT`].
-const MIN_QUARANTINE_LOSSES: usize = 3;
-
-/// Time within which servers that end count as one event, in milliseconds. The end of a later stage of a path shows
-/// only when the first stage reports that it waits.
-const SHARED_END_MS: u64 = 1_000;
-
-/// Largest number of other servers that end in the same event for which a request may still be to blame. More are the
-/// doing of a rack, a failure domain or an operator.
-const MAX_SHARED_ENDS: u64 = 3;
-
-/// Number of rounds that lost a server before the response began, from which a request is a likelier cause of a server's
-/// end than an event that ended other servers too.
-const REPEATED_LOSSES: usize = 2;
-
-/// Factor on the pieces of a lost run, and margin on top, beyond which a later run has passed the point of the loss.
-const PASSED_FACTOR: u64 = 2;
-const PASSED_MARGIN_PIECES: u64 = 4;
+use crate::quarantine::crash_report::{
+    CrashReport, LossReport, MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES, MAX_REPORTED_SUSPECTS,
+    ServerEndReport, SuspectReport,
+};
+use crate::quarantine::marks::MARK_LIFETIME_MS;
+use crate::quarantine::suspect::{
+    Loss, LossWeight, LostRun, MAX_LOSSES, MIN_QUARANTINE_LOSSES, PASSED_FACTOR,
+    PASSED_MARGIN_PIECES, QUARANTINE_WEIGHT, REPEATED_LOSSES, Round, SHARED_END_MS, Suspect,
+    truncated,
+};
 
 /// Maximum number of doublings of the quarantine, one for each loss on probation.
 const MAX_QUARANTINE_DOUBLINGS: u64 = 3;
@@ -57,18 +32,6 @@
 /// Maximum number of server ends in the register.
 pub const MAX_SERVER_ENDS: usize = 1_024;
 
-/// Maximum number of losses kept for a request; the latest are kept.
-const MAX_LOSSES: usize = 32;
-
-/// Maximum number of requests in a report to other hosts.
-pub const MAX_REPORTED_SUSPECTS: usize = 48;
-
-/// Maximum number of losses of all requests in a report to other hosts.
-pub const MAX_REPORTED_LOSSES: usize = 128;
-
-/// Maximum number of server ends in a report to other hosts.
-pub const MAX_REPORTED_ENDS: usize = 64;
-
 /// Time for which a change is reported to other hosts, in milliseconds; the platform's contact window.
 const REPORT_MS: u64 = 3_000;
 
@@ -76,81 +39,6 @@
 /// that were cut off. Requests that are quarantined or on probation are reported all the time.
 const REPEATED_REPORT_MS: u64 = 30_000;
 
-/// Longest request id that is kept, in bytes.
-const MAX_REQUEST_ID_BYTES: usize = 64;
-
-/// A run that was broken off because a server ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LostRun<'a> {
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
-    /// Time at which the request was sent to the server.
-    pub started_at: SteadyMs,
-    /// Number of pieces of the response that had arrived.
-    pub pieces: u64,
-    /// Id of the request at the caller's attempt.
-    pub request_id: &'a str,
-}
-
-/// Loss of a server under a request.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Loss {
-    /// Time at which the server ended.
-    pub ended_at: SteadyMs,
-    /// Time for which the request had run, in milliseconds.
-    pub ran_ms: u64,
-    /// Number of pieces of the response that had arrived.
-    pub pieces: u64,
-    /// Id of the request at the caller's attempt that lost the server.
-    pub request_id: String,
-    /// Host that reported the loss; none for this host.
-    pub heard_from: Option<String>,
-}
-
-/// Loss of a server under a request, as reported to other hosts.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct LossReport {
-    /// Incarnation of the server.
-    pub server: String,
-    /// Time since the server ended, in milliseconds.
-    pub ended_ago_ms: u64,
-    /// Time for which the request had run, in milliseconds.
-    pub ran_ms: u64,
-    /// Number of pieces of the response that had arrived.
-    pub pieces: u64,
-    /// Id of the request at the caller's attempt that lost the server.
-    pub request_id: String,
-}
-
-/// Losses of one request, as reported to other hosts.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct SuspectReport {
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
-    /// Losses since the request was last cleared.
-    pub losses: Vec<LossReport>,
-    /// Time since the request last completed, in milliseconds, if that is known.
-    pub cleared_ago_ms: Option<u64>,
-}
-
-/// End of a server, as reported to other hosts.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ServerEndReport {
-    /// Incarnation of the server.
-    pub server: String,
-    /// Time since the server ended, in milliseconds.
-    pub ended_ago_ms: u64,
-}
-
-/// What a host reports to other hosts.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct CrashReport {
-    /// Servers that have ended.
-    pub ends: Vec<ServerEndReport>,
-    /// Requests that ran on them.
-    pub suspects: Vec<SuspectReport>,
-}
-
 /// Status of a request by the servers lost under it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CrashStatus {
@@ -200,133 +88,6 @@
     pub status: CrashStatus,
 }
 
-/// Losses of a request whose runs were under way at the same time.
-#[derive(Clone, Debug)]
-struct Round {
-    /// Time of the first loss.
-    began_at: SteadyMs,
-    /// Time of the last loss.
-    ended_at: SteadyMs,
-    /// Weight of the heaviest loss.
-    weight: u64,
-    /// Whether several servers ended at the same time.
-    is_shared: bool,
-    /// Times at which its runs started.
-    starts: BTreeSet<SteadyMs>,
-}
-
-impl Round {
-    /// Weight of the round: twice that of its heaviest loss if it has lost the servers of several runs.
-    fn total_weight(&self) -> u64 {
-        if self.starts.len() >= MIN_RUNS_OF_HEAVY_ROUND { 2 * self.weight } else { self.weight }
-    }
-}
-
-#[derive(Clone, Copy, Debug)]
-struct LossWeight {
-    weight: u64,
-    /// Whether other servers ended in the same event.
-    is_shared: bool,
-}
-
-impl LossWeight {
-    /// Weight of a loss, given the number of other servers that ended in the same event.
-    fn new(loss: &Loss, others: u64) -> LossWeight {
-        let weight = match others {
-            0 => LOSS_WEIGHT,
-            1..=MAX_SHARED_ENDS => SHARED_LOSS_WEIGHT,
-            _ => 0,
-        };
-        let weight = if loss.pieces == 0 { weight } else { weight * LATE_LOSS_THIRDS / 3 };
-        LossWeight { weight, is_shared: others > 0 }
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    /// Losses by incarnation of the server.
-    losses: BTreeMap<String, Loss>,
-    cleared_at: Option<SteadyMs>,
-    changed_at: SteadyMs,
-    /// Status at the last call of [`CrashRegister::status_changes`].
-    last_status: Option<CrashStatus>,
-}
-
-impl Suspect {
-    fn last_loss_at(&self) -> SteadyMs {
-        self.losses.values().map(|loss| loss.ended_at).max().unwrap_or_default()
-    }
-
-    /// Number of rounds that lost a server before the response began.
-    fn early_losses(&self) -> usize {
-        let is_early = |_: &str, loss: &Loss| LossWeight {
-            weight: u64::from(loss.pieces == 0),
-            is_shared: false,
-        };
-        self.rounds(is_early).iter().filter(|round| round.weight > 0).count()
-    }
-
-    /// Adds a loss or merges another report of it, and returns whether that changed anything.
-    fn add(&mut self, server: &str, loss: Loss) -> bool {
-        if self.cleared_at.is_some_and(|cleared_at| loss.ended_at <= cleared_at) {
-            return false;
-        }
-        if let Some(known) = self.losses.get_mut(server) {
-            // Several runs were on the server; it had survived the beginning of the one that came farthest.
-            let is_changed = loss.pieces > known.pieces;
-            known.pieces = known.pieces.max(loss.pieces);
-            // Ages grow by the delay of each message on the way, so that the earliest time is the most accurate.
-            known.ended_at = known.ended_at.min(loss.ended_at);
-            return is_changed;
-        }
-        self.losses.insert(server.to_string(), loss);
-        if self.losses.len() > MAX_LOSSES {
-            let oldest = self.losses.iter().min_by_key(|(_, loss)| loss.ended_at);
-            if let Some(server) = oldest.map(|(server, _)| server.clone()) {
-                self.losses.remove(&server);
-            }
-        }
-        true
-    }
-
-    /// Returns the rounds of losses, by time. A round has all losses close
-    /// to each other that one event may have caused: those of runs that were under way at the same time, and those in an
-    /// event that ended other servers too, in which the next attempt may meet a server that is ending as well.
-    fn rounds(&self, assess: impl Fn(&str, &Loss) -> LossWeight) -> Vec<Round> {
-        let mut losses: Vec<(&String, &Loss)> = self.losses.iter().collect();
-        losses.sort_by_key(|(_, loss)| loss.ended_at);
-        let mut rounds: Vec<Round> = Vec::new();
-        for (server, loss) in losses {
-            let LossWeight { weight, is_shared } = assess(server, loss);
-            let started_at = SteadyMs(loss.ended_at.0.saturating_sub(loss.ran_ms));
-            let is_same_round = |round: &&mut Round| {
-                let since_ms = loss.ended_at.since_ms(round.began_at);
-                let is_overlapping = started_at < round.began_at || round.is_shared;
-                since_ms <= SAME_LOSS_WINDOW_MS || (is_overlapping && since_ms <= SHARED_END_MS)
-            };
-            match rounds.last_mut().filter(is_same_round) {
-                Some(round) => {
-                    round.weight = round.weight.max(weight);
-                    round.ended_at = loss.ended_at;
-                    round.is_shared |= started_at < round.began_at || is_shared;
-                    round.starts.insert(started_at);
-                }
-                None => {
-                    let (began_at, ended_at) = (loss.ended_at, loss.ended_at);
-                    let starts = BTreeSet::from([started_at]);
-                    rounds.push(Round { began_at, ended_at, weight, is_shared, starts });
-                }
-            }
-        }
-        rounds
-    }
-
-    fn clear(&mut self, at: SteadyMs) {
-        self.losses.retain(|_, loss| loss.ended_at > at);
-        self.cleared_at = self.cleared_at.max(Some(at));
-    }
-}
-
 /// Servers that ended, and the requests that ran on them.
 ///
 /// ```
@@ -741,12 +502,3 @@
         }
     }
 }
-
-/// Returns the start of a request id, which the caller chooses, up to the length that is kept.
-fn truncated(request_id: &str) -> String {
-    let mut end = request_id.len().min(MAX_REQUEST_ID_BYTES);
-    while !request_id.is_char_boundary(end) {
-        end -= 1;
-    }
-    request_id[..end].to_string()
-}
--- /dev/null
+++ b/crates/godwit-core/src/quarantine/crash_report.rs
@@ -0,0 +1,54 @@
+//! Reports of server ends and losses that hosts exchange.
+
+/// Maximum number of requests in a report to other hosts.
+pub const MAX_REPORTED_SUSPECTS: usize = 48;
+
+/// Maximum number of losses of all requests in a report to other hosts.
+pub const MAX_REPORTED_LOSSES: usize = 128;
+
+/// Maximum number of server ends in a report to other hosts.
+pub const MAX_REPORTED_ENDS: usize = 64;
+
+/// Loss of a server under a request, as reported to other hosts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LossReport {
+    /// Incarnation of the server.
+    pub server: String,
+    /// Time since the server ended, in milliseconds.
+    pub ended_ago_ms: u64,
+    /// Time for which the request had run, in milliseconds.
+    pub ran_ms: u64,
+    /// Number of pieces of the response that had arrived.
+    pub pieces: u64,
+    /// Id of the request at the caller's attempt that lost the server.
+    pub request_id: String,
+}
+
+/// Losses of one request, as reported to other hosts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SuspectReport {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Losses since the request was last cleared.
+    pub losses: Vec<LossReport>,
+    /// Time since the request last completed, in milliseconds, if that is known.
+    pub cleared_ago_ms: Option<u64>,
+}
+
+/// End of a server, as reported to other hosts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerEndReport {
+    /// Incarnation of the server.
+    pub server: String,
+    /// Time since the server ended, in milliseconds.
+    pub ended_ago_ms: u64,
+}
+
+/// What a host reports to other hosts.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CrashReport {
+    /// Servers that have ended.
+    pub ends: Vec<ServerEndReport>,
+    /// Requests that ran on them.
+    pub suspects: Vec<SuspectReport>,
+}
--- a/crates/godwit-core/src/quarantine/mod.rs
+++ b/crates/godwit-core/src/quarantine/mod.rs
@@ -9,15 +9,21 @@
 //! losses are weighed by what else ended at the same time, and the quarantine ends with a probation.
 
 mod crash_register;
+mod crash_report;
 mod fingerprint;
 mod marks;
 mod register;
+mod suspect;
 
 pub use crash_register::{
-    CrashAdmission, CrashRegister, CrashReport, CrashStatus, Loss, LossReport, LostRun,
-    MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES, MAX_REPORTED_SUSPECTS, MAX_SERVER_ENDS, MAX_SUSPECTS,
-    ProbationTurn, ServerEndReport, StatusChange, SuspectReport,
+    CrashAdmission, CrashRegister, CrashStatus, MAX_SERVER_ENDS, MAX_SUSPECTS, ProbationTurn,
+    StatusChange,
+};
+pub use crash_report::{
+    CrashReport, LossReport, MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES, MAX_REPORTED_SUSPECTS,
+    ServerEndReport, SuspectReport,
 };
 pub use fingerprint::fingerprint;
 pub use marks::MARK_LIFETIME_MS;
 pub use register::{Quarantine, QuarantineStatus, StartDecision};
+pub use suspect::{Loss, LostRun};
--- /dev/null
+++ b/crates/godwit-core/src/quarantine/suspect.rs
@@ -0,0 +1,211 @@
+//! Losses of one request, and what they weigh.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::SteadyMs;
+use crate::quarantine::crash_register::CrashStatus;
+use crate::quarantine::marks::SAME_LOSS_WINDOW_MS;
+
+/// Weight of the loss of a server before the response began.
+const LOSS_WEIGHT: u64 = 12;
+
+/// Weight of the same loss if other servers ended in the same event.
+const SHARED_LOSS_WEIGHT: u64 = 9;
+
+/// Part of the weight, in thirds, of a loss in the middle of a response, which the request is less likely to have caused.
+const LATE_LOSS_THIRDS: u64 = 2;
+
+/// Weight of losses at which a request is quarantined: three rounds before the response began.
+pub(crate) const QUARANTINE_WEIGHT: u64 = 3 * LOSS_WEIGHT;
+
+/// Number of runs that lose their servers in one round, from which the round counts twice.
+const MIN_RUNS_OF_HEAVY_ROUND: usize = 3;
+
+/// Smallest number of losses that reaches [`QUARANTINE_WEIGHT`].
+pub(crate) const MIN_QUARANTINE_LOSSES: usize = 3;
+
+/// Time within which servers that end count as one event, in milliseconds. The end of a later stage of a path shows
+/// only when the first stage reports that it waits.
+pub(crate) const SHARED_END_MS: u64 = 1_000;
+
+/// Largest number of other servers that end in the same event for which a request may still be to blame. More are the
+/// doing of a rack, a failure domain or an operator.
+const MAX_SHARED_ENDS: u64 = 3;
+
+/// Number of rounds that lost a server before the response began, from which a request is a likelier cause of a server's
+/// end than an event that ended other servers too.
+pub(crate) const REPEATED_LOSSES: usize = 2;
+
+/// Factor on the pieces of a lost run, and margin on top, beyond which a later run has passed the point of the loss.
+pub(crate) const PASSED_FACTOR: u64 = 2;
+pub(crate) const PASSED_MARGIN_PIECES: u64 = 4;
+
+/// Maximum number of losses kept for a request; the latest are kept.
+pub(crate) const MAX_LOSSES: usize = 32;
+
+/// Longest request id that is kept, in bytes.
+const MAX_REQUEST_ID_BYTES: usize = 64;
+
+/// A run that was broken off because a server ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LostRun<'a> {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Time at which the request was sent to the server.
+    pub started_at: SteadyMs,
+    /// Number of pieces of the response that had arrived.
+    pub pieces: u64,
+    /// Id of the request at the caller's attempt.
+    pub request_id: &'a str,
+}
+
+/// Loss of a server under a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Loss {
+    /// Time at which the server ended.
+    pub ended_at: SteadyMs,
+    /// Time for which the request had run, in milliseconds.
+    pub ran_ms: u64,
+    /// Number of pieces of the response that had arrived.
+    pub pieces: u64,
+    /// Id of the request at the caller's attempt that lost the server.
+    pub request_id: String,
+    /// Host that reported the loss; none for this host.
+    pub heard_from: Option<String>,
+}
+
+/// Losses of a request whose runs were under way at the same time.
+#[derive(Clone, Debug)]
+pub(crate) struct Round {
+    /// Time of the first loss.
+    pub(crate) began_at: SteadyMs,
+    /// Time of the last loss.
+    pub(crate) ended_at: SteadyMs,
+    /// Weight of the heaviest loss.
+    pub(crate) weight: u64,
+    /// Whether several servers ended at the same time.
+    pub(crate) is_shared: bool,
+    /// Times at which its runs started.
+    pub(crate) starts: BTreeSet<SteadyMs>,
+}
+
+impl Round {
+    /// Weight of the round: twice that of its heaviest loss if it has lost the servers of several runs.
+    pub(crate) fn total_weight(&self) -> u64 {
+        if self.starts.len() >= MIN_RUNS_OF_HEAVY_ROUND { 2 * self.weight } else { self.weight }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LossWeight {
+    pub(crate) weight: u64,
+    /// Whether other servers ended in the same event.
+    pub(crate) is_shared: bool,
+}
+
+impl LossWeight {
+    /// Weight of a loss, given the number of other servers that ended in the same event.
+    pub(crate) fn new(loss: &Loss, others: u64) -> LossWeight {
+        let weight = match others {
+            0 => LOSS_WEIGHT,
+            1..=MAX_SHARED_ENDS => SHARED_LOSS_WEIGHT,
+            _ => 0,
+        };
+        let weight = if loss.pieces == 0 { weight } else { weight * LATE_LOSS_THIRDS / 3 };
+        LossWeight { weight, is_shared: others > 0 }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Suspect {
+    /// Losses by incarnation of the server.
+    pub(crate) losses: BTreeMap<String, Loss>,
+    pub(crate) cleared_at: Option<SteadyMs>,
+    pub(crate) changed_at: SteadyMs,
+    /// Status at the last call of `CrashRegister::status_changes`.
+    pub(crate) last_status: Option<CrashStatus>,
+}
+
+impl Suspect {
+    pub(crate) fn last_loss_at(&self) -> SteadyMs {
+        self.losses.values().map(|loss| loss.ended_at).max().unwrap_or_default()
+    }
+
+    /// Number of rounds that lost a server before the response began.
+    pub(crate) fn early_losses(&self) -> usize {
+        let is_early = |_: &str, loss: &Loss| LossWeight {
+            weight: u64::from(loss.pieces == 0),
+            is_shared: false,
+        };
+        self.rounds(is_early).iter().filter(|round| round.weight > 0).count()
+    }
+
+    /// Adds a loss or merges another report of it, and returns whether that changed anything.
+    pub(crate) fn add(&mut self, server: &str, loss: Loss) -> bool {
+        if self.cleared_at.is_some_and(|cleared_at| loss.ended_at <= cleared_at) {
+            return false;
+        }
+        if let Some(known) = self.losses.get_mut(server) {
+            // Several runs were on the server; it had survived the beginning of the one that came farthest.
+            let is_changed = loss.pieces > known.pieces;
+            known.pieces = known.pieces.max(loss.pieces);
+            // Ages grow by the delay of each message on the way, so that the earliest time is the most accurate.
+            known.ended_at = known.ended_at.min(loss.ended_at);
+            return is_changed;
+        }
+        self.losses.insert(server.to_string(), loss);
+        if self.losses.len() > MAX_LOSSES {
+            let oldest = self.losses.iter().min_by_key(|(_, loss)| loss.ended_at);
+            if let Some(server) = oldest.map(|(server, _)| server.clone()) {
+                self.losses.remove(&server);
+            }
+        }
+        true
+    }
+
+    /// Returns the rounds of losses, by time. A round has all losses close
+    /// to each other that one event may have caused: those of runs that were under way at the same time, and those in an
+    /// event that ended other servers too, in which the next attempt may meet a server that is ending as well.
+    pub(crate) fn rounds(&self, assess: impl Fn(&str, &Loss) -> LossWeight) -> Vec<Round> {
+        let mut losses: Vec<(&String, &Loss)> = self.losses.iter().collect();
+        losses.sort_by_key(|(_, loss)| loss.ended_at);
+        let mut rounds: Vec<Round> = Vec::new();
+        for (server, loss) in losses {
+            let LossWeight { weight, is_shared } = assess(server, loss);
+            let started_at = SteadyMs(loss.ended_at.0.saturating_sub(loss.ran_ms));
+            let is_same_round = |round: &&mut Round| {
+                let since_ms = loss.ended_at.since_ms(round.began_at);
+                let is_overlapping = started_at < round.began_at || round.is_shared;
+                since_ms <= SAME_LOSS_WINDOW_MS || (is_overlapping && since_ms <= SHARED_END_MS)
+            };
+            match rounds.last_mut().filter(is_same_round) {
+                Some(round) => {
+                    round.weight = round.weight.max(weight);
+                    round.ended_at = loss.ended_at;
+                    round.is_shared |= started_at < round.began_at || is_shared;
+                    round.starts.insert(started_at);
+                }
+                None => {
+                    let (began_at, ended_at) = (loss.ended_at, loss.ended_at);
+                    let starts = BTreeSet::from([started_at]);
+                    rounds.push(Round { began_at, ended_at, weight, is_shared, starts });
+                }
+            }
+        }
+        rounds
+    }
+
+    pub(crate) fn clear(&mut self, at: SteadyMs) {
+        self.losses.retain(|_, loss| loss.ended_at > at);
+        self.cleared_at = self.cleared_at.max(Some(at));
+    }
+}
+
+/// Returns the start of a request id, which the caller chooses, up to the length that is kept.
+pub(crate) fn truncated(request_id: &str) -> String {
+    let mut end = request_id.len().min(MAX_REQUEST_ID_BYTES);
+    while !request_id.is_char_boundary(end) {
+        end -= 1;
+    }
+    request_id[..end].to_string()
+}
