Count the loss of a server after a few pieces of the response in full

A loss with up to four pieces, the margin by which a later run must pass it, now counts like one before the response.

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -277,7 +277,7 @@
             return None;
         }
         let rounds = suspect.rounds(|server, loss| {
-            if loss.pieces > 0 && self.is_explained(fingerprint, server) {
+            if !loss.is_early() && self.is_explained(fingerprint, server) {
                 return LossWeight { weight: 0, is_shared: true };
             }
             LossWeight::new(loss, self.unexplained_ends(fingerprint, suspect, loss.ended_at))
@@ -320,7 +320,7 @@
     fn is_explained(&self, except: u64, server: &str) -> bool {
         self.suspects.iter().any(|(fingerprint, suspect)| {
             *fingerprint != except
-                && suspect.losses.get(server).is_some_and(|loss| loss.pieces == 0)
+                && suspect.losses.get(server).is_some_and(Loss::is_early)
                 && suspect.early_losses() >= REPEATED_LOSSES
         })
     }
--- a/crates/godwit-core/src/quarantine/suspect.rs
+++ b/crates/godwit-core/src/quarantine/suspect.rs
@@ -6,7 +6,10 @@
 use crate::quarantine::crash_register::CrashStatus;
 use crate::quarantine::marks::SAME_LOSS_WINDOW_MS;
 
-/// Weight of the loss of a server before the response began.
+/// Number of pieces of a response up to which it has hardly begun.
+const MAX_EARLY_PIECES: u64 = PASSED_MARGIN_PIECES;
+
+/// Weight of the loss of a server when the response had hardly begun.
 const LOSS_WEIGHT: u64 = 12;
 
 /// Weight of the same loss if other servers ended in the same event.
@@ -15,7 +18,7 @@
 /// Part of the weight, in thirds, of a loss in the middle of a response, which the request is less likely to have caused.
 const LATE_LOSS_THIRDS: u64 = 2;
 
-/// Weight of losses at which a request is quarantined: three rounds before the response began.
+/// Weight of losses at which a request is quarantined: three rounds when the response had hardly begun.
 pub(crate) const QUARANTINE_WEIGHT: u64 = 3 * LOSS_WEIGHT;
 
 /// Number of runs that lose their servers in one round, from which the round counts twice.
@@ -32,7 +35,7 @@
 /// doing of a rack, a failure domain or an operator.
 const MAX_SHARED_ENDS: u64 = 3;
 
-/// Number of rounds that lost a server before the response began, from which a request is a likelier cause of a server's
+/// Number of rounds that lost a server when the response had hardly begun, from which a request is a likelier cause of a server's
 /// end than an event that ended other servers too.
 pub(crate) const REPEATED_LOSSES: usize = 2;
 
@@ -74,6 +77,13 @@
     pub heard_from: Option<String>,
 }
 
+impl Loss {
+    /// Whether the response had hardly begun.
+    pub(crate) fn is_early(&self) -> bool {
+        self.pieces <= MAX_EARLY_PIECES
+    }
+}
+
 /// Losses of a request whose runs were under way at the same time.
 #[derive(Clone, Debug)]
 pub(crate) struct Round {
@@ -111,7 +121,7 @@
             1..=MAX_SHARED_ENDS => SHARED_LOSS_WEIGHT,
             _ => 0,
         };
-        let weight = if loss.pieces == 0 { weight } else { weight * LATE_LOSS_THIRDS / 3 };
+        let weight = if loss.is_early() { weight } else { weight * LATE_LOSS_THIRDS / 3 };
         LossWeight { weight, is_shared: others > 0 }
     }
 }
@@ -131,10 +141,10 @@
         self.losses.values().map(|loss| loss.ended_at).max().unwrap_or_default()
     }
 
-    /// Number of rounds that lost a server before the response began.
+    /// Number of rounds that lost a server when the response had hardly begun.
     pub(crate) fn early_losses(&self) -> usize {
         let is_early = |_: &str, loss: &Loss| LossWeight {
-            weight: u64::from(loss.pieces == 0),
+            weight: u64::from(loss.is_early()),
             is_shared: false,
         };
         self.rounds(is_early).iter().filter(|round| round.weight > 0).count()
--- a/crates/godwit-core/tests/crash_register.rs
+++ b/crates/godwit-core/tests/crash_register.rs
@@ -65,7 +65,8 @@
 
 #[test]
 fn status_is_quarantined_at_the_fifth_loss_midway() {
-    assert_eq!(losses_until_quarantine(&mut register(), 3, 5_000), 5);
+    assert_eq!(losses_until_quarantine(&mut register(), 9, 5_000), 5);
+    assert_eq!(losses_until_quarantine(&mut register(), 3, 5_000), 3, "hardly begun");
 }
 
 /// The servers of a path that crash with their rack are one loss to each request on it.
@@ -87,7 +88,7 @@
 /// A request that runs on many servers at once was once quarantined by a single crash of half of them.
 #[test]
 fn status_counts_runs_at_the_same_time_once() {
-    for (waves, pieces) in [(1, 0), (2, 3)] {
+    for (waves, pieces) in [(1, 0), (2, 9)] {
         let mut register = register();
         for wave in 0..waves {
             for server in 0..5 {
@@ -139,7 +140,7 @@
 /// Crashes of a few servers at the same time once hid a request that ended seven of them.
 #[test]
 fn status_is_quarantined_by_the_sixth_loss_beside_small_crashes() {
-    for (pieces, expected) in [(0, 4), (3, 6)] {
+    for (pieces, expected) in [(0, 4), (3, 4), (9, 6)] {
         let mut register = register();
         let quarantined_at = (1..=16).find(|number| {
             let ms = number * 2_000;
