Send the reports of losses without a copy of their types

The gateway held a second set of the types of a report, field by field, only to encode it; the types of the core now derive the encoding themselves, as the hints of the own interface do. The order of the fields is the same, so the messages are too. The soak and the tests of crashes share one set of bounds. Comments that had drifted from the rounds are corrected. No decision changes.

--- a/crates/godwit-core/src/quarantine/crash_report.rs
+++ b/crates/godwit-core/src/quarantine/crash_report.rs
@@ -1,5 +1,7 @@
 //! Reports of server ends and losses that hosts exchange.
 
+use serde::{Deserialize, Serialize};
+
 /// Maximum number of requests in a report to other hosts.
 pub const MAX_REPORTED_SUSPECTS: usize = 48;
 
@@ -10,7 +12,7 @@
 pub const MAX_REPORTED_ENDS: usize = 64;
 
 /// Loss of a server under a request, as reported to other hosts.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LossReport {
     /// Incarnation of the server.
     pub server: String,
@@ -25,7 +27,7 @@
 }
 
 /// Losses of one request, as reported to other hosts.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SuspectReport {
     /// Fingerprint of the request.
     pub fingerprint: u64,
@@ -36,7 +38,7 @@
 }
 
 /// End of a server, as reported to other hosts.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServerEndReport {
     /// Incarnation of the server.
     pub server: String,
@@ -45,7 +47,7 @@
 }
 
 /// What a host reports to other hosts.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReport {
     /// Servers that have ended.
     pub ends: Vec<ServerEndReport>,
--- a/crates/godwit-core/src/quarantine/suspect.rs
+++ b/crates/godwit-core/src/quarantine/suspect.rs
@@ -35,8 +35,8 @@
 /// doing of a rack, a failure domain or an operator.
 const MAX_SHARED_ENDS: u64 = 3;
 
-/// Number of rounds that lost a server when the response had hardly begun, from which a request is a likelier cause of a server's
-/// end than an event that ended other servers too.
+/// Number of rounds that lost a server when the response had hardly begun, from which a request is a likelier cause of a
+/// server's end than an event that ended other servers too.
 pub(crate) const REPEATED_LOSSES: usize = 2;
 
 /// Factor on the pieces of a lost run, and margin on top, beyond which a later run has passed the point of the loss.
@@ -84,7 +84,7 @@
     }
 }
 
-/// Losses of a request whose runs were under way at the same time.
+/// Losses of a request that one event may have caused.
 #[derive(Clone, Debug)]
 pub(crate) struct Round {
     /// Time of the first loss.
@@ -173,9 +173,9 @@
         true
     }
 
-    /// Returns the rounds of losses, by time. A round has all losses close
-    /// to each other that one event may have caused: those of runs that were under way at the same time, and those in an
-    /// event that ended other servers too, in which the next attempt may meet a server that is ending as well.
+    /// Returns the rounds of losses, by time. A round has all losses close to each other that one event may have caused:
+    /// those within moments, those of runs that were under way at the same time, and those in an event that ended other
+    /// servers too, in which the next attempt may meet a server that is ending as well.
     pub(crate) fn rounds(&self, assess: impl Fn(&str, &Loss) -> LossWeight) -> Vec<Round> {
         let mut losses: Vec<(&String, &Loss)> = self.losses.iter().collect();
         losses.sort_by_key(|(_, loss)| loss.ended_at);
--- a/crates/godwit-gateway/src/forward/quarantine.rs
+++ b/crates/godwit-gateway/src/forward/quarantine.rs
@@ -1,8 +1,6 @@
 //! Quarantine of requests under which servers have ended: records losses, and decides whether a request may still be sent
 //! to a server.
 
-use std::rc::Rc;
-
 use godwit_core::SteadyMs;
 use godwit_core::quarantine::{CrashAdmission, CrashStatus, LostRun, ProbationTurn};
 use godwit_core::rendezvous::ranked;
@@ -155,6 +153,6 @@
 }
 
 /// Whether a request may not be sent to a server now.
-pub(super) fn is_quarantined(site: &Rc<Site>, admitted: &AdmittedRequest) -> bool {
+pub(super) fn is_quarantined(site: &Site, admitted: &AdmittedRequest) -> bool {
     check_quarantine(site, admitted).is_err()
 }
--- a/crates/godwit-gateway/src/gossip.rs
+++ b/crates/godwit-gateway/src/gossip.rs
@@ -6,13 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use godwit_core::quarantine::CrashReport;
 use godwit_core::site::{FindingReport, Load, LoadSource, PartitionReport, PeerLoadReport};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 use tracing::{debug, warn};
 
-use crate::crash_message::CrashMessage;
 use crate::forward::record_server_end;
 use crate::site::Site;
 
@@ -48,7 +48,7 @@
     loads: Vec<ServerLoad>,
     findings: Vec<ServerFinding>,
     partitions: Vec<DomainPartition>,
-    crashes: CrashMessage,
+    crashes: CrashReport,
     /// Number of hosts that the sender knows of, including itself.
     host_count: Option<u32>,
     /// Newest version of the configuration that the sender knows of.
@@ -148,7 +148,7 @@
             sequence: now.0,
             loads: server_loads.collect(),
             findings: findings.into_iter().map(ServerFinding::from).collect(),
-            crashes: self.site.crashes.borrow_mut().next_report(now).into(),
+            crashes: self.site.crashes.borrow_mut().next_report(now),
             host_count: host_count.and_then(|count| u32::try_from(count).ok()),
             configuration_version: self.site.configuration_freshness.borrow().newest_known(),
             servers_revision: self.site.servers_freshness.borrow().newest_known(),
@@ -217,8 +217,7 @@
                 .borrow_mut()
                 .merge_partition(&PartitionReport { domains, for_ms }, now);
         }
-        let crashes = message.crashes.into();
-        let new_ends = site.crashes.borrow_mut().merge(&crashes, &message.host, now);
+        let new_ends = site.crashes.borrow_mut().merge(&message.crashes, &message.host, now);
         for incarnation in new_ends {
             record_server_end(site, &incarnation);
         }
--- a/crates/godwit-gateway/src/lib.rs
+++ b/crates/godwit-gateway/src/lib.rs
@@ -3,7 +3,6 @@
 
 mod clock;
 mod coordinator;
-mod crash_message;
 mod forward;
 mod gossip;
 mod listeners;
--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -12,12 +12,12 @@
 use crate::store::FakeStore;
 
 /// Time within which all hosts must know of the end of a server; `ContactWindowMs` of the platform.
-const CONTACT_WINDOW: Duration = Duration::from_secs(3);
+pub(crate) const CONTACT_WINDOW: Duration = Duration::from_secs(3);
 
 /// Number of servers that one request may end before it must be stopped, and of sends that may still follow later than
 /// [`CONTACT_WINDOW`] after that.
-const MAX_ENDED_SERVERS: usize = 3;
-const MAX_LATE_SENDS: usize = 3;
+pub(crate) const MAX_ENDED_SERVERS: usize = 3;
+pub(crate) const MAX_LATE_SENDS: usize = 3;
 
 const REPEATS: usize = 40;
 const REPEAT_INTERVAL: Duration = Duration::from_millis(300);
--- a/tests/gateway/soak/invariants.rs
+++ b/tests/gateway/soak/invariants.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::callers::{RequestKind, RequestRecord};
+use crate::crashes::{CONTACT_WINDOW, MAX_ENDED_SERVERS, MAX_LATE_SENDS};
 use crate::server::{Behavior, FakeServer};
 
 /// How long after its end a fault may still affect new requests.
@@ -15,12 +16,6 @@
 /// Number of servers at which one request may run: `Attempts` of the route.
 const MAX_SERVERS_PER_REQUEST: usize = 2;
 
-/// Time within which all hosts must know that a request ends servers.
-const CONTACT_WINDOW: Duration = Duration::from_secs(3);
-
-/// Number of sends that may follow later than that after the third server has ended.
-const MAX_LATE_SENDS: usize = 3;
-
 /// Longest time between the arrival of a request that ends its server and the end.
 const MAX_RUN_TO_END: Duration = Duration::from_millis(500);
 
@@ -180,7 +175,7 @@
             sends.extend(own);
         }
         ends.sort();
-        let Some(third_end) = ends.get(2).copied() else { continue };
+        let Some(third_end) = ends.get(MAX_ENDED_SERVERS - 1).copied() else { continue };
         let is_disturbed = |host: usize, at: Instant| {
             disturbed_hosts.iter().any(|(index, from, until)| {
                 *index == host && *from <= at && at <= *until + CONTACT_WINDOW
