--- a/crates/godwit-core/src/cluster_state/domain.rs
+++ b/crates/godwit-core/src/cluster_state/domain.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::UnixMs;
-use crate::config::ConfigDigest;
+use crate::replica::ReplicaDigest;
 
 /// Maximum number of hosts on one page.
 pub(crate) const HOSTS_PER_PAGE: usize = 8;
@@ -50,7 +50,7 @@
     /// Delegate that made the summary; the configuration may be fetched from it.
     pub delegate: RemoteHost,
     /// Digest of the delegate's configuration.
-    pub configuration: ConfigDigest,
+    pub configuration: ReplicaDigest,
     /// Spare capacity by model.
     pub spare: Vec<ModelCapacity>,
 }
--- a/crates/godwit-core/src/config/mod.rs
+++ b/crates/godwit-core/src/config/mod.rs
@@ -4,7 +4,6 @@
 mod check;
 mod objects;
 mod rules;
-mod store;
 mod view;
 
 pub use admit::{AdmissionRequest, Refusal, admit};
@@ -15,5 +14,4 @@
 pub use rules::{
     Facts, Mismatch, RuleExplanation, RuleResult, explain, first_matching_rule, first_mismatch,
 };
-pub use store::{AcceptOutcome, ConfigDigest, ConfigStore, StoredObject};
 pub use view::{ConfigView, key_sha256};
--- a/crates/godwit-core/src/config/view.rs
+++ b/crates/godwit-core/src/config/view.rs
@@ -7,7 +7,7 @@
 use sha2::{Digest, Sha256};
 
 use super::objects::{ObjectKind, object_kind};
-use super::store::{ConfigStore, StoredObject};
+use crate::replica::{ObjectReplica, StoredObject};
 
 /// Parsed object with the version from which it was parsed.
 #[derive(Clone, Debug, Default)]
@@ -40,7 +40,7 @@
     ///
     /// Objects that `previous` holds in the same version are not parsed again. An object that cannot be parsed keeps
     /// its value from `previous`.
-    pub fn build(store: &ConfigStore, previous: &ConfigView) -> ConfigView {
+    pub fn build(store: &ObjectReplica, previous: &ConfigView) -> ConfigView {
         let mut view = ConfigView::default();
         for stored in store.iter() {
             view.add(stored, previous);
--- a/crates/godwit-core/src/lib.rs
+++ b/crates/godwit-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod queue;
 mod reading;
 pub mod rendezvous;
+pub mod replica;
 pub mod route;
 pub mod site;
 pub mod split;
--- a/crates/godwit-core/src/member/message.rs
+++ b/crates/godwit-core/src/member/message.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cluster_state::{DomainSummary, ServerNotice};
-use crate::config::ConfigDigest;
 use crate::member::MemberRecord;
+use crate::replica::ReplicaDigest;
 use crate::{Hint, Reading};
 
 /// Purpose of a message.
@@ -64,7 +64,7 @@
         /// Address to fetch the configuration from.
         address: SocketAddr,
         /// Digest of the configuration.
-        configuration: ConfigDigest,
+        configuration: ReplicaDigest,
     },
     /// A newer load reading arrived.
     Reading(Reading),
--- a/crates/godwit-core/src/member/record.rs
+++ b/crates/godwit-core/src/member/record.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::config::ConfigDigest;
+use crate::replica::ReplicaDigest;
 
 /// Phase of a host, as announced by the host itself.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -42,7 +42,7 @@
     /// Liveness as judged by other hosts since that heartbeat.
     pub liveness: Liveness,
     /// Digest of the host's configuration.
-    pub configuration: ConfigDigest,
+    pub configuration: ReplicaDigest,
 }
 
 impl MemberRecord {
--- a/crates/godwit-core/src/member/state.rs
+++ b/crates/godwit-core/src/member/state.rs
@@ -7,13 +7,13 @@
 
 use crate::cluster_state::{CapacitySummary, DomainSummary, ServerNotice};
 use crate::cluster_state::{GossipStore, ModelCapacity, RemoteDomains, SummaryKey};
-use crate::config::ConfigDigest;
 use crate::member::settings::{
     GOSSIP_INTERVAL_MS, GOSSIP_JITTER_MS, MAX_MODELS, MAX_NOTICES, MAX_READINGS, MAX_SUMMARIES,
     URGENT_INTERVAL_MS,
 };
 use crate::member::table::{MemberEntry, MemberTable};
 use crate::member::{Liveness, MemberAction, MemberEvent, MemberRecord, MemberSettings, Phase};
+use crate::replica::ReplicaDigest;
 use crate::{Hint, Reading, UnixMs};
 
 /// State machine of one host in the membership protocol. It performs no I/O: it takes messages and times and returns
@@ -69,7 +69,7 @@
             heartbeat: 0,
             phase: Phase::Serving,
             liveness: Liveness::Alive,
-            configuration: ConfigDigest::default(),
+            configuration: ReplicaDigest::default(),
         };
         let seeds = settings.seeds.iter();
         let candidates =
@@ -122,7 +122,7 @@
     }
 
     /// Sets the configuration that is announced to the other hosts.
-    pub fn set_configuration(&mut self, configuration: ConfigDigest) {
+    pub fn set_configuration(&mut self, configuration: ReplicaDigest) {
         self.has_urgent_update |= self.own.configuration != configuration;
         self.own.configuration = configuration;
     }
--- a/crates/godwit-core/src/member/wire.rs
+++ b/crates/godwit-core/src/member/wire.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::cluster_state::encoded_bytes;
-use crate::config::ConfigDigest;
 use crate::member::{Liveness, MemberRecord, Phase};
+use crate::replica::ReplicaDigest;
 use crate::{Reading, UnixMs};
 
 /// Name encoded relative to the previous one in the list.
@@ -129,7 +129,7 @@
     heartbeat: u64,
     phase: Phase,
     liveness: Liveness,
-    changed_configuration: Option<ConfigDigest>,
+    changed_configuration: Option<ReplicaDigest>,
 }
 
 /// Compact encoding of member records.
@@ -143,7 +143,7 @@
         let mut sorted: Vec<&MemberRecord> = records.iter().collect();
         sorted.sort_unstable_by(|a, b| a.host.cmp(&b.host));
         let mut names = NameCodec::default();
-        let mut configuration = ConfigDigest::default();
+        let mut configuration = ReplicaDigest::default();
         let compact = sorted.into_iter().map(|record| {
             let is_changed = record.configuration != configuration;
             configuration = record.configuration;
@@ -164,7 +164,7 @@
         deserializer: D,
     ) -> Result<Vec<MemberRecord>, D::Error> {
         let mut names = NameCodec::default();
-        let mut configuration = ConfigDigest::default();
+        let mut configuration = ReplicaDigest::default();
         let expand = |compact: CompactRecord| {
             configuration = compact.changed_configuration.unwrap_or(configuration);
             Some(MemberRecord {
--- /dev/null
+++ b/crates/godwit-core/src/replica/readers.rs
@@ -0,0 +1,272 @@
+//! Selection of the hosts that read the platform's store for their failure domain.
+//!
+//! The first hosts of a domain by capacity read the store; the others follow one of them. There is no election: each host
+//! ranks the hosts by itself and skips those with which it had trouble lately. A host that is followed reads the store,
+//! whatever its own rank says, so that hosts that disagree only cost calls to the store.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use crate::SteadyMs;
+use crate::rendezvous::weight;
+
+/// Number of hosts of a domain that cannot read the store after which no further host of the domain is tried: the store
+/// is then probably away for all of them.
+const MAX_UNABLE_PER_DOMAIN: usize = 4;
+
+/// Host that can be followed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Name of the host.
+    pub name: String,
+    /// Failure domain of the host.
+    pub failure_domain: String,
+    /// Address at which other hosts follow it.
+    pub address: SocketAddr,
+    /// Capacity of the host; the largest of a domain read the store.
+    pub capacity: u32,
+}
+
+/// Limits of a [`ReaderSelection`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReaderLimits {
+    /// Number of hosts of each domain that read the store.
+    pub readers_per_domain: usize,
+    /// Time for which a host is skipped after trouble, in milliseconds; doubled for each time that an unresponsive host
+    /// stays so.
+    pub skip_ms: u64,
+    /// Upper bound of the doubled time, in milliseconds.
+    pub max_skip_ms: u64,
+    /// Time after which a host that follows another than its rank tells follows its rank again, in milliseconds.
+    pub reselect_ms: u64,
+}
+
+/// Why a host is not followed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trouble {
+    /// It could not be connected to, or was silent.
+    Unresponsive,
+    /// It responds, but cannot read the store, or knows less than others.
+    Unable,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Skip {
+    trouble: Trouble,
+    until: SteadyMs,
+    times: u32,
+}
+
+/// What a host does to learn of changes.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ReadPlan {
+    /// Whether it reads the store.
+    pub reads_store: bool,
+    /// Host that it follows.
+    pub follows: Option<Candidate>,
+}
+
+/// Returns the names of the hosts of a failure domain in the order in which they are to read the store, from their names
+/// and capacities.
+///
+/// ```
+/// use godwit_core::replica::ranked_readers;
+/// assert_eq!(ranked_readers("hall-a", [("h-1", 20), ("h-2", 200)]), ["h-2", "h-1"]);
+/// ```
+pub fn ranked_readers<'a>(
+    failure_domain: &str,
+    hosts: impl IntoIterator<Item = (&'a str, u32)>,
+) -> Vec<&'a str> {
+    let mut hosts: Vec<(&str, u32)> = hosts.into_iter().collect();
+    hosts.sort_by_key(|(name, capacity)| {
+        (Reverse(*capacity), Reverse(weight(failure_domain, name)), *name)
+    });
+    hosts.into_iter().map(|(name, _)| name).collect()
+}
+
+/// Selects whether this host reads the store, and which host it follows.
+#[derive(Debug)]
+pub struct ReaderSelection {
+    own_name: String,
+    own_domain: String,
+    own_capacity: u32,
+    limits: ReaderLimits,
+    /// Hosts of each domain in their order, including this one.
+    ranked: BTreeMap<String, Vec<Candidate>>,
+    skips: BTreeMap<String, Skip>,
+    /// Kinds of objects that this host cannot read from the store.
+    lost_kinds: BTreeSet<String>,
+    /// Host that is followed, and since when.
+    current: Option<(String, SteadyMs)>,
+}
+
+impl ReaderSelection {
+    /// Creates a selection without other hosts: this host reads the store.
+    ///
+    /// ```
+    /// use godwit_core::SteadyMs;
+    /// use godwit_core::replica::{ReaderLimits, ReaderSelection};
+    /// let limits =
+    ///     ReaderLimits { readers_per_domain: 2, skip_ms: 2_000, max_skip_ms: 30_000, reselect_ms: 30_000 };
+    /// let mut selection = ReaderSelection::new("h-1", "a", 20, limits);
+    /// assert!(selection.plan(0, SteadyMs(0)).reads_store);
+    /// ```
+    pub fn new(
+        own_name: &str,
+        own_domain: &str,
+        own_capacity: u32,
+        limits: ReaderLimits,
+    ) -> ReaderSelection {
+        ReaderSelection {
+            own_name: own_name.to_string(),
+            own_domain: own_domain.to_string(),
+            own_capacity,
+            limits,
+            ranked: BTreeMap::new(),
+            skips: BTreeMap::new(),
+            lost_kinds: BTreeSet::new(),
+            current: None,
+        }
+    }
+
+    /// Replaces the list of hosts, with or without this one.
+    pub fn set_hosts(&mut self, hosts: Vec<Candidate>) {
+        let mut domains: BTreeMap<String, Vec<Candidate>> = BTreeMap::new();
+        let others = hosts.into_iter().filter(|host| host.name != self.own_name);
+        others.for_each(|host| domains.entry(host.failure_domain.clone()).or_default().push(host));
+        domains.entry(self.own_domain.clone()).or_default();
+        let own = (self.own_name.as_str(), self.own_capacity);
+        self.ranked = BTreeMap::new();
+        for (domain, hosts) in domains {
+            let named = hosts.iter().map(|host| (host.name.as_str(), host.capacity));
+            let own = (domain == self.own_domain).then_some(own);
+            let order = ranked_readers(&domain, named.chain(own));
+            let own_index = order.iter().position(|name| *name == self.own_name);
+            let mut ranked: Vec<Candidate> = order
+                .iter()
+                .filter_map(|name| hosts.iter().find(|host| host.name == *name).cloned())
+                .collect();
+            if let Some(index) = own_index {
+                ranked.insert(index, self.own_candidate());
+            }
+            self.ranked.insert(domain, ranked);
+        }
+    }
+
+    /// Returns this host as a candidate. Its address is never used.
+    fn own_candidate(&self) -> Candidate {
+        Candidate {
+            name: self.own_name.clone(),
+            failure_domain: self.own_domain.clone(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            capacity: self.own_capacity,
+        }
+    }
+
+    /// Records whether this host can read the objects of a kind from the store.
+    pub fn record_store(&mut self, kind: &str, is_readable: bool) {
+        if is_readable {
+            self.lost_kinds.remove(kind);
+        } else {
+            self.lost_kinds.insert(kind.to_string());
+        }
+    }
+
+    /// Whether no call of this host to the store has failed since the last successful one.
+    pub fn can_read_store(&self) -> bool {
+        self.lost_kinds.is_empty()
+    }
+
+    /// Records trouble with a host, which is then skipped for a time.
+    pub fn record_trouble(&mut self, name: &str, trouble: Trouble, now: SteadyMs) {
+        let known = self.skips.get(name);
+        let times = match (known, trouble) {
+            (Some(skip), Trouble::Unresponsive) => skip.times + 1,
+            (_, Trouble::Unresponsive | Trouble::Unable) => 0,
+        };
+        let skip_ms = (self.limits.skip_ms << times.min(8)).min(self.limits.max_skip_ms);
+        let until = now.plus_ms(skip_ms);
+        self.skips.insert(name.to_string(), Skip { trouble, until, times });
+    }
+
+    /// Records that a host passes on what it reads from the store.
+    pub fn record_success(&mut self, name: &str) {
+        self.skips.remove(name);
+    }
+
+    /// Returns what to do at `now`, while `followers` hosts follow this one.
+    pub fn plan(&mut self, followers: usize, now: SteadyMs) -> ReadPlan {
+        let own_domain = self.own_domain.clone();
+        let designated = self.designated(&own_domain, self.limits.readers_per_domain, now);
+        let is_designated = designated.iter().any(|host| host.name == self.own_name);
+        let reads_store = followers > 0 || is_designated;
+        if reads_store && self.can_read_store() {
+            self.current = None;
+            return ReadPlan { reads_store, follows: None };
+        }
+        let follows = self.choose(designated, now);
+        let followed = follows.as_ref().map(|host| host.name.clone());
+        let known = self.current.take();
+        self.current = followed.map(|name| match known {
+            Some((known, since)) if known == name => (name, since),
+            _ => (name, now),
+        });
+        ReadPlan { reads_store: reads_store || follows.is_none(), follows }
+    }
+
+    /// Whether a host is skipped because of trouble.
+    pub fn is_skipped(&self, name: &str, now: SteadyMs) -> bool {
+        self.skips.get(name).is_some_and(|skip| !skip.until.is_past(now))
+    }
+
+    /// Returns the first hosts of a domain that are not skipped. This host counts even if it cannot read the store, so
+    /// that it tries again.
+    fn designated(&self, domain: &str, count: usize, now: SteadyMs) -> Vec<Candidate> {
+        let mut unable = 0;
+        let mut designated = Vec::new();
+        for host in self.ranked.get(domain).into_iter().flatten() {
+            let skip = self.skips.get(&host.name).filter(|skip| !skip.until.is_past(now));
+            match skip.map(|skip| skip.trouble) {
+                None => designated.push(host.clone()),
+                Some(Trouble::Unable) => unable += 1,
+                Some(Trouble::Unresponsive) => {}
+            }
+            if designated.len() == count || unable == MAX_UNABLE_PER_DOMAIN {
+                break;
+            }
+        }
+        designated
+    }
+
+    /// Returns the host to follow: the current one for some time, one that is designated in this host's domain, the first
+    /// of another domain, or one that could not read the store. None if no host responds.
+    fn choose(&self, designated: Vec<Candidate>, now: SteadyMs) -> Option<Candidate> {
+        let all = || self.ranked.values().flatten().filter(|host| host.name != self.own_name);
+        let current = self.current.as_ref();
+        let kept = current.filter(|(name, since)| {
+            !self.is_skipped(name, now) && !since.plus_ms(self.limits.reselect_ms).is_past(now)
+        });
+        let kept = kept.and_then(|(name, _)| all().find(|host| host.name == *name));
+        if kept.is_some() {
+            return kept.cloned();
+        }
+        let spread = |host: &Candidate| weight(&self.own_name, &host.name);
+        let own_domain = designated.into_iter().filter(|host| host.name != self.own_name);
+        if let Some(host) = own_domain.max_by_key(spread) {
+            return Some(host);
+        }
+        let other_domains = self.ranked.keys().filter(|domain| **domain != self.own_domain);
+        let firsts = other_domains.flat_map(|domain| self.designated(domain, 1, now));
+        if let Some(host) = firsts.max_by_key(spread) {
+            return Some(host);
+        }
+        let responds = |host: &&Candidate| {
+            self.skips.get(&host.name).is_some_and(|skip| skip.trouble == Trouble::Unable)
+        };
+        let is_current = |host: &&Candidate| current.is_some_and(|(name, _)| *name == host.name);
+        let mut responding: Vec<&Candidate> = all().filter(responds).collect();
+        responding.sort_by_key(|host| (!is_current(host), self.skips[&host.name].until));
+        responding.first().map(|host| (*host).clone())
+    }
+}
--- a/crates/godwit-core/tests/config_model/simulation.rs
+++ b/crates/godwit-core/tests/config_model/simulation.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use godwit_core::config::{ConfigStore, StoredObject};
+use godwit_core::replica::{ObjectReplica, StoredObject};
 use godwit_schema::platform::ObjectHead;
 use serde_json::{Value, json};
 
@@ -49,7 +49,7 @@
     objects: BTreeMap<usize, (u64, Value)>,
     history: History,
     operators: [Option<(usize, u64)>; 2],
-    hosts: Vec<ConfigStore>,
+    hosts: Vec<ObjectReplica>,
     /// Highest version of each object that each host has held since its start.
     highest_versions: Vec<BTreeMap<String, u64>>,
     messages: Vec<Message>,
@@ -71,7 +71,7 @@
             objects: BTreeMap::new(),
             history: History::new(),
             operators: [None; 2],
-            hosts: vec![ConfigStore::default(); HOSTS],
+            hosts: vec![ObjectReplica::default(); HOSTS],
             highest_versions: vec![BTreeMap::new(); HOSTS],
             messages: Vec::new(),
         }
@@ -101,7 +101,7 @@
             }
             Step::LoseMessage { pick } => drop(self.take_message(*pick)),
             Step::Restart { host } => {
-                self.hosts[*host] = ConfigStore::default();
+                self.hosts[*host] = ObjectReplica::default();
                 self.highest_versions[*host].clear();
                 self.messages.retain(|message| message.host() != *host);
             }
@@ -193,7 +193,7 @@
     }
 
     fn remove_object(&mut self, host: usize, removed_name: &str) {
-        let mut remaining = ConfigStore::default();
+        let mut remaining = ObjectReplica::default();
         for stored in self.hosts[host].iter().filter(|stored| stored.name != removed_name) {
             remaining.accept_stored(stored.clone());
         }
--- a/crates/godwit-core/tests/config_rules.rs
+++ b/crates/godwit-core/tests/config_rules.rs
@@ -1,9 +1,9 @@
 //! Tests of admission by rules, validation of the configuration, and the configuration store.
 
 use godwit_core::config::{
-    AcceptOutcome, AdmissionRequest, ConfigStore, Severity, admit, check_fleet, check_workspace,
-    check_workspace_change,
+    AdmissionRequest, Severity, admit, check_fleet, check_workspace, check_workspace_change,
 };
+use godwit_core::replica::{AcceptOutcome, ObjectReplica};
 use godwit_core::{Admission, Code, UnixMs};
 use godwit_schema::config::{Fleet, KindRate, Workspace};
 use serde_json::json;
@@ -149,7 +149,7 @@
 
 #[test]
 fn config_store_rejects_deleted_object_it_never_held() {
-    let mut store = ConfigStore::default();
+    let mut store = ObjectReplica::default();
     store.accept_listing(2, &[]);
     store.mark_complete(2, &[]);
     assert_eq!(store.accept("config/workspaces/w", 1, Some(&json!({}))), AcceptOutcome::Older);
@@ -158,7 +158,7 @@
 
 #[test]
 fn config_store_incomplete_after_concurrent_object() {
-    let mut store = ConfigStore::default();
+    let mut store = ObjectReplica::default();
     let seen = store.heads();
     store.accept("config/workspaces/w", 1, Some(&json!({})));
     store.mark_complete(2, &seen);
@@ -167,9 +167,9 @@
 
 #[test]
 fn config_store_reports_deletion_to_stale_neighbour() {
-    let mut complete = ConfigStore::default();
+    let mut complete = ObjectReplica::default();
     complete.mark_complete(2, &[]);
-    let mut old = ConfigStore::default();
+    let mut old = ObjectReplica::default();
     old.accept("config/workspaces/w", 1, Some(&json!({})));
     for stored in complete.objects_newer_than(&old.heads()) {
         old.accept_stored(stored);
--- a/crates/godwit-core/tests/member/schedules.rs
+++ b/crates/godwit-core/tests/member/schedules.rs
@@ -7,7 +7,7 @@
 
 use godwit_core::Hint;
 use godwit_core::cluster_state::PollResult;
-use godwit_core::config::ConfigDigest;
+use godwit_core::replica::ReplicaDigest;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -151,7 +151,7 @@
                 network.act(*host, |member, now| member.record_poll_result(&result, now));
             }
             Step::Configure { host, version } => network.act(*host, |member, _| {
-                member.set_configuration(ConfigDigest { highest_version: *version, hash: 1 });
+                member.set_configuration(ReplicaDigest { highest_version: *version, hash: 1 });
                 Vec::new()
             }),
             Step::Settle => self.settle(oracle),
--- a/crates/godwit-core/tests/member/wire.rs
+++ b/crates/godwit-core/tests/member/wire.rs
@@ -2,8 +2,8 @@
 
 use std::net::{IpAddr, SocketAddr};
 
-use godwit_core::config::ConfigDigest;
 use godwit_core::member::{Gossip, Liveness, MemberRecord, Phase, Purpose};
+use godwit_core::replica::ReplicaDigest;
 use godwit_core::{Reading, UnixMs};
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -18,7 +18,7 @@
         is_leaving in any::<bool>(),
     ) -> MemberRecord {
         let [incarnation, heartbeat, highest_version, hash] = numbers;
-        let configuration = ConfigDigest { highest_version: highest_version % 3, hash: hash % 3 };
+        let configuration = ReplicaDigest { highest_version: highest_version % 3, hash: hash % 3 };
         let phase = if is_leaving { Phase::Leaving } else { Phase::Serving };
         MemberRecord { host, address, incarnation, heartbeat, phase, liveness, configuration }
     }
--- /dev/null
+++ b/crates/godwit-core/tests/replica_readers.rs
@@ -0,0 +1,283 @@
+//! Selection of the hosts that read the store, by itself and over hundreds of hosts with faults.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use godwit_core::SteadyMs;
+use godwit_core::replica::{Candidate, ReaderLimits, ReaderSelection, Trouble, ranked_readers};
+
+const LIMITS: ReaderLimits = ReaderLimits {
+    readers_per_domain: 2,
+    skip_ms: 2_000,
+    max_skip_ms: 30_000,
+    reselect_ms: 30_000,
+};
+
+fn candidate(name: &str, capacity: u32) -> Candidate {
+    let failure_domain = name[..1].to_string();
+    let address = SocketAddr::from(([10, 0, 0, 1], 7_341));
+    Candidate { name: name.to_string(), failure_domain, address, capacity }
+}
+
+/// Hosts `a-1` and `a-2` are the largest of domain `a`, `b-1` of domain `b`.
+fn hosts() -> Vec<Candidate> {
+    let sizes = [("a-1", 200), ("a-2", 100), ("a-3", 30), ("a-4", 20), ("b-1", 200), ("b-2", 20)];
+    sizes.map(|(name, capacity)| candidate(name, capacity)).to_vec()
+}
+
+fn selection(name: &str) -> ReaderSelection {
+    let own = hosts().into_iter().find(|host| host.name == name).expect("a host of the list");
+    let mut selection = ReaderSelection::new(name, &own.failure_domain, own.capacity, LIMITS);
+    selection.set_hosts(hosts());
+    selection
+}
+
+fn followed(selection: &mut ReaderSelection, now_ms: u64) -> Option<String> {
+    selection.plan(0, SteadyMs(now_ms)).follows.map(|host| host.name)
+}
+
+#[test]
+fn ranked_readers_begin_with_the_largest() {
+    let hosts = [("h-1", 20), ("h-2", 200), ("h-3", 100)];
+    assert_eq!(ranked_readers("a", hosts), ["h-2", "h-3", "h-1"]);
+}
+
+#[test]
+fn plan_of_the_largest_hosts_reads_the_store() {
+    for name in ["a-1", "a-2", "b-1", "b-2"] {
+        let plan = selection(name).plan(0, SteadyMs(0));
+        assert!(plan.reads_store && plan.follows.is_none(), "{name}: {plan:?}");
+    }
+}
+
+#[test]
+fn plan_of_other_hosts_follows_a_reader_of_the_domain() {
+    for name in ["a-3", "a-4"] {
+        let plan = selection(name).plan(0, SteadyMs(0));
+        assert!(!plan.reads_store, "{name}: {plan:?}");
+        let followed = plan.follows.expect("a reader").name;
+        assert!(followed == "a-1" || followed == "a-2", "{name}: {followed}");
+    }
+}
+
+#[test]
+fn plan_of_a_followed_host_reads_the_store() {
+    let plan = selection("a-4").plan(1, SteadyMs(0));
+    assert!(plan.reads_store && plan.follows.is_none(), "{plan:?}");
+}
+
+#[test]
+fn plan_replaces_an_unresponsive_reader_at_once() {
+    let mut selection = selection("a-4");
+    let first = followed(&mut selection, 0).expect("a reader");
+    selection.record_trouble(&first, Trouble::Unresponsive, SteadyMs(100));
+    let second = followed(&mut selection, 100).expect("another reader");
+    assert_ne!(first, second);
+    selection.record_trouble(&second, Trouble::Unresponsive, SteadyMs(200));
+    // It becomes a reader itself, as a-3 does, because the larger hosts do not respond.
+    assert!(selection.plan(0, SteadyMs(200)).reads_store);
+}
+
+#[test]
+fn plan_of_a_reader_that_is_turned_away_follows_another() {
+    let mut selection = selection("a-1");
+    selection.record_store("servers", false);
+    let plan = selection.plan(0, SteadyMs(0));
+    assert!(plan.reads_store, "it must notice when the store takes it back");
+    assert_eq!(plan.follows.map(|host| host.name).as_deref(), Some("a-2"));
+    selection.record_store("servers", true);
+    assert_eq!(selection.plan(0, SteadyMs(10)).follows, None);
+}
+
+#[test]
+fn plan_follows_another_domain_when_the_own_cannot_read() {
+    let mut selection = selection("a-4");
+    for name in ["a-1", "a-2", "a-3"] {
+        selection.record_trouble(name, Trouble::Unable, SteadyMs(0));
+    }
+    selection.record_store("servers", false);
+    assert_eq!(followed(&mut selection, 0).as_deref(), Some("b-1"));
+}
+
+/// A store that is away for all must not make all hosts call it.
+#[test]
+fn plan_stays_with_a_reader_when_no_host_can_read() {
+    let mut selection = selection("b-2");
+    selection.set_hosts((0..40).map(|index| candidate(&format!("b-{index}"), 100)).collect());
+    for index in 0..40 {
+        selection.record_trouble(&format!("b-{index}"), Trouble::Unable, SteadyMs(0));
+    }
+    let plan = selection.plan(0, SteadyMs(10));
+    assert!(!plan.reads_store && plan.follows.is_some(), "{plan:?}");
+    assert_eq!(selection.plan(0, SteadyMs(20)), plan);
+}
+
+#[test]
+fn plan_reads_the_store_when_no_host_responds() {
+    let mut selection = selection("a-4");
+    for host in hosts() {
+        selection.record_trouble(&host.name, Trouble::Unresponsive, SteadyMs(0));
+    }
+    let plan = selection.plan(0, SteadyMs(10));
+    assert!(plan.reads_store && plan.follows.is_none(), "{plan:?}");
+}
+
+#[test]
+fn plan_returns_to_the_readers_after_some_time() {
+    let mut selection = selection("a-4");
+    let first = followed(&mut selection, 0).expect("a reader");
+    selection.record_trouble(&first, Trouble::Unable, SteadyMs(0));
+    let second = followed(&mut selection, 0).expect("another reader");
+    assert_eq!(followed(&mut selection, 10_000), Some(second), "it changes too often");
+    assert_eq!(followed(&mut selection, 31_000), Some(first));
+}
+
+#[test]
+fn trouble_of_a_host_that_stays_away_is_remembered_for_longer() {
+    let mut selection = selection("a-4");
+    selection.record_trouble("a-1", Trouble::Unresponsive, SteadyMs(0));
+    assert!(!selection.is_skipped("a-1", SteadyMs(2_000)));
+    selection.record_trouble("a-1", Trouble::Unresponsive, SteadyMs(2_000));
+    assert!(selection.is_skipped("a-1", SteadyMs(5_900)));
+    selection.record_success("a-1");
+    assert!(!selection.is_skipped("a-1", SteadyMs(5_900)));
+}
+
+/// Hosts of five domains, of which some are dead and some cannot read the store.
+struct Cluster {
+    selections: BTreeMap<String, ReaderSelection>,
+    following: BTreeMap<String, Option<String>>,
+    dead: BTreeSet<String>,
+    turned_away: BTreeSet<String>,
+}
+
+/// Interval at which hosts decide, in milliseconds.
+const ROUND_MS: u64 = 250;
+
+impl Cluster {
+    fn new(count: usize) -> Cluster {
+        let hosts: Vec<Candidate> = (0..count)
+            .map(|index| {
+                let domain = ["a", "b", "c", "d", "e"][index % 5];
+                let capacity = if index < 15 { 200 } else { 20 };
+                candidate(&format!("{domain}-{index}"), capacity)
+            })
+            .collect();
+        let selections = hosts.iter().map(|own| {
+            let mut selection =
+                ReaderSelection::new(&own.name, &own.failure_domain, own.capacity, LIMITS);
+            selection.set_hosts(hosts.clone());
+            (own.name.clone(), selection)
+        });
+        Cluster {
+            selections: selections.collect(),
+            following: BTreeMap::new(),
+            dead: BTreeSet::new(),
+            turned_away: BTreeSet::new(),
+        }
+    }
+
+    /// Lets each living host decide once. Returns those that read the store, and those that learn of changes.
+    fn round(&mut self, now: SteadyMs) -> (BTreeSet<String>, BTreeSet<String>) {
+        let mut reads = BTreeSet::new();
+        let names: Vec<String> = self.selections.keys().cloned().collect();
+        for name in names.iter().filter(|name| !self.dead.contains(*name)) {
+            let is_followed = |(follower, followed): (&String, &Option<String>)| {
+                !self.dead.contains(follower) && followed.as_ref() == Some(name)
+            };
+            let followers = self.following.iter().filter(|entry| is_followed(*entry)).count();
+            let selection = self.selections.get_mut(name).expect("a host");
+            selection.record_store("servers", !self.turned_away.contains(name));
+            if let Some(Some(followed)) = self.following.get(name) {
+                let trouble = if self.dead.contains(followed) {
+                    Some(Trouble::Unresponsive)
+                } else if self.turned_away.contains(followed) {
+                    Some(Trouble::Unable)
+                } else {
+                    None
+                };
+                match trouble {
+                    Some(trouble) if !selection.is_skipped(followed, now) => {
+                        selection.record_trouble(followed, trouble, now);
+                    }
+                    Some(_) => {}
+                    None => selection.record_success(followed),
+                }
+            }
+            let plan = selection.plan(followers, now);
+            if plan.reads_store {
+                reads.insert(name.clone());
+            }
+            self.following.insert(name.clone(), plan.follows.map(|host| host.name));
+        }
+        let able = |name: &String| reads.contains(name) && !self.turned_away.contains(name);
+        let living = names.iter().filter(|name| !self.dead.contains(*name));
+        let learns = living.filter(|name| {
+            let followed = self.following.get(*name).cloned().flatten();
+            able(name) || followed.is_some_and(|host| !self.dead.contains(&host) && able(&host))
+        });
+        let learns = learns.cloned().collect();
+        (reads, learns)
+    }
+
+    fn run(&mut self, from_ms: u64, to_ms: u64) -> (BTreeSet<String>, BTreeSet<String>) {
+        let mut last = (BTreeSet::new(), BTreeSet::new());
+        for now_ms in (from_ms..to_ms).step_by(ROUND_MS as usize) {
+            last = self.round(SteadyMs(now_ms));
+        }
+        last
+    }
+
+    fn living(&self) -> usize {
+        self.selections.len() - self.dead.len()
+    }
+}
+
+#[test]
+fn readers_do_not_grow_with_the_number_of_hosts() {
+    for count in [30, 100, 300, 1_000] {
+        let (reads, learns) = Cluster::new(count).run(0, 2_000);
+        assert_eq!(reads.len(), 10, "{count} hosts");
+        assert_eq!(learns.len(), count);
+    }
+}
+
+#[test]
+fn readers_that_die_are_replaced_within_two_rounds() {
+    let mut cluster = Cluster::new(300);
+    let (reads, _) = cluster.run(0, 1_000);
+    cluster.dead = reads;
+    let (reads, learns) = cluster.run(1_000, 1_000 + 3 * ROUND_MS);
+    assert_eq!(learns.len(), cluster.living(), "all living hosts learn of changes");
+    assert!(reads.len() <= 20, "{} hosts read the store", reads.len());
+}
+
+/// The store turns away a third of the hosts, among them all that read it.
+#[test]
+fn readers_that_are_turned_away_are_replaced_within_a_second() {
+    let mut cluster = Cluster::new(300);
+    let (reads, _) = cluster.run(0, 1_000);
+    cluster.turned_away = reads;
+    let third = (0..300).filter(|index| index % 3 == 0);
+    let names = third.map(|index| format!("{}-{index}", ["a", "b", "c", "d", "e"][index % 5]));
+    cluster.turned_away.extend(names);
+    let (_, learns) = cluster.run(1_000, 2_000);
+    assert_eq!(learns.len(), 300, "all hosts learn of changes");
+    let (reads, learns) = cluster.run(2_000, 12_000);
+    assert_eq!(learns.len(), 300);
+    assert!(reads.len() <= 60, "{} hosts read the store", reads.len());
+}
+
+#[test]
+fn readers_stay_few_while_the_store_is_away() {
+    let mut cluster = Cluster::new(300);
+    cluster.run(0, 1_000);
+    cluster.turned_away = cluster.selections.keys().cloned().collect();
+    for now_ms in (1_000..31_000).step_by(ROUND_MS as usize) {
+        let (reads, _) = cluster.round(SteadyMs(now_ms));
+        assert!(reads.len() <= 60, "{} hosts read the store at {now_ms} ms", reads.len());
+    }
+    cluster.turned_away.clear();
+    let (_, learns) = cluster.run(31_000, 32_000);
+    assert_eq!(learns.len(), 300);
+}
--- a/crates/godwit-host/examples/membership_cost.rs
+++ b/crates/godwit-host/examples/membership_cost.rs
@@ -22,8 +22,8 @@
 use std::{env, fs, thread};
 
 use godwit_core::cluster_state::{ModelCapacity, PollResult, PollTarget};
-use godwit_core::config::ConfigDigest;
 use godwit_core::member::{Gossip, Member, MemberAction, MemberSettings};
+use godwit_core::replica::ReplicaDigest;
 use godwit_core::{Reading, UnixMs, rendezvous};
 use godwit_host::membership::{Membership, MembershipSettings};
 use godwit_host::polling::Poller;
@@ -183,7 +183,7 @@
         let mut settings = MemberSettings::new(&name, &domain_name(host_index), address, now.0);
         settings.seeds = vec![self::address(FIRST_NEIGHBOUR_PORT_OFFSET + 1)];
         let mut member = Member::new(settings, now);
-        member.set_configuration(ConfigDigest { highest_version: 123_456, hash: u64::MAX / 3 });
+        member.set_configuration(ReplicaDigest { highest_version: 123_456, hash: u64::MAX / 3 });
         member.set_spare_capacity(&spare_capacity());
         let encoder = DatagramEncoder::new(key(), &name, now.0);
         Ok(Neighbour { member, socket, encoder, decoder: DatagramDecoder::new(key()), host_index })
@@ -283,7 +283,7 @@
         clock: Arc::clone(&clock),
     })?);
     membership
-        .set_configuration_digest(ConfigDigest { highest_version: 123_456, hash: u64::MAX / 3 });
+        .set_configuration_digest(ReplicaDigest { highest_version: 123_456, hash: u64::MAX / 3 });
     membership.set_spare_capacity(&spare_capacity());
     let poller = Poller::start(name, Arc::clone(&membership), clock, |_| {})?;
     let servers = (0..hosts.min(HOSTS_PER_DOMAIN) * SERVERS_PER_HOST).map(|index| PollTarget {
--- a/crates/godwit-host/src/configuration/driver.rs
+++ b/crates/godwit-host/src/configuration/driver.rs
@@ -7,9 +7,8 @@
 
 use flume::{Receiver, Sender};
 use godwit_core::UnixMs;
-use godwit_core::config::{
-    AcceptOutcome, CONFIG_PREFIX, ConfigDigest, ConfigStore, ConfigView, StoredObject,
-};
+use godwit_core::config::{CONFIG_PREFIX, ConfigView};
+use godwit_core::replica::{AcceptOutcome, ObjectReplica, ReplicaDigest, StoredObject};
 use godwit_schema::platform::ObjectHead;
 use rand::Rng;
 
@@ -54,12 +53,12 @@
 
 struct NeighbourDigest {
     address: SocketAddr,
-    digest: ConfigDigest,
+    digest: ReplicaDigest,
 }
 
 struct Shared {
     settings: ConfigurationSettings,
-    store: Mutex<ConfigStore>,
+    store: Mutex<ObjectReplica>,
     view: RwLock<Arc<ConfigView>>,
     listeners: Mutex<Vec<Listener>>,
     newest_heard_revision: AtomicU64,
@@ -86,7 +85,7 @@
         let (wake_sender, wake) = flume::bounded(1);
         let shared = Arc::new(Shared {
             settings,
-            store: Mutex::new(ConfigStore::default()),
+            store: Mutex::new(ObjectReplica::default()),
             view: RwLock::new(Arc::new(ConfigView::default())),
             listeners: Mutex::new(Vec::new()),
             newest_heard_revision: AtomicU64::new(0),
@@ -128,7 +127,7 @@
     }
 
     /// Digest of the active objects, for heartbeats.
-    pub fn digest(&self) -> ConfigDigest {
+    pub fn digest(&self) -> ReplicaDigest {
         lock(&self.shared.store).digest()
     }
 
@@ -139,7 +138,7 @@
 
     /// Handles the digest announced by a neighbour. If it differs from this host's digest, newer objects are fetched
     /// from the neighbour's `address`.
-    pub fn observe_digest(&self, address: SocketAddr, digest: ConfigDigest) {
+    pub fn observe_digest(&self, address: SocketAddr, digest: ReplicaDigest) {
         self.shared.newest_heard_revision.fetch_max(digest.highest_version, Ordering::SeqCst);
         if digest != self.digest() {
             let _ = self.neighbour_digests.try_send(NeighbourDigest { address, digest });
--- a/crates/godwit-host/src/configuration/fetch.rs
+++ b/crates/godwit-host/src/configuration/fetch.rs
@@ -1,6 +1,6 @@
 //! Messages by which neighbours exchange configuration objects.
 
-use godwit_core::config::{ConfigStore, StoredObject};
+use godwit_core::replica::{ObjectReplica, StoredObject};
 use godwit_schema::platform::ObjectHead;
 use serde::{Deserialize, Serialize};
 
@@ -42,7 +42,10 @@
 }
 
 /// Answers a neighbour's request with the objects in `store`.
-pub(super) fn answer_request(store: &ConfigStore, request: &[u8]) -> Result<Vec<u8>, SourceError> {
+pub(super) fn answer_request(
+    store: &ObjectReplica,
+    request: &[u8],
+) -> Result<Vec<u8>, SourceError> {
     let request: FetchRequest = postcard::from_bytes(request).map_err(malformed)?;
     let newer = store.objects_newer_than(&request.held);
     let total = newer.len();
--- a/crates/godwit-host/src/membership/driver.rs
+++ b/crates/godwit-host/src/membership/driver.rs
@@ -9,8 +9,8 @@
 
 use flume::{Receiver, Sender};
 use godwit_core::cluster_state::{CapacitySummary, ModelCapacity, PollResult, ServerNotice};
-use godwit_core::config::ConfigDigest;
 use godwit_core::member::{Liveness, Member, MemberAction, MemberRecord, MemberSettings, Phase};
+use godwit_core::replica::ReplicaDigest;
 use godwit_core::{Hint, UnixMs};
 use godwit_peer::PeerKey;
 use godwit_schema::operator::{NeighbourState, NeighbourStatus};
@@ -151,7 +151,7 @@
     }
 
     /// Sets the configuration digest that is announced to the other hosts.
-    pub fn set_configuration_digest(&self, digest: ConfigDigest) {
+    pub fn set_configuration_digest(&self, digest: ReplicaDigest) {
         self.shared.lock().set_configuration(digest);
     }
 
--- a/crates/godwit-host/src/membership/event.rs
+++ b/crates/godwit-host/src/membership/event.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use godwit_core::cluster_state::ServerNotice;
-use godwit_core::config::ConfigDigest;
 use godwit_core::member::MemberEvent;
+use godwit_core::replica::ReplicaDigest;
 use godwit_core::{Hint, Reading};
 
 /// Event from the other hosts, or from this host's own polls.
@@ -24,7 +24,7 @@
         /// Address to fetch the configuration from.
         address: SocketAddr,
         /// Digest of the configuration.
-        digest: ConfigDigest,
+        digest: ReplicaDigest,
     },
     /// A newer load reading arrived.
     Reading(Reading),
--- a/crates/godwit-host/tests/membership.rs
+++ b/crates/godwit-host/tests/membership.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use godwit_core::config::ConfigDigest;
+use godwit_core::replica::ReplicaDigest;
 use godwit_core::{Hint, UnixMs};
 use godwit_host::membership::{Membership, MembershipEvent, MembershipSettings};
 use godwit_host::{Clock, SystemClock};
@@ -69,7 +69,7 @@
     let first = start_member("entry-1", "hall-a", &[]);
     let second = start_member("entry-2", "hall-a", &[first.address()]);
     wait_for("both", || second.live_hosts().len() == 2);
-    let digest = ConfigDigest { highest_version: 5, hash: 77 };
+    let digest = ReplicaDigest { highest_version: 5, hash: 77 };
     first.set_configuration_digest(digest);
     let expires_at = SystemClock.now().plus_ms(60_000);
     let hint = Hint::CrashMark { fingerprint: 3, server: "farm-1".to_string(), expires_at };
