--- a/crates/godwit-core/src/replica/readers.rs
+++ b/crates/godwit-core/src/replica/readers.rs
@@ -15,6 +15,9 @@
 /// is then probably away for all of them.
 const MAX_UNABLE_PER_DOMAIN: usize = 4;
 
+/// Number of hosts that cannot read the store after which others are tried one at a time.
+const MANY_UNABLE: usize = 6;
+
 /// Host that can be followed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidate {
@@ -33,11 +36,12 @@
 pub struct ReaderLimits {
     /// Number of hosts of each domain that read the store.
     pub readers_per_domain: usize,
-    /// Time for which a host is skipped after trouble, in milliseconds; doubled for each time that an unresponsive host
-    /// stays so.
+    /// Time for which a host is skipped after trouble, in milliseconds; doubled for each time that the trouble stays.
     pub skip_ms: u64,
-    /// Upper bound of the doubled time, in milliseconds.
-    pub max_skip_ms: u64,
+    /// Upper bound of the doubled time for an unresponsive host, in milliseconds.
+    pub max_unresponsive_skip_ms: u64,
+    /// Upper bound of the doubled time for a host that cannot read the store, in milliseconds.
+    pub max_unable_skip_ms: u64,
     /// Time after which a host that follows another than its rank tells follows its rank again, in milliseconds.
     pub reselect_ms: u64,
 }
@@ -99,6 +103,8 @@
     lost_kinds: BTreeSet<String>,
     /// Host that is followed, and since when.
     current: Option<(String, SteadyMs)>,
+    /// Time until which no other host is tried, because many cannot read the store.
+    tries_again_at: SteadyMs,
 }
 
 impl ReaderSelection {
@@ -107,8 +113,13 @@
     /// ```
     /// use godwit_core::SteadyMs;
     /// use godwit_core::replica::{ReaderLimits, ReaderSelection};
-    /// let limits =
-    ///     ReaderLimits { readers_per_domain: 2, skip_ms: 2_000, max_skip_ms: 30_000, reselect_ms: 30_000 };
+    /// let limits = ReaderLimits {
+    ///     readers_per_domain: 2,
+    ///     skip_ms: 2_000,
+    ///     max_unresponsive_skip_ms: 30_000,
+    ///     max_unable_skip_ms: 8_000,
+    ///     reselect_ms: 30_000,
+    /// };
     /// let mut selection = ReaderSelection::new("h-1", "a", 20, limits);
     /// assert!(selection.plan(0, SteadyMs(0)).reads_store);
     /// ```
@@ -127,6 +138,7 @@
             skips: BTreeMap::new(),
             lost_kinds: BTreeSet::new(),
             current: None,
+            tries_again_at: SteadyMs(0),
         }
     }
 
@@ -180,14 +192,19 @@
 
     /// Records trouble with a host, which is then skipped for a time.
     pub fn record_trouble(&mut self, name: &str, trouble: Trouble, now: SteadyMs) {
-        let known = self.skips.get(name);
-        let times = match (known, trouble) {
-            (Some(skip), Trouble::Unresponsive) => skip.times + 1,
-            (_, Trouble::Unresponsive | Trouble::Unable) => 0,
+        let known = self.skips.get(name).filter(|skip| skip.trouble == trouble);
+        let times = known.map_or(0, |skip| skip.times + 1);
+        let max_skip_ms = match trouble {
+            Trouble::Unresponsive => self.limits.max_unresponsive_skip_ms,
+            Trouble::Unable => self.limits.max_unable_skip_ms,
         };
-        let skip_ms = (self.limits.skip_ms << times.min(8)).min(self.limits.max_skip_ms);
+        let skip_ms = (self.limits.skip_ms << times.min(8)).min(max_skip_ms);
         let until = now.plus_ms(skip_ms);
         self.skips.insert(name.to_string(), Skip { trouble, until, times });
+        let is_unable = |skip: &&Skip| skip.trouble == Trouble::Unable;
+        if self.skips.values().filter(is_unable).count() >= MANY_UNABLE {
+            self.tries_again_at = now.plus_ms(self.limits.skip_ms);
+        }
     }
 
     /// Records that a host passes on what it reads from the store.
@@ -251,6 +268,15 @@
         if kept.is_some() {
             return kept.cloned();
         }
+        let is_current = |host: &&Candidate| current.is_some_and(|(name, _)| *name == host.name);
+        let responds = |host: &&Candidate| {
+            self.skips.get(&host.name).is_some_and(|skip| skip.trouble == Trouble::Unable)
+        };
+        if !self.tries_again_at.is_past(now)
+            && let Some(host) = all().filter(responds).find(is_current)
+        {
+            return Some(host.clone());
+        }
         let spread = |host: &Candidate| weight(&self.own_name, &host.name);
         let own_domain = designated.into_iter().filter(|host| host.name != self.own_name);
         if let Some(host) = own_domain.max_by_key(spread) {
@@ -261,10 +287,6 @@
         if let Some(host) = firsts.max_by_key(spread) {
             return Some(host);
         }
-        let responds = |host: &&Candidate| {
-            self.skips.get(&host.name).is_some_and(|skip| skip.trouble == Trouble::Unable)
-        };
-        let is_current = |host: &&Candidate| current.is_some_and(|(name, _)| *name == host.name);
         let mut responding: Vec<&Candidate> = all().filter(responds).collect();
         responding.sort_by_key(|host| (!is_current(host), self.skips[&host.name].until));
         responding.first().map(|host| (*host).clone())
--- a/crates/godwit-core/tests/replica_readers.rs
+++ b/crates/godwit-core/tests/replica_readers.rs
@@ -9,7 +9,8 @@
 const LIMITS: ReaderLimits = ReaderLimits {
     readers_per_domain: 2,
     skip_ms: 2_000,
-    max_skip_ms: 30_000,
+    max_unresponsive_skip_ms: 30_000,
+    max_unable_skip_ms: 8_000,
     reselect_ms: 30_000,
 };
 
@@ -147,6 +148,8 @@
 struct Cluster {
     selections: BTreeMap<String, ReaderSelection>,
     following: BTreeMap<String, Option<String>>,
+    /// Number of times that a host began to follow another.
+    changes: usize,
     dead: BTreeSet<String>,
     turned_away: BTreeSet<String>,
 }
@@ -172,6 +175,7 @@
         Cluster {
             selections: selections.collect(),
             following: BTreeMap::new(),
+            changes: 0,
             dead: BTreeSet::new(),
             turned_away: BTreeSet::new(),
         }
@@ -208,7 +212,11 @@
             if plan.reads_store {
                 reads.insert(name.clone());
             }
-            self.following.insert(name.clone(), plan.follows.map(|host| host.name));
+            let follows = plan.follows.map(|host| host.name);
+            if follows.is_some() && self.following.get(name) != Some(&follows) {
+                self.changes += 1;
+            }
+            self.following.insert(name.clone(), follows);
         }
         let able = |name: &String| reads.contains(name) && !self.turned_away.contains(name);
         let living = names.iter().filter(|name| !self.dead.contains(*name));
@@ -277,6 +285,8 @@
         let (reads, _) = cluster.round(SteadyMs(now_ms));
         assert!(reads.len() <= 60, "{} hosts read the store at {now_ms} ms", reads.len());
     }
+    // Hosts once tried others all the time, 18 times a second each. One try a second is enough.
+    assert!(cluster.changes <= 300 * 30, "{} changes in 30 s", cluster.changes);
     cluster.turned_away.clear();
     let (_, learns) = cluster.run(31_000, 32_000);
     assert_eq!(learns.len(), 300);
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -44,7 +44,8 @@
 const READER_LIMITS: ReaderLimits = ReaderLimits {
     readers_per_domain: 2,
     skip_ms: 2_000,
-    max_skip_ms: 30_000,
+    max_unresponsive_skip_ms: 30_000,
+    max_unable_skip_ms: 8_000,
     reselect_ms: 30_000,
 };
 
