--- a/crates/godwit-core/src/replica/mod.rs
+++ b/crates/godwit-core/src/replica/mod.rs
@@ -7,4 +7,6 @@
     AcceptOutcome, AppliedChanges, ObjectReplica, ReplicaChanges, ReplicaDigest, ReplicaGap,
     StoredObject, WatchEvent, changes_of_watch,
 };
-pub use readers::{Candidate, ReadPlan, ReaderLimits, ReaderSelection, Trouble, ranked_readers};
+pub use readers::{
+    Candidate, ReadPlan, ReaderLimits, ReaderSelection, SkipLimits, Trouble, ranked_readers,
+};
--- a/crates/godwit-core/src/replica/readers.rs
+++ b/crates/godwit-core/src/replica/readers.rs
@@ -36,19 +36,30 @@
 pub struct ReaderLimits {
     /// Number of hosts of each domain that read the store.
     pub readers_per_domain: usize,
-    /// Time for which a host is skipped after trouble, in milliseconds; doubled for each time that the trouble stays.
-    pub skip_ms: u64,
-    /// Upper bound of the doubled time for an unresponsive host, in milliseconds.
-    pub max_unresponsive_skip_ms: u64,
-    /// Upper bound of the doubled time for a host that cannot read the store, in milliseconds.
-    pub max_unable_skip_ms: u64,
+    /// How long hosts are skipped whose process does not run.
+    pub stopped: SkipLimits,
+    /// How long unresponsive hosts are skipped.
+    pub unresponsive: SkipLimits,
+    /// How long hosts are skipped that cannot read the store.
+    pub unable: SkipLimits,
     /// Time after which a host that follows another than its rank tells follows its rank again, in milliseconds.
     pub reselect_ms: u64,
 }
 
+/// Times for which a host is skipped after trouble.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SkipLimits {
+    /// Time after the first trouble, in milliseconds; doubled for each time that the trouble stays.
+    pub first_ms: u64,
+    /// Upper bound of the doubled time, in milliseconds.
+    pub max_ms: u64,
+}
+
 /// Why a host is not followed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Trouble {
+    /// Its process does not run, and may start again in a moment.
+    Stopped,
     /// It could not be connected to, or was silent.
     Unresponsive,
     /// It responds, but cannot read the store, or knows less than others.
@@ -112,13 +123,10 @@
     ///
     /// ```
     /// use godwit_core::SteadyMs;
-    /// use godwit_core::replica::{ReaderLimits, ReaderSelection};
+    /// use godwit_core::replica::{ReaderLimits, ReaderSelection, SkipLimits};
+    /// let skip = SkipLimits { first_ms: 2_000, max_ms: 8_000 };
     /// let limits = ReaderLimits {
-    ///     readers_per_domain: 2,
-    ///     skip_ms: 2_000,
-    ///     max_unresponsive_skip_ms: 30_000,
-    ///     max_unable_skip_ms: 8_000,
-    ///     reselect_ms: 30_000,
+    ///     readers_per_domain: 2, stopped: skip, unresponsive: skip, unable: skip, reselect_ms: 30_000,
     /// };
     /// let mut selection = ReaderSelection::new("h-1", "a", 20, limits);
     /// assert!(selection.plan(0, SteadyMs(0)).reads_store);
@@ -194,16 +202,17 @@
     pub fn record_trouble(&mut self, name: &str, trouble: Trouble, now: SteadyMs) {
         let known = self.skips.get(name).filter(|skip| skip.trouble == trouble);
         let times = known.map_or(0, |skip| skip.times + 1);
-        let max_skip_ms = match trouble {
-            Trouble::Unresponsive => self.limits.max_unresponsive_skip_ms,
-            Trouble::Unable => self.limits.max_unable_skip_ms,
+        let limits = match trouble {
+            Trouble::Stopped => self.limits.stopped,
+            Trouble::Unresponsive => self.limits.unresponsive,
+            Trouble::Unable => self.limits.unable,
         };
-        let skip_ms = (self.limits.skip_ms << times.min(8)).min(max_skip_ms);
+        let skip_ms = (limits.first_ms << times.min(8)).min(limits.max_ms);
         let until = now.plus_ms(skip_ms);
         self.skips.insert(name.to_string(), Skip { trouble, until, times });
         let is_unable = |skip: &&Skip| skip.trouble == Trouble::Unable;
         if self.skips.values().filter(is_unable).count() >= MANY_UNABLE {
-            self.tries_again_at = now.plus_ms(self.limits.skip_ms);
+            self.tries_again_at = now.plus_ms(self.limits.unable.first_ms);
         }
     }
 
@@ -247,7 +256,7 @@
             match skip.map(|skip| skip.trouble) {
                 None => designated.push(host.clone()),
                 Some(Trouble::Unable) => unable += 1,
-                Some(Trouble::Unresponsive) => {}
+                Some(Trouble::Stopped | Trouble::Unresponsive) => {}
             }
             if designated.len() == count || unable == MAX_UNABLE_PER_DOMAIN {
                 break;
--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -1,6 +1,6 @@
 //! Follows a host that reads the store, or reads it, as [`godwit_core::replica::ReaderSelection`] decides.
 
-use std::io;
+use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -33,6 +33,10 @@
 /// Longest wait for the list of hosts after the start, before the store is read without it, in milliseconds.
 const MAX_HOSTS_WAIT_MS: u64 = 1_500;
 
+/// Pause after a host could not be connected to. All processes may have been killed at once, so that the readers listen
+/// again in a moment.
+const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(75);
+
 /// Interval at which the plan is checked while no host is followed.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -60,7 +64,12 @@
 impl FollowEnd {
     fn trouble(&self) -> Option<Trouble> {
         match self {
-            FollowEnd::NotConnected(_) | FollowEnd::Connection(_) => Some(Trouble::Unresponsive),
+            FollowEnd::NotConnected(error) | FollowEnd::Connection(error) => match error.kind() {
+                ErrorKind::ConnectionRefused
+                | ErrorKind::ConnectionReset
+                | ErrorKind::UnexpectedEof => Some(Trouble::Stopped),
+                _ => Some(Trouble::Unresponsive),
+            },
             FollowEnd::CannotRead
             | FollowEnd::Stopping
             | FollowEnd::Behind
@@ -97,9 +106,8 @@
         if let Some(trouble) = end.trouble() {
             site.readers.borrow_mut().record_trouble(&host.name, trouble, site.now());
         }
-        if matches!(end, FollowEnd::Diverged) {
-            // Listed anew by the next host that is followed.
-            sleep(CONNECT_TIMEOUT).await;
+        if matches!(end, FollowEnd::NotConnected(_) | FollowEnd::Diverged) {
+            sleep(CONNECT_RETRY_DELAY).await;
         }
     }
 }
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -7,7 +7,7 @@
 use godwit_adapter::PlatformSettings;
 use godwit_core::SteadyMs;
 use godwit_core::quarantine::CrashRegister;
-use godwit_core::replica::{ObjectReplica, ReaderLimits, ReaderSelection};
+use godwit_core::replica::{ObjectReplica, ReaderLimits, ReaderSelection, SkipLimits};
 use godwit_core::site::{
     Configuration, Findings, FreshnessTracker, HealthLimits, HostCensus, LoadTable, PeerHost,
     RegistryLimits, Relay, RelayLimits, RetryBudget, RetryLimits, ServerHealth, ServerLimits,
@@ -43,9 +43,9 @@
 /// How hosts share the reading of the store.
 const READER_LIMITS: ReaderLimits = ReaderLimits {
     readers_per_domain: 2,
-    skip_ms: 2_000,
-    max_unresponsive_skip_ms: 30_000,
-    max_unable_skip_ms: 8_000,
+    stopped: SkipLimits { first_ms: 250, max_ms: 30_000 },
+    unresponsive: SkipLimits { first_ms: 2_000, max_ms: 30_000 },
+    unable: SkipLimits { first_ms: 2_000, max_ms: 8_000 },
     reselect_ms: 30_000,
 };
 
