--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::stream::unfold;
 use godwit_core::SteadyMs;
 use godwit_core::site::event_gap_stall_threshold_ms;
@@ -18,7 +18,7 @@
 use super::admit::AdmittedRequest;
 use super::attempt::{AttemptError, StartedResponse, can_fail_over, release_connection, send};
 use super::destination::{Destination, choose_destination};
-use super::events::take_complete_events;
+use super::events::EventBuffer;
 use super::handler::log_caller_disconnect;
 use super::in_flight::InFlightGuard;
 use super::quarantine::{
@@ -79,18 +79,22 @@
     connection: Option<Connection>,
     in_flight: Option<InFlightGuard>,
     /// Received part of an event that is not complete yet.
-    buffer: BytesMut,
+    buffer: EventBuffer,
+    /// When the path is next checked for a stall, unless an event arrives.
+    stall_check_at: SteadyMs,
     timing: StreamTiming,
 }
 
 impl StreamAttempt {
-    fn new(destination: Destination, response: StartedResponse) -> StreamAttempt {
+    fn new(destination: Destination, response: StartedResponse, now: SteadyMs) -> StreamAttempt {
+        let stall_threshold_ms = event_gap_stall_threshold_ms(destination.event_gap_ms);
         StreamAttempt {
+            stall_check_at: now.plus_ms(stall_threshold_ms),
             destination,
             head: response.head,
             connection: Some(response.connection),
             in_flight: Some(response.in_flight),
-            buffer: BytesMut::new(),
+            buffer: EventBuffer::default(),
             timing: StreamTiming::default(),
         }
     }
@@ -131,7 +135,7 @@
     let relay = StreamRelay {
         site: site.clone(),
         admitted: admitted.clone(),
-        attempt: StreamAttempt::new(destination, response),
+        attempt: StreamAttempt::new(destination, response, site.now()),
         last_event_id: admitted.incoming.head.last_event_id,
         runs,
         avoided: BTreeSet::new(),
@@ -163,16 +167,29 @@
     }
 
     async fn read_events(&mut self) -> Result<Option<Bytes>, WireError> {
+        // A server that sends without end must not outlast the deadline.
+        if self.admitted.policy.response_deadline.is_past(self.site.now()) {
+            return Err(WireError::TimedOut);
+        }
         let Some(piece) = self.next_piece().await? else { return Ok(None) };
         self.attempt.timing.record_piece(self.site.now());
         if let Some(in_flight) = &self.attempt.in_flight {
             record_piece(&self.site, in_flight.run());
         }
-        self.attempt.buffer.extend_from_slice(&piece);
-        Ok(Some(take_complete_events(&mut self.attempt.buffer, &mut self.last_event_id)))
+        let events = self.attempt.buffer.push(&piece, &mut self.last_event_id)?;
+        if !events.is_empty() {
+            self.postpone_stall_check();
+        }
+        Ok(Some(events))
+    }
+
+    fn postpone_stall_check(&mut self) {
+        let stall_threshold_ms =
+            event_gap_stall_threshold_ms(self.attempt.destination.event_gap_ms);
+        self.attempt.stall_check_at = self.site.now().plus_ms(stall_threshold_ms);
     }
 
-    /// Waits for the next piece of the stream. If none arrives within the stall threshold and the request may run
+    /// Waits for the next piece of the stream. If no event arrives within the stall threshold and the request may run
     /// again, checks the path for a stall. A stalled request is moved to another path from its first server. If that
     /// fails and another attempt can follow, returns [`WireError::Stalled`].
     async fn next_piece(&mut self) -> Result<Option<Bytes>, WireError> {
@@ -182,13 +199,14 @@
         let stall_threshold_ms =
             event_gap_stall_threshold_ms(self.attempt.destination.event_gap_ms);
         loop {
-            let check_at = self.site.now().plus_ms(stall_threshold_ms).min(deadline);
+            let check_at = self.attempt.stall_check_at.min(deadline);
             if let Ok(piece) = timeout_at(self.site.clock.instant(check_at), piece.as_mut()).await {
                 return piece;
             }
             if deadline.is_past(self.site.now()) {
                 return Err(WireError::TimedOut);
             }
+            self.attempt.stall_check_at = self.site.now().plus_ms(stall_threshold_ms);
             if !self.admitted.policy.work.may_run_again() {
                 continue;
             }
@@ -271,7 +289,7 @@
         }
         self.attempt.in_flight = None;
         self.examine_if_slow();
-        let rest = self.attempt.buffer.split().freeze();
+        let rest = self.attempt.buffer.take_rest();
         (!rest.is_empty()).then_some(rest)
     }
 
@@ -346,7 +364,7 @@
                         path = destination.log_text(),
                         last_event_id = self.last_event_id,
                     );
-                    return Ok(StreamAttempt::new(destination, response));
+                    return Ok(StreamAttempt::new(destination, response, self.site.now()));
                 }
                 Ok(response) => {
                     self.runs += 1;
--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -18,6 +18,9 @@
 /// Length above which a line of the chunked coding without an end is rejected, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 1024;
 
+/// Size above which the trailers of a response are rejected, in bytes.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
+
 /// Idle time after which the kernel sends keepalive probes, in seconds; shorter than the platform's contact window.
 const KEEPALIVE_IDLE_S: u64 = 1;
 
@@ -78,6 +81,10 @@
     buffer: BytesMut,
     body: BodyState,
     is_reusable: bool,
+    /// Number of interim responses to the last request.
+    interim_responses: u32,
+    /// Size of the trailers of the last response, in bytes.
+    trailer_bytes: usize,
 }
 
 /// Makes a stream send at once, and end soon after its peer can no longer be reached.
@@ -95,7 +102,14 @@
     pub(crate) async fn open(address: SocketAddr) -> Result<Connection, WireError> {
         let stream = TcpStream::connect(address).await.map_err(WireError::Connect)?;
         configure_stream(&stream).map_err(WireError::Connect)?;
-        Ok(Connection { stream, buffer: BytesMut::new(), body: BodyState::Done, is_reusable: true })
+        Ok(Connection {
+            stream,
+            buffer: BytesMut::new(),
+            body: BodyState::Done,
+            is_reusable: true,
+            interim_responses: 0,
+            trailer_bytes: 0,
+        })
     }
 
     /// Sends a request and reads the head of the next response. If the response begins before the request is completely
@@ -105,6 +119,7 @@
         request: &OutgoingRequest<'_>,
     ) -> Result<ReplyHead, WireError> {
         self.is_reusable = true;
+        self.interim_responses = 0;
         let mut bytes = request.head();
         bytes.extend_from_slice(&request.body);
         let is_head_request = request.method == "HEAD";
@@ -125,7 +140,7 @@
                     if result.map_err(WireError::Broken)? == 0 {
                         return Err(WireError::Ended);
                     }
-                    if let Some(head) = take_head(&mut self.buffer, is_head_request)? {
+                    if let Some(head) = take_head(&mut self.buffer, is_head_request, &mut self.interim_responses)? {
                         break Some(head);
                     }
                 }
@@ -147,7 +162,9 @@
         is_head_request: bool,
     ) -> Result<ReplyHead, WireError> {
         loop {
-            if let Some(head) = take_head(&mut self.buffer, is_head_request)? {
+            if let Some(head) =
+                take_head(&mut self.buffer, is_head_request, &mut self.interim_responses)?
+            {
                 self.begin_body(&head);
                 return Ok(head);
             }
@@ -162,6 +179,7 @@
             Framing::Chunked => BodyState::ChunkSize,
             Framing::UntilClose => BodyState::UntilClose,
         };
+        self.trailer_bytes = 0;
         self.is_reusable &= !head.closes;
     }
 
@@ -210,6 +228,12 @@
                 }
                 BodyState::ChunkSize | BodyState::ChunkEnd | BodyState::Trailer => {
                     if let Some(line) = self.take_line()? {
+                        if self.body == BodyState::Trailer {
+                            self.trailer_bytes += line.len();
+                            if self.trailer_bytes > MAX_TRAILER_BYTES {
+                                return Err(WireError::NotHttp);
+                            }
+                        }
                         self.body = next_chunk_state(self.body, &line)?;
                         continue;
                     }
--- a/crates/godwit-gateway/src/wire/reply.rs
+++ b/crates/godwit-gateway/src/wire/reply.rs
@@ -10,6 +10,9 @@
 /// Size above which an incomplete response head is rejected, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
+/// Largest number of interim responses before a response.
+const MAX_INTERIM_RESPONSES: u32 = 32;
+
 /// How the end of a response body is determined.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Framing {
@@ -97,10 +100,12 @@
     }
 }
 
-/// Takes a response head from the buffer. Returns none while the head is incomplete; drops interim (1xx) responses.
+/// Takes a response head from the buffer. Returns none while the head is incomplete; drops interim (1xx) responses, of
+/// which `interim_responses` counts those of this request.
 pub(super) fn take_head(
     buffer: &mut BytesMut,
     is_head_request: bool,
+    interim_responses: &mut u32,
 ) -> Result<Option<ReplyHead>, WireError> {
     loop {
         let mut header_slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -119,6 +124,10 @@
             .collect();
         buffer.advance(head_bytes);
         if (100..200).contains(&status) {
+            *interim_responses += 1;
+            if *interim_responses > MAX_INTERIM_RESPONSES {
+                return Err(WireError::NotHttp);
+            }
             continue;
         }
         let framing = framing(status, is_head_request, &headers)?;
--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -232,6 +232,14 @@
         kill_process(Pid::from_child(&self.child), signal).expect("the process can be signalled");
     }
 
+    /// Returns the resident memory of the process in KiB.
+    pub(crate) fn memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("its memory");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     /// Returns the exit status of the process, none while it runs.
     pub(crate) fn exit_status(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().expect("the process can be waited for")
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -61,6 +61,85 @@
     /// A complete stream that stalls before the event numbered `stall_before`, for `duration` or until an order moves
     /// the request to another path. Meanwhile the server's reports list the request with the second stage of its path.
     Stall { events: u64, stall_before: u64, duration: Duration },
+    /// Bytes that belong to no answer, until the host closes the connection.
+    Endless(EndlessBytes),
+}
+
+/// What a server sends until its connection is closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum EndlessBytes {
+    /// Bytes of another protocol in place of a head.
+    OtherProtocol,
+    /// A header without an end.
+    Header,
+    /// Headers without an end of the head.
+    Headers,
+    /// Interim responses.
+    InterimResponses,
+    /// A chunk size without an end.
+    ChunkSize,
+    /// Chunks.
+    Chunks,
+    /// Trailers after the last chunk.
+    Trailers,
+    /// A body without a length.
+    Body,
+    /// Bytes after a complete answer.
+    AfterAnswer,
+    /// Responses to other requests.
+    StrayResponses,
+    /// An event without an end.
+    Event,
+    /// The first event of a stream, again and again.
+    SameEvent,
+    /// An event of which a byte is sent now and then.
+    SlowEvent,
+}
+
+/// Pause between two bytes of [`EndlessBytes::SlowEvent`].
+const SLOW_BYTE_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Sends endless bytes until the connection is closed.
+fn send_endless(kind: EndlessBytes, id: &str, name: &str, stream: &mut TcpStream) -> bool {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ngodwitdeal-request-id: {id}\r\ngodwitdeal-response-stamp: {name}\r\n"
+    );
+    let chunked = format!("{head}transfer-encoding: chunked\r\n\r\n");
+    let event = "id: 1\ndata: piece 1\n\n";
+    let event_chunk = format!("{:x}\r\n{event}\r\n", event.len());
+    let data_chunk = format!("1000\r\n{}\r\n", "x".repeat(4096));
+    let (start, repeated) = match kind {
+        EndlessBytes::OtherProtocol => (String::new(), "\u{1}binary".repeat(512)),
+        EndlessBytes::Header => (format!("{head}x-endless: "), "y".repeat(4096)),
+        EndlessBytes::Headers => (head, "x-more: yes\r\n".repeat(64)),
+        EndlessBytes::InterimResponses => {
+            (String::new(), "HTTP/1.1 102 Processing\r\n\r\n".repeat(64))
+        }
+        EndlessBytes::ChunkSize => (chunked, "0".repeat(4096)),
+        EndlessBytes::Chunks => (chunked, data_chunk),
+        EndlessBytes::Trailers => (format!("{chunked}0\r\n"), "x-trailer: yes\r\n".repeat(64)),
+        EndlessBytes::Body => (format!("{head}connection: close\r\n\r\n"), "z".repeat(4096)),
+        EndlessBytes::AfterAnswer => {
+            (format!("{head}content-length: {}\r\n\r\n{name}", name.len()), "more".repeat(1024))
+        }
+        EndlessBytes::StrayResponses => {
+            let stray = "HTTP/1.1 200 OK\r\ngodwitdeal-request-id: other\r\n\
+                         godwitdeal-response-stamp: s\r\ncontent-length: 1\r\n\r\nx";
+            (String::new(), stray.repeat(16))
+        }
+        EndlessBytes::Event => (format!("{chunked}{event_chunk}"), data_chunk),
+        EndlessBytes::SameEvent => (chunked, event_chunk),
+        EndlessBytes::SlowEvent => (format!("{chunked}{event_chunk}"), "1\r\nx\r\n".to_string()),
+    };
+    if stream.write_all(start.as_bytes()).is_err() {
+        return false;
+    }
+    while stream.write_all(repeated.as_bytes()).is_ok() {
+        if kind == EndlessBytes::SlowEvent {
+            std::thread::sleep(SLOW_BYTE_INTERVAL);
+        }
+    }
+    false
 }
 
 /// State of a server's control interface (paths below `/api/`).
@@ -307,6 +386,7 @@
             write_response(stream, 503, &headers, b"")
         }
         Behavior::CloseWithoutResponse => false,
+        Behavior::Endless(kind) => send_endless(kind, id, name, stream),
         Behavior::StrayResponseFirst => {
             let stray_headers =
                 [("Godwitdeal-Request-Id", "other"), ("Godwitdeal-Response-Stamp", name)];
