--- a/crates/godwit-core/src/site/path.rs
+++ b/crates/godwit-core/src/site/path.rs
@@ -34,7 +34,7 @@
 
 /// Width of the range of the random factor on the cost of each stage, which keeps hosts from all choosing the same
 /// servers at the same time.
-const JITTER_RANGE: f64 = 0.1;
+const JITTER_RANGE: f64 = 1.0;
 
 /// Parameters of a path search for one request.
 #[derive(Clone)]
