--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -23,20 +24,40 @@
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
-/// File that keeps the log of a host, in the directory of the variable `GATEWAY_LOGS`; without it the log is dropped.
+/// Directory of the logs of the soak, if the variable `GATEWAY_LOGS` names no other.
+static SOAK_LOGS: OnceLock<PathBuf> = OnceLock::new();
+
+/// Keeps the logs of hosts that start from now on. Returns the directory.
+pub(crate) fn keep_logs() -> PathBuf {
+    let name = format!("godwit-soak-{}", std::process::id());
+    let directory = SOAK_LOGS.get_or_init(|| std::env::temp_dir().join(name)).clone();
+    std::fs::create_dir_all(&directory).expect("the temporary directory is writable");
+    std::env::var_os("GATEWAY_LOGS").map_or(directory, PathBuf::from)
+}
+
+/// Deletes the logs that [`keep_logs`] has kept, unless the variable `GATEWAY_LOGS` names their directory.
+pub(crate) fn delete_logs() {
+    if let Some(directory) = SOAK_LOGS.get() {
+        let _ = std::fs::remove_dir_all(directory);
+    }
+}
+
+/// File that keeps the log of a host, in the directory of the variable `GATEWAY_LOGS` or of the soak; without them the
+/// log is dropped.
 struct LogFile(Option<File>);
 
 impl LogFile {
     fn create(name: &str) -> LogFile {
-        let directory = std::env::var_os("GATEWAY_LOGS").map(PathBuf::from);
-        let file = directory.map(|directory| File::create(directory.join(name)));
-        LogFile(file.map(|file| file.expect("the log file can be created")))
+        let named = std::env::var_os("GATEWAY_LOGS").map(PathBuf::from);
+        let directory = named.or_else(|| SOAK_LOGS.get().cloned());
+        LogFile(directory.and_then(|directory| File::create(directory.join(name)).ok()))
     }
 
     fn keep(mut self, lines: impl Iterator<Item = String>) {
         for line in lines {
             if let Some(file) = &mut self.0 {
-                writeln!(file, "{line}").expect("the log file is writable");
+                // The soak may have deleted its directory.
+                let _ = writeln!(file, "{line}");
             }
         }
     }
@@ -154,7 +175,7 @@
         let started_line =
             lines.find_map(|line| line.ok().filter(|line| line.contains("event=started")));
         let started_line = started_line.expect("the gateway logs the started event");
-        let log = LogFile::create(&format!("{host_name}-{number}"));
+        let log = LogFile::create(&format!("{host_name}-{}-{number}", store_address.port()));
         std::thread::spawn(move || log.keep(lines.map_while(Result::ok)));
         std::fs::remove_file(&settings_path).expect("the settings file can be removed");
         let address = |name: &str| {
--- a/tests/gateway/soak/cluster.rs
+++ b/tests/gateway/soak/cluster.rs
@@ -133,6 +133,12 @@
         }
     }
 
+    /// Returns the ports of the hosts' proxies to the store, by which their logs are named.
+    pub(super) fn store_ports(&self) -> String {
+        let ports = self.hosts.iter().map(|host| host.store_proxy.address.port().to_string());
+        ports.collect::<Vec<_>>().join(" ")
+    }
+
     pub(super) fn directory(&self) -> Vec<Option<(SocketAddr, u64)>> {
         let caller_address = |entry: &ClusterHost| {
             entry.host.as_ref().map(|host| (host.caller_address(), entry.incarnation))
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -26,6 +26,7 @@
 use limits::{find_excess, name_limits};
 pub(crate) use proxy::{Proxy, ProxyMode};
 
+use crate::host::{delete_logs, keep_logs};
 use crate::server::{END_SERVER, END_SERVER_IN_STREAM};
 
 /// Seeds of every test run: the first of each scenario, and those that once failed, with the cause.
@@ -253,6 +254,7 @@
         version: AtomicU64::new(cluster.version),
         is_finished: AtomicBool::new(false),
     };
+    println!("soak seed {seed}, logs of hosts by port of the store: {}", cluster.store_ports());
     let mut violations = wait_until_all_serve(&cluster, &traffic);
     let limited = name_limits(&traffic, &cluster);
     std::thread::scope(|scope| {
@@ -292,6 +294,7 @@
     let seconds = std::env::var("SOAK_SECONDS").ok();
     let seconds = seconds.map_or(DEFAULT_SECONDS, |text| text.parse().expect("a number"));
     let duration = Duration::from_secs(seconds);
+    let logs = keep_logs();
     for seeds in seeds().chunks(PARALLEL_SEEDS) {
         let violations: Vec<String> = std::thread::scope(|scope| {
             let run = |seed: &u64| {
@@ -305,6 +308,8 @@
             });
             lines.collect()
         });
-        assert!(violations.is_empty(), "{}", violations.join("\n"));
+        let logs = logs.display();
+        assert!(violations.is_empty(), "{}\nlogs: {logs}", violations.join("\n"));
     }
+    delete_logs();
 }
