--- a/crates/godwit-gateway/src/replica/mod.rs
+++ b/crates/godwit-gateway/src/replica/mod.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod frames;
 mod kind;
+mod state;
 
 pub(crate) use apply::HostRecord;
 pub(crate) use feed::serve_followers;
