--- a/crates/godwit-gateway/src/replica/frames.rs
+++ b/crates/godwit-gateway/src/replica/frames.rs
@@ -1,8 +1,12 @@
-//! Frames between a host that reads the store and the hosts that follow it: a length, then a message in `postcard`.
+//! Frames between a host that reads the store and the hosts that follow it: a length, a format, then a message in
+//! `postcard`, compressed if it is large.
 
-use std::io;
+use std::io::{self, Read, Write};
 use std::time::Duration;
 
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use godwit_core::replica::ReplicaChanges;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -14,8 +18,12 @@
 /// Format of the frames. A host does not follow one that uses another format.
 pub(super) const FRAME_FORMAT: u8 = 1;
 
-/// Largest frame, in bytes; thousands of servers with their layers.
-const MAX_FRAME_BYTES: usize = 16 << 20;
+/// Largest message, in bytes, compressed or not; thousands of servers with their layers.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
+
+/// Size from which a message is compressed, in bytes. Listings of thousands of servers shrink to a tenth, without which
+/// the readers' links are full for seconds when all hosts start at once.
+const MIN_COMPRESSED_BYTES: usize = 4 * 1024;
 
 /// Buffer that a frame is read into at first, in bytes; larger ones grow with what has arrived.
 const READ_CHUNK_BYTES: usize = 64 * 1024;
@@ -25,6 +33,12 @@
 
 const LENGTH_BYTES: usize = 4;
 
+/// First byte of the content of a frame whose message is not compressed.
+const PLAIN: u8 = 0;
+
+/// First byte of the content of a frame whose message is compressed.
+const DEFLATED: u8 = 1;
+
 /// First message of a follower.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct FollowRequest {
@@ -54,17 +68,48 @@
 /// Encodes a message as a frame.
 ///
 /// # Errors
-/// When the message is larger than a frame may be.
+/// When the message is larger than [`MAX_MESSAGE_BYTES`].
 pub(super) fn encode_frame<T: Serialize>(message: &T) -> io::Result<Vec<u8>> {
-    let frame = postcard::to_extend(message, vec![0; LENGTH_BYTES]).map_err(io::Error::other)?;
-    let length = frame.len() - LENGTH_BYTES;
-    let prefix = u32::try_from(length).ok().filter(|_| length <= MAX_FRAME_BYTES);
-    let prefix = prefix.ok_or_else(|| io::Error::other("the message is too long for a frame"))?;
-    let mut frame = frame;
-    frame[..LENGTH_BYTES].copy_from_slice(&prefix.to_be_bytes());
+    let message = postcard::to_stdvec(message).map_err(io::Error::other)?;
+    if message.len() > MAX_MESSAGE_BYTES {
+        return Err(io::Error::other("the message is too long for a frame"));
+    }
+    let mut frame = vec![0; LENGTH_BYTES];
+    if message.len() < MIN_COMPRESSED_BYTES {
+        frame.push(PLAIN);
+        frame.extend_from_slice(&message);
+    } else {
+        frame.push(DEFLATED);
+        let mut encoder = DeflateEncoder::new(frame, Compression::fast());
+        encoder.write_all(&message)?;
+        frame = encoder.finish()?;
+    }
+    let length = u32::try_from(frame.len() - LENGTH_BYTES).map_err(io::Error::other)?;
+    frame[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
     Ok(frame)
 }
 
+/// Decodes the content of a frame.
+fn decode_content<T: DeserializeOwned>(content: &[u8]) -> io::Result<T> {
+    let invalid = |error: String| io::Error::new(io::ErrorKind::InvalidData, error);
+    match content.split_first() {
+        Some((&PLAIN, message)) => {
+            postcard::from_bytes(message).map_err(|error| invalid(error.to_string()))
+        }
+        Some((&DEFLATED, compressed)) => {
+            let mut message = Vec::new();
+            // One byte more than allowed shows that the message is too long.
+            let limit = MAX_MESSAGE_BYTES as u64 + 1;
+            DeflateDecoder::new(compressed).take(limit).read_to_end(&mut message)?;
+            if message.len() > MAX_MESSAGE_BYTES {
+                return Err(invalid("the message is too long".to_string()));
+            }
+            postcard::from_bytes(&message).map_err(|error| invalid(error.to_string()))
+        }
+        _ => Err(invalid("the format of the frame is unknown".to_string())),
+    }
+}
+
 /// Writes a frame.
 ///
 /// # Errors
@@ -89,7 +134,7 @@
     let mut prefix = [0; LENGTH_BYTES];
     timeout(silence, stream.read_exact(&mut prefix)).await??;
     let length = u32::from_be_bytes(prefix) as usize;
-    if length > MAX_FRAME_BYTES {
+    if length > MAX_MESSAGE_BYTES + 1 {
         return Err(io::Error::new(io::ErrorKind::InvalidData, "the frame is too long"));
     }
     let deadline = Instant::now() + FRAME_TIMEOUT;
@@ -102,5 +147,5 @@
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
-    postcard::from_bytes(&frame).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+    decode_content(&frame)
 }
--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -4,6 +4,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
+use flate2::Compression;
+use flate2::write::DeflateEncoder;
 use rustix::process::Signal;
 use serde_json::{Value, json};
 
@@ -24,6 +26,12 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Size of a message that would take more than the memory of the smallest hosts, in bytes.
+const HUGE_MESSAGE_BYTES: usize = 400 << 20;
+
+/// Memory of the smallest hosts, in KiB.
+const MEMORY_LIMIT_KIB: u64 = 160 * 1024;
+
 /// Time after which the roles of the hosts no longer change: a host follows after the list of hosts is complete.
 const SETTLE_TIME: Duration = Duration::from_millis(4_000);
 
@@ -113,6 +121,28 @@
     cluster.assert_change_is_used(2, 0..9);
 }
 
+/// Listings of thousands of servers are compressed on the way to followers.
+#[test]
+fn listing_of_many_servers_reaches_followers_that_restart() {
+    const SERVERS: usize = 2_000;
+    let mut cluster = Cluster::start(3);
+    let server = FakeServer::start("many", &[Behavior::Respond]);
+    for index in 0..SERVERS {
+        cluster.store.put("servers", &format!("many-{index}"), server.entry("other", None));
+    }
+    let readers = cluster.readers();
+    let follower = (0..3).find(|index| !readers.contains(index)).expect("a follower");
+    cluster.hosts[follower].signal(Signal::KILL);
+    let name = format!("front-hall-a-{follower}");
+    let address = cluster.proxies[follower].address;
+    cluster.hosts[follower] = Host::start_with_store_address(cluster.store.clone(), address, &name);
+    cluster.hosts[follower].wait_until_ready();
+    assert!(!reads_store(&cluster.hosts[follower]));
+    cluster.assert_change_is_used(2, 0..3);
+    let memory_kib = cluster.hosts[follower].memory_kib();
+    assert!(memory_kib < MEMORY_LIMIT_KIB, "{memory_kib} KiB");
+}
+
 #[test]
 fn change_is_used_while_readers_are_frozen() {
     let cluster = Cluster::start(6);
@@ -249,6 +279,8 @@
     OtherBytes,
     EndlessFrame,
     OneByteAtTimes,
+    /// A small frame whose message is huge once decompressed.
+    HugeMessage,
 }
 
 fn start_false_reader(kind: FalseReader) -> SocketAddr {
@@ -266,6 +298,14 @@
                     stream.write_all(&[0])?;
                 }
             }
+            FalseReader::HugeMessage => {
+                let mut encoder = DeflateEncoder::new(vec![1], Compression::best());
+                encoder.write_all(&vec![0; HUGE_MESSAGE_BYTES])?;
+                let content = encoder.finish()?;
+                stream.write_all(&(content.len() as u32).to_be_bytes())?;
+                stream.write_all(&content)?;
+                std::thread::sleep(CONFIG_APPLY_TIME * 10);
+            }
             FalseReader::OneByteAtTimes => {
                 stream.write_all(&4096_u32.to_be_bytes())?;
                 loop {
@@ -287,8 +327,8 @@
 /// The largest hosts by their records, which a starting host would follow first, send no changes.
 #[test]
 fn false_readers_are_left() {
-    use FalseReader::{EndlessFrame, Nothing, OneByteAtTimes, OtherBytes};
-    for kinds in [[Nothing, OtherBytes], [EndlessFrame, OneByteAtTimes]] {
+    use FalseReader::{EndlessFrame, HugeMessage, Nothing, OneByteAtTimes, OtherBytes};
+    for kinds in [[Nothing, OtherBytes], [EndlessFrame, OneByteAtTimes], [HugeMessage, Nothing]] {
         let cluster = Cluster::start(1);
         for (index, kind) in kinds.into_iter().enumerate() {
             let record = json!({
@@ -300,6 +340,7 @@
         let host = Host::start_with_name(cluster.store.clone(), "front-hall-a-9");
         // Two frames may take their longest time each, 8 s, before the host reads the store.
         host.wait_for("readiness", || host.readiness_status() == 200);
+        assert!(host.memory_kib() < MEMORY_LIMIT_KIB, "{} KiB", host.memory_kib());
         cluster.assert_change_is_used(2, 0..1);
         host.wait_for("the second version", || status(&host, "/version-2/1") == 200);
     }
