--- a/crates/godwit-core/src/replica/readers.rs
+++ b/crates/godwit-core/src/replica/readers.rs
@@ -198,6 +198,12 @@
         self.lost_kinds.is_empty()
     }
 
+    /// Whether objects of another kind, which come first by name, cannot be read from the store either. A call for those
+    /// tells whether the store is back for all.
+    pub fn is_other_kind_lost(&self, kind: &str) -> bool {
+        self.lost_kinds.first().is_some_and(|first| first != kind)
+    }
+
     /// Records trouble with a host, which is then skipped for a time.
     pub fn record_trouble(&mut self, name: &str, trouble: Trouble, now: SteadyMs) {
         let known = self.skips.get(name).filter(|skip| skip.trouble == trouble);
--- a/crates/godwit-core/tests/replica_readers.rs
+++ b/crates/godwit-core/tests/replica_readers.rs
@@ -92,6 +92,23 @@
     assert_eq!(selection.plan(0, SteadyMs(10)).follows, None);
 }
 
+/// While the store is away for all kinds, one of them is enough to notice its return.
+#[test]
+fn store_that_is_away_is_tried_for_one_kind() {
+    let mut selection = selection("a-1");
+    let tried = |selection: &ReaderSelection| {
+        let kinds = ["config", "hosts", "servers"].into_iter();
+        kinds.filter(|kind| !selection.is_other_kind_lost(kind)).collect::<Vec<_>>()
+    };
+    assert_eq!(tried(&selection), ["config", "hosts", "servers"]);
+    for kind in ["config", "hosts", "servers"] {
+        selection.record_store(kind, false);
+    }
+    assert_eq!(tried(&selection), ["config"]);
+    selection.record_store("config", true);
+    assert_eq!(tried(&selection), ["hosts"]);
+}
+
 #[test]
 fn plan_follows_another_domain_when_the_own_cannot_read() {
     let mut selection = selection("a-4");
--- a/crates/godwit-gateway/src/store/list_watch.rs
+++ b/crates/godwit-gateway/src/store/list_watch.rs
@@ -8,7 +8,7 @@
 use godwit_core::SteadyMs;
 use godwit_core::replica::{ReplicaChanges, StoredObject, WatchEvent, changes_of_watch};
 use rand::Rng;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use tracing::{error, info, warn};
 
 use crate::replica::ObjectKind;
@@ -44,6 +44,9 @@
 const STATUS_OK: u16 = 200;
 const STATUS_GONE: u16 = 410;
 
+/// Interval at which a kind that cannot be read checks whether another one can be again.
+const OTHER_KIND_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Interval at which a pending watch is checked against the versions that other hosts know.
 const FRESHNESS_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -195,6 +198,12 @@
         // Jitter, so that hosts do not retry at the same time.
         let jittered_ms = rand::rng().random_range(delay_ms / 2..=delay_ms);
         sleep(Duration::from_millis(jittered_ms)).await;
+        let other_kind_regained = async {
+            while site.readers.borrow().is_other_kind_lost(self.kind.name()) {
+                sleep(OTHER_KIND_POLL_INTERVAL).await;
+            }
+        };
+        let _ = timeout(Duration::from_millis(MAX_BACKOFF_MS), other_kind_regained).await;
     }
 
     /// Makes a call that returns at once whenever a starting host needs to know that nothing newer is stored. The pending
