--- a/crates/godwit-gateway/src/replica/feed.rs
+++ b/crates/godwit-gateway/src/replica/feed.rs
@@ -15,7 +15,8 @@
 
 use crate::replica::ObjectKind;
 use crate::replica::frames::{
-    FRAME_FORMAT, FeedMessage, FollowRequest, encode_frame, read_frame, write_frame,
+    FRAME_FORMAT, FeedMessage, FollowRequest, MAX_REQUEST_BYTES, encode_frame, read_frame,
+    write_frame,
 };
 use crate::site::Site;
 use crate::wire::configure_stream;
@@ -86,7 +87,8 @@
     /// Sends what a follower does not have, and then every change, until the connection ends.
     async fn send_changes(&self, mut stream: TcpStream) -> io::Result<()> {
         configure_stream(&stream)?;
-        let request: FollowRequest = read_frame(&mut stream, REQUEST_TIMEOUT).await?;
+        let request: FollowRequest =
+            read_frame(&mut stream, MAX_REQUEST_BYTES, REQUEST_TIMEOUT).await?;
         if request.format != FRAME_FORMAT {
             return Err(io::Error::other("the follower uses another format"));
         }
--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -12,7 +12,8 @@
 
 use crate::replica::ObjectKind;
 use crate::replica::frames::{
-    FRAME_FORMAT, FeedMessage, FollowRequest, encode_frame, read_frame, write_frame,
+    FRAME_FORMAT, FeedMessage, FollowRequest, MAX_MESSAGE_BYTES, encode_frame, read_frame,
+    write_frame,
 };
 use crate::site::Site;
 use crate::wire::configure_stream;
@@ -134,7 +135,7 @@
     let first_changes_by = site.now().plus_ms(FIRST_CHANGES_TIMEOUT_MS);
     site.restart_lag();
     loop {
-        match read_frame(&mut stream, SILENCE_TIMEOUT).await? {
+        match read_frame(&mut stream, MAX_MESSAGE_BYTES, SILENCE_TIMEOUT).await? {
             FeedMessage::Status { is_stopping: true, .. } => return Ok(FollowEnd::Stopping),
             FeedMessage::Status { can_read_store, .. } => {
                 site.record_store_state(can_read_store);
--- a/crates/godwit-gateway/src/replica/frames.rs
+++ b/crates/godwit-gateway/src/replica/frames.rs
@@ -19,7 +19,10 @@
 pub(super) const FRAME_FORMAT: u8 = 1;
 
 /// Largest message, in bytes, compressed or not; thousands of servers with their layers.
-const MAX_MESSAGE_BYTES: usize = 16 << 20;
+pub(super) const MAX_MESSAGE_BYTES: usize = 16 << 20;
+
+/// Largest request of a follower, in bytes.
+pub(super) const MAX_REQUEST_BYTES: usize = 4 * 1024;
 
 /// Size from which a message is compressed, in bytes. Listings of thousands of servers shrink to a tenth, without which
 /// the readers' links are full for seconds when all hosts start at once.
@@ -125,16 +128,17 @@
 /// Reads a frame and decodes its message.
 ///
 /// # Errors
-/// When nothing arrives for `silence`, the frame takes too long as a whole, is too long or cannot be decoded, or the
-/// connection ends.
+/// When nothing arrives for `silence`, the frame takes too long as a whole, has more than `max_bytes` or cannot be
+/// decoded, or the connection ends.
 pub(super) async fn read_frame<T: DeserializeOwned>(
     stream: &mut (impl AsyncRead + Unpin),
+    max_bytes: usize,
     silence: Duration,
 ) -> io::Result<T> {
     let mut prefix = [0; LENGTH_BYTES];
     timeout(silence, stream.read_exact(&mut prefix)).await??;
     let length = u32::from_be_bytes(prefix) as usize;
-    if length > MAX_MESSAGE_BYTES + 1 {
+    if length > max_bytes + 1 {
         return Err(io::Error::new(io::ErrorKind::InvalidData, "the frame is too long"));
     }
     let deadline = Instant::now() + FRAME_TIMEOUT;
--- a/crates/godwit-gateway/src/store/list_watch.rs
+++ b/crates/godwit-gateway/src/store/list_watch.rs
@@ -246,8 +246,8 @@
         match step {
             Ok(changes) => {
                 self.apply(site, &changes, started_at);
-                let has_changes = changes.from_revision > 0 && !changes.objects.is_empty();
-                if has_changes && started.elapsed() < QUICK_WATCH_THRESHOLD {
+                // Also without changes, so that a store that ends each watch at once is not called all the time.
+                if changes.from_revision > 0 && started.elapsed() < QUICK_WATCH_THRESHOLD {
                     sleep(self.kind.batch_delay()).await;
                 }
             }
