--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -198,7 +198,12 @@
         let mut piece = pin!(connection.next_piece());
         let stall_threshold_ms =
             event_gap_stall_threshold_ms(self.attempt.destination.event_gap_ms);
+        let mut has_checked = false;
         loop {
+            if has_checked {
+                self.attempt.stall_check_at = self.site.now().plus_ms(stall_threshold_ms);
+            }
+            has_checked = true;
             let check_at = self.attempt.stall_check_at.min(deadline);
             if let Ok(piece) = timeout_at(self.site.clock.instant(check_at), piece.as_mut()).await {
                 return piece;
@@ -206,7 +211,6 @@
             if deadline.is_past(self.site.now()) {
                 return Err(WireError::TimedOut);
             }
-            self.attempt.stall_check_at = self.site.now().plus_ms(stall_threshold_ms);
             if !self.admitted.policy.work.may_run_again() {
                 continue;
             }
