--- a/crates/godwit-core/src/site/forecast.rs
+++ b/crates/godwit-core/src/site/forecast.rs
@@ -57,7 +57,7 @@
         excluded: &BTreeSet::new(),
         slowdown: &|_| 1.0,
         is_reachable: &|_, _| true,
-        seed: 0,
+        seed: None,
     };
     // The table receives no reports, so their maximum age does not matter.
     find_path(model, available.into_iter(), &LoadTable::new(0), &request).ok()
--- a/crates/godwit-core/src/site/path.rs
+++ b/crates/godwit-core/src/site/path.rs
@@ -55,8 +55,8 @@
     pub slowdown: &'a dyn Fn(&str) -> f64,
     /// Returns whether two failure domains can reach each other.
     pub is_reachable: &'a dyn Fn(&str, &str) -> bool,
-    /// Seed of the random factors on the stages.
-    pub seed: u64,
+    /// Seed of the random factors on the stages; with none, the cheapest path is found.
+    pub seed: Option<u64>,
 }
 
 /// A stage of a path.
@@ -208,7 +208,7 @@
         let tokens = load.kv_tokens + request.prompt_tokens + request.answer_tokens;
         let capacity_tokens = MAX_KV_UTILIZATION * kv_capacity_tokens(model, kind, range.len());
         let has_room = (tokens as f64) <= capacity_tokens && load.requests < server.slots;
-        let jitter_factor = jitter(&server.id, request.seed);
+        let jitter_factor = request.seed.map_or(1.0, |seed| jitter(&server.id, seed));
         let slowdown = (request.slowdown)(&server.id);
         candidates.push(Candidate {
             server,
@@ -368,7 +368,7 @@
 /// let request = PathRequest {
 ///     service: "chat", prompt_tokens: 700, answer_tokens: 200, home_domain: "a", start: None, excluded: &excluded,
 ///     slowdown: &|_| 1.0, is_reachable: &|_, _| true,
-///     seed: 1,
+///     seed: None,
 /// };
 /// let found = find_path(&model, std::iter::empty(), &LoadTable::new(1_000), &request);
 /// assert_eq!(found, Err(PathError::LayerMissing));
--- a/crates/godwit-core/tests/path_herd.rs
+++ b/crates/godwit-core/tests/path_herd.rs
@@ -143,7 +143,7 @@
             excluded: &BTreeSet::new(),
             slowdown: &|_| 1.0,
             is_reachable: &|_, _| true,
-            seed: random.random(),
+            seed: Some(random.random()),
         };
         total += 1;
         let Ok(path) = find_path(&model, servers.iter(), &tables[host], &request) else { continue };
--- a/crates/godwit-core/tests/site/path.rs
+++ b/crates/godwit-core/tests/site/path.rs
@@ -50,7 +50,7 @@
             excluded: &self.excluded,
             slowdown: &slowdown,
             is_reachable: &is_reachable,
-            seed,
+            seed: Some(seed),
         };
         find_path(&model(), self.fleet.iter(), &self.loads, &request)
     }
--- a/crates/godwit-gateway/src/forward/destination.rs
+++ b/crates/godwit-gateway/src/forward/destination.rs
@@ -148,7 +148,7 @@
         excluded: &excluded,
         slowdown: &|id| findings.slowdown(id, now),
         is_reachable: &|one, other| findings.is_reachable(one, other, now),
-        seed: admitted.policy.seed,
+        seed: Some(admitted.policy.seed),
     };
     let path =
         find_path(model, registry.servers(), &loads, &request).map_err(|error| match error {
