--- a/crates/godwit-core/src/replica/mod.rs
+++ b/crates/godwit-core/src/replica/mod.rs
@@ -6,6 +6,4 @@
 
 pub use changes::{AppliedChanges, ReplicaChanges, ReplicaGap, WatchEvent, changes_of_watch};
 pub use objects::{AcceptOutcome, ObjectReplica, ReplicaDigest, StoredObject};
-pub use readers::{
-    Candidate, ReadPlan, ReaderLimits, ReaderSelection, SkipLimits, Trouble, ranked_readers,
-};
+pub use readers::{ReadPlan, ReaderLimits, ReaderSelection, SkipLimits, Trouble, sort_readers};
--- a/crates/godwit-core/src/replica/objects.rs
+++ b/crates/godwit-core/src/replica/objects.rs
@@ -107,20 +107,26 @@
     /// Returns the names of the objects whose listed version is newer than the held one, and the number of objects
     /// marked as deleted.
     pub fn accept_listing(&mut self, revision: u64, listed: &[ObjectHead]) -> (Vec<String>, usize) {
-        let versions: BTreeMap<&str, u64> =
-            listed.iter().map(|head| (head.name.as_str(), head.version)).collect();
-        let mut deleted = 0;
-        for stored in self.objects.values_mut() {
-            let is_unlisted = !versions.contains_key(stored.name.as_str());
-            if is_unlisted && stored.text.is_some() && stored.version <= revision {
-                stored.version = revision;
-                stored.text = None;
-                deleted += 1;
-            }
-        }
+        let names = listed.iter().map(|head| head.name.as_str()).collect();
+        let deleted = self.delete_unlisted(revision, &names).len();
         (self.outdated_names(listed), deleted)
     }
 
+    /// Marks the objects held with a version up to `revision` that a listing at that revision lacks as deleted, and returns
+    /// their names.
+    fn delete_unlisted(&mut self, revision: u64, listed: &BTreeSet<&str>) -> Vec<String> {
+        let is_deleted = |stored: &&mut StoredObject| {
+            let is_unlisted = !listed.contains(stored.name.as_str());
+            is_unlisted && stored.text.is_some() && stored.version <= revision
+        };
+        let deleted = self.objects.values_mut().filter(is_deleted).map(|stored| {
+            stored.version = revision;
+            stored.text = None;
+            stored.name.clone()
+        });
+        deleted.collect()
+    }
+
     /// Records that no object or deletion up to `revision` is missing.
     ///
     /// The caller has either read everything in the listing of the platform's store at `revision`, or has taken
@@ -280,17 +286,9 @@
 
     /// Replaces the held objects by a complete listing, which may also repair objects that should be held already.
     fn replace_all(&mut self, listing: &ReplicaChanges) -> BTreeSet<String> {
-        let mut changed = BTreeSet::new();
-        let listed: BTreeSet<&str> =
-            listing.objects.iter().map(|object| object.name.as_str()).collect();
-        for stored in self.objects.values_mut() {
-            let is_unlisted = !listed.contains(stored.name.as_str());
-            if is_unlisted && stored.text.is_some() && stored.version <= listing.to_revision {
-                stored.version = listing.to_revision;
-                stored.text = None;
-                changed.insert(stored.name.clone());
-            }
-        }
+        let listed = listing.objects.iter().map(|object| object.name.as_str()).collect();
+        let deleted = self.delete_unlisted(listing.to_revision, &listed);
+        let mut changed: BTreeSet<String> = deleted.into_iter().collect();
         for offered in &listing.objects {
             let held = self.objects.get(&offered.name);
             let is_newer = held.is_none_or(|held| {
--- a/crates/godwit-core/src/replica/readers.rs
+++ b/crates/godwit-core/src/replica/readers.rs
@@ -10,6 +10,7 @@
 
 use crate::SteadyMs;
 use crate::rendezvous::weight;
+use crate::site::PeerHost;
 
 /// Number of hosts of a domain that cannot read the store after which no further host of the domain is tried: the store
 /// is then probably away for all of them.
@@ -18,19 +19,6 @@
 /// Number of hosts that cannot read the store after which others are tried one at a time.
 const MANY_UNABLE: usize = 6;
 
-/// Host that can be followed.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Candidate {
-    /// Name of the host.
-    pub name: String,
-    /// Failure domain of the host.
-    pub failure_domain: String,
-    /// Address at which other hosts follow it.
-    pub address: SocketAddr,
-    /// Capacity of the host; the largest of a domain read the store.
-    pub capacity: u32,
-}
-
 /// Limits of a [`ReaderSelection`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReaderLimits {
@@ -79,25 +67,27 @@
     /// Whether it reads the store.
     pub reads_store: bool,
     /// Host that it follows.
-    pub follows: Option<Candidate>,
+    pub follows: Option<PeerHost>,
 }
 
-/// Returns the names of the hosts of a failure domain in the order in which they are to read the store, from their names
-/// and capacities.
+/// Sorts the hosts of a failure domain in the order in which they are to read the store: by capacity, then by a hash that
+/// differs between domains.
 ///
 /// ```
-/// use godwit_core::replica::ranked_readers;
-/// assert_eq!(ranked_readers("hall-a", [("h-1", 20), ("h-2", 200)]), ["h-2", "h-1"]);
+/// use godwit_core::replica::sort_readers;
+/// use godwit_core::site::PeerHost;
+/// let host = |name: &str, capacity| PeerHost {
+///     name: name.to_string(), failure_domain: "a".to_string(), address: ([10, 0, 0, 1], 7_341).into(), capacity,
+/// };
+/// let mut hosts = vec![host("h-1", 20), host("h-2", 200)];
+/// sort_readers(&mut hosts);
+/// assert_eq!(hosts[0].name, "h-2");
 /// ```
-pub fn ranked_readers<'a>(
-    failure_domain: &str,
-    hosts: impl IntoIterator<Item = (&'a str, u32)>,
-) -> Vec<&'a str> {
-    let mut hosts: Vec<(&str, u32)> = hosts.into_iter().collect();
-    hosts.sort_by_key(|(name, capacity)| {
-        (Reverse(*capacity), Reverse(weight(failure_domain, name)), *name)
+pub fn sort_readers(hosts: &mut [PeerHost]) {
+    hosts.sort_by_cached_key(|host| {
+        let weight = weight(&host.failure_domain, &host.name);
+        (Reverse(host.capacity), Reverse(weight), host.name.clone())
     });
-    hosts.into_iter().map(|(name, _)| name).collect()
 }
 
 /// Selects whether this host reads the store, and which host it follows.
@@ -107,8 +97,8 @@
     own_domain: String,
     own_capacity: u32,
     limits: ReaderLimits,
-    /// Hosts of each domain in their order, including this one.
-    ranked: BTreeMap<String, Vec<Candidate>>,
+    /// Hosts of each domain in their order, including this one, whose address is never used.
+    ranked: BTreeMap<String, Vec<PeerHost>>,
     skips: BTreeMap<String, Skip>,
     /// Kinds of objects that this host cannot read from the store.
     lost_kinds: BTreeSet<String>,
@@ -151,37 +141,20 @@
     }
 
     /// Replaces the list of hosts, with or without this one.
-    pub fn set_hosts(&mut self, hosts: Vec<Candidate>) {
-        let mut domains: BTreeMap<String, Vec<Candidate>> = BTreeMap::new();
-        let others = hosts.into_iter().filter(|host| host.name != self.own_name);
-        others.for_each(|host| domains.entry(host.failure_domain.clone()).or_default().push(host));
-        domains.entry(self.own_domain.clone()).or_default();
-        let own = (self.own_name.as_str(), self.own_capacity);
-        self.ranked = BTreeMap::new();
-        for (domain, hosts) in domains {
-            let named = hosts.iter().map(|host| (host.name.as_str(), host.capacity));
-            let own = (domain == self.own_domain).then_some(own);
-            let order = ranked_readers(&domain, named.chain(own));
-            let own_index = order.iter().position(|name| *name == self.own_name);
-            let mut ranked: Vec<Candidate> = order
-                .iter()
-                .filter_map(|name| hosts.iter().find(|host| host.name == *name).cloned())
-                .collect();
-            if let Some(index) = own_index {
-                ranked.insert(index, self.own_candidate());
-            }
-            self.ranked.insert(domain, ranked);
-        }
-    }
-
-    /// Returns this host as a candidate. Its address is never used.
-    fn own_candidate(&self) -> Candidate {
-        Candidate {
+    pub fn set_hosts(&mut self, hosts: Vec<PeerHost>) {
+        let own = PeerHost {
             name: self.own_name.clone(),
             failure_domain: self.own_domain.clone(),
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
             capacity: self.own_capacity,
+        };
+        let others = hosts.into_iter().filter(|host| host.name != self.own_name);
+        let mut ranked: BTreeMap<String, Vec<PeerHost>> = BTreeMap::new();
+        for host in others.chain([own]) {
+            ranked.entry(host.failure_domain.clone()).or_default().push(host);
         }
+        ranked.values_mut().for_each(|hosts| sort_readers(hosts));
+        self.ranked = ranked;
     }
 
     /// Records whether this host can read the objects of a kind from the store.
@@ -249,17 +222,22 @@
 
     /// Whether a host is skipped because of trouble.
     pub fn is_skipped(&self, name: &str, now: SteadyMs) -> bool {
-        self.skips.get(name).is_some_and(|skip| !skip.until.is_past(now))
+        self.skipped_for(name, now).is_some()
+    }
+
+    /// Returns the trouble because of which a host is skipped.
+    fn skipped_for(&self, name: &str, now: SteadyMs) -> Option<Trouble> {
+        let skip = self.skips.get(name).filter(|skip| !skip.until.is_past(now));
+        skip.map(|skip| skip.trouble)
     }
 
     /// Returns the first hosts of a domain that are not skipped. This host counts even if it cannot read the store, so
     /// that it tries again.
-    fn designated(&self, domain: &str, count: usize, now: SteadyMs) -> Vec<Candidate> {
+    fn designated(&self, domain: &str, count: usize, now: SteadyMs) -> Vec<PeerHost> {
         let mut unable = 0;
         let mut designated = Vec::new();
         for host in self.ranked.get(domain).into_iter().flatten() {
-            let skip = self.skips.get(&host.name).filter(|skip| !skip.until.is_past(now));
-            match skip.map(|skip| skip.trouble) {
+            match self.skipped_for(&host.name, now) {
                 None => designated.push(host.clone()),
                 Some(Trouble::Unable) => unable += 1,
                 Some(Trouble::Stopped | Trouble::Unresponsive) => {}
@@ -273,7 +251,7 @@
 
     /// Returns the host to follow: the current one for some time, one that is designated in this host's domain, the first
     /// of another domain, or one that could not read the store. None if no host responds.
-    fn choose(&self, designated: Vec<Candidate>, now: SteadyMs) -> Option<Candidate> {
+    fn choose(&self, designated: Vec<PeerHost>, now: SteadyMs) -> Option<PeerHost> {
         let all = || self.ranked.values().flatten().filter(|host| host.name != self.own_name);
         let current = self.current.as_ref();
         let kept = current.filter(|(name, since)| {
@@ -283,8 +261,8 @@
         if kept.is_some() {
             return kept.cloned();
         }
-        let is_current = |host: &&Candidate| current.is_some_and(|(name, _)| *name == host.name);
-        let responds = |host: &&Candidate| {
+        let is_current = |host: &&PeerHost| current.is_some_and(|(name, _)| *name == host.name);
+        let responds = |host: &&PeerHost| {
             self.skips.get(&host.name).is_some_and(|skip| skip.trouble == Trouble::Unable)
         };
         if !self.tries_again_at.is_past(now)
@@ -292,7 +270,7 @@
         {
             return Some(host.clone());
         }
-        let spread = |host: &Candidate| weight(&self.own_name, &host.name);
+        let spread = |host: &PeerHost| weight(&self.own_name, &host.name);
         let own_domain = designated.into_iter().filter(|host| host.name != self.own_name);
         if let Some(host) = own_domain.max_by_key(spread) {
             return Some(host);
@@ -302,7 +280,7 @@
         if let Some(host) = firsts.max_by_key(spread) {
             return Some(host);
         }
-        let mut responding: Vec<&Candidate> = all().filter(responds).collect();
+        let mut responding: Vec<&PeerHost> = all().filter(responds).collect();
         responding.sort_by_key(|host| (!is_current(host), self.skips[&host.name].until));
         responding.first().map(|host| (*host).clone())
     }
--- a/crates/godwit-core/src/site/relay.rs
+++ b/crates/godwit-core/src/site/relay.rs
@@ -21,9 +21,9 @@
     pub name: String,
     /// Failure domain of the host.
     pub failure_domain: String,
-    /// Address for load reports.
+    /// Address at which it takes load reports, or at which it is followed.
     pub address: SocketAddr,
-    /// Capacity of the host; the largest of a domain collects the load reports.
+    /// Capacity of the host; the largest of a domain collects the load reports and reads the store.
     pub capacity: u32,
 }
 
--- a/crates/godwit-core/tests/replica_readers.rs
+++ b/crates/godwit-core/tests/replica_readers.rs
@@ -4,9 +4,8 @@
 use std::net::SocketAddr;
 
 use godwit_core::SteadyMs;
-use godwit_core::replica::{
-    Candidate, ReaderLimits, ReaderSelection, SkipLimits, Trouble, ranked_readers,
-};
+use godwit_core::replica::{ReaderLimits, ReaderSelection, SkipLimits, Trouble, sort_readers};
+use godwit_core::site::PeerHost;
 
 const LIMITS: ReaderLimits = ReaderLimits {
     readers_per_domain: 2,
@@ -16,14 +15,14 @@
     reselect_ms: 30_000,
 };
 
-fn candidate(name: &str, capacity: u32) -> Candidate {
+fn candidate(name: &str, capacity: u32) -> PeerHost {
     let failure_domain = name[..1].to_string();
     let address = SocketAddr::from(([10, 0, 0, 1], 7_341));
-    Candidate { name: name.to_string(), failure_domain, address, capacity }
+    PeerHost { name: name.to_string(), failure_domain, address, capacity }
 }
 
 /// Hosts `a-1` and `a-2` are the largest of domain `a`, `b-1` of domain `b`.
-fn hosts() -> Vec<Candidate> {
+fn hosts() -> Vec<PeerHost> {
     let sizes = [("a-1", 200), ("a-2", 100), ("a-3", 30), ("a-4", 20), ("b-1", 200), ("b-2", 20)];
     sizes.map(|(name, capacity)| candidate(name, capacity)).to_vec()
 }
@@ -40,9 +39,11 @@
 }
 
 #[test]
-fn ranked_readers_begin_with_the_largest() {
-    let hosts = [("h-1", 20), ("h-2", 200), ("h-3", 100)];
-    assert_eq!(ranked_readers("a", hosts), ["h-2", "h-3", "h-1"]);
+fn sort_readers_begins_with_the_largest() {
+    let mut hosts =
+        [("h-1", 20), ("h-2", 200), ("h-3", 100)].map(|(name, size)| candidate(name, size));
+    sort_readers(&mut hosts);
+    assert_eq!(hosts.map(|host| host.name), ["h-2", "h-3", "h-1"]);
 }
 
 #[test]
@@ -185,7 +186,7 @@
 
 impl Cluster {
     fn new(count: usize) -> Cluster {
-        let hosts: Vec<Candidate> = (0..count)
+        let hosts: Vec<PeerHost> = (0..count)
             .map(|index| {
                 let domain = ["a", "b", "c", "d", "e"][index % 5];
                 let capacity = if index < 15 { 200 } else { 20 };
--- a/crates/godwit-gateway/src/listeners.rs
+++ b/crates/godwit-gateway/src/listeners.rs
@@ -50,7 +50,8 @@
     TcpListener::from_std(socket.into())
 }
 
-async fn accept(listener: &TcpListener) -> TcpStream {
+/// Returns the next connection. Accepts that fail are logged and repeated.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/godwit-gateway/src/replica/apply.rs
+++ b/crates/godwit-gateway/src/replica/apply.rs
@@ -5,7 +5,7 @@
 
 use godwit_adapter::{CONFIGURATION_NAME, decode_configuration, decode_server};
 use godwit_core::replica::{
-    AppliedChanges, Candidate, ObjectReplica, ReplicaChanges, ReplicaGap, StoredObject,
+    AppliedChanges, ObjectReplica, ReplicaChanges, ReplicaGap, StoredObject,
 };
 use godwit_core::site::{BackendServer, PeerHost};
 use serde::{Deserialize, Serialize};
@@ -34,23 +34,14 @@
 }
 
 impl HostRecord {
-    fn peer(&self, name: &str) -> PeerHost {
+    fn at(&self, name: &str, address: SocketAddr) -> PeerHost {
         PeerHost {
             name: name.to_string(),
             failure_domain: self.failure_domain.clone(),
-            address: self.peer_address,
+            address,
             capacity: self.link_mbps,
         }
     }
-
-    fn candidate(&self, name: &str) -> Option<Candidate> {
-        Some(Candidate {
-            name: name.to_string(),
-            failure_domain: self.failure_domain.clone(),
-            address: self.follow_address?,
-            capacity: self.link_mbps,
-        })
-    }
 }
 
 fn specification(object: &StoredObject) -> Option<Value> {
@@ -168,7 +159,7 @@
     /// Replaces the list of hosts. With `restores`, takes over the quarantines that the hosts store.
     fn apply_hosts(&self, replica: &ObjectReplica, restores: bool) {
         let mut peers = Vec::new();
-        let mut candidates = Vec::new();
+        let mut to_follow = Vec::new();
         for object in replica.iter().filter(|object| object.text.is_some()) {
             let text = object.text.as_deref().unwrap_or_default();
             match serde_json::from_str::<HostRecord>(text) {
@@ -176,14 +167,16 @@
                     if restores {
                         restore_quarantines(self, &object.name, &record.quarantines);
                     }
-                    peers.push(record.peer(&object.name));
-                    candidates.extend(record.candidate(&object.name));
+                    peers.push(record.at(&object.name, record.peer_address));
+                    let follow_address = record.follow_address;
+                    to_follow
+                        .extend(follow_address.map(|address| record.at(&object.name, address)));
                 }
                 Err(error) => warn!(event = "host_unreadable", name = object.name, %error),
             }
         }
         self.set_peers(peers);
-        self.readers.borrow_mut().set_hosts(candidates);
+        self.readers.borrow_mut().set_hosts(to_follow);
         self.hosts_listed.notify_one();
     }
 }
--- a/crates/godwit-gateway/src/replica/feed.rs
+++ b/crates/godwit-gateway/src/replica/feed.rs
@@ -3,7 +3,6 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info, warn};
 
+use crate::listeners::accept;
 use crate::replica::ObjectKind;
 use crate::replica::frames::{
     FRAME_FORMAT, FeedMessage, FollowRequest, MAX_REQUEST_BYTES, encode_frame, read_frame,
@@ -33,9 +33,6 @@
 /// Time that a follower may take to receive a frame.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// Delay after a failed accept, which prevents a busy loop while the file descriptor table is full.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
 /// Most followers of a host. A host beyond them is refused and follows another, or reads the store.
 const MAX_FOLLOWERS: usize = 512;
 
@@ -46,15 +43,8 @@
 pub(crate) async fn serve_followers(site: Rc<Site>, listener: TcpListener) {
     let feed = Rc::new(Feed { site, encoded: RefCell::default() });
     loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                spawn_local(feed.clone().serve(stream, peer));
-            }
-            Err(error) => {
-                warn!(event = "follower_not_accepted", %error);
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
+        let stream = accept(&listener).await;
+        spawn_local(feed.clone().serve(stream));
     }
 }
 
@@ -64,16 +54,17 @@
 }
 
 impl Feed {
-    async fn serve(self: Rc<Self>, stream: TcpStream, peer: SocketAddr) {
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let peer = stream.peer_addr().ok();
         if self.site.followers.get() >= MAX_FOLLOWERS {
-            warn!(event = "follower_refused", %peer, followers = self.site.followers.get());
+            warn!(event = "follower_refused", ?peer, followers = self.site.followers.get());
             return;
         }
         self.record_followers(1);
         let result = self.send_changes(stream).await;
         self.record_followers(-1);
         if let Err(error) = result {
-            debug!(event = "follower_left", %peer, %error);
+            debug!(event = "follower_left", ?peer, %error);
         }
     }
 
--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -1,10 +1,12 @@
 //! Follows a host that reads the store, or reads it, as [`godwit_core::replica::ReaderSelection`] decides.
 
+use std::convert::Infallible;
 use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::Duration;
 
-use godwit_core::replica::{Candidate, ReadPlan, Trouble};
+use godwit_core::replica::{ReadPlan, Trouble};
+use godwit_core::site::PeerHost;
 use rand::Rng;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -98,7 +100,7 @@
             let _ = timeout(PLAN_INTERVAL, site.reading_changed.notified()).await;
             continue;
         };
-        let end = follow(&site, &host).await;
+        let Err(end) = follow(&site, &host).await;
         let is_replaced = matches!(end, FollowEnd::Replaced);
         if !is_replaced {
             warn!(event = "follow_ended", host = host.name, cause = %end);
@@ -114,13 +116,7 @@
 }
 
 /// Follows a host until the plan changes or there is trouble.
-async fn follow(site: &Site, host: &Candidate) -> FollowEnd {
-    match try_follow(site, host).await {
-        Ok(end) | Err(end) => end,
-    }
-}
-
-async fn try_follow(site: &Site, host: &Candidate) -> Result<FollowEnd, FollowEnd> {
+async fn follow(site: &Site, host: &PeerHost) -> Result<Infallible, FollowEnd> {
     let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(host.address)).await;
     let connected = connect.unwrap_or_else(|elapsed| Err(elapsed.into()));
     let mut stream = connected.map_err(FollowEnd::NotConnected)?;
@@ -136,33 +132,33 @@
     site.restart_lag();
     loop {
         match read_frame(&mut stream, MAX_MESSAGE_BYTES, SILENCE_TIMEOUT).await? {
-            FeedMessage::Status { is_stopping: true, .. } => return Ok(FollowEnd::Stopping),
+            FeedMessage::Status { is_stopping: true, .. } => return Err(FollowEnd::Stopping),
             FeedMessage::Status { can_read_store, .. } => {
                 site.record_store_state(can_read_store);
                 if !can_read_store && !site.must_follow(&host.name) {
-                    return Ok(FollowEnd::CannotRead);
+                    return Err(FollowEnd::CannotRead);
                 }
                 if can_read_store {
                     site.readers.borrow_mut().record_success(&host.name);
                 }
             }
             FeedMessage::Changes(kind, changes) => match site.apply_changes(kind, &changes) {
-                Ok(applied) if applied.is_diverged => return Ok(FollowEnd::Diverged),
+                Ok(applied) if applied.is_diverged => return Err(FollowEnd::Diverged),
                 Ok(_) => {}
                 Err(gap) => {
                     warn!(event = "changes_missing", kind = kind.name(), %gap);
-                    return Ok(FollowEnd::Diverged);
+                    return Err(FollowEnd::Diverged);
                 }
             },
         }
         if site.is_lagging(MAX_LAG_MS) {
-            return Ok(FollowEnd::Behind);
+            return Err(FollowEnd::Behind);
         }
         if site.configuration().is_none() && first_changes_by.is_past(site.now()) {
-            return Ok(FollowEnd::NothingSent);
+            return Err(FollowEnd::NothingSent);
         }
         if site.plan_reading().follows.as_ref().is_none_or(|next| next.name != host.name) {
-            return Ok(FollowEnd::Replaced);
+            return Err(FollowEnd::Replaced);
         }
     }
 }
