--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -117,6 +117,13 @@
     })
 }
 
+/// Returns a configuration whose first route has another path prefix, which only this version serves.
+pub(crate) fn configuration_with_prefix(version: u64, prefix: &str) -> Value {
+    let mut newer = configuration(version);
+    newer["Routes"][0]["PathPrefix"] = json!(prefix);
+    newer
+}
+
 impl Host {
     /// Starts a gateway with a new store that holds a configuration and the given server entries, and waits until it is
     /// ready.
--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -7,9 +7,9 @@
 use flate2::Compression;
 use flate2::write::DeflateEncoder;
 use rustix::process::Signal;
-use serde_json::{Value, json};
+use serde_json::json;
 
-use crate::host::{API_KEY, Host, configuration};
+use crate::host::{API_KEY, Host, configuration, configuration_with_prefix};
 use crate::server::{Behavior, FakeServer};
 use crate::soak::{Proxy, ProxyMode};
 use crate::store::FakeStore;
@@ -35,12 +35,6 @@
 /// Time after which the roles of the hosts no longer change: a host follows after the list of hosts is complete.
 const SETTLE_TIME: Duration = Duration::from_millis(4_000);
 
-fn configuration_with_prefix(version: u64, prefix: &str) -> Value {
-    let mut newer = configuration(version);
-    newer["Routes"][0]["PathPrefix"] = json!(prefix);
-    newer
-}
-
 fn status(host: &Host, path: &str) -> u16 {
     host.call("GET", path, b"").map_or(0, |response| response.status())
 }
@@ -77,6 +71,13 @@
         cluster
     }
 
+    /// Starts a host again, whose process must have ended or is killed.
+    fn restart(&mut self, index: usize) {
+        let address = self.proxies[index].address;
+        let name = format!("front-hall-a-{index}");
+        self.hosts[index] = Host::start_with_store_address(self.store.clone(), address, &name);
+    }
+
     /// Returns the indices of the hosts that read the store.
     fn readers(&self) -> Vec<usize> {
         let all = 0..self.hosts.len();
@@ -205,10 +206,7 @@
         let others = (0..4).filter(|other| *other != index);
         cluster.assert_change_is_used(10 + index as u64, others);
         assert!(cluster.hosts[index].exits_successfully());
-        let name = format!("front-hall-a-{index}");
-        let address = cluster.proxies[index].address;
-        cluster.hosts[index] =
-            Host::start_with_store_address(cluster.store.clone(), address, &name);
+        cluster.restart(index);
         cluster.hosts[index].wait_until_ready();
     }
     cluster.assert_change_is_used(20, 0..4);
@@ -227,9 +225,8 @@
     std::thread::sleep(CONFIG_APPLY_TIME);
     let restarted = (0..4).find(|index| !readers.contains(index)).expect("a follower");
     cluster.hosts[restarted].signal(Signal::KILL);
-    let name = format!("front-hall-a-{restarted}");
-    let address = cluster.proxies[restarted].address;
-    let host = Host::start_with_store_address(cluster.store.clone(), address, &name);
+    cluster.restart(restarted);
+    let host = &cluster.hosts[restarted];
     host.wait_for("readiness", || host.readiness_status() == 200);
     for _ in 0..50 {
         let header = format!("Bearer {API_KEY}");
@@ -237,7 +234,6 @@
         assert_eq!(response.expect("an answer").status(), 401);
         std::thread::sleep(POLL_INTERVAL);
     }
-    cluster.hosts[restarted] = host;
 }
 
 fn follow_address(store: &FakeStore, host: &str) -> SocketAddr {
--- a/tests/gateway/watches.rs
+++ b/tests/gateway/watches.rs
@@ -2,17 +2,11 @@
 
 use serde_json::json;
 
-use crate::host::{Host, configuration};
+use crate::host::{Host, configuration, configuration_with_prefix};
 use crate::server::{Behavior, FakeServer};
 use crate::soak::{Proxy, ProxyMode};
 use crate::store::FakeStore;
 
-fn configuration_with_prefix(version: u64, prefix: &str) -> serde_json::Value {
-    let mut newer = configuration(version);
-    newer["Routes"][0]["PathPrefix"] = json!(prefix);
-    newer
-}
-
 fn is_served(host: &Host, path: &str) -> bool {
     host.call("GET", path, b"").is_ok_and(|response| response.status() == 200)
 }
