--- a/crates/godwit-core/src/replica/readers.rs
+++ b/crates/godwit-core/src/replica/readers.rs
@@ -157,15 +157,20 @@
         self.ranked = ranked;
     }
 
-    /// Records whether this host can read the objects of a kind from the store.
-    pub fn record_store(&mut self, kind: &str, is_readable: bool) {
+    /// Records whether this host can read the objects of a kind from the store. Returns whether that has changed.
+    pub fn record_store(&mut self, kind: &str, is_readable: bool) -> bool {
         if is_readable {
-            self.lost_kinds.remove(kind);
+            self.lost_kinds.remove(kind)
         } else {
-            self.lost_kinds.insert(kind.to_string());
+            self.lost_kinds.insert(kind.to_string())
         }
     }
 
+    /// Whether this host cannot read the objects of a kind from the store.
+    pub fn is_kind_lost(&self, kind: &str) -> bool {
+        self.lost_kinds.contains(kind)
+    }
+
     /// Whether no call of this host to the store has failed since the last successful one.
     pub fn can_read_store(&self) -> bool {
         self.lost_kinds.is_empty()
--- a/crates/godwit-gateway/src/replica/state.rs
+++ b/crates/godwit-gateway/src/replica/state.rs
@@ -68,13 +68,15 @@
         freshness.iter().map(|(kind, freshness)| (*kind, freshness.newest_known())).collect()
     }
 
-    /// Records whether this host could read the objects of a kind from the store.
-    pub(crate) fn record_read(&self, kind: ObjectKind, is_readable: bool) {
-        self.readers.borrow_mut().record_store(kind.name(), is_readable);
-        if kind == ObjectKind::Servers {
+    /// Records whether this host could read the objects of a kind from the store. Returns whether that has changed.
+    pub(crate) fn record_read(&self, kind: ObjectKind, is_readable: bool) -> bool {
+        let is_changed = self.readers.borrow_mut().record_store(kind.name(), is_readable);
+        // After its first failed call, this host may follow another one that can read the store.
+        if kind == ObjectKind::Servers && (is_readable || is_changed) {
             self.record_store_state(is_readable);
         }
         self.reading_changed.notify_one();
+        is_changed
     }
 
     /// Records whether the entries of servers can be read, by this host or the one that it follows.
--- a/crates/godwit-gateway/src/store/hosts.rs
+++ b/crates/godwit-gateway/src/store/hosts.rs
@@ -110,9 +110,8 @@
     let mut written: Option<HostRecord> = None;
     let mut is_list_due = !site.settings.is_first_start;
     loop {
-        let is_unlisted = || site.next_from_revision(ObjectKind::Hosts) == 0;
         if is_list_due
-            && is_unlisted()
+            && site.next_from_revision(ObjectKind::Hosts) == 0
             && let Err(cause) = list_hosts(&site, &mut client).await
         {
             warn!(event = "hosts_not_read", cause);
--- a/crates/godwit-gateway/src/store/list_watch.rs
+++ b/crates/godwit-gateway/src/store/list_watch.rs
@@ -94,7 +94,6 @@
 struct WatchLoop {
     client: StoreReader,
     kind: ObjectKind,
-    is_store_lost: bool,
     /// Whether the last watch was presumed to hang.
     has_hung: bool,
     consecutive_failures: u32,
@@ -105,7 +104,6 @@
         WatchLoop {
             client: StoreReader(StoreClient::new(site.settings.store_address)),
             kind,
-            is_store_lost: false,
             has_hung: false,
             consecutive_failures: 0,
         }
@@ -134,7 +132,8 @@
     }
 
     async fn watch(&mut self, site: &Site, revision: u64) -> Result<ReplicaChanges, StepError> {
-        let wait_ms = if self.is_store_lost { QUICK_WATCH_WAIT_MS } else { WATCH_WAIT_MS };
+        let is_lost = site.readers.borrow().is_kind_lost(self.kind.name());
+        let wait_ms = if is_lost { QUICK_WATCH_WAIT_MS } else { WATCH_WAIT_MS };
         site.record_call(self.kind);
         // A watch that was sent while the store was unreachable may hang for its whole wait time after the store has
         // recovered.
@@ -177,20 +176,16 @@
     fn record_response(&mut self, site: &Site) {
         self.consecutive_failures = 0;
         self.has_hung = false;
-        if self.is_store_lost {
-            self.is_store_lost = false;
+        if site.record_read(self.kind, true) {
             info!(event = "store_regained", kind = self.kind.name());
             metrics::counter!("store_regained_total", "kind" => self.kind.name()).increment(1);
         }
-        site.record_read(self.kind, true);
     }
 
     async fn back_off(&mut self, site: &Site, cause: &str) {
-        if !self.is_store_lost {
-            self.is_store_lost = true;
+        if site.record_read(self.kind, false) {
             warn!(event = "store_lost", kind = self.kind.name(), cause);
             metrics::counter!("store_lost_total", "kind" => self.kind.name()).increment(1);
-            site.record_read(self.kind, false);
         }
         let doublings = self.consecutive_failures.min(8);
         self.consecutive_failures += 1;
