Show a guilty request that is sent on when its servers return together

All servers of a service return within 0.3 s, more than three seconds after they ended, while callers keep asking.

--- a/crates/godwit-core/tests/crash_shapes.rs
+++ b/crates/godwit-core/tests/crash_shapes.rs
@@ -2,6 +2,7 @@
 //! that are no request's doing. A guilty request ends each server on which it runs; a sound one ends none.
 
 use std::collections::BTreeSet;
+use std::ops::Range;
 
 use godwit_core::SteadyMs;
 use godwit_core::quarantine::{
@@ -41,6 +42,16 @@
 const MIN_RESTART_MS: u64 = 1_800;
 const MAX_RESTART_MS: u64 = 3_600;
 
+/// The same for servers that return together, later than the contact window after their end.
+const MIN_JOINT_RESTART_MS: u64 = 3_100;
+const MAX_JOINT_RESTART_MS: u64 = 3_400;
+
+/// Longest pause of a caller that repeats its request all the time.
+const MAX_PAUSE_MS: u64 = 900;
+
+/// Shapes of [`Domain::GuiltyReturningTogether`] that were found broken beyond the default number.
+const FOUND_RETURNING_TOGETHER: [u64; 2] = [132, 927];
+
 /// Deadline of a request, as a multiple of its run.
 const DEADLINE_RUNS: u64 = 8;
 const MIN_DEADLINE_MS: u64 = 2_500;
@@ -59,6 +70,8 @@
     crash_interval_ms: u64,
     /// Share of the servers that end in each of them.
     crash_share: f64,
+    /// Whether servers that ended together return together, while callers repeat the request all the time.
+    returns_together: bool,
 }
 
 /// Which shapes to draw.
@@ -66,6 +79,7 @@
 enum Domain {
     Guilty,
     GuiltyBesideCrashes,
+    GuiltyReturningTogether,
     /// Between two crashes a request has the time to complete.
     Sound,
     /// Servers crash faster than the request completes, again and again.
@@ -74,7 +88,17 @@
 
 impl Domain {
     fn is_guilty(self) -> bool {
-        matches!(self, Domain::Guilty | Domain::GuiltyBesideCrashes)
+        !matches!(self, Domain::Sound | Domain::SoundThatCannotComplete)
+    }
+
+    /// Returns the seeds of the shapes to play.
+    fn seeds(self) -> impl Iterator<Item = u64> {
+        let found: &[u64] = match self {
+            Domain::GuiltyReturningTogether => &FOUND_RETURNING_TOGETHER,
+            _ => &[],
+        };
+        let count = shape_count();
+        (0..count).chain(found.iter().copied().filter(move |seed| *seed >= count))
     }
 }
 
@@ -97,12 +121,20 @@
             hosts: random.random_range(1..=9),
             run_ms,
             crash_interval_ms: match domain {
-                Domain::Guilty => 0,
+                Domain::Guilty | Domain::GuiltyReturningTogether => 0,
                 Domain::Sound => crash_interval_ms.max(2 * MAX_RESTART_MS + 2 * run_ms),
                 Domain::GuiltyBesideCrashes | Domain::SoundThatCannotComplete => crash_interval_ms,
             },
             crash_share,
+            returns_together: domain == Domain::GuiltyReturningTogether,
+        }
+    }
+
+    fn restart_ms(&self) -> Range<u64> {
+        if self.returns_together {
+            return MIN_JOINT_RESTART_MS..MAX_JOINT_RESTART_MS;
         }
+        MIN_RESTART_MS..MAX_RESTART_MS
     }
 }
 
@@ -225,13 +257,18 @@
                 }
             }
         }
-        let restart_ms = self.random.random_range(MIN_RESTART_MS..MAX_RESTART_MS);
+        let restart_ms = self.random.random_range(self.shape.restart_ms());
         self.servers[server].incarnation += 1;
         self.servers[server].up_at_ms = self.now_ms + restart_ms;
     }
 
-    /// Ends the request of a caller, which repeats it at once or in the next burst.
+    /// Ends the request of a caller, which repeats it after a pause, at once or in the next burst.
     fn finish(&mut self, caller: usize) {
+        if self.shape.returns_together {
+            let until_ms = self.now_ms + self.random.random_range(TICK_MS..MAX_PAUSE_MS);
+            self.callers[caller].state = CallerState::Idle { until_ms };
+            return;
+        }
         let caller = &mut self.callers[caller];
         caller.left_in_burst -= 1;
         let mut until_ms = self.now_ms + TICK_MS;
@@ -396,7 +433,7 @@
 fn broken_shapes(domain: Domain, uses_trials: bool) -> Vec<(usize, Shape)> {
     let mut broken = Vec::new();
     let mut total = Outcome::default();
-    for seed in 0..shape_count() {
+    for seed in domain.seeds() {
         let shape = Shape::draw(seed, domain, uses_trials);
         let outcome = World::new(shape).run();
         total.sends += outcome.sends;
@@ -437,6 +474,16 @@
     assert_eq!(broken_shapes(Domain::Sound, true), []);
 }
 
+/// Shapes in which a whole service is down for longer than the contact window.
+mod returning_together {
+    use super::{Domain, broken_shapes};
+
+    #[test]
+    fn guilty_request_is_stopped_when_its_servers_return() {
+        assert_eq!(broken_shapes(Domain::GuiltyReturningTogether, true), []);
+    }
+}
+
 /// Shapes in which crashes hide what tells the two requests apart.
 mod undecided {
     use super::{Domain, broken_shapes};
