Take turns for trial runs from the last loss instead of each request's arrival

While no server was up, requests of all hosts grew past their turns, and when the servers returned together four hosts began trial runs within 180 ms, before any could hear of the others. Class: an order among hosts derived from something that they do not share.

Turns now count from the last loss of the request, which all hosts know, and go round over all hosts, two at a time. Hosts begin only in the first 400 ms of a turn, so that a report reaches those of the next.

admit_trial_lets_two_hosts_begin_at_a_time asserted that all nine hosts are allowed at once after 2.8 s, which is the fault; it now asserts that exactly two are in each turn, none in its rest, and that turns go round.

--- a/crates/godwit-core/src/quarantine/trial.rs
+++ b/crates/godwit-core/src/quarantine/trial.rs
@@ -27,8 +27,11 @@
 /// Number of hosts that may begin trial runs of one request at the same time.
 const HOSTS_AT_A_TIME: u64 = 2;
 
-/// Time after which the next hosts may begin, in milliseconds. Longer than a report takes from host to host.
-const TURN_MS: u64 = 700;
+/// Time after which the next hosts may begin, in milliseconds.
+const TURN_MS: u64 = 900;
+
+/// Part of a turn in which hosts may begin, in milliseconds. The rest is longer than a report takes from host to host.
+const TURN_START_MS: u64 = 400;
 
 /// Time for which a trial run at another host counts as under way after the last report of it, in milliseconds.
 const OTHER_TRIAL_MS: u64 = 1_000;
@@ -68,6 +71,18 @@
             && shortest.is_some_and(|shortest| is_within(loss.ran_ms, *shortest))
     }
 
+    /// Whether a host may begin a trial run now. Turns count from the last loss, on which hosts agree, so that those whose
+    /// requests have waited for servers to return do not all begin at once.
+    fn is_trial_turn(&self, turn: ProbationTurn, now: SteadyMs) -> bool {
+        let turns = (turn.hosts as u64).div_ceil(HOSTS_AT_A_TIME);
+        if turns <= 1 {
+            return true;
+        }
+        let since_ms = now.since_ms(self.last_loss_at());
+        let own_turn = turn.rank as u64 / HOSTS_AT_A_TIME;
+        since_ms / TURN_MS % turns == own_turn && since_ms % TURN_MS < TURN_START_MS
+    }
+
     /// Latest time at which a trial run was under way, at any host.
     pub(super) fn trial_at(&self, now: SteadyMs) -> Option<SteadyMs> {
         let own = (self.own_trials > 0).then_some(now);
@@ -81,27 +96,24 @@
         self.suspects.get(&fingerprint).is_some_and(Suspect::is_in_doubt)
     }
 
-    /// Whether a request that first asked at `asked_at` may be sent to a server now. `is_running` tells whether this host
-    /// runs it already.
+    /// Whether a request may be sent to a server now. `is_running` tells whether this host runs it already.
     pub fn admit_trial(
         &self,
         fingerprint: u64,
         turn: ProbationTurn,
         is_running: bool,
-        asked_at: SteadyMs,
         now: SteadyMs,
     ) -> TrialAdmission {
         let Some(suspect) = self.suspects.get(&fingerprint).filter(|it| it.is_in_doubt()) else {
             return TrialAdmission::NotInDoubt;
         };
         let last_end = self.ends.values().max().copied().unwrap_or_default();
-        let turn_at = asked_at.plus_ms(turn.rank as u64 / HOSTS_AT_A_TIME * TURN_MS);
         let last_trial = suspect.losses.values().filter(|loss| loss.is_trial);
         let last_trial = last_trial.map(|loss| loss.ended_at).max().unwrap_or_default();
         let is_quiet =
             last_end.plus_ms(QUIET_MS).is_past(now) && last_trial.plus_ms(TURN_MS).is_past(now);
         let is_tried = is_running || suspect.trial_at(now).is_some();
-        if !is_quiet || is_tried || !turn_at.is_past(now) {
+        if !is_quiet || is_tried || !suspect.is_trial_turn(turn, now) {
             return TrialAdmission::Deferred;
         }
         TrialAdmission::Trial
--- a/crates/godwit-core/tests/crash_register.rs
+++ b/crates/godwit-core/tests/crash_register.rs
@@ -57,7 +57,7 @@
 }
 
 fn admit_trial(register: &CrashRegister, ms: u64, is_running: bool) -> TrialAdmission {
-    register.admit_trial(GUILTY, ALONE, is_running, at(ms), at(ms))
+    register.admit_trial(GUILTY, ALONE, is_running, at(ms))
 }
 
 fn is_quarantined(register: &CrashRegister, fingerprint: u64, ms: u64) -> bool {
@@ -259,11 +259,19 @@
     let allowed = |ms: u64| {
         let is_allowed = |rank: &usize| {
             let turn = ProbationTurn { rank: *rank, hosts: 9 };
-            register.admit_trial(GUILTY, turn, false, at(5_000), at(ms)) == TrialAdmission::Trial
+            register.admit_trial(GUILTY, turn, false, at(ms)) == TrialAdmission::Trial
         };
-        (0..9).filter(is_allowed).count()
+        (0..9).filter(is_allowed).collect::<Vec<_>>()
     };
-    assert_eq!([allowed(5_000), allowed(5_699), allowed(5_700), allowed(7_800)], [2, 2, 4, 9]);
+    let first_turn_ms = 1_020 + 9_000;
+    let turns = (0..5).map(|number| allowed(first_turn_ms + 900 * number)).collect::<Vec<_>>();
+    assert_eq!(turns, [vec![0, 1], vec![2, 3], vec![4, 5], vec![6, 7], vec![8]]);
+    assert_eq!(allowed(first_turn_ms + 5 * 900), [0, 1]);
+    assert_eq!(allowed(first_turn_ms + 399), [0, 1]);
+    assert!(
+        (400..900).all(|ms| allowed(first_turn_ms + ms).is_empty()),
+        "reports are on their way"
+    );
 }
 
 /// All servers that crashed ran the same request, from several callers, and its next attempts met others of them.
--- a/crates/godwit-core/tests/crash_shapes.rs
+++ b/crates/godwit-core/tests/crash_shapes.rs
@@ -375,7 +375,7 @@
         let turn = ProbationTurn { rank: host, hosts: self.shape.hosts };
         let is_running = self.is_running_elsewhere(index);
         let register = &self.registers[host];
-        let (now, asked_at) = (self.now(), SteadyMs(asked_at_ms));
+        let now = self.now();
         if matches!(
             register.admit(FINGERPRINT, turn, is_running, now),
             CrashAdmission::Refused { .. }
@@ -384,7 +384,7 @@
             return self.finish(index);
         }
         if self.shape.uses_trials {
-            let admission = register.admit_trial(FINGERPRINT, turn, is_running, asked_at, now);
+            let admission = register.admit_trial(FINGERPRINT, turn, is_running, now);
             if admission == TrialAdmission::Deferred {
                 if self.now_ms >= asked_at_ms + (deadline_ms - asked_at_ms) / 2 {
                     self.outcome.trial_refusals += 1;
--- a/crates/godwit-gateway/src/forward/quarantine.rs
+++ b/crates/godwit-gateway/src/forward/quarantine.rs
@@ -157,7 +157,7 @@
         if on_probation {
             return Ok(true);
         }
-        match admit_trial(site, admitted, asked_at) {
+        match admit_trial(site, admitted) {
             TrialAdmission::NotInDoubt | TrialAdmission::Trial => return Ok(false),
             TrialAdmission::Deferred => {}
         }
@@ -173,11 +173,11 @@
     }
 }
 
-fn admit_trial(site: &Site, admitted: &AdmittedRequest, asked_at: SteadyMs) -> TrialAdmission {
+fn admit_trial(site: &Site, admitted: &AdmittedRequest) -> TrialAdmission {
     let turn = probation_turn(site, admitted.fingerprint);
     let is_running = site.runs.is_running_elsewhere(admitted);
     let crashes = site.crashes.borrow();
-    crashes.admit_trial(admitted.fingerprint.0, turn, is_running, asked_at, site.now())
+    crashes.admit_trial(admitted.fingerprint.0, turn, is_running, site.now())
 }
 
 /// Whether a running request may be moved to another path now.
@@ -185,8 +185,7 @@
     let turn = ProbationTurn { rank: 0, hosts: 1 };
     let is_running = site.runs.is_running_elsewhere(admitted);
     let crashes = site.crashes.borrow();
-    let now = site.now();
-    crashes.admit_trial(admitted.fingerprint.0, turn, is_running, now, now)
+    crashes.admit_trial(admitted.fingerprint.0, turn, is_running, site.now())
         != TrialAdmission::Deferred
 }
 
