Store the losses that put a request in doubt at once

The second loss is stored at once, but the third came 11 ms later and waited for the next write, 1.5 s later. All hosts were killed before; with two losses the request was not in doubt, and six runs began. Class: a step of a state that must survive was taken after the write that covers it.

--- a/crates/godwit-gateway/src/forward/quarantine.rs
+++ b/crates/godwit-gateway/src/forward/quarantine.rs
@@ -52,11 +52,16 @@
         request_id: run.request_id(),
         is_trial: run.is_trial,
     };
-    let was_repeated = site.crashes.borrow().is_repeated(fingerprint.0);
+    // Both steps have to be stored before all hosts are lost.
+    let suspicion = || {
+        let crashes = site.crashes.borrow();
+        (crashes.is_repeated(fingerprint.0), crashes.is_in_doubt(fingerprint.0))
+    };
+    let suspicion_before = suspicion();
     if !site.crashes.borrow_mut().record_loss(lost, incarnation, broke_at) {
         return;
     }
-    if !was_repeated && site.crashes.borrow().is_repeated(fingerprint.0) {
+    if suspicion() != suspicion_before {
         site.repeated_losses.notify_one();
     }
     info!(
--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -36,6 +36,9 @@
 /// Pause between two bursts: servers have returned, and the next burst is late.
 const BURST_PAUSE: Duration = Duration::from_millis(3_500);
 
+/// Time within which losses that may have to outlive all hosts are stored.
+const STORE_TIME: Duration = Duration::from_secs(1);
+
 /// API key of a second workspace.
 const OTHER_KEY: &str = "other-key";
 
@@ -359,6 +362,24 @@
     assert!(late_sends <= MAX_LATE_SENDS, "sent {late_sends} times after the third end");
 }
 
+/// A host that was killed after several losses in a row once left only two in the store, which put no request in doubt.
+#[test]
+fn losses_that_put_a_request_in_doubt_are_stored_at_once() {
+    let site = Site::start(&FleetPlan { layers: vec![None; 5], ..plain_fleet() });
+    let path = format!("/read/{END_SERVER_AFTER_RUN}");
+    let _ = site.hosts[0].call("GET", &path, b"the same body");
+    let third_end = site.fleet.end_times()[MAX_ENDED_SERVERS - 1];
+    let stored_losses = || {
+        let record = site.store.specification("godwit-hosts", HOSTS[0]);
+        let losses = record.and_then(|it| it["quarantines"][0]["losses"].as_array().map(Vec::len));
+        losses.unwrap_or(0)
+    };
+    while stored_losses() < MAX_ENDED_SERVERS && third_end.elapsed() < STORE_TIME {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert!(stored_losses() >= MAX_ENDED_SERVERS, "{} losses are stored", stored_losses());
+}
+
 #[test]
 fn quarantine_ends_with_a_probation_that_a_sound_run_passes() {
     let site = Site::start_with_arguments(&plain_fleet(), &["--quarantine-ms", "2000"]);
