--- a/crates/godwit-gateway/src/forward/admit.rs
+++ b/crates/godwit-gateway/src/forward/admit.rs
@@ -14,6 +14,9 @@
 /// Deadline of a request whose caller sets none, in milliseconds after its arrival.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
+/// Maximum number of parts of a prompt that are told apart; further ones are not.
+const MAX_SHARED_PARTS: usize = 16;
+
 /// Fingerprint of a request, shown as hexadecimal digits.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Fingerprint(pub(crate) u64);
@@ -65,6 +68,13 @@
         self.incoming.target()
     }
 
+    /// Returns the ids of the parts of the prompt that other requests may share, at most [`MAX_SHARED_PARTS`].
+    pub(crate) fn shared_parts(&self) -> &[String] {
+        let parts = self.incoming.head.prompt_parts.as_slice();
+        let shared = parts.split_last().map_or(parts, |(_, shared)| shared);
+        &shared[..shared.len().min(MAX_SHARED_PARTS)]
+    }
+
     /// Returns the terms with which the request's lifecycle starts.
     pub(crate) fn admission(&self, site: &Site) -> Admission {
         let left_ms = self.policy.response_deadline.since_ms(site.now());
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -199,6 +199,7 @@
             event = "dispatch",
             request = request_id,
             fingerprint = %admitted.fingerprint,
+            parts = admitted.shared_parts().join(","),
             attempt,
             service = admitted.policy.service,
             path = destination.log_text(),
