Suspect the parts that prompts share of ending servers, as requests are

Class: the cause was looked for in one property of a request, and others that several requests share were not. Counting losses by part alone would blame the first part of all prompts, which is on every server that ends.

Parts are suspects in the same register, with the same trials, quarantine, gossip and store. A part is cleared whenever a response to any request with it gets past its beginning, at any host; a deadly one never does. A part is in doubt from three servers under two requests, quarantined only with three requests; one that had a response within a minute before needs three rounds of losses. Losses that a likelier part in doubt explains (no response lately, more servers, more requests) count against no other part or request.

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -3,7 +3,7 @@
 //! Hosts exchange reports of single losses and derive all else from them, so that reports may arrive late, repeatedly
 //! and in any order. Ages are exchanged instead of times, because the clocks of hosts differ.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::SteadyMs;
 use crate::quarantine::crash_report::{
@@ -12,9 +12,9 @@
 };
 use crate::quarantine::marks::MARK_LIFETIME_MS;
 use crate::quarantine::suspect::{
-    Loss, LossWeight, LostRun, MAX_LOSSES, MIN_QUARANTINE_LOSSES, PASSED_FACTOR,
-    PASSED_MARGIN_PIECES, QUARANTINE_WEIGHT, REPEATED_LOSSES, Round, SHARED_END_MS, Suspect,
-    truncated,
+    Loss, LossWeight, LostRun, MAX_LOSSES, MIN_QUARANTINE_LOSSES, MIN_QUARANTINE_PART_REQUESTS,
+    PASSED_FACTOR, PASSED_MARGIN_PIECES, QUARANTINE_WEIGHT, REPEATED_LOSSES, Round, SHARED_END_MS,
+    Suspect, count_requests, truncated,
 };
 use crate::quarantine::trial::TRIAL_EVENT_MS;
 
@@ -111,6 +111,10 @@
     /// Time of the end of each server, by incarnation.
     pub(super) ends: BTreeMap<String, SteadyMs>,
     pub(super) suspects: BTreeMap<u64, Suspect>,
+    /// Suspects that may explain the losses of others.
+    pub(super) explaining: BTreeSet<u64>,
+    /// Time of the last response to a request with a part, by fingerprint of the part.
+    pub(super) part_responses: BTreeMap<u64, SteadyMs>,
     /// Fingerprint after which the next report of repeated losses continues.
     report_cursor: u64,
 }
@@ -122,6 +126,8 @@
             quarantine_ms,
             ends: BTreeMap::new(),
             suspects: BTreeMap::new(),
+            explaining: BTreeSet::new(),
+            part_responses: BTreeMap::new(),
             report_cursor: 0,
         }
     }
@@ -148,6 +154,7 @@
         for suspect in self.suspects.values_mut() {
             suspect.losses.remove(server);
         }
+        self.retain_explaining();
     }
 
     /// Time at which a server ended, if that is known.
@@ -158,24 +165,48 @@
     /// Records that a server ended while a request ran on it. Returns false if the loss was known or is older than the
     /// last completed run.
     pub fn record_loss(&mut self, lost: LostRun<'_>, server: &str, now: SteadyMs) -> bool {
+        let loss = self.record_lost_run(&lost, server, now);
+        self.add_loss(lost.fingerprint, false, server, loss, now)
+    }
+
+    pub(super) fn record_lost_run(
+        &mut self,
+        lost: &LostRun<'_>,
+        server: &str,
+        now: SteadyMs,
+    ) -> Loss {
         self.record_end(server, now);
         let ended_at = self.ended_at(server).unwrap_or(now);
-        let loss = Loss {
+        Loss {
             ended_at,
             ran_ms: ended_at.since_ms(lost.started_at),
             pieces: lost.pieces,
             request_id: truncated(lost.request_id),
+            request_fingerprint: lost.fingerprint,
             is_trial: lost.is_trial,
             heard_from: None,
-        };
-        self.add_loss(lost.fingerprint, server, loss, now)
+        }
     }
 
-    fn add_loss(&mut self, fingerprint: u64, server: &str, loss: Loss, now: SteadyMs) -> bool {
+    pub(super) fn add_loss(
+        &mut self,
+        fingerprint: u64,
+        is_part: bool,
+        server: &str,
+        loss: Loss,
+        now: SteadyMs,
+    ) -> bool {
+        let responded_at = self.part_responses.get(&fingerprint).copied();
         let suspect = self.suspects.entry(fingerprint).or_default();
+        suspect.is_part = is_part;
+        if suspect.losses.is_empty() {
+            suspect.cleared_at = suspect.cleared_at.max(responded_at);
+            suspect.changed_at = now;
+        }
         let is_changed = suspect.add(server, loss);
         if is_changed {
             suspect.changed_at = now;
+            self.update_explaining(fingerprint);
         }
         self.evict_excess(fingerprint);
         is_changed
@@ -189,6 +220,7 @@
         };
         suspect.clear(now);
         suspect.changed_at = now;
+        self.update_explaining(fingerprint);
         true
     }
 
@@ -209,6 +241,7 @@
         }
         suspect.clear(started_at);
         suspect.changed_at = now;
+        self.update_explaining(fingerprint);
         true
     }
 
@@ -286,8 +319,19 @@
         if upper_bound < QUARANTINE_WEIGHT && !has_conclusive {
             return None;
         }
+        if suspect.is_part {
+            let requests = count_requests(self.unexplained_losses(fingerprint, suspect));
+            if requests < MIN_QUARANTINE_PART_REQUESTS {
+                return None;
+            }
+        }
         let rounds = suspect.rounds(|server, loss| {
-            if !loss.is_early() && self.is_explained(fingerprint, server) {
+            let is_explained = if loss.is_early() {
+                self.is_due_to_part(fingerprint, suspect, server)
+            } else {
+                self.is_explained(fingerprint, server)
+            };
+            if is_explained {
                 return LossWeight::EXPLAINED;
             }
             if loss.is_trial && !loss.is_settled(now) {
@@ -317,36 +361,6 @@
         self.quarantine_ms << MAX_QUARANTINE_DOUBLINGS
     }
 
-    /// Number of other servers that ended at about the same time, without those that a request with repeated losses
-    /// ended.
-    fn unexplained_ends(
-        &self,
-        fingerprint: u64,
-        suspect: &Suspect,
-        at: SteadyMs,
-        within_ms: u64,
-    ) -> u64 {
-        let is_shared =
-            |ended_at: SteadyMs| at.since_ms(ended_at).max(ended_at.since_ms(at)) <= within_ms;
-        let others = self
-            .ends
-            .iter()
-            .filter(|(server, ended_at)| {
-                is_shared(**ended_at) && !suspect.losses.contains_key(*server)
-            })
-            .filter(|(server, _)| !self.is_explained(fingerprint, server));
-        others.count() as u64
-    }
-
-    /// Whether another request with repeated losses was running on a server when it ended.
-    fn is_explained(&self, except: u64, server: &str) -> bool {
-        self.suspects.iter().any(|(fingerprint, suspect)| {
-            *fingerprint != except
-                && suspect.losses.get(server).is_some_and(Loss::is_early)
-                && suspect.early_losses() >= REPEATED_LOSSES
-        })
-    }
-
     /// Removes the request with the fewest and oldest losses if there are too many, but not the one just added.
     fn evict_excess(&mut self, added: u64) {
         if self.suspects.len() <= MAX_SUSPECTS {
@@ -358,6 +372,7 @@
             .map(|(fingerprint, _)| *fingerprint);
         if let Some(fingerprint) = least {
             self.suspects.remove(&fingerprint);
+            self.explaining.remove(&fingerprint);
         }
     }
 
@@ -374,6 +389,8 @@
             let kept_ms = if is_repeated { kept_ms } else { MARK_LIFETIME_MS };
             !suspect.last_loss_at().plus_ms(kept_ms).is_past(now)
         });
+        self.retain_explaining();
+        self.expire_part_responses(now);
     }
 
     /// Returns the changes of status since the last call.
@@ -434,8 +451,9 @@
         };
         let mut recent: Vec<(&u64, &Suspect)> =
             self.suspects.iter().filter(|(_, suspect)| is_recent(suspect)).collect();
-        recent.sort_by_key(|(_, suspect)| {
-            std::cmp::Reverse((suspect.losses.len(), suspect.changed_at))
+        recent.sort_by_key(|(key, suspect)| {
+            let is_doubted_part = suspect.is_part && self.explaining.contains(key);
+            std::cmp::Reverse((is_doubted_part, suspect.losses.len(), suspect.changed_at))
         });
         let recent = recent.into_iter().take(MAX_REPORTED_SUSPECTS / 2);
         recent.map(|(fingerprint, _)| *fingerprint).collect()
@@ -468,11 +486,16 @@
         self.suspects.get(&fingerprint).is_some_and(Suspect::is_repeated)
     }
 
-    /// Returns the requests of which more than one run has lost servers, those with the latest losses first.
+    /// Returns the requests of which more than one run has lost servers, and the parts that are in doubt: first what may
+    /// explain other losses, then what has the latest losses.
     pub fn repeated(&self) -> Vec<u64> {
-        let repeated = self.suspects.iter().filter(|(_, suspect)| suspect.is_repeated());
-        let mut repeated: Vec<(SteadyMs, u64)> =
-            repeated.map(|(key, suspect)| (suspect.last_loss_at(), *key)).collect();
+        let is_repeated = |key: &u64, suspect: &Suspect| {
+            if suspect.is_part { self.explaining.contains(key) } else { suspect.is_repeated() }
+        };
+        let repeated = self.suspects.iter().filter(|(key, suspect)| is_repeated(key, suspect));
+        let mut repeated: Vec<((bool, SteadyMs), u64)> = repeated
+            .map(|(key, suspect)| ((self.explaining.contains(key), suspect.last_loss_at()), *key))
+            .collect();
         repeated.sort_unstable_by(|one, other| other.cmp(one));
         repeated.into_iter().map(|(_, fingerprint)| fingerprint).collect()
     }
@@ -485,6 +508,7 @@
             ran_ms: loss.ran_ms,
             pieces: loss.pieces,
             request_id: loss.request_id.clone(),
+            request_fingerprint: loss.request_fingerprint,
             is_trial: loss.is_trial,
         });
         let suspect = self.suspects.get(&fingerprint);
@@ -492,6 +516,7 @@
         let trial_at = suspect.and_then(|suspect| suspect.trial_at(now));
         SuspectReport {
             fingerprint,
+            is_part: suspect.is_some_and(|suspect| suspect.is_part),
             losses: losses.collect(),
             cleared_ago_ms: cleared_at.map(|cleared_at| now.since_ms(cleared_at)),
             trial_ago_ms: trial_at.map(|trial_at| now.since_ms(trial_at)),
@@ -509,6 +534,9 @@
         }
         for suspect in report.suspects.iter().take(MAX_REPORTED_SUSPECTS) {
             if let Some(ago_ms) = suspect.cleared_ago_ms {
+                if suspect.is_part {
+                    self.note_part_response(suspect.fingerprint, time(ago_ms));
+                }
                 self.merge_clearing(suspect.fingerprint, time(ago_ms), now);
             }
             for loss in suspect.losses.iter().take(MAX_LOSSES) {
@@ -517,11 +545,12 @@
                     ran_ms: loss.ran_ms,
                     pieces: loss.pieces,
                     request_id: truncated(&loss.request_id),
+                    request_fingerprint: loss.request_fingerprint,
                     is_trial: loss.is_trial,
                     heard_from: Some(sender.to_string()),
                 };
                 self.record_end(&loss.server, heard.ended_at);
-                self.add_loss(suspect.fingerprint, &loss.server, heard, now);
+                self.add_loss(suspect.fingerprint, suspect.is_part, &loss.server, heard, now);
             }
             if let Some(ago_ms) = suspect.trial_ago_ms {
                 self.record_other_trial(suspect.fingerprint, time(ago_ms));
@@ -536,6 +565,7 @@
         suspect.clear(cleared_at);
         if suspect.losses.len() != losses_before {
             suspect.changed_at = now;
+            self.update_explaining(fingerprint);
         }
     }
 }
--- a/crates/godwit-core/src/quarantine/crash_report.rs
+++ b/crates/godwit-core/src/quarantine/crash_report.rs
@@ -24,18 +24,22 @@
     pub pieces: u64,
     /// Id of the request at the caller's attempt that lost the server.
     pub request_id: String,
+    /// Fingerprint of that request.
+    pub request_fingerprint: u64,
     /// Whether the run was the only one of a request in doubt.
     pub is_trial: bool,
 }
 
-/// Losses of one request, as reported to other hosts.
+/// Losses of one request, or of the requests that share a part of their prompts, as reported to other hosts.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SuspectReport {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request or part.
     pub fingerprint: u64,
-    /// Losses since the request was last cleared.
+    /// Whether it is a part that several prompts share.
+    pub is_part: bool,
+    /// Losses since it was last cleared.
     pub losses: Vec<LossReport>,
-    /// Time since the request last completed, in milliseconds, if that is known.
+    /// Time since it was last cleared by a run, in milliseconds, if that is known.
     pub cleared_ago_ms: Option<u64>,
     /// Time since a host is known to have had a trial run under way, in milliseconds.
     pub trial_ago_ms: Option<u64>,
--- a/crates/godwit-core/src/quarantine/mod.rs
+++ b/crates/godwit-core/src/quarantine/mod.rs
@@ -7,12 +7,14 @@
 //!
 //! [`CrashRegister`] serves the users' platform, where many suspects share a server and servers also crash in groups:
 //! losses are weighed by what else ended at the same time, a request in doubt runs alone, and the quarantine ends with a
-//! probation.
+//! probation. Parts that several prompts share are suspects like requests.
 
 mod crash_register;
 mod crash_report;
+mod explanation;
 mod fingerprint;
 mod marks;
+mod prompt_part;
 mod register;
 mod suspect;
 mod trial;
@@ -25,8 +27,9 @@
     CrashReport, LossReport, MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES, MAX_REPORTED_SUSPECTS,
     ServerEndReport, SuspectReport,
 };
-pub use fingerprint::fingerprint;
+pub use fingerprint::{fingerprint, part_fingerprint};
 pub use marks::MARK_LIFETIME_MS;
+pub use prompt_part::{MAX_PART_RESPONSES, is_past_beginning};
 pub use register::{Quarantine, QuarantineStatus, StartDecision};
 pub use suspect::{Loss, LostRun};
 pub use trial::TrialAdmission;
--- a/crates/godwit-core/src/quarantine/suspect.rs
+++ b/crates/godwit-core/src/quarantine/suspect.rs
@@ -7,7 +7,7 @@
 use crate::quarantine::marks::SAME_LOSS_WINDOW_MS;
 
 /// Number of pieces of a response up to which it has hardly begun.
-const MAX_EARLY_PIECES: u64 = PASSED_MARGIN_PIECES;
+pub(crate) const MAX_EARLY_PIECES: u64 = PASSED_MARGIN_PIECES;
 
 /// Weight of the loss of a server when the response had hardly begun.
 const LOSS_WEIGHT: u64 = 12;
@@ -25,7 +25,18 @@
 pub(crate) const MIN_QUARANTINE_LOSSES: usize = 3;
 
 /// Number of runs that have lost servers from which a request is in doubt.
-const MIN_DOUBTED_RUNS: usize = 3;
+pub(crate) const MIN_DOUBTED_RUNS: usize = 3;
+
+/// Number of requests that have lost servers from which a part that they share is in doubt, and from which it can be
+/// quarantined.
+pub(crate) const MIN_DOUBTED_PART_REQUESTS: usize = 2;
+pub(crate) const MIN_QUARANTINE_PART_REQUESTS: usize = 3;
+
+/// Time after a response to a request with a part in which the part is unlikely to be at fault, in milliseconds.
+pub(crate) const ESTABLISHED_MS: u64 = 60_000;
+
+/// Number of rounds of losses after which a part is in doubt in spite of a response shortly before.
+const MIN_ESTABLISHED_ROUNDS: usize = 3;
 
 /// Time within which servers that end count as one event, in milliseconds. The end of a later stage of a path shows
 /// only when the first stage reports that it waits.
@@ -75,6 +86,8 @@
     pub pieces: u64,
     /// Id of the request at the caller's attempt that lost the server.
     pub request_id: String,
+    /// Fingerprint of that request; for losses of a request, its own.
+    pub request_fingerprint: u64,
     /// Whether the run was the only one of a request in doubt.
     pub is_trial: bool,
     /// Host that reported the loss; none for this host.
@@ -145,8 +158,10 @@
     }
 }
 
+/// A request, or a part that several prompts share, under which servers were lost.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Suspect {
+    pub(crate) is_part: bool,
     /// Losses by incarnation of the server.
     pub(crate) losses: BTreeMap<String, Loss>,
     pub(crate) cleared_at: Option<SteadyMs>,
@@ -176,13 +191,36 @@
 
     /// Number of runs that have lost servers. The stages of one run may end with their rack.
     fn lost_runs(&self) -> usize {
-        let runs = self.losses.values().map(|loss| (&loss.request_id, loss.started_at()));
-        runs.collect::<BTreeSet<_>>().len()
+        count_runs(self.losses.values())
     }
 
-    /// Whether so many runs have lost servers that the next one has to be the only one.
-    pub(crate) fn is_in_doubt(&self) -> bool {
-        self.losses.len() >= MIN_DOUBTED_RUNS && self.lost_runs() >= MIN_DOUBTED_RUNS
+    /// Whether losses of this suspect may explain those of others: servers ended under it repeatedly. For a part, several
+    /// requests with it must have ended them, and none may have had a response shortly before the first loss.
+    pub(crate) fn may_explain(&self) -> bool {
+        if !self.is_part {
+            return self.early_losses() >= REPEATED_LOSSES;
+        }
+        self.losses.len() >= MIN_QUARANTINE_LOSSES
+            && count_requests(self.losses.values()) >= MIN_DOUBTED_PART_REQUESTS
+            && (!self.is_established() || self.early_losses() >= MIN_ESTABLISHED_ROUNDS)
+    }
+
+    /// Whether a request with this part had a response shortly before the first loss.
+    fn is_established(&self) -> bool {
+        let first_loss = self.losses.values().map(|loss| loss.ended_at).min();
+        let survived_at = self.cleared_at.filter(|_| self.is_part);
+        first_loss
+            .zip(survived_at)
+            .is_some_and(|(lost_at, survived_at)| lost_at.since_ms(survived_at) <= ESTABLISHED_MS)
+    }
+
+    /// Whether this suspect is a likelier cause of servers that were lost under both.
+    pub(crate) fn is_likelier_than(&self, other: &Suspect) -> bool {
+        let likelihood = |suspect: &Suspect| {
+            let early = || suspect.losses.values().filter(|loss| loss.is_early());
+            (!suspect.is_established(), early().count(), count_requests(early()))
+        };
+        likelihood(self) > likelihood(other)
     }
 
     /// Whether more than one run has lost servers.
@@ -206,6 +244,7 @@
             if loss.ran_ms > known.ran_ms {
                 known.ran_ms = loss.ran_ms;
                 known.request_id = loss.request_id;
+                known.request_fingerprint = loss.request_fingerprint;
             }
             known.is_trial |= loss.is_trial;
             return is_changed;
@@ -257,6 +296,16 @@
     }
 }
 
+/// Returns the number of runs of which losses are.
+pub(crate) fn count_runs<'a>(losses: impl Iterator<Item = &'a Loss>) -> usize {
+    losses.map(|loss| (&loss.request_id, loss.started_at())).collect::<BTreeSet<_>>().len()
+}
+
+/// Returns the number of requests of which losses are.
+pub(crate) fn count_requests<'a>(losses: impl Iterator<Item = &'a Loss>) -> usize {
+    losses.map(|loss| loss.request_fingerprint).collect::<BTreeSet<_>>().len()
+}
+
 /// Returns the start of a request id, which the caller chooses, up to the length that is kept.
 pub(crate) fn truncated(request_id: &str) -> String {
     let mut end = request_id.len().min(MAX_REQUEST_ID_BYTES);
--- a/crates/godwit-core/src/quarantine/trial.rs
+++ b/crates/godwit-core/src/quarantine/trial.rs
@@ -56,10 +56,10 @@
 
 impl Suspect {
     /// Whether the loss of a trial run proves guilt, provided that no other server ended with it: the run was about as
-    /// long as those that lost their servers before.
+    /// long as those that lost their servers before. Runs that share only a part of their prompts differ in length.
     pub(super) fn is_conclusive(&self, loss: &Loss) -> bool {
-        if !loss.is_trial {
-            return false;
+        if !loss.is_trial || self.is_part {
+            return loss.is_trial;
         }
         let earlier = self.losses.values().filter(|it| it.ended_at <= loss.started_at());
         let ran_ms: Vec<u64> = earlier.map(|it| it.ran_ms).collect();
@@ -91,11 +91,6 @@
 }
 
 impl CrashRegister {
-    /// Whether several runs of a request have lost their servers, but none proves its guilt.
-    pub fn is_in_doubt(&self, fingerprint: u64) -> bool {
-        self.suspects.get(&fingerprint).is_some_and(Suspect::is_in_doubt)
-    }
-
     /// Whether a request may be sent to a server now. `is_running` tells whether this host runs it already.
     pub fn admit_trial(
         &self,
@@ -104,7 +99,8 @@
         is_running: bool,
         now: SteadyMs,
     ) -> TrialAdmission {
-        let Some(suspect) = self.suspects.get(&fingerprint).filter(|it| it.is_in_doubt()) else {
+        let is_in_doubt = |_: &&Suspect| self.is_in_doubt(fingerprint);
+        let Some(suspect) = self.suspects.get(&fingerprint).filter(is_in_doubt) else {
             return TrialAdmission::NotInDoubt;
         };
         let last_end = self.ends.values().max().copied().unwrap_or_default();
@@ -121,10 +117,10 @@
 
     /// Records that a run begins at this host. Returns whether it is a trial run.
     pub fn begin_run(&mut self, fingerprint: u64, now: SteadyMs) -> bool {
-        if self.status(fingerprint, now) != CrashStatus::Clear {
+        if !self.is_in_doubt(fingerprint) || self.status(fingerprint, now) != CrashStatus::Clear {
             return false;
         }
-        let suspect = self.suspects.get_mut(&fingerprint).filter(|suspect| suspect.is_in_doubt());
+        let suspect = self.suspects.get_mut(&fingerprint);
         suspect.map(|suspect| suspect.own_trials += 1).is_some()
     }
 
--- a/crates/godwit-gateway/src/forward/admit.rs
+++ b/crates/godwit-gateway/src/forward/admit.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use godwit_adapter::{CallerHead, decode_caller_head};
-use godwit_core::quarantine::fingerprint;
+use godwit_core::quarantine::{fingerprint, part_fingerprint};
 use godwit_core::site::{Configuration, Work};
 use godwit_core::{Admission, Code, SteadyMs, Target};
 use http::request::Parts;
@@ -49,6 +49,8 @@
     pub(crate) policy: RequestPolicy,
     /// Identifies the same request in other attempts of callers and at other hosts.
     pub(crate) fingerprint: Fingerprint,
+    /// Identifies the parts of the prompt that other requests may share.
+    pub(crate) part_fingerprints: Vec<Fingerprint>,
 }
 
 impl AdmittedRequest {
@@ -60,19 +62,30 @@
         let workspace = policy.workspace.as_deref().unwrap_or_default();
         let method = incoming.parts.method.as_str();
         let fingerprint = Fingerprint(fingerprint(workspace, method, incoming.target(), &body));
-        AdmittedRequest { incoming, body, policy, fingerprint }
+        let parts = shared_parts(&incoming.head);
+        let part = |id: &String| Fingerprint(part_fingerprint(&policy.service, id));
+        let part_fingerprints = parts.iter().map(part).collect();
+        AdmittedRequest { incoming, body, policy, fingerprint, part_fingerprints }
     }
 
-    /// Returns the path and query as the caller sent them.
-    pub(crate) fn request_target(&self) -> &str {
-        self.incoming.target()
+    /// Returns all that may end the servers of this request: itself, and the parts of its prompt that others may share.
+    pub(crate) fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
+        std::iter::once(self.fingerprint).chain(self.part_fingerprints.iter().copied())
     }
 
-    /// Returns the ids of the parts of the prompt that other requests may share, at most [`MAX_SHARED_PARTS`].
+    /// Whether this is the request, or has the part, with a fingerprint.
+    pub(crate) fn has_fingerprint(&self, fingerprint: Fingerprint) -> bool {
+        self.fingerprints().any(|own| own == fingerprint)
+    }
+
+    /// Returns the ids of the parts of the prompt that other requests may share.
     pub(crate) fn shared_parts(&self) -> &[String] {
-        let parts = self.incoming.head.prompt_parts.as_slice();
-        let shared = parts.split_last().map_or(parts, |(_, shared)| shared);
-        &shared[..shared.len().min(MAX_SHARED_PARTS)]
+        shared_parts(&self.incoming.head)
+    }
+
+    /// Returns the path and query as the caller sent them.
+    pub(crate) fn request_target(&self) -> &str {
+        self.incoming.target()
     }
 
     /// Returns the terms with which the request's lifecycle starts.
@@ -94,6 +107,13 @@
     }
 }
 
+/// Returns the parts of a prompt that other requests may share, at most [`MAX_SHARED_PARTS`].
+fn shared_parts(head: &CallerHead) -> &[String] {
+    let parts = head.prompt_parts.as_slice();
+    let shared = parts.split_last().map_or(parts, |(_, shared)| shared);
+    &shared[..shared.len().min(MAX_SHARED_PARTS)]
+}
+
 /// A request as received, without its body.
 pub(crate) struct IncomingRequest {
     pub(crate) parts: Parts,
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -66,7 +66,7 @@
 async fn connect(site: &Site, run: &Run) -> Result<Connection, WireError> {
     let destination = &run.destination;
     let pooled = site.pool.borrow_mut().take(&destination.server_id, site.now());
-    if let Some(connection) = pooled.filter(|_| !run.is_trial) {
+    if let Some(connection) = pooled.filter(|_| !run.is_trial()) {
         return Ok(connection);
     }
     metrics::counter!("server_connections_total").increment(1);
@@ -178,7 +178,7 @@
         faulty_server: Some(destination.server_id.clone()),
         is_overloaded: false,
     };
-    if in_flight.run().is_trial {
+    if in_flight.run().is_trial() {
         find_witnesses(site, in_flight.run()).await;
     }
     let mut connection = connect(site, in_flight.run()).await.map_err(connect_failed)?;
--- a/crates/godwit-gateway/src/forward/in_flight.rs
+++ b/crates/godwit-gateway/src/forward/in_flight.rs
@@ -16,8 +16,9 @@
     pub(crate) admitted: Rc<AdmittedRequest>,
     pub(crate) destination: Destination,
     started_at: Cell<SteadyMs>,
-    /// Whether the request is in doubt, so that this is its only run at this host.
-    pub(crate) is_trial: bool,
+    /// What the run decides about: the request or parts of its prompt that are in doubt, so that this is the only run with
+    /// them at this host. Empty for most runs.
+    pub(crate) trial_of: Vec<Fingerprint>,
     /// Other servers that were running when a trial run was sent.
     witnesses: RefCell<Vec<BackendServer>>,
     /// Number of pieces of the response that have arrived.
@@ -44,6 +45,11 @@
         self.witnesses.borrow().clone()
     }
 
+    /// Whether the run decides about something in doubt.
+    pub(crate) fn is_trial(&self) -> bool {
+        !self.trial_of.is_empty()
+    }
+
     pub(crate) fn pieces(&self) -> u64 {
         self.pieces.get()
     }
@@ -80,17 +86,21 @@
         runs.filter(|run| run.destination.server_ids().contains(&server_id)).cloned().collect()
     }
 
-    /// Whether a request with a fingerprint is running.
+    /// Whether a request with a fingerprint, or with a part that has it, is running.
     pub(crate) fn is_running(&self, fingerprint: Fingerprint) -> bool {
         let runs = self.by_request.borrow();
-        runs.values().any(|run| run.admitted.fingerprint == fingerprint)
+        runs.values().any(|run| run.admitted.has_fingerprint(fingerprint))
     }
 
-    /// Whether the same request is running for another attempt of a caller.
-    pub(crate) fn is_running_elsewhere(&self, admitted: &AdmittedRequest) -> bool {
+    /// Whether a request with a fingerprint, or with a part that has it, is running for another attempt of a caller.
+    pub(crate) fn is_running_elsewhere(
+        &self,
+        fingerprint: Fingerprint,
+        admitted: &AdmittedRequest,
+    ) -> bool {
         let runs = self.by_request.borrow();
         let request_id = &admitted.incoming.head.request_id;
-        let mut same = runs.values().filter(|run| run.admitted.fingerprint == admitted.fingerprint);
+        let mut same = runs.values().filter(|run| run.admitted.has_fingerprint(fingerprint));
         same.any(|run| run.request_id() != request_id)
     }
 
@@ -115,11 +125,14 @@
         admitted: &Rc<AdmittedRequest>,
         destination: &Destination,
     ) -> InFlightGuard {
+        let trial_of = admitted
+            .fingerprints()
+            .filter(|fingerprint| site.crashes.borrow_mut().begin_run(fingerprint.0, site.now()));
         let run = Rc::new(Run {
+            trial_of: trial_of.collect(),
             admitted: admitted.clone(),
             destination: destination.clone(),
             started_at: Cell::new(site.now()),
-            is_trial: site.crashes.borrow_mut().begin_run(admitted.fingerprint.0, site.now()),
             witnesses: RefCell::default(),
             pieces: Cell::new(0),
         });
@@ -140,8 +153,8 @@
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.site.runs.remove(&self.run, self.number);
-        if self.run.is_trial {
-            self.site.crashes.borrow_mut().end_trial(self.run.admitted.fingerprint.0);
+        for fingerprint in &self.run.trial_of {
+            self.site.crashes.borrow_mut().end_trial(fingerprint.0);
         }
         let destination = &self.run.destination;
         let mut loads = self.site.loads.borrow_mut();
--- a/crates/godwit-gateway/src/forward/quarantine.rs
+++ b/crates/godwit-gateway/src/forward/quarantine.rs
@@ -5,11 +5,12 @@
 
 use godwit_core::SteadyMs;
 use godwit_core::quarantine::{
-    CrashAdmission, CrashStatus, LostRun, ProbationTurn, TrialAdmission,
+    CrashAdmission, CrashRegister, CrashStatus, LostRun, ProbationTurn, TrialAdmission,
+    is_past_beginning,
 };
 use godwit_core::rendezvous::ranked;
 use tokio::time::sleep;
-use tracing::info;
+use tracing::{debug, info};
 
 use super::admit::{AdmittedRequest, Fingerprint};
 use super::in_flight::Run;
@@ -42,27 +43,26 @@
     losses.collect::<Vec<_>>().join(",")
 }
 
-/// Records that a server ended while a run was on it.
+/// Records that a server ended while a run was on it, for the request and the parts of its prompt.
 pub(super) fn record_lost_run(site: &Site, run: &Run, incarnation: &str, broke_at: SteadyMs) {
     let fingerprint = run.admitted.fingerprint;
-    let lost = LostRun {
+    let lost = |of: Fingerprint| LostRun {
         fingerprint: fingerprint.0,
         started_at: run.started_at(),
         pieces: run.pieces(),
         request_id: run.request_id(),
-        is_trial: run.is_trial,
+        is_trial: run.trial_of.contains(&of),
     };
-    // Both steps have to be stored before all hosts are lost.
-    let suspicion = || {
-        let crashes = site.crashes.borrow();
-        (crashes.is_repeated(fingerprint.0), crashes.is_in_doubt(fingerprint.0))
-    };
-    let suspicion_before = suspicion();
-    if !site.crashes.borrow_mut().record_loss(lost, incarnation, broke_at) {
-        return;
+    for part in &run.admitted.part_fingerprints {
+        record_loss(site, *part, |crashes| {
+            crashes.record_part_loss(part.0, lost(*part), incarnation, broke_at)
+        });
     }
-    if suspicion() != suspicion_before {
-        site.repeated_losses.notify_one();
+    let is_changed = record_loss(site, fingerprint, |crashes| {
+        crashes.record_loss(lost(fingerprint), incarnation, broke_at)
+    });
+    if !is_changed {
+        return;
     }
     info!(
         event = "crash_marked",
@@ -71,13 +71,32 @@
         server = incarnation,
         ran_ms = broke_at.since_ms(run.started_at()),
         pieces = run.pieces(),
-        is_trial = run.is_trial,
+        is_trial = run.is_trial(),
         is_in_doubt = site.crashes.borrow().is_in_doubt(fingerprint.0),
         losses = losses_text(site, fingerprint, site.now()),
     );
     metrics::counter!("crash_marks_total").increment(1);
 }
 
+/// Records a loss of a request or part, and has it stored where it has to survive the loss of all hosts. Returns whether it
+/// was not known.
+fn record_loss(
+    site: &Site,
+    fingerprint: Fingerprint,
+    record: impl FnOnce(&mut CrashRegister) -> bool,
+) -> bool {
+    let suspicion = || {
+        let crashes = site.crashes.borrow();
+        (crashes.is_repeated(fingerprint.0), crashes.is_in_doubt(fingerprint.0))
+    };
+    let suspicion_before = suspicion();
+    let is_changed = record(&mut site.crashes.borrow_mut());
+    if suspicion() != suspicion_before {
+        site.repeated_losses.notify_one();
+    }
+    is_changed
+}
+
 /// Records the end of a server for all runs of this host that were on it.
 pub(crate) fn record_server_end(site: &Site, incarnation: &str) {
     let Some(ended_at) = site.crashes.borrow().ended_at(incarnation) else { return };
@@ -88,6 +107,7 @@
 
 /// Records that a request completed, so that the losses before are not its doing.
 pub(super) fn record_completion(site: &Site, admitted: &AdmittedRequest) {
+    record_response(site, admitted);
     let fingerprint = admitted.fingerprint;
     if !site.crashes.borrow().is_suspect(fingerprint.0) {
         return;
@@ -98,9 +118,24 @@
     site.crashes.borrow_mut().record_completion(fingerprint.0, site.now());
 }
 
+/// Records that a response is past its beginning, so that the losses before are not the doing of a part of the prompt.
+fn record_response(site: &Site, admitted: &AdmittedRequest) {
+    for part in &admitted.part_fingerprints {
+        let losses = losses_text(site, *part, site.now());
+        if site.crashes.borrow_mut().record_part_response(part.0, site.now()) {
+            let request = &admitted.incoming.head.request_id;
+            debug!(event = "part_marks_cleared", request, fingerprint = %part, losses);
+        }
+    }
+}
+
 /// Records a piece of a run's response. A run that has come well past the point of earlier losses clears the request.
 pub(super) fn record_piece(site: &Site, run: &Run) {
+    let was_past_beginning = is_past_beginning(run.pieces());
     run.record_piece();
+    if !was_past_beginning && is_past_beginning(run.pieces()) {
+        record_response(site, &run.admitted);
+    }
     let fingerprint = run.admitted.fingerprint;
     if !site.crashes.borrow().is_suspect(fingerprint.0) {
         return;
@@ -126,19 +161,25 @@
 /// Whether a request may be sent to a server now, and if so, whether on probation.
 ///
 /// # Errors
-/// The time from which it may, if it is quarantined.
+/// The time from which it may, if it or a part of its prompt is quarantined.
 pub(super) fn check_quarantine(site: &Site, admitted: &AdmittedRequest) -> Result<bool, SteadyMs> {
-    let fingerprint = admitted.fingerprint;
-    if !site.crashes.borrow().is_suspect(fingerprint.0) {
-        return Ok(false);
-    }
-    let turn = probation_turn(site, fingerprint);
-    let is_running = site.runs.is_running(fingerprint);
-    match site.crashes.borrow().admit(fingerprint.0, turn, is_running, site.now()) {
-        CrashAdmission::Allowed => Ok(false),
-        CrashAdmission::OnProbation => Ok(true),
-        CrashAdmission::Refused { retry_at } => Err(retry_at),
+    let mut on_probation = false;
+    let mut refused_until = None;
+    for fingerprint in admitted.fingerprints() {
+        if !site.crashes.borrow().is_suspect(fingerprint.0) {
+            continue;
+        }
+        let turn = probation_turn(site, fingerprint);
+        let is_running = site.runs.is_running(fingerprint);
+        match site.crashes.borrow().admit(fingerprint.0, turn, is_running, site.now()) {
+            CrashAdmission::Allowed => {}
+            CrashAdmission::OnProbation => on_probation = true,
+            CrashAdmission::Refused { retry_at } => {
+                refused_until = refused_until.max(Some(retry_at));
+            }
+        }
     }
+    refused_until.map_or(Ok(on_probation), Err)
 }
 
 /// Waits until a request that has asked since `asked_at` may be sent to a server, as far as it is in doubt or quarantined.
@@ -179,19 +220,34 @@
 }
 
 fn admit_trial(site: &Site, admitted: &AdmittedRequest) -> TrialAdmission {
-    let turn = probation_turn(site, admitted.fingerprint);
-    let is_running = site.runs.is_running_elsewhere(admitted);
-    let crashes = site.crashes.borrow();
-    crashes.admit_trial(admitted.fingerprint.0, turn, is_running, site.now())
+    admit_trial_in_turn(site, admitted, |fingerprint| probation_turn(site, fingerprint))
 }
 
 /// Whether a running request may be moved to another path now.
 pub(super) fn may_move(site: &Site, admitted: &AdmittedRequest) -> bool {
-    let turn = ProbationTurn { rank: 0, hosts: 1 };
-    let is_running = site.runs.is_running_elsewhere(admitted);
-    let crashes = site.crashes.borrow();
-    crashes.admit_trial(admitted.fingerprint.0, turn, is_running, site.now())
-        != TrialAdmission::Deferred
+    let any_turn = |_| ProbationTurn { rank: 0, hosts: 1 };
+    admit_trial_in_turn(site, admitted, any_turn) != TrialAdmission::Deferred
+}
+
+fn admit_trial_in_turn(
+    site: &Site,
+    admitted: &AdmittedRequest,
+    turn: impl Fn(Fingerprint) -> ProbationTurn,
+) -> TrialAdmission {
+    let mut admission = TrialAdmission::NotInDoubt;
+    for fingerprint in admitted.fingerprints() {
+        if !site.crashes.borrow().is_suspect(fingerprint.0) {
+            continue;
+        }
+        let is_running = site.runs.is_running_elsewhere(fingerprint, admitted);
+        let turn = turn(fingerprint);
+        match site.crashes.borrow().admit_trial(fingerprint.0, turn, is_running, site.now()) {
+            TrialAdmission::NotInDoubt => {}
+            TrialAdmission::Trial => admission = TrialAdmission::Trial,
+            TrialAdmission::Deferred => return TrialAdmission::Deferred,
+        }
+    }
+    admission
 }
 
 pub(super) fn log_trial(
@@ -249,9 +305,10 @@
     metrics::gauge!("crash_suspects").set(site.crashes.borrow().len() as f64);
 }
 
-/// Whether servers were lost under a request since it last completed.
+/// Whether servers were lost under a request since it last completed, or under a part of its prompt.
 pub(super) fn is_suspect(site: &Site, admitted: &AdmittedRequest) -> bool {
-    site.crashes.borrow().is_suspect(admitted.fingerprint.0)
+    let crashes = site.crashes.borrow();
+    admitted.fingerprints().any(|fingerprint| crashes.is_suspect(fingerprint.0))
 }
 
 /// Whether a request may not be sent to a server now.
--- a/crates/godwit-gateway/src/forward/server_end.rs
+++ b/crates/godwit-gateway/src/forward/server_end.rs
@@ -198,7 +198,7 @@
     match shared_check(&site, &run, &server_id, &incarnation, broke_at).await {
         ServerCheck::Ended => {
             record_lost_run(&site, &run, &incarnation, broke_at);
-            if run.is_trial {
+            if run.is_trial() {
                 check_witnesses(&site, &run, broke_at).await;
             }
         }
--- a/crates/godwit-gateway/src/store/quarantines.rs
+++ b/crates/godwit-gateway/src/store/quarantines.rs
@@ -10,11 +10,15 @@
 /// Maximum number of quarantines that a host stores; those with the latest losses.
 const MAX_STORED_QUARANTINES: usize = 32;
 
-/// A request that has lost servers repeatedly.
+/// A request that has lost servers repeatedly, or a part that several prompts share.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct StoredQuarantine {
     /// Fingerprint in hexadecimal digits, as in the log.
     fingerprint: String,
+    #[serde(default)]
+    is_part: bool,
+    #[serde(default)]
+    cleared_unix_ms: Option<u64>,
     losses: Vec<StoredLoss>,
 }
 
@@ -25,6 +29,9 @@
     ran_ms: u64,
     pieces: u64,
     request_id: String,
+    /// Fingerprint of the request in hexadecimal digits.
+    #[serde(default)]
+    request_fingerprint: String,
     #[serde(default)]
     is_trial: bool,
 }
@@ -37,10 +44,15 @@
             ran_ms: loss.ran_ms,
             pieces: loss.pieces,
             request_id: loss.request_id,
+            request_fingerprint: format_fingerprint(loss.request_fingerprint),
             is_trial: loss.is_trial,
         });
-        let fingerprint = format!("{:016x}", report.fingerprint);
-        StoredQuarantine { fingerprint, losses: losses.collect() }
+        StoredQuarantine {
+            fingerprint: format_fingerprint(report.fingerprint),
+            is_part: report.is_part,
+            cleared_unix_ms: report.cleared_ago_ms.map(|ago_ms| unix_now.minus_ms(ago_ms).0),
+            losses: losses.collect(),
+        }
     }
 
     /// Whether both are the same request with the same losses; the times may differ by the drift of clocks.
@@ -58,18 +70,28 @@
             ran_ms: loss.ran_ms,
             pieces: loss.pieces,
             request_id: loss.request_id.clone(),
+            request_fingerprint: parse_fingerprint(&loss.request_fingerprint).unwrap_or_default(),
             is_trial: loss.is_trial,
         });
-        let fingerprint = u64::from_str_radix(&self.fingerprint, 16).ok()?;
+        let cleared_at = self.cleared_unix_ms.map(UnixMs);
         Some(SuspectReport {
-            fingerprint,
+            fingerprint: parse_fingerprint(&self.fingerprint)?,
+            is_part: self.is_part,
             losses: losses.collect(),
-            cleared_ago_ms: None,
+            cleared_ago_ms: cleared_at.map(|cleared_at| unix_now.since_ms(cleared_at)),
             trial_ago_ms: None,
         })
     }
 }
 
+fn format_fingerprint(fingerprint: u64) -> String {
+    format!("{fingerprint:016x}")
+}
+
+fn parse_fingerprint(text: &str) -> Option<u64> {
+    u64::from_str_radix(text, 16).ok()
+}
+
 /// Returns the quarantines that this host stores.
 pub(super) fn own_quarantines(site: &Site) -> Vec<StoredQuarantine> {
     let (now, unix_now) = (site.now(), site.clock.unix_now());
