Let a trial run that was lost alone decide beside a crash shortly before

A round of losses whose weight is 0, because more than three other servers ended within a second, was dropped before it was asked whether a trial run in it is conclusive, that is, whether no other server ended within 400 ms of it. So after a crash of many servers the next trial was lost in vain.

trial_lost_alone_after_a_crash_of_others_decides fails before.

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -345,7 +345,7 @@
         let mut total = 0;
         let mut duration_ms = self.quarantine_ms;
         let mut end: Option<SteadyMs> = None;
-        for round in rounds.iter().filter(|round| round.weight > 0) {
+        for round in rounds.iter().filter(|round| round.total_weight() > 0) {
             total += round.total_weight();
             if end.is_some_and(|end| end.is_past(round.ended_at)) {
                 duration_ms = (2 * duration_ms).min(self.max_quarantine_ms());
--- a/crates/godwit-core/tests/crash_register.rs
+++ b/crates/godwit-core/tests/crash_register.rs
@@ -221,6 +221,20 @@
     assert_eq!(register.status(GUILTY, at(4_000)), CrashStatus::Clear);
 }
 
+/// A crash of many servers less than a second before a trial run once kept it from deciding.
+#[test]
+fn trial_lost_alone_after_a_crash_of_others_decides() {
+    let mut register = register();
+    for number in 0..10 {
+        lose_after(&mut register, GUILTY, &format!("s-0-{number}"), 0, 1_000 + number, 30);
+        register.record_end(&format!("s-1-{number}"), at(2_800));
+    }
+    assert!(register.begin_run(GUILTY, at(3_270)));
+    lose_trial(&mut register, "s-2-0", 3_300, 30);
+    assert_eq!(register.status(GUILTY, at(3_310)), CrashStatus::Clear, "undecided");
+    assert!(is_quarantined(&register, GUILTY, 3_950));
+}
+
 /// A request that ends its servers does so after about the same time.
 #[test]
 fn trial_lost_after_a_much_longer_run_decides_nothing() {
