Blame a part of prompts only after a lost trial run

Parts without a lately seen response are all in doubt; losses that another of them explains equally well weigh nothing; and a part is quarantined only after a conclusive trial run.

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -342,6 +342,10 @@
             let is_conclusive = suspect.is_conclusive(loss) && others(TRIAL_EVENT_MS) == 0;
             LossWeight { is_conclusive, ..LossWeight::new(loss, others(SHARED_END_MS)) }
         });
+        // Most requests on a server share parts with one that ended it; only a trial run tells which part did.
+        if suspect.is_part && !rounds.iter().any(|round| round.is_conclusive) {
+            return None;
+        }
         let mut total = 0;
         let mut duration_ms = self.quarantine_ms;
         let mut end: Option<SteadyMs> = None;
--- a/crates/godwit-core/src/quarantine/explanation.rs
+++ b/crates/godwit-core/src/quarantine/explanation.rs
@@ -8,13 +8,18 @@
 };
 
 impl CrashRegister {
-    /// Whether several runs of a request, or with a part, have lost their servers, but none proves its guilt.
+    /// Whether several runs of a request, or with a part, have lost their servers, but none proves its guilt. A part that
+    /// may be the cause puts neither the requests with it in doubt nor parts that had responses shortly before.
     pub fn is_in_doubt(&self, fingerprint: u64) -> bool {
         let Some(suspect) = self.suspects.get(&fingerprint) else { return false };
         if suspect.losses.len() < MIN_QUARANTINE_LOSSES {
             return false;
         }
-        let losses: Vec<&Loss> = self.unexplained_losses(fingerprint, suspect).collect();
+        let losses: Vec<&Loss> = if suspect.is_part && !suspect.is_established() {
+            suspect.losses.values().collect()
+        } else {
+            self.unexplained_losses(fingerprint, suspect).collect()
+        };
         if losses.len() < MIN_QUARANTINE_LOSSES {
             return false;
         }
@@ -25,7 +30,7 @@
         count_runs(losses.into_iter()) >= MIN_DOUBTED_RUNS
     }
 
-    /// Returns the losses of a suspect that are not due to a part of the request's prompt.
+    /// Returns the losses of a suspect that no part explains.
     pub(super) fn unexplained_losses<'a>(
         &'a self,
         fingerprint: u64,
@@ -37,12 +42,12 @@
             .map(|(_, loss)| loss)
     }
 
-    /// Whether requests with a part that is a likelier cause were running on a server when it ended.
+    /// Whether requests with a part that is as likely a cause were running on a server when it ended.
     pub(super) fn is_due_to_part(&self, except: u64, suspect: &Suspect, server: &str) -> bool {
         let others = self.explaining.iter().filter(|fingerprint| **fingerprint != except);
         let mut parts =
             others.filter_map(|fingerprint| self.suspects.get(fingerprint)).filter(|it| it.is_part);
-        parts.any(|part| part.losses.contains_key(server) && part.is_likelier_than(suspect))
+        parts.any(|part| part.losses.contains_key(server) && part.is_as_likely_as(suspect))
     }
 
     /// Whether another request with repeated losses, or a part in doubt, was running on a server when it ended.
--- a/crates/godwit-core/src/quarantine/suspect.rs
+++ b/crates/godwit-core/src/quarantine/suspect.rs
@@ -206,7 +206,7 @@
     }
 
     /// Whether a request with this part had a response shortly before the first loss.
-    fn is_established(&self) -> bool {
+    pub(crate) fn is_established(&self) -> bool {
         let first_loss = self.losses.values().map(|loss| loss.ended_at).min();
         let survived_at = self.cleared_at.filter(|_| self.is_part);
         first_loss
@@ -214,13 +214,10 @@
             .is_some_and(|(lost_at, survived_at)| lost_at.since_ms(survived_at) <= ESTABLISHED_MS)
     }
 
-    /// Whether this suspect is a likelier cause of servers that were lost under both.
-    pub(crate) fn is_likelier_than(&self, other: &Suspect) -> bool {
-        let likelihood = |suspect: &Suspect| {
-            let early = || suspect.losses.values().filter(|loss| loss.is_early());
-            (!suspect.is_established(), early().count(), count_requests(early()))
-        };
-        likelihood(self) > likelihood(other)
+    /// Whether this part is at least as likely a cause as another suspect of the servers that were lost under both.
+    pub(crate) fn is_as_likely_as(&self, other: &Suspect) -> bool {
+        let early = |suspect: &Suspect| suspect.losses.values().filter(|it| it.is_early()).count();
+        !self.is_established() && (other.is_established() || early(self) >= early(other))
     }
 
     /// Whether more than one run has lost servers.
