Send requests with a deadly part of their prompts in the soak

Streams of the soak have prompts of three parts now, of which sound ones share two; a quarter of the requests that end servers do so because of a part, and no two of these are alike.

--- a/tests/gateway/prompt_parts.rs
+++ b/tests/gateway/prompt_parts.rs
@@ -10,7 +10,7 @@
 use crate::server::{DEADLY_PART, PROMPT_PARTS_HEADER};
 
 /// Number of servers that requests with one part may end before they must be stopped.
-const MAX_ENDED_SERVERS: usize = 5;
+pub(crate) const MAX_ENDED_SERVERS: usize = 5;
 
 /// Part of all prompts.
 const COMMON_PART: &str = "f0";
--- a/tests/gateway/soak/callers.rs
+++ b/tests/gateway/soak/callers.rs
@@ -6,7 +6,7 @@
 
 use crate::host::{API_KEY, caller_headers};
 use crate::http::{Message, read_body, read_head, write_request};
-use crate::server::END_SERVER;
+use crate::server::{DEADLY_PART, END_SERVER, PROMPT_PARTS_HEADER};
 
 /// Read timeout of a caller; longer than the timeout of any route.
 const READ_TIMEOUT: Duration = Duration::from_secs(12);
@@ -25,14 +25,19 @@
     EndServer,
     /// A stream that ends each server on which it runs, before or after its first events.
     EndStage(&'static str),
+    /// A stream that ends each server that begins to write its response, because of a part of its prompt. No two are alike.
+    DeadlyPart,
 }
 
+/// Part of all prompts.
+const COMMON_PART: &str = "f0";
+
 impl RequestKind {
     pub(super) fn path(&self) -> String {
         match self {
             RequestKind::Read | RequestKind::UnknownKey => "/read/1".to_string(),
             RequestKind::Order => "/order/1".to_string(),
-            RequestKind::Stream => "/chat/1".to_string(),
+            RequestKind::Stream | RequestKind::DeadlyPart => "/chat/1".to_string(),
             RequestKind::Version(path) => path.clone(),
             RequestKind::EndServer => format!("/read/{END_SERVER}"),
             RequestKind::EndStage(segment) => format!("/chat/{segment}"),
@@ -41,13 +46,23 @@
 
     /// Whether the request ends the servers on which it runs.
     pub(super) fn ends_servers(&self) -> bool {
-        matches!(self, RequestKind::EndServer | RequestKind::EndStage(_))
+        matches!(self, RequestKind::EndServer | RequestKind::EndStage(_) | RequestKind::DeadlyPart)
+    }
+
+    /// Returns the parts of the prompt, of which the last belongs to the request with this id.
+    fn prompt_parts(&self, id: &str) -> String {
+        let shared = if *self == RequestKind::DeadlyPart { DEADLY_PART } else { "5e55" };
+        format!("{COMMON_PART}:40,{shared}:400,{id}:60")
     }
 
     fn method(&self) -> &'static str {
-        let is_post =
-            matches!(self, RequestKind::Order | RequestKind::Stream | RequestKind::EndStage(_));
-        if is_post { "POST" } else { "GET" }
+        match self {
+            RequestKind::Order
+            | RequestKind::Stream
+            | RequestKind::EndStage(_)
+            | RequestKind::DeadlyPart => "POST",
+            _ => "GET",
+        }
     }
 }
 
@@ -147,9 +162,18 @@
         let Ok(mut reader) = reader else { return without_response(false) };
         let key = if kind == RequestKind::UnknownKey { "forged" } else { API_KEY };
         let authorization = format!("Bearer {key}");
-        let extra = [("godwitdeal-tenant", "forged"), ("authorization", authorization.as_str())];
+        let parts = kind.prompt_parts(&id);
+        let extra = [
+            ("godwitdeal-tenant", "forged"),
+            ("authorization", authorization.as_str()),
+            (PROMPT_PARTS_HEADER, parts.as_str()),
+        ];
         let headers = caller_headers(&id, &extra);
-        let body: &[u8] = if kind.method() == "POST" { b"hello" } else { b"" };
+        let body = match kind {
+            RequestKind::DeadlyPart => id.as_bytes(),
+            _ if kind.method() == "POST" => b"hello",
+            _ => b"",
+        };
         if write_request(reader.get_mut(), kind.method(), &kind.path(), &headers, body).is_err() {
             return without_response(false);
         }
--- a/tests/gateway/soak/invariants.rs
+++ b/tests/gateway/soak/invariants.rs
@@ -5,7 +5,9 @@
 
 use super::callers::{RequestKind, RequestRecord};
 use crate::crashes::{CONTACT_WINDOW, MAX_ENDED_SERVERS, MAX_LATE_SENDS};
-use crate::server::{Behavior, FakeServer};
+use crate::http::Message;
+use crate::prompt_parts::MAX_ENDED_SERVERS as MAX_ENDED_SERVERS_OF_PART;
+use crate::server::{Behavior, DEADLY_PART, FakeServer, PROMPT_PARTS_HEADER};
 
 /// How long after its end a fault may still affect new requests.
 const FAULT_AFTEREFFECT: Duration = Duration::from_secs(4);
@@ -140,8 +142,42 @@
     violations
 }
 
-/// Returns a violation for each request that ends servers and was sent on too often: more than [`MAX_LATE_SENDS`] times
-/// later than [`CONTACT_WINDOW`] after it had ended the third server. Hosts that were disturbed in that time before a
+/// What requests that end servers have in common.
+enum Culprit {
+    /// They are the same request.
+    Path(String),
+    /// A part of their prompts.
+    Part(&'static str),
+}
+
+impl Culprit {
+    fn of(kind: &RequestKind) -> Option<(String, Culprit)> {
+        if *kind == RequestKind::DeadlyPart {
+            return Some((DEADLY_PART.to_string(), Culprit::Part(DEADLY_PART)));
+        }
+        kind.ends_servers().then(|| (kind.path(), Culprit::Path(kind.path())))
+    }
+
+    fn is_in(&self, request: &Message) -> bool {
+        match self {
+            Culprit::Path(path) => request.start_line_part(1) == path,
+            Culprit::Part(part) => {
+                request.header(PROMPT_PARTS_HEADER).is_some_and(|parts| parts.contains(part))
+            }
+        }
+    }
+
+    /// Number of servers that it may end before it must be stopped.
+    fn max_ended_servers(&self) -> usize {
+        match self {
+            Culprit::Path(_) => MAX_ENDED_SERVERS,
+            Culprit::Part(_) => MAX_ENDED_SERVERS_OF_PART,
+        }
+    }
+}
+
+/// Returns a violation for each request or part that ends servers and was sent on too often: more than [`MAX_LATE_SENDS`]
+/// times later than [`CONTACT_WINDOW`] after it had ended as many servers as it may. Hosts that were disturbed in that time before a
 /// send are left out.
 pub(super) fn find_late_sends(
     records: &[RequestRecord],
@@ -150,18 +186,15 @@
 ) -> Vec<String> {
     let host_of: BTreeMap<&str, usize> =
         records.iter().map(|record| (record.id.as_str(), record.host)).collect();
-    let paths: BTreeSet<String> = records
-        .iter()
-        .filter(|record| record.kind.ends_servers())
-        .map(|record| record.kind.path())
-        .collect();
+    let culprits: BTreeMap<String, Culprit> =
+        records.iter().filter_map(|record| Culprit::of(&record.kind)).collect();
     let mut violations = Vec::new();
-    for path in paths {
+    for (name, culprit) in culprits {
         let mut sends: Vec<(Instant, String)> = Vec::new();
         let mut ends: Vec<Instant> = Vec::new();
         for server in servers {
             let handled = server.handled().into_iter();
-            let own = handled.filter(|handled| handled.request.start_line_part(1) == path);
+            let own = handled.filter(|handled| culprit.is_in(&handled.request));
             let own: Vec<(Instant, String)> = own
                 .map(|handled| {
                     let id = handled.request.header("godwitdeal-request-id").unwrap_or_default();
@@ -175,7 +208,8 @@
             sends.extend(own);
         }
         ends.sort();
-        let Some(third_end) = ends.get(MAX_ENDED_SERVERS - 1).copied() else { continue };
+        let last_end = ends.get(culprit.max_ended_servers() - 1).copied();
+        let Some(last_end) = last_end else { continue };
         let is_disturbed = |host: usize, at: Instant| {
             disturbed_hosts.iter().any(|(index, from, until)| {
                 *index == host && *from <= at && at <= *until + CONTACT_WINDOW
@@ -183,11 +217,11 @@
         };
         let late = sends.iter().filter(|(at, id)| {
             let host = host_of.get(id.as_str()).copied();
-            *at > third_end + CONTACT_WINDOW && host.is_some_and(|host| !is_disturbed(host, *at))
+            *at > last_end + CONTACT_WINDOW && host.is_some_and(|host| !is_disturbed(host, *at))
         });
         let late = late.count();
         if late > MAX_LATE_SENDS {
-            violations.push(format!("{path} was sent {late} times after {} ends", ends.len()));
+            violations.push(format!("{name} was sent {late} times after {} ends", ends.len()));
         }
     }
     violations
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -94,9 +94,10 @@
 
 fn draw_request_kind(random: &mut SmallRng, scenario: Scenario) -> RequestKind {
     if scenario != Scenario::Planned && random.random_bool(END_SERVER_SHARE) {
-        return match random.random_range(0..3) {
+        return match random.random_range(0..4) {
             0 => RequestKind::EndServer,
             1 => RequestKind::EndStage(END_SERVER),
+            2 => RequestKind::DeadlyPart,
             _ => RequestKind::EndStage(END_SERVER_IN_STREAM),
         };
     }
