--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::OnceLock;
@@ -72,11 +72,19 @@
     pub(crate) store: FakeStore,
 }
 
-fn settings(store_address: SocketAddr, host_name: &str) -> String {
+/// Returns a loopback address of its own for the process with a number, so that no other process can take over the port of
+/// one that has ended while callers still know it.
+fn loopback_address(number: u64) -> Ipv4Addr {
+    let [.., high, low] = number.to_be_bytes();
+    let test_process = 1 + (std::process::id() % 254) as u8;
+    Ipv4Addr::new(127, test_process, high, low)
+}
+
+fn settings(ip_address: Ipv4Addr, store_address: SocketAddr, host_name: &str) -> String {
     format!(
-        "NodeName = \"{host_name}\"\nZone = \"hall-a\"\nIpAddress = \"127.0.0.1\"\nInternalPorts = [0, 0]\n\
+        "NodeName = \"{host_name}\"\nZone = \"hall-a\"\nIpAddress = \"{ip_address}\"\nInternalPorts = [0, 0]\n\
          FirstStart = true\nHeartbeatIntervalMs = 1200\n\
-         [ListenAddresses]\nFront = \"127.0.0.1:0\"\nReady = \"127.0.0.1:0\"\n\
+         [ListenAddresses]\nFront = \"{ip_address}:0\"\nReady = \"{ip_address}:0\"\n\
          [Limits]\nFileDescriptors = 4100\n\
          [Bounds]\nDrainTimeoutMs = 2000\nGracePeriodS = 8\nRetryBudgetRatio = 0.2\nBudgetWindowS = 10\n\
          BudgetExtraRetries = 200\nstall_ms = 3000\n\
@@ -168,8 +176,8 @@
         let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
         let file_name = format!("godwit-gateway-{}-{number}.toml", std::process::id());
         let settings_path = std::env::temp_dir().join(file_name);
-        std::fs::write(&settings_path, settings(store_address, host_name))
-            .expect("the temporary directory is writable");
+        let settings = settings(loopback_address(number), store_address, host_name);
+        std::fs::write(&settings_path, settings).expect("the temporary directory is writable");
         let mut child = Command::new(env!("CARGO_BIN_EXE_godwitdeal"))
             .arg("gateway")
             .arg("--settings")
