Use no server that says in a response that it leaves

The adapter decodes the header (other values, case and repetition tested); a response of any kind, also to an order or a question for a report, sets the server's state to draining at this host. The registry holds it against any later entry, list or older copy of this incarnation; the next id at the same address is not affected.

Not done: other hosts are not told by gossip; the rule binds the host that passed the response on.

--- a/crates/godwit-core/src/site/registry.rs
+++ b/crates/godwit-core/src/site/registry.rs
@@ -39,6 +39,8 @@
     grace_ends_at: SteadyMs,
     /// Servers that drain or are no longer listed.
     departures: BTreeMap<String, Departure>,
+    /// Incarnations of servers that have said themselves that they leave, whatever is listed of them.
+    announced: BTreeMap<String, Departure>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -64,6 +66,7 @@
             is_store_unreachable: false,
             grace_ends_at: SteadyMs(0),
             departures: BTreeMap::new(),
+            announced: BTreeMap::new(),
         }
     }
 
@@ -94,8 +97,38 @@
         }
     }
 
+    /// Records that a listed server has said itself that it leaves. Returns false if it is not listed or was known to
+    /// leave. No later entry of this incarnation makes the server ready again.
+    ///
+    /// ```
+    /// use godwit_core::SteadyMs;
+    /// use godwit_core::site::{RegistryLimits, ServerRegistry};
+    /// let mut registry = ServerRegistry::new(RegistryLimits { lapse_grace_ms: 2_000 });
+    /// assert!(!registry.announce_departure("unknown", SteadyMs(0)));
+    /// ```
+    pub fn announce_departure(&mut self, id: &str, now: SteadyMs) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else { return false };
+        let was_ready = entry.server.state == ServerState::Ready;
+        entry.server.state = ServerState::Draining;
+        let server = entry.server.clone();
+        let departure = Departure { at: now, born_unix_ms: server.born_unix_ms };
+        self.announced.entry(server.id.clone()).or_insert(departure);
+        self.record_departure(&server, now);
+        was_ready
+    }
+
+    fn has_announced_departure(&self, server: &BackendServer) -> bool {
+        let announced = self.announced.get(&server.id);
+        announced.is_some_and(|departure| departure.born_unix_ms == server.born_unix_ms)
+    }
+
     /// Adds or updates an entry.
-    pub fn update(&mut self, server: BackendServer, now: SteadyMs) {
+    pub fn update(&mut self, mut server: BackendServer, now: SteadyMs) {
+        if self.has_announced_departure(&server) {
+            server.state = ServerState::Draining;
+        } else {
+            self.announced.remove(&server.id);
+        }
         match server.state {
             ServerState::Draining => self.record_departure(&server, now),
             ServerState::Ready => drop(self.departures.remove(&server.id)),
@@ -120,7 +153,10 @@
 
     /// Drops the entries that were not listed again within the grace period, and returns their identities.
     pub fn expire(&mut self, now: SteadyMs) -> Vec<String> {
-        self.departures.retain(|_, departure| now.since_ms(departure.at) < DEPARTURE_MEMORY_MS);
+        let is_recent = |departure: &Departure| now.since_ms(departure.at) < DEPARTURE_MEMORY_MS;
+        self.departures.retain(|_, departure| is_recent(departure));
+        let entries = &self.entries;
+        self.announced.retain(|id, departure| entries.contains_key(id) || is_recent(departure));
         let has_expired =
             |entry: &Entry| entry.missing_until.is_some_and(|until| until.is_past(now));
         let expired: Vec<String> = self
--- a/crates/godwit-core/tests/site/registry.rs
+++ b/crates/godwit-core/tests/site/registry.rs
@@ -92,3 +92,43 @@
     registry.update(server("s-2", "a", "", None), SteadyMs(13_100));
     assert!(!registry.was_leaving("s-2", SteadyMs(15_000)), "listed again");
 }
+
+#[test]
+fn announced_departure_holds_against_any_list() {
+    let mut registry = registry();
+    let state = |registry: &ServerRegistry| registry.get("s-1").map(|server| server.state);
+    assert!(registry.announce_departure("s-1", SteadyMs(10)));
+    assert!(!registry.announce_departure("s-1", SteadyMs(20)), "known");
+    assert_eq!(state(&registry), Some(ServerState::Draining));
+    registry.update(server("s-1", "a", "", None), SteadyMs(30));
+    assert_eq!(state(&registry), Some(ServerState::Draining), "an entry");
+    registry.replace(vec![server("s-1", "a", "", None)], SteadyMs(40));
+    assert_eq!(state(&registry), Some(ServerState::Draining), "a list");
+    registry.replace(Vec::new(), SteadyMs(50));
+    registry.expire(SteadyMs(60_000));
+    registry.update(server("s-1", "a", "", None), SteadyMs(60_000));
+    assert_eq!(state(&registry), Some(ServerState::Draining), "an older copy of the list");
+    registry.expire(SteadyMs(600_000));
+    assert_eq!(state(&registry), Some(ServerState::Draining), "listed all the time");
+}
+
+#[test]
+fn announced_departure_does_not_bind_the_next_incarnation() {
+    let mut registry = registry();
+    assert!(registry.announce_departure("s-1", SteadyMs(10)));
+    let mut next = server("s-1", "a", "", None);
+    next.born_unix_ms += 1;
+    registry.update(next, SteadyMs(20));
+    assert_eq!(registry.get("s-1").map(|server| server.state), Some(ServerState::Ready));
+}
+
+/// An entry that is missing after an outage of the store is not kept for a server that has said that it leaves.
+#[test]
+fn announced_departure_ends_the_grace_period() {
+    let mut registry = registry();
+    assert!(registry.announce_departure("s-1", SteadyMs(10)));
+    registry.mark_store_unreachable();
+    registry.mark_store_reachable(SteadyMs(10_000));
+    registry.remove("s-1", SteadyMs(10_100));
+    assert_eq!(ids(&registry), ["s-2"]);
+}
--- a/crates/godwit-gateway/src/coordinator.rs
+++ b/crates/godwit-gateway/src/coordinator.rs
@@ -300,11 +300,15 @@
             let accepted = self.accepted_orders.get(&incarnation).copied().unwrap_or(0);
             let order =
                 Order { range: assignment.range, fencing_number, expected_orders: Some(accepted) };
+            let site = self.site.clone();
             orders.spawn_local(async move {
-                let result = send_order(&server, &order).await;
+                let result = send_order(&site, &server, &order).await;
                 let is_conflict = matches!(result, Ok(status) if is_conflict(status));
-                let report =
-                    if is_conflict { read_report(&server, ORDER_TIMEOUT).await } else { None };
+                let report = if is_conflict {
+                    read_report(&site, &server, ORDER_TIMEOUT).await
+                } else {
+                    None
+                };
                 (server, order, result, report)
             });
         }
@@ -368,9 +372,9 @@
     decode_order_reply(status) == OrderReply::Conflict
 }
 
-async fn send_order(server: &BackendServer, order: &Order) -> Result<u16, WireError> {
+async fn send_order(site: &Site, server: &BackendServer, order: &Order) -> Result<u16, WireError> {
     let body = Bytes::from(encode_order(order));
-    let call = call_server(server, "POST", ORDER_PATH, body);
+    let call = call_server(site, server, "POST", ORDER_PATH, body);
     let response = timeout(ORDER_TIMEOUT, call).await.unwrap_or(Err(WireError::TimedOut));
     response.map(|(status, _)| status)
 }
--- a/crates/godwit-gateway/src/forward/repath.rs
+++ b/crates/godwit-gateway/src/forward/repath.rs
@@ -34,7 +34,8 @@
     site.take_permits(&[&server.id]);
     let request_id = &admitted.incoming.head.request_id;
     let body = Bytes::from(encode_repath(request_id, &new_path.hops, None));
-    let response = timeout(REPATH_TIMEOUT, call_server(&server, "POST", ORDER_PATH, body)).await;
+    let response =
+        timeout(REPATH_TIMEOUT, call_server(site, &server, "POST", ORDER_PATH, body)).await;
     let response = response.unwrap_or(Err(WireError::TimedOut));
     let reply = response.as_ref().map(|(status, _)| *status);
     info!(
--- a/crates/godwit-gateway/src/forward/stall_detection.rs
+++ b/crates/godwit-gateway/src/forward/stall_detection.rs
@@ -38,7 +38,7 @@
     }
     mark_examined(site, &first.id);
     site.take_permits(&[&first.id]);
-    let Some(report) = read_report(&first, REPORT_TIMEOUT).await else {
+    let Some(report) = read_report(site, &first, REPORT_TIMEOUT).await else {
         let home_domain = site.settings.failure_domain.clone();
         record_stall(site, request_id, &home_domain, &first, "no report");
         return true;
@@ -152,7 +152,8 @@
         mark_examined(&site, &server.id);
         site.take_permits(&[&server.id]);
     }
-    let reports = join_all(due.iter().map(|server| read_report(server, REPORT_TIMEOUT))).await;
+    let reports =
+        join_all(due.iter().map(|server| read_report(&site, server, REPORT_TIMEOUT))).await;
     for (server, report) in due.iter().zip(reports) {
         let Some(report) = report else { continue };
         site.findings.borrow_mut().record_slowdown(&server.id, report.slowdown, site.now());
--- a/crates/godwit-gateway/src/lib.rs
+++ b/crates/godwit-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod run;
 mod server_call;
 mod server_limits;
+mod server_notices;
 mod site;
 mod store;
 mod telemetry;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod host;
 mod http;
 mod limits;
+mod notices;
 mod orders;
 mod prompt_parts;
 mod readers;
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -158,6 +158,8 @@
     orders: Vec<Value>,
     /// Values of the header with which the server names its limit in each response.
     limits: Vec<String>,
+    /// Further headers of each response, also of the control interface.
+    notices: Vec<(&'static str, &'static str)>,
 }
 
 /// A request that a server received.
@@ -200,6 +202,7 @@
             order_status,
             orders: Vec::new(),
             limits: Vec::new(),
+            notices: Vec::new(),
         };
         let mut server = FakeServer {
             id: id.to_string(),
@@ -272,6 +275,11 @@
         self.control.lock().expect("no panic").limits = values;
     }
 
+    /// Adds headers to each response from now on, also of the control interface.
+    pub(crate) fn add_notices(&self, notices: &[(&'static str, &'static str)]) {
+        self.control.lock().expect("no panic").notices = notices.to_vec();
+    }
+
     /// Makes the server answer the requests that otherwise end it.
     pub(crate) fn make_robust(&self) {
         self.is_robust.store(true, Ordering::Relaxed);
@@ -366,14 +374,15 @@
     stream: &mut TcpStream,
 ) -> bool {
     let mut control = control.lock().expect("no panic");
+    let notices = control.notices.clone();
     if request.start_line_part(0) == "POST" {
         control.orders.push(serde_json::from_slice(&request.body).expect("an order is JSON"));
-        return write_response(stream, control.order_status, &[], b"");
+        return write_response(stream, control.order_status, &notices, b"");
     }
     let stalled = control.stalled.iter().map(|(id, address)| json!({"Id": id, "Address": address}));
     let stalled: Vec<Value> = stalled.collect();
     let report = json!({"Sequence": 0, "Busy": false, "pace": 1.0, "Stalled": stalled});
-    write_response(stream, 200, &[], report.to_string().as_bytes())
+    write_response(stream, 200, &notices, report.to_string().as_bytes())
 }
 
 /// Responds according to `behavior` and returns whether the connection stays open.
@@ -385,8 +394,11 @@
     stream: &mut TcpStream,
 ) -> bool {
     let id = request.header("godwitdeal-request-id").unwrap_or_default();
-    let limits = control.lock().expect("no panic").limits.clone();
-    let limit_headers = limits.iter().map(|value| (LIMIT_HEADER, value.as_str()));
+    let (limits, notices) = {
+        let control = control.lock().expect("no panic");
+        (control.limits.clone(), control.notices.clone())
+    };
+    let limit_headers = limits.iter().map(|value| (LIMIT_HEADER, value.as_str())).chain(notices);
     let mut stamp_headers =
         vec![("Godwitdeal-Request-Id", id), ("Godwitdeal-Response-Stamp", name)];
     stamp_headers.extend(limit_headers.clone());
@@ -459,9 +471,12 @@
     before_event: impl Fn(u64),
 ) -> bool {
     let id = request.header("godwitdeal-request-id").unwrap_or_default();
-    let limits = control.lock().expect("no panic").limits.clone();
-    let limits: String =
-        limits.iter().map(|value| format!("{LIMIT_HEADER}: {value}\r\n")).collect();
+    let (limits, notices) = {
+        let control = control.lock().expect("no panic");
+        (control.limits.clone(), control.notices.clone())
+    };
+    let limits = limits.iter().map(|value| (LIMIT_HEADER, value.as_str())).chain(notices);
+    let limits: String = limits.map(|(name, value)| format!("{name}: {value}\r\n")).collect();
     let head = format!(
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-type: text/event-stream\r\n{limits}\
          godwitdeal-request-id: {id}\r\ngodwitdeal-response-stamp: {name}\r\n\r\n"
