Send nothing to a server before the time that it names in a 503

Until then the host sends that server no request, retry, resumed stream, order or question for a report. It is no failure of the server: nothing is counted against it. If no server is left, callers are refused at once with code 3017 and the first end, spread as all refusals are.

Only a 503 holds off. Not done: a property test with leaving and limits.

--- a/crates/godwit-core/src/code.rs
+++ b/crates/godwit-core/src/code.rs
@@ -145,6 +145,8 @@
         "Several servers ended while they ran this request; another run of it shows whether it may run."
     ServerLimit 3016 "server_limit" NotRun 503 true
         "The servers that could run the request are at the limits that they name."
+    ServersHoldOff 3017 "servers_hold_off" NotRun 503 true
+        "The servers that could run the request want none before the time in `Retry-After`."
     OutcomeUnknown 4000 "outcome_unknown" Unknown 502 false
         "The connection to the server was lost; whether the request ran is not known."
     StartedElsewhere 4001 "started_elsewhere" Unknown 409 true
--- a/crates/godwit-gateway/src/coordinator.rs
+++ b/crates/godwit-gateway/src/coordinator.rs
@@ -148,7 +148,10 @@
         let mut plan = if settled.is_empty() { Vec::new() } else { plan_layout(model, &refs) };
         plan.retain(|assignment| settled.contains(&assignment.server_id));
         plan.extend(self.due_moves(model, &refs, now));
-        plan.retain(|assignment| !self.pending.contains_key(&assignment.server_id));
+        plan.retain(|assignment| {
+            let server_id = &assignment.server_id;
+            !self.pending.contains_key(server_id) && !self.site.holds_off(server_id)
+        });
         if plan.is_empty() {
             return;
         }
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -223,7 +223,7 @@
     let (head, server) = match result {
         Ok((head, server)) => {
             site.record_limit(&destination.server_id, &server.limit, in_flight.run().started_at());
-            site.record_notices(&destination.server_id, &server);
+            site.record_notices(&destination.server_id, head.status, &server);
             (head, server)
         }
         Err(error) => return Err(AttemptError::Unknown { error, run: in_flight.run().clone() }),
--- a/crates/godwit-gateway/src/forward/destination.rs
+++ b/crates/godwit-gateway/src/forward/destination.rs
@@ -101,6 +101,7 @@
     let limited = site.limited_servers(&admitted.policy.service);
     site.want_permits(&limited.withheld);
     excluded.extend(limited.withheld);
+    excluded.extend(site.servers_holding_off(&admitted.policy.service));
     let service =
         admitted.policy.configuration.service(&admitted.policy.service).ok_or(Code::NoServer)?;
     let registry = site.registry.borrow();
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -112,7 +112,14 @@
     received: SteadyMs,
 ) -> Response<ResponseBody> {
     log_refusal(site, request_id, service, code, received);
-    let wait_ms = if code == Code::ServerLimit { permit_wait_ms(site, service) } else { 0 };
+    let wait_ms = match code {
+        Code::ServerLimit => permit_wait_ms(site, service),
+        Code::ServersHoldOff => {
+            let end = site.next_hold_off_end(service);
+            end.map_or(0, |(end, _)| end.since_ms(site.now()))
+        }
+        _ => 0,
+    };
     local_response(code, code.retry_can_help().then(|| wait_ms + retry_after_ms()))
 }
 
@@ -180,7 +187,8 @@
         let destination = match wait_for_destination(site, admitted, &avoided).await {
             Ok(destination) => destination,
             Err(reason) => {
-                code = if attempt == 1 { reason } else { code };
+                let is_known = attempt == 1 || reason == Code::ServersHoldOff;
+                code = if is_known { reason } else { code };
                 break;
             }
         };
--- a/crates/godwit-gateway/src/forward/repath.rs
+++ b/crates/godwit-gateway/src/forward/repath.rs
@@ -26,7 +26,9 @@
     path: &Destination,
 ) -> Option<Destination> {
     let start = path.hops.first()?;
-    if site.findings.borrow().stalling_servers(site.now()).contains(&start.server_id) {
+    let is_stalling =
+        site.findings.borrow().stalling_servers(site.now()).contains(&start.server_id);
+    if is_stalling || site.holds_off(&start.server_id) {
         return None;
     }
     let new_path = choose_destination_from(site, admitted, Some(start), &BTreeSet::new()).ok()?;
--- a/crates/godwit-gateway/src/forward/stall_detection.rs
+++ b/crates/godwit-gateway/src/forward/stall_detection.rs
@@ -33,7 +33,9 @@
     }
     let now = site.now();
     let Some(first) = registered_server(site, &path.server_id) else { return true };
-    if site.findings.borrow().is_examined(&first.id, REPORT_INTERVAL_MS, now) {
+    if site.holds_off(&first.id)
+        || site.findings.borrow().is_examined(&first.id, REPORT_INTERVAL_MS, now)
+    {
         return false;
     }
     mark_examined(site, &first.id);
@@ -146,6 +148,7 @@
         .server_ids()
         .into_iter()
         .filter(|id| !site.findings.borrow().is_examined(id, EXAMINE_INTERVAL_MS, now))
+        .filter(|id| !site.holds_off(id))
         .filter_map(|id| registered_server(&site, id))
         .collect();
     for server in &due {
--- a/crates/godwit-gateway/src/forward/wait.rs
+++ b/crates/godwit-gateway/src/forward/wait.rs
@@ -67,6 +67,11 @@
         if !limited.withheld.is_empty() && (is_over || is_too_late) {
             return Err(Code::ServerLimit);
         }
+        if let Some((end, is_everyone)) = site.next_hold_off_end(&admitted.policy.service)
+            && (is_over || (is_everyone && end > queue_deadline))
+        {
+            return Err(Code::ServersHoldOff);
+        }
         if is_over {
             return chosen;
         }
--- a/crates/godwit-gateway/src/server_call.rs
+++ b/crates/godwit-gateway/src/server_call.rs
@@ -40,7 +40,7 @@
     headers.extend(forward_headers.iter().map(|(name, value)| (*name, value.as_bytes())));
     let request = OutgoingRequest { method, target, headers, body };
     let head = connection.exchange(&request).await?;
-    site.record_notices(&server.id, &decode_server_head(head.header_pairs()));
+    site.record_notices(&server.id, head.status, &decode_server_head(head.header_pairs()));
     let body = connection.read_body(MAX_RESPONSE_BYTES).await?;
     Ok((head.status, body))
 }
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -9,9 +9,9 @@
 use godwit_core::quarantine::CrashRegister;
 use godwit_core::replica::{ObjectReplica, ReaderLimits, ReaderSelection, SkipLimits};
 use godwit_core::site::{
-    Configuration, Findings, FreshnessTracker, HealthLimits, HostCensus, LoadTable, PeerHost,
-    RegistryLimits, Relay, RelayLimits, RetryBudget, RetryLimits, ServerHealth, ServerLimits,
-    ServerRegistry,
+    Configuration, Findings, FreshnessTracker, HealthLimits, HoldOffs, HostCensus, LoadTable,
+    PeerHost, RegistryLimits, Relay, RelayLimits, RetryBudget, RetryLimits, ServerHealth,
+    ServerLimits, ServerRegistry,
 };
 use tokio::sync::{Notify, OnceCell, watch};
 use tracing::info;
@@ -93,6 +93,8 @@
     pub(crate) server_checks: RefCell<BTreeMap<String, Rc<OnceCell<ServerCheck>>>>,
     /// Limits that servers name.
     pub(crate) limits: RefCell<ServerLimits>,
+    /// Servers that want no requests for a time.
+    pub(crate) hold_offs: RefCell<HoldOffs>,
     pub(crate) host_census: RefCell<HostCensus>,
     /// Notified when a request wants a permit to send to a server that names a limit.
     pub(crate) permits_wanted: Notify,
@@ -147,6 +149,7 @@
             followers: Cell::new(0),
             reading_changed: Notify::new(),
             hosts_listed: Notify::new(),
+            hold_offs: RefCell::default(),
             runs: Runs::default(),
             crashes: RefCell::new(CrashRegister::new(quarantine_ms)),
             repeated_losses: Notify::new(),
@@ -201,6 +204,7 @@
         log_status_changes(self, now);
         self.loads.borrow_mut().expire(now);
         self.pool.borrow_mut().expire(now);
+        self.hold_offs.borrow_mut().expire(now);
         let expired = self.registry.borrow_mut().expire(now);
         expired.iter().for_each(|id| self.record_server_removal(id));
         self.expire_limits(now);
