Leave a host that stops as one that does not run

A stop was recorded as if the reader could not read the store; when many cannot, the current one is followed all the same, until the stop has ended, up to the grace period, and no changes arrive meanwhile. It is now skipped like a host whose process has ended.

--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -73,10 +73,10 @@
                 | ErrorKind::UnexpectedEof => Some(Trouble::Stopped),
                 _ => Some(Trouble::Unresponsive),
             },
-            FollowEnd::CannotRead
-            | FollowEnd::Stopping
-            | FollowEnd::Behind
-            | FollowEnd::NothingSent => Some(Trouble::Unable),
+            FollowEnd::Stopping => Some(Trouble::Stopped),
+            FollowEnd::CannotRead | FollowEnd::Behind | FollowEnd::NothingSent => {
+                Some(Trouble::Unable)
+            }
             FollowEnd::Diverged | FollowEnd::Replaced => None,
         }
     }
--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -2,12 +2,13 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use flate2::Compression;
 use flate2::write::DeflateEncoder;
 use rustix::process::Signal;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::host::{API_KEY, Host, configuration, configuration_with_prefix};
 use crate::server::{Behavior, FakeServer};
@@ -32,6 +33,9 @@
 /// Memory of the smallest hosts, in KiB.
 const MEMORY_LIMIT_KIB: u64 = 160 * 1024;
 
+/// Number of hosts that stop at the same time.
+const STOPPING_READERS: usize = 8;
+
 /// Time after which the roles of the hosts no longer change: a host follows after the list of hosts is complete.
 const SETTLE_TIME: Duration = Duration::from_millis(4_000);
 
@@ -277,8 +281,16 @@
     OneByteAtTimes,
     /// A small frame whose message is huge once decompressed.
     HugeMessage,
+    /// A status that says that the reader stops.
+    Stopping,
 }
 
+/// Content of a frame with the status of a reader that can read the store and stops.
+const STOPPING_STATUS: [u8; 4] = [0, 0, 1, 1];
+
+/// Number of connections to false readers that stop.
+static STOPPING_CONNECTIONS: AtomicUsize = AtomicUsize::new(0);
+
 fn start_false_reader(kind: FalseReader) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("a bound listener has an address");
@@ -302,6 +314,12 @@
                 stream.write_all(&content)?;
                 std::thread::sleep(CONFIG_APPLY_TIME * 10);
             }
+            FalseReader::Stopping => {
+                STOPPING_CONNECTIONS.fetch_add(1, Ordering::Relaxed);
+                stream.write_all(&(STOPPING_STATUS.len() as u32).to_be_bytes())?;
+                stream.write_all(&STOPPING_STATUS)?;
+                std::thread::sleep(CONFIG_APPLY_TIME);
+            }
             FalseReader::OneByteAtTimes => {
                 stream.write_all(&4096_u32.to_be_bytes())?;
                 loop {
@@ -320,6 +338,29 @@
     address
 }
 
+fn false_record(follow_address: SocketAddr) -> Value {
+    json!({
+        "failure_domain": "hall-a", "peer_address": "127.0.0.1:9", "link_mbps": 10_000,
+        "follow_address": follow_address.to_string(), "quarantines": [],
+    })
+}
+
+/// A host once connected to a stopping reader again and again, for as long as that took to stop, when it knew no other.
+#[test]
+fn readers_that_stop_are_left() {
+    let cluster = Cluster::start(1);
+    for index in 0..STOPPING_READERS {
+        let record = false_record(start_false_reader(FalseReader::Stopping));
+        cluster.store.put("godwit-hosts", &format!("stopping-{index}"), record);
+    }
+    let host = Host::start_with_name(cluster.store.clone(), "front-hall-a-9");
+    host.wait_for("readiness", || host.readiness_status() == 200);
+    std::thread::sleep(CONFIG_APPLY_TIME);
+    let connections = STOPPING_CONNECTIONS.load(Ordering::Relaxed);
+    println!("{connections} connections");
+    assert!(connections <= 10 * STOPPING_READERS, "{connections} connections");
+}
+
 /// The largest hosts by their records, which a starting host would follow first, send no changes.
 #[test]
 fn false_readers_are_left() {
@@ -327,10 +368,7 @@
     for kinds in [[Nothing, OtherBytes], [EndlessFrame, OneByteAtTimes], [HugeMessage, Nothing]] {
         let cluster = Cluster::start(1);
         for (index, kind) in kinds.into_iter().enumerate() {
-            let record = json!({
-                "failure_domain": "hall-a", "peer_address": "127.0.0.1:9", "link_mbps": 10_000,
-                "follow_address": start_false_reader(kind).to_string(), "quarantines": [],
-            });
+            let record = false_record(start_false_reader(kind));
             cluster.store.put("godwit-hosts", &format!("false-{index}"), record);
         }
         let host = Host::start_with_name(cluster.store.clone(), "front-hall-a-9");
