--- a/crates/godwit-gateway/src/forward/quarantine.rs
+++ b/crates/godwit-gateway/src/forward/quarantine.rs
@@ -53,10 +53,17 @@
         request_id: run.request_id(),
         is_trial: run.trial_of.contains(&of),
     };
-    for part in &run.admitted.part_fingerprints {
+    let parts = run.admitted.part_fingerprints.iter().zip(run.admitted.shared_parts());
+    for (part, part_id) in parts {
+        let was_in_doubt = site.crashes.borrow().is_in_doubt(part.0);
         record_loss(site, *part, |crashes| {
             crashes.record_part_loss(part.0, lost(*part), incarnation, broke_at)
         });
+        if !was_in_doubt && site.crashes.borrow().is_in_doubt(part.0) {
+            let losses = losses_text(site, *part, site.now());
+            info!(event = "part_in_doubt", part = part_id, fingerprint = %part, losses);
+            metrics::counter!("parts_in_doubt_total").increment(1);
+        }
     }
     let is_changed = record_loss(site, fingerprint, |crashes| {
         crashes.record_loss(lost(fingerprint), incarnation, broke_at)
