--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -30,14 +30,15 @@
 use crate::server::{END_SERVER, END_SERVER_IN_STREAM};
 
 /// Seeds of every test run: the first of each scenario, and those that once failed, with the cause.
-const SEEDS: [u64; 5] = [
+const SEEDS: [u64; 6] = [
     0, 1, 2,
-    // A fake server that was resumed after the event at which it truncates ended its response as complete.
-    4, 22,
+    // A fake server that was resumed after the event at which it truncates ended its response as complete (4, 22); a host
+    // of another seed took over the port of one that had ended (1031).
+    4, 22, 1031,
 ];
 
 /// Number of seeds that run at the same time.
-const PARALLEL_SEEDS: usize = 5;
+const PARALLEL_SEEDS: usize = 6;
 
 const DEFAULT_SECONDS: u64 = 6;
 
