Show hosts that serve nothing without links of their own

Six hosts in three failure domains, with a link for each pair of a host and a server. Three hosts are cut from all servers, with resets or with packets lost; callers, the store and the other hosts still reach them.

--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -20,6 +20,9 @@
 /// API key of the workspace `farm`.
 pub(crate) const API_KEY: &str = "farm-key";
 
+/// Failure domain of the hosts, unless a test names another one.
+const FAILURE_DOMAIN: &str = "hall-a";
+
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
@@ -80,9 +83,19 @@
     Ipv4Addr::new(127, test_process, high, low)
 }
 
-fn settings(ip_address: Ipv4Addr, store_address: SocketAddr, host_name: &str) -> String {
+/// Returns a loopback address that no process of the tests uses.
+pub(crate) fn unused_loopback_address() -> Ipv4Addr {
+    loopback_address(NEXT_ID.fetch_add(1, Ordering::Relaxed))
+}
+
+fn settings(
+    ip_address: Ipv4Addr,
+    store_address: SocketAddr,
+    host_name: &str,
+    failure_domain: &str,
+) -> String {
     format!(
-        "NodeName = \"{host_name}\"\nZone = \"hall-a\"\nIpAddress = \"{ip_address}\"\nInternalPorts = [0, 0]\n\
+        "NodeName = \"{host_name}\"\nZone = \"{failure_domain}\"\nIpAddress = \"{ip_address}\"\nInternalPorts = [0, 0]\n\
          FirstStart = true\nHeartbeatIntervalMs = 1200\n\
          [ListenAddresses]\nFront = \"{ip_address}:0\"\nReady = \"{ip_address}:0\"\n\
          [Limits]\nFileDescriptors = 4100\n\
@@ -166,17 +179,37 @@
         Host::start_with_arguments(store, store_address, host_name, &[])
     }
 
+    /// Starts a gateway in a failure domain.
+    pub(crate) fn start_in_domain(
+        store: FakeStore,
+        store_address: SocketAddr,
+        host_name: &str,
+        failure_domain: &str,
+    ) -> Host {
+        Host::start_with(store, store_address, host_name, failure_domain, &[])
+    }
+
     /// Starts a gateway with further command line arguments.
     pub(crate) fn start_with_arguments(
         store: FakeStore,
         store_address: SocketAddr,
         host_name: &str,
         arguments: &[&str],
+    ) -> Host {
+        Host::start_with(store, store_address, host_name, FAILURE_DOMAIN, arguments)
+    }
+
+    fn start_with(
+        store: FakeStore,
+        store_address: SocketAddr,
+        host_name: &str,
+        failure_domain: &str,
+        arguments: &[&str],
     ) -> Host {
         let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
         let file_name = format!("godwit-gateway-{}-{number}.toml", std::process::id());
         let settings_path = std::env::temp_dir().join(file_name);
-        let settings = settings(loopback_address(number), store_address, host_name);
+        let settings = settings(loopback_address(number), store_address, host_name, failure_domain);
         std::fs::write(&settings_path, settings).expect("the temporary directory is writable");
         let mut child = Command::new(env!("CARGO_BIN_EXE_godwitdeal"))
             .arg("gateway")
--- /dev/null
+++ b/tests/gateway/links.rs
@@ -0,0 +1,122 @@
+//! Links between hosts and backend servers, one for each pair, which a test can cut.
+
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use socket2::{Domain, Protocol, SockAddr, Socket, Type};
+
+use crate::host::unused_loopback_address;
+use crate::soak::{ProxyMode, proxy_connection};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(3);
+
+/// Connections that the kernel queues for a link that accepts them.
+const BACKLOG: i32 = 128;
+
+/// Connections that fill the queue of a link that accepts none, so that further ones hang.
+const FILLING_CONNECTIONS: usize = 2;
+
+/// Time after which a connection attempt of [`FILLING_CONNECTIONS`] hangs, as the queue is full.
+const FILL_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// State of a link.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LinkState {
+    Sound,
+    /// Bytes are lost, and new connections hang.
+    Hanging,
+    /// Open connections are reset, and new ones are refused.
+    Refusing,
+    /// Open connections work, and new ones hang.
+    HangingNew,
+    /// Open connections work, and new ones are refused.
+    RefusingNew,
+}
+
+impl LinkState {
+    /// Returns what becomes of open connections.
+    fn connection_mode(self) -> ProxyMode {
+        match self {
+            LinkState::Sound | LinkState::HangingNew | LinkState::RefusingNew => ProxyMode::Forward,
+            LinkState::Hanging => ProxyMode::HoldAll,
+            LinkState::Refusing => ProxyMode::Reset,
+        }
+    }
+}
+
+/// A link from one host to one server, at an address of its own.
+pub(crate) struct Link {
+    pub(crate) address: SocketAddr,
+    state: Arc<Mutex<LinkState>>,
+}
+
+impl Link {
+    pub(crate) fn start(server: SocketAddr) -> Link {
+        let address = SocketAddr::from((unused_loopback_address(), server.port()));
+        let state = Arc::new(Mutex::new(LinkState::Sound));
+        let shared = state.clone();
+        let sound = listen(address, BACKLOG);
+        std::thread::spawn(move || run_link(address, server, sound, &shared));
+        Link { address, state }
+    }
+
+    pub(crate) fn set(&self, state: LinkState) {
+        *self.state.lock().expect("no panic") = state;
+    }
+}
+
+fn listen(address: SocketAddr, backlog: i32) -> TcpListener {
+    let open = || {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&SockAddr::from(address))?;
+        socket.listen(backlog)?;
+        std::io::Result::Ok(socket)
+    };
+    open().expect("a loopback address of its own is free").into()
+}
+
+/// Accepts the connections of a link and applies its state, for as long as the process runs.
+fn run_link(address: SocketAddr, server: SocketAddr, sound: TcpListener, state: &Mutex<LinkState>) {
+    let mode = Arc::new(Mutex::new(ProxyMode::Forward));
+    let mut applied = LinkState::Sound;
+    let mut listener = Some(sound);
+    let mut filling = Vec::new();
+    loop {
+        let wanted = *state.lock().expect("no panic");
+        if wanted != applied {
+            applied = wanted;
+            *mode.lock().expect("no panic") = wanted.connection_mode();
+            drop(listener.take());
+            filling.clear();
+            listener = match wanted {
+                LinkState::Sound => Some(listen(address, BACKLOG)),
+                LinkState::Refusing | LinkState::RefusingNew => None,
+                LinkState::Hanging | LinkState::HangingNew => {
+                    let full = listen(address, 0);
+                    let fill = || TcpStream::connect_timeout(&address, FILL_TIMEOUT);
+                    filling.extend((0..FILLING_CONNECTIONS).filter_map(|_| fill().ok()));
+                    Some(full)
+                }
+            };
+        }
+        let accepted = listener.as_ref().filter(|_| applied == LinkState::Sound);
+        match accepted.map(TcpListener::accept) {
+            Some(Ok((client, _))) => {
+                let is_blocking = client.set_nonblocking(false).is_ok();
+                assert!(is_blocking, "an accepted connection can block");
+                // The server may have ended.
+                if let Ok(upstream) = TcpStream::connect(server) {
+                    proxy_connection(client, upstream, &mode);
+                }
+            }
+            Some(Err(error)) if error.kind() != ErrorKind::WouldBlock => {
+                panic!("cannot accept: {error}")
+            }
+            _ => std::thread::sleep(POLL_INTERVAL),
+        }
+    }
+}
--- /dev/null
+++ b/tests/gateway/lost_links.rs
@@ -0,0 +1,200 @@
+//! Hosts that have lost their links to backend servers, while callers, the store and the other hosts reach them.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::host::Host;
+use crate::links::{Link, LinkState};
+use crate::server::{Behavior, FakeServer};
+use crate::store::FakeStore;
+
+/// Time after the cut from which hosts without links must serve; `ContactWindowMs` of the platform.
+const CONTACT_WINDOW: Duration = Duration::from_secs(3);
+
+/// Time for which requests are counted after [`CONTACT_WINDOW`].
+const COUNTED_TIME: Duration = Duration::from_secs(4);
+
+/// Time before the cut in which connections to the servers are opened.
+const CALM_TIME: Duration = Duration::from_secs(2);
+
+/// Smallest share of requests that hosts without links serve, as a part of that of the other hosts.
+const MIN_RELATIVE_SHARE: f64 = 0.95;
+
+/// Smallest share of requests that hosts with links serve.
+const MIN_SOUND_SHARE: f64 = 0.97;
+
+/// Time within which a request must be refused that no host can serve.
+const PROMPT_REFUSAL: Duration = Duration::from_millis(100);
+
+const CALL_INTERVAL: Duration = Duration::from_millis(25);
+
+const DOMAINS: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
+const HOSTS_PER_DOMAIN: usize = 2;
+const SERVERS_PER_SERVICE: usize = 4;
+
+const COMPLETE_STREAM: Behavior = Behavior::Stream { events: 20, is_complete: true };
+
+const REQUESTS: [(&str, &str); 3] = [("GET", "/read/1"), ("POST", "/order/1"), ("POST", "/chat/1")];
+
+/// A request of a caller and what became of it.
+struct Sample {
+    path: &'static str,
+    sent_at: Instant,
+    status: u16,
+    duration: Duration,
+}
+
+/// Hosts and servers with a link for each pair.
+struct Site {
+    hosts: Vec<Host>,
+    servers: Vec<FakeServer>,
+    /// Links of each host.
+    links: Vec<Vec<Link>>,
+}
+
+impl Site {
+    fn start() -> Site {
+        let store = FakeStore::start();
+        store.put("config", "main", crate::host::configuration(1));
+        let mut servers = Vec::new();
+        for index in 0..SERVERS_PER_SERVICE {
+            let plain = FakeServer::start(&format!("api-{index}"), &[Behavior::Respond]);
+            store.put("servers", &plain.id, plain.entry("api", None));
+            let model = FakeServer::start(&format!("chat-{index}"), &[COMPLETE_STREAM]);
+            store.put("servers", &model.id, model.entry("chat", Some((0, 16))));
+            servers.extend([plain, model]);
+        }
+        let mut site = Site { hosts: Vec::new(), servers, links: Vec::new() };
+        for domain in DOMAINS {
+            for index in 0..HOSTS_PER_DOMAIN {
+                let links: Vec<Link> =
+                    site.servers.iter().map(|server| Link::start(server.address)).collect();
+                let addresses: BTreeMap<_, _> = site
+                    .servers
+                    .iter()
+                    .zip(&links)
+                    .map(|(server, link)| (server.id.clone(), link.address))
+                    .collect();
+                let store_address = store.with_server_addresses(addresses);
+                let name = format!("front-{domain}-{index}");
+                let host = Host::start_in_domain(store.clone(), store_address, &name, domain);
+                site.hosts.push(host);
+                site.links.push(links);
+            }
+        }
+        site.hosts.iter().for_each(Host::wait_until_ready);
+        site
+    }
+
+    fn set_links(&self, hosts: &[usize], state: LinkState) {
+        for host in hosts {
+            self.links[*host].iter().for_each(|link| link.set(state));
+        }
+    }
+
+    /// Sends requests to all hosts while `act` runs, and returns those that each host got.
+    fn send_during(&self, act: impl FnOnce()) -> Vec<Vec<Sample>> {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let samples: Vec<Mutex<Vec<Sample>>> =
+            self.hosts.iter().map(|_| Mutex::default()).collect();
+        std::thread::scope(|scope| {
+            for (host, samples) in self.hosts.iter().zip(&samples) {
+                for (method, path) in REQUESTS {
+                    let is_over = is_over.clone();
+                    scope.spawn(move || {
+                        while !is_over.load(Ordering::Relaxed) {
+                            let sent_at = Instant::now();
+                            let status = host.call(method, path, b"").map_or(0, |it| it.status());
+                            let duration = sent_at.elapsed();
+                            let sample = Sample { path, sent_at, status, duration };
+                            samples.lock().expect("no panic").push(sample);
+                            std::thread::sleep(CALL_INTERVAL);
+                        }
+                    });
+                }
+            }
+            act();
+            is_over.store(true, Ordering::Relaxed);
+        });
+        samples.into_iter().map(|samples| samples.into_inner().expect("no panic")).collect()
+    }
+
+    /// Checks that no order has reached servers more than once.
+    fn check_orders_ran_once(&self) {
+        let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+        for request in self.servers.iter().flat_map(FakeServer::requests) {
+            if request.start_line.contains("/order/") {
+                let id = request.header("godwitdeal-request-id").unwrap_or_default();
+                *runs.entry(id.to_string()).or_default() += 1;
+            }
+        }
+        let repeated: Vec<_> = runs.iter().filter(|(_, count)| **count > 1).collect();
+        assert!(repeated.is_empty(), "orders that ran more than once: {repeated:?}");
+    }
+}
+
+/// Counts of requests to some hosts.
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    sent: usize,
+    served: usize,
+}
+
+impl Served {
+    fn count<'a>(samples: impl Iterator<Item = &'a Sample>) -> Served {
+        let mut counts = Served::default();
+        for sample in samples {
+            counts.sent += 1;
+            counts.served += usize::from(sample.status == 200);
+        }
+        counts
+    }
+
+    fn share(self) -> f64 {
+        self.served as f64 / self.sent.max(1) as f64
+    }
+}
+
+/// Cuts the links of some hosts and checks that they serve about as often as the others from [`CONTACT_WINDOW`] on.
+fn check_cut(cut_hosts: &[usize], state: LinkState) {
+    let site = Site::start();
+    let mut cut_at = Instant::now();
+    let samples = site.send_during(|| {
+        std::thread::sleep(CALM_TIME);
+        site.set_links(cut_hosts, state);
+        cut_at = Instant::now();
+        std::thread::sleep(CONTACT_WINDOW + COUNTED_TIME);
+    });
+    let counted_from = cut_at + CONTACT_WINDOW;
+    let until = counted_from + COUNTED_TIME;
+    let is_counted = |sample: &&Sample| sample.sent_at >= counted_from && sample.sent_at < until;
+    let of_hosts = |is_cut: bool, path: Option<&str>| {
+        let hosts = samples.iter().enumerate();
+        let hosts = hosts.filter(move |(host, _)| cut_hosts.contains(host) == is_cut);
+        let counted = hosts.flat_map(|(_, samples)| samples).filter(is_counted);
+        Served::count(counted.filter(|sample| path.is_none_or(|path| sample.path == path)))
+    };
+    let by_path =
+        REQUESTS.map(|(_, path)| (path, of_hosts(true, Some(path)), of_hosts(false, Some(path))));
+    println!("{state:?}, {} cut: {by_path:?}", cut_hosts.len());
+    site.check_orders_ran_once();
+    for (path, cut, others) in by_path {
+        assert!(others.share() >= MIN_SOUND_SHARE, "hosts with links served {others:?} of {path}");
+        assert!(
+            cut.share() >= MIN_RELATIVE_SHARE * others.share(),
+            "hosts without links served {cut:?} of {path}, the others {others:?}"
+        );
+    }
+}
+
+#[test]
+fn host_without_links_serves_when_connections_are_reset() {
+    check_cut(&[0, 2, 4], LinkState::Refusing);
+}
+
+#[test]
+fn host_without_links_serves_when_connections_hang() {
+    check_cut(&[0, 2, 4], LinkState::Hanging);
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,8 @@
 mod host;
 mod http;
 mod limits;
+mod links;
+mod lost_links;
 mod notices;
 mod orders;
 mod prompt_parts;
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -24,7 +24,7 @@
 use faults::FaultSchedule;
 use invariants::{Runs, find_late_sends, find_violations};
 use limits::{find_excess, name_limits};
-pub(crate) use proxy::{Proxy, ProxyMode};
+pub(crate) use proxy::{Proxy, ProxyMode, proxy_connection};
 
 use crate::host::{delete_logs, keep_logs};
 use crate::server::{END_SERVER, END_SERVER_IN_STREAM};
--- a/tests/gateway/soak/proxy.rs
+++ b/tests/gateway/soak/proxy.rs
@@ -54,14 +54,7 @@
             for client in listener.incoming().map_while(Result::ok) {
                 // The server behind the proxy has ended, and so does the proxy.
                 let Ok(upstream) = TcpStream::connect(target) else { return };
-                let (shared, shared_copy) = (shared.clone(), shared.clone());
-                let pair =
-                    client.try_clone().and_then(|client| Ok((client, upstream.try_clone()?)));
-                let Ok((client_copy, upstream_copy)) = pair else { continue };
-                std::thread::spawn(move || forward(client, upstream, &shared, true));
-                std::thread::spawn(move || {
-                    forward(upstream_copy, client_copy, &shared_copy, false)
-                });
+                proxy_connection(client, upstream, &shared);
             }
         });
         Proxy { address, mode }
@@ -72,6 +65,19 @@
     }
 }
 
+/// Forwards both directions of a connection on threads of their own.
+pub(crate) fn proxy_connection(
+    client: TcpStream,
+    upstream: TcpStream,
+    mode: &Arc<Mutex<ProxyMode>>,
+) {
+    let (mode, mode_copy) = (mode.clone(), mode.clone());
+    let pair = client.try_clone().and_then(|client| Ok((client, upstream.try_clone()?)));
+    let Ok((client_copy, upstream_copy)) = pair else { return };
+    std::thread::spawn(move || forward(client, upstream, &mode, true));
+    std::thread::spawn(move || forward(upstream_copy, client_copy, &mode_copy, false));
+}
+
 /// Forwards one direction of a connection until it ends or is reset.
 fn forward(mut from: TcpStream, mut to: TcpStream, mode: &Mutex<ProxyMode>, is_request: bool) {
     let current = || *mode.lock().expect("no panic");
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -1,7 +1,7 @@
 //! A fake of the users' store: objects by kind, with revisions, watches and conditional writes.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
@@ -37,11 +37,26 @@
     pub(crate) fn start() -> FakeStore {
         let objects: Arc<(Mutex<Objects>, Condvar)> = Arc::default();
         let shared = objects.clone();
-        let address =
-            serve_connections(move |request, stream| handle_request(&shared, request, stream));
+        let address = serve_connections(move |request, stream| {
+            let (status, body) = handle_request(&shared, request);
+            write_response(stream, status, &[], body.to_string().as_bytes())
+        });
         FakeStore { address, objects }
     }
 
+    /// Returns another address of the store, at which the entries of the servers have the given addresses.
+    pub(crate) fn with_server_addresses(
+        &self,
+        addresses: BTreeMap<String, SocketAddr>,
+    ) -> SocketAddr {
+        let objects = self.objects.clone();
+        serve_connections(move |request, stream| {
+            let (status, mut body) = handle_request(&objects, request);
+            replace_addresses(&mut body, &addresses);
+            write_response(stream, status, &[], body.to_string().as_bytes())
+        })
+    }
+
     pub(crate) fn put(&self, kind: &str, name: &str, specification: Value) {
         let (objects, changed) = &*self.objects;
         objects.lock().expect("no panic").write(kind, name, specification);
@@ -110,25 +125,38 @@
     value.parse().ok()
 }
 
-fn handle_request(
-    objects: &(Mutex<Objects>, Condvar),
-    request: &Message,
-    stream: &mut TcpStream,
-) -> bool {
+/// Replaces the addresses of servers in the body of a response.
+fn replace_addresses(body: &mut Value, addresses: &BTreeMap<String, SocketAddr>) {
+    match body {
+        Value::Array(items) => items.iter_mut().for_each(|item| replace_addresses(item, addresses)),
+        Value::Object(_) => {
+            let name = body.pointer("/Metadata/Name").and_then(Value::as_str);
+            let address = name.and_then(|name| addresses.get(name)).copied();
+            if let Some(address) = address {
+                body["Specification"]["Address"] = json!(address.to_string());
+            } else if let Value::Object(fields) = body {
+                fields.values_mut().for_each(|field| replace_addresses(field, addresses));
+            }
+        }
+        _ => {}
+    }
+}
+
+/// Handles a call and returns the status and body of its response.
+fn handle_request(objects: &(Mutex<Objects>, Condvar), request: &Message) -> (u16, Value) {
     objects.0.lock().expect("no panic").calls += 1;
     let target = request.start_line_part(1);
     let path = target.split('?').next().unwrap_or_default();
     let mut parts = path.trim_start_matches("/api/objects/").split('/');
     let kind = parts.next().unwrap_or_default();
-    let (status, body) = match (request.start_line_part(0), parts.next()) {
+    match (request.start_line_part(0), parts.next()) {
         ("GET", None) => match query_number(target, "Watch") {
             Some(revision) => (200, watch(objects, kind, revision, query_number(target, "WaitMs"))),
             None => (200, list(&objects.0.lock().expect("no panic"), kind)),
         },
         (method, Some(name)) => write(objects, method, kind, name, &request.body),
         _ => (400, Value::Null),
-    };
-    write_response(stream, status, &[], body.to_string().as_bytes())
+    }
 }
 
 fn list(objects: &Objects, kind: &str) -> Value {
