Reach servers through other hosts where a host's own links are lost

Cause: a host used only its own links, and took their loss for faults of the servers. It ejected them one after the other, and what it found of them (stalls, a partition between failure domains) went on to hosts with sound links by gossip, which refused their callers too.

The first host keeps all decisions. A server counts as at fault only if hosts with working links do not reach it either; three servers in a row that only others reach mean that the own links are lost, which ends ejections. What a server says of itself binds the host that passes bytes on as well.

Tests of the channel: answers without a length, ends of the other host's process, its planned stop, hold-offs and departures for both hosts, return of links, bad input at the port. The proxy of the tests passes a reset on, which it turned into an ordinary end before.

--- a/crates/godwit-core/src/site/health.rs
+++ b/crates/godwit-core/src/site/health.rs
@@ -120,6 +120,14 @@
         out.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Ends all ejections, for which something other than the servers was the cause.
+    pub fn end_ejections(&mut self) {
+        for record in self.records.values_mut() {
+            record.failures_in_row = 0;
+            record.ejected_until = SteadyMs(0);
+        }
+    }
+
     /// Returns the moving average of a server's time to answer in milliseconds, or 0 without observations.
     pub fn latency_ms(&self, server_id: &str) -> f64 {
         self.records.get(server_id).map_or(0.0, |record| record.latency_ms)
--- a/crates/godwit-core/src/site/mod.rs
+++ b/crates/godwit-core/src/site/mod.rs
@@ -2,6 +2,7 @@
 //! the selection of servers for each request.
 
 mod configuration;
+mod detour_hosts;
 mod findings;
 mod forecast;
 mod freshness;
@@ -18,12 +19,14 @@
 mod server;
 mod server_choice;
 mod server_limit;
+mod server_links;
 mod stall_threshold;
 
 pub use configuration::{
     AcceleratorSpec, CallerLimits, Configuration, ModelSpec, Route, Service, WeightedService, Work,
     Workspace,
 };
+pub use detour_hosts::DetourHosts;
 pub use findings::{FindingReport, Findings, PartitionReport};
 pub use forecast::{DomainForecast, Forecast, forecast};
 pub use freshness::FreshnessTracker;
@@ -42,4 +45,5 @@
 pub use server::{BackendServer, LayerRange, ServerState};
 pub use server_choice::choose_server;
 pub use server_limit::{MAX_LIMITS, Permission, ServerLimits};
+pub use server_links::{LinkChange, ServerLinks};
 pub use stall_threshold::{event_gap_stall_threshold_ms, first_event_stall_threshold_ms};
--- a/crates/godwit-core/tests/site/main.rs
+++ b/crates/godwit-core/tests/site/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions about a site: configuration, layout, paths, loads, findings, retries and the server registry.
 
 mod configuration;
+mod detour_hosts;
 mod findings;
 mod forecast;
 mod freshness;
@@ -12,4 +13,5 @@
 mod relay;
 mod retry;
 mod server_choice;
+mod server_links;
 mod support;
--- a/crates/godwit-gateway/src/coordinator.rs
+++ b/crates/godwit-gateway/src/coordinator.rs
@@ -18,13 +18,12 @@
 };
 use serde::{Deserialize, Serialize};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use tracing::{info, warn};
 
-use crate::server_call::{call_server, read_report};
+use crate::server_call::{CallError, call_server, read_report};
 use crate::site::Site;
 use crate::store::StoreClient;
-use crate::wire::WireError;
 
 /// Kind and name of the store object that the leader writes.
 const LEADER_KIND: &str = "godwit-layout";
@@ -308,7 +307,7 @@
                 let result = send_order(&site, &server, &order).await;
                 let is_conflict = matches!(result, Ok(status) if is_conflict(status));
                 let report = if is_conflict {
-                    read_report(&site, &server, ORDER_TIMEOUT).await
+                    read_report(&site, &server, ORDER_TIMEOUT).await.ok()
                 } else {
                     None
                 };
@@ -329,7 +328,7 @@
         &mut self,
         server: &BackendServer,
         order: &Order,
-        result: &Result<u16, WireError>,
+        result: &Result<u16, CallError>,
         report: Option<ServerReport>,
     ) {
         let reply = result.as_ref().map(|status| decode_order_reply(*status));
@@ -375,9 +374,8 @@
     decode_order_reply(status) == OrderReply::Conflict
 }
 
-async fn send_order(site: &Site, server: &BackendServer, order: &Order) -> Result<u16, WireError> {
+async fn send_order(site: &Site, server: &BackendServer, order: &Order) -> Result<u16, CallError> {
     let body = Bytes::from(encode_order(order));
-    let call = call_server(site, server, "POST", ORDER_PATH, body);
-    let response = timeout(ORDER_TIMEOUT, call).await.unwrap_or(Err(WireError::TimedOut));
+    let response = call_server(site, server, "POST", ORDER_PATH, body, ORDER_TIMEOUT).await;
     response.map(|(status, _)| status)
 }
--- /dev/null
+++ b/crates/godwit-gateway/src/detour/probe.rs
@@ -0,0 +1,111 @@
+//! Checks of the own links: while they are lost, and when servers are silent.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use godwit_core::site::{BackendServer, LinkChange, ServerState};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tracing::info;
+
+use super::open::{ServerTarget, open_directly, open_server, release_connection};
+use crate::site::Site;
+
+/// Interval at which lost links are tried again.
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Timeout for a connection that tries a lost link.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Shortest time between two checks of links because servers are silent, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 500;
+
+/// Returns a ready server, chosen by chance, other than `server_id` and on another address.
+pub(super) fn any_other_server(site: &Site, server_id: &str) -> Option<BackendServer> {
+    let registry = site.registry.borrow();
+    let own_address = registry.get(server_id).map(|server| server.address);
+    let is_candidate = |server: &&BackendServer| {
+        server.state == ServerState::Ready && Some(server.address) != own_address
+    };
+    let count = registry.servers().filter(is_candidate).count();
+    let index = rand::random::<u64>().checked_rem(count as u64)?;
+    registry.servers().filter(is_candidate).nth(index as usize).cloned()
+}
+
+/// Tries lost links at intervals, for as long as the process runs.
+pub(crate) async fn probe_lost_links(site: Rc<Site>) {
+    loop {
+        sleep(PROBE_INTERVAL).await;
+        if !site.links.borrow().are_lost() {
+            continue;
+        }
+        let Some(server) = any_other_server(&site, "") else { continue };
+        let target =
+            ServerTarget { server_id: &server.id, address: server.address, request_id: "" };
+        if let Ok(connection) = open_directly(&site, target, PROBE_TIMEOUT).await {
+            site.pool.borrow_mut().put(&server.id, connection, None, site.now());
+        }
+    }
+}
+
+/// Checks the own link to a server that is silent, if nothing has arrived from any server since the request was sent.
+pub(crate) fn check_link(site: &Rc<Site>, server: &BackendServer, sent_at: godwit_core::SteadyMs) {
+    let now = site.now();
+    let is_checked = !site.link_checked_at.get().plus_ms(CHECK_INTERVAL_MS).is_past(now);
+    let has_heard = site.links.borrow().has_heard_since(sent_at);
+    if is_checked || has_heard || site.detour_hosts.borrow().is_empty() {
+        return;
+    }
+    site.link_checked_at.set(now);
+    let (site, server) = (site.clone(), server.clone());
+    spawn_local(async move {
+        let target =
+            ServerTarget { server_id: &server.id, address: server.address, request_id: "" };
+        let opened = open_server(&site, target).await;
+        let outcome = opened.as_ref().map(|connection| connection.is_direct());
+        info!(event = "link_checked", server = server.id, ?outcome);
+        if let Ok(connection) = opened {
+            release_connection(&site, &server.id, connection, None);
+        }
+    });
+}
+
+impl Site {
+    /// Records that a connection was opened over the own link to a server.
+    pub(crate) fn record_link_opened(&self, server_id: &str) {
+        let change = self.links.borrow_mut().record_opened(server_id, self.now());
+        self.apply_link_change(change);
+    }
+
+    /// Records that another host reached a server that this host did not.
+    pub(crate) fn record_detour(&self, server_id: &str) {
+        let change = self.links.borrow_mut().record_detour(server_id, self.now());
+        info!(event = "link_lost", server = server_id);
+        // Open connections to the server may be silent.
+        self.pool.borrow_mut().forget(server_id);
+        self.apply_link_change(change);
+    }
+
+    /// Ends the ejections of servers that failed because of this host's links.
+    fn apply_link_change(&self, change: Option<LinkChange>) {
+        match change {
+            None => return,
+            Some(LinkChange::Lost) => {
+                info!(event = "links_lost");
+                metrics::counter!("links_lost_total").increment(1);
+                self.pool.borrow_mut().clear();
+            }
+            Some(LinkChange::Restored { lost_for_ms }) => {
+                info!(event = "links_restored", lost_for_ms);
+                self.idle_channels.borrow_mut().clear();
+                self.detour_hosts.borrow_mut().forget_preferred();
+            }
+        }
+        self.health.borrow_mut().end_ejections();
+    }
+
+    /// Whether this host's link to a server is the reason that requests over it fail.
+    pub(crate) fn has_lost_link(&self, server_id: &str) -> bool {
+        self.links.borrow().uses_detour(server_id, self.now())
+    }
+}
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -20,11 +20,12 @@
 use super::quarantine::is_quarantined;
 use super::server_end::find_witnesses;
 use super::stall_detection::detect_stall;
+use crate::detour::{OpenError, ServerTarget, check_link, open_server};
 use crate::site::Site;
 use crate::wire::{Connection, OutgoingRequest, ReplyHead, WireError, is_connection_header};
 
-/// Timeout for opening a connection to a server, and for draining a response that is not passed on.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout for draining a response that is not passed on.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Maximum size of a response body that is buffered, in bytes.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 4 << 20;
@@ -32,6 +33,13 @@
 /// Time between two stall checks of an attempt without a response, in milliseconds.
 const STALL_CHECK_INTERVAL_MS: u64 = 250;
 
+/// Time without a response after which the link to a server is checked, as a multiple of the latency target.
+const SILENCE_FACTOR: u64 = 2;
+
+/// Bounds of the time after which the link to a silent server is checked, in milliseconds.
+const MIN_SILENCE_MS: u64 = 200;
+const MAX_SILENCE_MS: u64 = 600;
+
 /// Maximum number of responses to other requests that are skipped before the response to a request.
 const MAX_STRAY_RESPONSES: u32 = 3;
 
@@ -63,16 +71,39 @@
 
 /// Opens a connection to the server of a run, or takes an idle one. A trial run needs a new one, which shows that the
 /// server was running when the request was sent.
-async fn connect(site: &Site, run: &Run) -> Result<Connection, WireError> {
+async fn connect(site: &Site, run: &Run) -> Result<Connection, OpenError> {
     let destination = &run.destination;
     let pooled = site.pool.borrow_mut().take(&destination.server_id, site.now());
-    if let Some(connection) = pooled.filter(|_| !run.is_trial()) {
+    let needs_new = run.is_trial() || site.links.borrow().are_suspect(site.now());
+    if let Some(connection) = pooled.filter(|_| !needs_new) {
         return Ok(connection);
     }
-    metrics::counter!("server_connections_total").increment(1);
-    timeout(CONNECT_TIMEOUT, Connection::open(destination.address))
-        .await
-        .unwrap_or_else(|_| Err(WireError::Connect(std::io::ErrorKind::TimedOut.into())))
+    let target = ServerTarget {
+        server_id: &destination.server_id,
+        address: destination.address,
+        request_id: run.request_id(),
+    };
+    open_server(site, target).await
+}
+
+/// Returns the error of an attempt for which there is no connection.
+fn connect_failed(site: &Site, destination: &Destination, error: &OpenError) -> AttemptError {
+    let server_id = &destination.server_id;
+    let (is_at_fault, is_unexplained) = match error {
+        OpenError::Unreachable { is_confirmed, .. } => {
+            (*is_confirmed, !is_confirmed && !site.has_lost_link(server_id))
+        }
+        OpenError::HoldsOff => (false, false),
+    };
+    if is_unexplained {
+        site.record_server_failure(server_id, &error.to_string());
+    }
+    AttemptError::NotRun {
+        proof: NotExecutedProof::connect_failed(),
+        cause: error.to_string(),
+        faulty_server: is_at_fault.then(|| server_id.clone()),
+        is_overloaded: false,
+    }
 }
 
 /// Sends a request and reads response heads until one belongs to it. Responses to earlier requests are skipped.
@@ -132,6 +163,7 @@
     destination: &Destination,
     earlier_runs: u32,
     deadline: SteadyMs,
+    is_direct: bool,
     mut response_head: Pin<&mut impl Future<Output = Result<T, WireError>>>,
 ) -> Result<T, WireError> {
     let request_id = &admitted.incoming.head.request_id;
@@ -150,6 +182,10 @@
             biased;
             result = response_head.as_mut() => return result,
             is_stalled = detect_stall(site, request_id, destination) => {
+                let is_link_lost = is_direct && site.has_lost_link(&destination.server_id);
+                if is_link_lost && can_fail_over(site, admitted, earlier_runs + 1, &no_servers, destination) {
+                    return Err(WireError::LinkLost);
+                }
                 if is_stalled && is_quarantined(site, admitted) {
                     return Err(WireError::Quarantined);
                 }
@@ -162,6 +198,31 @@
     }
 }
 
+/// Waits for the response head. If a server is silent for long, checks this host's link to it, for the sake of later
+/// requests.
+async fn await_head<T>(
+    site: &Rc<Site>,
+    admitted: &AdmittedRequest,
+    destination: &Destination,
+    deadline: SteadyMs,
+    is_direct: bool,
+    mut response_head: Pin<&mut impl Future<Output = Result<T, WireError>>>,
+) -> Result<T, WireError> {
+    let sent_at = site.now();
+    let silent_ms = SILENCE_FACTOR * admitted.policy.target_latency_ms;
+    let check_at = sent_at.plus_ms(silent_ms.clamp(MIN_SILENCE_MS, MAX_SILENCE_MS)).min(deadline);
+    let early = timeout_at(site.clock.instant(check_at), response_head.as_mut()).await;
+    if let Ok(result) = early {
+        return result;
+    }
+    let server = site.registry.borrow().get(&destination.server_id).cloned();
+    if let Some(server) = server.filter(|_| is_direct) {
+        check_link(site, &server, sent_at);
+    }
+    let head = timeout_at(site.clock.instant(deadline), response_head).await;
+    head.unwrap_or(Err(WireError::TimedOut))
+}
+
 /// Sends the request and waits until `head_deadline` for the head of its response.
 pub(crate) async fn send(
     site: &Rc<Site>,
@@ -172,16 +233,12 @@
     head_deadline: SteadyMs,
 ) -> Result<StartedResponse, AttemptError> {
     let in_flight = InFlightGuard::start(site, admitted, destination);
-    let connect_failed = |error: WireError| AttemptError::NotRun {
-        proof: NotExecutedProof::connect_failed(),
-        cause: error.to_string(),
-        faulty_server: Some(destination.server_id.clone()),
-        is_overloaded: false,
-    };
     if in_flight.run().is_trial() {
         find_witnesses(site, in_flight.run()).await;
     }
-    let mut connection = connect(site, in_flight.run()).await.map_err(connect_failed)?;
+    let opened = connect(site, in_flight.run()).await;
+    let mut connection = opened.map_err(|error| connect_failed(site, destination, &error))?;
+    let is_direct = connection.is_direct();
     let forward = ForwardHeaders {
         time_left_ms: Some(time_left_ms(site, admitted)),
         server_id: &destination.server_id,
@@ -212,18 +269,21 @@
                 destination,
                 earlier_runs,
                 head_deadline,
+                is_direct,
                 response_head,
             )
             .await
         } else {
-            let head = timeout_at(site.clock.instant(head_deadline), response_head).await;
-            head.unwrap_or(Err(WireError::TimedOut))
+            await_head(site, admitted, destination, head_deadline, is_direct, response_head).await
         }
     };
     let (head, server) = match result {
         Ok((head, server)) => {
             site.record_limit(&destination.server_id, &server.limit, in_flight.run().started_at());
-            site.record_notices(&destination.server_id, head.status, &server);
+            site.record_notices(&destination.server_id, head.status, &server, &mut connection);
+            if is_direct {
+                site.links.borrow_mut().record_heard(site.now());
+            }
             (head, server)
         }
         Err(error) => return Err(AttemptError::Unknown { error, run: in_flight.run().clone() }),
@@ -252,7 +312,7 @@
     mut connection: Connection,
     head: &ReplyHead,
 ) {
-    let rest = timeout(CONNECT_TIMEOUT, connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)).await;
+    let rest = timeout(DRAIN_TIMEOUT, connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)).await;
     if matches!(rest, Ok(Ok(_))) {
         release_connection(site, destination, connection, head);
     }
@@ -265,8 +325,7 @@
     connection: Connection,
     head: &ReplyHead,
 ) {
-    let now = site.now();
-    site.pool.borrow_mut().put(&destination.server_id, connection, head.keep_alive_ms, now);
+    crate::detour::release_connection(site, &destination.server_id, connection, head.keep_alive_ms);
 }
 
 /// Reads the whole body of a response, up to a deadline.
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -404,7 +404,8 @@
     let cause = error.to_string();
     log_attempt_failed(admitted, destination, &cause, false);
     check_broken_run(site, run, error).await;
-    if destination.hops.is_empty() {
+    let is_explained = site.has_lost_link(&destination.server_id);
+    if destination.hops.is_empty() && !is_explained {
         match error {
             WireError::TimedOut => {
                 site.record_server_timeout(&destination.server_id, run.started_at(), &cause);
--- a/crates/godwit-gateway/src/forward/mod.rs
+++ b/crates/godwit-gateway/src/forward/mod.rs
@@ -18,3 +18,4 @@
 pub(crate) use in_flight::Runs;
 pub(crate) use quarantine::{log_status_changes, record_server_end};
 pub(crate) use server_end::ServerCheck;
+pub(crate) use wait::CounterGuard;
--- a/crates/godwit-gateway/src/forward/repath.rs
+++ b/crates/godwit-gateway/src/forward/repath.rs
@@ -6,14 +6,12 @@
 
 use bytes::Bytes;
 use godwit_adapter::{ORDER_PATH, OrderReply, decode_order_reply, encode_repath};
-use tokio::time::timeout;
 use tracing::info;
 
 use super::admit::AdmittedRequest;
 use super::destination::{Destination, choose_destination_from};
 use crate::server_call::call_server;
 use crate::site::Site;
-use crate::wire::WireError;
 
 /// Timeout for the order that moves a request to another path.
 const REPATH_TIMEOUT: Duration = Duration::from_millis(400);
@@ -36,9 +34,7 @@
     site.take_permits(&[&server.id]);
     let request_id = &admitted.incoming.head.request_id;
     let body = Bytes::from(encode_repath(request_id, &new_path.hops, None));
-    let response =
-        timeout(REPATH_TIMEOUT, call_server(site, &server, "POST", ORDER_PATH, body)).await;
-    let response = response.unwrap_or(Err(WireError::TimedOut));
+    let response = call_server(site, &server, "POST", ORDER_PATH, body, REPATH_TIMEOUT).await;
     let reply = response.as_ref().map(|(status, _)| *status);
     info!(
         event = "repath",
--- a/crates/godwit-gateway/src/forward/server_end.rs
+++ b/crates/godwit-gateway/src/forward/server_end.rs
@@ -12,17 +12,15 @@
 use godwit_core::site::{BackendServer, ServerState};
 use tokio::sync::OnceCell;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use tracing::info;
 
 use super::in_flight::Run;
 use super::quarantine::{is_suspect, log_trial, record_lost_run, record_server_end};
+use crate::detour::{OpenError, ServerTarget, open_server, release_connection};
 use crate::site::Site;
 use crate::wire::{Connection, WireError};
 
-/// Timeout for the connection that checks a server.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Time for which a new connection must stay open to show that the server runs. A process that is ending may still
 /// accept connections.
 const SETTLE_TIME: Duration = Duration::from_millis(50);
@@ -75,23 +73,32 @@
 }
 
 async fn connect_once(site: &Site, server_id: &str, address: SocketAddr) -> ServerCheck {
-    let connection = match timeout(CHECK_TIMEOUT, Connection::open(address)).await {
-        Ok(Ok(connection)) => connection,
-        Ok(Err(WireError::Connect(error))) if error.kind() == ErrorKind::ConnectionRefused => {
-            return ServerCheck::Ended;
-        }
-        Ok(Err(WireError::Connect(error))) if error.kind() == ErrorKind::ConnectionReset => {
-            return ServerCheck::Closing;
-        }
-        Ok(Err(_)) | Err(_) => return ServerCheck::Silent,
+    let target = ServerTarget { server_id, address, request_id: "" };
+    let (error, is_confirmed) = match open_server(site, target).await {
+        Ok(connection) => return settled_state(site, server_id, connection).await,
+        Err(OpenError::Unreachable { error, is_confirmed }) => (error, is_confirmed),
+        Err(OpenError::HoldsOff) => return ServerCheck::Running,
     };
+    let WireError::Connect(error) = error else { return ServerCheck::Silent };
+    match error.kind() {
+        // Where no other host can tell, the links of this one may be the cause.
+        ErrorKind::ConnectionRefused if is_confirmed || !site.has_lost_link(server_id) => {
+            ServerCheck::Ended
+        }
+        ErrorKind::ConnectionReset => ServerCheck::Closing,
+        _ => ServerCheck::Silent,
+    }
+}
+
+/// Returns what a new connection shows of a server.
+async fn settled_state(site: &Site, server_id: &str, connection: Connection) -> ServerCheck {
     sleep(SETTLE_TIME).await;
     if !connection.is_idle() {
         return ServerCheck::Closing;
     }
     let is_listed = site.registry.borrow().get(server_id).is_some();
     if is_listed {
-        site.pool.borrow_mut().put(server_id, connection, None, site.now());
+        release_connection(site, server_id, connection, None);
     }
     ServerCheck::Running
 }
@@ -220,8 +227,9 @@
         chosen.into_iter().filter_map(|id| registry.get(id).cloned()).collect()
     };
     let checks = others.iter().map(async |server| {
-        let opened = timeout(CHECK_TIMEOUT, Connection::open(server.address)).await;
-        matches!(opened, Ok(Ok(_)))
+        let target =
+            ServerTarget { server_id: &server.id, address: server.address, request_id: "" };
+        open_server(site, target).await.is_ok()
     });
     let mut is_running = join_all(checks).await.into_iter();
     others.retain(|_| is_running.next().unwrap_or(false));
--- a/crates/godwit-gateway/src/forward/stall_detection.rs
+++ b/crates/godwit-gateway/src/forward/stall_detection.rs
@@ -40,10 +40,14 @@
     }
     mark_examined(site, &first.id);
     site.take_permits(&[&first.id]);
-    let Some(report) = read_report(site, &first, REPORT_TIMEOUT).await else {
-        let home_domain = site.settings.failure_domain.clone();
-        record_stall(site, request_id, &home_domain, &first, "no report");
-        return true;
+    let report = match read_report(site, &first, REPORT_TIMEOUT).await {
+        Ok(report) => report,
+        Err(error) if error.is_server_fault() => {
+            let home_domain = site.settings.failure_domain.clone();
+            record_stall(site, request_id, &home_domain, &first, "no report");
+            return true;
+        }
+        Err(_) => return false,
     };
     site.findings.borrow_mut().record_slowdown(&first.id, report.slowdown, site.now());
     let mut waiting = Vec::new();
@@ -158,7 +162,7 @@
     let reports =
         join_all(due.iter().map(|server| read_report(&site, server, REPORT_TIMEOUT))).await;
     for (server, report) in due.iter().zip(reports) {
-        let Some(report) = report else { continue };
+        let Ok(report) = report else { continue };
         site.findings.borrow_mut().record_slowdown(&server.id, report.slowdown, site.now());
         info!(event = "server_examined", server = server.id, slowdown = report.slowdown);
     }
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -194,6 +194,7 @@
     /// fails and another attempt can follow, returns [`WireError::Stalled`].
     async fn next_piece(&mut self) -> Result<Option<Bytes>, WireError> {
         let connection = self.attempt.connection.as_mut().ok_or(WireError::Ended)?;
+        let is_direct = connection.is_direct();
         let deadline = self.admitted.policy.response_deadline;
         let mut piece = pin!(connection.next_piece());
         let stall_threshold_ms =
@@ -220,6 +221,10 @@
                 piece = piece.as_mut() => return piece,
                 is_stalled = detect_stall(&self.site, request_id, &self.attempt.destination) => is_stalled,
             };
+            let server_id = &self.attempt.destination.server_id;
+            if is_direct && self.site.has_lost_link(server_id) {
+                return Err(WireError::LinkLost);
+            }
             if !is_stalled {
                 spawn_local(examine_path(self.site.clone(), self.attempt.destination.clone()));
                 continue;
--- a/crates/godwit-gateway/src/lib.rs
+++ b/crates/godwit-gateway/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod clock;
 mod coordinator;
+mod detour;
 mod forward;
 mod gossip;
 mod listeners;
--- a/crates/godwit-gateway/src/pool.rs
+++ b/crates/godwit-gateway/src/pool.rs
@@ -65,6 +65,11 @@
         self.idle.remove(server_id);
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn clear(&mut self) {
+        self.idle.clear();
+    }
+
     /// Closes connections whose idle time is over.
     pub(crate) fn expire(&mut self, now: SteadyMs) {
         for idle in self.idle.values_mut() {
--- a/crates/godwit-gateway/src/replica/apply.rs
+++ b/crates/godwit-gateway/src/replica/apply.rs
@@ -27,6 +27,9 @@
     /// Address at which other hosts follow this one.
     #[serde(default)]
     pub(crate) follow_address: Option<SocketAddr>,
+    /// Address at which other hosts ask this one for connections to servers.
+    #[serde(default)]
+    pub(crate) detour_address: Option<SocketAddr>,
     #[serde(default)]
     pub(crate) link_mbps: u32,
     #[serde(default)]
@@ -160,6 +163,7 @@
     fn apply_hosts(&self, replica: &ObjectReplica, restores: bool) {
         let mut peers = Vec::new();
         let mut to_follow = Vec::new();
+        let mut detour_hosts = Vec::new();
         for object in replica.iter().filter(|object| object.text.is_some()) {
             let text = object.text.as_deref().unwrap_or_default();
             match serde_json::from_str::<HostRecord>(text) {
@@ -171,12 +175,17 @@
                     let follow_address = record.follow_address;
                     to_follow
                         .extend(follow_address.map(|address| record.at(&object.name, address)));
+                    let detour_address =
+                        record.detour_address.filter(|_| object.name != self.settings.host);
+                    detour_hosts
+                        .extend(detour_address.map(|address| record.at(&object.name, address)));
                 }
                 Err(error) => warn!(event = "host_unreadable", name = object.name, %error),
             }
         }
         self.set_peers(peers);
         self.readers.borrow_mut().set_hosts(to_follow);
+        self.detour_hosts.borrow_mut().set_hosts(detour_hosts);
         self.hosts_listed.notify_one();
     }
 }
--- a/crates/godwit-gateway/src/run.rs
+++ b/crates/godwit-gateway/src/run.rs
@@ -11,10 +11,11 @@
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
-use tracing::{error, info};
+use tracing::{error, info, warn};
 
 use crate::clock::Clock;
 use crate::coordinator::coordinate;
+use crate::detour::{probe_lost_links, serve_detours};
 use crate::gossip::Gossip;
 use crate::listeners::{listen, serve_callers, serve_metrics, serve_readiness};
 use crate::replica::{ObjectKind, maintain_reading, serve_followers};
@@ -76,6 +77,17 @@
     // With port 0 in the settings, the system chooses the port; the host then registers the chosen one.
     settings.peer_address.set_port(gossip_socket.local_addr()?.port());
     settings.follow_address.set_port(followers.local_addr()?.port());
+    let detours = match &mut settings.detour_address {
+        Some(address) => {
+            let listener = listen(*address).wrap_err_with(listening("detours"))?;
+            address.set_port(listener.local_addr()?.port());
+            Some(listener)
+        }
+        None => {
+            warn!(event = "no_detours", cause = "the settings name too few ports");
+            None
+        }
+    };
 
     info!(
         event = "started",
@@ -97,6 +109,10 @@
     spawn_local(maintain_host_record(site.clone()));
     spawn_local(serve_followers(site.clone(), followers));
     spawn_local(maintain_reading(site.clone()));
+    if let Some(detours) = detours {
+        spawn_local(serve_detours(site.clone(), detours));
+    }
+    spawn_local(probe_lost_links(site.clone()));
     let gossip = Rc::new(Gossip::new(site.clone(), gossip_socket));
     spawn_local(gossip.clone().send_reports());
     spawn_local(gossip.clone().ask_for_permits());
--- a/crates/godwit-gateway/src/server_notices.rs
+++ b/crates/godwit-gateway/src/server_notices.rs
@@ -5,22 +5,52 @@
 use godwit_adapter::ServerHead;
 use godwit_core::SteadyMs;
 use godwit_core::site::ServerState;
-use tracing::info;
+use tracing::{info, warn};
 
+use crate::detour::ServerNotice;
 use crate::site::Site;
+use crate::wire::Connection;
 
 const STATUS_UNAVAILABLE: u16 = 503;
 
 impl Site {
-    /// Records what the head of a server's response says of the server.
-    pub(crate) fn record_notices(&self, server_id: &str, status: u16, head: &ServerHead) {
+    /// Records what the head of a server's response says of the server. If another host's connection brought the
+    /// response, that host is told too.
+    pub(crate) fn record_notices(
+        &self,
+        server_id: &str,
+        status: u16,
+        head: &ServerHead,
+        connection: &mut Connection,
+    ) {
+        let notice = ServerNotice {
+            is_leaving: head.is_leaving,
+            holds_off_for_ms: head.retry_after_ms.filter(|_| status == STATUS_UNAVAILABLE),
+        };
+        if !notice.is_leaving && notice.holds_off_for_ms.is_none() {
+            return;
+        }
+        self.record_notice(server_id, &notice);
+        if let Err(error) = connection.pass_on(&notice) {
+            warn!(event = "notice_not_passed_on", server = server_id, %error);
+        }
+    }
+
+    /// Records what a server says of itself.
+    pub(crate) fn record_notice(&self, server_id: &str, notice: &ServerNotice) {
         let now = self.now();
-        if head.is_leaving && self.registry.borrow_mut().announce_departure(server_id, now) {
+        if notice.is_leaving && self.registry.borrow_mut().announce_departure(server_id, now) {
             info!(event = "server_leaving", server = server_id);
             metrics::counter!("servers_leaving_total").increment(1);
         }
-        let wait_ms = head.retry_after_ms.filter(|_| status == STATUS_UNAVAILABLE);
-        let Some(wait_ms) = wait_ms else { return };
+        if let Some(wait_ms) = notice.holds_off_for_ms {
+            self.record_hold_off(server_id, wait_ms);
+        }
+    }
+
+    /// Records that a server wants no requests for a time in milliseconds.
+    pub(crate) fn record_hold_off(&self, server_id: &str, wait_ms: u64) {
+        let now = self.now();
         let server = self.incarnation(server_id);
         if let Some(end) = self.hold_offs.borrow_mut().record(&server, wait_ms, now) {
             info!(event = "server_holds_off", server, for_ms = end.since_ms(now));
@@ -33,7 +63,8 @@
         self.hold_off_end(server_id).is_some()
     }
 
-    fn hold_off_end(&self, server_id: &str) -> Option<SteadyMs> {
+    /// Returns the time until which a server wants no requests; none if it wants them now.
+    pub(crate) fn hold_off_end(&self, server_id: &str) -> Option<SteadyMs> {
         let hold_offs = self.hold_offs.borrow();
         if hold_offs.is_empty() {
             return None;
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -9,14 +9,15 @@
 use godwit_core::quarantine::CrashRegister;
 use godwit_core::replica::{ObjectReplica, ReaderLimits, ReaderSelection, SkipLimits};
 use godwit_core::site::{
-    Configuration, Findings, FreshnessTracker, HealthLimits, HoldOffs, HostCensus, LoadTable,
-    PeerHost, RegistryLimits, Relay, RelayLimits, RetryBudget, RetryLimits, ServerHealth,
-    ServerLimits, ServerRegistry,
+    Configuration, DetourHosts, Findings, FreshnessTracker, HealthLimits, HoldOffs, HostCensus,
+    LoadTable, PeerHost, RegistryLimits, Relay, RelayLimits, RetryBudget, RetryLimits,
+    ServerHealth, ServerLimits, ServerLinks, ServerRegistry,
 };
 use tokio::sync::{Notify, OnceCell, watch};
 use tracing::info;
 
 use crate::clock::Clock;
+use crate::detour::IdleChannel;
 use crate::forward::{Runs, ServerCheck, log_status_changes};
 use crate::pool::ConnectionPool;
 use crate::replica::ObjectKind;
@@ -101,6 +102,15 @@
     /// Servers whose limit could not be read, which is logged once, by incarnation.
     pub(crate) unreadable_limits: RefCell<BTreeSet<String>>,
     pub(crate) pool: RefCell<ConnectionPool>,
+    /// This host's links to the servers.
+    pub(crate) links: RefCell<ServerLinks>,
+    /// Time of the last check of a link because a server was silent.
+    pub(crate) link_checked_at: Cell<SteadyMs>,
+    /// Hosts through which servers can be reached.
+    pub(crate) detour_hosts: RefCell<DetourHosts>,
+    pub(crate) idle_channels: RefCell<Vec<IdleChannel>>,
+    /// Number of connections to servers that other hosts use.
+    pub(crate) detours_served: Cell<usize>,
     pub(crate) is_stopping: Cell<bool>,
     pub(crate) requests_in_progress: Cell<usize>,
     pub(crate) requests_queued: Cell<usize>,
@@ -155,6 +165,11 @@
             repeated_losses: Notify::new(),
             server_checks: RefCell::new(BTreeMap::new()),
             pool: RefCell::new(ConnectionPool::new()),
+            links: RefCell::default(),
+            link_checked_at: Cell::default(),
+            detour_hosts: RefCell::default(),
+            idle_channels: RefCell::default(),
+            detours_served: Cell::new(0),
             is_stopping: Cell::new(false),
             requests_in_progress: Cell::new(0),
             requests_queued: Cell::new(0),
@@ -205,6 +220,7 @@
         self.loads.borrow_mut().expire(now);
         self.pool.borrow_mut().expire(now);
         self.hold_offs.borrow_mut().expire(now);
+        self.links.borrow_mut().expire(now);
         let expired = self.registry.borrow_mut().expire(now);
         expired.iter().for_each(|id| self.record_server_removal(id));
         self.expire_limits(now);
--- a/crates/godwit-gateway/src/store/hosts.rs
+++ b/crates/godwit-gateway/src/store/hosts.rs
@@ -36,6 +36,7 @@
             failure_domain: site.settings.failure_domain.clone(),
             peer_address: site.settings.peer_address,
             follow_address: Some(site.settings.follow_address),
+            detour_address: site.settings.detour_address,
             link_mbps: site.settings.link_mbps,
             quarantines: own_quarantines(site),
         }
@@ -47,6 +48,7 @@
         self.failure_domain == other.failure_domain
             && self.peer_address == other.peer_address
             && self.follow_address == other.follow_address
+            && self.detour_address == other.detour_address
             && self.link_mbps == other.link_mbps
             && self.quarantines.len() == other.quarantines.len()
             && quarantines.into_iter().all(|(one, other)| one.is_same(other))
--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -5,12 +5,16 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use serde::Serialize;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use super::channel::Channel;
 use super::error::WireError;
+use super::frames::FrameKind;
 use super::reply::{Framing, ReplyHead, take_head};
+use super::transport::Transport;
 
 /// Buffer space reserved for one read, in bytes.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -77,10 +81,10 @@
 
 /// Open connection.
 pub(crate) struct Connection {
-    stream: TcpStream,
+    pub(super) transport: Transport,
     buffer: BytesMut,
     body: BodyState,
-    is_reusable: bool,
+    pub(super) is_reusable: bool,
     /// Number of interim responses to the last request.
     interim_responses: u32,
     /// Size of the trailers of the last response, in bytes.
@@ -102,14 +106,46 @@
     pub(crate) async fn open(address: SocketAddr) -> Result<Connection, WireError> {
         let stream = TcpStream::connect(address).await.map_err(WireError::Connect)?;
         configure_stream(&stream).map_err(WireError::Connect)?;
-        Ok(Connection {
-            stream,
+        Ok(Connection::new(Transport::Direct(stream)))
+    }
+
+    /// Uses a channel over which another host has opened a connection.
+    pub(crate) fn over(channel: Channel) -> Connection {
+        Connection::new(Transport::Detour(channel))
+    }
+
+    fn new(transport: Transport) -> Connection {
+        Connection {
+            transport,
             buffer: BytesMut::new(),
             body: BodyState::Done,
             is_reusable: true,
             interim_responses: 0,
             trailer_bytes: 0,
-        })
+        }
+    }
+
+    /// Whether the connection is one of this host and not of another one.
+    pub(crate) fn is_direct(&self) -> bool {
+        matches!(self.transport, Transport::Direct(_))
+    }
+
+    /// Returns the channel of a connection of another host; none if the last response is not complete.
+    pub(crate) fn into_channel(self) -> Option<Channel> {
+        let is_complete = self.body == BodyState::Done && self.buffer.is_empty();
+        match self.transport {
+            Transport::Detour(channel) if is_complete => Some(channel),
+            _ => None,
+        }
+    }
+
+    /// Tells the other host, if the connection is one of its own, what the server says of itself. If that fails, the
+    /// connection is not used for another request.
+    pub(crate) fn pass_on<T: Serialize>(&mut self, notice: &T) -> io::Result<()> {
+        let Transport::Detour(channel) = &self.transport else { return Ok(()) };
+        let written = channel.try_write(FrameKind::Notice, notice);
+        self.is_reusable &= written.is_ok();
+        written
     }
 
     /// Sends a request and reads the head of the next response. If the response begins before the request is completely
@@ -122,8 +158,9 @@
         self.interim_responses = 0;
         let mut bytes = request.head();
         bytes.extend_from_slice(&request.body);
+        let bytes = self.transport.encode(bytes);
         let is_head_request = request.method == "HEAD";
-        let (mut reader, mut writer) = self.stream.split();
+        let (mut reader, mut writer) = self.transport.split();
         let mut written = 0;
         let head = loop {
             if written == bytes.len() {
@@ -136,7 +173,7 @@
                     Ok(count) => written += count,
                     Err(error) => return Err(WireError::Broken(error)),
                 },
-                result = reader.read_buf(&mut self.buffer) => {
+                result = reader.read(&mut self.buffer) => {
                     if result.map_err(WireError::Broken)? == 0 {
                         return Err(WireError::Ended);
                     }
@@ -185,7 +222,7 @@
 
     async fn fill(&mut self) -> Result<(), WireError> {
         self.buffer.reserve(READ_BUFFER_BYTES);
-        match self.stream.read_buf(&mut self.buffer).await {
+        match self.transport.split().0.read(&mut self.buffer).await {
             Ok(0) => Err(WireError::Ended),
             Ok(_) => Ok(()),
             Err(error) => Err(WireError::Broken(error)),
@@ -278,14 +315,10 @@
     /// Whether another request can be sent: the last response was complete, the connection is open and no further bytes
     /// have arrived.
     pub(crate) fn is_idle(&self) -> bool {
-        if !self.is_reusable || self.body != BodyState::Done || !self.buffer.is_empty() {
-            return false;
-        }
-        let mut byte = [0_u8; 1];
-        match self.stream.try_read(&mut byte) {
-            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
-            Ok(_) => false,
-        }
+        self.is_reusable
+            && self.body == BodyState::Done
+            && self.buffer.is_empty()
+            && self.transport.is_quiet()
     }
 }
 
--- a/crates/godwit-gateway/src/wire/error.rs
+++ b/crates/godwit-gateway/src/wire/error.rs
@@ -21,6 +21,9 @@
     /// A server on the path of the request is stalled.
     #[error("a server on the path is stalled")]
     Stalled,
+    /// This host has lost its link to the server, while other hosts reach it.
+    #[error("the link to the server is lost")]
+    LinkLost,
     /// Several servers ended while they ran the request, and it is not moved to another one.
     #[error("the request is quarantined")]
     Quarantined,
--- a/tests/gateway/links.rs
+++ b/tests/gateway/links.rs
@@ -49,21 +49,35 @@
 /// A link from one host to one server, at an address of its own.
 pub(crate) struct Link {
     pub(crate) address: SocketAddr,
-    state: Arc<Mutex<LinkState>>,
+    states: Arc<Mutex<LinkStates>>,
+}
+
+/// State of a link that a test wants, and the one that is in effect.
+struct LinkStates {
+    wanted: LinkState,
+    applied: LinkState,
 }
 
 impl Link {
     pub(crate) fn start(server: SocketAddr) -> Link {
         let address = SocketAddr::from((unused_loopback_address(), server.port()));
-        let state = Arc::new(Mutex::new(LinkState::Sound));
-        let shared = state.clone();
+        let states = LinkStates { wanted: LinkState::Sound, applied: LinkState::Sound };
+        let states = Arc::new(Mutex::new(states));
+        let shared = states.clone();
         let sound = listen(address, BACKLOG);
         std::thread::spawn(move || run_link(address, server, sound, &shared));
-        Link { address, state }
+        Link { address, states }
     }
 
+    /// Changes the state, which takes effect soon.
     pub(crate) fn set(&self, state: LinkState) {
-        *self.state.lock().expect("no panic") = state;
+        self.states.lock().expect("no panic").wanted = state;
+    }
+
+    /// Whether the last change has taken effect.
+    pub(crate) fn is_settled(&self) -> bool {
+        let states = self.states.lock().expect("no panic");
+        states.wanted == states.applied
     }
 }
 
@@ -80,13 +94,18 @@
 }
 
 /// Accepts the connections of a link and applies its state, for as long as the process runs.
-fn run_link(address: SocketAddr, server: SocketAddr, sound: TcpListener, state: &Mutex<LinkState>) {
+fn run_link(
+    address: SocketAddr,
+    server: SocketAddr,
+    sound: TcpListener,
+    states: &Mutex<LinkStates>,
+) {
     let mode = Arc::new(Mutex::new(ProxyMode::Forward));
     let mut applied = LinkState::Sound;
     let mut listener = Some(sound);
     let mut filling = Vec::new();
     loop {
-        let wanted = *state.lock().expect("no panic");
+        let wanted = states.lock().expect("no panic").wanted;
         if wanted != applied {
             applied = wanted;
             *mode.lock().expect("no panic") = wanted.connection_mode();
@@ -102,6 +121,7 @@
                     Some(full)
                 }
             };
+            states.lock().expect("no panic").applied = applied;
         }
         let accepted = listener.as_ref().filter(|_| applied == LinkState::Sound);
         match accepted.map(TcpListener::accept) {
--- a/tests/gateway/lost_links.rs
+++ b/tests/gateway/lost_links.rs
@@ -43,28 +43,37 @@
 }
 
 /// Hosts and servers with a link for each pair.
-struct Site {
-    hosts: Vec<Host>,
-    servers: Vec<FakeServer>,
+pub(crate) struct Site {
+    pub(crate) store: FakeStore,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) servers: Vec<FakeServer>,
     /// Links of each host.
     links: Vec<Vec<Link>>,
 }
 
 impl Site {
     fn start() -> Site {
-        let store = FakeStore::start();
-        store.put("config", "main", crate::host::configuration(1));
         let mut servers = Vec::new();
         for index in 0..SERVERS_PER_SERVICE {
             let plain = FakeServer::start(&format!("api-{index}"), &[Behavior::Respond]);
-            store.put("servers", &plain.id, plain.entry("api", None));
             let model = FakeServer::start(&format!("chat-{index}"), &[COMPLETE_STREAM]);
-            store.put("servers", &model.id, model.entry("chat", Some((0, 16))));
             servers.extend([plain, model]);
         }
-        let mut site = Site { hosts: Vec::new(), servers, links: Vec::new() };
+        Site::start_with(servers, HOSTS_PER_DOMAIN)
+    }
+
+    /// Starts hosts in each failure domain before servers of the service `chat` or `api`, as their ids begin.
+    pub(crate) fn start_with(servers: Vec<FakeServer>, hosts_per_domain: usize) -> Site {
+        let store = FakeStore::start();
+        store.put("config", "main", crate::host::configuration(1));
+        for server in &servers {
+            let is_model = server.id.starts_with("chat");
+            let (service, layers) = if is_model { ("chat", Some((0, 16))) } else { ("api", None) };
+            store.put("servers", &server.id, server.entry(service, layers));
+        }
+        let mut site = Site { store, hosts: Vec::new(), servers, links: Vec::new() };
         for domain in DOMAINS {
-            for index in 0..HOSTS_PER_DOMAIN {
+            for index in 0..hosts_per_domain {
                 let links: Vec<Link> =
                     site.servers.iter().map(|server| Link::start(server.address)).collect();
                 let addresses: BTreeMap<_, _> = site
@@ -73,20 +82,27 @@
                     .zip(&links)
                     .map(|(server, link)| (server.id.clone(), link.address))
                     .collect();
-                let store_address = store.with_server_addresses(addresses);
+                let store_address = site.store.with_server_addresses(addresses);
                 let name = format!("front-{domain}-{index}");
-                let host = Host::start_in_domain(store.clone(), store_address, &name, domain);
+                let host = Host::start_in_domain(site.store.clone(), store_address, &name, domain);
                 site.hosts.push(host);
                 site.links.push(links);
             }
         }
         site.hosts.iter().for_each(Host::wait_until_ready);
+        let knows_all = |host: &Host| {
+            let known = format!("hosts_known {}", site.hosts.len());
+            host.metrics().lines().any(|line| line == known)
+        };
+        site.hosts.iter().for_each(|host| host.wait_for("all hosts", || knows_all(host)));
         site
     }
 
-    fn set_links(&self, hosts: &[usize], state: LinkState) {
-        for host in hosts {
-            self.links[*host].iter().for_each(|link| link.set(state));
+    pub(crate) fn set_links(&self, hosts: &[usize], state: LinkState) {
+        let links = || hosts.iter().flat_map(|host| &self.links[*host]);
+        links().for_each(|link| link.set(state));
+        while !links().all(Link::is_settled) {
+            std::thread::sleep(Duration::from_millis(1));
         }
     }
 
@@ -117,7 +133,7 @@
     }
 
     /// Checks that no order has reached servers more than once.
-    fn check_orders_ran_once(&self) {
+    pub(crate) fn check_orders_ran_once(&self) {
         let mut runs: BTreeMap<String, usize> = BTreeMap::new();
         for request in self.servers.iter().flat_map(FakeServer::requests) {
             if request.start_line.contains("/order/") {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod crashes;
+mod detours;
 mod endless;
 mod fleet;
 mod host;
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use socket2::SockRef;
 
 use crate::http::{Listener, Message, write_response};
 
@@ -60,6 +61,8 @@
     CloseWithoutResponse,
     /// A response to another request precedes the response.
     StrayResponseFirst,
+    /// A response without a length, whose connection ends after a pause, closed or reset.
+    UntilClose { pause: Duration, is_reset: bool },
     /// The connection closes before the body has its announced length.
     TruncateBody,
     /// A stream up to the event numbered `events`; if not complete, the connection closes in the middle of this event.
@@ -418,6 +421,18 @@
             write_response(stream, 200, &stray_headers, b"of another")
                 && write_response(stream, 200, &stamp_headers, name.as_bytes())
         }
+        Behavior::UntilClose { pause, is_reset } => {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nconnection: close\r\ngodwitdeal-request-id: {id}\r\n\
+                 godwitdeal-response-stamp: {name}\r\n\r\n{name}"
+            );
+            let _ = stream.write_all(head.as_bytes());
+            std::thread::sleep(pause);
+            if is_reset {
+                let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            }
+            false
+        }
         Behavior::TruncateBody => {
             let head = format!(
                 "HTTP/1.1 200 OK\r\ncontent-length: 100\r\ngodwitdeal-request-id: {id}\r\n\
--- a/tests/gateway/soak/proxy.rs
+++ b/tests/gateway/soak/proxy.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -72,19 +73,29 @@
     mode: &Arc<Mutex<ProxyMode>>,
 ) {
     let (mode, mode_copy) = (mode.clone(), mode.clone());
+    let is_reset = Arc::new(AtomicBool::new(false));
+    let is_reset_copy = is_reset.clone();
     let pair = client.try_clone().and_then(|client| Ok((client, upstream.try_clone()?)));
     let Ok((client_copy, upstream_copy)) = pair else { return };
-    std::thread::spawn(move || forward(client, upstream, &mode, true));
-    std::thread::spawn(move || forward(upstream_copy, client_copy, &mode_copy, false));
+    std::thread::spawn(move || forward(client, upstream, &mode, &is_reset, true));
+    std::thread::spawn(move || {
+        forward(upstream_copy, client_copy, &mode_copy, &is_reset_copy, false)
+    });
 }
 
-/// Forwards one direction of a connection until it ends or is reset.
-fn forward(mut from: TcpStream, mut to: TcpStream, mode: &Mutex<ProxyMode>, is_request: bool) {
+/// Forwards one direction of a connection until it ends or is reset, by its peer or the proxy. A reset is passed on.
+fn forward(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    mode: &Mutex<ProxyMode>,
+    is_reset: &AtomicBool,
+    is_request: bool,
+) {
     let current = || *mode.lock().expect("no panic");
     let mut buffer = [0; 16 * 1024];
     let _ = from.set_read_timeout(Some(HOLD_POLL_INTERVAL));
     loop {
-        if current() == ProxyMode::Reset {
+        if current() == ProxyMode::Reset || is_reset.load(Ordering::Relaxed) {
             // With a linger time of 0, closing the socket resets the connection.
             let _ = SockRef::from(&from).set_linger(Some(Duration::ZERO));
             let _ = SockRef::from(&to).set_linger(Some(Duration::ZERO));
@@ -94,7 +105,10 @@
             Ok(0) => break,
             Ok(count) => count,
             Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => continue,
-            Err(_) => break,
+            Err(_) => {
+                is_reset.store(true, Ordering::Relaxed);
+                continue;
+            }
         };
         while current().holds(is_request) {
             std::thread::sleep(HOLD_POLL_INTERVAL);
