Replace servers that end after the last fault of a soak

Soak seed 2015 failed once: host 2 did not serve version 15 again in 15 s. Trace: its schedule was over at about 15:24:36.3; requests that end servers were still sent, ended two of the three plain servers at 36.4 and 36.8, and nobody replaced them. The third one named a limit of 0.4 requests a second, so that 892 of 907 probes were refused with server_limit.

Callers now send no such requests once the faults are over, and servers that the last ones end are replaced before the hosts have to serve again.

--- a/tests/gateway/soak/invariants.rs
+++ b/tests/gateway/soak/invariants.rs
@@ -19,7 +19,7 @@
 const MAX_SERVERS_PER_REQUEST: usize = 2;
 
 /// Longest time between the arrival of a request that ends its server and the end.
-const MAX_RUN_TO_END: Duration = Duration::from_millis(500);
+pub(super) const MAX_RUN_TO_END: Duration = Duration::from_millis(500);
 
 /// Runs by request id, each with the id of the server and the behavior of its response. Refusals as not run are left
 /// out.
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -22,7 +22,7 @@
 use callers::{Caller, RequestKind, RequestRecord};
 use cluster::{Cluster, HOSTS, HostDirectory, version_prefix};
 use faults::FaultSchedule;
-use invariants::{Runs, find_late_sends, find_violations};
+use invariants::{MAX_RUN_TO_END, Runs, find_late_sends, find_violations};
 use limits::{find_excess, name_limits};
 pub(crate) use proxy::{Proxy, ProxyMode, proxy_connection};
 
@@ -30,11 +30,12 @@
 use crate::server::{END_SERVER, END_SERVER_IN_STREAM};
 
 /// Seeds of every test run: the first of each scenario, and those that once failed, with the cause.
-const SEEDS: [u64; 6] = [
+const SEEDS: [u64; 7] = [
     0, 1, 2,
     // A fake server that was resumed after the event at which it truncates ended its response as complete (4, 22); a host
-    // of another seed took over the port of one that had ended (1031).
-    4, 22, 1031,
+    // of another seed took over the port of one that had ended (1031); servers that ended after the last fault were not
+    // replaced (2015).
+    4, 22, 1031, 2015,
 ];
 
 /// Number of seeds that run at the same time.
@@ -90,6 +91,8 @@
     violations: Mutex<Vec<String>>,
     /// Newest version of the configuration in the store.
     version: AtomicU64,
+    /// Whether no more requests that end servers may be sent, as servers are soon no longer replaced.
+    spares_servers: AtomicBool,
     is_finished: AtomicBool,
 }
 
@@ -129,6 +132,9 @@
         };
         let id = format!("soak-{}-{number}-{request}", traffic.seed);
         let kind = draw_request_kind(&mut random, Scenario::of(traffic.seed));
+        if kind.ends_servers() && traffic.spares_servers.load(Ordering::Relaxed) {
+            continue;
+        }
         let record = caller.send(host, address, id, kind);
         if record.response.is_none() {
             host = (host + 1) % HOSTS.len();
@@ -224,6 +230,12 @@
             std::thread::sleep(REQUEST_PAUSE);
         }
     }
+    traffic.spares_servers.store(true, Ordering::Relaxed);
+    let last_end = Instant::now() + MAX_RUN_TO_END;
+    while Instant::now() < last_end {
+        schedule.advance(cluster);
+        std::thread::sleep(REQUEST_PAUSE);
+    }
     schedule.finish_pending(cluster);
     *traffic.directory.lock().expect("no panic") = cluster.directory();
 }
@@ -254,6 +266,7 @@
         records: Mutex::default(),
         violations: Mutex::default(),
         version: AtomicU64::new(cluster.version),
+        spares_servers: AtomicBool::new(false),
         is_finished: AtomicBool::new(false),
     };
     println!("soak seed {seed}, logs of hosts by port of the store: {}", cluster.store_ports());
