Show that servers that shed get nothing in the time that they name

Tests of that shape for calls and streams, and a check of the soak for servers that name 2 s at random, beside faults.

--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use crate::host::Host;
+use crate::host::{API_KEY, Host, caller_headers, configuration};
+use crate::http::call;
 use crate::server::{Behavior, FakeServer};
+use crate::store::FakeStore;
 
 const LEAVING: (&str, &str) = ("Server-Leaving", "1");
 
@@ -78,6 +80,45 @@
     });
 }
 
+/// A time for which a server wanted no requests of a host, and those that it got in it.
+pub(crate) struct HoldOff {
+    pub(crate) host: usize,
+    pub(crate) asked_at: Instant,
+    pub(crate) arrivals: Vec<Instant>,
+}
+
+impl HoldOff {
+    /// Whether the server got more requests than may have been under way.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.arrivals.len() > MAX_HELD_OFF
+    }
+}
+
+/// Returns all times for which a server wanted no requests of a host. `host_of` returns the host of a request by its id.
+pub(crate) fn hold_offs(
+    server: &FakeServer,
+    host_of: impl Fn(&str) -> Option<usize>,
+) -> Vec<HoldOff> {
+    let arrivals: Vec<(Instant, usize, Behavior)> = server
+        .handled()
+        .iter()
+        .filter_map(|handled| {
+            let id = handled.request.header("godwitdeal-request-id").unwrap_or_default();
+            Some((handled.received_at, host_of(id)?, handled.behavior))
+        })
+        .collect();
+    let mut hold_offs = Vec::new();
+    for (asked_at, host, behavior) in &arrivals {
+        let Behavior::RejectFor(seconds) = behavior else { continue };
+        let from = *asked_at + HOLD_OFF_GRACE;
+        let until = *asked_at + Duration::from_secs(*seconds);
+        let of_host = arrivals.iter().filter(|(_, other, _)| other == host);
+        let times = of_host.map(|(at, _, _)| *at).filter(|at| *at > from && *at < until);
+        hold_offs.push(HoldOff { host: *host, asked_at: *asked_at, arrivals: times.collect() });
+    }
+    hold_offs
+}
+
 /// Number of requests that may reach a server later than [`HOLD_OFF_GRACE`] after it has asked for none for a time.
 const MAX_HELD_OFF: usize = 2;
 const HOLD_OFF_GRACE: Duration = Duration::from_millis(500);
@@ -147,3 +188,63 @@
     let is_served = || host.call("GET", "/read/1", b"").is_ok_and(|it| it.status() == 200);
     assert!((0..REQUESTS).all(|_| is_served()));
 }
+
+/// Number of hosts before servers that shed, and the time for which their callers send.
+const SHEDDING_HOSTS: usize = 3;
+const SHEDDING_TIME: Duration = Duration::from_secs(6);
+
+/// Two of three servers refuse everything, and say so with a time to one request of several; the third one serves.
+fn check_shedding(service: &str, served: Behavior, method: &'static str, path: &'static str) {
+    let shed = [Behavior::RejectFor(3), Behavior::RejectNotRun, Behavior::RejectNotRun];
+    let behaviors = shed.repeat(400);
+    let layers = (service == "chat").then_some((0, 16));
+    let servers = [&behaviors[..], &behaviors[..], &[served]];
+    let servers: Vec<FakeServer> = (0..)
+        .zip(servers)
+        .map(|(index, behaviors)| FakeServer::start(&format!("s-{index}"), behaviors))
+        .collect();
+    let store = FakeStore::start();
+    store.put("config", "main", configuration(1));
+    for server in &servers {
+        store.put("servers", &server.id, server.entry(service, layers));
+    }
+    let hosts: Vec<Host> = (0..SHEDDING_HOSTS)
+        .map(|index| Host::start_with_name(store.clone(), &format!("front-hall-a-{index}")))
+        .collect();
+    hosts.iter().for_each(Host::wait_until_ready);
+    let until = Instant::now() + SHEDDING_TIME;
+    std::thread::scope(|scope| {
+        for (index, host) in hosts.iter().enumerate() {
+            scope.spawn(move || {
+                for number in 0.. {
+                    if Instant::now() > until {
+                        return;
+                    }
+                    let id = format!("{index}/{number}");
+                    let key = format!("Bearer {API_KEY}");
+                    let headers = caller_headers(&id, &[("authorization", key.as_str())]);
+                    let answer = call(host.caller_address(), method, path, &headers, b"");
+                    assert_eq!(answer.expect("answered").status(), 200, "{id}");
+                    std::thread::sleep(Duration::from_millis(30));
+                }
+            });
+        }
+    });
+    let host_of = |id: &str| id.split_once('/')?.0.parse().ok();
+    let all = servers.iter().flat_map(|server| hold_offs(server, host_of));
+    let counts: Vec<usize> = all.map(|hold_off| hold_off.arrivals.len()).collect();
+    println!("requests in each time: {counts:?}");
+    assert!(counts.len() >= 2 * SHEDDING_HOSTS, "the servers named a time {} times", counts.len());
+    assert!(counts.iter().all(|count| *count <= MAX_HELD_OFF), "{counts:?}");
+}
+
+#[test]
+fn servers_that_shed_get_no_call_in_the_time_that_they_name() {
+    check_shedding("api", Behavior::Respond, "POST", "/order/1");
+}
+
+#[test]
+fn servers_that_shed_get_no_stream_in_the_time_that_they_name() {
+    let stream = Behavior::Stream { events: 3, is_complete: true };
+    check_shedding("chat", stream, "POST", "/chat/1");
+}
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -57,6 +57,8 @@
     Status(u16),
     /// A refusal that states that the request did not run, as a full server sends it.
     RejectNotRun,
+    /// The same, with a time in seconds for which the server wants no requests of the host.
+    RejectFor(u64),
     /// The connection closes without a response.
     CloseWithoutResponse,
     /// A response to another request precedes the response.
@@ -188,6 +190,13 @@
     control: Arc<Mutex<ControlState>>,
 }
 
+impl Behavior {
+    /// Whether the response states that the request did not run.
+    pub(crate) fn is_not_run(self) -> bool {
+        matches!(self, Behavior::RejectNotRun | Behavior::RejectFor(_))
+    }
+}
+
 impl FakeServer {
     /// Starts a server that responds to the n-th request with the n-th behavior, and to all later ones with the last.
     pub(crate) fn start(id: &str, behaviors: &[Behavior]) -> FakeServer {
@@ -413,6 +422,13 @@
             headers.extend(limit_headers);
             write_response(stream, 503, &headers, b"")
         }
+        Behavior::RejectFor(seconds) => {
+            let seconds = seconds.to_string();
+            let mut headers = vec![("Godwitdeal-Request-Id", id), ("Godwitdeal-Not-Executed", "1")];
+            headers.push(("Retry-After", &seconds));
+            headers.extend(limit_headers);
+            write_response(stream, 503, &headers, b"")
+        }
         Behavior::CloseWithoutResponse => false,
         Behavior::Endless(kind) => send_endless(kind, id, name, stream),
         Behavior::StrayResponseFirst => {
--- a/tests/gateway/soak/cluster.rs
+++ b/tests/gateway/soak/cluster.rs
@@ -24,6 +24,10 @@
 /// Share of faulty behaviors if faults are injected.
 const FAULTY_BEHAVIOR_SHARE: f64 = 0.08;
 
+/// Number of refusals of which one names a time for which the server wants no requests, and that time in seconds.
+const REFUSALS_PER_HOLD_OFF: usize = 4;
+pub(super) const HOLD_OFF_S: u64 = 2;
+
 /// Returns the path prefix that only one version of the configuration has.
 pub(super) fn version_prefix(version: u64) -> String {
     format!("/version-{version}/")
@@ -92,7 +96,12 @@
         let is_faulty = random.random_bool(share);
         if is_faulty { faulty[random.random_range(0..faulty.len())] } else { regular }
     };
-    (0..BEHAVIOR_COUNT).map(|_| draw()).collect()
+    let mut behaviors: Vec<Behavior> = (0..BEHAVIOR_COUNT).map(|_| draw()).collect();
+    let refusals = behaviors.iter_mut().filter(|behavior| **behavior == Behavior::RejectNotRun);
+    for refusal in refusals.skip(1).step_by(REFUSALS_PER_HOLD_OFF) {
+        *refusal = Behavior::RejectFor(HOLD_OFF_S);
+    }
+    behaviors
 }
 
 impl Cluster {
--- a/tests/gateway/soak/invariants.rs
+++ b/tests/gateway/soak/invariants.rs
@@ -4,8 +4,10 @@
 use std::time::{Duration, Instant};
 
 use super::callers::{RequestKind, RequestRecord};
+use super::cluster::HOLD_OFF_S;
 use crate::crashes::{CONTACT_WINDOW, MAX_ENDED_SERVERS, MAX_LATE_SENDS};
 use crate::http::Message;
+use crate::notices::hold_offs;
 use crate::prompt_parts::MAX_ENDED_SERVERS as MAX_ENDED_SERVERS_OF_PART;
 use crate::server::{Behavior, DEADLY_PART, FakeServer, PROMPT_PARTS_HEADER};
 
@@ -30,7 +32,7 @@
         let mut runs: BTreeMap<String, Vec<(String, Behavior)>> = BTreeMap::new();
         for server in servers {
             for handled in server.handled() {
-                if handled.behavior != Behavior::RejectNotRun {
+                if !handled.behavior.is_not_run() {
                     let id = handled.request.header("godwitdeal-request-id").unwrap_or_default();
                     let run = (server.id.clone(), handled.behavior);
                     runs.entry(id.to_string()).or_default().push(run);
@@ -227,6 +229,33 @@
     violations
 }
 
+/// Returns a violation for each time for which a server wanted no requests of a host and got some. Hosts that were
+/// disturbed in that time are left out.
+pub(super) fn find_held_off_sends(
+    records: &[RequestRecord],
+    servers: &[FakeServer],
+    disturbed_hosts: &[(usize, Instant, Instant)],
+) -> Vec<String> {
+    let host_of: BTreeMap<&str, usize> =
+        records.iter().map(|record| (record.id.as_str(), record.host)).collect();
+    let mut violations = Vec::new();
+    for server in servers {
+        let broken = hold_offs(server, |id| host_of.get(id).copied());
+        for hold_off in broken.iter().filter(|hold_off| hold_off.is_broken()) {
+            let until = hold_off.asked_at + Duration::from_secs(HOLD_OFF_S);
+            let is_disturbed = disturbed_hosts.iter().any(|(host, from, to)| {
+                *host == hold_off.host && *from <= until && *to >= hold_off.asked_at
+            });
+            if !is_disturbed {
+                let (id, count) = (&server.id, hold_off.arrivals.len());
+                let host = hold_off.host;
+                violations.push(format!("{id} wanted nothing of host {host} and got {count}"));
+            }
+        }
+    }
+    violations
+}
+
 /// Returns all violations, each with its request.
 pub(super) fn find_violations(
     records: &[RequestRecord],
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -22,7 +22,7 @@
 use callers::{Caller, RequestKind, RequestRecord};
 use cluster::{Cluster, HOSTS, HostDirectory, version_prefix};
 use faults::FaultSchedule;
-use invariants::{MAX_RUN_TO_END, Runs, find_late_sends, find_violations};
+use invariants::{MAX_RUN_TO_END, Runs, find_held_off_sends, find_late_sends, find_violations};
 use limits::{find_excess, name_limits};
 pub(crate) use proxy::{Proxy, ProxyMode, proxy_connection};
 
@@ -292,6 +292,7 @@
     }
     violations.extend(find_excess(&limited, &records, &disturbed_hosts));
     violations.extend(find_late_sends(&records, &cluster.all_servers, &disturbed_hosts));
+    violations.extend(find_held_off_sends(&records, &cluster.all_servers, &disturbed_hosts));
     violations
 }
 
