Give each listener of the gateway tests an address of its own

A test failed once: its fake store was written something that is no JSON. The bytes begin like the body that the crash tests send, and all fake servers and stores listened on 127.0.0.1, so that a store could get the port of a server that had ended, which hosts of another test still tried.

--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -27,6 +27,9 @@
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
+/// Number of the next loopback address.
+static NEXT_ADDRESS: AtomicU64 = AtomicU64::new(1);
+
 /// Directory of the logs of the soak, if the variable `GATEWAY_LOGS` names no other.
 static SOAK_LOGS: OnceLock<PathBuf> = OnceLock::new();
 
@@ -75,19 +78,14 @@
     pub(crate) store: FakeStore,
 }
 
-/// Returns a loopback address of its own for the process with a number, so that no other process can take over the port of
-/// one that has ended while callers still know it.
-fn loopback_address(number: u64) -> Ipv4Addr {
-    let [.., high, low] = number.to_be_bytes();
+/// Returns a loopback address that nothing else in the tests uses, so that no other process or listener can take over
+/// the port of one that has ended while others still know it.
+pub(crate) fn unused_loopback_address() -> Ipv4Addr {
+    let [.., high, low] = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed).to_be_bytes();
     let test_process = 1 + (std::process::id() % 254) as u8;
     Ipv4Addr::new(127, test_process, high, low)
 }
 
-/// Returns a loopback address that no process of the tests uses.
-pub(crate) fn unused_loopback_address() -> Ipv4Addr {
-    loopback_address(NEXT_ID.fetch_add(1, Ordering::Relaxed))
-}
-
 fn settings(
     ip_address: Ipv4Addr,
     store_address: SocketAddr,
@@ -209,7 +207,8 @@
         let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
         let file_name = format!("godwit-gateway-{}-{number}.toml", std::process::id());
         let settings_path = std::env::temp_dir().join(file_name);
-        let settings = settings(loopback_address(number), store_address, host_name, failure_domain);
+        let settings =
+            settings(unused_loopback_address(), store_address, host_name, failure_domain);
         std::fs::write(&settings_path, settings).expect("the temporary directory is writable");
         let mut child = Command::new(env!("CARGO_BIN_EXE_godwitdeal"))
             .arg("gateway")
--- a/tests/gateway/http.rs
+++ b/tests/gateway/http.rs
@@ -7,6 +7,8 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use crate::host::unused_loopback_address;
+
 /// Timeout of each step; a step that exceeds it fails the test.
 pub(crate) const STEP_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -170,7 +172,7 @@
     pub(crate) fn start(
         serve: impl Fn(&Message, &mut TcpStream) -> bool + Send + Sync + 'static,
     ) -> Listener {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let listener = TcpListener::bind((unused_loopback_address(), 0)).expect("a port is free");
         let address = listener.local_addr().expect("a bound listener has an address");
         let serve = Arc::new(serve);
         let connections: Arc<Mutex<Connections>> = Arc::default();
