Log what a host takes over from the findings of others

When the hosts with sound links refused requests beside cut ones, their logs did not tell why: stalls and partitions that came by gossip left no line. One line is logged when such a report changes what a host believes, with its source.

--- a/crates/godwit-core/src/site/findings.rs
+++ b/crates/godwit-core/src/site/findings.rs
@@ -175,13 +175,15 @@
         reports.filter(|report| report.for_ms > 0).collect()
     }
 
-    /// Merges a partition that another host reported; the later end applies.
-    pub fn merge_partition(&mut self, report: &PartitionReport, now: SteadyMs) {
+    /// Merges a partition that another host reported; the later end applies. Returns whether the link was in use before.
+    pub fn merge_partition(&mut self, report: &PartitionReport, now: SteadyMs) -> bool {
         let [one, other] = &report.domains;
         let until = now.plus_ms(report.for_ms.min(MAX_PARTITION_MS));
         let partition = self.partitions.entry(Link::new(one, other)).or_default();
+        let was_used = partition.until.is_past(now);
         partition.until = until.max(partition.until);
         partition.duration_ms = partition.duration_ms.max(PARTITION_MS);
+        was_used && !partition.until.is_past(now)
     }
 
     /// Records the slowdown that a server reported, as a factor relative to its kind of accelerator.
@@ -235,9 +237,10 @@
     }
 
     /// Merges the findings about a server that another host reported. Keeps the later end of each finding and the later
-    /// examination.
-    pub fn merge_finding(&mut self, report: &FindingReport, now: SteadyMs) {
+    /// examination. Returns whether the server did not count as stalling before, and does now.
+    pub fn merge_finding(&mut self, report: &FindingReport, now: SteadyMs) -> bool {
         let finding = self.by_server.entry(report.server_id.clone()).or_default();
+        let was_used = finding.stalls_until.is_past(now);
         let stalls_until = now.plus_ms(report.stalls_for_ms.min(STALL_MS));
         finding.stalls_until = finding.stalls_until.max(stalls_until);
         let slow_until = now.plus_ms(report.slow_for_ms.min(SLOW_MS));
@@ -247,6 +250,7 @@
         }
         let examined_at = SteadyMs(now.0.saturating_sub(report.examined_ago_ms));
         finding.examined_at = finding.examined_at.max(examined_at);
+        was_used && !finding.stalls_until.is_past(now)
     }
 
     /// Discards the findings about a server that was removed or restarted.
--- a/crates/godwit-core/tests/site/findings.rs
+++ b/crates/godwit-core/tests/site/findings.rs
@@ -10,7 +10,8 @@
     let mut peer = Findings::new();
     host.record_stall("s-1", SteadyMs(1_000));
     for report in host.finding_reports(SteadyMs(1_200)) {
-        peer.merge_finding(&report, SteadyMs(50));
+        assert!(peer.merge_finding(&report, SteadyMs(50)), "the peer did not know");
+        assert!(!peer.merge_finding(&report, SteadyMs(50)), "it knows now");
     }
     assert!(peer.stalling_servers(SteadyMs(60)).contains("s-1"));
     assert!(
@@ -26,8 +27,12 @@
     host.record_stall("s-1", SteadyMs(0));
     for round in 1..40 {
         let now = SteadyMs(round * 200);
-        host.finding_reports(now).iter().for_each(|report| peer.merge_finding(report, now));
-        peer.finding_reports(now).iter().for_each(|report| host.merge_finding(report, now));
+        for report in host.finding_reports(now) {
+            peer.merge_finding(&report, now);
+        }
+        for report in peer.finding_reports(now) {
+            host.merge_finding(&report, now);
+        }
     }
     assert!(host.stalling_servers(SteadyMs(8_000)).is_empty());
 }
@@ -99,9 +104,10 @@
     let mut host = Findings::new();
     let mut peer = Findings::new();
     host.record_partition("a", "b", SteadyMs(1_000));
-    host.partition_reports(SteadyMs(1_500))
-        .iter()
-        .for_each(|report| peer.merge_partition(report, SteadyMs(80)));
+    for report in host.partition_reports(SteadyMs(1_500)) {
+        assert!(peer.merge_partition(&report, SteadyMs(80)), "the peer did not know");
+        assert!(!peer.merge_partition(&report, SteadyMs(80)), "it knows now");
+    }
     assert!(!peer.is_reachable("a", "b", SteadyMs(1_079)));
     assert!(peer.is_reachable("a", "b", SteadyMs(1_080)));
 }
--- a/crates/godwit-gateway/src/gossip.rs
+++ b/crates/godwit-gateway/src/gossip.rs
@@ -288,13 +288,23 @@
             freshness.entry(kind).or_default().record_peer_version(revision, now);
         }
         for finding in message.findings {
-            self.site.findings.borrow_mut().merge_finding(&finding.into(), now);
+            let report = FindingReport::from(finding);
+            if site.findings.borrow_mut().merge_finding(&report, now) {
+                let FindingReport { server_id, stalls_for_ms, .. } = report;
+                info!(
+                    event = "stall_reported",
+                    server = server_id,
+                    from = message.host,
+                    stalls_for_ms
+                );
+            }
         }
         for DomainPartition { domains, for_ms } in message.partitions {
-            self.site
-                .findings
-                .borrow_mut()
-                .merge_partition(&PartitionReport { domains, for_ms }, now);
+            let report = PartitionReport { domains, for_ms };
+            if site.findings.borrow_mut().merge_partition(&report, now) {
+                let domains = report.domains.join(",");
+                info!(event = "partition_reported", domains, from = message.host, for_ms);
+            }
         }
         let new_ends = site.crashes.borrow_mut().merge(&message.crashes, &message.host, now);
         for incarnation in new_ends {
