Refuse promptly while no host reaches a server

With all six hosts cut, requests waited 87 ms in the middle (up to 2.4 s) until a refusal, and 2 s after the links were back hosts served 506 of 587 calls and 73 of 199 streams: each server had been ejected again and again, for up to 6 s, although nobody could tell whose fault it was.

Cause: a connection that fails, and of which no other host can tell anything, counted against its server. If all connections were refused, all servers may have ended and the next may start at any time; requests then wait as for a busy server.

--- a/crates/godwit-core/src/site/detour_hosts.rs
+++ b/crates/godwit-core/src/site/detour_hosts.rs
@@ -15,7 +15,7 @@
 const MAX_EXAMINED: usize = 16;
 
 /// Time for which a host that was of no use is skipped, in milliseconds.
-const SKIP_MS: u64 = 1_000;
+const SKIP_MS: u64 = 300;
 
 /// The other hosts, and which of them have been of use.
 #[derive(Debug, Default)]
--- a/crates/godwit-core/src/site/mod.rs
+++ b/crates/godwit-core/src/site/mod.rs
@@ -45,5 +45,5 @@
 pub use server::{BackendServer, LayerRange, ServerState};
 pub use server_choice::choose_server;
 pub use server_limit::{MAX_LIMITS, Permission, ServerLimits};
-pub use server_links::{LinkChange, ServerLinks};
+pub use server_links::{LinkChange, Reach, ServerLinks};
 pub use stall_threshold::{event_gap_stall_threshold_ms, first_event_stall_threshold_ms};
--- a/crates/godwit-core/tests/site/detour_hosts.rs
+++ b/crates/godwit-core/tests/site/detour_hosts.rs
@@ -6,7 +6,7 @@
 use godwit_core::site::{DetourHosts, PeerHost};
 
 /// Time for which a host that was of no use is skipped, in milliseconds.
-const SKIP_MS: u64 = 1_000;
+const SKIP_MS: u64 = 300;
 
 fn hosts(count: usize) -> DetourHosts {
     let host = |index: usize| PeerHost {
--- a/crates/godwit-gateway/src/detour/open.rs
+++ b/crates/godwit-gateway/src/detour/open.rs
@@ -70,7 +70,7 @@
 }
 
 /// Why no other host has opened a connection.
-enum DetourError {
+pub(super) enum DetourError {
     /// Hosts whose links work do not reach the server.
     Unreachable {
         is_refused: bool,
@@ -80,6 +80,11 @@
     Unknown,
 }
 
+/// Whether nothing listens at the address of a server.
+pub(super) fn is_refused(error: &WireError) -> bool {
+    matches!(error, WireError::Connect(error) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
 fn connect_error(kind: ErrorKind) -> WireError {
     WireError::Connect(kind.into())
 }
@@ -102,6 +107,14 @@
     site: &Site,
     target: ServerTarget<'_>,
 ) -> Result<Connection, OpenError> {
+    let opened = open_either_way(site, target).await;
+    if let Err(OpenError::Unreachable { is_confirmed: false, error }) = &opened {
+        site.record_unreached(target.server_id, is_refused(error));
+    }
+    opened
+}
+
+async fn open_either_way(site: &Site, target: ServerTarget<'_>) -> Result<Connection, OpenError> {
     let open_directly = || open_directly(site, target, CONNECT_TIMEOUT);
     if site.detour_hosts.borrow().is_empty() {
         let opened = open_directly().await;
@@ -157,7 +170,7 @@
 }
 
 /// Opens a connection to a server through another host.
-async fn open_detour(
+pub(super) async fn open_detour(
     site: &Site,
     target: ServerTarget<'_>,
     needs_new: bool,
--- a/crates/godwit-gateway/src/detour/serve.rs
+++ b/crates/godwit-gateway/src/detour/serve.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use godwit_core::SteadyMs;
 use godwit_core::site::ServerState;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
@@ -11,14 +12,12 @@
 use tracing::{debug, info, warn};
 
 use super::messages::{OpenReply, OpenRequest, Release, ServerNotice};
-use super::open::{ServerTarget, open_directly};
+use super::open::{ServerTarget, is_refused, open_directly};
 use super::probe::any_other_server;
 use crate::forward::CounterGuard;
 use crate::listeners::accept;
 use crate::site::Site;
-use crate::wire::{
-    Channel, Connection, FrameKind, WireError, configure_stream, encode_message, relay,
-};
+use crate::wire::{Channel, Connection, FrameKind, configure_stream, encode_message, relay};
 
 /// Time for which a channel may be idle; longer than the other host keeps it.
 const CHANNEL_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -120,14 +119,12 @@
     if !are_links_proven(site, server_id).await {
         return Err(OpenReply::LinksLost);
     }
-    let is_refused =
-        matches!(&error, WireError::Connect(error) if error.kind() == ErrorKind::ConnectionRefused);
-    Err(OpenReply::Unreachable { is_refused })
+    Err(OpenReply::Unreachable { is_refused: is_refused(&error) })
 }
 
 /// Whether a connection to some other server shows that the own links work.
 async fn are_links_proven(site: &Site, server_id: &str) -> bool {
-    let since = godwit_core::SteadyMs(site.now().0.saturating_sub(PROOF_MS));
+    let since = SteadyMs(site.now().0.saturating_sub(PROOF_MS));
     if site.links.borrow().has_opened_since(since) {
         return true;
     }
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -91,7 +91,8 @@
     let server_id = &destination.server_id;
     let (is_at_fault, is_unexplained) = match error {
         OpenError::Unreachable { is_confirmed, .. } => {
-            (*is_confirmed, !is_confirmed && !site.has_lost_link(server_id))
+            let is_reached = site.links.borrow().is_reached_elsewhere(server_id, site.now());
+            (*is_confirmed, !is_confirmed && !is_reached)
         }
         OpenError::HoldsOff => (false, false),
     };
--- a/crates/godwit-gateway/src/forward/server_end.rs
+++ b/crates/godwit-gateway/src/forward/server_end.rs
@@ -79,12 +79,11 @@
         Err(OpenError::Unreachable { error, is_confirmed }) => (error, is_confirmed),
         Err(OpenError::HoldsOff) => return ServerCheck::Running,
     };
+    let is_reached_elsewhere = site.links.borrow().is_reached_elsewhere(server_id, site.now());
     let WireError::Connect(error) = error else { return ServerCheck::Silent };
     match error.kind() {
         // Where no other host can tell, the links of this one may be the cause.
-        ErrorKind::ConnectionRefused if is_confirmed || !site.has_lost_link(server_id) => {
-            ServerCheck::Ended
-        }
+        ErrorKind::ConnectionRefused if is_confirmed || !is_reached_elsewhere => ServerCheck::Ended,
         ErrorKind::ConnectionReset => ServerCheck::Closing,
         _ => ServerCheck::Silent,
     }
--- a/crates/godwit-gateway/src/forward/wait.rs
+++ b/crates/godwit-gateway/src/forward/wait.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use godwit_core::Code;
+use godwit_core::site::Reach;
 use tokio::time::sleep;
 
 use super::admit::AdmittedRequest;
@@ -57,8 +58,12 @@
         admitted.incoming.received.plus_ms(wait_ms).min(admitted.policy.response_deadline);
     let mut queue_guard: Option<CounterGuard> = None;
     loop {
-        let chosen = choose_destination(site, admitted, avoided);
-        if chosen.is_ok() {
+        let reach = site.links.borrow().reach();
+        let chosen = match reach {
+            Reach::Any => choose_destination(site, admitted, avoided),
+            Reach::None | Reach::NoneYet => Err(Code::NoServer),
+        };
+        if chosen.is_ok() || reach == Reach::None {
             return chosen;
         }
         let is_over = queue_deadline.is_past(site.now());
--- a/crates/godwit-gateway/src/replica/apply.rs
+++ b/crates/godwit-gateway/src/replica/apply.rs
@@ -129,9 +129,13 @@
         let mut registry = self.registry.borrow_mut();
         let known = registry.get(&server.id);
         let is_restarted = known.is_some_and(|known| known.was_restarted_as(&server));
+        let is_added = known.is_none() || is_restarted;
         if is_restarted {
             self.forget_server(&server.id);
         }
+        if is_added {
+            self.record_added_server(&server.id);
+        }
         let layers =
             server.layers.map_or_else(String::new, |range| format!("{}-{}", range.from, range.to));
         if !is_listing {
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -104,6 +104,10 @@
     pub(crate) pool: RefCell<ConnectionPool>,
     /// This host's links to the servers.
     pub(crate) links: RefCell<ServerLinks>,
+    /// Servers that were added while all links were lost and have not been tried.
+    pub(crate) added_servers: RefCell<Vec<String>>,
+    /// Notified when a server is to be tried although all links are lost.
+    pub(crate) probe_wanted: Notify,
     /// Time of the last check of a link because a server was silent.
     pub(crate) link_checked_at: Cell<SteadyMs>,
     /// Hosts through which servers can be reached.
@@ -166,6 +170,8 @@
             server_checks: RefCell::new(BTreeMap::new()),
             pool: RefCell::new(ConnectionPool::new()),
             links: RefCell::default(),
+            added_servers: RefCell::default(),
+            probe_wanted: Notify::new(),
             link_checked_at: Cell::default(),
             detour_hosts: RefCell::default(),
             idle_channels: RefCell::default(),
