Name what a host reaches, and find the host of a request in one place

No change of behaviour. Reach::None read like the absence of a value, and three checks of the soak each built the same map of requests to hosts.

--- a/crates/godwit-core/src/site/server_links.rs
+++ b/crates/godwit-core/src/site/server_links.rs
@@ -41,9 +41,9 @@
     /// Some servers, over its own links or through other hosts.
     Any,
     /// No server, and none is likely to be reached soon.
-    None,
+    Nothing,
     /// No server, but all may have ended, and others may start at any time.
-    NoneYet,
+    NothingYet,
 }
 
 /// How this host failed to reach a server.
@@ -128,7 +128,7 @@
     /// for server in ["s-1", "s-2", "s-3"] {
     ///     links.record_unreached(server, true, SteadyMs(100));
     /// }
-    /// assert_eq!(links.reach(), Reach::NoneYet);
+    /// assert_eq!(links.reach(), Reach::NothingYet);
     /// ```
     pub fn record_unreached(
         &mut self,
@@ -171,8 +171,8 @@
     /// Returns what this host can reach.
     pub fn reach(&self) -> Reach {
         match self.loss {
-            Some(Loss { is_confirmed: false, may_be_ends: true, .. }) => Reach::NoneYet,
-            Some(Loss { is_confirmed: false, .. }) => Reach::None,
+            Some(Loss { is_confirmed: false, may_be_ends: true, .. }) => Reach::NothingYet,
+            Some(Loss { is_confirmed: false, .. }) => Reach::Nothing,
             _ => Reach::Any,
         }
     }
--- a/crates/godwit-core/tests/site/server_links.rs
+++ b/crates/godwit-core/tests/site/server_links.rs
@@ -82,7 +82,7 @@
     let lost = LinkChange::Lost { is_confirmed: false };
     assert_eq!(changes, [None, None, Some(lost)]);
     assert!(!links.is_reached_elsewhere("s-1", SteadyMs(110)), "all servers may have ended");
-    assert_eq!(links.reach(), Reach::NoneYet);
+    assert_eq!(links.reach(), Reach::NothingYet);
 }
 
 #[test]
@@ -92,7 +92,7 @@
         assert_eq!(links.reach(), Reach::Any);
         links.record_unreached(server, is_refused, SteadyMs(100));
     }
-    assert_eq!(links.reach(), Reach::None);
+    assert_eq!(links.reach(), Reach::Nothing);
 }
 
 #[test]
@@ -103,7 +103,7 @@
     }
     assert_eq!(links.reach(), Reach::Any);
     links.record_unreached("s-4", false, SteadyMs(110));
-    assert_eq!(links.reach(), Reach::NoneYet);
+    assert_eq!(links.reach(), Reach::NothingYet);
     links.record_detour("s-4", SteadyMs(120));
     assert_eq!(links.reach(), Reach::Any);
 }
--- a/crates/godwit-gateway/src/forward/wait.rs
+++ b/crates/godwit-gateway/src/forward/wait.rs
@@ -61,9 +61,9 @@
         let reach = site.links.borrow().reach();
         let chosen = match reach {
             Reach::Any => choose_destination(site, admitted, avoided),
-            Reach::None | Reach::NoneYet => Err(Code::NoServer),
+            Reach::Nothing | Reach::NothingYet => Err(Code::NoServer),
         };
-        if chosen.is_ok() || reach == Reach::None {
+        if chosen.is_ok() || reach == Reach::Nothing {
             return chosen;
         }
         let is_over = queue_deadline.is_past(site.now());
--- a/tests/gateway/soak/callers.rs
+++ b/tests/gateway/soak/callers.rs
@@ -1,5 +1,6 @@
 //! Callers that reuse their connection until the host closes it.
 
+use std::collections::BTreeMap;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -102,6 +103,11 @@
     }
 }
 
+/// Returns the index of the host of each request, by its id.
+pub(super) fn hosts_by_request(records: &[RequestRecord]) -> BTreeMap<&str, usize> {
+    records.iter().map(|record| (record.id.as_str(), record.host)).collect()
+}
+
 impl std::fmt::Display for RequestRecord {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(
--- a/tests/gateway/soak/invariants.rs
+++ b/tests/gateway/soak/invariants.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use super::callers::{RequestKind, RequestRecord};
+use super::callers::{RequestKind, RequestRecord, hosts_by_request};
 use super::cluster::HOLD_OFF_S;
 use crate::crashes::{CONTACT_WINDOW, MAX_ENDED_SERVERS, MAX_LATE_SENDS};
 use crate::http::Message;
@@ -186,8 +186,7 @@
     servers: &[FakeServer],
     disturbed_hosts: &[(usize, Instant, Instant)],
 ) -> Vec<String> {
-    let host_of: BTreeMap<&str, usize> =
-        records.iter().map(|record| (record.id.as_str(), record.host)).collect();
+    let host_of = hosts_by_request(records);
     let culprits: BTreeMap<String, Culprit> =
         records.iter().filter_map(|record| Culprit::of(&record.kind)).collect();
     let mut violations = Vec::new();
@@ -236,8 +235,7 @@
     servers: &[FakeServer],
     disturbed_hosts: &[(usize, Instant, Instant)],
 ) -> Vec<String> {
-    let host_of: BTreeMap<&str, usize> =
-        records.iter().map(|record| (record.id.as_str(), record.host)).collect();
+    let host_of = hosts_by_request(records);
     let mut violations = Vec::new();
     for server in servers {
         let broken = hold_offs(server, |id| host_of.get(id).copied());
--- a/tests/gateway/soak/limits.rs
+++ b/tests/gateway/soak/limits.rs
@@ -1,11 +1,11 @@
 //! Servers that name limits during a soak, and the check that all hosts together keep to them.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::callers::hosts_by_request;
 use super::cluster::Cluster;
 use super::{RequestRecord, TrafficState};
 use crate::crashes::CONTACT_WINDOW;
@@ -43,8 +43,7 @@
     records: &[RequestRecord],
     disturbed_hosts: &[(usize, Instant, Instant)],
 ) -> Vec<String> {
-    let host_of: BTreeMap<&str, usize> =
-        records.iter().map(|record| (record.id.as_str(), record.host)).collect();
+    let host_of = hosts_by_request(records);
     let is_disturbed = |host: usize, at: Instant| {
         disturbed_hosts.iter().any(|(index, from, until)| {
             *index == host && *from <= at && at <= *until + CONTACT_WINDOW
