--- a/tests/gateway/soak/faults.rs
+++ b/tests/gateway/soak/faults.rs
@@ -11,6 +11,7 @@
 use super::invariants::FaultWindows;
 use super::proxy::{Proxy, ProxyMode};
 use crate::fleet::{LAPSE_DELAY, RESTART_DELAY};
+use crate::links::LinkState;
 
 /// Maximum time between SIGTERM and the exit of a host; `GracePeriodS` of its settings.
 const STOP_GRACE: Duration = Duration::from_secs(8);
@@ -24,6 +25,8 @@
 /// An action that the schedule runs later.
 enum PendingAction {
     RestoreProxy(Proxy),
+    /// Restores the links of a host.
+    RestoreLinks(usize),
     ResumeHost(usize),
     RestartHost(usize),
     /// Checks that a host has exited after SIGTERM.
@@ -135,6 +138,25 @@
         }
     }
 
+    /// Cuts the links of some hosts to all servers, but not of all hosts.
+    pub(super) fn cut_links(&mut self, cluster: &Cluster) {
+        let state = match self.random.random_range(0..4) {
+            0 => LinkState::Hanging,
+            1 => LinkState::Refusing,
+            2 => LinkState::HangingNew,
+            _ => LinkState::RefusingNew,
+        };
+        let spared = self.random.random_range(0..cluster.hosts.len());
+        let count = self.random.random_range(1..cluster.hosts.len());
+        let duration = self.record_fault();
+        let others = (0..cluster.hosts.len()).filter(|index| *index != spared);
+        for index in others.take(count) {
+            cluster.set_links(index, state);
+            self.record_disturbed_host(index, duration);
+            self.schedule(duration, PendingAction::RestoreLinks(index));
+        }
+    }
+
     /// Injects a random unplanned fault.
     pub(super) fn inject_fault(&mut self, cluster: &mut Cluster) {
         let mode = self.random_mode();
@@ -208,6 +230,7 @@
     fn run_action(&mut self, cluster: &mut Cluster, action: PendingAction) {
         match action {
             PendingAction::RestoreProxy(proxy) => proxy.set(ProxyMode::Forward),
+            PendingAction::RestoreLinks(index) => cluster.set_links(index, LinkState::Sound),
             PendingAction::RemoveServerEntry(id) => cluster.remove_server_entry(&id),
             PendingAction::ReplaceEndedServer(id) => {
                 cluster.replace_ended(&mut self.random, &id);
