Count no failure as later than a connection of the same millisecond

Found by a new stateful model of a host's links: a connection that failed in the millisecond in which another one was opened counted among those in a row after it, so that links could count as lost after two failures.

The model plays connections that succeed, fail, or succeed over another host, and checks when links count as lost, when a loss is confirmed and which servers go over other hosts.

--- a/crates/godwit-core/src/site/server_links.rs
+++ b/crates/godwit-core/src/site/server_links.rs
@@ -181,7 +181,7 @@
     fn unreached_in_a_row(&self, now: SteadyMs) -> impl Iterator<Item = &Unreached> {
         let opened_at = self.opened_at.unwrap_or_default();
         let servers = self.unreached.values();
-        servers.filter(move |server| !server.until.is_past(now) && server.since >= opened_at)
+        servers.filter(move |server| !server.until.is_past(now) && server.since > opened_at)
     }
 
     /// Whether open connections over the own links may be silent: a link does not work, and none is known to since.
--- a/crates/godwit-core/tests/site_model/main.rs
+++ b/crates/godwit-core/tests/site_model/main.rs
@@ -6,6 +6,7 @@
 mod freshness;
 mod registry;
 mod retry;
+mod server_links;
 
 use std::fmt::Debug;
 use std::marker::PhantomData;
