Test answers over a detour that come before the body is sent

A server that answers early and reads on must get nothing but bytes of the body. It does: what is left of a frame when the host ends the request is never passed on.

--- a/tests/gateway/detours.rs
+++ b/tests/gateway/detours.rs
@@ -1,13 +1,15 @@
 //! Requests of a host that reaches servers only through another host.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
+use serde_json::json;
 
-use crate::host::Host;
-use crate::http::{Message, STEP_TIMEOUT};
+use crate::host::{Host, configuration, unused_loopback_address};
+use crate::http::{Message, STEP_TIMEOUT, read_head};
 use crate::links::LinkState;
 use crate::lost_links::Site;
 use crate::server::{Behavior, FakeServer};
@@ -120,6 +122,68 @@
     assert_eq!(events, 200, "each event comes once");
 }
 
+/// Size of a body that is not sent at once, in bytes.
+const LARGE_BODY_BYTES: usize = 24 << 20;
+
+/// Bytes of a body that a server reads before the end of its early answer; fewer than are on the way.
+const MAX_ON_THE_WAY_BYTES: u64 = 4 << 20;
+
+/// Answers each request as soon as its head has arrived, and reads what follows on the connection before and after the
+/// end of its answer. Returns the address, and the bytes that were no part of a body.
+fn start_early_server(id: &'static str) -> (SocketAddr, Arc<Mutex<Vec<u8>>>) {
+    let listener = TcpListener::bind((unused_loopback_address(), 0)).expect("a port is free");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    let foreign: Arc<Mutex<Vec<u8>>> = Arc::default();
+    let shared = foreign.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let foreign = shared.clone();
+            std::thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("it can be cloned"));
+                let Some(head) = read_head(&mut reader) else { return };
+                let request_id = head.header("godwitdeal-request-id").unwrap_or_default();
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\ncontent-length: {}\r\ngodwitdeal-request-id: {request_id}\r\n\
+                     godwitdeal-response-stamp: {id}\r\n\r\n{id}",
+                    id.len()
+                );
+                let (beginning, end) = answer.split_at(answer.len() - 1);
+                let _ = stream.write_all(beginning.as_bytes());
+                std::thread::sleep(ARRIVAL_TIME);
+                // The host no longer sends the body, so that this takes what is on the way.
+                let mut received = Vec::new();
+                let _ = (&mut reader).take(MAX_ON_THE_WAY_BYTES).read_to_end(&mut received);
+                let _ = stream.write_all(end.as_bytes());
+                let _ = reader.read_to_end(&mut received);
+                let mut foreign = foreign.lock().expect("no panic");
+                foreign.extend(received.iter().filter(|byte| **byte != b'x'));
+            });
+        }
+    });
+    (address, foreign)
+}
+
+/// The rest of a body whose answer came early must not be followed by bytes of the channel.
+#[test]
+fn call_over_detour_that_is_answered_early_leaves_no_foreign_bytes() {
+    let (address, foreign) = start_early_server("api-0");
+    let site = start_with_behaviors(&[Behavior::Respond]);
+    let mut large = configuration(2);
+    large["Limits"]["MaxBodyBytes"] = json!(LARGE_BODY_BYTES);
+    site.store.put("config", "main", large);
+    site.lead_links_to(address);
+    let body = vec![b'x'; LARGE_BODY_BYTES];
+    let takes_it =
+        || site.hosts[0].call("POST", "/order/1", &body).is_ok_and(|it| it.status() == 200);
+    site.hosts[0].wait_for("the larger limit", takes_it);
+    for _ in 0..WARM_UP_CALLS {
+        assert!(takes_it());
+    }
+    std::thread::sleep(2 * WORK_TIME);
+    let foreign = foreign.lock().expect("no panic");
+    assert!(foreign.is_empty(), "{} bytes of no body", foreign.len());
+}
+
 /// Returns the number of requests that reached a server while it wanted none.
 fn held_off_requests(server: &FakeServer) -> usize {
     let handled = server.handled();
--- a/tests/gateway/links.rs
+++ b/tests/gateway/links.rs
@@ -49,6 +49,7 @@
 /// A link from one host to one server, at an address of its own.
 pub(crate) struct Link {
     pub(crate) address: SocketAddr,
+    server: Arc<Mutex<SocketAddr>>,
     states: Arc<Mutex<LinkStates>>,
 }
 
@@ -74,8 +75,15 @@
         let states = Arc::new(Mutex::new(states));
         let shared = states.clone();
         let sound = listen(address, BACKLOG);
-        std::thread::spawn(move || run_link(address, server, sound, &shared));
-        Link { address, states }
+        let server = Arc::new(Mutex::new(server));
+        let shared_server = server.clone();
+        std::thread::spawn(move || run_link(address, &shared_server, sound, &shared));
+        Link { address, server, states }
+    }
+
+    /// Lets new connections lead to another server.
+    pub(crate) fn lead_to(&self, server: SocketAddr) {
+        *self.server.lock().expect("no panic") = server;
     }
 
     /// Changes the state, which takes effect soon.
@@ -105,7 +113,7 @@
 /// Accepts the connections of a link and applies its state until the link is dropped.
 fn run_link(
     address: SocketAddr,
-    server: SocketAddr,
+    server: &Mutex<SocketAddr>,
     sound: TcpListener,
     states: &Mutex<LinkStates>,
 ) {
@@ -144,6 +152,7 @@
                 let is_blocking = client.set_nonblocking(false).is_ok();
                 assert!(is_blocking, "an accepted connection can block");
                 // The server may have ended.
+                let server = *server.lock().expect("no panic");
                 if let Ok(upstream) = TcpStream::connect(server) {
                     proxy_connection(client, upstream, &mode);
                 }
--- a/tests/gateway/lost_links.rs
+++ b/tests/gateway/lost_links.rs
@@ -1,6 +1,7 @@
 //! Hosts that have lost their links to backend servers, while callers, the store and the other hosts reach them.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -124,6 +125,11 @@
         }
     }
 
+    /// Lets the links of all hosts to their first server lead to another one.
+    pub(crate) fn lead_links_to(&self, server: SocketAddr) {
+        self.links.iter().for_each(|links| links[0].lead_to(server));
+    }
+
     /// Sends requests to all hosts while `act` runs, and returns those that each host got.
     fn send_during(&self, act: impl FnOnce()) -> Vec<Vec<Sample>> {
         let is_over = Arc::new(AtomicBool::new(false));
