Name a target, probe a link and read a frame in one place each

No change of behaviour. A target without a request was written out seven times, the connection that proves a host's own links repeated the one that probes lost links, frames had two readers, and a buffer size three constants.

--- a/crates/godwit-gateway/src/detour/open.rs
+++ b/crates/godwit-gateway/src/detour/open.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use godwit_core::SteadyMs;
-use godwit_core::site::PeerHost;
+use godwit_core::site::{BackendServer, PeerHost};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tracing::{debug, info};
@@ -46,6 +46,13 @@
     pub(crate) request_id: &'a str,
 }
 
+impl ServerTarget<'_> {
+    /// Returns a server that no request needs.
+    pub(crate) fn of(server: &BackendServer) -> ServerTarget<'_> {
+        ServerTarget { server_id: &server.id, address: server.address, request_id: "" }
+    }
+}
+
 /// Why there is no connection to a server.
 #[derive(Debug)]
 pub(crate) enum OpenError {
--- a/crates/godwit-gateway/src/detour/probe.rs
+++ b/crates/godwit-gateway/src/detour/probe.rs
@@ -48,7 +48,7 @@
         let added = added.iter().filter_map(|id| site.registry.borrow().get(id).cloned());
         let chosen = (0..PROBED_SERVERS).filter_map(|_| any_other_server(&site, ""));
         let servers: Vec<BackendServer> = added.chain(chosen).take(PROBED_SERVERS).collect();
-        join_all(servers.iter().map(|server| probe(&site, server))).await;
+        join_all(servers.iter().map(|server| probe(&site, server, PROBE_TIMEOUT))).await;
         if site.links.borrow().reach() != Reach::Any
             && let Some(server) = servers.first()
         {
@@ -59,18 +59,20 @@
 
 /// Finds out whether another host reaches a server again.
 async fn probe_through_others(site: &Site, server: &BackendServer) {
-    let target = ServerTarget { server_id: &server.id, address: server.address, request_id: "" };
-    if let Ok(connection) = open_detour(site, target, true).await {
+    if let Ok(connection) = open_detour(site, ServerTarget::of(server), true).await {
         site.record_detour(&server.id);
         release_connection(site, &server.id, connection, None);
     }
 }
 
-async fn probe(site: &Site, server: &BackendServer) {
-    let target = ServerTarget { server_id: &server.id, address: server.address, request_id: "" };
-    if let Ok(connection) = open_directly(site, target, PROBE_TIMEOUT).await {
+/// Whether a connection to a server can be opened over the own link. It is kept for requests.
+pub(super) async fn probe(site: &Site, server: &BackendServer, wait: Duration) -> bool {
+    let opened = open_directly(site, ServerTarget::of(server), wait).await;
+    let is_open = opened.is_ok();
+    if let Ok(connection) = opened {
         site.pool.borrow_mut().put(&server.id, connection, None, site.now());
     }
+    is_open
 }
 
 /// Checks the own link to a server that is silent, if nothing has arrived from any server since the request was sent.
@@ -84,9 +86,7 @@
     site.link_checked_at.set(now);
     let (site, server) = (site.clone(), server.clone());
     spawn_local(async move {
-        let target =
-            ServerTarget { server_id: &server.id, address: server.address, request_id: "" };
-        let opened = open_server(&site, target).await;
+        let opened = open_server(&site, ServerTarget::of(&server)).await;
         let outcome = opened.as_ref().map(|connection| connection.is_direct());
         info!(event = "link_checked", server = server.id, ?outcome);
         if let Ok(connection) = opened {
--- a/crates/godwit-gateway/src/detour/serve.rs
+++ b/crates/godwit-gateway/src/detour/serve.rs
@@ -13,7 +13,7 @@
 
 use super::messages::{OpenReply, OpenRequest, Release, ServerNotice};
 use super::open::{ServerTarget, is_refused, open_directly};
-use super::probe::any_other_server;
+use super::probe::{any_other_server, probe};
 use crate::forward::CounterGuard;
 use crate::listeners::accept;
 use crate::site::Site;
@@ -111,8 +111,7 @@
     {
         return Ok(connection);
     }
-    let target = ServerTarget { server_id, address: server.address, request_id: "" };
-    let error = match open_directly(site, target, CONNECT_TIMEOUT).await {
+    let error = match open_directly(site, ServerTarget::of(&server), CONNECT_TIMEOUT).await {
         Ok(connection) => return Ok(connection),
         Err(error) => error,
     };
@@ -129,12 +128,5 @@
         return true;
     }
     let Some(other) = any_other_server(site, server_id) else { return true };
-    let target = ServerTarget { server_id: &other.id, address: other.address, request_id: "" };
-    match open_directly(site, target, PROOF_TIMEOUT).await {
-        Ok(connection) => {
-            site.pool.borrow_mut().put(&other.id, connection, None, site.now());
-            true
-        }
-        Err(_) => false,
-    }
+    probe(site, &other, PROOF_TIMEOUT).await
 }
--- a/crates/godwit-gateway/src/forward/server_end.rs
+++ b/crates/godwit-gateway/src/forward/server_end.rs
@@ -226,8 +226,7 @@
         chosen.into_iter().filter_map(|id| registry.get(id).cloned()).collect()
     };
     let checks = others.iter().map(async |server| {
-        let target =
-            ServerTarget { server_id: &server.id, address: server.address, request_id: "" };
+        let target = ServerTarget::of(server);
         open_server(site, target).await.is_ok()
     });
     let mut is_running = join_all(checks).await.into_iter();
--- a/crates/godwit-gateway/src/server_call.rs
+++ b/crates/godwit-gateway/src/server_call.rs
@@ -51,8 +51,7 @@
     body: Bytes,
     wait: Duration,
 ) -> Result<(u16, Bytes), CallError> {
-    let server_target =
-        ServerTarget { server_id: &server.id, address: server.address, request_id: "" };
+    let server_target = ServerTarget::of(server);
     let connection = open_server(site, server_target).await.map_err(CallError::NotOpened)?;
     let call = exchange(site, server, connection, method, target, body);
     let response = timeout(wait, call).await.unwrap_or(Err(WireError::TimedOut));
--- a/crates/godwit-gateway/src/wire/channel.rs
+++ b/crates/godwit-gateway/src/wire/channel.rs
@@ -8,11 +8,9 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 
+use super::READ_BUFFER_BYTES;
 use super::frames::{FrameDecoder, FrameKind, encode_message};
 
-/// Buffer space reserved for one read, in bytes.
-const READ_BUFFER_BYTES: usize = 8 * 1024;
-
 /// Channel to another host.
 pub(crate) struct Channel {
     /// Name of the other host.
@@ -21,25 +19,6 @@
     decoder: FrameDecoder,
 }
 
-/// Reads the next frame. Can be cancelled without a loss of bytes.
-///
-/// # Errors
-/// When the channel ends, breaks or carries something that is no frame.
-async fn read_frame(
-    reader: &mut ReadHalf<'_>,
-    decoder: &mut FrameDecoder,
-) -> io::Result<(FrameKind, Bytes)> {
-    loop {
-        if let Some(frame) = decoder.next()? {
-            return Ok(frame);
-        }
-        decoder.received.reserve(READ_BUFFER_BYTES);
-        if reader.read_buf(&mut decoder.received).await? == 0 {
-            return Err(ErrorKind::UnexpectedEof.into());
-        }
-    }
-}
-
 impl Channel {
     pub(crate) fn new(host: &str, stream: TcpStream) -> Channel {
         Channel { host: host.to_string(), stream, decoder: FrameDecoder::default() }
@@ -50,7 +29,7 @@
     /// # Errors
     /// When the channel ends, breaks or carries something that is no frame.
     pub(crate) async fn read_frame(&mut self) -> io::Result<(FrameKind, Bytes)> {
-        read_frame(&mut self.stream.split().0, &mut self.decoder).await
+        self.split().0.read_frame().await
     }
 
     /// Writes encoded frames.
@@ -94,8 +73,19 @@
 
 impl ChannelReader<'_> {
     /// Reads the next frame. Can be cancelled without a loss of bytes.
+    ///
+    /// # Errors
+    /// When the channel ends, breaks or carries something that is no frame.
     pub(crate) async fn read_frame(&mut self) -> io::Result<(FrameKind, Bytes)> {
-        read_frame(&mut self.reader, self.decoder).await
+        loop {
+            if let Some(frame) = self.decoder.next()? {
+                return Ok(frame);
+            }
+            self.decoder.received.reserve(READ_BUFFER_BYTES);
+            if self.reader.read_buf(&mut self.decoder.received).await? == 0 {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
+        }
     }
 
     /// Reads bytes of the server. Returns 0 once the server has closed its connection.
--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -10,15 +10,13 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use super::READ_BUFFER_BYTES;
 use super::channel::Channel;
 use super::error::WireError;
 use super::frames::FrameKind;
 use super::reply::{Framing, ReplyHead, take_head};
 use super::transport::Transport;
 
-/// Buffer space reserved for one read, in bytes.
-const READ_BUFFER_BYTES: usize = 8 * 1024;
-
 /// Length above which a line of the chunked coding without an end is rejected, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 1024;
 
--- a/crates/godwit-gateway/src/wire/mod.rs
+++ b/crates/godwit-gateway/src/wire/mod.rs
@@ -17,3 +17,6 @@
 pub(crate) use frames::{FrameKind, encode_message};
 pub(crate) use relay::relay;
 pub(crate) use reply::{ReplyHead, is_connection_header};
+
+/// Buffer space reserved for one read, in bytes.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
--- a/crates/godwit-gateway/src/wire/relay.rs
+++ b/crates/godwit-gateway/src/wire/relay.rs
@@ -5,13 +5,11 @@
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::AsyncWriteExt;
 
+use super::READ_BUFFER_BYTES;
 use super::channel::Channel;
 use super::connection::Connection;
 use super::frames::{FrameKind, encode_data, encode_signal};
 
-/// Buffer space reserved for one read, in bytes.
-const READ_BUFFER_BYTES: usize = 8 * 1024;
-
 /// Passes the bytes of both directions on until the other host releases the connection. Returns the content of the
 /// release. `on_notice` gets the content of each notice of the other host.
 ///
