--- a/tests/gateway/detours.rs
+++ b/tests/gateway/detours.rs
@@ -12,6 +12,7 @@
 use crate::http::{Message, STEP_TIMEOUT, read_head};
 use crate::links::LinkState;
 use crate::lost_links::Site;
+use crate::notices::{HOLD_OFF, LEAVING, MAX_HELD_OFF, WORK_LATER, held_off_requests};
 use crate::server::{Behavior, FakeServer};
 
 /// Time for which a server works on a request while something happens.
@@ -20,16 +21,6 @@
 /// Time after which a request has reached its server.
 const ARRIVAL_TIME: Duration = Duration::from_millis(300);
 
-/// Time for which a server wants no requests.
-const HOLD_OFF: Duration = Duration::from_secs(3);
-const WORK_LATER: (&str, &str) = ("Retry-After", "3");
-
-/// Time after which requests that reach a server that wants none count, and how many may.
-const HOLD_OFF_GRACE: Duration = Duration::from_millis(500);
-const MAX_HELD_OFF: usize = 2;
-
-const LEAVING: (&str, &str) = ("Server-Leaving", "1");
-
 /// Calls with which the first host finds that its links are lost.
 const WARM_UP_CALLS: usize = 3;
 
@@ -184,14 +175,6 @@
     assert!(foreign.is_empty(), "{} bytes of no body", foreign.len());
 }
 
-/// Returns the number of requests that reached a server while it wanted none.
-fn held_off_requests(server: &FakeServer) -> usize {
-    let handled = server.handled();
-    let asked_at = handled[0].received_at;
-    let times = handled.iter().map(|handled| handled.received_at);
-    times.filter(|at| *at > asked_at + HOLD_OFF_GRACE && *at < asked_at + HOLD_OFF).count()
-}
-
 #[test]
 fn server_that_holds_off_over_detour_gets_no_request_from_either_host() {
     let site = start_with_behaviors(&[Behavior::RejectNotRun, Behavior::Respond]);
--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -7,7 +7,7 @@
 use crate::server::{Behavior, FakeServer};
 use crate::store::FakeStore;
 
-const LEAVING: (&str, &str) = ("Server-Leaving", "1");
+pub(crate) const LEAVING: (&str, &str) = ("Server-Leaving", "1");
 
 /// Time within which a host hears of an entry in the store.
 const ENTRY_TIME: Duration = Duration::from_millis(300);
@@ -120,15 +120,15 @@
 }
 
 /// Number of requests that may reach a server later than [`HOLD_OFF_GRACE`] after it has asked for none for a time.
-const MAX_HELD_OFF: usize = 2;
+pub(crate) const MAX_HELD_OFF: usize = 2;
 const HOLD_OFF_GRACE: Duration = Duration::from_millis(500);
 
 /// Time for which servers ask for no requests.
-const HOLD_OFF: Duration = Duration::from_secs(3);
-const WORK_LATER: (&str, &str) = ("Retry-After", "3");
+pub(crate) const HOLD_OFF: Duration = Duration::from_secs(3);
+pub(crate) const WORK_LATER: (&str, &str) = ("Retry-After", "3");
 
 /// Returns the number of requests that reached a server while it wanted none.
-fn held_off_requests(server: &FakeServer) -> usize {
+pub(crate) fn held_off_requests(server: &FakeServer) -> usize {
     let handled = server.handled();
     let asked_at = handled[0].received_at;
     let times = handled.iter().map(|handled| handled.received_at);
