End the wait of a server of the tests for a body that does not come

The log of such a run: the request was sent, and no response came in its 2.7 s. The server of the test read 4 MB of the body before it sent the end of its answer, but the host stops sending once an answer has begun, and less may be on the way. It now answers when nothing has arrived for 200 ms.

--- a/tests/gateway/detours.rs
+++ b/tests/gateway/detours.rs
@@ -116,8 +116,9 @@
 /// Size of a body that is not sent at once, in bytes.
 const LARGE_BODY_BYTES: usize = 24 << 20;
 
-/// Bytes of a body that a server reads before the end of its early answer; fewer than are on the way.
+/// Bytes of a body that a server reads before the end of its early answer, unless nothing arrives for a time.
 const MAX_ON_THE_WAY_BYTES: u64 = 4 << 20;
+const SILENCE: Duration = Duration::from_millis(200);
 
 /// Answers each request as soon as its head has arrived, and reads what follows on the connection before and after the
 /// end of its answer. Returns the address, and the bytes that were no part of a body.
@@ -143,7 +144,9 @@
                 std::thread::sleep(ARRIVAL_TIME);
                 // The host no longer sends the body, so that this takes what is on the way.
                 let mut received = Vec::new();
+                let _ = stream.set_read_timeout(Some(SILENCE));
                 let _ = (&mut reader).take(MAX_ON_THE_WAY_BYTES).read_to_end(&mut received);
+                let _ = stream.set_read_timeout(None);
                 let _ = stream.write_all(end.as_bytes());
                 let _ = reader.read_to_end(&mut received);
                 let mut foreign = foreign.lock().expect("no panic");
