Test a small service whose servers all end and return together

What callers saw on an earlier landing: a request under which all three servers of a service had ended was sent on when they were back. The tests of bursts had five servers or more that returned one by one, within the contact window. This one has three that stay away for 3.2 s and return at the same moment, and callers that keep asking.

No product code is changed.

--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -5,7 +5,7 @@
 
 use serde_json::json;
 
-use crate::fleet::{FleetPlan, RunningFleet};
+use crate::fleet::{FleetPlan, Replacement, RunningFleet};
 use crate::host::{Host, configuration};
 use crate::http::Message;
 use crate::server::{
@@ -57,17 +57,35 @@
 
 fn plain_fleet() -> FleetPlan {
     let layers = vec![None; 10];
-    FleetPlan { service: "api", layers, behavior: Behavior::Respond, keeps_listening: false }
+    FleetPlan {
+        service: "api",
+        layers,
+        behavior: Behavior::Respond,
+        keeps_listening: false,
+        replacement: Replacement::OneByOne,
+    }
 }
 
 pub(crate) fn model_fleet() -> FleetPlan {
     let layers = vec![Some((0, 16)); 10];
-    FleetPlan { service: "chat", layers, behavior: COMPLETE_STREAM, keeps_listening: false }
+    FleetPlan {
+        service: "chat",
+        layers,
+        behavior: COMPLETE_STREAM,
+        keeps_listening: false,
+        replacement: Replacement::OneByOne,
+    }
 }
 
 fn two_stage_fleet() -> FleetPlan {
     let layers = [vec![Some((0, 8)); 3], vec![Some((8, 16)); 10]].concat();
-    FleetPlan { service: "chat", layers, behavior: COMPLETE_STREAM, keeps_listening: false }
+    FleetPlan {
+        service: "chat",
+        layers,
+        behavior: COMPLETE_STREAM,
+        keeps_listening: false,
+        replacement: Replacement::OneByOne,
+    }
 }
 
 /// A fleet before two hosts that share a store. Each request may be sent to four servers.
@@ -257,6 +275,26 @@
     check_bursts(&plain_fleet(), "GET", &format!("/read/{END_SERVER_AFTER_RUN}"), 8);
 }
 
+/// All servers of a small service end within moments, stay away for longer than the contact window and return together.
+#[test]
+fn call_is_not_sent_on_when_the_servers_that_it_ended_return_together() {
+    let replacement = Replacement::Together;
+    let plan = FleetPlan { layers: vec![None; 3], replacement, ..plain_fleet() };
+    let mut site = Site::start(&plan);
+    site.hosts.push(site.start_host(THIRD_HOST));
+    site.hosts.iter().for_each(Host::wait_until_ready);
+    let path = format!("/read/{END_SERVER_AFTER_RUN}");
+    std::thread::scope(|scope| {
+        for _ in 0..6 {
+            scope.spawn(|| site.repeat("GET", &path));
+        }
+    });
+    let (ended, late_sends) = (site.fleet.end_times().len(), site.late_sends(&path));
+    println!("{ended} servers ended, {late_sends} late sends");
+    assert!(ended >= MAX_ENDED_SERVERS, "the request ended only {ended} servers");
+    assert!(late_sends <= MAX_LATE_SENDS, "sent {late_sends} times after the third end");
+}
+
 #[test]
 fn stream_that_ends_ten_servers_within_moments_is_not_sent_on_when_they_return() {
     check_bursts(&model_fleet(), "POST", &format!("/chat/{END_SERVER_IN_STREAM}"), 8);
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -14,8 +14,21 @@
 /// Time between the end of a server and the removal of its entry: three heartbeat intervals of the settings.
 pub(crate) const LAPSE_DELAY: Duration = Duration::from_millis(3_600);
 
+/// Time between the end of the last server and the joint start of all of them, for [`Replacement::Together`]. Longer than
+/// the contact window.
+const JOINT_RESTART_DELAY: Duration = Duration::from_millis(3_200);
+
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// When servers start in place of those that have ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Replacement {
+    /// Each by itself, [`RESTART_DELAY`] after its end.
+    OneByOne,
+    /// All that have ended at the same moment, [`JOINT_RESTART_DELAY`] after the last of these ends.
+    Together,
+}
+
 /// Servers of one service, and the layers that each holds.
 #[derive(Clone)]
 pub(crate) struct FleetPlan {
@@ -25,6 +38,7 @@
     /// Whether another process goes on listening at the address of a server that has ended, whose entry is removed at
     /// once.
     pub(crate) keeps_listening: bool,
+    pub(crate) replacement: Replacement,
 }
 
 struct Member {
@@ -59,9 +73,15 @@
     /// Starts the servers that are due in place of those that ended, and removes the entries that have expired.
     fn advance(&mut self, now: Instant) {
         let mut replaced = Vec::new();
+        let unreplaced = self.members.iter().filter(|member| !member.is_replaced);
+        let last_end = unreplaced.filter_map(|member| member.server.ended_at()).max();
         for member in &mut self.members {
             let Some(ended_at) = member.server.ended_at() else { continue };
-            if !member.is_replaced && now >= ended_at + RESTART_DELAY {
+            let restart_at = match self.plan.replacement {
+                Replacement::OneByOne => ended_at + RESTART_DELAY,
+                Replacement::Together => last_end.unwrap_or(ended_at) + JOINT_RESTART_DELAY,
+            };
+            if !member.is_replaced && now >= restart_at {
                 member.is_replaced = true;
                 replaced.push(member.layers);
             }
