--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -132,14 +132,15 @@
         }
     }
 
-    /// Sends the same request to the hosts in turn.
-    fn repeat(&self, method: &str, path: &str) {
+    /// Sends the same request to the hosts in turn, from one of them on.
+    fn repeat(&self, method: &str, path: &str, first_host: usize) {
         let start = Instant::now();
         for number in 0..REPEATS {
             let due = REPEAT_INTERVAL * u32::try_from(number).expect("few repeats");
             std::thread::sleep(due.saturating_sub(start.elapsed()));
             // The connection may break; only the sends to servers count.
-            let _ = self.hosts[number % self.hosts.len()].call(method, path, b"the same body");
+            let host = &self.hosts[(first_host + number) % self.hosts.len()];
+            let _ = host.call(method, path, b"the same body");
         }
     }
 
@@ -157,18 +158,22 @@
         });
     }
 
+    /// Returns the times at which a path was sent to servers.
+    fn send_times(&self, path: &str) -> Vec<Instant> {
+        let servers = self.fleet.all_servers();
+        let handled = servers.iter().flat_map(|server| server.handled());
+        let sent = handled.filter(|handled| handled.request.start_line_part(1) == path);
+        sent.map(|handled| handled.received_at).collect()
+    }
+
     /// Returns the number of times that a path was sent to servers later than [`CONTACT_WINDOW`] after the third server
     /// had ended.
     fn late_sends(&self, path: &str) -> usize {
         let Some(third_end) = self.fleet.end_times().get(MAX_ENDED_SERVERS - 1).copied() else {
             return 0;
         };
-        let servers = self.fleet.all_servers();
-        let handled = servers.iter().flat_map(|server| server.handled());
-        handled
-            .filter(|handled| handled.request.start_line_part(1) == path)
-            .filter(|handled| handled.received_at > third_end + CONTACT_WINDOW)
-            .count()
+        let sent = self.send_times(path);
+        sent.iter().filter(|sent_at| **sent_at > third_end + CONTACT_WINDOW).count()
     }
 
     /// Returns the number of servers that ended later than [`CONTACT_WINDOW`] after the third one.
@@ -196,7 +201,7 @@
 /// Repeats a request that ends servers, and checks how often it is still sent after the third one has ended.
 fn check_repeats(plan: &FleetPlan, method: &str, path: &str) {
     let site = Site::start(plan);
-    site.repeat(method, path);
+    site.repeat(method, path, 0);
     let ended = site.fleet.end_times().len();
     let (late_sends, late_ends) = (site.late_sends(path), site.late_ends());
     println!("{path}: {ended} servers ended, {late_sends} late sends, {late_ends} late ends");
@@ -243,7 +248,7 @@
     let path = format!("/read/{END_SERVER}");
     std::thread::scope(|scope| {
         for _ in 0..4 {
-            scope.spawn(|| site.repeat("GET", &path));
+            scope.spawn(|| site.repeat("GET", &path, 0));
         }
     });
     assert!(site.late_sends(&path) <= MAX_LATE_SENDS, "{} late sends", site.late_sends(&path));
@@ -275,26 +280,51 @@
     check_bursts(&plain_fleet(), "GET", &format!("/read/{END_SERVER_AFTER_RUN}"), 8);
 }
 
-/// All servers of a small service end within moments, stay away for longer than the contact window and return together.
-#[test]
-fn call_is_not_sent_on_when_the_servers_that_it_ended_return_together() {
+/// Repeats a request from several callers at three hosts, while all servers of a small service end within moments, stay away
+/// for longer than the contact window and return together.
+fn check_joint_returns(method: &str, path: &str, callers: usize) {
     let replacement = Replacement::Together;
     let plan = FleetPlan { layers: vec![None; 3], replacement, ..plain_fleet() };
     let mut site = Site::start(&plan);
     site.hosts.push(site.start_host(THIRD_HOST));
     site.hosts.iter().for_each(Host::wait_until_ready);
-    let path = format!("/read/{END_SERVER_AFTER_RUN}");
     std::thread::scope(|scope| {
-        for _ in 0..6 {
-            scope.spawn(|| site.repeat("GET", &path));
+        for caller in 0..callers {
+            let site = &site;
+            scope.spawn(move || site.repeat(method, path, caller));
         }
     });
-    let (ended, late_sends) = (site.fleet.end_times().len(), site.late_sends(&path));
-    println!("{ended} servers ended, {late_sends} late sends");
+    let (ended, late_sends) = (site.fleet.end_times().len(), site.late_sends(path));
+    println!("{path}, {callers} callers: {ended} servers ended, {late_sends} late sends");
     assert!(ended >= MAX_ENDED_SERVERS, "the request ended only {ended} servers");
     assert!(late_sends <= MAX_LATE_SENDS, "sent {late_sends} times after the third end");
 }
 
+#[test]
+fn call_is_not_sent_on_when_the_servers_that_it_ended_return_together() {
+    check_joint_returns("GET", &format!("/read/{END_SERVER_AFTER_RUN}"), 6);
+}
+
+/// A host that checks whether the server of a lost trial run has ended begins no other one, whichever caller asks.
+#[test]
+fn call_in_doubt_is_not_tried_again_while_a_lost_trial_is_checked() {
+    let plan = FleetPlan { keeps_listening: true, ..plain_fleet() };
+    let site = Site::start(&plan);
+    let path = format!("/order/{END_SERVER_AFTER_RUN}");
+    for ended in 1..=MAX_ENDED_SERVERS {
+        let _ = site.hosts[0].call("POST", &path, b"the same body");
+        let marks = format!("crash_marks_total {ended}");
+        let is_marked = || site.hosts[0].metrics().lines().any(|line| line == marks);
+        site.hosts[0].wait_for("the mark of the loss", is_marked);
+    }
+    std::thread::scope(|scope| {
+        for _ in 0..16 {
+            scope.spawn(|| site.hosts[0].call("POST", &path, b"the same body"));
+        }
+    });
+    assert_eq!(site.send_times(&path).len(), MAX_ENDED_SERVERS + 1);
+}
+
 #[test]
 fn stream_that_ends_ten_servers_within_moments_is_not_sent_on_when_they_return() {
     check_bursts(&model_fleet(), "POST", &format!("/chat/{END_SERVER_IN_STREAM}"), 8);
