Count a broken run as running until its servers are checked

Cause: a trial run counted as over when its connection broke. A request that waited for its turn saw no run and no loss in between, and began another trial run. The class: a state that decides ends before its result is known.

Change: runs that broke are kept as unresolved while anything still finds out what became of their servers, and count as running for trial runs and for runs on probation, which had the same gap. The check holds the run already, so that nothing has to be released.

--- a/crates/godwit-gateway/src/forward/in_flight.rs
+++ b/crates/godwit-gateway/src/forward/in_flight.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 use godwit_core::SteadyMs;
 use godwit_core::site::BackendServer;
@@ -63,6 +63,8 @@
 #[derive(Default)]
 pub(crate) struct Runs {
     by_request: RefCell<BTreeMap<(String, u64), Rc<Run>>>,
+    /// Runs that have broken while it is not yet known whether their servers have ended.
+    unresolved: RefCell<Vec<Weak<Run>>>,
     next_number: Cell<u64>,
 }
 
@@ -75,8 +77,20 @@
         number
     }
 
-    fn remove(&self, run: &Run, number: u64) {
+    /// Ends a run. While something else holds it, to find out what became of its servers, it is unresolved.
+    fn end(&self, run: &Rc<Run>, number: u64) {
         self.by_request.borrow_mut().remove(&(run.request_id().to_string(), number));
+        let mut unresolved = self.unresolved.borrow_mut();
+        unresolved.retain(|run| run.strong_count() > 0);
+        let is_held_elsewhere = Rc::strong_count(run) > 1;
+        unresolved.extend(is_held_elsewhere.then(|| Rc::downgrade(run)));
+    }
+
+    /// Whether a run that is in flight or unresolved has a property.
+    fn any(&self, matches: impl Fn(&Run) -> bool) -> bool {
+        let is_in_flight = self.by_request.borrow().values().any(|run| matches(run));
+        is_in_flight
+            || self.unresolved.borrow().iter().filter_map(Weak::upgrade).any(|run| matches(&run))
     }
 
     /// Returns the runs on a server that started before a time.
@@ -86,22 +100,20 @@
         runs.filter(|run| run.destination.server_ids().contains(&server_id)).cloned().collect()
     }
 
-    /// Whether a request with a fingerprint, or with a part that has it, is running.
+    /// Whether a request with a fingerprint, or with a part that has it, is running, or has run with an outcome that is not
+    /// yet known.
     pub(crate) fn is_running(&self, fingerprint: Fingerprint) -> bool {
-        let runs = self.by_request.borrow();
-        runs.values().any(|run| run.admitted.has_fingerprint(fingerprint))
+        self.any(|run| run.admitted.has_fingerprint(fingerprint))
     }
 
-    /// Whether a request with a fingerprint, or with a part that has it, is running for another attempt of a caller.
+    /// The same for other attempts of callers than that of a request.
     pub(crate) fn is_running_elsewhere(
         &self,
         fingerprint: Fingerprint,
         admitted: &AdmittedRequest,
     ) -> bool {
-        let runs = self.by_request.borrow();
         let request_id = &admitted.incoming.head.request_id;
-        let mut same = runs.values().filter(|run| run.admitted.has_fingerprint(fingerprint));
-        same.any(|run| run.request_id() != request_id)
+        self.any(|run| run.admitted.has_fingerprint(fingerprint) && run.request_id() != request_id)
     }
 
     /// Returns the latest run of a request.
@@ -152,7 +164,7 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.site.runs.remove(&self.run, self.number);
+        self.site.runs.end(&self.run, self.number);
         for fingerprint in &self.run.trial_of {
             self.site.crashes.borrow_mut().end_trial(fingerprint.0);
         }
