--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -21,6 +21,9 @@
 pub(crate) const MAX_ENDED_SERVERS: usize = 3;
 pub(crate) const MAX_LATE_SENDS: usize = 3;
 
+/// Time for which impatient callers wait, shorter than a run that ends its server.
+const SHORT_WAIT: Duration = Duration::from_millis(30);
+
 const REPEATS: usize = 40;
 const REPEAT_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -325,6 +328,34 @@
     assert_eq!(site.send_times(&path).len(), MAX_ENDED_SERVERS + 1);
 }
 
+/// Repeats a request whose callers no longer wait when it ends its server, and checks how often it is still sent after the
+/// third one has ended.
+fn check_short_waits(send: impl Fn(&Host, &str)) {
+    let site = Site::start(&plain_fleet());
+    let path = format!("/order/{END_SERVER_AFTER_RUN}");
+    for number in 0..REPEATS {
+        send(&site.hosts[number % site.hosts.len()], &path);
+        std::thread::sleep(REPEAT_INTERVAL);
+    }
+    let (ended, late_sends) = (site.fleet.end_times().len(), site.late_sends(&path));
+    println!("{ended} servers ended, {late_sends} late sends");
+    assert!(ended >= MAX_ENDED_SERVERS, "the request ended only {ended} servers");
+    assert!(late_sends <= MAX_LATE_SENDS, "sent {late_sends} times after the third end");
+}
+
+#[test]
+fn call_that_ends_servers_after_its_callers_have_left_is_not_sent_on() {
+    check_short_waits(|host, path| {
+        host.call_until(Instant::now() + SHORT_WAIT, "POST", path, b"the same body");
+    });
+}
+
+#[test]
+fn call_that_ends_servers_after_its_deadline_is_not_sent_on() {
+    let left_ms = SHORT_WAIT.as_millis() as u64;
+    check_short_waits(|host, path| host.call_within(left_ms, "POST", path, b"the same body"));
+}
+
 #[test]
 fn stream_that_ends_ten_servers_within_moments_is_not_sent_on_when_they_return() {
     check_bursts(&model_fleet(), "POST", &format!("/chat/{END_SERVER_IN_STREAM}"), 8);
--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::OnceLock;
@@ -12,7 +12,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
-use crate::http::{Message, STEP_TIMEOUT, call};
+use crate::http::{Message, STEP_TIMEOUT, call, write_request};
 use crate::store::FakeStore;
 
 /// Value of the `host` header that the routes match.
@@ -20,6 +20,9 @@
 /// API key of the workspace `farm`.
 pub(crate) const API_KEY: &str = "farm-key";
 
+/// Header with the time for which a caller waits, in milliseconds.
+const DEADLINE_HEADER: &str = "godwitdeal-deadline-ms";
+
 /// Failure domain of the hosts, unless a test names another one.
 const FAILURE_DOMAIN: &str = "hall-a";
 
@@ -291,6 +294,27 @@
         call(self.caller_address, method, path, &caller_headers(&id, headers), body)
     }
 
+    /// Sends a request of a caller that waits for the response only until a time.
+    pub(crate) fn call_until(&self, deadline: Instant, method: &str, path: &str, body: &[u8]) {
+        let id = format!("r-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        let authorization = format!("Bearer {API_KEY}");
+        let headers = caller_headers(&id, &[("authorization", &authorization)]);
+        let mut stream = TcpStream::connect(self.caller_address).expect("the host listens");
+        write_request(&mut stream, method, path, &headers, body).expect("the host reads");
+        std::thread::sleep(deadline.saturating_duration_since(Instant::now()));
+    }
+
+    /// Sends a request that the caller wants to be answered within a time in milliseconds.
+    pub(crate) fn call_within(&self, left_ms: u64, method: &str, path: &str, body: &[u8]) {
+        let id = format!("r-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        let (authorization, left_ms) = (format!("Bearer {API_KEY}"), left_ms.to_string());
+        let mut headers = caller_headers(&id, &[("authorization", &authorization)]);
+        headers.retain(|(name, _)| *name != DEADLINE_HEADER);
+        headers.push((DEADLINE_HEADER, &left_ms));
+        // The server may end before it responds.
+        let _ = call(self.caller_address, method, path, &headers, body);
+    }
+
     /// Sends SIGTERM to the process.
     pub(crate) fn terminate(&self) {
         self.signal(Signal::TERM);
@@ -327,7 +351,7 @@
     let mut headers = vec![
         ("host", ROUTE_HOST),
         ("godwitdeal-request-id", request_id),
-        ("godwitdeal-deadline-ms", "9000"),
+        (DEADLINE_HEADER, "9000"),
         ("godwitdeal-token-counts", "500,60"),
     ];
     headers.extend_from_slice(extra);
