Watch runs whose callers no longer wait until their servers respond or end

What callers saw: a request that ends its servers was sent on again and again where its callers left, or its deadline passed, before the server ended.

Cause: when a caller leaves or the deadline of an attempt passes, the run was dropped with its connection. The end of its server was then nobody's loss: requests came in doubt late or never, and a trial run whose server ended 10 ms after its deadline made two others undecided, as the end seemed to be another server's. Named in the log by attempt_failed with 'no response before the deadline' of a trial run, and servers_ended without crash_marked. The class: what a run causes was looked for only while somebody waits for its response.

Change: the connection of an abandoned call is watched for 300 ms more, below the half second in which servers have to stop work for callers that have left; the run counts as running meanwhile. A response completes it, a broken connection is checked like any other. The connection is not used again, because the request may not be completely sent. Streams are watched only if servers have ended under them before, so that work on streams that nobody reads ends at once as before.

--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -14,6 +14,7 @@
 use godwit_core::{NotExecutedProof, SteadyMs};
 use tokio::time::{timeout, timeout_at};
 
+use super::abandoned::AwaitedResponse;
 use super::admit::AdmittedRequest;
 use super::destination::{Destination, choose_destination};
 use super::in_flight::{InFlightGuard, Run};
@@ -238,8 +239,9 @@
         find_witnesses(site, in_flight.run()).await;
     }
     let opened = connect(site, in_flight.run()).await;
-    let mut connection = opened.map_err(|error| connect_failed(site, destination, &error))?;
+    let connection = opened.map_err(|error| connect_failed(site, destination, &error))?;
     let is_direct = connection.is_direct();
+    let mut awaited = AwaitedResponse::new(site, connection, in_flight);
     let forward = ForwardHeaders {
         time_left_ms: Some(time_left_ms(site, admitted)),
         server_id: &destination.server_id,
@@ -262,7 +264,7 @@
     };
     let request_id = &admitted.incoming.head.request_id;
     let result = {
-        let response_head = pin!(exchange_head(&mut connection, &request, request_id));
+        let response_head = pin!(exchange_head(awaited.connection(), &request, request_id));
         if may_check_for_stall(admitted, destination) {
             await_head_with_stall_checks(
                 site,
@@ -278,6 +280,12 @@
             await_head(site, admitted, destination, head_deadline, is_direct, response_head).await
         }
     };
+    if matches!(result, Err(WireError::TimedOut)) {
+        // Dropping the awaited response has the run watched further.
+        let run = awaited.run().clone();
+        return Err(AttemptError::Unknown { error: WireError::TimedOut, run });
+    }
+    let (mut connection, in_flight) = awaited.into_parts();
     let (head, server) = match result {
         Ok((head, server)) => {
             site.record_limit(&destination.server_id, &server.limit, in_flight.run().started_at());
--- a/crates/godwit-gateway/src/forward/mod.rs
+++ b/crates/godwit-gateway/src/forward/mod.rs
@@ -1,5 +1,6 @@
 //! Forwards requests to backend servers, from the head of a caller's request to the final response.
 
+mod abandoned;
 mod admit;
 mod attempt;
 mod destination;
