Count streams that callers left as lost if their servers end moments later

Cause: the same as for calls; the connection of a stream that its caller leaves is closed at once, unless servers have ended under it before. What a server sends to callers that left costs nothing more.

--- a/crates/godwit-gateway/src/forward/abandoned.rs
+++ b/crates/godwit-gateway/src/forward/abandoned.rs
@@ -6,7 +6,7 @@
 
 use godwit_adapter::decode_server_head;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tracing::info;
 
 use super::in_flight::{InFlightGuard, Run};
@@ -60,6 +60,8 @@
         let Some((connection, in_flight)) = self.pending.take() else { return };
         if is_watched(&self.site, in_flight.run()) {
             spawn_local(watch(self.site.clone(), connection, in_flight));
+        } else {
+            spawn_local(keep_unresolved(in_flight.run().clone()));
         }
     }
 }
@@ -70,6 +72,12 @@
     !run.admitted.policy.work.is_stream() || is_suspect(site, &run.admitted)
 }
 
+/// Keeps a run whose connection is closed, so that it counts as lost if the server is found to have ended by others on it.
+async fn keep_unresolved(run: Rc<Run>) {
+    sleep(WATCH_TIMEOUT).await;
+    drop(run);
+}
+
 /// Waits until the server responds or ends. The connection is not used again, as the request may not be completely sent.
 async fn watch(site: Rc<Site>, mut connection: Connection, in_flight: InFlightGuard) {
     let run = in_flight.run().clone();
--- a/crates/godwit-gateway/src/forward/in_flight.rs
+++ b/crates/godwit-gateway/src/forward/in_flight.rs
@@ -93,11 +93,13 @@
             || self.unresolved.borrow().iter().filter_map(Weak::upgrade).any(|run| matches(&run))
     }
 
-    /// Returns the runs on a server that started before a time.
+    /// Returns the runs, in flight or unresolved, on a server that started before a time.
     pub(crate) fn on_server(&self, server_id: &str, before: SteadyMs) -> Vec<Rc<Run>> {
-        let runs = self.by_request.borrow();
-        let runs = runs.values().filter(|run| run.started_at() < before);
-        runs.filter(|run| run.destination.server_ids().contains(&server_id)).cloned().collect()
+        let (in_flight, unresolved) = (self.by_request.borrow(), self.unresolved.borrow());
+        let unresolved = unresolved.iter().filter_map(Weak::upgrade);
+        let runs = in_flight.values().cloned().chain(unresolved);
+        let runs = runs.filter(|run| run.started_at() < before);
+        runs.filter(|run| run.destination.server_ids().contains(&server_id)).collect()
     }
 
     /// Whether a request with a fingerprint, or with a part that has it, is running, or has run with an outcome that is not
--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -24,6 +24,9 @@
 /// Time for which impatient callers wait, shorter than a run that ends its server.
 const SHORT_WAIT: Duration = Duration::from_millis(30);
 
+/// Number of callers of sound streams beside one that ends servers.
+const SOUND_CALLERS: usize = 20;
+
 const REPEATS: usize = 40;
 const REPEAT_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -356,6 +359,35 @@
     check_short_waits(|host, path| host.call_within(left_ms, "POST", path, b"the same body"));
 }
 
+/// The host sees the ends of the servers by other streams only.
+#[test]
+fn stream_that_ends_servers_after_its_callers_have_left_is_not_sent_on() {
+    let site = Site::start(&model_fleet());
+    let path = format!("/chat/{END_SERVER_AFTER_RUN}");
+    let is_finished = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for number in 0..SOUND_CALLERS {
+            let (site, is_finished) = (&site, &is_finished);
+            scope.spawn(move || {
+                while !is_finished.load(Ordering::Relaxed) {
+                    let host = &site.hosts[number % site.hosts.len()];
+                    let _ = host.call("POST", "/chat/1", format!("body {number}").as_bytes());
+                }
+            });
+        }
+        for number in 0..REPEATS {
+            let host = &site.hosts[number % site.hosts.len()];
+            host.call_until(Instant::now() + SHORT_WAIT, "POST", &path, b"the same body");
+            std::thread::sleep(REPEAT_INTERVAL);
+        }
+        is_finished.store(true, Ordering::Relaxed);
+    });
+    let (ended, late_sends) = (site.fleet.end_times().len(), site.late_sends(&path));
+    println!("{ended} servers ended, {late_sends} late sends");
+    assert!(ended >= MAX_ENDED_SERVERS, "the request ended only {ended} servers");
+    assert!(late_sends <= MAX_LATE_SENDS, "sent {late_sends} times after the third end");
+}
+
 #[test]
 fn stream_that_ends_ten_servers_within_moments_is_not_sent_on_when_they_return() {
     check_bursts(&model_fleet(), "POST", &format!("/chat/{END_SERVER_IN_STREAM}"), 8);
