Play shapes in which hosts check servers slowly

The simulation recorded a loss in the step in which the run broke, so that it could not show a request that is tried again in between. In the new shapes 5 to 150 ms lie between the two. All other shapes are drawn and play as before.

--- a/crates/godwit-core/tests/crash_shapes.rs
+++ b/crates/godwit-core/tests/crash_shapes.rs
@@ -49,9 +49,16 @@
 /// Longest pause of a caller that repeats its request all the time.
 const MAX_PAUSE_MS: u64 = 900;
 
+/// Time between the break of a run and the verdict on its server, where hosts check servers slowly.
+const MIN_CHECK_MS: u64 = 5;
+const MAX_CHECK_MS: u64 = 150;
+
 /// Shapes of [`Domain::GuiltyReturningTogether`] that were found broken beyond the default number.
 const FOUND_RETURNING_TOGETHER: [u64; 2] = [132, 927];
 
+/// Shapes of [`Domain::GuiltyCheckedSlowly`] that are broken if runs do not count while their servers are checked.
+const FOUND_CHECKED_SLOWLY: [u64; 4] = [106, 207, 383, 555];
+
 /// Deadline of a request, as a multiple of its run.
 const DEADLINE_RUNS: u64 = 8;
 const MIN_DEADLINE_MS: u64 = 2_500;
@@ -72,6 +79,10 @@
     crash_share: f64,
     /// Whether servers that ended together return together, while callers repeat the request all the time.
     returns_together: bool,
+    /// Time for which a host checks the server of a run that broke, before it records the loss; 0 for none.
+    check_ms: u64,
+    /// Whether a run counts as running while its server is checked.
+    counts_checks: bool,
 }
 
 /// Which shapes to draw.
@@ -80,6 +91,8 @@
     Guilty,
     GuiltyBesideCrashes,
     GuiltyReturningTogether,
+    /// As before, while hosts take long to find out that a server has ended.
+    GuiltyCheckedSlowly,
     /// Between two crashes a request has the time to complete.
     Sound,
     /// Servers crash faster than the request completes, again and again.
@@ -95,6 +108,7 @@
     fn seeds(self) -> impl Iterator<Item = u64> {
         let found: &[u64] = match self {
             Domain::GuiltyReturningTogether => &FOUND_RETURNING_TOGETHER,
+            Domain::GuiltyCheckedSlowly => &FOUND_CHECKED_SLOWLY,
             _ => &[],
         };
         let count = shape_count();
@@ -121,12 +135,20 @@
             hosts: random.random_range(1..=9),
             run_ms,
             crash_interval_ms: match domain {
-                Domain::Guilty | Domain::GuiltyReturningTogether => 0,
+                Domain::Guilty | Domain::GuiltyReturningTogether | Domain::GuiltyCheckedSlowly => 0,
                 Domain::Sound => crash_interval_ms.max(2 * MAX_RESTART_MS + 2 * run_ms),
                 Domain::GuiltyBesideCrashes | Domain::SoundThatCannotComplete => crash_interval_ms,
             },
             crash_share,
-            returns_together: domain == Domain::GuiltyReturningTogether,
+            returns_together: matches!(
+                domain,
+                Domain::GuiltyReturningTogether | Domain::GuiltyCheckedSlowly
+            ),
+            check_ms: match domain {
+                Domain::GuiltyCheckedSlowly => random.random_range(MIN_CHECK_MS..MAX_CHECK_MS),
+                _ => 0,
+            },
+            counts_checks: true,
         }
     }
 
@@ -146,9 +168,25 @@
 
 #[derive(Clone, Debug)]
 enum CallerState {
-    Idle { until_ms: u64 },
-    Waiting { asked_at_ms: u64 },
-    Running { server: usize, incarnation: u32, started_at_ms: u64, is_trial: bool },
+    Idle {
+        until_ms: u64,
+    },
+    Waiting {
+        asked_at_ms: u64,
+    },
+    Running {
+        server: usize,
+        incarnation: u32,
+        started_at_ms: u64,
+        is_trial: bool,
+    },
+    /// The run broke, and the host checks whether its server has ended.
+    Checking {
+        server: String,
+        started_at_ms: u64,
+        broke_at_ms: u64,
+        is_trial: bool,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -241,19 +279,14 @@
                 continue;
             };
             if (on, incarnation) == (server, ended) {
-                let request_id = &format!("r-{}", caller.request);
-                let (fingerprint, started_at) = (FINGERPRINT, SteadyMs(started_at_ms));
-                let lost = LostRun { fingerprint, started_at, pieces: 0, request_id, is_trial };
-                let now = self.now();
-                let register = &mut self.registers[caller.host];
-                register.record_loss(lost, &name, now);
                 if is_trial {
-                    register.end_trial(FINGERPRINT);
+                    self.registers[caller.host].end_trial(FINGERPRINT);
                 }
-                let is_over = caller.runs >= self.shape.attempts;
-                self.callers[index].state = CallerState::Waiting { asked_at_ms: self.now_ms };
-                if is_over {
-                    self.finish(index);
+                let (server, broke_at_ms) = (name.clone(), self.now_ms);
+                self.callers[index].state =
+                    CallerState::Checking { server, started_at_ms, broke_at_ms, is_trial };
+                if self.shape.check_ms == 0 {
+                    self.record_checked_loss(index);
                 }
             }
         }
@@ -262,6 +295,23 @@
         self.servers[server].up_at_ms = self.now_ms + restart_ms;
     }
 
+    /// Records the loss of the server that was checked, after which the request runs again or is over.
+    fn record_checked_loss(&mut self, index: usize) {
+        let caller = self.callers[index].clone();
+        let CallerState::Checking { server, started_at_ms, broke_at_ms, is_trial } = caller.state
+        else {
+            return;
+        };
+        let request_id = &format!("r-{}", caller.request);
+        let (fingerprint, started_at) = (FINGERPRINT, SteadyMs(started_at_ms));
+        let lost = LostRun { fingerprint, started_at, pieces: 0, request_id, is_trial };
+        self.registers[caller.host].record_loss(lost, &server, SteadyMs(broke_at_ms));
+        self.callers[index].state = CallerState::Waiting { asked_at_ms: self.now_ms };
+        if caller.runs >= self.shape.attempts {
+            self.finish(index);
+        }
+    }
+
     /// Ends the request of a caller, which repeats it after a pause, at once or in the next burst.
     fn finish(&mut self, caller: usize) {
         if self.shape.returns_together {
@@ -341,6 +391,11 @@
             }
             CallerState::Idle { .. } => {}
             CallerState::Waiting { asked_at_ms } => self.try_send(index, asked_at_ms),
+            CallerState::Checking { broke_at_ms, .. } => {
+                if self.now_ms >= broke_at_ms + self.shape.check_ms {
+                    self.record_checked_loss(index);
+                }
+            }
             CallerState::Running { server, started_at_ms, is_trial, .. } => {
                 if self.now_ms < started_at_ms + self.shape.run_ms {
                     return;
@@ -366,7 +421,11 @@
         self.callers.iter().enumerate().any(|(other, caller)| {
             other != index
                 && caller.host == host
-                && matches!(caller.state, CallerState::Running { .. })
+                && match caller.state {
+                    CallerState::Running { .. } => true,
+                    CallerState::Checking { .. } => self.shape.counts_checks,
+                    CallerState::Idle { .. } | CallerState::Waiting { .. } => false,
+                }
         })
     }
 
@@ -429,6 +488,18 @@
     }
 }
 
+/// Plays shapes in which hosts count no run as running while its server is checked, and returns those that break the bound.
+fn broken_without_checks_counted() -> Vec<Shape> {
+    let shapes = Domain::GuiltyCheckedSlowly.seeds().map(|seed| {
+        let shape = Shape::draw(seed, Domain::GuiltyCheckedSlowly, true);
+        Shape { counts_checks: false, ..shape }
+    });
+    let broken: Vec<Shape> =
+        shapes.filter(|shape| World::new(*shape).run().late_sends > MAX_LATE_SENDS).collect();
+    println!("checks that do not count: {} broken", broken.len());
+    broken
+}
+
 /// Plays shapes and returns those whose outcome breaks the bound, with the excess of late sends or refusals.
 fn broken_shapes(domain: Domain, uses_trials: bool) -> Vec<(usize, Shape)> {
     let mut broken = Vec::new();
@@ -469,6 +540,16 @@
     assert!(!broken_shapes(Domain::Guilty, false).is_empty());
 }
 
+#[test]
+fn guilty_request_is_stopped_while_servers_are_checked_slowly() {
+    assert_eq!(broken_shapes(Domain::GuiltyCheckedSlowly, true), []);
+}
+
+#[test]
+fn guilty_request_is_sent_on_in_some_shape_if_checks_do_not_count() {
+    assert!(!broken_without_checks_counted().is_empty());
+}
+
 #[test]
 fn sound_request_is_never_quarantined_for_the_crashes_of_others() {
     assert_eq!(broken_shapes(Domain::Sound, true), []);
