Read what servers say of themselves in responses that nobody waits for

What servers saw: one that answered 503 with Retry-After to a call whose caller had left was sent the next request 0.2 s later; likewise for Server-Leaving and limits.

--- a/crates/godwit-gateway/src/forward/abandoned.rs
+++ b/crates/godwit-gateway/src/forward/abandoned.rs
@@ -81,7 +81,8 @@
 /// Waits until the server responds or ends. The connection is not used again, as the request may not be completely sent.
 async fn watch(site: Rc<Site>, mut connection: Connection, in_flight: InFlightGuard) {
     let run = in_flight.run().clone();
-    let Ok(response) = timeout(WATCH_TIMEOUT, read_response(&run, &mut connection)).await else {
+    let Ok(response) = timeout(WATCH_TIMEOUT, read_response(&site, &run, &mut connection)).await
+    else {
         return;
     };
     drop(in_flight);
@@ -96,11 +97,18 @@
     }
 }
 
-/// Returns whether a response to a call arrives that shows a complete run.
-async fn read_response(run: &Run, connection: &mut Connection) -> Result<bool, WireError> {
+/// Reads a response and what the server says of itself in it. Returns whether it shows a complete run of a call.
+async fn read_response(
+    site: &Site,
+    run: &Run,
+    connection: &mut Connection,
+) -> Result<bool, WireError> {
     let is_head_request = run.admitted.incoming.parts.method.as_str() == "HEAD";
     let head = connection.next_head(is_head_request).await?;
     let server = decode_server_head(head.header_pairs());
+    let server_id = &run.destination.server_id;
+    site.record_limit(server_id, &server.limit, run.started_at());
+    site.record_notices(server_id, head.status, &server, connection);
     let is_own = server.request_id.as_deref() == Some(run.request_id());
     if run.admitted.policy.work.is_stream() || !is_own || server.is_not_executed {
         return Ok(false);
--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -4,7 +4,7 @@
 
 use crate::host::{API_KEY, Host, caller_headers, configuration};
 use crate::http::call;
-use crate::server::{Behavior, FakeServer};
+use crate::server::{Behavior, FakeServer, RUN_FIRST};
 use crate::store::FakeStore;
 
 pub(crate) const LEAVING: (&str, &str) = ("Server-Leaving", "1");
@@ -12,6 +12,9 @@
 /// Time within which a host hears of an entry in the store.
 const ENTRY_TIME: Duration = Duration::from_millis(300);
 
+/// Time for which an impatient caller waits, shorter than a run.
+const SHORT_WAIT: Duration = Duration::from_millis(30);
+
 /// Number of requests that are sent after a notice.
 const REQUESTS: usize = 20;
 
@@ -66,6 +69,20 @@
     check_leaving(stream, "chat", "POST", "/chat/1");
 }
 
+/// A response that nobody waits for binds the host all the same.
+#[test]
+fn server_that_holds_off_after_the_caller_has_left_gets_no_call() {
+    let server =
+        FakeServer::start("s-1", &[Behavior::RejectFor(HOLD_OFF.as_secs()), Behavior::Respond]);
+    let host = start_host(&[&server], "api", None);
+    let path = format!("/order/{RUN_FIRST}");
+    host.call_until(Instant::now() + SHORT_WAIT, "POST", &path, b"");
+    host.wait_for("the request", || server.requests().len() == 1);
+    std::thread::sleep(HOLD_OFF / 10);
+    let refused = host.call("POST", "/order/1", b"").expect("answered");
+    assert_eq!((refused.status(), server.requests().len()), (503, 1));
+}
+
 /// The next server at the address of one that left has another id.
 #[test]
 fn next_server_after_one_that_left_gets_requests() {
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -21,6 +21,9 @@
 /// Last segment of the path of a request that ends each server on which it runs, after it has run for [`RUN_BEFORE_END`].
 pub(crate) const END_SERVER_AFTER_RUN: &str = "end-server-after-run";
 
+/// Last segment of the path of a request that runs for [`RUN_BEFORE_END`] before its response.
+pub(crate) const RUN_FIRST: &str = "run-first";
+
 /// Last segment of the path of a stream that ends each server on which it runs, in the middle of the stream.
 pub(crate) const END_SERVER_IN_STREAM: &str = "end-server-in-stream";
 
@@ -33,7 +36,7 @@
 /// Header with the parts of a prompt.
 pub(crate) const PROMPT_PARTS_HEADER: &str = "godwitdeal-prompt-prefix";
 
-/// Time for which a request runs before it ends its server.
+/// Time for which a request runs before it ends its server, or before its response.
 const RUN_BEFORE_END: Duration = Duration::from_millis(60);
 
 /// Number of events that a stream sends before it ends its server.
@@ -264,6 +267,10 @@
                 std::thread::sleep(RUN_BEFORE_END);
                 self.end()
             }
+            Some(RUN_FIRST) => {
+                std::thread::sleep(RUN_BEFORE_END);
+                respond(&self.id, behavior, &self.control, request, stream)
+            }
             Some(END_SERVER_IN_STREAM) => {
                 send_events(&self.id, &self.control, request, u64::MAX, true, stream, |number| {
                     let first = 1 + last_event_id(request);
