--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -9,7 +9,8 @@
 use crate::host::{Host, configuration};
 use crate::http::Message;
 use crate::server::{
-    Behavior, END_SECOND_STAGE, END_SERVER, END_SERVER_AFTER_RUN, END_SERVER_IN_STREAM, FakeServer,
+    Behavior, END_SECOND_STAGE, END_SERVER, END_SERVER_AFTER_ERROR, END_SERVER_AFTER_RUN,
+    END_SERVER_IN_STREAM, FakeServer, RUN_FIRST,
 };
 use crate::store::FakeStore;
 
@@ -24,7 +25,7 @@
 /// Time for which impatient callers wait, shorter than a run that ends its server.
 const SHORT_WAIT: Duration = Duration::from_millis(30);
 
-/// Number of callers of sound streams beside one that ends servers.
+/// Number of callers of sound requests beside one that ends servers.
 const SOUND_CALLERS: usize = 20;
 
 const REPEATS: usize = 40;
@@ -361,32 +362,48 @@
     check_short_waits(|host, path| host.call_within(left_ms, "POST", path, b"the same body"));
 }
 
-/// The host sees the ends of the servers by other streams only.
-#[test]
-fn stream_that_ends_servers_after_its_callers_have_left_is_not_sent_on() {
-    let site = Site::start(&model_fleet());
-    let path = format!("/chat/{END_SERVER_AFTER_RUN}");
+/// Runs `act` while callers of sound requests keep all hosts busy, so that these see the ends of servers.
+fn beside_sound_callers(site: &Site, method: &str, path: &str, act: impl FnOnce()) {
     let is_finished = AtomicBool::new(false);
     std::thread::scope(|scope| {
         for number in 0..SOUND_CALLERS {
-            let (site, is_finished) = (&site, &is_finished);
+            let is_finished = &is_finished;
             scope.spawn(move || {
                 while !is_finished.load(Ordering::Relaxed) {
                     let host = &site.hosts[number % site.hosts.len()];
-                    let _ = host.call("POST", "/chat/1", format!("body {number}").as_bytes());
+                    let _ = host.call(method, path, format!("body {number}").as_bytes());
                 }
             });
         }
+        act();
+        is_finished.store(true, Ordering::Relaxed);
+    });
+}
+
+#[test]
+fn stream_that_ends_servers_after_its_callers_have_left_is_not_sent_on() {
+    let site = Site::start(&model_fleet());
+    let path = format!("/chat/{END_SERVER_AFTER_RUN}");
+    beside_sound_callers(&site, "POST", "/chat/1", || {
         for number in 0..REPEATS {
             let host = &site.hosts[number % site.hosts.len()];
             host.call_until(Instant::now() + SHORT_WAIT, "POST", &path, b"the same body");
             std::thread::sleep(REPEAT_INTERVAL);
         }
-        is_finished.store(true, Ordering::Relaxed);
     });
     site.check_late_sends(&path);
 }
 
+/// A server may answer 504 at the deadline of a request and end under it a moment later.
+#[test]
+fn call_that_ends_servers_after_an_error_response_is_not_sent_on() {
+    let site = Site::start(&plain_fleet());
+    let path = format!("/order/{END_SERVER_AFTER_ERROR}");
+    let sound_path = format!("/read/{RUN_FIRST}");
+    beside_sound_callers(&site, "GET", &sound_path, || site.repeat("POST", &path, 0));
+    site.check_late_sends(&path);
+}
+
 #[test]
 fn stream_that_ends_ten_servers_within_moments_is_not_sent_on_when_they_return() {
     check_bursts(&model_fleet(), "POST", &format!("/chat/{END_SERVER_IN_STREAM}"), 8);
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -21,6 +21,9 @@
 /// Last segment of the path of a request that ends each server on which it runs, after it has run for [`RUN_BEFORE_END`].
 pub(crate) const END_SERVER_AFTER_RUN: &str = "end-server-after-run";
 
+/// Last segment of the path of a request that ends each server on which it runs, [`RUN_BEFORE_END`] after an error response.
+pub(crate) const END_SERVER_AFTER_ERROR: &str = "end-server-after-error";
+
 /// Last segment of the path of a request that runs for [`RUN_BEFORE_END`] before its response.
 pub(crate) const RUN_FIRST: &str = "run-first";
 
@@ -267,6 +270,13 @@
                 std::thread::sleep(RUN_BEFORE_END);
                 self.end()
             }
+            Some(END_SERVER_AFTER_ERROR) => {
+                let error = Behavior::Status(504);
+                let is_answered = respond(&self.id, error, &self.control, request, stream);
+                std::thread::sleep(RUN_BEFORE_END);
+                self.end();
+                is_answered
+            }
             Some(RUN_FIRST) => {
                 std::thread::sleep(RUN_BEFORE_END);
                 respond(&self.id, behavior, &self.control, request, stream)
