End a failed attempt in one place, and share two small checks

An attempt that timed out returned on a path of its own beside that of all other errors. The awaited response kept the site that its guard has. Whether a stream is quiet, and whether a response shows a failure of the server, was written twice. No change of behaviour.

--- a/crates/godwit-gateway/src/forward/abandoned.rs
+++ b/crates/godwit-gateway/src/forward/abandoned.rs
@@ -22,21 +22,14 @@
 /// Maximum size of the body of a response that is read to see whether it is complete, in bytes.
 const MAX_RESPONSE_BYTES: usize = 256 << 10;
 
-const STATUS_SERVER_ERROR: u16 = 500;
-
 /// A request that was sent and whose response head is awaited. Dropping it abandons the run.
 pub(super) struct AwaitedResponse {
-    site: Rc<Site>,
     pending: Option<(Connection, InFlightGuard)>,
 }
 
 impl AwaitedResponse {
-    pub(super) fn new(
-        site: &Rc<Site>,
-        connection: Connection,
-        in_flight: InFlightGuard,
-    ) -> AwaitedResponse {
-        AwaitedResponse { site: site.clone(), pending: Some((connection, in_flight)) }
+    pub(super) fn new(connection: Connection, in_flight: InFlightGuard) -> AwaitedResponse {
+        AwaitedResponse { pending: Some((connection, in_flight)) }
     }
 
     /// Returns the parts for the rest of the response.
@@ -58,8 +51,8 @@
 impl Drop for AwaitedResponse {
     fn drop(&mut self) {
         let Some((connection, in_flight)) = self.pending.take() else { return };
-        if is_watched(&self.site, in_flight.run()) {
-            spawn_local(watch(self.site.clone(), connection, in_flight));
+        if is_watched(in_flight.site(), in_flight.run()) {
+            spawn_local(watch(connection, in_flight));
         } else {
             spawn_local(keep_unresolved(in_flight.run().clone()));
         }
@@ -79,8 +72,8 @@
 }
 
 /// Waits until the server responds or ends. The connection is not used again, as the request may not be completely sent.
-async fn watch(site: Rc<Site>, mut connection: Connection, in_flight: InFlightGuard) {
-    let run = in_flight.run().clone();
+async fn watch(mut connection: Connection, in_flight: InFlightGuard) {
+    let (site, run) = (in_flight.site().clone(), in_flight.run().clone());
     let Ok(response) = timeout(WATCH_TIMEOUT, read_response(&site, &run, &mut connection)).await
     else {
         return;
@@ -114,5 +107,5 @@
         return Ok(false);
     }
     connection.read_body(MAX_RESPONSE_BYTES).await?;
-    Ok(head.status < STATUS_SERVER_ERROR)
+    Ok(!head.is_server_error())
 }
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -241,7 +241,7 @@
     let opened = connect(site, in_flight.run()).await;
     let connection = opened.map_err(|error| connect_failed(site, destination, &error))?;
     let is_direct = connection.is_direct();
-    let mut awaited = AwaitedResponse::new(site, connection, in_flight);
+    let mut awaited = AwaitedResponse::new(connection, in_flight);
     let forward = ForwardHeaders {
         time_left_ms: Some(time_left_ms(site, admitted)),
         server_id: &destination.server_id,
@@ -280,23 +280,23 @@
             await_head(site, admitted, destination, head_deadline, is_direct, response_head).await
         }
     };
-    if matches!(result, Err(WireError::TimedOut)) {
-        // Dropping the awaited response has the run watched further.
-        let run = awaited.run().clone();
-        return Err(AttemptError::Unknown { error: WireError::TimedOut, run });
-    }
-    let (mut connection, in_flight) = awaited.into_parts();
     let (head, server) = match result {
-        Ok((head, server)) => {
-            site.record_limit(&destination.server_id, &server.limit, in_flight.run().started_at());
-            site.record_notices(&destination.server_id, head.status, &server, &mut connection);
-            if is_direct {
-                site.links.borrow_mut().record_heard(site.now());
+        Ok(received) => received,
+        Err(error) => {
+            let run = awaited.run().clone();
+            // The server may still work on a run that timed out, which is watched further when it is dropped.
+            if !matches!(error, WireError::TimedOut) {
+                drop(awaited.into_parts());
             }
-            (head, server)
+            return Err(AttemptError::Unknown { error, run });
         }
-        Err(error) => return Err(AttemptError::Unknown { error, run: in_flight.run().clone() }),
     };
+    let (mut connection, in_flight) = awaited.into_parts();
+    site.record_limit(&destination.server_id, &server.limit, in_flight.run().started_at());
+    site.record_notices(&destination.server_id, head.status, &server, &mut connection);
+    if is_direct {
+        site.links.borrow_mut().record_heard(site.now());
+    }
     let is_not_run = server.is_not_executed || head.status == 421;
     if is_not_run {
         let faulty_address = server.faulty_address;
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -381,7 +381,7 @@
             let StartedResponse { head, connection, .. } = response;
             release_connection(site, destination, connection, &head);
             log_answered(site, admitted, destination, head.status);
-            if head.status < 500 {
+            if !head.is_server_error() {
                 record_completion(site, admitted);
             }
             AttemptOutcome::Final(server_response(&head, buffered_body(body)))
--- a/crates/godwit-gateway/src/forward/in_flight.rs
+++ b/crates/godwit-gateway/src/forward/in_flight.rs
@@ -162,6 +162,10 @@
     pub(crate) fn run(&self) -> &Rc<Run> {
         &self.run
     }
+
+    pub(crate) fn site(&self) -> &Rc<Site> {
+        &self.site
+    }
 }
 
 impl Drop for InFlightGuard {
--- a/crates/godwit-gateway/src/wire/channel.rs
+++ b/crates/godwit-gateway/src/wire/channel.rs
@@ -11,6 +11,12 @@
 use super::READ_BUFFER_BYTES;
 use super::frames::{FrameDecoder, FrameKind, encode_message};
 
+/// Whether a stream is open and has nothing to read.
+pub(super) fn is_quiet(stream: &TcpStream) -> bool {
+    let arrived = stream.try_read(&mut [0_u8; 1]);
+    arrived.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+}
+
 /// Channel to another host.
 pub(crate) struct Channel {
     /// Name of the other host.
@@ -58,10 +64,7 @@
 
     /// Whether the channel is open and nothing has arrived that was not read.
     pub(crate) fn is_quiet(&self) -> bool {
-        let mut byte = [0_u8; 1];
-        let arrived = self.stream.try_read(&mut byte);
-        let is_open = arrived.is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
-        is_open && self.decoder.received.is_empty()
+        is_quiet(&self.stream) && self.decoder.received.is_empty()
     }
 }
 
--- a/crates/godwit-gateway/src/wire/reply.rs
+++ b/crates/godwit-gateway/src/wire/reply.rs
@@ -13,6 +13,9 @@
 /// Largest number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: u32 = 32;
 
+/// Smallest status of an error of a server.
+const FIRST_SERVER_ERROR: u16 = 500;
+
 /// How the end of a response body is determined.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Framing {
@@ -43,6 +46,11 @@
     pub(crate) fn header_pairs(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.headers.iter().map(|(name, value)| (name.as_str(), value.as_ref()))
     }
+
+    /// Whether the server failed, so that the response does not show a complete run.
+    pub(crate) fn is_server_error(&self) -> bool {
+        self.status >= FIRST_SERVER_ERROR
+    }
 }
 
 /// Whether a header applies to a single connection and is never forwarded.
--- a/crates/godwit-gateway/src/wire/transport.rs
+++ b/crates/godwit-gateway/src/wire/transport.rs
@@ -1,13 +1,13 @@
 //! What carries the bytes of a connection: a connection of this host, or one of another host behind a channel.
 
-use std::io::{self, ErrorKind};
+use std::io;
 
 use bytes::BytesMut;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 
-use super::channel::{Channel, ChannelReader};
+use super::channel::{Channel, ChannelReader, is_quiet};
 use super::frames::encode_data;
 
 pub(super) enum Transport {
@@ -56,10 +56,7 @@
     /// Whether the connection is open and no further bytes have arrived.
     pub(super) fn is_quiet(&self) -> bool {
         match self {
-            Transport::Direct(stream) => {
-                let arrived = stream.try_read(&mut [0_u8; 1]);
-                arrived.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
-            }
+            Transport::Direct(stream) => is_quiet(stream),
             Transport::Detour(channel) => channel.is_quiet(),
         }
     }
