--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -64,35 +64,17 @@
 
 fn plain_fleet() -> FleetPlan {
     let layers = vec![None; 10];
-    FleetPlan {
-        service: "api",
-        layers,
-        behavior: Behavior::Respond,
-        keeps_listening: false,
-        replacement: Replacement::OneByOne,
-    }
+    FleetPlan::new("api", layers, Behavior::Respond)
 }
 
 pub(crate) fn model_fleet() -> FleetPlan {
     let layers = vec![Some((0, 16)); 10];
-    FleetPlan {
-        service: "chat",
-        layers,
-        behavior: COMPLETE_STREAM,
-        keeps_listening: false,
-        replacement: Replacement::OneByOne,
-    }
+    FleetPlan::new("chat", layers, COMPLETE_STREAM)
 }
 
 fn two_stage_fleet() -> FleetPlan {
     let layers = [vec![Some((0, 8)); 3], vec![Some((8, 16)); 10]].concat();
-    FleetPlan {
-        service: "chat",
-        layers,
-        behavior: COMPLETE_STREAM,
-        keeps_listening: false,
-        replacement: Replacement::OneByOne,
-    }
+    FleetPlan::new("chat", layers, COMPLETE_STREAM)
 }
 
 /// A fleet before two hosts that share a store. Each request may be sent to four servers.
@@ -224,11 +206,8 @@
 fn check_repeats(plan: &FleetPlan, method: &str, path: &str) {
     let site = Site::start(plan);
     site.repeat(method, path, 0);
-    let ended = site.fleet.end_times().len();
-    let (late_sends, late_ends) = (site.late_sends(path), site.late_ends());
-    println!("{path}: {ended} servers ended, {late_sends} late sends, {late_ends} late ends");
-    assert!(ended >= MAX_ENDED_SERVERS, "the request ended only {ended} servers");
-    assert!(late_sends <= MAX_LATE_SENDS, "sent {late_sends} times after the third end");
+    site.check_late_sends(path);
+    let late_ends = site.late_ends();
     assert!(late_ends <= MAX_LATE_SENDS, "ended {late_ends} servers after the third end");
 }
 
@@ -362,16 +341,20 @@
     check_short_waits(|host, path| host.call_within(left_ms, "POST", path, b"the same body"));
 }
 
-/// Runs `act` while callers of sound requests keep all hosts busy, so that these see the ends of servers.
-fn beside_sound_callers(site: &Site, method: &str, path: &str, act: impl FnOnce()) {
+/// Runs `act` while callers keep all hosts busy. `call` sends a request of the caller with a number.
+fn beside_callers(
+    site: &Site,
+    callers: usize,
+    call: impl Fn(&Host, usize) + Sync,
+    act: impl FnOnce(),
+) {
     let is_finished = AtomicBool::new(false);
     std::thread::scope(|scope| {
-        for number in 0..SOUND_CALLERS {
-            let is_finished = &is_finished;
+        for number in 0..callers {
+            let (call, is_finished) = (&call, &is_finished);
             scope.spawn(move || {
                 while !is_finished.load(Ordering::Relaxed) {
-                    let host = &site.hosts[number % site.hosts.len()];
-                    let _ = host.call(method, path, format!("body {number}").as_bytes());
+                    call(&site.hosts[number % site.hosts.len()], number);
                 }
             });
         }
@@ -380,6 +363,14 @@
     });
 }
 
+/// Runs `act` while callers of sound requests keep all hosts busy, so that these see the ends of servers.
+fn beside_sound_callers(site: &Site, method: &str, path: &str, act: impl FnOnce()) {
+    let call = |host: &Host, number: usize| {
+        let _ = host.call(method, path, format!("body {number}").as_bytes());
+    };
+    beside_callers(site, SOUND_CALLERS, call, act);
+}
+
 #[test]
 fn stream_that_ends_servers_after_its_callers_have_left_is_not_sent_on() {
     let site = Site::start(&model_fleet());
@@ -572,17 +563,8 @@
     crashed: impl Fn(&[FakeServer]) -> &[FakeServer],
 ) -> Site {
     let site = Site::start(plan);
-    let is_finished = AtomicBool::new(false);
-    std::thread::scope(|scope| {
-        for number in 0..6 {
-            let (site, is_finished) = (&site, &is_finished);
-            scope.spawn(move || {
-                while !is_finished.load(Ordering::Relaxed) {
-                    let host = &site.hosts[number % site.hosts.len()];
-                    let _ = host.call("POST", "/chat/1", b"the same body");
-                }
-            });
-        }
+    let call = |host: &Host, _: usize| drop(host.call("POST", "/chat/1", b"the same body"));
+    beside_callers(&site, 6, call, || {
         for _ in 0..crashes {
             std::thread::sleep(RESTART_TIME);
             let running = site.fleet.running_servers();
@@ -591,7 +573,6 @@
             });
         }
         std::thread::sleep(RESTART_TIME);
-        is_finished.store(true, Ordering::Relaxed);
     });
     for host in &site.hosts {
         assert!(is_counted(host, "servers_ended_total"), "the host saw no crash");
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -41,6 +41,18 @@
     pub(crate) replacement: Replacement,
 }
 
+impl FleetPlan {
+    /// Returns a plan of servers that are replaced one by one, at addresses of their own.
+    pub(crate) fn new(
+        service: &'static str,
+        layers: Vec<Option<(u32, u32)>>,
+        behavior: Behavior,
+    ) -> FleetPlan {
+        let replacement = Replacement::OneByOne;
+        FleetPlan { service, layers, behavior, keeps_listening: false, replacement }
+    }
+}
+
 struct Member {
     server: FakeServer,
     layers: Option<(u32, u32)>,
--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -290,13 +290,13 @@
         headers: &[(&str, &str)],
         body: &[u8],
     ) -> std::io::Result<Message> {
-        let id = format!("r-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        let id = next_request_id();
         call(self.caller_address, method, path, &caller_headers(&id, headers), body)
     }
 
     /// Sends a request of a caller that waits for the response only until a time.
     pub(crate) fn call_until(&self, deadline: Instant, method: &str, path: &str, body: &[u8]) {
-        let id = format!("r-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        let id = next_request_id();
         let authorization = format!("Bearer {API_KEY}");
         let headers = caller_headers(&id, &[("authorization", &authorization)]);
         let mut stream = TcpStream::connect(self.caller_address).expect("the host listens");
@@ -306,7 +306,7 @@
 
     /// Sends a request that the caller wants to be answered within a time in milliseconds.
     pub(crate) fn call_within(&self, left_ms: u64, method: &str, path: &str, body: &[u8]) {
-        let id = format!("r-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        let id = next_request_id();
         let (authorization, left_ms) = (format!("Bearer {API_KEY}"), left_ms.to_string());
         let mut headers = caller_headers(&id, &[("authorization", &authorization)]);
         headers.retain(|(name, _)| *name != DEADLINE_HEADER);
@@ -343,6 +343,10 @@
     }
 }
 
+fn next_request_id() -> String {
+    format!("r-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed))
+}
+
 /// Returns the headers that every caller sends, followed by `extra`.
 pub(crate) fn caller_headers<'a>(
     request_id: &'a str,
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -5,7 +5,7 @@
 
 use rustix::process::Signal;
 
-use crate::fleet::{FleetPlan, Replacement, RunningFleet};
+use crate::fleet::{FleetPlan, RunningFleet};
 use crate::host::{Host, configuration};
 use crate::server::{Behavior, FakeServer};
 use crate::store::FakeStore;
@@ -135,13 +135,7 @@
 
 fn plain_fleet(servers: usize) -> FleetPlan {
     let layers = vec![None; servers];
-    FleetPlan {
-        service: "api",
-        layers,
-        behavior: Behavior::Respond,
-        keeps_listening: false,
-        replacement: Replacement::OneByOne,
-    }
+    FleetPlan::new("api", layers, Behavior::Respond)
 }
 
 /// Plays a load while the first servers name limits, and checks that all hosts together keep to them and use them.
@@ -195,8 +189,7 @@
 fn limit_of_the_first_stage_is_kept() {
     let layers = vec![Some((0, 16)); 3];
     let behavior = Behavior::Stream { events: 3, is_complete: true };
-    let replacement = Replacement::OneByOne;
-    let plan = FleetPlan { service: "chat", layers, behavior, keeps_listening: false, replacement };
+    let plan = FleetPlan::new("chat", layers, behavior);
     check_limits(&plan, "/chat/1", &[5.0], &[15.0; 4]);
 }
 
@@ -205,8 +198,7 @@
 fn limit_of_a_later_stage_is_kept() {
     let layers = vec![Some((0, 8)), Some((8, 16)), Some((8, 16))];
     let behavior = Behavior::Stream { events: 3, is_complete: true };
-    let replacement = Replacement::OneByOne;
-    let plan = FleetPlan { service: "chat", layers, behavior, keeps_listening: false, replacement };
+    let plan = FleetPlan::new("chat", layers, behavior);
     let site = Site::start(&plan, 3);
     let servers = site.servers();
     // Later stages answer no host, so that the server tells its limit as the first stage of another model would.
