Watch servers that answered with an error until they end or live on

Callers saw: a request that had ended three servers was sent on, as long as its servers answered 504 (or another error) before they ended.

Cause: a run was over with the head of an error response, or with a response past its deadline. The end of its server some tens of milliseconds later was nobody's loss, so that the request was never suspected.

Change: such a run stays unresolved, and its connection is watched for 300 ms as that of an abandoned run is; if it breaks, the server is checked, else the connection returns to the pool. Where the server announced that it closes the connection, the run stays unresolved without a check. A trial run is not retried after an error, as the retry would be sent before its own loss is known.

Ruled out: a check of the server after each error response (a new connection for each of them); watching error responses of suspects only (the first losses would not be counted).

--- a/crates/godwit-gateway/src/forward/abandoned.rs
+++ b/crates/godwit-gateway/src/forward/abandoned.rs
@@ -1,5 +1,5 @@
-//! Runs whose response nobody waits for any longer, because the caller has left or the deadline has passed, while their
-//! server may still work on them. If the server ends, the run may have ended it.
+//! Runs whose response nobody waits for any longer, because the caller has left, the deadline has passed or the server has
+//! failed. If the server ends a moment later, the run may have ended it.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,14 +9,15 @@
 use tokio::time::{sleep, timeout};
 use tracing::info;
 
+use super::attempt::{StartedResponse, release_connection};
 use super::in_flight::{InFlightGuard, Run};
 use super::quarantine::{is_suspect, record_completion};
 use super::server_end::check_broken_run;
 use crate::site::Site;
 use crate::wire::{Connection, WireError};
 
-/// Time for which an abandoned run is watched. Then its connection is closed, which ends the run; the platform allows
-/// servers half a second of work after their caller has left.
+/// Time for which such a run is watched. Then the connection of a run without a response is closed, which ends the run; the
+/// platform allows servers half a second of work after their caller has left.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Maximum size of the body of a response that is read to see whether it is complete, in bytes.
@@ -71,31 +72,46 @@
     drop(run);
 }
 
+/// What a response shows of a run that nobody waits for.
+enum Answer {
+    /// The run of a call is complete.
+    Complete,
+    /// The server failed, which may be the beginning of its end.
+    Failed,
+    /// The run goes on, or there was none.
+    Other,
+}
+
 /// Waits until the server responds or ends. The connection is not used again, as the request may not be completely sent.
 async fn watch(mut connection: Connection, in_flight: InFlightGuard) {
     let (site, run) = (in_flight.site().clone(), in_flight.run().clone());
-    let Ok(response) = timeout(WATCH_TIMEOUT, read_response(&site, &run, &mut connection)).await
-    else {
-        return;
-    };
-    drop(in_flight);
-    match response {
-        Ok(true) => record_completion(&site, &run.admitted),
-        Ok(false) => {}
-        Err(error) => {
-            let server = &run.destination.server_id;
-            info!(event = "abandoned_run_broken", request = run.request_id(), server, %error);
-            check_broken_run(&site, &run, &error).await;
+    let watched = timeout(WATCH_TIMEOUT, async {
+        let answer = read_response(&site, &run, &mut connection).await;
+        drop(in_flight);
+        match answer? {
+            Answer::Complete => record_completion(&site, &run.admitted),
+            Answer::Failed => return Err(connection.closed().await),
+            Answer::Other => {}
         }
+        Ok(())
+    });
+    if let Ok(Err(error)) = watched.await {
+        check_abandoned_run(&site, &run, &error).await;
     }
 }
 
-/// Reads a response and what the server says of itself in it. Returns whether it shows a complete run of a call.
+async fn check_abandoned_run(site: &Rc<Site>, run: &Rc<Run>, error: &WireError) {
+    let server = &run.destination.server_id;
+    info!(event = "abandoned_run_broken", request = run.request_id(), server, %error);
+    check_broken_run(site, run, error).await;
+}
+
+/// Reads a response and what the server says of itself in it.
 async fn read_response(
     site: &Site,
     run: &Run,
     connection: &mut Connection,
-) -> Result<bool, WireError> {
+) -> Result<Answer, WireError> {
     let is_head_request = run.admitted.incoming.parts.method.as_str() == "HEAD";
     let head = connection.next_head(is_head_request).await?;
     let server = decode_server_head(head.header_pairs());
@@ -103,9 +119,32 @@
     site.record_limit(server_id, &server.limit, run.started_at());
     site.record_notices(server_id, head.status, &server, connection);
     let is_own = server.request_id.as_deref() == Some(run.request_id());
-    if run.admitted.policy.work.is_stream() || !is_own || server.is_not_executed {
-        return Ok(false);
+    let is_failure = head.is_server_error();
+    if server.is_not_executed || !is_failure && (run.admitted.policy.work.is_stream() || !is_own) {
+        return Ok(Answer::Other);
     }
     connection.read_body(MAX_RESPONSE_BYTES).await?;
-    Ok(!head.is_server_error())
+    Ok(if is_failure { Answer::Failed } else { Answer::Complete })
+}
+
+/// Watches a run whose response is an error of the server or was cut off at the deadline, as the server may yet end under
+/// it. The connection returns to the pool if the server lives on.
+pub(super) fn watch_failed_run(response: StartedResponse) {
+    let StartedResponse { head, mut connection, in_flight } = response;
+    let (site, run) = (in_flight.site().clone(), in_flight.run().clone());
+    drop(in_flight);
+    spawn_local(async move {
+        let closed = timeout(WATCH_TIMEOUT, async {
+            match connection.read_body(MAX_RESPONSE_BYTES).await {
+                Ok(_) => connection.closed().await,
+                Err(error) => error,
+            }
+        });
+        match closed.await {
+            Err(_) => release_connection(&site, &run.destination, connection, &head),
+            Ok(error) if !head.closes => check_abandoned_run(&site, &run, &error).await,
+            // The server has announced that it closes the connection.
+            Ok(_) => sleep(WATCH_TIMEOUT).await,
+        }
+    });
 }
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use tracing::info;
 
+use super::abandoned::watch_failed_run;
 use super::admit::{AdmittedRequest, IncomingRequest, admit};
 use super::attempt::{AttemptError, StartedResponse, read_body, release_connection, send};
 use super::destination::Destination;
@@ -345,11 +346,14 @@
             counter_guard,
         ));
     }
-    if try_reserve_retry(site, admitted, response.head.status, is_last) {
+    // A trial run decides by itself whether its server ends.
+    let may_retry = !is_last && !response.in_flight.run().is_trial();
+    if may_retry && try_reserve_retry(site, admitted, response.head.status) {
         let cause = format!("status {}", response.head.status);
         log_attempt_failed(admitted, destination, &cause, false);
         let avoided = Some(destination.server_id.clone());
         let code = Code::OutcomeUnknown;
+        watch_failed_run(response);
         return AttemptOutcome::Retry {
             execution: Execution::MayHaveRun,
             code,
@@ -362,10 +366,9 @@
 
 /// Whether to retry a call on another server after an error status of 500 to 599. If so, takes the retry from the retry
 /// budget.
-fn try_reserve_retry(site: &Site, admitted: &AdmittedRequest, status: u16, is_last: bool) -> bool {
+fn try_reserve_retry(site: &Site, admitted: &AdmittedRequest, status: u16) -> bool {
     (500..600).contains(&status)
         && admitted.policy.work == Work::IdempotentCall
-        && !is_last
         && !admitted.policy.response_deadline.is_past(site.now())
         && site.try_retry(&admitted.policy.service)
 }
@@ -378,16 +381,22 @@
 ) -> AttemptOutcome {
     match read_body(site, &mut response, admitted.policy.response_deadline).await {
         Ok(body) => {
-            let StartedResponse { head, connection, .. } = response;
-            release_connection(site, destination, connection, &head);
-            log_answered(site, admitted, destination, head.status);
-            if !head.is_server_error() {
+            log_answered(site, admitted, destination, response.head.status);
+            let answer = server_response(&response.head, buffered_body(body));
+            if response.head.is_server_error() {
+                watch_failed_run(response);
+            } else {
+                let StartedResponse { head, connection, .. } = response;
+                release_connection(site, destination, connection, &head);
                 record_completion(site, admitted);
             }
-            AttemptOutcome::Final(server_response(&head, buffered_body(body)))
+            AttemptOutcome::Final(answer)
         }
         Err(error) => {
             let run = response.in_flight.run().clone();
+            if matches!(error, WireError::TimedOut) {
+                watch_failed_run(response);
+            }
             handle_broken_attempt(site, &run, &error).await
         }
     }
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -15,6 +15,7 @@
 use tokio::time::{sleep, timeout_at};
 use tracing::info;
 
+use super::abandoned::watch_failed_run;
 use super::admit::AdmittedRequest;
 use super::attempt::{AttemptError, StartedResponse, can_fail_over, release_connection, send};
 use super::destination::{Destination, choose_destination};
@@ -378,6 +379,9 @@
                 Ok(response) => {
                     self.runs += 1;
                     cause = format!("status {}", response.head.status);
+                    if response.head.is_server_error() {
+                        watch_failed_run(response);
+                    }
                 }
                 Err(AttemptError::NotRun { cause: reason, faulty_server, .. }) => {
                     if let Some(id) = &faulty_server {
--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -290,6 +290,17 @@
         Ok(body.freeze())
     }
 
+    /// Waits after the end of a response until the connection closes. Bytes that still arrive are dropped.
+    pub(crate) async fn closed(&mut self) -> WireError {
+        loop {
+            if let Err(error) = self.fill().await {
+                return error;
+            }
+            self.is_reusable = false;
+            self.buffer.clear();
+        }
+    }
+
     fn take_bytes(&mut self, max_bytes: u64) -> Option<Bytes> {
         if self.buffer.is_empty() {
             return None;
--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -9,8 +9,8 @@
 use crate::host::{Host, configuration};
 use crate::http::Message;
 use crate::server::{
-    Behavior, END_SECOND_STAGE, END_SERVER, END_SERVER_AFTER_ERROR, END_SERVER_AFTER_RUN,
-    END_SERVER_IN_STREAM, FakeServer, RUN_FIRST,
+    Behavior, END_SECOND_STAGE, END_SERVER, END_SERVER_AFTER_ERROR, END_SERVER_AFTER_LATE_ERROR,
+    END_SERVER_AFTER_RUN, END_SERVER_IN_STREAM, FakeServer, RUN_FIRST,
 };
 use crate::store::FakeStore;
 
@@ -23,7 +23,8 @@
 pub(crate) const MAX_LATE_SENDS: usize = 3;
 
 /// Time for which impatient callers wait, shorter than a run that ends its server.
-const SHORT_WAIT: Duration = Duration::from_millis(30);
+const SHORT_WAIT_MS: u64 = 30;
+const SHORT_WAIT: Duration = Duration::from_millis(SHORT_WAIT_MS);
 
 /// Number of callers of sound requests beside one that ends servers.
 const SOUND_CALLERS: usize = 20;
@@ -318,9 +319,9 @@
 
 /// Repeats a request whose callers no longer wait when it ends its server, and checks how often it is still sent after the
 /// third one has ended.
-fn check_short_waits(send: impl Fn(&Host, &str)) {
+fn check_short_waits(last_segment: &str, send: impl Fn(&Host, &str)) {
     let site = Site::start(&plain_fleet());
-    let path = format!("/order/{END_SERVER_AFTER_RUN}");
+    let path = format!("/order/{last_segment}");
     for number in 0..REPEATS {
         send(&site.hosts[number % site.hosts.len()], &path);
         std::thread::sleep(REPEAT_INTERVAL);
@@ -330,15 +331,16 @@
 
 #[test]
 fn call_that_ends_servers_after_its_callers_have_left_is_not_sent_on() {
-    check_short_waits(|host, path| {
+    check_short_waits(END_SERVER_AFTER_RUN, |host, path| {
         host.call_until(Instant::now() + SHORT_WAIT, "POST", path, b"the same body");
     });
 }
 
 #[test]
 fn call_that_ends_servers_after_its_deadline_is_not_sent_on() {
-    let left_ms = SHORT_WAIT.as_millis() as u64;
-    check_short_waits(|host, path| host.call_within(left_ms, "POST", path, b"the same body"));
+    check_short_waits(END_SERVER_AFTER_RUN, |host, path| {
+        host.call_within(SHORT_WAIT_MS, "POST", path, b"the same body");
+    });
 }
 
 /// Runs `act` while callers keep all hosts busy. `call` sends a request of the caller with a number.
@@ -395,6 +397,23 @@
     site.check_late_sends(&path);
 }
 
+#[test]
+fn call_that_is_retried_and_ends_servers_after_error_responses_is_not_sent_on() {
+    check_repeats(&plain_fleet(), "GET", &format!("/read/{END_SERVER_AFTER_ERROR}"));
+}
+
+#[test]
+fn stream_that_ends_servers_after_an_error_response_is_not_sent_on() {
+    check_repeats(&model_fleet(), "POST", &format!("/chat/{END_SERVER_AFTER_ERROR}"));
+}
+
+#[test]
+fn call_that_ends_servers_after_an_error_response_past_its_deadline_is_not_sent_on() {
+    check_short_waits(END_SERVER_AFTER_LATE_ERROR, |host, path| {
+        host.call_within(SHORT_WAIT_MS, "POST", path, b"the same body");
+    });
+}
+
 #[test]
 fn stream_that_ends_ten_servers_within_moments_is_not_sent_on_when_they_return() {
     check_bursts(&model_fleet(), "POST", &format!("/chat/{END_SERVER_IN_STREAM}"), 8);
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -24,6 +24,9 @@
 /// Last segment of the path of a request that ends each server on which it runs, [`RUN_BEFORE_END`] after an error response.
 pub(crate) const END_SERVER_AFTER_ERROR: &str = "end-server-after-error";
 
+/// The same, with [`RUN_BEFORE_END`] before the error response as well.
+pub(crate) const END_SERVER_AFTER_LATE_ERROR: &str = "end-server-after-late-error";
+
 /// Last segment of the path of a request that runs for [`RUN_BEFORE_END`] before its response.
 pub(crate) const RUN_FIRST: &str = "run-first";
 
@@ -270,12 +273,10 @@
                 std::thread::sleep(RUN_BEFORE_END);
                 self.end()
             }
-            Some(END_SERVER_AFTER_ERROR) => {
-                let error = Behavior::Status(504);
-                let is_answered = respond(&self.id, error, &self.control, request, stream);
+            Some(END_SERVER_AFTER_ERROR) => self.end_after_error(request, stream),
+            Some(END_SERVER_AFTER_LATE_ERROR) => {
                 std::thread::sleep(RUN_BEFORE_END);
-                self.end();
-                is_answered
+                self.end_after_error(request, stream)
             }
             Some(RUN_FIRST) => {
                 std::thread::sleep(RUN_BEFORE_END);
@@ -328,6 +329,13 @@
         false
     }
 
+    /// Answers with an error and ends [`RUN_BEFORE_END`] later.
+    fn end_after_error(&self, request: &Message, stream: &mut TcpStream) -> bool {
+        respond(&self.id, Behavior::Status(504), &self.control, request, stream);
+        std::thread::sleep(RUN_BEFORE_END);
+        self.end()
+    }
+
     /// Ends the second stage of a request's path, and of each path to which the request is moved. Ends this server's
     /// connections if the request is not moved in time.
     fn end_second_stages(&self, request: &Message) {
