Let one host at a time try a request once a trial run has decided nothing

Callers saw: beside crashes of other servers, a request that ends its servers reached more of them than it may, as each turn sent it from two hosts.

Cause: a lost trial that decides nothing (other servers ended with its own) was followed by two more a turn later. Two at a time shorten the wait of a request that is sound; one that has lost its server again is less likely to be.

Change: two hosts may begin until a trial run has lost its server, then one.

Test: admit_trial_lets_one_host_begin_at_a_time_after_a_lost_trial; before, hosts [2, 3], [4, 5], [6, 7] may begin in turns one to three.

--- a/crates/godwit-core/src/quarantine/trial.rs
+++ b/crates/godwit-core/src/quarantine/trial.rs
@@ -26,7 +26,7 @@
 const RUN_LENGTH_FACTOR: u64 = 4;
 const RUN_LENGTH_MARGIN_MS: u64 = 50;
 
-/// Number of hosts that may begin trial runs of one request at the same time.
+/// Number of hosts that may begin trial runs of one request at the same time, until one of the runs has lost its server.
 const HOSTS_AT_A_TIME: u64 = 2;
 
 /// Time after which the next hosts may begin, in milliseconds.
@@ -83,12 +83,14 @@
     /// Whether a host may begin a trial run now. Turns count from the last loss, on which hosts agree, so that those whose
     /// requests have waited for servers to return do not all begin at once.
     fn is_trial_turn(&self, turn: ProbationTurn, now: SteadyMs) -> bool {
-        let turns = (turn.hosts as u64).div_ceil(HOSTS_AT_A_TIME);
+        let has_lost_trial = self.losses.values().any(|loss| loss.is_trial);
+        let hosts_at_a_time = if has_lost_trial { 1 } else { HOSTS_AT_A_TIME };
+        let turns = (turn.hosts as u64).div_ceil(hosts_at_a_time);
         if turns <= 1 {
             return true;
         }
         let since_ms = now.since_ms(self.last_loss_at());
-        let own_turn = turn.rank as u64 / HOSTS_AT_A_TIME;
+        let own_turn = turn.rank as u64 / hosts_at_a_time;
         since_ms / TURN_MS % turns == own_turn && since_ms % TURN_MS < TURN_START_MS
     }
 
--- a/crates/godwit-core/tests/crash_register.rs
+++ b/crates/godwit-core/tests/crash_register.rs
@@ -60,6 +60,15 @@
     register.admit_trial(GUILTY, ALONE, is_running, at(ms))
 }
 
+/// Returns the ranks of the hosts, of nine, that may begin a trial run.
+fn hosts_that_may_try(register: &CrashRegister, ms: u64) -> Vec<usize> {
+    let is_allowed = |rank: &usize| {
+        let turn = ProbationTurn { rank: *rank, hosts: 9 };
+        register.admit_trial(GUILTY, turn, false, at(ms)) == TrialAdmission::Trial
+    };
+    (0..9).filter(is_allowed).collect()
+}
+
 fn is_quarantined(register: &CrashRegister, fingerprint: u64, ms: u64) -> bool {
     matches!(register.status(fingerprint, at(ms)), CrashStatus::Quarantined { .. })
 }
@@ -284,13 +293,7 @@
     for number in 0..3 {
         lose_after(&mut register, GUILTY, &format!("s-{number}"), 0, 1_000 + 10 * number, 5);
     }
-    let allowed = |ms: u64| {
-        let is_allowed = |rank: &usize| {
-            let turn = ProbationTurn { rank: *rank, hosts: 9 };
-            register.admit_trial(GUILTY, turn, false, at(ms)) == TrialAdmission::Trial
-        };
-        (0..9).filter(is_allowed).collect::<Vec<_>>()
-    };
+    let allowed = |ms: u64| hosts_that_may_try(&register, ms);
     let first_turn_ms = 1_020 + 9_000;
     let turns = (0..5).map(|number| allowed(first_turn_ms + 900 * number)).collect::<Vec<_>>();
     assert_eq!(turns, [vec![0, 1], vec![2, 3], vec![4, 5], vec![6, 7], vec![8]]);
@@ -302,6 +305,20 @@
     );
 }
 
+/// A trial run that lost its server and decided nothing is followed by one at a time, as each may end another server.
+#[test]
+fn admit_trial_lets_one_host_begin_at_a_time_after_a_lost_trial() {
+    let mut register = register();
+    for number in 0..3 {
+        lose_after(&mut register, GUILTY, &format!("s-{number}"), 0, 1_000 + 10 * number, 5);
+    }
+    assert!(register.begin_run(GUILTY, at(3_000)));
+    lose_trial(&mut register, "s-3", 3_005, 5);
+    register.record_end("s-4", at(3_010));
+    let turns = (1..6).map(|number| hosts_that_may_try(&register, 3_005 + 900 * number));
+    assert_eq!(turns.collect::<Vec<_>>(), [vec![1], vec![2], vec![3], vec![4], vec![5]]);
+}
+
 /// All servers that crashed ran the same request, from several callers, and its next attempts met others of them.
 #[test]
 fn status_counts_attempts_after_overlapping_losses_once() {
