Count streams that callers left midway as lost if their servers end moments later

Callers saw: a stream whose callers leave after its head, and that ends its server a moment later, was sent on without end.

Cause: dropping the relay of a stream dropped its run. The same class as calls and streams that are abandoned before their response: nobody waits, so that the end of the server is nobody's loss.

--- a/crates/godwit-gateway/src/forward/abandoned.rs
+++ b/crates/godwit-gateway/src/forward/abandoned.rs
@@ -11,7 +11,7 @@
 
 use super::attempt::{StartedResponse, release_connection};
 use super::in_flight::{InFlightGuard, Run};
-use super::quarantine::{is_suspect, record_completion};
+use super::quarantine::{is_suspect, record_completion, record_piece};
 use super::server_end::check_broken_run;
 use crate::site::Site;
 use crate::wire::{Connection, WireError};
@@ -52,7 +52,8 @@
 impl Drop for AwaitedResponse {
     fn drop(&mut self) {
         let Some((connection, in_flight)) = self.pending.take() else { return };
-        if is_watched(in_flight.site(), in_flight.run()) {
+        let is_call = !in_flight.run().admitted.policy.work.is_stream();
+        if is_call || is_suspect(in_flight.site(), &in_flight.run().admitted) {
             spawn_local(watch(connection, in_flight));
         } else {
             spawn_local(keep_unresolved(in_flight.run().clone()));
@@ -60,10 +61,30 @@
     }
 }
 
-/// Whether a run is watched once it is abandoned. A stream is only if servers have ended under it before, because the work
-/// of a server on a stream that nobody reads delays others.
-fn is_watched(site: &Site, run: &Run) -> bool {
-    !run.admitted.policy.work.is_stream() || is_suspect(site, &run.admitted)
+/// Abandons a stream whose response has begun. It is read further only if servers have ended under it before, because the
+/// work of a server on a stream that nobody reads delays others.
+pub(super) fn abandon_stream(connection: Connection, in_flight: InFlightGuard) {
+    if is_suspect(in_flight.site(), &in_flight.run().admitted) {
+        spawn_local(watch_stream(connection, in_flight));
+    } else {
+        spawn_local(keep_unresolved(in_flight.run().clone()));
+    }
+}
+
+/// Reads a stream for which nobody waits, until it or its server ends.
+async fn watch_stream(mut connection: Connection, in_flight: InFlightGuard) {
+    let (site, run) = (in_flight.site().clone(), in_flight.run().clone());
+    let ended = timeout(WATCH_TIMEOUT, async {
+        while connection.next_piece().await?.is_some() {
+            record_piece(&site, &run);
+        }
+        Ok(())
+    });
+    let result = ended.await;
+    drop(in_flight);
+    if let Ok(Err(error)) = result {
+        check_abandoned_run(&site, &run, &error).await;
+    }
 }
 
 /// Keeps a run whose connection is closed, so that it counts as lost if the server is found to have ended by others on it.
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -15,7 +15,7 @@
 use tokio::time::{sleep, timeout_at};
 use tracing::info;
 
-use super::abandoned::watch_failed_run;
+use super::abandoned::{abandon_stream, watch_failed_run};
 use super::admit::AdmittedRequest;
 use super::attempt::{AttemptError, StartedResponse, can_fail_over, release_connection, send};
 use super::destination::{Destination, choose_destination};
@@ -119,6 +119,10 @@
     fn drop(&mut self) {
         if !self.is_finished {
             log_caller_disconnect(&self.site, &self.admitted.incoming, self.last_event_id);
+            let StreamAttempt { connection, in_flight, .. } = &mut self.attempt;
+            if let Some((connection, in_flight)) = connection.take().zip(in_flight.take()) {
+                abandon_stream(connection, in_flight);
+            }
         }
     }
 }
--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -9,8 +9,8 @@
 use crate::host::{Host, configuration};
 use crate::http::Message;
 use crate::server::{
-    Behavior, END_SECOND_STAGE, END_SERVER, END_SERVER_AFTER_ERROR, END_SERVER_AFTER_LATE_ERROR,
-    END_SERVER_AFTER_RUN, END_SERVER_IN_STREAM, FakeServer, RUN_FIRST,
+    Behavior, END_SECOND_STAGE, END_SERVER, END_SERVER_AFTER_ERROR, END_SERVER_AFTER_HEAD,
+    END_SERVER_AFTER_LATE_ERROR, END_SERVER_AFTER_RUN, END_SERVER_IN_STREAM, FakeServer, RUN_FIRST,
 };
 use crate::store::FakeStore;
 
@@ -373,10 +373,11 @@
     beside_callers(site, SOUND_CALLERS, call, act);
 }
 
-#[test]
-fn stream_that_ends_servers_after_its_callers_have_left_is_not_sent_on() {
+/// Repeats a stream whose callers leave before it ends its server, and checks how often it is still sent after the third one
+/// has ended.
+fn check_abandoned_streams(last_segment: &str) {
     let site = Site::start(&model_fleet());
-    let path = format!("/chat/{END_SERVER_AFTER_RUN}");
+    let path = format!("/chat/{last_segment}");
     beside_sound_callers(&site, "POST", "/chat/1", || {
         for number in 0..REPEATS {
             let host = &site.hosts[number % site.hosts.len()];
@@ -387,6 +388,16 @@
     site.check_late_sends(&path);
 }
 
+#[test]
+fn stream_that_ends_servers_after_its_callers_have_left_is_not_sent_on() {
+    check_abandoned_streams(END_SERVER_AFTER_RUN);
+}
+
+#[test]
+fn stream_that_ends_servers_after_its_callers_have_left_midway_is_not_sent_on() {
+    check_abandoned_streams(END_SERVER_AFTER_HEAD);
+}
+
 /// A server may answer 504 at the deadline of a request and end under it a moment later.
 #[test]
 fn call_that_ends_servers_after_an_error_response_is_not_sent_on() {
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -30,6 +30,9 @@
 /// Last segment of the path of a request that runs for [`RUN_BEFORE_END`] before its response.
 pub(crate) const RUN_FIRST: &str = "run-first";
 
+/// Last segment of the path of a stream that ends each server on which it runs, [`RUN_BEFORE_END`] after the response head.
+pub(crate) const END_SERVER_AFTER_HEAD: &str = "end-server-after-head";
+
 /// Last segment of the path of a stream that ends each server on which it runs, in the middle of the stream.
 pub(crate) const END_SERVER_IN_STREAM: &str = "end-server-in-stream";
 
@@ -261,10 +264,7 @@
         drop(handled);
         let parts = request.header(PROMPT_PARTS_HEADER).unwrap_or_default();
         if parts.contains(DEADLY_PART) && !self.is_robust.load(Ordering::Relaxed) {
-            return send_events(&self.id, &self.control, request, u64::MAX, true, stream, |_| {
-                std::thread::sleep(RUN_BEFORE_END);
-                self.end();
-            });
+            return self.end_after_head(request, stream);
         }
         let last_segment = request.start_line_part(1).rsplit('/').next();
         match last_segment.filter(|_| !self.is_robust.load(Ordering::Relaxed)) {
@@ -282,6 +282,7 @@
                 std::thread::sleep(RUN_BEFORE_END);
                 respond(&self.id, behavior, &self.control, request, stream)
             }
+            Some(END_SERVER_AFTER_HEAD) => self.end_after_head(request, stream),
             Some(END_SERVER_IN_STREAM) => {
                 send_events(&self.id, &self.control, request, u64::MAX, true, stream, |number| {
                     let first = 1 + last_event_id(request);
@@ -329,6 +330,14 @@
         false
     }
 
+    /// Sends the head of a stream and ends [`RUN_BEFORE_END`] later.
+    fn end_after_head(&self, request: &Message, stream: &mut TcpStream) -> bool {
+        send_events(&self.id, &self.control, request, u64::MAX, true, stream, |_| {
+            std::thread::sleep(RUN_BEFORE_END);
+            self.end();
+        })
+    }
+
     /// Answers with an error and ends [`RUN_BEFORE_END`] later.
     fn end_after_error(&self, request: &Message, stream: &mut TcpStream) -> bool {
         respond(&self.id, Behavior::Status(504), &self.control, request, stream);
