--- a/crates/godwit-gateway/src/forward/abandoned.rs
+++ b/crates/godwit-gateway/src/forward/abandoned.rs
@@ -145,7 +145,12 @@
         return Ok(Answer::Other);
     }
     connection.read_body(MAX_RESPONSE_BYTES).await?;
-    Ok(if is_failure { Answer::Failed } else { Answer::Complete })
+    if !is_failure {
+        return Ok(Answer::Complete);
+    }
+    let (request, status) = (run.request_id(), head.status);
+    info!(event = "abandoned_run_failed", request, server = server_id, status);
+    Ok(Answer::Failed)
 }
 
 /// Watches a run whose response is an error of the server or was cut off at the deadline, as the server may yet end under
