--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -16,6 +16,7 @@
     PASSED_FACTOR, PASSED_MARGIN_PIECES, QUARANTINE_WEIGHT, REPEATED_LOSSES, Round, SHARED_END_MS,
     Suspect, count_requests, truncated,
 };
+use crate::quarantine::trial::TRIAL_EVENT_MS;
 
 /// Maximum number of doublings of the quarantine, one for each loss on probation.
 const MAX_QUARANTINE_DOUBLINGS: u64 = 3;
@@ -336,11 +337,10 @@
             if loss.is_trial && !loss.is_settled(now) {
                 return LossWeight::UNSETTLED;
             }
-            let others = |period| self.unexplained_ends(fingerprint, suspect, period);
-            let is_conclusive = suspect.is_conclusive(loss) && others(loss.trial_event()) == 0;
-            let shared =
-                loss.ended_at.minus_ms(SHARED_END_MS)..=loss.ended_at.plus_ms(SHARED_END_MS);
-            LossWeight { is_conclusive, ..LossWeight::new(loss, others(shared)) }
+            let others =
+                |within_ms| self.unexplained_ends(fingerprint, suspect, loss.ended_at, within_ms);
+            let is_conclusive = suspect.is_conclusive(loss) && others(TRIAL_EVENT_MS) == 0;
+            LossWeight { is_conclusive, ..LossWeight::new(loss, others(SHARED_END_MS)) }
         });
         // Most requests on a server share parts with one that ended it; only a trial run tells which part did.
         if suspect.is_part && !rounds.iter().any(|round| round.is_conclusive) {
@@ -529,7 +529,7 @@
 
     /// Merges the report of another host. Returns the servers whose end was not known before.
     pub fn merge(&mut self, report: &CrashReport, sender: &str, now: SteadyMs) -> Vec<String> {
-        let time = |ago_ms: u64| now.minus_ms(ago_ms);
+        let time = |ago_ms: u64| SteadyMs(now.0.saturating_sub(ago_ms));
         let mut new_ends = Vec::new();
         for end in report.ends.iter().take(MAX_REPORTED_ENDS) {
             if self.record_end(&end.server, time(end.ended_ago_ms)) {
--- a/crates/godwit-core/src/quarantine/explanation.rs
+++ b/crates/godwit-core/src/quarantine/explanation.rs
@@ -1,7 +1,5 @@
 //! What explains the end of a server: one of the requests that ran on it, or a part that several of their prompts share.
 
-use std::ops::RangeInclusive;
-
 use crate::SteadyMs;
 use crate::quarantine::crash_register::CrashRegister;
 use crate::quarantine::suspect::{
@@ -60,18 +58,22 @@
         losses.into_iter().any(Loss::is_early)
     }
 
-    /// Number of other servers that ended in a period, without those that a request with repeated losses ended.
+    /// Number of other servers that ended at about the same time, without those that a request with repeated losses
+    /// ended.
     pub(super) fn unexplained_ends(
         &self,
         fingerprint: u64,
         suspect: &Suspect,
-        period: RangeInclusive<SteadyMs>,
+        at: SteadyMs,
+        within_ms: u64,
     ) -> u64 {
+        let is_shared =
+            |ended_at: SteadyMs| at.since_ms(ended_at).max(ended_at.since_ms(at)) <= within_ms;
         let others = self
             .ends
             .iter()
             .filter(|(server, ended_at)| {
-                period.contains(*ended_at) && !suspect.losses.contains_key(*server)
+                is_shared(**ended_at) && !suspect.losses.contains_key(*server)
             })
             .filter(|(server, _)| !self.is_explained(fingerprint, server));
         others.count() as u64
--- a/crates/godwit-core/src/quarantine/suspect.rs
+++ b/crates/godwit-core/src/quarantine/suspect.rs
@@ -97,7 +97,7 @@
 impl Loss {
     /// Time at which the request was sent to the server.
     pub(crate) fn started_at(&self) -> SteadyMs {
-        self.ended_at.minus_ms(self.ran_ms)
+        SteadyMs(self.ended_at.0.saturating_sub(self.ran_ms))
     }
 
     /// Whether the response had hardly begun.
--- a/crates/godwit-core/src/time.rs
+++ b/crates/godwit-core/src/time.rs
@@ -62,16 +62,6 @@
         SteadyMs(self.0.saturating_add(ms))
     }
 
-    /// The point `ms` milliseconds earlier, at least 0.
-    ///
-    /// ```
-    /// use godwit_core::SteadyMs;
-    /// assert_eq!(SteadyMs(100).minus_ms(30), SteadyMs(70));
-    /// ```
-    pub fn minus_ms(self, ms: u64) -> SteadyMs {
-        SteadyMs(self.0.saturating_sub(ms))
-    }
-
     /// Milliseconds from `earlier` to this point, 0 when `earlier` is later.
     pub fn since_ms(self, earlier: SteadyMs) -> u64 {
         self.0.saturating_sub(earlier.0)
