Play callers in the soak that leave requests which end their servers

Seeds from 20000 on: half of the callers of such requests leave after up to 120 ms, and each seed has one kind of them: calls that end their server after a run or after an error response, streams after an error response or after the head. Older seeds play what they did.

--- a/tests/gateway/soak/callers.rs
+++ b/tests/gateway/soak/callers.rs
@@ -7,10 +7,10 @@
 
 use crate::host::{API_KEY, caller_headers};
 use crate::http::{Message, read_body, read_head, write_request};
-use crate::server::{DEADLY_PART, END_SERVER, PROMPT_PARTS_HEADER};
+use crate::server::{DEADLY_PART, PROMPT_PARTS_HEADER};
 
-/// Read timeout of a caller; longer than the timeout of any route.
-const READ_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time for which most callers wait; longer than the timeout of any route.
+pub(super) const LONG_PATIENCE: Duration = Duration::from_secs(12);
 
 /// Kind of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -22,8 +22,8 @@
     UnknownKey,
     /// A read of a path that only one version of the configuration has.
     Version(String),
-    /// A read that ends each server on which it runs.
-    EndServer,
+    /// A read that ends each server on which it runs, before or after its response.
+    EndServer(&'static str),
     /// A stream that ends each server on which it runs, before or after its first events.
     EndStage(&'static str),
     /// A stream that ends each server that begins to write its response, because of a part of its prompt. No two are alike.
@@ -40,14 +40,17 @@
             RequestKind::Order => "/order/1".to_string(),
             RequestKind::Stream | RequestKind::DeadlyPart => "/chat/1".to_string(),
             RequestKind::Version(path) => path.clone(),
-            RequestKind::EndServer => format!("/read/{END_SERVER}"),
+            RequestKind::EndServer(segment) => format!("/read/{segment}"),
             RequestKind::EndStage(segment) => format!("/chat/{segment}"),
         }
     }
 
     /// Whether the request ends the servers on which it runs.
     pub(super) fn ends_servers(&self) -> bool {
-        matches!(self, RequestKind::EndServer | RequestKind::EndStage(_) | RequestKind::DeadlyPart)
+        matches!(
+            self,
+            RequestKind::EndServer(_) | RequestKind::EndStage(_) | RequestKind::DeadlyPart
+        )
     }
 
     /// Returns the parts of the prompt, of which the last belongs to the request with this id.
@@ -131,7 +134,6 @@
 
 fn connect(address: SocketAddr) -> std::io::Result<BufReader<TcpStream>> {
     let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
-    stream.set_read_timeout(Some(READ_TIMEOUT))?;
     stream.set_nodelay(true)?;
     Ok(BufReader::new(stream))
 }
@@ -144,13 +146,15 @@
 }
 
 impl Caller {
-    /// Sends a request to a host, over the open connection if that is to the same host.
+    /// Sends a request to a host, over the open connection if that is to the same host. Leaves when nothing has arrived
+    /// for `patience`.
     pub(super) fn send(
         &mut self,
         host: usize,
         address: SocketAddr,
         id: String,
         kind: RequestKind,
+        patience: Duration,
     ) -> RequestRecord {
         let sent_at = Instant::now();
         let reused = self.connection.take().filter(|(connected_to, _)| *connected_to == address);
@@ -166,6 +170,9 @@
             is_complete: false,
         };
         let Ok(mut reader) = reader else { return without_response(false) };
+        if reader.get_ref().set_read_timeout(Some(patience)).is_err() {
+            return without_response(false);
+        }
         let key = if kind == RequestKind::UnknownKey { "forged" } else { API_KEY };
         let authorization = format!("Bearer {key}");
         let parts = kind.prompt_parts(&id);
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -19,7 +19,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use callers::{Caller, RequestKind, RequestRecord};
+use callers::{Caller, LONG_PATIENCE, RequestKind, RequestRecord};
 use cluster::{Cluster, HOSTS, HostDirectory, version_prefix};
 use faults::FaultSchedule;
 use invariants::{MAX_RUN_TO_END, Runs, find_held_off_sends, find_late_sends, find_violations};
@@ -27,7 +27,10 @@
 pub(crate) use proxy::{Proxy, ProxyMode, proxy_connection};
 
 use crate::host::{delete_logs, keep_logs};
-use crate::server::{END_SERVER, END_SERVER_IN_STREAM};
+use crate::server::{
+    END_SERVER, END_SERVER_AFTER_ERROR, END_SERVER_AFTER_HEAD, END_SERVER_AFTER_RUN,
+    END_SERVER_IN_STREAM,
+};
 
 /// Seeds of every test run: the first of each scenario, and those that once failed, with the cause.
 const SEEDS: [u64; 7] = [
@@ -42,6 +45,13 @@
 const FIRST_CUT_SEED: u64 = 10_000;
 const CUT_SHARE: f64 = 0.4;
 
+/// First of the seeds during which callers of requests that end servers leave early, the share of such requests, the share
+/// of their callers that leaves, and the longest time for which these wait, in milliseconds.
+const FIRST_IMPATIENT_SEED: u64 = 20_000;
+const IMPATIENT_KIND_SHARE: f64 = 0.1;
+const IMPATIENT_SHARE: f64 = 0.5;
+const MAX_SHORT_PATIENCE_MS: u64 = 120;
+
 /// Number of seeds that run at the same time.
 const PARALLEL_SEEDS: usize = 6;
 
@@ -89,7 +99,12 @@
 
 /// Whether hosts lose their links to servers during a seed. Older seeds keep what they play.
 fn cuts_links(seed: u64) -> bool {
-    seed >= FIRST_CUT_SEED
+    (FIRST_CUT_SEED..FIRST_IMPATIENT_SEED).contains(&seed)
+}
+
+/// Whether callers of requests that end servers leave early during a seed.
+fn has_impatient_callers(seed: u64) -> bool {
+    seed >= FIRST_IMPATIENT_SEED
 }
 
 /// State that the callers, the version probes and the schedule share.
@@ -105,10 +120,25 @@
     is_finished: AtomicBool,
 }
 
-fn draw_request_kind(random: &mut SmallRng, scenario: Scenario) -> RequestKind {
-    if scenario != Scenario::Planned && random.random_bool(END_SERVER_SHARE) {
+/// Returns the one kind of request that ends servers during a seed with impatient callers.
+fn impatient_kind(seed: u64) -> RequestKind {
+    match seed / 3 % 4 {
+        0 => RequestKind::EndServer(END_SERVER_AFTER_RUN),
+        1 => RequestKind::EndServer(END_SERVER_AFTER_ERROR),
+        2 => RequestKind::EndStage(END_SERVER_AFTER_ERROR),
+        _ => RequestKind::EndStage(END_SERVER_AFTER_HEAD),
+    }
+}
+
+fn draw_request_kind(random: &mut SmallRng, seed: u64) -> RequestKind {
+    let injects_faults = Scenario::of(seed) != Scenario::Planned;
+    if has_impatient_callers(seed) {
+        if injects_faults && random.random_bool(IMPATIENT_KIND_SHARE) {
+            return impatient_kind(seed);
+        }
+    } else if injects_faults && random.random_bool(END_SERVER_SHARE) {
         return match random.random_range(0..4) {
-            0 => RequestKind::EndServer,
+            0 => RequestKind::EndServer(END_SERVER),
             1 => RequestKind::EndStage(END_SERVER),
             2 => RequestKind::DeadlyPart,
             _ => RequestKind::EndStage(END_SERVER_IN_STREAM),
@@ -140,11 +170,19 @@
             continue;
         };
         let id = format!("soak-{}-{number}-{request}", traffic.seed);
-        let kind = draw_request_kind(&mut random, Scenario::of(traffic.seed));
+        let kind = draw_request_kind(&mut random, traffic.seed);
         if kind.ends_servers() && traffic.spares_servers.load(Ordering::Relaxed) {
             continue;
         }
-        let record = caller.send(host, address, id, kind);
+        let is_impatient = kind.ends_servers()
+            && has_impatient_callers(traffic.seed)
+            && random.random_bool(IMPATIENT_SHARE);
+        let patience = if is_impatient {
+            Duration::from_millis(random.random_range(1..MAX_SHORT_PATIENCE_MS))
+        } else {
+            LONG_PATIENCE
+        };
+        let record = caller.send(host, address, id, kind, patience);
         if record.response.is_none() {
             host = (host + 1) % HOSTS.len();
         }
@@ -192,7 +230,7 @@
     static NEXT: AtomicU64 = AtomicU64::new(0);
     let id = format!("probe-{}-{host}-{}", traffic.seed, NEXT.fetch_add(1, Ordering::Relaxed));
     let kind = RequestKind::Version(version_prefix(version));
-    let record = Caller::default().send(host, address, id, kind);
+    let record = Caller::default().send(host, address, id, kind, LONG_PATIENCE);
     let is_served = record.status() == 200;
     traffic.records.lock().expect("no panic").push(record);
     is_served
