Log how the body of a stream was framed and where it ended

Callers of streams got events that no run sent whole. The lines of a stream could not tell a body that ended inside an event from a resumed run that began too late or sent something else: none told how the body was framed, how much of an event was not finished when it ended, or with which event the run began.

stream_broken and stream_ended now have framing, unfinished_bytes and first_event_id; stream_resumed has framing; stream_ended also has the last event. Each stays one line of bounded key=value pairs. No decision changes.

--- a/crates/godwit-gateway/src/forward/events.rs
+++ b/crates/godwit-gateway/src/forward/events.rs
@@ -17,6 +17,9 @@
     searched: usize,
     /// Number of bytes since the last new event.
     bytes_without_event: usize,
+    /// Id of the first event, new or not; none if it has no id.
+    first_event_id: Option<u64>,
+    has_event: bool,
 }
 
 impl EventBuffer {
@@ -37,6 +40,10 @@
             let event = self.buffer.split_to(end);
             self.searched = 0;
             let id = event_id(&event);
+            if !self.has_event {
+                self.first_event_id = id;
+                self.has_event = true;
+            }
             let is_duplicate = matches!((id, *last_event_id), (Some(id), Some(last)) if id <= last);
             if !is_duplicate {
                 *last_event_id = id.or(*last_event_id);
@@ -50,6 +57,16 @@
         Ok(complete.freeze())
     }
 
+    /// Returns the number of bytes that follow the last complete event.
+    pub(super) fn unfinished_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Returns the id of the first event of the run, which the caller may have received from an earlier one.
+    pub(super) fn first_event_id(&self) -> Option<u64> {
+        self.first_event_id
+    }
+
     /// Returns the length of the first event in the buffer, if it is complete.
     fn event_end(&mut self) -> Option<usize> {
         // The delimiter may begin with the last byte that was searched.
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -76,6 +76,8 @@
 struct StreamAttempt {
     destination: Destination,
     head: ReplyHead,
+    /// How the end of the body is determined, for the log.
+    framing: &'static str,
     /// `None` once the connection has been released or has broken.
     connection: Option<Connection>,
     in_flight: Option<InFlightGuard>,
@@ -93,6 +95,7 @@
             stall_check_at: now.plus_ms(stall_threshold_ms),
             destination,
             head: response.head,
+            framing: response.connection.framing_text(),
             connection: Some(response.connection),
             in_flight: Some(response.in_flight),
             buffer: EventBuffer::default(),
@@ -275,6 +278,10 @@
             expected_gap_ms = self.attempt.destination.event_gap_ms.round(),
             after_ms = self.site.now().since_ms(received),
             runs = self.runs,
+            framing = self.attempt.framing,
+            unfinished_bytes = self.attempt.buffer.unfinished_bytes(),
+            first_event_id = self.attempt.buffer.first_event_id(),
+            last_event_id = self.last_event_id,
         );
         metrics::counter!("answered_total", "status" => "200").increment(1);
     }
@@ -350,6 +357,9 @@
                 cause,
                 last_event_id = self.last_event_id,
                 runs = self.runs,
+                framing = self.attempt.framing,
+                unfinished_bytes = self.attempt.buffer.unfinished_bytes(),
+                first_event_id = self.attempt.buffer.first_event_id(),
             );
             self.avoided.insert(failed_server);
             let asked_at = self.site.now();
@@ -377,6 +387,7 @@
                         request = self.admitted.incoming.head.request_id,
                         path = destination.log_text(),
                         last_event_id = self.last_event_id,
+                        framing = response.connection.framing_text(),
                     );
                     return Ok(StreamAttempt::new(destination, response, self.site.now()));
                 }
--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -82,6 +82,8 @@
     pub(super) transport: Transport,
     buffer: BytesMut,
     body: BodyState,
+    /// How the end of the last response body is determined.
+    framing: Framing,
     pub(super) is_reusable: bool,
     /// Number of interim responses to the last request.
     interim_responses: u32,
@@ -117,6 +119,7 @@
             transport,
             buffer: BytesMut::new(),
             body: BodyState::Done,
+            framing: Framing::Length(0),
             is_reusable: true,
             interim_responses: 0,
             trailer_bytes: 0,
@@ -208,6 +211,7 @@
     }
 
     fn begin_body(&mut self, head: &ReplyHead) {
+        self.framing = head.framing;
         self.body = match head.framing {
             Framing::Length(0) => BodyState::Done,
             Framing::Length(bytes) => BodyState::Length(bytes),
@@ -227,6 +231,15 @@
         }
     }
 
+    /// Names the framing of the last response body for the log.
+    pub(crate) fn framing_text(&self) -> &'static str {
+        match self.framing {
+            Framing::Length(_) => "length",
+            Framing::Chunked => "chunked",
+            Framing::UntilClose => "until_close",
+        }
+    }
+
     /// Reads the next piece of the body. Returns none after the end of the body.
     pub(crate) async fn next_piece(&mut self) -> Result<Option<Bytes>, WireError> {
         loop {
