Add failing tests of events that no run sent whole

Callers got events that no run had sent whole, or a stream that ended as complete without all of its events.

Each test plays one way a body can end or a resumed run can begin: the last chunk, the length or a closed connection inside an event, also inside the last one; a resumed run that begins later than due, with another content type, with an error's text or a whole HTTP head; a body without a length whose server's process ends, of a stream and of a call.

--- a/tests/gateway/calls.rs
+++ b/tests/gateway/calls.rs
@@ -2,12 +2,13 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::time::Duration;
 
 use serde_json::json;
 
 use crate::host::{API_KEY, Host, ROUTE_HOST, configuration, read_rest};
 use crate::http::STEP_TIMEOUT;
-use crate::server::{Behavior, FakeServer};
+use crate::server::{Behavior, BodyFraming, FakeServer, Script};
 use crate::store::FakeStore;
 
 fn start_host_with(servers: &[&FakeServer]) -> Host {
@@ -226,3 +227,40 @@
     assert!(metrics.contains("answered_total{status=\"200\"} 1"), "{metrics}");
     assert!(metrics.contains("refused_total{code=\"unknown_path\"} 1"), "{metrics}");
 }
+
+/// A response without a length whose server ends with it.
+fn cut_by_server_end() -> Behavior {
+    let answer = Script::stream(BodyFraming::UntilClose, 0);
+    Behavior::Scripted(Script { content_type: None, text: "half of", ends_server: true, ..answer })
+}
+
+#[test]
+fn call_without_length_is_retried_if_its_server_ends() {
+    let ending = FakeServer::start("s-1", &[cut_by_server_end()]);
+    let other = FakeServer::start("s-2", &[Behavior::Respond]);
+    let host = start_host_with(&[&ending, &other]);
+    host.wait_for("a call at the server that ends", || {
+        assert_eq!(host.call("GET", "/read/1", b"").expect("answered").text(), "s-2");
+        !ending.requests().is_empty()
+    });
+}
+
+#[test]
+fn call_without_length_is_502_if_its_server_ends() {
+    let ending = FakeServer::start("s-1", &[cut_by_server_end()]);
+    let host = start_host_with(&[&ending]);
+    let response = host.call("POST", "/order/1", b"").expect("answered");
+    assert_eq!((response.status(), response.header("godwitdeal-response-stamp")), (502, None));
+    assert!(response.text().contains("outcome_unknown"), "{response:?}");
+}
+
+#[test]
+fn call_without_length_is_complete_if_its_server_lives_on() {
+    let behavior = Behavior::UntilClose { pause: Duration::ZERO, is_reset: false };
+    let server = FakeServer::start("s-1", &[behavior]);
+    let host = start_host_with(&[&server]);
+    for _ in 0..3 {
+        let response = host.call("POST", "/order/1", b"").expect("answered");
+        assert_eq!((response.status(), response.text().as_str()), (200, "s-1"));
+    }
+}
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -86,6 +86,87 @@
     Stall { events: u64, stall_before: u64, duration: Duration },
     /// Bytes that belong to no answer, until the host closes the connection.
     Endless(EndlessBytes),
+    /// A response whose framing, content and end the test chooses.
+    Scripted(Script),
+}
+
+/// How the end of a scripted body is determined.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum BodyFraming {
+    Length,
+    Chunked,
+    UntilClose,
+}
+
+/// A response with status 200 that is complete by its framing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Script {
+    pub(crate) framing: BodyFraming,
+    pub(crate) content_type: Option<&'static str>,
+    /// Number of events that are due and left out at the start.
+    pub(crate) skipped: u64,
+    /// Number of the last event, none of which is sent if it is 0.
+    pub(crate) events: u64,
+    /// Whether the body ends in the middle of the last event.
+    pub(crate) ends_in_event: bool,
+    /// Text after the events.
+    pub(crate) text: &'static str,
+    /// Whether the server ends with the body, before it closes the connection.
+    pub(crate) ends_server: bool,
+}
+
+impl Script {
+    /// Returns a sound stream of events.
+    pub(crate) fn stream(framing: BodyFraming, events: u64) -> Script {
+        Script {
+            framing,
+            content_type: Some("text/event-stream"),
+            skipped: 0,
+            events,
+            ends_in_event: false,
+            text: "",
+            ends_server: false,
+        }
+    }
+
+    /// Sends the response from the event after the request's `last-event-id`, and returns whether the connection stays
+    /// open.
+    fn send(self, name: &str, request: &Message, stream: &mut TcpStream) -> bool {
+        let id = request.header("godwitdeal-request-id").unwrap_or_default();
+        let first = last_event_id(request) + 1 + self.skipped;
+        let mut pieces: Vec<String> = (first..=self.events)
+            .map(|number| format!("id: {number}\ndata: piece {number}\n\n"))
+            .collect();
+        if let Some(last) = pieces.last_mut().filter(|_| self.ends_in_event) {
+            last.truncate(last.len() / 2);
+        }
+        pieces.push(self.text.to_string());
+        pieces.retain(|piece| !piece.is_empty());
+        let content_type = self.content_type.map(|value| format!("content-type: {value}\r\n"));
+        let framing = match self.framing {
+            BodyFraming::Length => {
+                format!("content-length: {}\r\n", pieces.iter().map(String::len).sum::<usize>())
+            }
+            BodyFraming::Chunked => "transfer-encoding: chunked\r\n".to_string(),
+            BodyFraming::UntilClose => "connection: close\r\n".to_string(),
+        };
+        if self.framing == BodyFraming::Chunked {
+            pieces =
+                pieces.iter().map(|piece| format!("{:x}\r\n{piece}\r\n", piece.len())).collect();
+            pieces.push("0\r\n\r\n".to_string());
+        }
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{framing}{}godwitdeal-request-id: {id}\r\n\
+             godwitdeal-response-stamp: {name}\r\n\r\n",
+            content_type.unwrap_or_default()
+        );
+        pieces.insert(0, head);
+        let is_sent = pieces.iter().all(|piece| {
+            std::thread::sleep(EVENT_INTERVAL);
+            stream.write_all(piece.as_bytes()).is_ok()
+        });
+        is_sent && self.framing != BodyFraming::UntilClose
+    }
 }
 
 /// What a server sends until its connection is closed.
@@ -296,7 +377,13 @@
                     self.end_second_stages(request);
                 })
             }
-            _ => respond(&self.id, behavior, &self.control, request, stream),
+            _ => {
+                let stays_open = respond(&self.id, behavior, &self.control, request, stream);
+                match behavior {
+                    Behavior::Scripted(script) if script.ends_server => self.end(),
+                    _ => stays_open,
+                }
+            }
         }
     }
 
@@ -465,6 +552,7 @@
         }
         Behavior::CloseWithoutResponse => false,
         Behavior::Endless(kind) => send_endless(kind, id, name, stream),
+        Behavior::Scripted(script) => script.send(name, request, stream),
         Behavior::StrayResponseFirst => {
             let stray_headers =
                 [("Godwitdeal-Request-Id", "other"), ("Godwitdeal-Response-Stamp", name)];
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -1,13 +1,15 @@
 //! Streams of events of a model whose layers may be split over several servers.
 
+use std::io::BufReader;
 use std::net::TcpStream;
 use std::time::Duration;
 
-use serde_json::Value;
+use serde_json::{Value, json};
 
-use crate::host::{API_KEY, Host, caller_headers};
-use crate::http::write_request;
-use crate::server::{Behavior, FakeServer};
+use crate::host::{API_KEY, Host, caller_headers, configuration};
+use crate::http::{STEP_TIMEOUT, read_body, read_head, write_request};
+use crate::server::{Behavior, BodyFraming, FakeServer, Script};
+use crate::store::FakeStore;
 
 const EVENT_COUNT: u64 = 40;
 const COMPLETE_STREAM: Behavior = Behavior::Stream { events: EVENT_COUNT, is_complete: true };
@@ -187,3 +189,181 @@
         host.metrics().contains("callers_left_total 1")
     });
 }
+
+/// Index of the route of streams in the configuration of the tests.
+const STREAM_ROUTE: usize = 3;
+
+const FRAMINGS: [BodyFraming; 3] =
+    [BodyFraming::Length, BodyFraming::Chunked, BodyFraming::UntilClose];
+
+/// What a caller received of a stream.
+struct Received {
+    text: String,
+    is_complete: bool,
+}
+
+impl Received {
+    /// Asserts that the caller has all events, and that the response is complete.
+    fn assert_whole(&self) {
+        assert_eq!(self.text, events_text(EVENT_COUNT));
+        assert!(self.is_complete, "the response is aborted");
+    }
+
+    /// Asserts that the caller has exactly a number of whole events, and that the response is not complete.
+    fn assert_cut_after(&self, events: u64) {
+        assert_eq!(self.text, events_text(events));
+        assert!(!self.is_complete, "the response ends as complete");
+    }
+}
+
+fn events_text(events: u64) -> String {
+    (1..=events).map(|number| format!("id: {number}\ndata: piece {number}\n\n")).collect()
+}
+
+fn start_host(servers: &[&FakeServer], is_resumable: bool) -> Host {
+    let store = FakeStore::start();
+    let mut configuration = configuration(1);
+    configuration["Routes"][STREAM_ROUTE]["Resumable"] = json!(is_resumable);
+    store.put("config", "main", configuration);
+    for server in servers {
+        store.put("servers", &server.id, server.entry("chat", Some((0, 16))));
+    }
+    let host = Host::start_with_store(store);
+    host.wait_until_ready();
+    host
+}
+
+/// Requests a stream and keeps what arrives before it is cut.
+fn receive(host: &Host) -> Received {
+    let mut caller = TcpStream::connect(host.caller_address()).expect("connected");
+    caller.set_read_timeout(Some(STEP_TIMEOUT)).expect("the timeout is set");
+    let authorization = format!("Bearer {API_KEY}");
+    let headers = caller_headers("streaming", &[("authorization", &authorization)]);
+    write_request(&mut caller, "POST", "/chat/1", &headers, b"hello").expect("sent");
+    let mut reader = BufReader::new(caller);
+    let mut response = read_head(&mut reader).expect("answered");
+    assert_eq!(response.status(), 200);
+    let is_complete = read_body(&mut reader, &mut response).is_ok();
+    Received { text: response.text(), is_complete }
+}
+
+/// Returns what a caller receives if the first run is `first`, and the next one, if any, is `next`.
+fn receive_of_two(first: Script, next: Behavior, is_resumable: bool) -> Received {
+    let first = FakeServer::start("s-1", &[Behavior::Scripted(first)]);
+    let next = FakeServer::start("s-2", &[next]);
+    let host = start_host(&[&first], is_resumable);
+    std::thread::scope(|scope| {
+        let caller = scope.spawn(|| receive(&host));
+        host.wait_for("the first run", || !first.requests().is_empty());
+        host.store.put("servers", "s-2", next.entry("chat", Some((0, 16))));
+        caller.join().expect("no panic")
+    })
+}
+
+fn cut_in_event(framing: BodyFraming, events: u64) -> Script {
+    Script { ends_in_event: true, ..Script::stream(framing, events) }
+}
+
+#[test]
+fn stream_whose_last_chunk_is_within_event_joins_nothing() {
+    for events in [7, EVENT_COUNT] {
+        let first = cut_in_event(BodyFraming::Chunked, events);
+        receive_of_two(first, COMPLETE_STREAM, true).assert_whole();
+    }
+}
+
+#[test]
+fn stream_whose_length_ends_within_event_joins_nothing() {
+    for events in [7, EVENT_COUNT] {
+        let first = cut_in_event(BodyFraming::Length, events);
+        receive_of_two(first, COMPLETE_STREAM, true).assert_whole();
+    }
+}
+
+#[test]
+fn stream_without_length_closed_within_event_joins_nothing() {
+    for events in [7, EVENT_COUNT] {
+        let first = cut_in_event(BodyFraming::UntilClose, events);
+        receive_of_two(first, COMPLETE_STREAM, true).assert_whole();
+    }
+}
+
+#[test]
+fn stream_ended_within_event_is_incomplete_if_not_resumable() {
+    for framing in FRAMINGS {
+        let first = cut_in_event(framing, 7);
+        receive_of_two(first, COMPLETE_STREAM, false).assert_cut_after(6);
+    }
+}
+
+#[test]
+fn stream_resumed_after_the_event_due_is_incomplete() {
+    let first = cut_in_event(BodyFraming::UntilClose, 7);
+    let late = Script { skipped: 2, ..Script::stream(BodyFraming::Chunked, EVENT_COUNT) };
+    receive_of_two(first, Behavior::Scripted(late), true).assert_cut_after(6);
+}
+
+#[test]
+fn stream_resumed_with_other_answer_is_incomplete() {
+    let answer = Script::stream(BodyFraming::Length, 0);
+    let other_type = Script { content_type: Some("text/plain"), ..answer };
+    let no_type = Script { content_type: None, ..answer };
+    let head = "HTTP/1.1 500 X\r\ncontent-length: 0\r\n\r\n";
+    let answers = [
+        Script { text: "no stage is free\n\n", ..other_type },
+        Script { events: EVENT_COUNT, ..other_type },
+        Script { events: EVENT_COUNT, ..no_type },
+        Script { text: "no stage is free", ..answer },
+        Script { text: "no stage is free\n\n", ..answer },
+        Script { text: "data: no stage is free\n\n", ..answer },
+        Script { text: head, ..answer },
+    ];
+    for next in answers {
+        let first = cut_in_event(BodyFraming::UntilClose, 7);
+        receive_of_two(first, Behavior::Scripted(next), true).assert_cut_after(6);
+    }
+}
+
+#[test]
+fn stream_with_other_answer_after_events_is_incomplete() {
+    let texts = ["no stage is free", "no stage is free\n\n", "HTTP/1.1 500 X\r\nx: y\r\n\r\n"];
+    for text in texts {
+        let first = Script { text, ..Script::stream(BodyFraming::Chunked, 7) };
+        receive_of_two(first, COMPLETE_STREAM, false).assert_cut_after(7);
+        receive_of_two(first, COMPLETE_STREAM, true).assert_whole();
+    }
+}
+
+#[test]
+fn stream_without_length_is_resumed_if_its_server_ends() {
+    let first = Script { ends_server: true, ..Script::stream(BodyFraming::UntilClose, 7) };
+    receive_of_two(first, COMPLETE_STREAM, true).assert_whole();
+}
+
+#[test]
+fn stream_without_length_is_incomplete_if_its_server_ends() {
+    let first = Script { ends_server: true, ..Script::stream(BodyFraming::UntilClose, 7) };
+    receive_of_two(first, COMPLETE_STREAM, false).assert_cut_after(7);
+}
+
+#[test]
+fn stream_is_complete_in_each_framing() {
+    for framing in FRAMINGS {
+        for content_type in [Some("text/event-stream; charset=utf-8"), None] {
+            let sound = Script { content_type, ..Script::stream(framing, EVENT_COUNT) };
+            receive_of_two(sound, TRUNCATED_STREAM, true).assert_whole();
+        }
+    }
+}
+
+#[test]
+fn stream_route_with_other_answer_passes_it_whole() {
+    let text = "{\"queued\":true}";
+    let content_type = Some("application/json");
+    let answer = Script { text, content_type, ..Script::stream(BodyFraming::Chunked, 0) };
+    let server = FakeServer::start("s-1", &[Behavior::Scripted(answer)]);
+    let host = start_host(&[&server], true);
+    let response = host.call("POST", "/chat/1", b"hello").expect("answered");
+    assert_eq!((response.status(), response.text().as_str()), (200, text));
+    assert_eq!(response.header("content-length"), Some("15"), "{response:?}");
+}
