Pass on only whole events of a stream, and complete it only between two

Callers of streams got an event that no run sent whole, followed by later ones or by the end of a response that counted as complete. Where a body ended inside an event, by its last chunk, its length or a closed connection, the end of the run flushed the part. The response was then read once more, found no connection, and resumed: the events of the next run were joined to the part. A resumed run could also begin with any later event, and any block of lines counted as an event.

The life of a stream is now a type of godwit-core without I/O. Its states are between events, in an event, complete and broken; bytes leave it only as whole events, and only the state between events has a transition to complete. A run that ends inside an event is broken and resumed or aborted like one whose connection breaks. A resumed run must open with an id that is not later than the last one plus the largest step seen in the stream, and must bring an event that an earlier run had begun. A block without any field of an event breaks its run; the events ahead of it in the same piece are kept, which were dropped although the last id had advanced. Lines may end with carriage returns, since the end of the body no longer flushes what was not split. A stream whose last events have no ids is not resumed, as their repetition could not be told from new ones. The relay is consumed by the step that ends it, so that no response is read after its end.

Ruled out: the step between ids can't be checked within one run, because ids need only increase. Fields of unknown names are allowed beside known ones, because servers add such lines to events.

--- a/crates/godwit-core/src/site/mod.rs
+++ b/crates/godwit-core/src/site/mod.rs
@@ -3,6 +3,7 @@
 
 mod configuration;
 mod detour_hosts;
+mod event_stream;
 mod findings;
 mod forecast;
 mod freshness;
@@ -27,6 +28,10 @@
     Workspace,
 };
 pub use detour_hosts::DetourHosts;
+pub use event_stream::{
+    BetweenEvents, Broken, Complete, EventStream, InEvent, MAX_BYTES_WITHOUT_EVENT, OpenStream,
+    Pushed, StreamBreak,
+};
 pub use findings::{FindingReport, Findings, PartitionReport};
 pub use forecast::{DomainForecast, Forecast, forecast};
 pub use freshness::FreshnessTracker;
--- a/crates/godwit-core/tests/site/main.rs
+++ b/crates/godwit-core/tests/site/main.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod detour_hosts;
+mod event_stream;
 mod findings;
 mod forecast;
 mod freshness;
--- a/crates/godwit-gateway/src/forward/mod.rs
+++ b/crates/godwit-gateway/src/forward/mod.rs
@@ -4,7 +4,6 @@
 mod admit;
 mod attempt;
 mod destination;
-mod events;
 mod handler;
 mod in_flight;
 mod quarantine;
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use godwit_core::SteadyMs;
-use godwit_core::site::event_gap_stall_threshold_ms;
+use godwit_core::site::{Broken, Complete, EventStream, OpenStream, event_gap_stall_threshold_ms};
 use http::Response;
 use hyper::body::Frame;
 use tokio::task::spawn_local;
@@ -19,7 +19,6 @@
 use super::admit::AdmittedRequest;
 use super::attempt::{AttemptError, StartedResponse, can_fail_over, release_connection, send};
 use super::destination::{Destination, choose_destination};
-use super::events::EventBuffer;
 use super::handler::log_caller_disconnect;
 use super::in_flight::InFlightGuard;
 use super::quarantine::{
@@ -81,8 +80,10 @@
     /// `None` once the connection has been released or has broken.
     connection: Option<Connection>,
     in_flight: Option<InFlightGuard>,
-    /// Received part of an event that is not complete yet.
-    buffer: EventBuffer,
+    /// Bytes of an event that is not finished, for the log.
+    unfinished_bytes: usize,
+    /// Id of the first event of the run, for the log.
+    first_event_id: Option<u64>,
     /// When the path is next checked for a stall, unless an event arrives.
     stall_check_at: SteadyMs,
     timing: StreamTiming,
@@ -98,7 +99,8 @@
             framing: response.connection.framing_text(),
             connection: Some(response.connection),
             in_flight: Some(response.in_flight),
-            buffer: EventBuffer::default(),
+            unfinished_bytes: 0,
+            first_event_id: None,
             timing: StreamTiming::default(),
         }
     }
@@ -109,6 +111,7 @@
     site: Rc<Site>,
     admitted: Rc<AdmittedRequest>,
     attempt: StreamAttempt,
+    /// Id of the last event that was passed on.
     last_event_id: Option<u64>,
     /// Number of attempts that may have run the request.
     runs: u32,
@@ -150,45 +153,99 @@
         is_finished: false,
         _counter_guard: counter_guard,
     };
-    let frames = unfold(Some(relay), |relay| async move {
-        let mut relay = relay?;
-        match relay.next_events().await {
-            Ok(Some(events)) => Some((Ok(Frame::data(events)), Some(relay))),
-            Ok(None) => None,
-            Err(incomplete) => Some((Err(incomplete), None)),
-        }
+    let run = Ok(EventStream::begin(relay.last_event_id));
+    let frames = unfold(Some(RelayedStream { relay, run }), |stream| async move {
+        // Nothing is read after the end, because the stream is consumed by it.
+        stream?.next_events().await
     });
     server_response(&head, streamed_body(Box::pin(frames)))
 }
 
-impl StreamRelay {
-    /// Returns the next complete events, or `None` at the end of the stream.
-    async fn next_events(&mut self) -> Result<Option<Bytes>, IncompleteBody> {
+/// A stream that has not ended.
+struct RelayedStream {
+    relay: StreamRelay,
+    /// Events of the last run, which may have broken after those that were passed on.
+    run: Result<OpenStream, EventStream<Broken>>,
+}
+
+impl RelayedStream {
+    /// Returns the next whole events with the stream after them; none at the end of the stream.
+    async fn next_events(
+        self,
+    ) -> Option<(Result<Frame<Bytes>, IncompleteBody>, Option<RelayedStream>)> {
+        let RelayedStream { mut relay, mut run } = self;
         loop {
-            match self.read_events().await {
-                Ok(Some(events)) if events.is_empty() => {}
-                Ok(Some(events)) => return Ok(Some(events)),
-                Ok(None) => return Ok(self.finish()),
-                Err(error) => self.resume(&error).await?,
+            let (broken, error) = match run {
+                Ok(open) => match relay.read_piece(open.can_resume()).await {
+                    Ok(Some(piece)) => {
+                        let pushed = open.push(&piece);
+                        relay.record_run(&pushed.next);
+                        run = pushed.next;
+                        if pushed.events.is_empty() {
+                            continue;
+                        }
+                        relay.postpone_stall_check();
+                        let frame = Frame::data(pushed.events.into());
+                        return Some((Ok(frame), Some(RelayedStream { relay, run })));
+                    }
+                    Ok(None) => match open.end_of_body() {
+                        Ok(ended) => {
+                            relay.finish(&ended.complete());
+                            return None;
+                        }
+                        Err(broken) if relay.ends_with_body() => (broken, WireError::Ended),
+                        Err(broken) => {
+                            let error = WireError::Events(broken.cause());
+                            (broken, error)
+                        }
+                    },
+                    Err(WireError::Stalled) => {
+                        run = relay.replace_stalled_run(open).await;
+                        continue;
+                    }
+                    Err(error) => (open.break_off(), error),
+                },
+                Err(broken) => {
+                    let error = WireError::Events(broken.cause());
+                    (broken, error)
+                }
+            };
+            match relay.resume(broken, &error).await {
+                Ok(open) => run = Ok(open),
+                Err(incomplete) => return Some((Err(incomplete), None)),
             }
         }
     }
+}
 
-    async fn read_events(&mut self) -> Result<Option<Bytes>, WireError> {
+impl StreamRelay {
+    async fn read_piece(&mut self, can_resume: bool) -> Result<Option<Bytes>, WireError> {
         // A server that sends without end must not outlast the deadline.
         if self.admitted.policy.response_deadline.is_past(self.site.now()) {
             return Err(WireError::TimedOut);
         }
-        let Some(piece) = self.next_piece().await? else { return Ok(None) };
+        let Some(piece) = self.next_piece(can_resume).await? else { return Ok(None) };
         self.attempt.timing.record_piece(self.site.now());
         if let Some(in_flight) = &self.attempt.in_flight {
             record_piece(&self.site, in_flight.run());
         }
-        let events = self.attempt.buffer.push(&piece, &mut self.last_event_id)?;
-        if !events.is_empty() {
-            self.postpone_stall_check();
-        }
-        Ok(Some(events))
+        Ok(Some(piece))
+    }
+
+    fn record_run(&mut self, run: &Result<OpenStream, EventStream<Broken>>) {
+        let (last_event_id, first_event_id, unfinished_bytes) = match run {
+            Ok(open) => (open.last_event_id(), open.first_event_id(), open.unfinished_bytes()),
+            Err(broken) => {
+                (broken.last_event_id(), broken.first_event_id(), broken.unfinished_bytes())
+            }
+        };
+        self.last_event_id = last_event_id;
+        self.attempt.first_event_id = first_event_id;
+        self.attempt.unfinished_bytes = unfinished_bytes;
+    }
+
+    fn ends_with_body(&self) -> bool {
+        self.attempt.connection.as_ref().is_some_and(Connection::ends_with_body)
     }
 
     fn postpone_stall_check(&mut self) {
@@ -200,7 +257,7 @@
     /// Waits for the next piece of the stream. If no event arrives within the stall threshold and the request may run
     /// again, checks the path for a stall. A stalled request is moved to another path from its first server. If that
     /// fails and another attempt can follow, returns [`WireError::Stalled`].
-    async fn next_piece(&mut self) -> Result<Option<Bytes>, WireError> {
+    async fn next_piece(&mut self, can_resume: bool) -> Result<Option<Bytes>, WireError> {
         let connection = self.attempt.connection.as_mut().ok_or(WireError::Ended)?;
         let is_direct = connection.is_direct();
         let deadline = self.admitted.policy.response_deadline;
@@ -252,13 +309,15 @@
                 let in_flight = InFlightGuard::start(&self.site, &self.admitted, &new_path);
                 self.attempt.in_flight = Some(in_flight);
                 self.attempt.destination = new_path;
-            } else if can_fail_over(
-                &self.site,
-                &self.admitted,
-                self.runs,
-                &self.avoided,
-                &self.attempt.destination,
-            ) {
+            } else if can_resume
+                && can_fail_over(
+                    &self.site,
+                    &self.admitted,
+                    self.runs,
+                    &self.avoided,
+                    &self.attempt.destination,
+                )
+            {
                 return Err(WireError::Stalled);
             }
         }
@@ -279,8 +338,8 @@
             after_ms = self.site.now().since_ms(received),
             runs = self.runs,
             framing = self.attempt.framing,
-            unfinished_bytes = self.attempt.buffer.unfinished_bytes(),
-            first_event_id = self.attempt.buffer.first_event_id(),
+            unfinished_bytes = self.attempt.unfinished_bytes,
+            first_event_id = self.attempt.first_event_id,
             last_event_id = self.last_event_id,
         );
         metrics::counter!("answered_total", "status" => "200").increment(1);
@@ -296,7 +355,8 @@
         }
     }
 
-    fn finish(&mut self) -> Option<Bytes> {
+    /// Ends the response as complete.
+    fn finish(mut self, _complete: &EventStream<Complete>) {
         self.is_finished = true;
         if let Some(connection) = self.attempt.connection.take() {
             release_connection(
@@ -305,33 +365,38 @@
                 connection,
                 &self.attempt.head,
             );
-            self.log_stream_ended();
-            record_completion(&self.site, &self.admitted);
         }
+        self.log_stream_ended();
+        record_completion(&self.site, &self.admitted);
         self.attempt.in_flight = None;
         self.examine_if_slow();
-        let rest = self.attempt.buffer.take_rest();
-        (!rest.is_empty()).then_some(rest)
     }
 
-    /// Resumes the stream on another server after a failure. An attempt that has only stalled is kept until another one
-    /// has begun, and continues if none does.
-    async fn resume(&mut self, error: &WireError) -> Result<(), IncompleteBody> {
-        let is_stalled = matches!(error, WireError::Stalled);
-        if !is_stalled {
-            self.attempt.connection = None;
-            if let Some(in_flight) = self.attempt.in_flight.take() {
-                let run = in_flight.run().clone();
-                drop(in_flight);
-                check_broken_run(&self.site, &run, error).await;
-            }
+    /// Resumes the stream on another server after a failure.
+    async fn resume(
+        &mut self,
+        broken: EventStream<Broken>,
+        error: &WireError,
+    ) -> Result<OpenStream, IncompleteBody> {
+        self.attempt.connection = None;
+        if let Some(in_flight) = self.attempt.in_flight.take() {
+            let run = in_flight.run().clone();
+            drop(in_flight);
+            check_broken_run(&self.site, &run, error).await;
         }
-        match self.start_next_attempt(error.to_string(), is_stalled).await {
-            Ok(attempt) => {
+        let cause = error.to_string();
+        let resumed = match broken.resume() {
+            Ok(open) => self.start_next_attempt(cause, false).await.map(|attempt| (attempt, open)),
+            Err(_) => {
+                self.log_stream_broken(&self.attempt.destination.server_id, &cause);
+                Err(IncompleteBody)
+            }
+        };
+        match resumed {
+            Ok((attempt, open)) => {
                 self.attempt = attempt;
-                Ok(())
+                Ok(open)
             }
-            Err(_) if is_stalled => Ok(()),
             Err(incomplete) => {
                 self.is_finished = true;
                 info!(event = "stream_given_up", request = self.admitted.incoming.head.request_id);
@@ -341,6 +406,34 @@
         }
     }
 
+    /// Replaces a run that has only stalled. It is kept until another one has begun, and continues if none does.
+    async fn replace_stalled_run(
+        &mut self,
+        stalled: OpenStream,
+    ) -> Result<OpenStream, EventStream<Broken>> {
+        let cause = WireError::Stalled.to_string();
+        if let Ok(attempt) = self.start_next_attempt(cause, true).await {
+            self.attempt = attempt;
+            stalled.break_off().resume()
+        } else {
+            Ok(stalled)
+        }
+    }
+
+    fn log_stream_broken(&self, server: &str, cause: &str) {
+        info!(
+            event = "stream_broken",
+            request = self.admitted.incoming.head.request_id,
+            server,
+            cause,
+            last_event_id = self.last_event_id,
+            runs = self.runs,
+            framing = self.attempt.framing,
+            unfinished_bytes = self.attempt.unfinished_bytes,
+            first_event_id = self.attempt.first_event_id,
+        );
+    }
+
     /// Starts an attempt to run the rest of the stream on another server, and tries further servers while retries are
     /// left.
     async fn start_next_attempt(
@@ -350,17 +443,7 @@
     ) -> Result<StreamAttempt, IncompleteBody> {
         let mut failed_server = self.attempt.destination.server_id.clone();
         loop {
-            info!(
-                event = "stream_broken",
-                request = self.admitted.incoming.head.request_id,
-                server = failed_server,
-                cause,
-                last_event_id = self.last_event_id,
-                runs = self.runs,
-                framing = self.attempt.framing,
-                unfinished_bytes = self.attempt.buffer.unfinished_bytes(),
-                first_event_id = self.attempt.buffer.first_event_id(),
-            );
+            self.log_stream_broken(&failed_server, &cause);
             self.avoided.insert(failed_server);
             let asked_at = self.site.now();
             self.await_admission(asked_at).await?;
--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -231,6 +231,11 @@
         }
     }
 
+    /// Whether the last response body has no length, so that its end is the end of the connection.
+    pub(crate) fn ends_with_body(&self) -> bool {
+        self.framing == Framing::UntilClose
+    }
+
     /// Names the framing of the last response body for the log.
     pub(crate) fn framing_text(&self) -> &'static str {
         match self.framing {
--- a/crates/godwit-gateway/src/wire/error.rs
+++ b/crates/godwit-gateway/src/wire/error.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 
+use godwit_core::site::StreamBreak;
+
 /// Reason why a call has no complete response.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum WireError {
@@ -18,6 +20,9 @@
     /// the request.
     #[error("invalid HTTP response")]
     NotHttp,
+    /// A run does not continue its stream of events.
+    #[error("{0}")]
+    Events(StreamBreak),
     /// A server on the path of the request is stalled.
     #[error("a server on the path is stalled")]
     Stalled,
