Take a run for part of a stream only if its head says so

Callers of streams got the text of another answer in the middle of their stream, as a resumed run was taken by its status alone. A first success of another media type was relayed as a stream too, and had no event.

A resumed run must now have the media type of the first one, where none equals none; else it counts as a failed attempt, and the line stream_broken names the type. A first success that names another type than text/event-stream is handled like the response of a call and passed on as a whole; one that names none stays a stream.

--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -16,7 +16,9 @@
 use super::destination::Destination;
 use super::in_flight::Run;
 use super::quarantine::{Withheld, await_admission, log_quarantined, record_completion};
-use super::response::{ResponseBody, buffered_body, local_response, server_response};
+use super::response::{
+    ResponseBody, buffered_body, is_event_stream, local_response, server_response,
+};
 use super::server_end::check_broken_run;
 use super::stall_detection::record_failure;
 use super::stream::relay_stream;
@@ -334,8 +336,7 @@
     if destination.hops.is_empty() {
         site.health.borrow_mut().record_answer(&destination.server_id, latency_ms, site.now());
     }
-    let is_stream = admitted.policy.work.is_stream() && response.head.status == 200;
-    if is_stream {
+    if admitted.policy.work.is_stream() && is_event_stream(&response.head) {
         let counter_guard = counter_guard.take();
         return AttemptOutcome::Final(relay_stream(
             site,
--- a/crates/godwit-gateway/src/forward/response.rs
+++ b/crates/godwit-gateway/src/forward/response.rs
@@ -76,6 +76,23 @@
     response
 }
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Returns the media type of a response in lower case, without its parameters.
+pub(crate) fn media_type(head: &ReplyHead) -> Option<String> {
+    let mut values =
+        head.header_pairs().filter(|(name, _)| name.eq_ignore_ascii_case("content-type"));
+    let (_, value) = values.next()?;
+    let media_type = value.split(|byte| *byte == b';').next().unwrap_or_default();
+    Some(String::from_utf8_lossy(media_type).trim().to_ascii_lowercase())
+}
+
+/// Whether a response is a stream of events: a success that names no other media type.
+pub(crate) fn is_event_stream(head: &ReplyHead) -> bool {
+    head.status == 200 && media_type(head).is_none_or(|media_type| media_type == EVENT_STREAM)
+}
+
 /// Returns a server's response to the caller, without the headers that apply only to the server's connection.
 pub(crate) fn server_response(head: &ReplyHead, body: ResponseBody) -> Response<ResponseBody> {
     let mut response = Response::new(body);
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -26,7 +26,7 @@
     record_piece,
 };
 use super::repath::repath;
-use super::response::{IncompleteBody, ResponseBody, server_response, streamed_body};
+use super::response::{IncompleteBody, ResponseBody, media_type, server_response, streamed_body};
 use super::server_end::check_broken_run;
 use super::stall_detection::{detect_stall, examine_path, record_failure};
 use super::wait::CounterGuard;
@@ -111,6 +111,8 @@
     site: Rc<Site>,
     admitted: Rc<AdmittedRequest>,
     attempt: StreamAttempt,
+    /// Media type of the response, which each run must have.
+    media_type: Option<String>,
     /// Id of the last event that was passed on.
     last_event_id: Option<u64>,
     /// Number of attempts that may have run the request.
@@ -147,6 +149,7 @@
         site: site.clone(),
         admitted: admitted.clone(),
         attempt: StreamAttempt::new(destination, response, site.now()),
+        media_type: media_type(&head),
         last_event_id: admitted.incoming.head.last_event_id,
         runs,
         avoided: BTreeSet::new(),
@@ -463,7 +466,7 @@
             )
             .await;
             match sent {
-                Ok(response) if response.head.status == 200 => {
+                Ok(response) if self.is_continuation(&response.head) => {
                     self.runs += 1;
                     info!(
                         event = "stream_resumed",
@@ -476,7 +479,8 @@
                 }
                 Ok(response) => {
                     self.runs += 1;
-                    cause = format!("status {}", response.head.status);
+                    let media_type = media_type(&response.head);
+                    cause = format!("status {}, {media_type:.64?}", response.head.status);
                     if response.head.is_server_error() {
                         watch_failed_run(response);
                     }
@@ -497,6 +501,11 @@
         }
     }
 
+    /// Whether a response can continue the stream.
+    fn is_continuation(&self, head: &ReplyHead) -> bool {
+        head.status == 200 && media_type(head) == self.media_type
+    }
+
     /// Waits until the request may be sent to a server, and returns an error if it may not.
     async fn await_admission(&self, asked_at: SteadyMs) -> Result<(), IncompleteBody> {
         let admission = await_admission(&self.site, &self.admitted, asked_at).await;
