Ask whether the server lives where a body without a length ends

Callers got half of a body as the whole, or a stream that ended as complete without its last events: a body without a length ends with its connection, which the end of the server's process closes as well.

Where such a body ends, of a call, between two events of a stream, or of a run that nobody waits for, the host now asks whether its server lives, with the check of a broken run, which runs share. If nothing listens at the server's address, the run is broken: resumed or retried where the route allows it, else aborted, or 502 whose outcome is unknown. If the server accepts connections, is leaving, or nothing can be told, the body counts as complete.

Ruled out: no body without a length as complete, which fails each sound one. On detours the end of the channel is no end of a body: the other host sends it as a frame of its own.

--- a/crates/godwit-gateway/src/detour/open.rs
+++ b/crates/godwit-gateway/src/detour/open.rs
@@ -62,6 +62,8 @@
         /// Whether the server is at fault, because the links of other hosts work or there are no other hosts. Otherwise
         /// the links of this host may be the cause.
         is_confirmed: bool,
+        /// Whether several other hosts do not reach the server either.
+        is_agreed: bool,
     },
     /// The server wants no requests for a time.
     HoldsOff,
@@ -81,6 +83,7 @@
     /// Hosts whose links work do not reach the server.
     Unreachable {
         is_refused: bool,
+        is_agreed: bool,
     },
     HoldsOff,
     /// No host could tell.
@@ -115,7 +118,7 @@
     target: ServerTarget<'_>,
 ) -> Result<Connection, OpenError> {
     let opened = open_either_way(site, target).await;
-    if let Err(OpenError::Unreachable { is_confirmed: false, error }) = &opened {
+    if let Err(OpenError::Unreachable { is_confirmed: false, error, .. }) = &opened {
         site.record_unreached(target.server_id, is_refused(error));
     }
     opened
@@ -125,14 +128,14 @@
     let open_directly = || open_directly(site, target, CONNECT_TIMEOUT);
     if site.detour_hosts.borrow().is_empty() {
         let opened = open_directly().await;
-        return opened.map_err(|error| OpenError::Unreachable { error, is_confirmed: true });
+        return opened.map_err(|error| unreachable_directly(error, true));
     }
     let uses_detour = site.links.borrow().uses_detour(target.server_id, site.now());
     if uses_detour {
         return match open_detour(site, target, false).await {
             Err(DetourError::Unknown) if !site.links.borrow().are_lost() => {
                 let opened = open_directly().await;
-                opened.map_err(|error| OpenError::Unreachable { error, is_confirmed: false })
+                opened.map_err(|error| unreachable_directly(error, false))
             }
             detour => {
                 detour.map_err(|cause| open_error(connect_error(ErrorKind::TimedOut), &cause))
@@ -164,14 +167,20 @@
     Ok(connection)
 }
 
+/// Returns the error of a server that the own link does not reach, and of which no other host has told.
+fn unreachable_directly(error: WireError, is_confirmed: bool) -> OpenError {
+    OpenError::Unreachable { error, is_confirmed, is_agreed: false }
+}
+
 /// Joins the results of both ways, none of which has led to the server.
 fn open_error(direct: WireError, detour: &DetourError) -> OpenError {
     match detour {
         DetourError::HoldsOff => OpenError::HoldsOff,
-        DetourError::Unknown => OpenError::Unreachable { error: direct, is_confirmed: false },
-        DetourError::Unreachable { is_refused } => {
+        DetourError::Unknown => unreachable_directly(direct, false),
+        DetourError::Unreachable { is_refused, is_agreed } => {
             let kind = if *is_refused { ErrorKind::ConnectionRefused } else { ErrorKind::TimedOut };
-            OpenError::Unreachable { error: connect_error(kind), is_confirmed: true }
+            let error = connect_error(kind);
+            OpenError::Unreachable { error, is_confirmed: true, is_agreed: *is_agreed }
         }
     }
 }
@@ -236,7 +245,10 @@
         }
     }
     match denials.first() {
-        Some(is_refused) => Err(DetourError::Unreachable { is_refused: *is_refused }),
+        Some(is_refused) => {
+            let is_agreed = denials.len() >= CONFIRMATIONS;
+            Err(DetourError::Unreachable { is_refused: *is_refused, is_agreed })
+        }
         None => Err(DetourError::Unknown),
     }
 }
--- a/crates/godwit-gateway/src/forward/abandoned.rs
+++ b/crates/godwit-gateway/src/forward/abandoned.rs
@@ -12,7 +12,7 @@
 use super::attempt::{StartedResponse, release_connection};
 use super::in_flight::{InFlightGuard, Run};
 use super::quarantine::{is_suspect, record_completion, record_piece};
-use super::server_end::check_broken_run;
+use super::server_end::{check_broken_run, is_cut_by_server_end};
 use crate::site::Site;
 use crate::wire::{Connection, WireError};
 
@@ -110,6 +110,7 @@
         let answer = read_response(&site, &run, &mut connection).await;
         drop(in_flight);
         match answer? {
+            Answer::Complete if is_cut_by_server_end(&site, &run, &connection).await => {}
             Answer::Complete => record_completion(&site, &run.admitted),
             Answer::Failed => return Err(connection.closed().await),
             Answer::Other => {}
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -19,7 +19,7 @@
 use super::response::{
     ResponseBody, buffered_body, is_event_stream, local_response, server_response,
 };
-use super::server_end::check_broken_run;
+use super::server_end::{check_broken_run, is_cut_by_server_end};
 use super::stall_detection::record_failure;
 use super::stream::relay_stream;
 use super::wait::{CounterGuard, wait_for_configuration, wait_for_destination};
@@ -380,7 +380,16 @@
     destination: &Destination,
     mut response: StartedResponse,
 ) -> AttemptOutcome {
-    match read_body(site, &mut response, admitted.policy.response_deadline).await {
+    let deadline = admitted.policy.response_deadline;
+    let body = match read_body(site, &mut response, deadline).await {
+        Ok(_)
+            if is_cut_by_server_end(site, response.in_flight.run(), &response.connection).await =>
+        {
+            Err(WireError::Ended)
+        }
+        body => body,
+    };
+    match body {
         Ok(body) => {
             log_answered(site, admitted, destination, response.head.status);
             let answer = server_response(&response.head, buffered_body(body));
--- a/crates/godwit-gateway/src/forward/server_end.rs
+++ b/crates/godwit-gateway/src/forward/server_end.rs
@@ -49,6 +49,8 @@
 pub(crate) enum ServerCheck {
     /// Nothing listens at its address.
     Ended,
+    /// Nothing listens at its address, as several other hosts find too.
+    EndConfirmed,
     /// It was leaving as planned.
     Leaving,
     /// It accepts connections.
@@ -59,6 +61,13 @@
     Closing,
 }
 
+impl ServerCheck {
+    /// Whether the server is taken to have ended.
+    fn is_end(self) -> bool {
+        matches!(self, ServerCheck::Ended | ServerCheck::EndConfirmed)
+    }
+}
+
 /// Whether the error of a run may be due to the end of its server's process. Silence, invalid responses and refused
 /// connections are not: a run needs a connection, and the end of a process closes it.
 fn may_be_end(error: &WireError) -> bool {
@@ -74,15 +83,18 @@
 
 async fn connect_once(site: &Site, server_id: &str, address: SocketAddr) -> ServerCheck {
     let target = ServerTarget { server_id, address, request_id: "" };
-    let (error, is_confirmed) = match open_server(site, target).await {
+    let (error, is_confirmed, is_agreed) = match open_server(site, target).await {
         Ok(connection) => return settled_state(site, server_id, connection).await,
-        Err(OpenError::Unreachable { error, is_confirmed }) => (error, is_confirmed),
+        Err(OpenError::Unreachable { error, is_confirmed, is_agreed }) => {
+            (error, is_confirmed, is_agreed)
+        }
         Err(OpenError::HoldsOff) => return ServerCheck::Running,
     };
     let is_reached_elsewhere = site.links.borrow().is_reached_elsewhere(server_id, site.now());
     let WireError::Connect(error) = error else { return ServerCheck::Silent };
     match error.kind() {
         // Where no other host can tell, the links of this one may be the cause.
+        ErrorKind::ConnectionRefused if is_agreed => ServerCheck::EndConfirmed,
         ErrorKind::ConnectionRefused if is_confirmed || !is_reached_elsewhere => ServerCheck::Ended,
         ErrorKind::ConnectionReset => ServerCheck::Closing,
         _ => ServerCheck::Silent,
@@ -147,7 +159,7 @@
     let check = async || {
         let outcome = server_state(site, server_id, address, broke_at).await;
         info!(event = "server_checked", server = server_id, incarnation, ?outcome);
-        if outcome == ServerCheck::Ended {
+        if outcome.is_end() {
             record_end(site, incarnation, broke_at);
         }
         site.server_checks.borrow_mut().remove(incarnation);
@@ -194,24 +206,64 @@
 
 /// Checks a server of a run that has broken or waits for it, and records the loss if the server has ended.
 async fn check_server_of(site: Rc<Site>, run: Rc<Run>, server_id: String, broke_at: SteadyMs) {
-    let incarnation = match known_end(&site, &run, &server_id) {
+    let end = end_of_server(&site, &run, &server_id, broke_at).await;
+    if let ServerEnd::NotSeen { incarnation } = end {
+        spawn_local(await_removal(site, run, server_id, incarnation, broke_at));
+    }
+}
+
+/// What is found of the end of a server under a run.
+enum ServerEnd {
+    /// It has ended. If that is not confirmed, no more than one other host tells so.
+    Ended { is_confirmed: bool },
+    /// It accepts connections, but another process may do so at its address.
+    NotSeen { incarnation: String },
+    /// It is leaving as planned, cannot be reached, or has run what was sent after its end.
+    Other,
+}
+
+/// Finds out whether a server has ended under a run, and records the loss if it has.
+async fn end_of_server(
+    site: &Rc<Site>,
+    run: &Rc<Run>,
+    server_id: &str,
+    broke_at: SteadyMs,
+) -> ServerEnd {
+    let incarnation = match known_end(site, run, server_id) {
         KnownEnd::Unknown { incarnation } => incarnation,
         KnownEnd::DuringRun { incarnation, ended_at } => {
-            return record_lost_run(&site, &run, &incarnation, ended_at);
+            record_lost_run(site, run, &incarnation, ended_at);
+            return ServerEnd::Ended { is_confirmed: true };
         }
-        KnownEnd::BeforeRun => return,
+        KnownEnd::BeforeRun => return ServerEnd::Other,
     };
-    match shared_check(&site, &run, &server_id, &incarnation, broke_at).await {
-        ServerCheck::Ended => {
-            record_lost_run(&site, &run, &incarnation, broke_at);
+    match shared_check(site, run, server_id, &incarnation, broke_at).await {
+        check @ (ServerCheck::Ended | ServerCheck::EndConfirmed) => {
+            record_lost_run(site, run, &incarnation, broke_at);
             if run.is_trial() {
-                check_witnesses(&site, &run, broke_at).await;
+                check_witnesses(site, run, broke_at).await;
             }
+            ServerEnd::Ended { is_confirmed: check == ServerCheck::EndConfirmed }
         }
-        ServerCheck::Running | ServerCheck::Closing => {
-            spawn_local(await_removal(site, run, server_id, incarnation, broke_at));
-        }
-        ServerCheck::Leaving | ServerCheck::Silent => {}
+        ServerCheck::Running | ServerCheck::Closing => ServerEnd::NotSeen { incarnation },
+        ServerCheck::Leaving | ServerCheck::Silent => ServerEnd::Other,
+    }
+}
+
+/// Whether the body of a run that has just ended may be cut off: it has no length, and its server has ended. The end of a
+/// process closes its connections as the end of such a body does.
+pub(super) async fn is_cut_by_server_end(
+    site: &Rc<Site>,
+    run: &Rc<Run>,
+    connection: &Connection,
+) -> bool {
+    if !connection.ends_with_body() {
+        return false;
+    }
+    match end_of_server(site, run, &run.destination.server_id, site.now()).await {
+        // Where the own link does not work, that of one other host may not work either.
+        ServerEnd::Ended { is_confirmed } => is_confirmed || connection.is_direct(),
+        ServerEnd::NotSeen { .. } | ServerEnd::Other => false,
     }
 }
 
@@ -240,10 +292,10 @@
     let witnesses = run.witnesses();
     let checks = witnesses.iter().map(async |server| {
         let check = server_state(site, &server.id, server.address, broke_at).await;
-        if check == ServerCheck::Ended {
+        if check.is_end() {
             record_end(site, &site.incarnation(&server.id), broke_at);
         }
-        check == ServerCheck::Ended
+        check.is_end()
     });
     let ended = join_all(checks).await.into_iter().filter(|is_ended| *is_ended).count();
     let request = run.request_id();
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -27,7 +27,7 @@
 };
 use super::repath::repath;
 use super::response::{IncompleteBody, ResponseBody, media_type, server_response, streamed_body};
-use super::server_end::check_broken_run;
+use super::server_end::{check_broken_run, is_cut_by_server_end};
 use super::stall_detection::{detect_stall, examine_path, record_failure};
 use super::wait::CounterGuard;
 use crate::site::Site;
@@ -192,6 +192,7 @@
                         return Some((Ok(frame), Some(RelayedStream { relay, run })));
                     }
                     Ok(None) => match open.end_of_body() {
+                        Ok(ended) if relay.is_cut().await => (ended.break_off(), WireError::Ended),
                         Ok(ended) => {
                             relay.finish(&ended.complete());
                             return None;
@@ -251,6 +252,18 @@
         self.attempt.connection.as_ref().is_some_and(Connection::ends_with_body)
     }
 
+    /// Whether the body of the attempt, which has just ended, may be cut off by the end of its server.
+    async fn is_cut(&mut self) -> bool {
+        let StreamAttempt { connection, in_flight, .. } = &self.attempt;
+        let (Some(connection), Some(in_flight)) = (connection, in_flight) else { return false };
+        let is_cut = is_cut_by_server_end(&self.site, in_flight.run(), connection).await;
+        if is_cut {
+            // The loss is recorded, and must not be again when the attempt breaks.
+            self.attempt.in_flight = None;
+        }
+        is_cut
+    }
+
     fn postpone_stall_check(&mut self) {
         let stall_threshold_ms =
             event_gap_stall_threshold_ms(self.attempt.destination.event_gap_ms);
--- a/tests/gateway/detours.rs
+++ b/tests/gateway/detours.rs
@@ -82,6 +82,18 @@
     site.check_orders_ran_once();
 }
 
+#[test]
+fn call_over_detour_with_body_without_length_is_502_if_its_server_ends() {
+    let behavior = Behavior::UntilClose { pause: WORK_TIME, is_reset: false };
+    let site = start_site(vec![FakeServer::start("api-0", &[behavior])], 2);
+    let answer = call_during(&site, "POST", "/order/1", || {
+        site.set_links(&[1, 2], LinkState::RefusingNew);
+        site.servers[0].end();
+    });
+    assert_eq!(answer.expect("answered").status(), 502);
+    assert_eq!(site.servers[0].requests().len(), 1);
+}
+
 /// The end of the other host's process closes the channel like the end of a body.
 #[test]
 fn call_over_detour_with_body_without_length_is_502_if_the_other_host_ends() {
