Read the entries of the store one by one

What callers saw: none of their servers. One entry of another writer that no parser reads (nested deeper than 128 levels, 1e999, a number of 400 digits, NaN or Infinity, a lone surrogate, bytes that are no UTF-8) kept hosts from reading the whole list or change that held it. A host that started beside such an entry never became ready; one that ran saw no later change of the kind. The store counted as lost until the entry went.

Cause: the list was parsed as a whole before its items were looked at one by one, so that what a single item holds failed the page.

Fix: the text of a page is split at its brackets, commas and strings, without reading the values and without recursion; each item is then parsed alone. An item that cannot be read as a whole is read by its fields, so that odd `Finalizers` or `Status` do no harm, and an object with readable metadata keeps its name and revision. Its content is held as null: it names no server, a configuration in force stays, and the hosts that follow a reader hold the same objects, whose digest covers names and versions. An object whose name alone can be read counts as removed, as a list leaves it out. A removal needs only the name.

`At`, `HasMore` and the frame of the page are still errors of the page. A list goes on after the last name that can be read instead of the last readable object.

The log has one line for each revision of a kind with the number and the first names (objects_unreadable), and the counter objects_unreadable_total{kind}. Entries that are JSON but name no server or host are logged in one line for each change instead of one line for each entry; those of hosts only when they change, not with every other change.

Ruled out: `raw_value` of serde_json skips deep values without recursion, but fails the page at NaN and at bytes that are no UTF-8.

--- a/crates/godwit-gateway/src/replica/apply.rs
+++ b/crates/godwit-gateway/src/replica/apply.rs
@@ -14,7 +14,7 @@
 
 use crate::replica::ObjectKind;
 use crate::site::Site;
-use crate::store::{StoredQuarantine, restore_quarantines};
+use crate::store::{NameSample, StoredQuarantine, bounded_text, restore_quarantines};
 
 /// Number of deletions of each kind that are remembered for followers. One that misses more gets a listing.
 const MAX_DELETIONS: usize = 256;
@@ -68,7 +68,7 @@
             let applied = replica.apply(changes)?;
             replica.forget_deletions(MAX_DELETIONS);
             if kind == ObjectKind::Hosts && (is_first || !applied.changed.is_empty()) {
-                self.apply_hosts(replica, is_first);
+                self.apply_hosts(replica, is_first, &applied.changed);
             }
             let changed = applied.changed.iter().filter_map(|name| replica.get(name).cloned());
             let changed: Vec<StoredObject> = changed.collect();
@@ -101,7 +101,8 @@
         match decode_configuration(&specification) {
             Ok(configuration) => self.set_configuration(configuration),
             Err(error) => {
-                error!(event = "configuration_unreadable", revision = object.version, %error);
+                let cause = bounded_text(&error);
+                error!(event = "configuration_unreadable", revision = object.version, cause);
             }
         }
     }
@@ -110,12 +111,11 @@
         if is_listing {
             info!(event = "servers_listed", changed = changed.len());
         }
+        let mut unreadable = NameSample::default();
         for object in changed {
             let server = specification(object).and_then(|specification| {
                 decode_server(&object.name, &specification)
-                    .inspect_err(|error| {
-                        warn!(event = "server_unreadable", server = object.name, %error);
-                    })
+                    .inspect_err(|error| unreadable.add_with_cause(&object.name, error))
                     .ok()
             });
             match server {
@@ -123,6 +123,7 @@
                 None => self.remove_server(&object.name),
             }
         }
+        unreadable.warn("servers_unreadable");
     }
 
     fn update_server(&self, server: BackendServer, is_listing: bool) {
@@ -164,7 +165,8 @@
     }
 
     /// Replaces the list of hosts. With `restores`, takes over the quarantines that the hosts store.
-    fn apply_hosts(&self, replica: &ObjectReplica, restores: bool) {
+    fn apply_hosts(&self, replica: &ObjectReplica, restores: bool, changed: &[String]) {
+        let mut unreadable = NameSample::default();
         let mut peers = Vec::new();
         let mut to_follow = Vec::new();
         let mut detour_hosts = Vec::new();
@@ -184,9 +186,14 @@
                     detour_hosts
                         .extend(detour_address.map(|address| record.at(&object.name, address)));
                 }
-                Err(error) => warn!(event = "host_unreadable", name = object.name, %error),
+                Err(error) if changed.contains(&object.name) => {
+                    unreadable.add_with_cause(&object.name, &error);
+                }
+                // It was logged when it changed.
+                Err(_) => {}
             }
         }
+        unreadable.warn("hosts_unreadable");
         self.set_peers(peers);
         self.readers.borrow_mut().set_hosts(to_follow);
         self.detour_hosts.borrow_mut().set_hosts(detour_hosts);
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -101,6 +101,8 @@
     pub(crate) permits_wanted: Notify,
     /// Servers whose limit could not be read, which is logged once, by incarnation.
     pub(crate) unreadable_limits: RefCell<BTreeSet<String>>,
+    /// Newest revision for which objects that cannot be read were logged, by kind.
+    pub(crate) unreadable_objects: RefCell<BTreeMap<ObjectKind, u64>>,
     pub(crate) pool: RefCell<ConnectionPool>,
     /// This host's links to the servers.
     pub(crate) links: RefCell<ServerLinks>,
@@ -132,6 +134,7 @@
             host_census: RefCell::new(HostCensus::new(clock.now())),
             permits_wanted: Notify::new(),
             unreadable_limits: RefCell::default(),
+            unreadable_objects: RefCell::default(),
             relay: RefCell::new(Relay::new(
                 &settings.host,
                 &settings.failure_domain,
--- a/crates/godwit-gateway/src/store/hosts.rs
+++ b/crates/godwit-gateway/src/store/hosts.rs
@@ -16,6 +16,7 @@
 use crate::store::client::StoreClient;
 use crate::store::list_watch::stored_object;
 use crate::store::quarantines::{own_quarantines, restore_quarantines};
+use crate::store::unreadable::NameSample;
 
 /// Timeout for the response to a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -72,7 +73,7 @@
         return if is_written { Ok(record) } else { Err(format!("status {}", reply.status)) };
     }
     let known = decode_object(&reply.body).ok();
-    let known = known.and_then(|known| HostRecord::deserialize(known.specification).ok());
+    let known = known.and_then(|known| HostRecord::deserialize(known.specification?).ok());
     if let Some(known) = known.as_ref().filter(|_| restores) {
         restore_quarantines(site, host, &known.quarantines);
     }
@@ -100,6 +101,9 @@
         return Err(format!("status {}", reply.status));
     }
     let listing = decode_listing(&reply.body).map_err(|error| error.to_string())?;
+    let mut unreadable = NameSample::default();
+    unreadable.add_listed(&listing);
+    site.record_unreadable(ObjectKind::Hosts, listing.revision, &unreadable);
     let objects = listing.objects.into_iter().map(stored_object).collect();
     let changes = ReplicaChanges::listing(listing.revision, objects);
     site.apply_changes(ObjectKind::Hosts, &changes).map_err(|gap| gap.to_string())?;
--- a/crates/godwit-gateway/src/store/list_watch.rs
+++ b/crates/godwit-gateway/src/store/list_watch.rs
@@ -14,6 +14,7 @@
 use crate::replica::ObjectKind;
 use crate::site::Site;
 use crate::store::client::StoreClient;
+use crate::store::unreadable::NameSample;
 
 /// Time that the store holds a watch without changes, in milliseconds. The keepalive probes of the connection detect an
 /// unreachable store earlier.
@@ -85,10 +86,32 @@
     }
 }
 
-/// Converts an object of the store into the form in which hosts hold it.
+/// Converts an object of the store into the form in which hosts hold it. Content that cannot be read is held as null, which
+/// names nothing to use; the object still has its name and version, as all hosts must agree on them.
 pub(super) fn stored_object(object: Object) -> StoredObject {
-    let text = Some(object.specification.to_string());
-    StoredObject { name: object.name, version: object.revision, text }
+    let text = object.specification.unwrap_or_default().to_string();
+    StoredObject { name: object.name, version: object.revision, text: Some(text) }
+}
+
+fn watch_event(change: Change, unreadable: &mut NameSample) -> Option<WatchEvent> {
+    match change {
+        Change::Put(object) => {
+            if object.specification.is_none() {
+                unreadable.add(&object.name);
+            }
+            Some(WatchEvent::Written(stored_object(object)))
+        }
+        Change::Removed { name } => Some(WatchEvent::Removed { name }),
+        Change::PutUnreadable { name } => {
+            unreadable.add(&name);
+            // A list leaves out an object without a revision, too.
+            Some(WatchEvent::Removed { name })
+        }
+        Change::Unreadable => {
+            unreadable.count += 1;
+            None
+        }
+    }
 }
 
 struct WatchLoop {
@@ -111,20 +134,19 @@
 
     async fn list(&mut self, site: &Site) -> Result<ReplicaChanges, StepError> {
         let mut objects = Vec::new();
+        let mut unreadable = NameSample::default();
         let mut after: Option<String> = None;
         loop {
             let path = list_path(self.kind.name(), after.as_deref(), false);
             let body = self.client.get(&path, LIST_TIMEOUT).await?;
             let listing =
                 decode_listing(&body).map_err(|error| StepError::Call(error.to_string()))?;
-            if listing.unreadable > 0 {
-                let count = listing.unreadable;
-                warn!(event = "objects_unreadable", kind = self.kind.name(), count);
-            }
+            unreadable.add_listed(&listing);
             objects.extend(listing.objects.into_iter().map(stored_object));
-            let last = objects.last().map(|object: &StoredObject| object.name.clone());
+            let last = listing.last_name;
             if !listing.has_more || last.is_none() || last == after {
                 self.record_response(site);
+                site.record_unreadable(self.kind, listing.revision, &unreadable);
                 return Ok(ReplicaChanges::listing(listing.revision, objects));
             }
             after = last;
@@ -158,19 +180,11 @@
         let (changes, to_revision) =
             decode_changes(&body).map_err(|error| StepError::Call(error.to_string()))?;
         self.record_response(site);
-        let events = changes.into_iter().filter_map(|change| self.watch_event(change));
-        Ok(changes_of_watch(revision, to_revision, events.collect()))
-    }
-
-    fn watch_event(&self, change: Change) -> Option<WatchEvent> {
-        match change {
-            Change::Put(object) => Some(WatchEvent::Written(stored_object(object))),
-            Change::Removed { name } => Some(WatchEvent::Removed { name }),
-            Change::Unreadable => {
-                warn!(event = "change_unreadable", kind = self.kind.name());
-                None
-            }
-        }
+        let mut unreadable = NameSample::default();
+        let events =
+            changes.into_iter().filter_map(|change| watch_event(change, &mut unreadable)).collect();
+        site.record_unreadable(self.kind, to_revision, &unreadable);
+        Ok(changes_of_watch(revision, to_revision, events))
     }
 
     fn record_response(&mut self, site: &Site) {
--- a/crates/godwit-gateway/src/store/mod.rs
+++ b/crates/godwit-gateway/src/store/mod.rs
@@ -4,8 +4,10 @@
 mod hosts;
 mod list_watch;
 mod quarantines;
+mod unreadable;
 
 pub(crate) use client::StoreClient;
 pub(crate) use hosts::maintain_host_record;
 pub(crate) use list_watch::list_and_watch;
 pub(crate) use quarantines::{StoredQuarantine, restore_quarantines};
+pub(crate) use unreadable::{NameSample, bounded_text};
