Go on following beside many entries of the largest size

What callers saw: no later change, as with entries that no parser reads. A watch returns all changes at once, however many: with more than 8 MB of them (9 entries of another writer, of `ValueBytes` each) its response was refused, the store counted as lost, and the same watch was sent again without end. A host that had read them could pass no more than 16 MB on to the hosts that follow it, whose connections ended without a frame.

Cause: neither limit had a way out, and hosts held all content that is JSON, whatever its size.

Fix: a watch whose response is too large is followed by a list, which comes in pages of about 1 MB. The content of an entry of a server or a host above 128 KiB, many times what either needs, is held as null like content that cannot be read: it names nothing to use, and is counted and logged with it. The configuration has no such limit.

Evidence: hosts_follow_changes_beside_many_entries_of_the_largest_size (17 entries of servers and 9 of hosts; four hosts, then a fifth that starts beside them; their memory below that of the smallest hosts) failed before: "timed out waiting for the second server". The fake store now lists in pages, as the platform's does.

Open: 128 entries just below the limit would still fill a message between hosts.

--- a/crates/godwit-gateway/src/replica/kind.rs
+++ b/crates/godwit-gateway/src/replica/kind.rs
@@ -15,6 +15,10 @@
 /// serves for seconds after its entry changes.
 const BATCH_DELAY: Duration = Duration::from_millis(400);
 
+/// Largest content of the entry of a server or the record of a host, in bytes; many times what either needs. Larger ones
+/// of other writers would fill the messages between hosts.
+const MAX_ENTRY_BYTES: usize = 128 * 1024;
+
 /// Kind of objects.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub(crate) enum ObjectKind {
@@ -46,4 +50,12 @@
             ObjectKind::Servers | ObjectKind::Hosts => BATCH_DELAY,
         }
     }
+
+    /// Returns the largest content of an object that is held, in bytes.
+    pub(crate) fn max_content_bytes(self) -> usize {
+        match self {
+            ObjectKind::Configuration => usize::MAX,
+            ObjectKind::Servers | ObjectKind::Hosts => MAX_ENTRY_BYTES,
+        }
+    }
 }
--- a/crates/godwit-gateway/src/store/client.rs
+++ b/crates/godwit-gateway/src/store/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use tokio::time::timeout;
 
 use crate::wire::{Connection, OutgoingRequest, WireError};
@@ -18,6 +18,20 @@
 pub(crate) struct StoreReply {
     pub(crate) status: u16,
     pub(crate) body: Bytes,
+    /// Whether the body is larger than [`MAX_RESPONSE_BYTES`], and therefore left out.
+    pub(crate) is_too_large: bool,
+}
+
+/// Reads the rest of a response. None if it is too large.
+async fn read_body(connection: &mut Connection) -> Result<Option<Bytes>, WireError> {
+    let mut body = BytesMut::new();
+    while let Some(piece) = connection.next_piece().await? {
+        if body.len() + piece.len() > MAX_RESPONSE_BYTES {
+            return Ok(None);
+        }
+        body.extend_from_slice(&piece);
+    }
+    Ok(Some(body.freeze()))
 }
 
 /// Client with one connection, which it opens again when needed.
@@ -56,13 +70,15 @@
         let request = OutgoingRequest { method, target, headers, body: body.into() };
         let response = async {
             let head = connection.exchange(&request).await?;
-            let body = connection.read_body(MAX_RESPONSE_BYTES).await?;
-            Ok(StoreReply { status: head.status, body })
+            let body = read_body(&mut connection).await?;
+            let is_too_large = body.is_none();
+            let body = body.unwrap_or_default();
+            Ok(StoreReply { status: head.status, body, is_too_large })
         };
         let reply =
             timeout(response_timeout, response).await.map_err(|_| WireError::TimedOut)??;
         metrics::counter!("store_calls_total", "method" => method.to_string()).increment(1);
-        self.connection = Some(connection);
+        self.connection = (!reply.is_too_large).then_some(connection);
         Ok(reply)
     }
 }
--- a/crates/godwit-gateway/src/store/hosts.rs
+++ b/crates/godwit-gateway/src/store/hosts.rs
@@ -102,9 +102,11 @@
     }
     let listing = decode_listing(&reply.body).map_err(|error| error.to_string())?;
     let mut unreadable = NameSample::default();
-    unreadable.add_listed(&listing);
+    unreadable.add_nameless(listing.without_metadata);
+    let objects = listing.objects.into_iter();
+    let objects = objects.map(|object| stored_object(ObjectKind::Hosts, object, &mut unreadable));
+    let objects = objects.collect();
     site.record_unreadable(ObjectKind::Hosts, listing.revision, &unreadable);
-    let objects = listing.objects.into_iter().map(stored_object).collect();
     let changes = ReplicaChanges::listing(listing.revision, objects);
     site.apply_changes(ObjectKind::Hosts, &changes).map_err(|gap| gap.to_string())?;
     Ok(())
--- a/crates/godwit-gateway/src/store/list_watch.rs
+++ b/crates/godwit-gateway/src/store/list_watch.rs
@@ -8,6 +8,7 @@
 use godwit_core::SteadyMs;
 use godwit_core::replica::{ReplicaChanges, StoredObject, WatchEvent, changes_of_watch};
 use rand::Rng;
+use serde_json::Value;
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{error, info, warn};
 
@@ -66,6 +67,9 @@
     /// Other hosts have known a newer version for some time, so that the watch is presumed to hang.
     #[error("the watch hangs")]
     Behind,
+    /// The response has more than a host can hold.
+    #[error("the response is too large")]
+    TooLarge,
     /// The call failed, or its response was unusable.
     #[error("{0}")]
     Call(String),
@@ -79,6 +83,7 @@
         let reply = self.0.call("GET", path, Vec::new(), call_timeout).await;
         let reply = reply.map_err(|error| StepError::Call(error.to_string()))?;
         match reply.status {
+            STATUS_OK if reply.is_too_large => Err(StepError::TooLarge),
             STATUS_OK => Ok(reply.body),
             STATUS_GONE => Err(StepError::HistoryGone),
             status => Err(StepError::Call(format!("status {status}"))),
@@ -86,21 +91,30 @@
     }
 }
 
-/// Converts an object of the store into the form in which hosts hold it. Content that cannot be read is held as null, which
-/// names nothing to use; the object still has its name and version, as all hosts must agree on them.
-pub(super) fn stored_object(object: Object) -> StoredObject {
-    let text = object.specification.unwrap_or_default().to_string();
+/// Converts an object of the store into the form in which hosts hold it. Content that cannot be read, or is larger than that
+/// of any server or host, is held as null, which names nothing to use; the object still has its name and version, as all
+/// hosts must agree on them.
+pub(super) fn stored_object(
+    kind: ObjectKind,
+    object: Object,
+    unreadable: &mut NameSample,
+) -> StoredObject {
+    let text = object.specification.map(|specification| specification.to_string());
+    let text = text.filter(|text| text.len() <= kind.max_content_bytes());
+    let text = text.unwrap_or_else(|| {
+        unreadable.add(&object.name);
+        Value::Null.to_string()
+    });
     StoredObject { name: object.name, version: object.revision, text: Some(text) }
 }
 
-fn watch_event(change: Change, unreadable: &mut NameSample) -> Option<WatchEvent> {
+fn watch_event(
+    kind: ObjectKind,
+    change: Change,
+    unreadable: &mut NameSample,
+) -> Option<WatchEvent> {
     match change {
-        Change::Put(object) => {
-            if object.specification.is_none() {
-                unreadable.add(&object.name);
-            }
-            Some(WatchEvent::Written(stored_object(object)))
-        }
+        Change::Put(object) => Some(WatchEvent::Written(stored_object(kind, object, unreadable))),
         Change::Removed { name } => Some(WatchEvent::Removed { name }),
         Change::PutUnreadable { name } => {
             unreadable.add(&name);
@@ -108,7 +122,7 @@
             Some(WatchEvent::Removed { name })
         }
         Change::Unreadable => {
-            unreadable.count += 1;
+            unreadable.add_nameless(1);
             None
         }
     }
@@ -141,8 +155,10 @@
             let body = self.client.get(&path, LIST_TIMEOUT).await?;
             let listing =
                 decode_listing(&body).map_err(|error| StepError::Call(error.to_string()))?;
-            unreadable.add_listed(&listing);
-            objects.extend(listing.objects.into_iter().map(stored_object));
+            unreadable.add_nameless(listing.without_metadata);
+            let stored = listing.objects.into_iter();
+            let stored = stored.map(|object| stored_object(self.kind, object, &mut unreadable));
+            objects.extend(stored);
             let last = listing.last_name;
             if !listing.has_more || last.is_none() || last == after {
                 self.record_response(site);
@@ -176,13 +192,22 @@
     ) -> Result<ReplicaChanges, StepError> {
         let path = watch_path(self.kind.name(), revision, wait_ms);
         let call_timeout = Duration::from_millis(wait_ms) + WATCH_TIMEOUT_MARGIN;
-        let body = self.client.get(&path, call_timeout).await?;
+        let body = match self.client.get(&path, call_timeout).await {
+            Err(StepError::TooLarge) => {
+                warn!(event = "changes_too_large", kind = self.kind.name(), revision);
+                // A list comes in pages.
+                return Err(StepError::HistoryGone);
+            }
+            body => body?,
+        };
         let (changes, to_revision) =
             decode_changes(&body).map_err(|error| StepError::Call(error.to_string()))?;
         self.record_response(site);
         let mut unreadable = NameSample::default();
-        let events =
-            changes.into_iter().filter_map(|change| watch_event(change, &mut unreadable)).collect();
+        let events = changes
+            .into_iter()
+            .filter_map(|change| watch_event(self.kind, change, &mut unreadable))
+            .collect();
         site.record_unreadable(self.kind, to_revision, &unreadable);
         Ok(changes_of_watch(revision, to_revision, events))
     }
@@ -271,7 +296,9 @@
                 }
                 self.has_hung = true;
             }
-            Err(StepError::Call(cause)) => self.back_off(site, &cause).await,
+            Err(error @ (StepError::TooLarge | StepError::Call(_))) => {
+                self.back_off(site, &error.to_string()).await;
+            }
         }
     }
 }
--- a/crates/godwit-gateway/src/store/unreadable.rs
+++ b/crates/godwit-gateway/src/store/unreadable.rs
@@ -2,7 +2,6 @@
 
 use std::fmt::Display;
 
-use godwit_adapter::Listing;
 use tracing::warn;
 
 use crate::replica::ObjectKind;
@@ -22,7 +21,7 @@
 /// Names of objects for a line of the log: how many there are, the first of them, and what is wrong with the first.
 #[derive(Default)]
 pub(crate) struct NameSample {
-    pub(super) count: usize,
+    count: usize,
     names: Vec<String>,
     cause: Option<String>,
 }
@@ -47,9 +46,9 @@
         }
     }
 
-    pub(super) fn add_listed(&mut self, listing: &Listing) {
-        listing.unreadable_names.iter().for_each(|name| self.add(name));
-        self.count += listing.unreadable - listing.unreadable_names.len();
+    /// Counts objects whose names cannot be read.
+    pub(super) fn add_nameless(&mut self, count: usize) {
+        self.count += count;
     }
 }
 
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -18,6 +18,9 @@
 /// Time after which the roles of the hosts no longer change: a host follows after the list of hosts is complete.
 const SETTLE_TIME: Duration = Duration::from_millis(4_000);
 
+/// Memory of the smallest hosts, in KiB.
+const MEMORY_LIMIT_KIB: u64 = 160 * 1024;
+
 /// Contents that no parser reads, each with its name.
 fn odd_contents() -> Vec<(&'static str, Vec<u8>)> {
     vec![
@@ -183,3 +186,38 @@
         assert_eq!(requests(&servers[0]), used, "the first entry names no server now");
     }
 }
+
+/// More than a host takes in one response, or sends in one message to another.
+#[test]
+fn hosts_follow_changes_beside_many_entries_of_the_largest_size() {
+    const LARGE_ENTRIES: [(&str, usize); 2] = [("servers", 17), ("godwit-hosts", 9)];
+    const LARGE_BYTES: usize = (1 << 20) - 1_000;
+    let servers = ["s-1", "s-2"].map(|name| FakeServer::start(name, &[Behavior::Respond]));
+    let store = FakeStore::start();
+    store.put("config", "main", configuration(1));
+    store.put("servers", "s-1", servers[0].entry("api", None));
+    let hosts = HOST_NAMES.map(|name| Host::start_with_name(store.clone(), name));
+    hosts.iter().for_each(Host::wait_until_ready);
+    std::thread::sleep(SETTLE_TIME);
+    let large = json!({"Note": "x".repeat(LARGE_BYTES)}).to_string().into_bytes();
+    for (kind, count) in LARGE_ENTRIES {
+        for index in 0..count {
+            store.put_raw(kind, &format!("large-{index}"), large.clone());
+        }
+    }
+    store.put("servers", "s-2", servers[1].entry("api", None));
+    store.remove("servers", "s-1");
+    for host in &hosts {
+        let before = requests(&servers[1]);
+        host.wait_for("the second server", || {
+            is_served(host, "/read/1") && requests(&servers[1]) > before
+        });
+    }
+    let late = Host::start_with_name(store.clone(), "front-hall-a-5");
+    late.wait_until_ready();
+    late.wait_for("the server", || is_served(&late, "/read/1"));
+    for host in hosts.iter().chain([&late]) {
+        let memory_kib = host.memory_kib();
+        assert!(memory_kib < MEMORY_LIMIT_KIB, "{memory_kib} KiB");
+    }
+}
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -15,6 +15,9 @@
 /// How long a watch hangs if a test asks for it; longer than any step of a test.
 const HANG_DURATION: Duration = Duration::from_secs(60);
 
+/// Size from which a page of a list is complete, in bytes, as on the users' platform.
+const PAGE_BYTES: usize = 1 << 20;
+
 #[derive(Default)]
 struct Objects {
     revision: u64,
@@ -124,6 +127,13 @@
 }
 
 impl Objects {
+    /// Returns the content of an object that is sent byte for byte.
+    fn raw_content(&self, object: &Value) -> Option<&Vec<u8>> {
+        let mark = object["Specification"].as_str()?;
+        let mut contents = self.raw.iter().enumerate();
+        contents.find(|(number, _)| raw_mark(*number) == mark).map(|(_, content)| content)
+    }
+
     /// Stores an object under a new revision and records the change for watches.
     fn write(&mut self, kind: &str, name: &str, specification: Value) -> Value {
         self.revision += 1;
@@ -192,17 +202,33 @@
     match (request.start_line_part(0), parts.next()) {
         ("GET", None) => match query_number(target, "Watch") {
             Some(revision) => (200, watch(objects, kind, revision, query_number(target, "WaitMs"))),
-            None => (200, list(&objects.0.lock().expect("no panic"), kind)),
+            None => (200, list(&objects.0.lock().expect("no panic"), kind, after_name(target))),
         },
         (method, Some(name)) => write(objects, method, kind, name, &request.body),
         _ => (400, Value::Null),
     }
 }
 
-fn list(objects: &Objects, kind: &str) -> Value {
-    let of_kind = objects.by_key.iter().filter(|((object_kind, _), _)| object_kind == kind);
-    let items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
-    json!({"Items": items, "HasMore": false, "At": objects.revision})
+/// Lists the objects of a kind after a name, up to the size of a page.
+fn list(objects: &Objects, kind: &str, after: &str) -> Value {
+    let of_kind = objects.by_key.iter();
+    let of_kind = of_kind
+        .filter(|((object_kind, name), _)| object_kind == kind && name.as_str() > after)
+        .map(|(_, object)| object);
+    let mut bytes = 0;
+    let mut items = Vec::new();
+    let mut rest = of_kind.peekable();
+    while let Some(object) = rest.next_if(|_| bytes < PAGE_BYTES) {
+        bytes += objects.raw_content(object).map_or(0, Vec::len) + object.to_string().len();
+        items.push(object);
+    }
+    json!({"Items": items, "HasMore": rest.peek().is_some(), "At": objects.revision})
+}
+
+/// Returns the name after which a list is to start; empty if it starts with the first object.
+fn after_name(target: &str) -> &str {
+    let parameters = target.split_once('?').map_or("", |(_, parameters)| parameters);
+    parameters.split('&').find_map(|pair| pair.strip_prefix("After=")).unwrap_or_default()
 }
 
 /// Waits until objects of a kind have changed since `revision`, and returns the changes.
