End a stream that its handler leaves with an error

A streaming caller whose handler panicked, or dropped its responder, got a response that ended as if it were complete: dropping the chunked encoder writes the terminating chunk, whatever was sent before. Only the missing `[DONE]` told it apart, which a client that goes by the framing does not look for.

A responder that is dropped while it streams now sends the error event of an unknown outcome first, and logs `stream_unfinished`. The code is that of an unknown outcome, since the handler may have dispatched the request.

`stream_left_by_its_handler_ends_with_an_error` failed before: the body was the first event and the last chunk. A response that has not begun is not concerned: the server answers it with status 500.

--- a/crates/godwit-caller/src/responder.rs
+++ b/crates/godwit-caller/src/responder.rs
@@ -341,6 +341,21 @@
     }
 }
 
+impl Drop for Responder {
+    /// Ends a stream that was not finished with an error, since the encoder writes the terminating chunk of any stream.
+    fn drop(&mut self) {
+        if matches!(self.channel, Channel::Streaming(_)) {
+            tracing::error!(
+                event = "stream_unfinished",
+                request_id = %self.request_id,
+                tokens = self.tokens
+            );
+            // The caller may have closed its connection.
+            let _ = self.end_failed_stream(&Failure::code(Code::OutcomeUnknown));
+        }
+    }
+}
+
 fn content_type(media_type: &str) -> CallHeader {
     CallHeader { name: "Content-Type".to_string(), value: media_type.to_string() }
 }
