End a run that repeats accepted tokens with another text

A caller whose stream was resumed could get the beginning of one answer and the end of another, ended as complete. A run that began again at position 0 had its first tokens dropped as duplicates, by their position alone, and its later ones appended, though its text had nothing to do with what the caller had.

A repeated token is now compared with the accepted one. Another text is a `Conflict`, which ends the attempt as malformed; the request then resumes elsewhere. The same text is dropped as before.

`generate_skips_resumed_run_that_repeats_other_text` failed before: the request ended at the second engine, after five tokens of the expected answer and seven of the other, and never reached the third. `dropped_counts_pieces_by_reason` now counts the conflict too.

The other tests of `broken.rs` passed before, and show what the protocol of the engines excludes: a body that ends inside an event by its framing or without a length, one without a length that ends between events, another answer inside the stream, and a resumed run that begins later, that has only an end, or has the old attempt. A run that repeats nothing and goes on at the position that is due with unrelated text cannot be told apart.

--- a/crates/godwit-core/src/stream/assembly.rs
+++ b/crates/godwit-core/src/stream/assembly.rs
@@ -19,6 +19,12 @@
         /// Position of the piece.
         position: u32,
     },
+    /// The position was already accepted with another text, so that the piece belongs to another answer.
+    #[error("position {position} was already accepted with another text")]
+    Conflict {
+        /// Position of the piece.
+        position: u32,
+    },
     /// Earlier positions are missing.
     #[error("received position {position} while position {expected} is missing")]
     Gap {
@@ -65,6 +71,8 @@
     pub other_attempt: u64,
     /// Pieces whose position was already accepted.
     pub duplicate: u64,
+    /// Pieces whose position was already accepted with another text.
+    pub conflict: u64,
     /// Pieces that arrived while an earlier position was missing.
     pub gap: u64,
     /// Pieces whose position exceeds the token limit.
@@ -74,13 +82,14 @@
 impl DroppedPieces {
     /// Total number of dropped pieces.
     pub fn total(&self) -> u64 {
-        self.other_attempt + self.duplicate + self.gap + self.over_limit
+        self.other_attempt + self.duplicate + self.conflict + self.gap + self.over_limit
     }
 
     fn count(&mut self, reason: DropReason) {
         match reason {
             DropReason::OtherAttempt { .. } => self.other_attempt += 1,
             DropReason::Duplicate { .. } => self.duplicate += 1,
+            DropReason::Conflict { .. } => self.conflict += 1,
             DropReason::Gap { .. } => self.gap += 1,
             DropReason::OverLimit { .. } => self.over_limit += 1,
         }
@@ -160,7 +169,7 @@
         position: u32,
         token: &str,
     ) -> Result<(), DropReason> {
-        let checked = self.check_position(attempt, position);
+        let checked = self.check_piece(attempt, position, token);
         match checked {
             Ok(()) => self.tokens.push(token.to_string()),
             Err(reason) => self.dropped.count(reason),
@@ -183,12 +192,15 @@
         Ok(())
     }
 
-    fn check_position(&self, attempt: u32, position: u32) -> Result<(), DropReason> {
+    fn check_piece(&self, attempt: u32, position: u32, token: &str) -> Result<(), DropReason> {
         let expected = self.next_position();
         if attempt != self.attempt {
             return Err(DropReason::OtherAttempt { attempt, current: self.attempt });
         }
-        if position < expected {
+        if let Some(accepted) = self.tokens.get(position as usize) {
+            if accepted != token {
+                return Err(DropReason::Conflict { position });
+            }
             return Err(DropReason::Duplicate { position });
         }
         if position >= self.max_tokens {
--- a/crates/godwit-core/tests/stream_assembly.rs
+++ b/crates/godwit-core/tests/stream_assembly.rs
@@ -194,8 +194,15 @@
     assert!(assembly.accept_token(current, 1, "b").is_err());
     assert!(assembly.accept_token(current, 0, "a").is_ok());
     assert!(assembly.accept_token(current, 0, "a").is_err());
+    assert!(assembly.accept_token(current, 0, "other").is_err());
     assert!(assembly.accept_token(current, 2, "c").is_err());
     let dropped = assembly.dropped();
-    let counts = [dropped.other_attempt, dropped.gap, dropped.duplicate, dropped.over_limit];
-    assert_eq!(counts, [1, 1, 1, 1]);
+    let counts = [
+        dropped.other_attempt,
+        dropped.gap,
+        dropped.duplicate,
+        dropped.conflict,
+        dropped.over_limit,
+    ];
+    assert_eq!(counts, [1, 1, 1, 1, 1]);
 }
--- a/crates/godwit-host/src/dispatch/attempt.rs
+++ b/crates/godwit-host/src/dispatch/attempt.rs
@@ -116,8 +116,16 @@
     fn accept_token(&mut self, attempt: u32, position: u32, token: &str) -> Result<(), StreamEnd> {
         match self.assembly.accept_token(attempt, position, token) {
             Ok(()) => self.token_accepted(position, token),
-            // Events of one stream arrive in order, so a skipped token never arrives later.
-            Err(DropReason::Gap { .. } | DropReason::OverLimit { .. }) => Err(StreamEnd::Malformed),
+            // Events of one stream arrive in order, so a skipped token never arrives later. A run that repeats a token
+            // with another text does not continue this answer.
+            Err(
+                reason @ (DropReason::Gap { .. }
+                | DropReason::OverLimit { .. }
+                | DropReason::Conflict { .. }),
+            ) => {
+                tracing::warn!(attempt = self.number, %reason, "inconsistent stream");
+                Err(StreamEnd::Malformed)
+            }
             Err(DropReason::OtherAttempt { .. } | DropReason::Duplicate { .. }) => Ok(()),
         }
     }
--- /dev/null
+++ b/crates/godwit-host/tests/dispatch/broken.rs
@@ -0,0 +1,192 @@
+//! Streams that break in unusual ways, and resumed runs that do not go on at the token that is due.
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+
+use godwit_host::dispatch::Outcome;
+
+use crate::engines::{
+    TOKENS, address, executed_positions, expected_answer, run, start_whole_engine,
+};
+use crate::support::{DispatchFixture, ListSource};
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const NO_LENGTH: &str = "HTTP/1.1 200 OK\r\n\r\n";
+/// Number of tokens that a first run sends before it breaks.
+const SENT: u32 = 5;
+
+/// Starts an engine that answers probes, and every generate call with `response`, and closes each connection.
+fn scripted_engine(response: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let answer = match read_request(&mut stream) {
+                request if request.starts_with("POST /v1/generate ") => response.clone(),
+                request if request.starts_with("GET /v1/load ") => load_report(),
+                _ => continue,
+            };
+            // The host may have closed its end.
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    address
+}
+
+/// Reads one request with its body, so that closing the connection does not reset it; empty if it breaks off.
+fn read_request(stream: &mut TcpStream) -> String {
+    let mut request = Vec::new();
+    let mut byte = [0];
+    loop {
+        let text = String::from_utf8_lossy(&request);
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: "));
+            if body.len() >= length.map_or(0, |length| length.parse().unwrap()) {
+                return text.into_owned();
+            }
+        }
+        if stream.read(&mut byte).unwrap_or(0) == 0 {
+            return String::new();
+        }
+        request.push(byte[0]);
+    }
+}
+
+fn load_report() -> String {
+    let report = r#"{"measured_at_unix_ms":5,"started_at_unix_ms":1,"slots":4,"running":1,"waiting":0,"pending_tokens":9,"tokens_per_s":20.0}"#;
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{report}", report.len())
+}
+
+fn line(attempt: u32, position: u32, text: &str) -> String {
+    let token = serde_json::to_string(text).unwrap();
+    format!(
+        "{{\"kind\":\"token\",\"attempt\":{attempt},\"position\":{position},\"token\":{token}}}\n"
+    )
+}
+
+fn done(attempt: u32, count: u32) -> String {
+    format!("{{\"kind\":\"done\",\"attempt\":{attempt},\"position\":{count}}}\n")
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Lines of the tokens `[from, to)` of the expected answer.
+fn lines(attempt: u32, from: u32, to: u32) -> String {
+    let answer = expected_answer();
+    (from..to).map(|position| line(attempt, position, &answer[position as usize])).collect()
+}
+
+/// Lines of tokens `[from, to)` of another answer, and its end.
+fn other_answer(attempt: u32, from: u32, to: u32) -> String {
+    let lines: String =
+        (from..to).map(|position| line(attempt, position, &format!("other{position}"))).collect();
+    lines + &done(attempt, to)
+}
+
+fn first_run_cut() -> String {
+    format!("{CHUNKED}{}", chunk(&lines(1, 0, SENT)))
+}
+
+/// Runs a request on engines with these responses, in order, and then on a whole engine, which must complete it.
+#[track_caller]
+fn assert_completed_after(case: &str, responses: &[String]) {
+    let whole = start_whole_engine("whole");
+    let names: Vec<String> = (0..responses.len()).map(|index| format!("s{index}")).collect();
+    let addresses: Vec<String> = responses.iter().cloned().map(scripted_engine).collect();
+    let mut servers: Vec<(&str, &str)> =
+        names.iter().zip(&addresses).map(|(name, at)| (name.as_str(), at.as_str())).collect();
+    let whole_address = address(&whole);
+    servers.push(("whole", &whole_address));
+    let fixture = DispatchFixture::new();
+    let (run, tokens) = run(&fixture, &ListSource::new(&servers));
+    let called: Vec<&str> = run.report.attempts.iter().flatten().map(String::as_str).collect();
+    assert_eq!(called, servers.iter().map(|(name, _)| *name).collect::<Vec<_>>(), "{case}");
+    assert!(matches!(run.outcome, Outcome::Answered { .. }), "{case}: {:?}", run.outcome);
+    assert_eq!(tokens, expected_answer(), "{case}");
+    assert_eq!(executed_positions(&whole), (SENT..TOKENS).collect::<Vec<_>>(), "{case}");
+}
+
+#[test]
+fn generate_resumes_after_body_that_ends_within_event() {
+    let sent = lines(1, 0, SENT);
+    let due = lines(1, SENT, SENT + 1);
+    let part = &due[..due.len() / 2];
+    let unterminated = due.trim_end();
+    let ended = format!("{sent}{part}");
+    assert_completed_after(
+        "last chunk within an event",
+        &[format!("{CHUNKED}{}0\r\n\r\n", chunk(&ended))],
+    );
+    assert_completed_after(
+        "length within an event",
+        &[format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{ended}", ended.len())],
+    );
+    assert_completed_after("no length, end within an event", &[format!("{NO_LENGTH}{ended}")]);
+    assert_completed_after(
+        "no length, end before the newline",
+        &[format!("{NO_LENGTH}{sent}{unterminated}")],
+    );
+}
+
+#[test]
+fn generate_resumes_after_body_without_length_that_ends_between_events() {
+    assert_completed_after("no length", &[format!("{NO_LENGTH}{}", lines(1, 0, SENT))]);
+    let framed = format!("{CHUNKED}{}0\r\n\r\n", chunk(&lines(1, 0, SENT)));
+    assert_completed_after("last chunk", &[framed]);
+}
+
+#[test]
+fn generate_resumes_after_other_answer_within_stream() {
+    let error = "HTTP/1.1 500 Error\r\nContent-Length: 5\r\n\r\nfault";
+    let due = lines(1, SENT, SENT + 1);
+    let part = &due[..due.len() / 2];
+    for stray in [error.to_string(), format!("{part}{error}"), format!("{part}{due}")] {
+        assert_completed_after(
+            "within a chunk",
+            &[format!("{CHUNKED}{}{}", chunk(&lines(1, 0, SENT)), chunk(&stray))],
+        );
+        assert_completed_after(
+            "instead of a chunk",
+            &[format!("{CHUNKED}{}{stray}", chunk(&lines(1, 0, SENT)))],
+        );
+    }
+}
+
+#[test]
+fn generate_skips_resumed_run_that_begins_later() {
+    let later = lines(2, SENT + 2, TOKENS) + &done(2, TOKENS);
+    assert_completed_after("later", &[first_run_cut(), format!("{CHUNKED}{}", chunk(&later))]);
+    let ended = done(2, TOKENS);
+    assert_completed_after(
+        "only the end",
+        &[first_run_cut(), format!("{CHUNKED}{}", chunk(&ended))],
+    );
+    let of_other_attempt = lines(1, SENT, TOKENS) + &done(1, TOKENS);
+    assert_completed_after(
+        "of the first attempt",
+        &[first_run_cut(), format!("{CHUNKED}{}", chunk(&of_other_attempt))],
+    );
+}
+
+#[test]
+fn generate_skips_resumed_run_that_repeats_other_text() {
+    let other = other_answer(2, 0, TOKENS);
+    assert_completed_after("other text", &[first_run_cut(), format!("{CHUNKED}{}", chunk(&other))]);
+}
+
+#[test]
+fn generate_resumed_run_that_repeats_same_text_completes() {
+    let repeated = lines(2, 0, TOKENS) + &done(2, TOKENS);
+    let addresses =
+        [first_run_cut(), format!("{CHUNKED}{}", chunk(&repeated))].map(scripted_engine);
+    let source = ListSource::new(&[("s0", &addresses[0]), ("s1", &addresses[1])]);
+    let fixture = DispatchFixture::new();
+    let (run, tokens) = run(&fixture, &source);
+    let outcomes = fixture.recorder.outcomes();
+    assert!(matches!(run.outcome, Outcome::Answered { .. }), "{:?} {outcomes:?}", run.outcome);
+    assert_eq!(tokens, expected_answer());
+}
--- a/crates/godwit-host/tests/dispatch/main.rs
+++ b/crates/godwit-host/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of dispatch against stand-ins. The journals of the stand-ins show what each of them ran, and how often.
 
+mod broken;
 mod crash;
 mod engines;
 mod generate;
