Take a refusal as proof only from a response with its status

A response without a status line, or with a status that no refusal has, counted as "not run" if its body happened to parse as a refusal. A non-idempotent request was then sent to a second server, although it was not known what the first had done with it. `minreq` reports a missing status line as status 503, which hides the difference.

A refusal is read only from a response with a status line and a status from 400 to 599; any other is lost, and its outcome unknown. A first line that is not HTTP but has a number as its second word is still read as a status: `minreq` does not check the protocol's name.

Failed before: `refusal_without_its_status_may_have_run` (`Refused` with its proof) and `generate_refusal_without_its_status_has_unknown_outcome` (the second server answered the request). Ruled out: a refusal left over on a kept connection, since each call has a connection of its own.

--- a/crates/godwit-engine/src/http.rs
+++ b/crates/godwit-engine/src/http.rs
@@ -4,6 +4,7 @@
 //! the end of the body. This module relies on neither: a response is accepted only if its JSON is complete.
 
 use std::io::{ErrorKind, Read};
+use std::ops::RangeInclusive;
 
 use godwit_core::{NotExecutedProof, UnixMs};
 use godwit_schema::engine::EngineRefusal;
@@ -18,6 +19,10 @@
 const MAX_REFUSAL_BYTES: u64 = 64 * 1024;
 const MS_PER_S: u64 = 1_000;
 pub(crate) const STATUS_OK: u16 = 200;
+/// Statuses of refusals.
+const REFUSAL_STATUSES: RangeInclusive<u16> = 400..=599;
+/// Reason phrase that `minreq` reports, with status 503, for a response without a status.
+const NO_STATUS_REASON: &str = "Server did not provide a status line";
 
 /// Creates a request that times out at the deadline, rounded up to whole seconds and at least 1 s.
 pub(crate) fn request(
@@ -47,12 +52,20 @@
     from_slice(&body).map_err(|error| lost(address, &error.to_string()))
 }
 
-/// Parses the refusal in a response whose status is not 200; `None` if it is incomplete.
+/// Parses the refusal in a response; `None` if it is incomplete, or if the response does not have the status of one.
 pub(crate) fn read_refusal(response: ResponseLazy) -> Option<EngineRefusal> {
+    if !has_status(&response) || !REFUSAL_STATUSES.contains(&response.status_code) {
+        return None;
+    }
     let body = read_body(response, MAX_REFUSAL_BYTES).ok()?;
     from_slice(&body).ok()
 }
 
+/// Returns whether the response begins with a status line.
+fn has_status(response: &ResponseLazy) -> bool {
+    response.reason_phrase != NO_STATUS_REASON
+}
+
 /// Returns the proof that nothing was sent, which only a refused connection gives.
 pub(crate) fn never_sent(error: &minreq::Error) -> Option<NotExecutedProof> {
     match error {
--- a/crates/godwit-engine/tests/streams/events.rs
+++ b/crates/godwit-engine/tests/streams/events.rs
@@ -95,6 +95,15 @@
     assert_lost_after("HTTP/1.1 503 Busy\r\nContent-Length: 40\r\n\r\n{\"reason\":\"busy\"", 0);
 }
 
+#[test]
+fn refusal_without_its_status_may_have_run() {
+    let body = r#"{"reason":"busy","message":"queue is full"}"#;
+    for status_line in ["garbled", "HTTP/1.1 Busy", "HTTP/1.1 202 Accepted"] {
+        let length = body.len();
+        assert_lost_after(&format!("{status_line}\r\nContent-Length: {length}\r\n\r\n{body}"), 0);
+    }
+}
+
 #[test]
 fn connection_closed_before_answer_is_lost() {
     assert_lost_after("", 0);
--- a/crates/godwit-host/tests/dispatch/broken.rs
+++ b/crates/godwit-host/tests/dispatch/broken.rs
@@ -7,7 +7,7 @@
 use godwit_host::dispatch::Outcome;
 
 use crate::engines::{
-    TOKENS, address, executed_positions, expected_answer, run, start_whole_engine,
+    TOKENS, address, executed_positions, expected_answer, run, run_request, start_whole_engine,
 };
 use crate::support::{DispatchFixture, ListSource};
 
@@ -190,3 +190,17 @@
     assert!(matches!(run.outcome, Outcome::Answered { .. }), "{:?} {outcomes:?}", run.outcome);
     assert_eq!(tokens, expected_answer());
 }
+
+#[test]
+fn generate_refusal_without_its_status_has_unknown_outcome() {
+    let refusal = r#"{"reason":"busy","message":"queue is full"}"#;
+    for head in ["garbled", "HTTP/1.1 OK", "HTTP/1.1 202 Accepted"] {
+        let response = format!("{head}\r\nContent-Length: {}\r\n\r\n{refusal}", refusal.len());
+        let other = start_whole_engine("other");
+        let (scripted, whole) = (scripted_engine(response), address(&other));
+        let source = ListSource::new(&[("s0", &scripted), ("other", &whole)]);
+        let (run, _) = run_request(&DispatchFixture::new(), &source, true);
+        assert!(matches!(run.outcome, Outcome::Unknown(_)), "{head}: {:?}", run.outcome);
+        assert!(other.journal().is_empty(), "{head}: ran twice");
+    }
+}
