Keep error answers apart from the loss of a server

A caller whose request met a server that ended and then a server that answered with a page of its own, such as a 500 or a 404, got an incomplete answer while other servers were free. An answer that is neither a stream nor a refusal counted as a closed connection, that is as the loss of its server; two losses quarantine a request, on all hosts.

A complete response without a refusal is now malformed, like a line that is no event: the attempt fails, its server is avoided, and the request has no part in it. A response that breaks off before its declared length, or has no status line, counts as a loss as before; so does one without a length whose JSON breaks off.

Failed before: `generate_skips_resumed_run_that_is_no_stream` (the third attempt was cancelled as quarantined) and `response_without_refusal_is_malformed_if_complete`, which also cuts the response at each of its bytes: every cut is a loss.

--- a/crates/godwit-engine/src/event.rs
+++ b/crates/godwit-engine/src/event.rs
@@ -65,6 +65,6 @@
     Closed(String),
     /// The deadline passed.
     TimedOut,
-    /// The engine sent a line that is not a valid event.
+    /// The engine sent a line that is not a valid event, or a complete response that is neither a stream nor a refusal.
     Malformed(String),
 }
--- a/crates/godwit-engine/src/http.rs
+++ b/crates/godwit-engine/src/http.rs
@@ -52,13 +52,38 @@
     from_slice(&body).map_err(|error| lost(address, &error.to_string()))
 }
 
-/// Parses the refusal in a response; `None` if it is incomplete, or if the response does not have the status of one.
-pub(crate) fn read_refusal(response: ResponseLazy) -> Option<EngineRefusal> {
-    if !has_status(&response) || !REFUSAL_STATUSES.contains(&response.status_code) {
-        return None;
+/// Why a response holds no refusal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum NoRefusal {
+    /// The connection was closed before the response was complete.
+    Truncated,
+    /// The response is complete, but it is no refusal or does not have the status of one.
+    Malformed,
+}
+
+/// Parses the refusal in a response whose status is not 200.
+pub(crate) fn read_refusal(response: ResponseLazy) -> Result<EngineRefusal, NoRefusal> {
+    if !has_status(&response) {
+        return Err(NoRefusal::Truncated);
+    }
+    let is_status_of_refusal = REFUSAL_STATUSES.contains(&response.status_code);
+    let length_bytes = declared_length_bytes(&response);
+    let body = read_body(response, MAX_REFUSAL_BYTES).map_err(|_| NoRefusal::Truncated)?;
+    let read_bytes = body.len() as u64;
+    if length_bytes.is_some_and(|length| read_bytes < length.min(MAX_REFUSAL_BYTES)) {
+        return Err(NoRefusal::Truncated);
     }
-    let body = read_body(response, MAX_REFUSAL_BYTES).ok()?;
-    from_slice(&body).ok()
+    match from_slice(&body) {
+        Ok(refusal) if is_status_of_refusal => Ok(refusal),
+        Err(error) if error.is_eof() && length_bytes.is_none() => Err(NoRefusal::Truncated),
+        Ok(_) | Err(_) => Err(NoRefusal::Malformed),
+    }
+}
+
+fn declared_length_bytes(response: &ResponseLazy) -> Option<u64> {
+    let is_length = |name: &str| name.trim().eq_ignore_ascii_case("content-length");
+    let (_, value) = response.headers.iter().find(|(name, _)| is_length(name))?;
+    value.trim().parse().ok()
 }
 
 /// Returns whether the response begins with a status line.
@@ -84,8 +109,8 @@
 fn refusal_error(response: ResponseLazy, address: &str) -> EngineError {
     let status = response.status_code;
     match read_refusal(response) {
-        Some(refusal) => EngineError::Refused { address: address.to_string(), refusal },
-        None => lost(address, &format!("status {status} without a refusal")),
+        Ok(refusal) => EngineError::Refused { address: address.to_string(), refusal },
+        Err(_) => lost(address, &format!("status {status} without a refusal")),
     }
 }
 
--- a/crates/godwit-engine/src/reader.rs
+++ b/crates/godwit-engine/src/reader.rs
@@ -11,7 +11,7 @@
 };
 use minreq::{Request, ResponseLazy};
 
-use crate::http::{STATUS_OK, is_timeout, never_sent, read_refusal};
+use crate::http::{NoRefusal, STATUS_OK, is_timeout, never_sent, read_refusal};
 use crate::{LossCause, StreamEvent};
 
 /// Maximum length of a line of a stream.
@@ -108,9 +108,11 @@
 
 fn refusal_event(response: ResponseLazy) -> StreamEvent {
     let status = response.status_code;
+    let message = format!("status {status} without a refusal");
     match read_refusal(response) {
-        Some(refusal) => from_refusal(refusal),
-        None => StreamEvent::Lost(LossCause::Closed(format!("status {status} without a refusal"))),
+        Ok(refusal) => from_refusal(refusal),
+        Err(NoRefusal::Truncated) => StreamEvent::Lost(LossCause::Closed(message)),
+        Err(NoRefusal::Malformed) => StreamEvent::Lost(LossCause::Malformed(message)),
     }
 }
 
--- a/crates/godwit-engine/tests/streams/events.rs
+++ b/crates/godwit-engine/tests/streams/events.rs
@@ -104,6 +104,19 @@
     }
 }
 
+#[test]
+fn response_without_refusal_is_malformed_if_complete() {
+    let complete = "HTTP/1.1 500 Error\r\nContent-Length: 5\r\n\r\nfault";
+    let malformed =
+        |event: &StreamEvent| matches!(event, StreamEvent::Lost(LossCause::Malformed(_)));
+    assert!(malformed(&events(complete)[0]));
+    // The response of a server that ends must still count as the loss of the server.
+    for length in 0..complete.len() {
+        let event = &events(&complete[..length])[0];
+        assert!(matches!(event, StreamEvent::Lost(LossCause::Closed(_))), "{length}: {event:?}");
+    }
+}
+
 #[test]
 fn connection_closed_before_answer_is_lost() {
     assert_lost_after("", 0);
--- a/crates/godwit-host/tests/dispatch/broken.rs
+++ b/crates/godwit-host/tests/dispatch/broken.rs
@@ -91,6 +91,12 @@
     format!("{CHUNKED}{}", chunk(&lines(1, 0, SENT)))
 }
 
+/// A first run that the engine ends with an error, so that no server counts as lost.
+fn first_run_failed() -> String {
+    let error = format!("{{\"kind\":\"error\",\"attempt\":1,\"position\":{SENT}}}\n");
+    format!("{CHUNKED}{}0\r\n\r\n", chunk(&(lines(1, 0, SENT) + &error)))
+}
+
 /// Runs a request on engines with these responses, in order, and then on a whole engine, which must complete it.
 #[track_caller]
 fn assert_completed_after(case: &str, responses: &[String]) {
@@ -104,7 +110,9 @@
     let fixture = DispatchFixture::new();
     let (run, tokens) = run(&fixture, &ListSource::new(&servers));
     let called: Vec<&str> = run.report.attempts.iter().flatten().map(String::as_str).collect();
-    assert_eq!(called, servers.iter().map(|(name, _)| *name).collect::<Vec<_>>(), "{case}");
+    let outcomes = fixture.recorder.outcomes();
+    let names: Vec<&str> = servers.iter().map(|(name, _)| *name).collect();
+    assert_eq!(called, names, "{case}: {:?} {outcomes:?}", run.outcome);
     assert!(matches!(run.outcome, Outcome::Answered { .. }), "{case}: {:?}", run.outcome);
     assert_eq!(tokens, expected_answer(), "{case}");
     assert_eq!(executed_positions(&whole), (SENT..TOKENS).collect::<Vec<_>>(), "{case}");
@@ -156,6 +164,24 @@
     }
 }
 
+#[test]
+fn generate_skips_resumed_run_that_is_no_stream() {
+    let second = |response: &str| [first_run_cut(), response.to_string()];
+    let page = "<html>not found</html>\n";
+    for status in ["200 OK", "204 No Content", "302 Found", "404 Not Found", "500 Error"] {
+        let response = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{page}", page.len());
+        assert_completed_after(status, &second(&response));
+    }
+    let refusal = r#"{"reason":"busy","message":"queue is full"}"#;
+    let with_length = format!("Content-Length: {}\r\n\r\n{refusal}", refusal.len());
+    assert_completed_after("refusal", &second(&format!("HTTP/1.1 503 Busy\r\n{with_length}")));
+    // Nothing tells these from the answer of a server that ended, and a second loss would quarantine the request.
+    let refusal_as_stream = format!("HTTP/1.1 200 OK\r\n{with_length}");
+    for response in [refusal_as_stream.as_str(), "fault\n", ""] {
+        assert_completed_after(response, &[first_run_failed(), response.to_string()]);
+    }
+}
+
 #[test]
 fn generate_skips_resumed_run_that_begins_later() {
     let later = lines(2, SENT + 2, TOKENS) + &done(2, TOKENS);
