Decode replies of the store entry by entry

One entry that another writer left among the hosts or objects hid all others: the whole reply was invalid, so that hosts learned of no server that came or left, and of no object that changed, until that entry was gone. Nesting beyond the limit of the parser, numbers out of range or of 400 digits, text that is no Unicode and other types did so.

Lists, watches and the host list are read in two steps: the reply with its entries as raw text, for which these limits do not count, and each entry by itself. Entries that cannot be read are left out, counted in `godwit_platform_unreadable_entries`, and logged when their number changes. What is known must not seem gone because of it: a host whose entry can no longer be read is listed with the last entry that could, and a listed object whose version cannot be read has version 0. An object whose value cannot be read gives `ReadError::Unreadable` with its version, not an invalid reply.

Failed before: `list_with_odd_entry_yields_the_others`, `watch_with_odd_entry_yields_the_others` and `hosts_with_odd_entry_yields_the_others` ("the platform's response is invalid") and `read_of_object_nested_beyond_the_limit_tells_its_version` (`BadAnswer`; the stand-in's store accepts such an object). `host_whose_entry_becomes_unreadable_stays_listed` and `listed_object_with_unreadable_version_stays_listed` guard the fix itself.

--- a/crates/godwit-platform/src/client.rs
+++ b/crates/godwit-platform/src/client.rs
@@ -1,18 +1,20 @@
 //! Blocking client of the platform.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use godwit_core::UnixMs;
 use godwit_core::store_budget::{CallClass, CallRate, StoreBudget, StoreBudgetLimits};
 use godwit_schema::platform::{
-    ConflictReply, HostListReply, ListReply, ObjectReply, WatchReply, WriteReply,
+    ConflictReply, HostListReply, ListReply, ListedHost, ObjectReply, WatchReply, WriteReply,
 };
-use metrics::counter;
+use metrics::{counter, gauge};
 use minreq::{Request, Response};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
+use crate::entries::{self, Decoded, HostEntries};
 use crate::error::{ReadError, WriteError};
 use crate::http::{CallError, percent_encode, send};
 
@@ -59,6 +61,10 @@
     call_timeout_ms: u64,
     class: CallClass,
     budget: Arc<Mutex<StoreBudget>>,
+    /// Number of unreadable entries in the last reply of each kind.
+    unreadable: Arc<Mutex<BTreeMap<&'static str, usize>>>,
+    /// Hosts of the last host list, by name.
+    known_hosts: Arc<Mutex<BTreeMap<String, ListedHost>>>,
 }
 
 impl Platform {
@@ -69,6 +75,8 @@
             call_timeout_ms: settings.call_timeout_ms,
             class: CallClass::Other,
             budget: Arc::new(Mutex::new(StoreBudget::new(settings.budget, now()))),
+            unreadable: Arc::default(),
+            known_hosts: Arc::default(),
         }
     }
 
@@ -83,37 +91,48 @@
     }
 
     /// Reads an object; returns `None` if it does not exist.
+    ///
+    /// # Errors
+    /// [`ReadError::Unreadable`] when the object exists but its value cannot be read.
     pub fn read(&self, name: &str) -> Result<Option<ObjectReply>, ReadError> {
         let path = format!("/objects/{}", percent_encode(name));
-        match self.get("read", &path, self.call_timeout_ms) {
+        match self.get("read", &path, self.call_timeout_ms, entries::object) {
             Ok(reply) => Ok(Some(reply)),
             Err(ReadError::Refused { status: STATUS_NOT_FOUND }) => Ok(None),
             Err(error) => Err(error),
         }
     }
 
-    /// Lists the objects whose names start with `prefix`, without their values.
+    /// Lists the objects whose names start with `prefix`, without their values. An object whose name cannot be read is left
+    /// out; one whose version cannot be read has version 0.
     pub fn list(&self, prefix: &str) -> Result<ListReply, ReadError> {
         let path = format!("/objects?prefix={}", percent_encode(prefix));
-        self.get("list", &path, self.call_timeout_ms)
+        self.get("list", &path, self.call_timeout_ms, entries::list)
     }
 
-    /// Waits up to `wait_ms` for changes after revision `after` to objects whose names start with `prefix`.
+    /// Waits up to `wait_ms` for changes after revision `after` to objects whose names start with `prefix`. Changes that
+    /// cannot be read are left out.
     pub fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<WatchReply, ReadError> {
         let prefix = percent_encode(prefix);
         let path = format!("/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
-        self.get("watch", &path, self.call_timeout_ms.saturating_add(wait_ms))
+        self.get("watch", &path, self.call_timeout_ms.saturating_add(wait_ms), entries::watch)
     }
 
-    /// Returns the host list, which can be out of date.
+    /// Returns the host list, which can be out of date. A host whose entry cannot be read is listed with the last entry that
+    /// could, and left out if there is none.
     pub fn hosts(&self) -> Result<HostListReply, ReadError> {
-        self.get("hosts", "/hosts", self.call_timeout_ms)
+        let entries = self.get("hosts", "/hosts", self.call_timeout_ms, entries::hosts)?;
+        let HostEntries { mut list, unreadable_names } = entries;
+        let mut known = self.known_hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        list.hosts.extend(unreadable_names.iter().filter_map(|name| known.get(name)).cloned());
+        *known = list.hosts.iter().map(|host| (host.name.clone(), host.clone())).collect();
+        Ok(list)
     }
 
     /// Looks up the weights of a model or adapter in the weight store.
     pub fn weights(&self, name: &str) -> Result<Value, ReadError> {
         let path = format!("/weights/{}", percent_encode(name));
-        self.get("weights", &path, self.call_timeout_ms)
+        self.get("weights", &path, self.call_timeout_ms, entries::whole)
     }
 
     /// Writes an object if its current version is `if_version` (0: if it does not exist); returns its new version.
@@ -134,27 +153,31 @@
         format!("{}/objects/{}?if_version={if_version}", self.base_url, percent_encode(name))
     }
 
-    fn get<T: DeserializeOwned>(
+    fn get<T>(
         &self,
         kind: &'static str,
         path: &str,
         timeout_ms: u64,
+        decode: fn(&[u8]) -> Result<Decoded<T>, ReadError>,
     ) -> Result<T, ReadError> {
-        let result = self.get_without_metrics(path, timeout_ms);
+        let result = self.get_without_metrics(path, timeout_ms, decode);
         count(kind, result.as_ref().err().map_or("ok", read_error_label));
-        result
+        let Decoded { reply, unreadable } = result?;
+        self.record_unreadable(kind, unreadable);
+        Ok(reply)
     }
 
-    fn get_without_metrics<T: DeserializeOwned>(
+    fn get_without_metrics<T>(
         &self,
         path: &str,
         timeout_ms: u64,
-    ) -> Result<T, ReadError> {
+        decode: fn(&[u8]) -> Result<Decoded<T>, ReadError>,
+    ) -> Result<Decoded<T>, ReadError> {
         self.spend(CallRate::Read).map_err(|retry_at| ReadError::Limited { retry_at })?;
         let response = send(minreq::get(format!("{}{path}", self.base_url)), timeout_ms)
             .map_err(|error| ReadError::NoAnswer { reason: error.into_reason() })?;
         match response.status_code {
-            STATUS_OK => parse(&response).map_err(|reason| ReadError::BadAnswer { reason }),
+            STATUS_OK => decode(response.as_bytes()),
             STATUS_TOO_MANY_REQUESTS => Err(ReadError::Limited { retry_at: retry_at(&response) }),
             status if status >= FIRST_SERVER_ERROR => {
                 Err(ReadError::NoAnswer { reason: format!("status {status}") })
@@ -163,6 +186,16 @@
         }
     }
 
+    /// Logs the number of unreadable entries in replies of a kind when it changes.
+    fn record_unreadable(&self, kind: &'static str, unreadable: usize) {
+        let mut last = self.unreadable.lock().unwrap_or_else(PoisonError::into_inner);
+        if last.insert(kind, unreadable).unwrap_or_default() == unreadable {
+            return;
+        }
+        gauge!("godwit_platform_unreadable_entries", "kind" => kind).set(unreadable as f64);
+        tracing::warn!(event = "platform_entries_unreadable", kind, entries = unreadable);
+    }
+
     fn update(&self, kind: &'static str, request: Request) -> Result<u64, WriteError> {
         let result = self.update_without_metrics(request);
         count(kind, result.as_ref().err().map_or("ok", write_error_label));
@@ -233,6 +266,7 @@
         ReadError::Limited { .. } => "limited",
         ReadError::Refused { status: STATUS_NOT_FOUND } => "absent",
         ReadError::Refused { .. } => "refused",
+        ReadError::Unreadable { .. } => "unreadable",
         ReadError::BadAnswer { .. } => "bad_answer",
     }
 }
--- a/crates/godwit-platform/src/error.rs
+++ b/crates/godwit-platform/src/error.rs
@@ -24,6 +24,14 @@
         /// HTTP status.
         status: u16,
     },
+    /// The object exists, but its value cannot be read; another writer may have written it.
+    #[error("version {version} of the object is unreadable: {reason}")]
+    Unreadable {
+        /// Version of the object.
+        version: u64,
+        /// What is wrong with the value.
+        reason: String,
+    },
     /// The response does not conform to the API.
     #[error("the platform's response is invalid: {reason}")]
     BadAnswer {
--- a/crates/godwit-platform/src/lib.rs
+++ b/crates/godwit-platform/src/lib.rs
@@ -1,6 +1,7 @@
 //! Client of the platform: Object API, host list and weight store.
 
 mod client;
+mod entries;
 mod error;
 mod http;
 
