--- a/crates/godwit-host/src/configuration/mod.rs
+++ b/crates/godwit-host/src/configuration/mod.rs
@@ -5,4 +5,4 @@
 mod source;
 
 pub use driver::{Configuration, ConfigurationSettings};
-pub use source::{ConfigSource, Neighbours, SourceError};
+pub use source::{ConfigSource, Neighbours, PlatformSource, SourceError};
--- a/crates/godwit-host/src/node/adapters.rs
+++ b/crates/godwit-host/src/node/adapters.rs
@@ -5,38 +5,15 @@
 
 use godwit_core::UnixMs;
 use godwit_peer::{CallError, PeerClient, Topic};
-use godwit_platform::Platform;
-use godwit_schema::platform::{ListReply, ObjectReply, WatchReply};
 
 use crate::clock::Clock;
-use crate::configuration::{ConfigSource, Neighbours, SourceError};
+use crate::configuration::{Neighbours, SourceError};
 use crate::ledger::{ForwardError, Forwarder};
 use crate::membership::Membership;
 
 /// Timeout of a call that fetches a neighbour's configuration.
 const FETCH_TIMEOUT_MS: u64 = 2_000;
 
-fn source_error(error: impl std::fmt::Display) -> SourceError {
-    SourceError(error.to_string())
-}
-
-/// The platform as the source of configuration.
-pub(super) struct PlatformSource(pub(super) Platform);
-
-impl ConfigSource for PlatformSource {
-    fn list(&self, prefix: &str) -> Result<ListReply, SourceError> {
-        self.0.list(prefix).map_err(source_error)
-    }
-
-    fn read(&self, name: &str) -> Result<Option<ObjectReply>, SourceError> {
-        self.0.read(name).map_err(source_error)
-    }
-
-    fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<WatchReply, SourceError> {
-        self.0.watch(prefix, after, wait_ms).map_err(source_error)
-    }
-}
-
 /// The other hosts, reached over the peer protocol.
 pub(super) struct Peers {
     pub(super) membership: Arc<Membership>,
@@ -48,7 +25,8 @@
 impl Neighbours for Peers {
     fn call(&self, address: SocketAddr, payload: &[u8]) -> Result<Vec<u8>, SourceError> {
         let deadline = self.clock.now().plus_ms(FETCH_TIMEOUT_MS);
-        self.client.call(address, Topic::Configuration, payload, deadline).map_err(source_error)
+        let answer = self.client.call(address, Topic::Configuration, payload, deadline);
+        answer.map_err(|error| SourceError(error.to_string()))
     }
 
     fn is_watcher(&self) -> bool {
--- a/crates/godwit-host/src/node/start.rs
+++ b/crates/godwit-host/src/node/start.rs
@@ -16,12 +16,12 @@
 use godwit_peer::{Handlers, PeerClient, PeerKey, PeerServer, Topic};
 use godwit_platform::{Platform, PlatformSettings};
 
-use super::adapters::{Peers, PlatformSource};
+use super::adapters::Peers;
 use super::error::{NodeError, start_error};
 use super::updates::UpdateDispatcher;
 use super::view::OperatorView;
 use crate::clock::Clock;
-use crate::configuration::{Configuration, ConfigurationSettings};
+use crate::configuration::{Configuration, ConfigurationSettings, PlatformSource};
 use crate::dispatch::{CrashGuard, DispatchSettings};
 use crate::ledger::{Ledger, LedgerSettings};
 use crate::membership::{Membership, MembershipSettings};
