Order engines beside a desired state that cannot be read

An object of the wrong form was skipped already.

An unreadable object is now skipped like one of the wrong form; the engine keeps the last desired state that could be read. As with those, each round reads it again. `orders_reach_engines_beside_an_unreadable_desired_object` failed before: the other engine did not get its model within 10 s.

--- a/crates/godwit-host/src/orders/observe.rs
+++ b/crates/godwit-host/src/orders/observe.rs
@@ -96,7 +96,15 @@
         if self.desired.get(server).is_some_and(|(version, _)| *version >= head.version) {
             return Ok(());
         }
-        let Some(object) = platform.read(&head.name)? else { return Ok(()) };
+        let object = match platform.read(&head.name) {
+            Ok(Some(object)) => object,
+            Ok(None) => return Ok(()),
+            Err(error @ ReadError::Unreadable { .. }) => {
+                warn!(event = "desired_object_unreadable", server, error = %error);
+                return Ok(());
+            }
+            Err(error) => return Err(error),
+        };
         match serde_json::from_value(object.value) {
             Ok(desired) => {
                 self.desired.insert(server.to_string(), (object.version, desired));
--- a/crates/godwit-host/tests/odd_objects.rs
+++ b/crates/godwit-host/tests/odd_objects.rs
@@ -4,12 +4,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use godwit_core::orders::OrdersSettings;
 use godwit_host::SystemClock;
 use godwit_host::configuration::{
     Configuration, ConfigurationSettings, Neighbours, PlatformSource, SourceError,
 };
+use godwit_host::orders::{DomainFleet, Orders, OrdersStartSettings};
 use godwit_platform::{Platform, PlatformSettings};
-use godwit_standin::PlatformStandin;
+use godwit_schema::config::BackendServer;
+use godwit_standin::{EngineSettings, EngineStandin, LoadedModel, PlatformStandin};
 use serde_json::{Value, json};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -90,3 +93,49 @@
     let calls = counts() - before;
     assert!(calls <= MAX_CALM_CALLS, "{calls} calls without a change");
 }
+
+#[test]
+fn orders_reach_engines_beside_an_unreadable_desired_object() {
+    let (standin, platform) = start_platform();
+    let engines = ["e0", "e1"].map(|name| {
+        let mut settings = EngineSettings::new(any_port(), name);
+        settings.models = vec![LoadedModel::whole("m0", 4)];
+        settings.order_load_ms = 0;
+        EngineStandin::start(settings).unwrap()
+    });
+    let servers = engines.iter().enumerate().map(|(index, engine)| {
+        let value = json!({
+            "name": format!("e{index}"),
+            "address": engine.address().to_string(),
+            "failure_domain": "hall-a",
+            "role": "engine",
+        });
+        serde_json::from_value::<BackendServer>(value).unwrap()
+    });
+    let models = ["m0", "m1"].map(str::to_string).to_vec();
+    let fleet = DomainFleet { engines: servers.collect(), models };
+    platform.write("desired/e0", 0, &odd_value()).unwrap();
+    platform.write("desired/e1", 0, &json!({"models": ["m1"]})).unwrap();
+    let mut settings = OrdersStartSettings::new("h1", 1, "hall-a");
+    settings.observe_interval_ms = 50;
+    settings.delays = OrdersSettings {
+        takeover_delay_ms: 50,
+        load_interval_ms: 50,
+        retry_delay_ms: 50,
+        ..OrdersSettings::default()
+    };
+    let client = Platform::new(&standin.address().to_string(), PlatformSettings::default());
+    let orders =
+        Orders::start(&settings, &client, Arc::new(SystemClock), Arc::new(move || fleet.clone()))
+            .unwrap();
+    orders.set_hosts(["h1"]);
+    let address = engines[1].address().to_string();
+    wait_until("the second engine has its model", || {
+        let loaded = godwit_engine::load(&address, now_plus(2_000), now_plus(0));
+        loaded.is_ok_and(|report| report.models == ["m1"])
+    });
+}
+
+fn now_plus(ms: u64) -> godwit_core::UnixMs {
+    godwit_host::Clock::now(&SystemClock).plus_ms(ms)
+}
