Collect ledger objects beside one that cannot be read

One object below `ledger/` whose value is nested beyond the limit of the parser ended each collection, so that the objects of past events after it in order of name stayed in the store.

An unreadable object is now kept and logged, like one of the wrong form, and the collection goes on. It is never deleted, since it may hold claims. `collect_garbage_beside_an_unreadable_object` failed before with that read's error.

--- a/crates/godwit-host/src/ledger/garbage_collection.rs
+++ b/crates/godwit-host/src/ledger/garbage_collection.rs
@@ -70,7 +70,15 @@
     if configured.is_some_and(|event| !retained_until(event.start).is_past(now)) {
         return Ok(false);
     }
-    let Some(object) = platform.read(&name.object_name())? else { return Ok(false) };
+    let object = match platform.read(&name.object_name()) {
+        Ok(Some(object)) => object,
+        Ok(None) => return Ok(false),
+        Err(error @ ReadError::Unreadable { .. }) => {
+            warn!(object = name.object_name(), error = %error, "ledger_object_unreadable");
+            return Ok(false);
+        }
+        Err(error) => return Err(error),
+    };
     let Ok(slice) = serde_json::from_value::<LedgerSlice>(object.value) else { return Ok(false) };
     Ok(retained_until(UnixMs(slice.event_start_unix_ms)).is_past(now))
 }
--- a/crates/godwit-host/tests/ledger.rs
+++ b/crates/godwit-host/tests/ledger.rs
@@ -178,3 +178,19 @@
     let names: Vec<&str> = remaining.iter().map(|head| head.name.as_str()).collect();
     assert_eq!(names, ["ledger/farm/friday/0", "ledger/farm/moved/0"]);
 }
+
+#[test]
+fn collect_garbage_beside_an_unreadable_object() {
+    let standin = start_platform();
+    let ledger = start_single_ledger(&standin);
+    let platform = Platform::new(&standin.address().to_string(), PlatformSettings::default());
+    let nested = format!("{}{}", "[".repeat(127), "]".repeat(127));
+    let nested: serde_json::Value = serde_json::from_str(&nested).unwrap();
+    platform.write("ledger/farm/odd/0", 0, &nested).unwrap();
+    let value = json!({"event_start_unix_ms": 0, "entries": {}});
+    platform.write("ledger/farm/thursday/0", 0, &value).unwrap();
+    ledger.collect_garbage(&[]).unwrap();
+    let remaining = platform.list("ledger/").unwrap().objects;
+    let names: Vec<&str> = remaining.iter().map(|head| head.name.as_str()).collect();
+    assert_eq!(names, ["ledger/farm/odd/0"]);
+}
