Test answers that are written twice on a connection

Operators of similar systems saw an earlier refusal, written once more on a kept connection, taken as the answer to the next request.

Calls of engines and services have a connection of their own (`refusal_written_twice_answers_no_other_call`, `answer_written_twice_answers_no_other_call`). Hosts keep connections to each other, but each reply carries a code over its number in the session: one that is there before the next call makes the client leave the connection, one that comes after it leaves the outcome unknown (`reply_written_again_is_no_answer_to_the_next_call`, both cases).

--- a/crates/godwit-engine/tests/streams/events.rs
+++ b/crates/godwit-engine/tests/streams/events.rs
@@ -187,3 +187,30 @@
     assert_eq!(cancel.0, "POST /v1/cancel HTTP/1.1");
     assert_eq!(cancel.1, r#"{"attempt":3,"request_id":"r-1"}"#);
 }
+
+#[test]
+fn refusal_written_twice_answers_no_other_call() {
+    let body = r#"{"reason":"busy","message":"queue is full"}"#;
+    let refusal = format!("HTTP/1.1 503 Busy\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let (release, released) = flume::bounded::<()>(0);
+    let fake = FakeEngine::run(vec![
+        Box::new(move |stream| {
+            stream.write_all(refusal.repeat(2).as_bytes()).unwrap();
+            // The next connection is accepted although this one stays open.
+            let kept = stream.try_clone().unwrap();
+            std::thread::spawn(move || {
+                let _ = released.recv();
+                drop(kept);
+            });
+        }),
+        Box::new(|stream| {
+            let answer = format!("{STREAM_HEAD}{}{}0\r\n\r\n", token(3, 0), chunk(DONE));
+            stream.write_all(answer.as_bytes()).unwrap();
+        }),
+    ]);
+    let refused = start(&fake.address).next(TIMEOUT_MS).unwrap();
+    assert!(matches!(refused, StreamEvent::Refused { .. }), "{refused:?}");
+    let streamed = start(&fake.address).next(TIMEOUT_MS).unwrap();
+    assert!(matches!(streamed, StreamEvent::Token { position: 0, .. }), "{streamed:?}");
+    drop(release);
+}
--- a/crates/godwit-peer/tests/call.rs
+++ b/crates/godwit-peer/tests/call.rs
@@ -201,6 +201,49 @@
     assert_eq!(calls.load(Ordering::SeqCst), 1);
 }
 
+#[test]
+fn reply_written_again_is_no_answer_to_the_next_call() {
+    for is_before_next_call in [true, false] {
+        let (server, _) = start_echo_server();
+        let upstream = server.address();
+        let (written, is_written) = std::sync::mpsc::channel();
+        let listener = TcpListener::bind(any_port()).unwrap();
+        let address = listener.local_addr().unwrap();
+        thread::spawn(move || {
+            let (mut down, _) = listener.accept().unwrap();
+            let mut up = TcpStream::connect(upstream).unwrap();
+            relay_handshake(&mut down, &mut up);
+            relay_frame(&mut down, &mut up);
+            let reply = relay_frame(&mut up, &mut down);
+            if !is_before_next_call {
+                written.send(()).unwrap();
+                relay_frame(&mut down, &mut up);
+            }
+            down.write_all(&(reply.len() as u32).to_le_bytes()).unwrap();
+            down.write_all(&reply).unwrap();
+            let _ = written.send(());
+            // The client leaves this connection; a further one reaches the server.
+            let (down, _) = listener.accept().unwrap();
+            let up = TcpStream::connect(upstream).unwrap();
+            let (mut requests, mut to_server) =
+                (down.try_clone().unwrap(), up.try_clone().unwrap());
+            thread::spawn(move || std::io::copy(&mut requests, &mut to_server));
+            std::io::copy(&mut &up, &mut &down).unwrap();
+        });
+        let client = client();
+        assert_eq!(client.call(address, Topic::State, b"first", DEADLINE).unwrap(), b"first");
+        is_written.recv().unwrap();
+        match client.call(address, Topic::State, b"second", DEADLINE) {
+            Ok(answer) => assert!(is_before_next_call && answer == b"second", "{answer:?}"),
+            Err(error) => {
+                assert!(!is_before_next_call, "{error}");
+                assert!(matches!(error, CallError::Unknown { .. }), "{error}");
+            }
+        }
+        assert_eq!(client.call(address, Topic::State, b"third", DEADLINE).unwrap(), b"third");
+    }
+}
+
 #[test]
 fn serve_malformed_bytes() {
     let (server, calls) = start_echo_server();
--- a/crates/godwit-service/tests/calls/failure_points.rs
+++ b/crates/godwit-service/tests/calls/failure_points.rs
@@ -1,7 +1,8 @@
 //! Failures at every point of a call, against a call that may have run but is reported as never sent, and against an
 //! incomplete answer that is accepted.
 
-use std::io::Read;
+use std::io::{Read, Write};
+use std::net::TcpListener;
 
 use crate::fake::{CLOSED_ADDRESS, FakeService, FullListener, read_request};
 use godwit_core::UnixMs;
@@ -160,6 +161,24 @@
     assert_eq!(interim.unwrap().status, 204);
 }
 
+#[test]
+fn answer_written_twice_answers_no_other_call() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        let mut kept = Vec::new();
+        for status in [503, 201] {
+            let (mut stream, _) = listener.accept().unwrap();
+            read_request(&mut stream);
+            let answer = format!("HTTP/1.1 {status} Status\r\nContent-Length: 2\r\n\r\nok");
+            stream.write_all(answer.repeat(2).as_bytes()).unwrap();
+            kept.push(stream);
+        }
+    });
+    assert_eq!(send(&address).unwrap().status, 503);
+    assert_eq!(send(&address).unwrap().status, 201);
+}
+
 #[test]
 fn past_deadline_is_never_sent() {
     let result = forward(&call(b"{}"), "127.0.0.1:9", START, START);
