Generate broken exchanges with engines

Each case plays two generated exchanges and a sound one to one request: events of the run from any of its events, events of another answer with another attempt, ends, errors, refusals, pages and whole responses, each cut at any byte and joined to the next, in chunks of any size, with a length or one too large, until the connection closes, without a head, or under the status of a refusal. The oracle: the caller has a prefix of the tokens sent, and the request completes only with all of them.

Pieces begin at events, as writes do; bytes taken out of the middle of a token can't be noticed, since events carry no checksum. An `done` has the true count: the protocol leaves it to the engine where its answer ends.

The scripted engine moves to `scripted.rs`.

--- a/crates/godwit-host/tests/dispatch/broken.rs
+++ b/crates/godwit-host/tests/dispatch/broken.rs
@@ -1,85 +1,16 @@
 //! Streams that break in unusual ways, and resumed runs that do not go on at the token that is due.
 
-use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
-use std::thread;
-
 use godwit_host::dispatch::Outcome;
 
 use crate::engines::{
     TOKENS, address, executed_positions, expected_answer, run, run_request, start_whole_engine,
 };
+use crate::scripted::{CHUNKED, NO_LENGTH, chunk, done, line, lines, scripted_engine};
 use crate::support::{DispatchFixture, ListSource};
 
-const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-const NO_LENGTH: &str = "HTTP/1.1 200 OK\r\n\r\n";
 /// Number of tokens that a first run sends before it breaks.
 const SENT: u32 = 5;
 
-/// Starts an engine that answers probes, and every generate call with `response`, and closes each connection.
-fn scripted_engine(response: String) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.unwrap();
-            let answer = match read_request(&mut stream) {
-                request if request.starts_with("POST /v1/generate ") => response.clone(),
-                request if request.starts_with("GET /v1/load ") => load_report(),
-                _ => continue,
-            };
-            // The host may have closed its end.
-            let _ = stream.write_all(answer.as_bytes());
-        }
-    });
-    address
-}
-
-/// Reads one request with its body, so that closing the connection does not reset it; empty if it breaks off.
-fn read_request(stream: &mut TcpStream) -> String {
-    let mut request = Vec::new();
-    let mut byte = [0];
-    loop {
-        let text = String::from_utf8_lossy(&request);
-        if let Some((head, body)) = text.split_once("\r\n\r\n") {
-            let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: "));
-            if body.len() >= length.map_or(0, |length| length.parse().unwrap()) {
-                return text.into_owned();
-            }
-        }
-        if stream.read(&mut byte).unwrap_or(0) == 0 {
-            return String::new();
-        }
-        request.push(byte[0]);
-    }
-}
-
-fn load_report() -> String {
-    let report = r#"{"measured_at_unix_ms":5,"started_at_unix_ms":1,"slots":4,"running":1,"waiting":0,"pending_tokens":9,"tokens_per_s":20.0}"#;
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{report}", report.len())
-}
-
-fn line(attempt: u32, position: u32, text: &str) -> String {
-    let token = serde_json::to_string(text).unwrap();
-    format!(
-        "{{\"kind\":\"token\",\"attempt\":{attempt},\"position\":{position},\"token\":{token}}}\n"
-    )
-}
-
-fn done(attempt: u32, count: u32) -> String {
-    format!("{{\"kind\":\"done\",\"attempt\":{attempt},\"position\":{count}}}\n")
-}
-
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
-/// Lines of the tokens `[from, to)` of the expected answer.
-fn lines(attempt: u32, from: u32, to: u32) -> String {
-    let answer = expected_answer();
-    (from..to).map(|position| line(attempt, position, &answer[position as usize])).collect()
-}
-
 /// Lines of tokens `[from, to)` of another answer, and its end.
 fn other_answer(attempt: u32, from: u32, to: u32) -> String {
     let lines: String =
--- a/crates/godwit-host/tests/dispatch/main.rs
+++ b/crates/godwit-host/tests/dispatch/main.rs
@@ -3,7 +3,9 @@
 mod broken;
 mod crash;
 mod engines;
+mod exchanges;
 mod generate;
+mod scripted;
 mod service;
 mod split;
 mod support;
