Take no report's time from the future

One load report with a time out of range, such as microseconds where milliseconds are due, stopped the following of its server for good: readings are ordered by their times, on the host that polls and on all that hear of it, so that every later report was older, and so was every notice that the server is silent. Requests went by a load that was never renewed, to a server that may have been dead.

A report whose times are more than 30 s after its arrival now counts as measured on arrival, by a process with an unknown start. It is an answer, its load is used if none is known, and the next sound report replaces it. A clock that is ahead by less keeps its times. Such polls are counted as `impossible_times`.

The other numbers of a report were looked at: they are used as floating point or saturate.

--- a/crates/godwit-host/src/polling/driver.rs
+++ b/crates/godwit-host/src/polling/driver.rs
@@ -162,10 +162,23 @@
         let address = target.address.to_string();
         let now = self.clock.now();
         let report = load(&address, now.plus_ms(POLL_TIMEOUT_MS), now);
-        let outcome = if report.is_ok() { "answered" } else { "failed" };
-        metrics::counter!("godwit_polls_total", "outcome" => outcome).increment(1);
-        let reading = report.as_ref().ok().map(|report| reading(&target.server, report));
         let now = self.clock.now();
+        let reading =
+            report.as_ref().ok().map(|report| Reading::from_report(&target.server, report, now));
+        let outcome = match (&report, &reading) {
+            (Ok(report), Some(reading)) if !has_times_of(reading, report) => {
+                tracing::debug!(
+                    event = "report_times_impossible",
+                    server = target.server,
+                    started_at_unix_ms = report.started_at_unix_ms,
+                    measured_at_unix_ms = report.measured_at_unix_ms
+                );
+                "impossible_times"
+            }
+            (Ok(_), _) => "answered",
+            (Err(_), _) => "failed",
+        };
+        metrics::counter!("godwit_polls_total", "outcome" => outcome).increment(1);
         let results = lock(&self.schedule).record(&target.server, reading, now);
         results.iter().for_each(|result| self.membership.record_poll_result(result));
         if let Some(report) = report.ok().filter(|_| target.has_cache_events) {
@@ -208,17 +221,9 @@
     }
 }
 
-fn reading(server: &str, report: &LoadReport) -> Reading {
-    Reading {
-        server: server.to_string(),
-        measured_at: UnixMs(report.measured_at_unix_ms),
-        started_at: UnixMs(report.started_at_unix_ms),
-        slots: report.slots,
-        running: report.running,
-        waiting: report.waiting,
-        pending_tokens: report.pending_tokens,
-        tokens_per_s: report.tokens_per_s,
-    }
+fn has_times_of(reading: &Reading, report: &LoadReport) -> bool {
+    (reading.started_at.0, reading.measured_at.0)
+        == (report.started_at_unix_ms, report.measured_at_unix_ms)
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
