Accept a response for a request only if it names it

What callers saw: on a connection that is kept for several requests, a server that wrote an earlier refusal once more, without the id of a request, had it taken for the answer to the request that had just been sent. Orders that a server was running were moved to a second server, or answered 503, which promises that they did not run and will not.

Cause: a head without the id of a request was accepted unless it was a success, and a refusal counted as a proof that the request did not run, whatever the connection had carried before.

Any other head without the id of the request is skipped like one with a different id; the request is answered by the response that names it, or its outcome is unknown. Connections on which something was skipped are not kept any longer either. A request without an id, and calls to the control interface of servers over detours, get a connection of their own.

What was ahead of a request is not its answer: the check of an idle connection asks the kernel instead of the runtime, which learns of arrived bytes only between tasks, and is repeated when the request is sent; then nothing was sent, which is a proof. No test shows this part alone.

Ruled out: that sound servers refuse without an id, which would now cost an order that is sent on a kept connection its time.

--- a/crates/godwit-gateway/src/detour/messages.rs
+++ b/crates/godwit-gateway/src/detour/messages.rs
@@ -15,7 +15,7 @@
 /// Answer to [`OpenRequest`].
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(super) enum OpenReply {
-    /// Bytes now go to the server.
+    /// Bytes now go to the server, over a new connection.
     Opened,
     /// The server cannot be reached, although the links of this host work.
     Unreachable {
@@ -30,6 +30,8 @@
     NotUsable,
     /// This host stops, or serves as many detours as it can.
     Busy,
+    /// Bytes now go to the server, over a connection that has carried other requests.
+    OpenedKept,
 }
 
 /// What a server says of itself in the head of a response.
--- a/crates/godwit-gateway/src/detour/open.rs
+++ b/crates/godwit-gateway/src/detour/open.rs
@@ -132,7 +132,8 @@
     }
     let uses_detour = site.links.borrow().uses_detour(target.server_id, site.now());
     if uses_detour {
-        return match open_detour(site, target, false).await {
+        // Without an id, an answer to the request cannot be told from one to an earlier request.
+        return match open_detour(site, target, target.request_id.is_empty()).await {
             Err(DetourError::Unknown) if !site.links.borrow().are_lost() => {
                 let opened = open_directly().await;
                 opened.map_err(|error| unreachable_directly(error, false))
@@ -213,7 +214,7 @@
             continue;
         };
         match reply {
-            OpenReply::Opened => {
+            OpenReply::Opened | OpenReply::OpenedKept => {
                 site.detour_hosts.borrow_mut().record_useful(&host.name);
                 info!(
                     event = "detour",
@@ -223,7 +224,7 @@
                     asked = asked.len(),
                 );
                 metrics::counter!("detours_total").increment(1);
-                return Ok(Connection::over(channel));
+                return Ok(Connection::over(channel, reply == OpenReply::OpenedKept));
             }
             OpenReply::HoldsOff { for_ms } => {
                 site.record_hold_off(target.server_id, for_ms);
--- a/crates/godwit-gateway/src/detour/serve.rs
+++ b/crates/godwit-gateway/src/detour/serve.rs
@@ -61,7 +61,11 @@
         let _in_progress = CounterGuard::new(site, |site| &site.requests_in_progress);
         let _detour = CounterGuard::new(site, |site| &site.detours_served);
         let opened = open_for_host(site, &request).await;
-        let reply = opened.as_ref().map_or_else(|reply| *reply, |_| OpenReply::Opened);
+        let reply = match &opened {
+            Ok(connection) if connection.has_carried() => OpenReply::OpenedKept,
+            Ok(_) => OpenReply::Opened,
+            Err(reply) => *reply,
+        };
         info!(
             event = "detour_served",
             request = request.request_id,
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -9,10 +9,12 @@
 use bytes::Bytes;
 use godwit_adapter::{
     ForwardHeaders, ServerHead, decode_server_head, encode_forward_headers, is_replaced_header,
+    may_lack_request_id,
 };
 use godwit_core::site::first_event_stall_threshold_ms;
 use godwit_core::{NotExecutedProof, SteadyMs};
 use tokio::time::{timeout, timeout_at};
+use tracing::info;
 
 use super::abandoned::AwaitedResponse;
 use super::admit::AdmittedRequest;
@@ -71,11 +73,14 @@
 }
 
 /// Opens a connection to the server of a run, or takes an idle one. A trial run needs a new one, which shows that the
-/// server was running when the request was sent.
+/// server was running when the request was sent, and so does a request without an id, whose answer cannot be told from
+/// one to an earlier request.
 async fn connect(site: &Site, run: &Run) -> Result<Connection, OpenError> {
     let destination = &run.destination;
     let pooled = site.pool.borrow_mut().take(&destination.server_id, site.now());
-    let needs_new = run.is_trial() || site.links.borrow().are_suspect(site.now());
+    let needs_new = run.is_trial()
+        || run.request_id().is_empty()
+        || site.links.borrow().are_suspect(site.now());
     if let Some(connection) = pooled.filter(|_| !needs_new) {
         return Ok(connection);
     }
@@ -108,7 +113,18 @@
     }
 }
 
-/// Sends a request and reads response heads until one belongs to it. Responses to earlier requests are skipped.
+/// Whether a response is certain to belong to a request. Without its id it is so only as the first response on a
+/// connection, and as a refusal or if the request has no id itself.
+fn is_answer_to(request_id: &str, status: u16, server: &ServerHead, is_first: bool) -> bool {
+    match &server.request_id {
+        Some(id) => id == request_id,
+        None => is_first && (request_id.is_empty() || may_lack_request_id(status, server)),
+    }
+}
+
+/// Sends a request and reads response heads until one belongs to it. Others are skipped, as a server may write responses
+/// to earlier requests once more; the connection is not reused then, nor after a response without an id, which could be
+/// taken for the answer to a later request if it came again.
 ///
 /// # Errors
 /// Besides errors of the connection, [`WireError::NotHttp`] for a success without a server's stamp or, if the request
@@ -118,19 +134,33 @@
     request: &OutgoingRequest<'_>,
     request_id: &str,
 ) -> Result<(ReplyHead, ServerHead), WireError> {
+    let mut is_first = !connection.has_carried();
     let mut head = connection.exchange(request).await?;
     for _ in 0..MAX_STRAY_RESPONSES {
         let server = decode_server_head(head.header_pairs());
-        let is_success = (200..300).contains(&head.status);
-        match &server.request_id {
-            Some(id) if id != request_id => {}
-            None if is_success && !request_id.is_empty() => return Err(WireError::NotHttp),
-            _ if is_success && !server.is_stamped => return Err(WireError::NotHttp),
-            _ => return Ok((head, server)),
+        let (status, is_success) = (head.status, (200..300).contains(&head.status));
+        let is_named = server.request_id.is_some();
+        let is_answer = is_answer_to(request_id, status, &server, is_first);
+        if is_success && (is_answer && !server.is_stamped || !is_answer && !is_named) {
+            return Err(WireError::NotHttp);
+        }
+        if !is_answer || !is_named {
+            info!(
+                event = "answer_without_own_id",
+                request = request_id,
+                status,
+                is_named,
+                is_answer
+            );
+            connection.close_after_response();
+        }
+        if is_answer {
+            return Ok((head, server));
         }
         metrics::counter!("stray_answers_total").increment(1);
         connection.read_body(MAX_BUFFERED_RESPONSE_BYTES).await?;
         head = connection.next_head(request.method == "HEAD").await?;
+        is_first = false;
     }
     Err(WireError::NotHttp)
 }
@@ -282,6 +312,15 @@
     };
     let (head, server) = match result {
         Ok(received) => received,
+        Err(WireError::NotIdle) => {
+            drop(awaited.into_parts());
+            return Err(AttemptError::NotRun {
+                proof: NotExecutedProof::connect_failed(),
+                cause: WireError::NotIdle.to_string(),
+                faulty_server: None,
+                is_overloaded: false,
+            });
+        }
         Err(error) => {
             let run = awaited.run().clone();
             // The server may still work on a run that timed out, which is watched further when it is dropped.
--- a/crates/godwit-gateway/src/wire/channel.rs
+++ b/crates/godwit-gateway/src/wire/channel.rs
@@ -1,9 +1,11 @@
 //! Channel to another host, over which requests reach backend servers one after the other.
 
 use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
 
 use bytes::{Bytes, BytesMut};
 use serde::Serialize;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -11,9 +13,10 @@
 use super::READ_BUFFER_BYTES;
 use super::frames::{FrameDecoder, FrameKind, encode_message};
 
-/// Whether a stream is open and has nothing to read.
+/// Whether a stream is open and has nothing to read. Asks the kernel, because the runtime learns what has arrived only
+/// between tasks.
 pub(super) fn is_quiet(stream: &TcpStream) -> bool {
-    let arrived = stream.try_read(&mut [0_u8; 1]);
+    let arrived = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
     arrived.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
 }
 
--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -85,6 +85,8 @@
     /// How the end of the last response body is determined.
     framing: Framing,
     pub(super) is_reusable: bool,
+    /// Whether a request was sent over the connection.
+    pub(super) has_carried: bool,
     /// Number of interim responses to the last request.
     interim_responses: u32,
     /// Size of the trailers of the last response, in bytes.
@@ -109,9 +111,9 @@
         Ok(Connection::new(Transport::Direct(stream)))
     }
 
-    /// Uses a channel over which another host has opened a connection.
-    pub(crate) fn over(channel: Channel) -> Connection {
-        Connection::new(Transport::Detour(channel))
+    /// Uses a channel over which another host has opened a connection, or has taken one that `has_carried` requests.
+    pub(crate) fn over(channel: Channel, has_carried: bool) -> Connection {
+        Connection { has_carried, ..Connection::new(Transport::Detour(channel)) }
     }
 
     fn new(transport: Transport) -> Connection {
@@ -121,11 +123,22 @@
             body: BodyState::Done,
             framing: Framing::Length(0),
             is_reusable: true,
+            has_carried: false,
             interim_responses: 0,
             trailer_bytes: 0,
         }
     }
 
+    /// Whether a request was sent over the connection, so that what arrives may answer that one.
+    pub(crate) fn has_carried(&self) -> bool {
+        self.has_carried
+    }
+
+    /// Closes the connection after the current response instead of keeping it for another request.
+    pub(crate) fn close_after_response(&mut self) {
+        self.is_reusable = false;
+    }
+
     /// Whether the connection is one of this host and not of another one.
     pub(crate) fn is_direct(&self) -> bool {
         matches!(self.transport, Transport::Direct(_))
@@ -151,11 +164,18 @@
 
     /// Sends a request and reads the head of the next response. If the response begins before the request is completely
     /// sent, the rest of the request is dropped and the connection is not reused.
+    ///
+    /// # Errors
+    /// [`WireError::NotIdle`] if something came ahead of the request, which then was not sent. After any other error a
+    /// part of it may have been.
     pub(crate) async fn exchange(
         &mut self,
         request: &OutgoingRequest<'_>,
     ) -> Result<ReplyHead, WireError> {
-        self.is_reusable = true;
+        if !self.is_idle() {
+            return Err(WireError::NotIdle);
+        }
+        self.has_carried = true;
         self.interim_responses = 0;
         let mut bytes = request.head();
         bytes.extend_from_slice(&request.body);
--- a/crates/godwit-gateway/src/wire/error.rs
+++ b/crates/godwit-gateway/src/wire/error.rs
@@ -10,6 +10,9 @@
     /// The connection could not be opened; nothing was sent.
     #[error("cannot connect: {0}")]
     Connect(io::Error),
+    /// Bytes or the end of the connection came ahead of the request; nothing was sent.
+    #[error("the connection was in use or closed before the request")]
+    NotIdle,
     /// Reading or writing failed.
     #[error("connection broke: {0}")]
     Broken(io::Error),
--- a/crates/godwit-gateway/src/wire/relay.rs
+++ b/crates/godwit-gateway/src/wire/relay.rs
@@ -37,12 +37,15 @@
         from_server.reserve(READ_BUFFER_BYTES);
         tokio::select! {
             frame = host_reader.read_frame(), if to_server.is_empty() => match frame? {
-                (FrameKind::Data, bytes) if is_server_open => to_server = bytes,
+                (FrameKind::Data, bytes) if is_server_open => {
+                    connection.has_carried = true;
+                    to_server = bytes;
+                }
                 (FrameKind::Data, _) => {}
                 (FrameKind::Notice, content) => on_notice(&content),
                 (FrameKind::Release, content) => {
+                    connection.is_reusable = is_server_open && to_host.is_empty();
                     host_writer.write_all(&to_host).await?;
-                    connection.is_reusable = is_server_open;
                     return Ok(content);
                 }
                 _ => return Err(ErrorKind::InvalidData.into()),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod orders;
 mod prompt_parts;
 mod readers;
+mod repeated_answers;
 mod server;
 mod soak;
 mod store;
--- /dev/null
+++ b/tests/gateway/repeated_answers.rs
@@ -0,0 +1,193 @@
+//! Servers that write an answer once more on a connection that is kept for other requests.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde_json::Value;
+
+use crate::host::{API_KEY, Host, ROUTE_HOST};
+use crate::http::{Message, call};
+use crate::links::LinkState;
+use crate::lost_links::Site;
+use crate::server::{Behavior, FakeServer, REPEATER_EVENTS, RepeatTime, RepeatedRefusal};
+
+/// Statuses with which a server refuses a request that it did not run.
+const REFUSAL_STATUSES: [u16; 4] = [503, 429, 421, 400];
+
+const REPEAT_TIMES: [RepeatTime; 2] =
+    [RepeatTime::BeforeNextRequest, RepeatTime::DuringNextRequest];
+
+/// Requests sent for each status.
+const CALLS: usize = 40;
+
+/// What callers were told, compared with what servers ran.
+#[derive(Debug, Default)]
+struct Outcome {
+    calls: usize,
+    /// Requests that ran more than once.
+    ran_twice: usize,
+    /// Requests that ran and were answered as not run.
+    refused_though_run: usize,
+    /// Requests with the answer of their own run.
+    served: usize,
+    /// Requests with any other answer than these and a refusal of a request that did not run.
+    other: BTreeMap<u16, usize>,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "of {} requests {} ran twice, {} were refused though run, {} served, {:?} else",
+            self.calls, self.ran_twice, self.refused_though_run, self.served, self.other
+        )
+    }
+}
+
+impl Outcome {
+    /// Whether no request that ran was refused as not run, and each answer was of the own run.
+    fn is_sound(&self) -> bool {
+        self.served > 0 && self.refused_though_run == 0 && !self.other.contains_key(&200)
+    }
+}
+
+/// Sends requests below a path to a host, and compares the answers with what the servers ran.
+fn call_and_compare(host: &Host, servers: &[FakeServer], method: &str, prefix: &str) -> Outcome {
+    compare(servers, prefix, |path| host.call(method, path, b""))
+}
+
+/// Sends an order without the id of a request.
+fn call_without_id(host: &Host, path: &str) -> std::io::Result<Message> {
+    let authorization = format!("Bearer {API_KEY}");
+    let headers = [("host", ROUTE_HOST), ("authorization", authorization.as_str())];
+    call(host.caller_address(), "POST", path, &headers, b"")
+}
+
+fn compare(
+    servers: &[FakeServer],
+    prefix: &str,
+    send: impl Fn(&str) -> std::io::Result<Message>,
+) -> Outcome {
+    let mut outcome = Outcome::default();
+    for number in 0..CALLS {
+        let path = format!("{prefix}{number}");
+        let response = send(&path).expect("answered");
+        let runs = servers.iter().flat_map(FakeServer::runs).filter(|run| *run == path).count();
+        let pieces =
+            (1..=REPEATER_EVENTS).map(|event| format!("id: {event}\ndata: piece {event}\n\n"));
+        let expected = if prefix == "/chat/" { pieces.collect() } else { path };
+        outcome.calls += 1;
+        outcome.ran_twice += usize::from(runs > 1);
+        match response.status() {
+            503 | 429 | 421 | 408 => outcome.refused_though_run += usize::from(runs > 0),
+            200 if runs > 0 && response.text() == expected => outcome.served += 1,
+            status => *outcome.other.entry(status).or_default() += 1,
+        }
+    }
+    println!("{prefix}: {outcome}");
+    outcome
+}
+
+fn refusals(is_named: bool) -> impl Iterator<Item = RepeatedRefusal> {
+    REPEAT_TIMES.into_iter().flat_map(move |time| {
+        REFUSAL_STATUSES.map(|status| RepeatedRefusal { status, is_named, time })
+    })
+}
+
+fn start_servers(service: &str, repeat: RepeatedRefusal) -> Vec<FakeServer> {
+    let start = |index| {
+        let server = FakeServer::start(&format!("{service}-{index}"), &[Behavior::Respond]);
+        server.repeat_refusals(repeat);
+        server
+    };
+    (0..2).map(start).collect()
+}
+
+/// Plays all kinds of repeats on connections of one host, and returns the outcomes that `is_sound` does not accept.
+fn unsound_outcomes(
+    (service, method, prefix): (&str, &str, &str),
+    is_named: bool,
+    is_sound: impl Fn(&Outcome) -> bool,
+) -> Vec<String> {
+    let play =
+        |host: &Host, servers: &[FakeServer]| call_and_compare(host, servers, method, prefix);
+    unsound_plays(service, is_named, play, is_sound)
+}
+
+fn unsound_plays(
+    service: &str,
+    is_named: bool,
+    play: impl Fn(&Host, &[FakeServer]) -> Outcome,
+    is_sound: impl Fn(&Outcome) -> bool,
+) -> Vec<String> {
+    let mut unsound = Vec::new();
+    for repeat in refusals(is_named) {
+        let servers = start_servers(service, repeat);
+        let layers = (service == "chat").then_some((0, 16));
+        let entries: Vec<(&str, Value)> =
+            servers.iter().map(|it| (it.id.as_str(), it.entry(service, layers))).collect();
+        let host = Host::start(&entries);
+        let outcome = play(&host, &servers);
+        if !is_sound(&outcome) {
+            unsound.push(format!("{repeat:?}: {outcome}"));
+        }
+    }
+    unsound
+}
+
+fn is_sound_order(outcome: &Outcome) -> bool {
+    outcome.is_sound() && outcome.ran_twice == 0
+}
+
+const ORDERS: (&str, &str, &str) = ("api", "POST", "/order/");
+
+#[test]
+fn order_is_not_taken_for_refused_because_an_earlier_refusal_is_repeated() {
+    let unsound = unsound_outcomes(ORDERS, true, is_sound_order);
+    assert!(unsound.is_empty(), "{unsound:#?}");
+}
+
+#[test]
+fn order_is_not_taken_for_refused_because_an_earlier_refusal_without_id_is_repeated() {
+    let unsound = unsound_outcomes(ORDERS, false, is_sound_order);
+    assert!(unsound.is_empty(), "{unsound:#?}");
+}
+
+#[test]
+fn order_without_id_is_not_taken_for_refused_because_an_earlier_refusal_is_repeated() {
+    let play = |host: &Host, servers: &[FakeServer]| {
+        compare(servers, "/order/", |path| call_without_id(host, path))
+    };
+    let unsound = unsound_plays("api", false, play, is_sound_order);
+    assert!(unsound.is_empty(), "{unsound:#?}");
+}
+
+#[test]
+fn idempotent_call_is_not_taken_for_refused_because_an_earlier_refusal_is_repeated() {
+    let unsound = unsound_outcomes(("api", "GET", "/read/"), true, Outcome::is_sound);
+    assert!(unsound.is_empty(), "{unsound:#?}");
+}
+
+#[test]
+fn stream_is_not_taken_for_refused_because_an_earlier_refusal_is_repeated() {
+    let unsound = unsound_outcomes(("chat", "POST", "/chat/"), true, Outcome::is_sound);
+    assert!(unsound.is_empty(), "{unsound:#?}");
+}
+
+/// The connection of another host is kept there, and used by requests of several hosts.
+#[test]
+fn order_over_detour_is_not_taken_for_refused_because_an_earlier_refusal_is_repeated() {
+    let mut unsound = Vec::new();
+    for repeat in refusals(true) {
+        let site = Site::start_with(start_servers("api", repeat), 1);
+        site.set_links(&[0, 1], LinkState::Refusing);
+        for index in [0, 2] {
+            let prefix = format!("/order/{index}-");
+            let outcome = call_and_compare(&site.hosts[index], &site.servers, "POST", &prefix);
+            if !is_sound_order(&outcome) {
+                unsound.push(format!("{repeat:?}: {outcome}"));
+            }
+        }
+    }
+    assert!(unsound.is_empty(), "{unsound:#?}");
+}
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -281,6 +281,7 @@
     keeps_listening: Arc<AtomicBool>,
     handled: Arc<Mutex<Vec<HandledRequest>>>,
     control: Arc<Mutex<ControlState>>,
+    repeats: Arc<Mutex<Repeats>>,
 }
 
 impl Behavior {
@@ -318,6 +319,7 @@
             keeps_listening: Arc::default(),
             handled: Arc::default(),
             control: Arc::new(Mutex::new(control)),
+            repeats: Arc::default(),
         };
         let (shared, behaviors) = (server.clone(), behaviors.to_vec());
         let listener =
@@ -338,6 +340,10 @@
         if request.start_line_part(1).starts_with("/api/") {
             return answer_control_request(&self.control, request, stream);
         }
+        let repeat = self.repeats.lock().expect("no panic").repeat;
+        if let Some(repeat) = repeat {
+            return self.serve_with_repeats(repeat, request, stream);
+        }
         let mut handled = self.handled.lock().expect("no panic");
         let behavior = behaviors[handled.len().min(behaviors.len() - 1)];
         let received_at = Instant::now();
@@ -650,3 +656,118 @@
     }
     is_complete && stream.write_all(b"0\r\n\r\n").is_ok()
 }
+
+/// When a server writes a refusal once more on the connection on which it was sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RepeatTime {
+    /// After a pause of up to [`MAX_REPEAT_PAUSE`], so that it may cross the next request.
+    BeforeNextRequest,
+    /// Before the answer to the next request.
+    DuringNextRequest,
+}
+
+/// A refusal that a server writes once more, without the id of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct RepeatedRefusal {
+    pub(crate) status: u16,
+    /// Whether the refusal itself has the id of its request.
+    pub(crate) is_named: bool,
+    pub(crate) time: RepeatTime,
+}
+
+/// State of a server that repeats refusals.
+#[derive(Default)]
+struct Repeats {
+    repeat: Option<RepeatedRefusal>,
+    /// Number of each connection and of the requests received on it, by its peer.
+    connections: BTreeMap<SocketAddr, (usize, u32)>,
+    /// Refusals so far.
+    refusals: u32,
+    /// Paths of the requests that ran.
+    runs: Vec<String>,
+}
+
+/// Longest pause before the copy of a refusal, and the number of different pauses.
+const MAX_REPEAT_PAUSE: Duration = Duration::from_millis(2);
+const REPEAT_PAUSES: u32 = 16;
+
+/// Time for which a request runs on a server that repeats refusals.
+const REPEATER_RUN_TIME: Duration = Duration::from_millis(3);
+
+/// Number of events of the streams of a server that repeats refusals.
+pub(crate) const REPEATER_EVENTS: u64 = 3;
+
+impl RepeatedRefusal {
+    fn write(self, id: Option<&str>, stream: &mut TcpStream) -> bool {
+        let mut headers = vec![("Godwitdeal-Not-Executed", "1")];
+        headers.extend(id.map(|id| ("Godwitdeal-Request-Id", id)));
+        write_response(stream, self.status, &headers, b"")
+    }
+}
+
+impl FakeServer {
+    /// Makes the server refuse requests and write each refusal once more on its connection. Where refusals have an id,
+    /// one of three requests on a connection is refused, otherwise the first one on every other connection.
+    pub(crate) fn repeat_refusals(&self, repeat: RepeatedRefusal) {
+        self.repeats.lock().expect("no panic").repeat = Some(repeat);
+    }
+
+    /// Returns the paths of the requests that ran while the server repeated refusals.
+    pub(crate) fn runs(&self) -> Vec<String> {
+        self.repeats.lock().expect("no panic").runs.clone()
+    }
+
+    fn serve_with_repeats(
+        &self,
+        repeat: RepeatedRefusal,
+        request: &Message,
+        stream: &mut TcpStream,
+    ) -> bool {
+        let id = request.header("godwitdeal-request-id");
+        let path = request.start_line_part(1);
+        let peer = stream.peer_addr().expect("the connection is open");
+        let mut repeats = self.repeats.lock().expect("no panic");
+        let number = repeats.connections.len();
+        let (connection, requests) = repeats.connections.entry(peer).or_insert((number, 0));
+        *requests += 1;
+        let (is_refused, is_after_refusal) = if repeat.is_named {
+            (*requests % 3 == 2, *requests > 2 && *requests % 3 == 0)
+        } else {
+            (*connection % 2 == 0 && *requests == 1, *connection % 2 == 0 && *requests == 2)
+        };
+        if is_refused {
+            repeats.refusals += 1;
+            let pause = MAX_REPEAT_PAUSE * (repeats.refusals % REPEAT_PAUSES) / REPEAT_PAUSES;
+            drop(repeats);
+            if !repeat.write(id.filter(|_| repeat.is_named), stream) {
+                return false;
+            }
+            if repeat.time == RepeatTime::BeforeNextRequest {
+                std::thread::sleep(pause);
+                return repeat.write(None, stream);
+            }
+            return true;
+        }
+        repeats.runs.push(path.to_string());
+        drop(repeats);
+        let repeats_now = is_after_refusal && repeat.time == RepeatTime::DuringNextRequest;
+        if repeats_now && !repeat.write(None, stream) {
+            return false;
+        }
+        std::thread::sleep(REPEATER_RUN_TIME);
+        if path.starts_with("/chat/") {
+            return send_events(
+                &self.id,
+                &self.control,
+                request,
+                REPEATER_EVENTS,
+                true,
+                stream,
+                |_| {},
+            );
+        }
+        let mut headers = vec![("Godwitdeal-Response-Stamp", self.id.as_str())];
+        headers.extend(id.map(|id| ("Godwitdeal-Request-Id", id)));
+        write_response(stream, 200, &headers, path.as_bytes())
+    }
+}
