Compare what callers get with what servers sent, for broken exchanges

What callers saw: events that no run sent whole, and in our own plays orders that ran twice or were refused as not run. Tests played some forms of broken answers, one by one; none drew them.

One host, 48 servers, 400 cases of streams, reads and orders, whose answers are drawn from the number of the case and of the run: bodies and connections that end at any byte, in chunks, with a length or until close, closed or reset; another head or an error's text between any two bytes; a success that is no stream; runs that begin late or early; interim responses, answers to others, answers that come twice or without a request id; refusals, and their copies with and without an id, at once or before the next answer of the connection. The bytes that were sent are read as the protocol has it. A caller must have whole events of them in order, complete only if they are all; a body that its framing ends between two events is all there is, and one without a length that was closed there may be either. A body is the whole body of its run, a status that promises "not run" is true, an order runs at most once, and a sound answer on a fresh connection is passed on, so that refusing everything does not pass.

Ruled out: text of an answer that follows a body without a length is part of that body, so that answers that come twice have a length or chunks; text that changes the number of an event is not held against the host.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway as a separate process, against fakes of the users' store and backend servers.
 
 mod broken_answers;
+mod broken_exchanges;
 mod calls;
 mod crashes;
 mod detours;
