--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,7 +13,6 @@
 mod links;
 mod lost_links;
 mod notices;
-mod odd_entries;
 mod orders;
 mod prompt_parts;
 mod readers;
--- a/tests/gateway/soak/cluster.rs
+++ b/tests/gateway/soak/cluster.rs
@@ -12,11 +12,11 @@
 
 use super::Addition;
 use super::invariants::EVENT_COUNT;
+use super::odd_entries::OddEntry;
 use super::proxy::Proxy;
 use crate::broken_answers::BrokenAnswer;
 use crate::host::{Host, configuration};
 use crate::links::{Link, LinkState};
-use crate::odd_entries::OddEntry;
 use crate::server::{Behavior, BodyFraming, FakeServer};
 use crate::store::{FakeStore, ServerAddresses};
 
@@ -320,7 +320,7 @@
 
     /// Adds an entry that no parser need be able to read to the list of servers.
     pub(super) fn add_odd_entry(&self, odd: OddEntry) {
-        self.store.put("servers", ODD_ENTRY, odd.entry());
+        self.store.put_raw("servers", ODD_ENTRY, odd.content());
     }
 
     pub(super) fn change_configuration(&mut self) {
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod invariants;
 mod limits;
+mod odd_entries;
 mod proxy;
 
 use std::collections::BTreeMap;
@@ -24,10 +25,10 @@
 use faults::FaultSchedule;
 use invariants::{MAX_RUN_TO_END, Runs, find_held_off_sends, find_late_sends, find_violations};
 use limits::{find_excess, name_limits};
+use odd_entries::OddEntry;
 pub(crate) use proxy::{Proxy, ProxyMode, proxy_connection};
 
 use crate::host::{delete_logs, keep_logs};
-use crate::odd_entries::OddEntry;
 use crate::server::{
     END_SERVER, END_SERVER_AFTER_ERROR, END_SERVER_AFTER_HEAD, END_SERVER_AFTER_RUN,
     END_SERVER_IN_STREAM,
@@ -145,16 +146,6 @@
     }
 }
 
-/// Returns the one entry that no parser need be able to read of a seed with broken answers.
-fn odd_entry(seed: u64) -> OddEntry {
-    match seed % 4 {
-        0 => OddEntry::DeeplyNested,
-        1 => OddEntry::NumberOutOfRange,
-        2 => OddEntry::LongNumber,
-        _ => OddEntry::InvalidText,
-    }
-}
-
 fn draw_request_kind(random: &mut SmallRng, seed: u64) -> RequestKind {
     let injects_faults = Scenario::of(seed) != Scenario::Planned;
     let share = match Addition::of(seed) {
@@ -322,7 +313,7 @@
         .then(|| end_at - duration.mul_f64(1.0 - ODD_ENTRY_AFTER));
     while Instant::now() < end_at {
         if odd_entry_at.take_if(|at| *at <= Instant::now()).is_some() {
-            cluster.add_odd_entry(odd_entry(traffic.seed));
+            cluster.add_odd_entry(OddEntry::of(traffic.seed));
         }
         let next_event =
             Instant::now() + Duration::from_millis(random.random_range(50..MAX_EVENT_INTERVAL_MS));
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -8,7 +8,6 @@
 use serde_json::{Value, json};
 
 use crate::http::{Message, serve_connections, write_response};
-use crate::odd_entries::encode;
 
 /// Maximum wait of a watch, as on the users' platform.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(30);
@@ -25,6 +24,13 @@
     hanging_watches: BTreeMap<String, usize>,
     /// Number of calls so far.
     calls: usize,
+    /// Contents that are sent byte for byte, each in place of its [`raw_mark`].
+    raw: Vec<Vec<u8>>,
+}
+
+/// Stands in an object for the content of this number.
+fn raw_mark(number: usize) -> String {
+    format!("content {number} of another writer")
 }
 
 /// Addresses at which one host reaches the servers, by their ids.
@@ -43,7 +49,7 @@
         let shared = objects.clone();
         let address = serve_connections(move |request, stream| {
             let (status, body) = handle_request(&shared, request);
-            write_response(stream, status, &[], &encode(&body))
+            write_response(stream, status, &[], &encode(&shared, &body))
         });
         FakeStore { address, objects }
     }
@@ -55,7 +61,7 @@
         serve_connections(move |request, stream| {
             let (status, mut body) = handle_request(&objects, request);
             replace_addresses(&mut body, &addresses.lock().expect("no panic"));
-            write_response(stream, status, &[], &encode(&body))
+            write_response(stream, status, &[], &encode(&objects, &body))
         })
     }
 
@@ -65,6 +71,16 @@
         changed.notify_all();
     }
 
+    /// Stores an object whose content is sent byte for byte, whatever it is.
+    pub(crate) fn put_raw(&self, kind: &str, name: &str, content: Vec<u8>) {
+        let (objects, changed) = &*self.objects;
+        let mut objects = objects.lock().expect("no panic");
+        objects.raw.push(content);
+        let mark = raw_mark(objects.raw.len() - 1);
+        objects.write(kind, name, json!(mark));
+        changed.notify_all();
+    }
+
     /// Makes the next `count` watches of a kind hang without a response.
     pub(crate) fn hang_next_watches(&self, kind: &str, count: usize) {
         self.objects.0.lock().expect("no panic").hanging_watches.insert(kind.to_string(), count);
@@ -144,6 +160,28 @@
     }
 }
 
+/// Encodes the body of a response.
+fn encode(objects: &(Mutex<Objects>, Condvar), body: &Value) -> Vec<u8> {
+    let text = body.to_string();
+    let objects = objects.0.lock().expect("no panic");
+    let mut rest = text.as_str();
+    let mut encoded = Vec::new();
+    while let Some((number, at, length)) = first_mark(rest, objects.raw.len()) {
+        encoded.extend_from_slice(&rest.as_bytes()[..at]);
+        encoded.extend_from_slice(&objects.raw[number]);
+        rest = &rest[at + length..];
+    }
+    encoded.extend_from_slice(rest.as_bytes());
+    encoded
+}
+
+/// Returns the first mark in a text: its number, position and length.
+fn first_mark(text: &str, count: usize) -> Option<(usize, usize, usize)> {
+    let marks = (0..count).map(|number| (number, json!(raw_mark(number)).to_string()));
+    let found = marks.filter_map(|(number, mark)| Some((number, text.find(&mark)?, mark.len())));
+    found.min_by_key(|(_, at, _)| *at)
+}
+
 /// Handles a call and returns the status and body of its response.
 fn handle_request(objects: &(Mutex<Objects>, Condvar), request: &Message) -> (u16, Value) {
     objects.0.lock().expect("no panic").calls += 1;
