Give the soak's proxies addresses of their own

What was seen: in a run of all tests of the gateway beside other work (load 81 on 8 cores), seed 2 of the soak had "a request that nobody sent ran: soak-4-3-17" and another of seed 4. A proxy stops listening once its server has ended; its port on 127.0.0.1 is then free for the proxy of another seed, while hosts of the first still know it. This explains the two requests; it was not seen happen again, before or after.

--- a/tests/gateway/soak/proxy.rs
+++ b/tests/gateway/soak/proxy.rs
@@ -8,6 +8,8 @@
 
 use socket2::SockRef;
 
+use crate::host::unused_loopback_address;
+
 /// Interval at which a connection checks the mode of the proxy.
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -47,7 +49,7 @@
 
 impl Proxy {
     pub(crate) fn start(target: SocketAddr) -> Proxy {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let listener = TcpListener::bind((unused_loopback_address(), 0)).expect("a port is free");
         let address = listener.local_addr().expect("a bound listener has an address");
         let mode = Arc::new(Mutex::new(ProxyMode::Forward));
         let shared = mode.clone();
