--- a/tests/gateway/broken_exchanges.rs
+++ b/tests/gateway/broken_exchanges.rs
@@ -194,13 +194,23 @@
     connections: Mutex<BTreeMap<SocketAddr, (Fault, Vec<u8>)>>,
 }
 
-/// Splits a body into its whole events; the second part is what follows them.
+/// Returns the length of a line's content and that of the line with its ending, a line feed, a carriage return or both.
+fn line_end(text: &[u8]) -> Option<(usize, usize)> {
+    let end = text.iter().position(|byte| matches!(byte, b'\n' | b'\r'))?;
+    let ending = if text[end..].starts_with(b"\r\n") { 2 } else { 1 };
+    Some((end, end + ending))
+}
+
+/// Splits a body into its whole events, each with the empty line at its end; the second part is what follows them.
 fn split_events(body: &[u8]) -> (Vec<&[u8]>, &[u8]) {
-    let (mut events, mut rest) = (Vec::new(), body);
-    while let Some(at) = rest.windows(2).position(|window| window == b"\n\n") {
-        let (event, next) = rest.split_at(at + 2);
-        events.push(event);
-        rest = next;
+    let (mut events, mut rest, mut read) = (Vec::new(), body, 0);
+    while let Some((content, line)) = line_end(&rest[read..]) {
+        read += line;
+        if content == 0 {
+            let (event, next) = rest.split_at(read);
+            events.push(event);
+            (rest, read) = (next, 0);
+        }
     }
     (events, rest)
 }
