--- a/crates/godwit-core/benches/decisions.rs
+++ b/crates/godwit-core/benches/decisions.rs
@@ -1,5 +1,5 @@
 //! Cost of one decision, by the number of servers or workspaces: server selection, and placement with and without a
-//! queue.
+//! queue; and of the events of a stream.
 //!
 //! `cargo bench -p godwit-core --bench decisions`
 
@@ -9,7 +9,7 @@
 use godwit_core::placement::{PlaceOutcome, PlaceRequest, Placer};
 use godwit_core::route::{Choice, DispatchOutcome, Policy, PromptPrefix, RouteRequest, Router};
 use godwit_core::site::{
-    AcceleratorSpec, BackendServer as SiteServer, ModelSpec, ServerState, plan_layout,
+    AcceleratorSpec, BackendServer as SiteServer, EventStream, ModelSpec, ServerState, plan_layout,
 };
 use godwit_core::{Admission, Reading, Target, UnixMs};
 use godwit_schema::config::{BackendServer, Fleet, Model, ServerRole};
@@ -275,3 +275,25 @@
     let refs: Vec<&SiteServer> = servers.iter().collect();
     bencher.bench(|| plan_layout(&model, &refs));
 }
+
+/// Number of events of a stream.
+const EVENTS: u64 = 1_000;
+
+/// Splits a stream whose pieces hold `piece_bytes` each.
+#[divan::bench(args = [16, 64, 1_400, 16_384])]
+fn events_of_a_stream(bencher: Bencher<'_, '_>, piece_bytes: usize) {
+    let text: String = (1..=EVENTS)
+        .map(|id| format!("id: {id}\ndata: {{\"text\": \" token {id}\"}}\n\n"))
+        .collect();
+    bencher.counter(divan::counter::ItemsCount::new(EVENTS)).bench(|| {
+        let mut open = EventStream::begin(None);
+        let mut event_bytes = 0;
+        for piece in divan::black_box(text.as_bytes()).chunks(piece_bytes) {
+            let pushed = open.push(piece);
+            event_bytes += pushed.events.len();
+            open = pushed.next.expect("a sound stream");
+        }
+        open.end_of_body().expect("a sound stream").complete();
+        event_bytes
+    });
+}
