Test what a stream does after a run that can't continue it

Two more ways in which a run follows another: one that begins too late is followed by a third run where the route allows three, and the media type may be spelled in another way, have parameters or be absent in both heads.

--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -324,6 +324,50 @@
     }
 }
 
+#[test]
+fn stream_resumed_with_its_type_in_another_spelling_is_whole() {
+    let types = [Some("text/event-stream; charset=utf-8"), Some("Text/Event-Stream"), None];
+    let next_types = [Some("text/event-stream"), Some("text/event-stream;charset=utf-8"), None];
+    for (content_type, next_type) in types.into_iter().zip(next_types) {
+        let first = Script { content_type, ..cut_in_event(BodyFraming::Chunked, 7) };
+        let next = Script::stream(BodyFraming::Length, EVENT_COUNT);
+        let next = Script { content_type: next_type, ..next };
+        receive_of_two(first, Behavior::Scripted(next), true).assert_whole();
+    }
+}
+
+#[test]
+fn stream_resumed_after_the_event_due_goes_on_at_a_third_server() {
+    let late = Script { skipped: 2, ..Script::stream(BodyFraming::Chunked, EVENT_COUNT) };
+    let behaviors = [
+        Behavior::Scripted(cut_in_event(BodyFraming::Chunked, 7)),
+        Behavior::Scripted(late),
+        COMPLETE_STREAM,
+    ];
+    let servers: Vec<FakeServer> = (1..)
+        .zip(behaviors)
+        .map(|(number, behavior)| FakeServer::start(&format!("s-{number}"), &[behavior]))
+        .collect();
+    let store = FakeStore::start();
+    let mut configuration = configuration(1);
+    configuration["Routes"][STREAM_ROUTE]["Attempts"] = json!(3);
+    store.put("config", "main", configuration);
+    store.put("servers", "s-1", servers[0].entry("chat", Some((0, 16))));
+    let host = Host::start_with_store(store);
+    host.wait_until_ready();
+    let received = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| receive(&host));
+        for (server, next) in servers.iter().zip(&servers[1..]) {
+            host.wait_for("a run", || !server.requests().is_empty());
+            host.store.put("servers", &next.id, next.entry("chat", Some((0, 16))));
+        }
+        caller.join().expect("no panic")
+    });
+    received.assert_whole();
+    let asked = servers[2].requests().remove(0);
+    assert_eq!(asked.header("last-event-id"), Some("6"));
+}
+
 #[test]
 fn stream_with_other_answer_after_events_is_incomplete() {
     let texts = ["no stage is free", "no stage is free\n\n", "HTTP/1.1 500 X\r\nx: y\r\n\r\n"];
