Bound the media type in the log of a broken stream

The cause in stream_broken held the whole media type of a response that can't continue the stream, up to the size of a head, because a precision has no effect on debug text. It is cut at 64 characters. Found by reading; no test holds the length of a line.

--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -46,6 +46,16 @@
 /// Margin on the scaled gap between events, in milliseconds. No path with a smaller gap counts as slow.
 const SLOW_GAP_MARGIN_MS: f64 = 25.0;
 
+/// Maximum number of characters of a media type in the log.
+const MAX_LOGGED_TYPE_CHARS: usize = 64;
+
+/// Returns why a response cannot continue a stream.
+fn refusal_cause(head: &ReplyHead) -> String {
+    let media_type = media_type(head).unwrap_or_default();
+    let media_type: String = media_type.chars().take(MAX_LOGGED_TYPE_CHARS).collect();
+    format!("status {}, media type {media_type:?}", head.status)
+}
+
 /// Arrival times of the pieces of a stream in one attempt.
 #[derive(Default)]
 struct StreamTiming {
@@ -492,8 +502,7 @@
                 }
                 Ok(response) => {
                     self.runs += 1;
-                    let media_type = media_type(&response.head);
-                    cause = format!("status {}, {media_type:.64?}", response.head.status);
+                    cause = refusal_cause(&response.head);
                     if response.head.is_server_error() {
                         watch_failed_run(response);
                     }
