Log the framing of a broken stream only for the run that it belongs to

The lines stream_broken of attempts that followed a broken run and had no response named the framing, the unfinished bytes and the first event of that run once more, as if they were their own. They have these fields now only for a run whose response had begun. Seen in the logs of the tests of streams before and after; no test holds the fields.

--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -414,7 +414,8 @@
         let resumed = match broken.resume() {
             Ok(open) => self.start_next_attempt(cause, false).await.map(|attempt| (attempt, open)),
             Err(_) => {
-                self.log_stream_broken(&self.attempt.destination.server_id, &cause);
+                let server_id = &self.attempt.destination.server_id;
+                self.log_stream_broken(server_id, &cause, Some(&self.attempt));
                 Err(IncompleteBody)
             }
         };
@@ -446,7 +447,8 @@
         }
     }
 
-    fn log_stream_broken(&self, server: &str, cause: &str) {
+    /// Logs an attempt that failed. `broken` is the one whose response had begun, if it is that.
+    fn log_stream_broken(&self, server: &str, cause: &str, broken: Option<&StreamAttempt>) {
         info!(
             event = "stream_broken",
             request = self.admitted.incoming.head.request_id,
@@ -454,9 +456,9 @@
             cause,
             last_event_id = self.last_event_id,
             runs = self.runs,
-            framing = self.attempt.framing,
-            unfinished_bytes = self.attempt.unfinished_bytes,
-            first_event_id = self.attempt.first_event_id,
+            framing = broken.map(|attempt| attempt.framing),
+            unfinished_bytes = broken.map(|attempt| attempt.unfinished_bytes),
+            first_event_id = broken.and_then(|attempt| attempt.first_event_id),
         );
     }
 
@@ -468,8 +470,10 @@
         is_stalled: bool,
     ) -> Result<StreamAttempt, IncompleteBody> {
         let mut failed_server = self.attempt.destination.server_id.clone();
+        let mut has_begun = true;
         loop {
-            self.log_stream_broken(&failed_server, &cause);
+            let broken = has_begun.then_some(&self.attempt);
+            self.log_stream_broken(&failed_server, &cause, broken);
             self.avoided.insert(failed_server);
             let asked_at = self.site.now();
             self.await_admission(asked_at).await?;
@@ -520,6 +524,7 @@
                 }
             }
             failed_server = destination.server_id;
+            has_begun = false;
         }
     }
 
