Send each write to the store on a connection of its own

What would be seen: a host that has lost the leadership over the layout takes it for renewed, and sends servers orders under its old fencing token.

Cause: answers of the store have no id, and the client sent all its calls over one connection. An answer to an earlier write that came once more, before the answer to the next one, was taken for that.

Evidence: the test plays a store that writes the answer to each write once more before the answer to the next one on the same connection. Nobody has reported this of the store; it was found when the same cause was looked for elsewhere.

Why it works: the first answer on a connection cannot repeat an earlier one. Writes are few (the leadership while there is work, a host's record when it changes), so that they can do without a kept connection. Reads keep theirs: an answer that is taken for that to a later read shows an older state, which the revisions of later answers and the conditions of writes correct.

Ruled out: matching the answer by its content, because a write that changes nothing keeps its revision.

--- a/crates/godwit-gateway/src/store/client.rs
+++ b/crates/godwit-gateway/src/store/client.rs
@@ -34,7 +34,7 @@
     Ok(Some(body.freeze()))
 }
 
-/// Client with one connection, which it opens again when needed.
+/// Client with one connection, which it opens again when needed, and for each write.
 pub(crate) struct StoreClient {
     address: SocketAddr,
     connection: Option<Connection>,
@@ -56,7 +56,10 @@
         body: Vec<u8>,
         response_timeout: Duration,
     ) -> Result<StoreReply, WireError> {
-        let mut connection = match self.connection.take().filter(Connection::is_idle) {
+        // Answers have no id, so that only the first one on a connection is certain to be that to a write.
+        let is_read = method == "GET";
+        let kept = self.connection.take().filter(|connection| is_read && connection.is_idle());
+        let mut connection = match kept {
             Some(connection) => connection,
             None => timeout(CONNECT_TIMEOUT, Connection::open(self.address))
                 .await
--- a/tests/gateway/repeated_answers.rs
+++ b/tests/gateway/repeated_answers.rs
@@ -2,14 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Mutex;
 
-use serde_json::Value;
+use serde_json::{Value, json};
 
-use crate::host::{API_KEY, Host, ROUTE_HOST};
-use crate::http::{Message, call};
+use crate::host::{API_KEY, Host, ROUTE_HOST, configuration};
+use crate::http::{Message, call, serve_connections, write_response};
 use crate::links::LinkState;
 use crate::lost_links::Site;
 use crate::server::{Behavior, FakeServer, REPEATER_EVENTS, RepeatTime, RepeatedRefusal};
+use crate::store::FakeStore;
 
 /// Statuses with which a server refuses a request that it did not run.
 const REFUSAL_STATUSES: [u16; 4] = [503, 429, 421, 400];
@@ -191,3 +194,45 @@
     }
     assert!(unsound.is_empty(), "{unsound:#?}");
 }
+
+/// Returns another address of a store, at which the answer to each write is preceded by the answer to the write before on
+/// the same connection.
+fn repeat_write_answers(store: &FakeStore) -> SocketAddr {
+    let address = store.address;
+    let last_answers: Mutex<BTreeMap<SocketAddr, Message>> = Mutex::default();
+    serve_connections(move |request, stream| {
+        let (method, target) = (request.start_line_part(0), request.start_line_part(1));
+        let Ok(answer) = call(address, method, target, &[], &request.body) else { return false };
+        let write = |answer: &Message, stream: &mut _| {
+            write_response(stream, answer.status(), &[], &answer.body)
+        };
+        if method == "GET" {
+            return write(&answer, stream);
+        }
+        let peer = stream.peer_addr().expect("the connection is open");
+        let earlier = last_answers.lock().expect("no panic").insert(peer, answer.clone());
+        earlier.is_none_or(|earlier| write(&earlier, stream)) && write(&answer, stream)
+    })
+}
+
+#[test]
+fn leadership_is_not_taken_for_renewed_because_an_earlier_answer_is_repeated() {
+    let stream = Behavior::Stream { events: REPEATER_EVENTS, is_complete: true };
+    let [first, second] = ["s-1", "s-2"].map(|id| FakeServer::start(id, &[stream]));
+    let store = FakeStore::start();
+    store.put("config", "main", configuration(1));
+    store.put("servers", "s-1", first.entry("chat", None));
+    let address = repeat_write_answers(&store);
+    let host = Host::start_with_store_address(store.clone(), address, "front-hall-a-1");
+    host.wait_for("the first order", || !first.orders().is_empty());
+    let order = first.orders().remove(0);
+    let layer = |name: &str| u32::try_from(order[name].as_u64().expect("a number")).expect("small");
+    store.put("servers", "s-1", first.entry("chat", Some((layer("From"), layer("To")))));
+    store.put("godwit-layout", "holder", json!({"host": "front-hall-a-2"}));
+    let taken_over_at = store.revision("godwit-layout", "holder").expect("it was just written");
+    store.put("servers", "s-2", second.entry("chat", None));
+    host.wait_for("the second order", || !second.orders().is_empty());
+    let fences = second.orders().into_iter().map(|order| order["FencingToken"].as_u64());
+    let fences: Vec<_> = fences.collect();
+    assert!(fences.iter().all(|fence| *fence > Some(taken_over_at)), "{fences:?}, {taken_over_at}");
+}
