Keep what is due on a connection with the connection

A copy of a refusal that was due before the next answer of a connection was kept by the address of its peer. Each connection is served by a thread of its own, which keeps it now.

--- a/tests/gateway/broken_exchanges.rs
+++ b/tests/gateway/broken_exchanges.rs
@@ -4,9 +4,10 @@
 //! `CASES=100000 FIRST_CASE=1000 cargo test --test gateway broken_exchanges -- --nocapture` plays other and more cases. The
 //! cases share a host and its connections, so that one alone may not show what it shows beside the others.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -190,8 +191,11 @@
 #[derive(Default)]
 struct Servers {
     runs: Mutex<BTreeMap<String, Vec<Run>>>,
-    /// What was done on a connection, and what is due on it before its next answer, by its peer.
-    connections: Mutex<BTreeMap<SocketAddr, (Fault, Vec<u8>)>>,
+}
+
+thread_local! {
+    /// What was done on a connection, and what is due on it before its next answer. Each connection has its own thread.
+    static EARLIER: Cell<Option<(Fault, Vec<u8>)>> = const { Cell::new(None) };
 }
 
 /// Returns the length of a line's content and that of the line with its ending, a line feed, a carriage return or both.
@@ -350,10 +354,8 @@
         else {
             return write_response(stream, 404, &[("godwitdeal-request-id", id)], b"");
         };
-        let Ok(peer) = stream.peer_addr() else { return false };
         let last = last_event_id(request);
-        let earlier = self.connections.lock().expect("no panic").remove(&peer);
-        let (earlier_fault, before) = earlier.unzip();
+        let (earlier_fault, before) = EARLIER.take().unzip();
         let mut runs = self.runs.lock().expect("no panic");
         let of_case = runs.entry(id.to_string()).or_default();
         let mut random = SmallRng::seed_from_u64(case * 64 + of_case.len() as u64);
@@ -382,7 +384,7 @@
         drop(runs);
         let due_next =
             if fault == Fault::RefuseAgainBeforeNext { refusal(None) } else { Vec::new() };
-        self.connections.lock().expect("no panic").insert(peer, (fault, due_next));
+        EARLIER.set(Some((fault, due_next)));
         let bytes = [before.unwrap_or_default(), sent].concat();
         if stream.write_all(&bytes).is_err() {
             return false;
