Send a request again to a server that it was sent to over a new connection

What callers saw: a stream ran at three servers where its route allows two, and broke off although the run that was sent last was whole. A server had refused it, and another one that ran it had broken off; when it was resumed at the first server, that wrote the refusal once more. It names the request, so that it counted for the resumed run.

Cause: the id tells requests of callers apart, not the attempts of one request. Refused requests return to a server when they are resumed, over the connection on which it had refused.

Change: a request remembers the servers that it was sent to. At one of these it gets a connection that has carried nothing else, on a detour as well, where nothing earlier can be repeated.

--- a/crates/godwit-gateway/src/detour/open.rs
+++ b/crates/godwit-gateway/src/detour/open.rs
@@ -44,12 +44,20 @@
     pub(crate) address: SocketAddr,
     /// Request that needs the connection; empty if none does.
     pub(crate) request_id: &'a str,
+    /// Whether the answer could not be told from one to an earlier request, so that a connection that has carried one does
+    /// not serve.
+    pub(crate) needs_new: bool,
 }
 
 impl ServerTarget<'_> {
     /// Returns a server that no request needs.
     pub(crate) fn of(server: &BackendServer) -> ServerTarget<'_> {
-        ServerTarget { server_id: &server.id, address: server.address, request_id: "" }
+        ServerTarget {
+            server_id: &server.id,
+            address: server.address,
+            request_id: "",
+            needs_new: true,
+        }
     }
 }
 
@@ -132,8 +140,7 @@
     }
     let uses_detour = site.links.borrow().uses_detour(target.server_id, site.now());
     if uses_detour {
-        // Without an id, an answer to the request cannot be told from one to an earlier request.
-        return match open_detour(site, target, target.request_id.is_empty()).await {
+        return match open_detour(site, target, target.needs_new).await {
             Err(DetourError::Unknown) if !site.links.borrow().are_lost() => {
                 let opened = open_directly().await;
                 opened.map_err(|error| unreachable_directly(error, false))
--- a/crates/godwit-gateway/src/forward/admit.rs
+++ b/crates/godwit-gateway/src/forward/admit.rs
@@ -1,5 +1,7 @@
 //! Admission of requests by the configuration that is active when they arrive.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -51,6 +53,8 @@
     pub(crate) fingerprint: Fingerprint,
     /// Identifies the parts of the prompt that other requests may share.
     pub(crate) part_fingerprints: Vec<Fingerprint>,
+    /// Ids of the servers to which the request was sent.
+    sent_to: RefCell<BTreeSet<String>>,
 }
 
 impl AdmittedRequest {
@@ -65,7 +69,13 @@
         let parts = shared_parts(&incoming.head);
         let part = |id: &String| Fingerprint(part_fingerprint(&policy.service, id));
         let part_fingerprints = parts.iter().map(part).collect();
-        AdmittedRequest { incoming, body, policy, fingerprint, part_fingerprints }
+        let sent_to = RefCell::default();
+        AdmittedRequest { incoming, body, policy, fingerprint, part_fingerprints, sent_to }
+    }
+
+    /// Records that the request is sent to a server, and returns whether that is the first time.
+    pub(crate) fn record_send(&self, server_id: &str) -> bool {
+        self.sent_to.borrow_mut().insert(server_id.to_string())
     }
 
     /// Returns all that may end the servers of this request: itself, and the parts of its prompt that others may share.
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -73,21 +73,22 @@
 }
 
 /// Opens a connection to the server of a run, or takes an idle one. A trial run needs a new one, which shows that the
-/// server was running when the request was sent, and so does a request without an id, whose answer cannot be told from
-/// one to an earlier request.
+/// server was running when the request was sent. So does a request that the server may answer over a kept one with what
+/// it has answered before: one without an id, and one that was sent there already.
 async fn connect(site: &Site, run: &Run) -> Result<Connection, OpenError> {
     let destination = &run.destination;
+    let was_sent_there = !run.admitted.record_send(&destination.server_id);
+    let needs_new = run.request_id().is_empty() || was_sent_there;
     let pooled = site.pool.borrow_mut().take(&destination.server_id, site.now());
-    let needs_new = run.is_trial()
-        || run.request_id().is_empty()
-        || site.links.borrow().are_suspect(site.now());
-    if let Some(connection) = pooled.filter(|_| !needs_new) {
+    let skips_pooled = needs_new || run.is_trial() || site.links.borrow().are_suspect(site.now());
+    if let Some(connection) = pooled.filter(|_| !skips_pooled) {
         return Ok(connection);
     }
     let target = ServerTarget {
         server_id: &destination.server_id,
         address: destination.address,
         request_id: run.request_id(),
+        needs_new,
     };
     open_server(site, target).await
 }
--- a/tests/gateway/repeated_answers.rs
+++ b/tests/gateway/repeated_answers.rs
@@ -1,9 +1,9 @@
 //! Servers that write an answer once more on a connection that is kept for other requests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 use serde_json::{Value, json};
 
@@ -11,7 +11,10 @@
 use crate::http::{Message, call, serve_connections, write_response};
 use crate::links::LinkState;
 use crate::lost_links::Site;
-use crate::server::{Behavior, FakeServer, REPEATER_EVENTS, RepeatTime, RepeatedRefusal};
+use crate::server::{
+    Behavior, FakeServer, REPEATER_EVENTS, RepeatTime, RepeatedRefusal, event, last_event_id,
+    server_entry,
+};
 use crate::store::FakeStore;
 
 /// Statuses with which a server refuses a request that it did not run.
@@ -236,3 +239,66 @@
     let fences: Vec<_> = fences.collect();
     assert!(fences.iter().all(|fence| *fence > Some(taken_over_at)), "{fences:?}, {taken_over_at}");
 }
+
+/// Number of events after which the first run of a stream breaks off.
+const CUT_EVENT: u64 = 2;
+
+/// What a server that refuses each stream once has seen.
+#[derive(Default)]
+struct RefusedOnce {
+    refused: BTreeSet<String>,
+    /// Refusals that are not yet written once more, by the peer of their connection.
+    pending: BTreeMap<SocketAddr, String>,
+    /// Number of streams sent whole.
+    answered: usize,
+}
+
+/// Returns the address of a server that refuses each stream once and sends it whole the second time. Ahead of that it writes
+/// the refusal once more, under its id, on a connection on which it has refused.
+fn refuse_once(seen: &Arc<Mutex<RefusedOnce>>) -> SocketAddr {
+    let seen = seen.clone();
+    serve_connections(move |request, stream| {
+        let Some(id) = request.header("godwitdeal-request-id") else {
+            return write_response(stream, 200, &[], b"{\"Sequence\": 0}");
+        };
+        let mut seen = seen.lock().expect("no panic");
+        let peer = stream.peer_addr().expect("the connection is open");
+        let refuse = |id: &str, stream: &mut _| {
+            let headers = [("Godwitdeal-Request-Id", id), ("Godwitdeal-Not-Executed", "1")];
+            write_response(stream, 503, &headers, b"")
+        };
+        if seen.refused.insert(id.to_string()) {
+            seen.pending.insert(peer, id.to_string());
+            return refuse(id, stream);
+        }
+        if let Some(refused) = seen.pending.remove(&peer)
+            && !refuse(&refused, stream)
+        {
+            return false;
+        }
+        seen.answered += 1;
+        let events: String = (last_event_id(request) + 1..=REPEATER_EVENTS).map(event).collect();
+        let stamp = ("Godwitdeal-Response-Stamp", "s-1");
+        let media_type = ("Content-Type", "text/event-stream");
+        let headers = [("Godwitdeal-Request-Id", id), stamp, media_type];
+        write_response(stream, 200, &headers, events.as_bytes())
+    })
+}
+
+#[test]
+fn resumed_stream_is_not_taken_for_refused_because_its_earlier_refusal_is_repeated() {
+    let seen = Arc::default();
+    let refusing = server_entry(refuse_once(&seen), "chat", Some((0, 16)));
+    let cut = Behavior::Stream { events: CUT_EVENT, is_complete: false };
+    let cutting = FakeServer::start("s-2", &[cut]);
+    let host = Host::start(&[("s-1", refusing), ("s-2", cutting.entry("chat", Some((0, 16))))]);
+    let mut whole = 0;
+    host.wait_for("streams that are resumed at the server that has refused them", || {
+        let response = host.call("POST", "/chat/1", b"hello");
+        whole += usize::from(response.is_ok_and(|response| {
+            response.text() == (1..=REPEATER_EVENTS).map(event).collect::<String>()
+        }));
+        seen.lock().expect("no panic").answered >= 5
+    });
+    assert_eq!(whole, seen.lock().expect("no panic").answered, "streams whole and sent");
+}
