Follow a list of several pages from its first page

What callers saw: a change that was never seen. When an entry of the first page of a list was written while a later page was read, no host that had read the list learned of it, until the next list or the next change of that entry. Seen while four hosts read entries of the largest size: their copies differed ("this host's copy of the objects differs").

Cause: the watch began at the revision of the last page, which says nothing of what changed on the pages before.

Fix: it begins at the revision of the first page. Changes of later pages that were already listed come once more, with the versions that are held, and have no effect.

Evidence: change_of_the_first_page_while_the_second_is_read_is_not_missed failed before ("timed out waiting for the other server"); the fake store writes an entry after the first page was read.

--- a/crates/godwit-gateway/src/store/list_watch.rs
+++ b/crates/godwit-gateway/src/store/list_watch.rs
@@ -150,11 +150,14 @@
         let mut objects = Vec::new();
         let mut unreadable = NameSample::default();
         let mut after: Option<String> = None;
+        let mut first_revision: Option<u64> = None;
         loop {
             let path = list_path(self.kind.name(), after.as_deref(), false);
             let body = self.client.get(&path, LIST_TIMEOUT).await?;
             let listing =
                 decode_listing(&body).map_err(|error| StepError::Call(error.to_string()))?;
+            // Changes of the first page that happen while the next ones are read come after its revision.
+            let revision = *first_revision.get_or_insert(listing.revision);
             unreadable.add_nameless(listing.without_metadata);
             let stored = listing.objects.into_iter();
             let stored = stored.map(|object| stored_object(self.kind, object, &mut unreadable));
@@ -162,8 +165,8 @@
             let last = listing.last_name;
             if !listing.has_more || last.is_none() || last == after {
                 self.record_response(site);
-                site.record_unreadable(self.kind, listing.revision, &unreadable);
-                return Ok(ReplicaChanges::listing(listing.revision, objects));
+                site.record_unreadable(self.kind, revision, &unreadable);
+                return Ok(ReplicaChanges::listing(revision, objects));
             }
             after = last;
         }
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -221,3 +221,21 @@
         assert!(memory_kib < MEMORY_LIMIT_KIB, "{memory_kib} KiB");
     }
 }
+
+/// The revision of the last page says nothing of what changed on the pages before.
+#[test]
+fn change_of_the_first_page_while_the_second_is_read_is_not_missed() {
+    let servers = ["s-1", "s-0"].map(|name| FakeServer::start(name, &[Behavior::Respond]));
+    let store = FakeStore::start();
+    store.put("config", "main", configuration(1));
+    store.put("servers", "s-1", servers[0].entry("api", None));
+    let large = json!({"Note": "x".repeat(1 << 20)}).to_string().into_bytes();
+    for name in ["t-large", "u-large", "v-large"] {
+        store.put_raw("servers", name, large.clone());
+    }
+    store.put_after_first_page("servers", "s-0", servers[1].entry("api", None));
+    let host = Host::start_with_store(store);
+    host.wait_until_ready();
+    host.store.remove("servers", "s-1");
+    host.wait_for("the other server", || is_served(&host, "/read/1") && requests(&servers[1]) > 0);
+}
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -27,6 +27,8 @@
     hanging_watches: BTreeMap<String, usize>,
     /// Number of calls so far.
     calls: usize,
+    /// Writes that happen once the first page of a list of the kind was read: the kind, the name and the content.
+    after_first_page: Vec<(String, String, Value)>,
     /// Contents that are sent byte for byte, each in place of its [`raw_mark`].
     raw: Vec<Vec<u8>>,
 }
@@ -84,6 +86,12 @@
         changed.notify_all();
     }
 
+    /// Stores an object as soon as the first page of a list of its kind, which must have several, was read.
+    pub(crate) fn put_after_first_page(&self, kind: &str, name: &str, specification: Value) {
+        let mut objects = self.objects.0.lock().expect("no panic");
+        objects.after_first_page.push((kind.to_string(), name.to_string(), specification));
+    }
+
     /// Makes the next `count` watches of a kind hang without a response.
     pub(crate) fn hang_next_watches(&self, kind: &str, count: usize) {
         self.objects.0.lock().expect("no panic").hanging_watches.insert(kind.to_string(), count);
@@ -127,6 +135,16 @@
 }
 
 impl Objects {
+    fn write_after_first_page(&mut self, kind: &str) {
+        let (due, later) = std::mem::take(&mut self.after_first_page)
+            .into_iter()
+            .partition(|(of_kind, _, _)| of_kind == kind);
+        self.after_first_page = later;
+        for (kind, name, specification) in due {
+            self.write(&kind, &name, specification);
+        }
+    }
+
     /// Returns the content of an object that is sent byte for byte.
     fn raw_content(&self, object: &Value) -> Option<&Vec<u8>> {
         let mark = object["Specification"].as_str()?;
@@ -202,7 +220,14 @@
     match (request.start_line_part(0), parts.next()) {
         ("GET", None) => match query_number(target, "Watch") {
             Some(revision) => (200, watch(objects, kind, revision, query_number(target, "WaitMs"))),
-            None => (200, list(&objects.0.lock().expect("no panic"), kind, after_name(target))),
+            None => {
+                let mut objects = objects.0.lock().expect("no panic");
+                let page = list(&objects, kind, after_name(target));
+                if page["HasMore"] == true {
+                    objects.write_after_first_page(kind);
+                }
+                (200, page)
+            }
         },
         (method, Some(name)) => write(objects, method, kind, name, &request.body),
         _ => (400, Value::Null),
