Use servers whose number of slots has no double

What callers saw: in a build with overflow checks, no answer: the connection ended without one. In others, a server with 2^31 slots counted as full with none of its slots in use.

Cause: the number of requests up to which a server is usable is a multiple of its slots, which entries of other writers may set to any number of 32 bits.

Fix: the product saturates.

Evidence: server_with_the_largest_number_of_slots_is_used failed before ("attempt to multiply with overflow" in the log of the host). It also sets the other numbers of the entry to the largest.

--- a/crates/godwit-core/src/site/server_choice.rs
+++ b/crates/godwit-core/src/site/server_choice.rs
@@ -34,7 +34,8 @@
         server.service == service
             && server.state == ServerState::Ready
             && !excluded.contains(&server.id)
-            && loads.total(&server.id).requests < server.slots * (1 + MAX_WAITING_PER_SLOT)
+            && loads.total(&server.id).requests
+                < server.slots.saturating_mul(1 + MAX_WAITING_PER_SLOT)
     });
     let score = |server: &BackendServer| {
         let used = f64::from(loads.total(&server.id).requests) + 1.0;
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -239,3 +239,22 @@
     host.store.remove("servers", "s-1");
     host.wait_for("the other server", || is_served(&host, "/read/1") && requests(&servers[1]) > 0);
 }
+
+/// Twice the slots, up to which requests may wait at a server, were once more than a number holds.
+#[test]
+fn server_with_the_largest_number_of_slots_is_used() {
+    for slots in [u32::MAX, 1 << 31] {
+        let server = FakeServer::start("s-1", &[Behavior::Respond]);
+        let mut entry = server.entry("api", None);
+        entry["Slots"] = json!(slots);
+        entry["born"] = json!(u64::MAX);
+        entry["Sequence"] = json!(u64::MAX);
+        entry["Layers"] = json!({"From": 0, "To": u32::MAX});
+        let mut model_entry = entry.clone();
+        model_entry["Service"] = json!("chat");
+        let mut host = Host::start(&[("s-1", entry), ("s-2", model_entry)]);
+        assert!(is_served(&host, "/read/1"), "{slots} slots");
+        let _ = host.call("POST", "/chat/1", b"");
+        assert_eq!(host.exit_status(), None);
+    }
+}
