Refuse requests whose token counts have no sum

What callers saw: a request that names the largest number of tokens got no answer in a build with overflow checks; the connection ended. In others the sum became small, so that the request counted as one that fits any server.

Cause: the counts of the caller, the load that other hosts report and the sum of both were added without a limit. Found while looking for further numbers from outside that end a task.

Fix: these sums saturate, and the request is refused as one without room. So do the sums of the loads that hosts report to each other, for which there is no separate test.

Evidence: request_with_the_largest_token_counts_is_refused failed before ("attempt to add with overflow" in the log of the host).

--- a/crates/godwit-core/src/site/load.rs
+++ b/crates/godwit-core/src/site/load.rs
@@ -15,8 +15,8 @@
 
 impl Load {
     fn add(&mut self, other: Load) {
-        self.requests += other.requests;
-        self.kv_tokens += other.kv_tokens;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.kv_tokens = self.kv_tokens.saturating_add(other.kv_tokens);
     }
 
     fn subtract(&mut self, other: Load) {
--- a/crates/godwit-core/src/site/path.rs
+++ b/crates/godwit-core/src/site/path.rs
@@ -104,7 +104,7 @@
     if model.link_mbps <= 0.0 {
         return 0.0;
     }
-    let tokens = loads.total(&link_key(one, other)).kv_tokens + request.prompt_tokens;
+    let tokens = loads.total(&link_key(one, other)).kv_tokens.saturating_add(request.prompt_tokens);
     let busy_ms = tokens as f64 * model.activation_bytes * 8.0 / (model.link_mbps * 1e3);
     busy_ms / (CROSSING_WINDOW_MS * MAX_LINK_UTILIZATION)
 }
@@ -205,7 +205,10 @@
             domains.len() - 1
         });
         let load = loads.total(&server.id);
-        let tokens = load.kv_tokens + request.prompt_tokens + request.answer_tokens;
+        let tokens = request
+            .prompt_tokens
+            .saturating_add(request.answer_tokens)
+            .saturating_add(load.kv_tokens);
         let capacity_tokens = MAX_KV_UTILIZATION * kv_capacity_tokens(model, kind, range.len());
         let has_room = (tokens as f64) <= capacity_tokens && load.requests < server.slots;
         let jitter_factor = request.seed.map_or(1.0, |seed| jitter(&server.id, seed));
--- a/crates/godwit-gateway/src/forward/destination.rs
+++ b/crates/godwit-gateway/src/forward/destination.rs
@@ -160,7 +160,7 @@
     Ok(Destination {
         server_id: first.server_id.clone(),
         address: first.address,
-        load: Load { requests: 1, kv_tokens: prompt_tokens + answer_tokens },
+        load: Load { requests: 1, kv_tokens: prompt_tokens.saturating_add(answer_tokens) },
         first_event_ms: path.first_event_ms,
         event_gap_ms: path.event_gap_ms,
         hops: path.hops,
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 
-use crate::host::{Host, configuration, configuration_with_prefix};
+use crate::host::{API_KEY, Host, configuration, configuration_with_prefix};
 use crate::server::{Behavior, FakeServer};
 use crate::store::FakeStore;
 
@@ -258,3 +258,18 @@
         assert_eq!(host.exit_status(), None);
     }
 }
+
+#[test]
+fn request_with_the_largest_token_counts_is_refused() {
+    let server = FakeServer::start("s-1", &[Behavior::Respond]);
+    let mut host = Host::start(&[("s-1", server.entry("chat", Some((0, 16))))]);
+    for counts in ["18446744073709551615,1", "18446744073709551615,18446744073709551615"] {
+        let authorization = format!("Bearer {API_KEY}");
+        let headers =
+            [("authorization", authorization.as_str()), ("godwitdeal-token-counts", counts)];
+        let response = host.call_with("POST", "/chat/1", &headers, b"{}");
+        let status = response.map(|response| response.status());
+        assert!(matches!(status, Ok(400..=599)), "{counts}: {status:?}");
+        assert_eq!(host.exit_status(), None);
+    }
+}
