Wait no longer than the latency target after a response without a request id

What callers would see: a server that refuses without the id of the request, on a connection that is kept, had its order wait until the deadline, end as timed out, and the server was put out for it.

Cause: since such a head is no proof any more, it was skipped like one with another id, and the own response awaited as long as any.

Change: after a head without an id what may run again is sent to another server at once, which needs no proof; an order waits for a response that names it for its latency target, and then its outcome is unknown. The server is not put out, as it may have refused. A kept connection is no longer taken from the pool, and so closed, for a request that needs a new one.

--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -17,7 +17,7 @@
 use tracing::info;
 
 use super::abandoned::AwaitedResponse;
-use super::admit::AdmittedRequest;
+use super::admit::{AdmittedRequest, RequestPolicy};
 use super::destination::{Destination, choose_destination};
 use super::in_flight::{InFlightGuard, Run};
 use super::quarantine::is_quarantined;
@@ -79,10 +79,12 @@
     let destination = &run.destination;
     let was_sent_there = !run.admitted.record_send(&destination.server_id);
     let needs_new = run.request_id().is_empty() || was_sent_there;
-    let pooled = site.pool.borrow_mut().take(&destination.server_id, site.now());
     let skips_pooled = needs_new || run.is_trial() || site.links.borrow().are_suspect(site.now());
-    if let Some(connection) = pooled.filter(|_| !skips_pooled) {
-        return Ok(connection);
+    if !skips_pooled {
+        let pooled = site.pool.borrow_mut().take(&destination.server_id, site.now());
+        if let Some(connection) = pooled {
+            return Ok(connection);
+        }
     }
     let target = ServerTarget {
         server_id: &destination.server_id,
@@ -125,15 +127,17 @@
 
 /// Sends a request and reads response heads until one belongs to it. Others are skipped, as a server may write responses
 /// to earlier requests once more; the connection is not reused then, nor after a response without an id, which could be
-/// taken for the answer to a later request if it came again.
+/// taken for the answer to a later request if it came again. After one without an id, which may be the answer, the next one
+/// is awaited no longer than `doubt_timeout`.
 ///
 /// # Errors
 /// Besides errors of the connection, [`WireError::NotHttp`] for a success without a server's stamp or, if the request
-/// has an id, without a request id.
+/// has an id, without a request id; [`WireError::Ambiguous`] if no other answer follows one without an id.
 async fn exchange_head(
     connection: &mut Connection,
     request: &OutgoingRequest<'_>,
     request_id: &str,
+    doubt_timeout: Duration,
 ) -> Result<(ReplyHead, ServerHead), WireError> {
     let mut is_first = !connection.has_carried();
     let mut head = connection.exchange(request).await?;
@@ -159,13 +163,27 @@
             return Ok((head, server));
         }
         metrics::counter!("stray_answers_total").increment(1);
-        connection.read_body(MAX_BUFFERED_RESPONSE_BYTES).await?;
-        head = connection.next_head(request.method == "HEAD").await?;
+        let next_head = async {
+            connection.read_body(MAX_BUFFERED_RESPONSE_BYTES).await?;
+            connection.next_head(request.method == "HEAD").await
+        };
+        head = if is_named {
+            next_head.await?
+        } else {
+            timeout(doubt_timeout, next_head).await.map_err(|_| WireError::Ambiguous)??
+        };
         is_first = false;
     }
     Err(WireError::NotHttp)
 }
 
+/// Returns the time for which the own answer is awaited after one that may be it, but does not name the request. What may
+/// run again is sent elsewhere at once.
+fn doubt_timeout(policy: &RequestPolicy) -> Duration {
+    let may_run_again = policy.work.may_run_again();
+    Duration::from_millis(if may_run_again { 0 } else { policy.target_latency_ms })
+}
+
 /// Whether an attempt without a response may be abandoned for another one if its path stalls.
 fn may_check_for_stall(admitted: &AdmittedRequest, destination: &Destination) -> bool {
     admitted.policy.work.may_run_again() && !destination.hops.is_empty()
@@ -295,7 +313,9 @@
     };
     let request_id = &admitted.incoming.head.request_id;
     let result = {
-        let response_head = pin!(exchange_head(awaited.connection(), &request, request_id));
+        let connection = awaited.connection();
+        let doubt_timeout = doubt_timeout(&admitted.policy);
+        let response_head = pin!(exchange_head(connection, &request, request_id, doubt_timeout));
         if may_check_for_stall(admitted, destination) {
             await_head_with_stall_checks(
                 site,
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -429,6 +429,8 @@
             WireError::TimedOut => {
                 site.record_server_timeout(&destination.server_id, run.started_at(), &cause);
             }
+            // The server may have refused the request, which is no failure.
+            WireError::Ambiguous => {}
             _ => site.record_server_failure(&destination.server_id, &cause),
         }
     }
--- a/crates/godwit-gateway/src/wire/error.rs
+++ b/crates/godwit-gateway/src/wire/error.rs
@@ -23,6 +23,9 @@
     /// the request.
     #[error("invalid HTTP response")]
     NotHttp,
+    /// A response that does not name its request may be the answer or one to an earlier request.
+    #[error("a response that may belong to another request")]
+    Ambiguous,
     /// A run does not continue its stream of events.
     #[error("{0}")]
     Events(StreamBreak),
--- a/tests/gateway/repeated_answers.rs
+++ b/tests/gateway/repeated_answers.rs
@@ -302,3 +302,39 @@
     });
     assert_eq!(whole, seen.lock().expect("no panic").answered, "streams whole and sent");
 }
+
+/// Returns the address of a server that answers the first request on each connection and refuses the others without their id.
+fn refuse_unnamed_on_kept_connections(name: &'static str) -> SocketAddr {
+    let served: Mutex<BTreeSet<SocketAddr>> = Mutex::default();
+    serve_connections(move |request, stream| {
+        let id = request.header("godwitdeal-request-id").unwrap_or_default();
+        let peer = stream.peer_addr().expect("the connection is open");
+        if served.lock().expect("no panic").insert(peer) {
+            let headers = [("Godwitdeal-Request-Id", id), ("Godwitdeal-Response-Stamp", name)];
+            return write_response(stream, 200, &headers, name.as_bytes());
+        }
+        write_response(stream, 503, &[("Godwitdeal-Not-Executed", "1")], b"")
+    })
+}
+
+#[test]
+fn order_refused_without_its_id_neither_waits_out_its_deadline_nor_ejects_the_server() {
+    let address = refuse_unnamed_on_kept_connections("s-1");
+    let host = Host::start(&[("s-1", server_entry(address, "api", None))]);
+    for _ in 0..3 {
+        assert_eq!(host.call("POST", "/order/1", b"").expect("answered").status(), 200);
+        let refused = host.call("POST", "/order/1", b"").expect("answered");
+        assert_eq!(refused.status(), 502);
+        assert!(refused.text().contains("outcome_unknown"), "{refused:?}");
+    }
+}
+
+#[test]
+fn call_refused_without_its_id_is_sent_to_another_server() {
+    let refusing = server_entry(refuse_unnamed_on_kept_connections("s-1"), "api", None);
+    let other = FakeServer::start("s-2", &[Behavior::Respond]);
+    let host = Host::start(&[("s-1", refusing), ("s-2", other.entry("api", None))]);
+    for _ in 0..16 {
+        assert_eq!(host.call("GET", "/read/1", b"").expect("answered").status(), 200);
+    }
+}
