Confirm the end of a server only by hosts that are all refused

Where a response without a length came over another host, it was taken as cut if two hosts did not reach its server, of which the first was refused; the other one may only have timed out, which shows nothing. Both must be refused now.

Found in a review of the fix; by reading, no run shows it. The tests of detours and of bodies without a length pass.

--- a/crates/godwit-gateway/src/detour/open.rs
+++ b/crates/godwit-gateway/src/detour/open.rs
@@ -254,7 +254,7 @@
     }
     match denials.first() {
         Some(is_refused) => {
-            let is_agreed = denials.len() >= CONFIRMATIONS;
+            let is_agreed = denials.len() >= CONFIRMATIONS && denials.iter().all(|denial| *denial);
             Err(DetourError::Unreachable { is_refused: *is_refused, is_agreed })
         }
         None => Err(DetourError::Unknown),
