Bound the check of the server of a response without a length

A whole response without a length waited for the check of its server, which takes a second or more where the server closes new connections or does not respond, also past the caller's deadline. It counts as complete now if the check takes more than 500 ms or reaches the deadline. The check itself goes on, for the runs that share it.

Found in a review of the fix; by reading, no test has such a server. The tests of bodies without a length pass.

--- a/crates/godwit-gateway/src/forward/server_end.rs
+++ b/crates/godwit-gateway/src/forward/server_end.rs
@@ -12,8 +12,8 @@
 use godwit_core::site::{BackendServer, ServerState};
 use tokio::sync::OnceCell;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
-use tracing::info;
+use tokio::time::{sleep, timeout_at};
+use tracing::{info, warn};
 
 use super::in_flight::Run;
 use super::quarantine::{is_suspect, log_trial, record_lost_run, record_server_end};
@@ -38,6 +38,10 @@
 /// Interval at which the removal of a server is checked.
 const REMOVAL_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time after which a response without a length counts as complete although the check of its server is not done, in
+/// milliseconds; longer than a server at which nothing listens takes to be found.
+const CUT_CHECK_MS: u64 = 500;
+
 /// Maximum number of witnesses of a trial run.
 const MAX_WITNESSES: usize = 6;
 
@@ -260,10 +264,21 @@
     if !connection.ends_with_body() {
         return false;
     }
-    match end_of_server(site, run, &run.destination.server_id, site.now()).await {
+    let (site, run) = (site.clone(), run.clone());
+    let check_until = site.now().plus_ms(CUT_CHECK_MS).min(run.admitted.policy.response_deadline);
+    let check_until = site.clock.instant(check_until);
+    // A check that takes longer goes on for the runs that share it.
+    let check = spawn_local(async move {
+        end_of_server(&site, &run, &run.destination.server_id, site.now()).await
+    });
+    match timeout_at(check_until, check).await {
         // Where the own link does not work, that of one other host may not work either.
-        ServerEnd::Ended { is_confirmed } => is_confirmed || connection.is_direct(),
-        ServerEnd::NotSeen { .. } | ServerEnd::Other => false,
+        Ok(Ok(ServerEnd::Ended { is_confirmed })) => is_confirmed || connection.is_direct(),
+        Ok(Ok(ServerEnd::NotSeen { .. } | ServerEnd::Other)) | Err(_) => false,
+        Ok(Err(error)) => {
+            warn!(event = "server_check_failed", %error);
+            false
+        }
     }
 }
 
