Wait for the end of a run in the journals of sessions

Cause: the stand-in notes the end after it has sent it (godwit-standin, engine/generate.rs), so that the caller's answer may be there before the line.

--- a/crates/godwit-ctl/tests/site/sessions.rs
+++ b/crates/godwit-ctl/tests/site/sessions.rs
@@ -4,7 +4,11 @@
 use godwit_core::config::workspace_object;
 use godwit_ctl::site::{Names, Site};
 use godwit_schema::config::{Refuse, Rule, When, Workspace};
+use godwit_schema::engine::{JournalAction, JournalEntry};
 use serde_json::json;
+use std::time::Duration;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 fn chat_body(model: &str, prompt: &str, is_stream: bool) -> String {
     let messages = json!([{"role": "user", "content": prompt}]);
@@ -36,12 +40,23 @@
     let mut transcript = Transcript::default();
     let body = chat_body(Names::SPLIT_MODEL, "the weekly note", true);
     transcript.exchange(&site, "split", &note_request(&body));
-    for stage in ["stage-1", "stage-2"] {
-        transcript.journal(stage, &site.engines[stage].standin.journal());
-    }
+    transcript.journal("stage-1", &journal_with_done(&site, "stage-1"));
+    transcript.journal("stage-2", &site.engines["stage-2"].standin.journal());
     insta::assert_snapshot!(transcript.text());
 }
 
+/// Returns the journal of an engine once it has the end of a run, which the engine notes after it has sent the end.
+fn journal_with_done(site: &Site, engine: &str) -> Vec<JournalEntry> {
+    for _ in 0..1_000 {
+        let journal = site.engines[engine].standin.journal();
+        if journal.iter().any(|entry| entry.action == JournalAction::Done) {
+            return journal;
+        }
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    panic!("the run at {engine} does not end");
+}
+
 fn order_request(key: &str, body: &str) -> String {
     let headers = [
         ("Godwit-Kind", Names::KIND_ONCE),
@@ -77,7 +92,7 @@
     let first = request("POST", "/v1/chat/completions", &headers, &whole);
     transcript.exchange(&site, "first", &first);
     transcript.exchange(&site, "again", &first);
-    transcript.journal("whole-1", &site.engines["whole-1"].standin.journal());
+    transcript.journal("whole-1", &journal_with_done(&site, "whole-1"));
     insta::assert_snapshot!(transcript.text());
 }
 
