Read the bodies of the store with the loop of the connection

The client of the store had a copy of Connection::read_body that tells a body which is too large from an invalid one. The connection now has that form, and read_body makes the error of it. No behaviour changes.

--- a/crates/godwit-gateway/src/store/client.rs
+++ b/crates/godwit-gateway/src/store/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use tokio::time::timeout;
 
 use crate::wire::{Connection, OutgoingRequest, WireError};
@@ -22,18 +22,6 @@
     pub(crate) is_too_large: bool,
 }
 
-/// Reads the rest of a response. None if it is too large.
-async fn read_body(connection: &mut Connection) -> Result<Option<Bytes>, WireError> {
-    let mut body = BytesMut::new();
-    while let Some(piece) = connection.next_piece().await? {
-        if body.len() + piece.len() > MAX_RESPONSE_BYTES {
-            return Ok(None);
-        }
-        body.extend_from_slice(&piece);
-    }
-    Ok(Some(body.freeze()))
-}
-
 /// Client with one connection, which it opens again when needed, and for each write.
 pub(crate) struct StoreClient {
     address: SocketAddr,
@@ -73,7 +61,7 @@
         let request = OutgoingRequest { method, target, headers, body: body.into() };
         let response = async {
             let head = connection.exchange(&request).await?;
-            let body = read_body(&mut connection).await?;
+            let body = connection.read_body_within(MAX_RESPONSE_BYTES).await?;
             let is_too_large = body.is_none();
             let body = body.unwrap_or_default();
             Ok(StoreReply { status: head.status, body, is_too_large })
--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -318,14 +318,22 @@
 
     /// Reads the rest of the body. Fails if it exceeds `max_bytes`.
     pub(crate) async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, WireError> {
+        self.read_body_within(max_bytes).await?.ok_or(WireError::NotHttp)
+    }
+
+    /// Reads the rest of the body. Returns none if it exceeds `max_bytes`; the connection cannot be used any more then.
+    pub(crate) async fn read_body_within(
+        &mut self,
+        max_bytes: usize,
+    ) -> Result<Option<Bytes>, WireError> {
         let mut body = BytesMut::new();
         while let Some(piece) = self.next_piece().await? {
             if body.len() + piece.len() > max_bytes {
-                return Err(WireError::NotHttp);
+                return Ok(None);
             }
             body.extend_from_slice(&piece);
         }
-        Ok(body.freeze())
+        Ok(Some(body.freeze()))
     }
 
     /// Waits after the end of a response until the connection closes. Bytes that still arrive are dropped.
