--- a/crates/godwit-gateway/src/detour/open.rs
+++ b/crates/godwit-gateway/src/detour/open.rs
@@ -49,15 +49,15 @@
     pub(crate) needs_new: bool,
 }
 
-impl ServerTarget<'_> {
+impl<'a> ServerTarget<'a> {
     /// Returns a server that no request needs.
-    pub(crate) fn of(server: &BackendServer) -> ServerTarget<'_> {
-        ServerTarget {
-            server_id: &server.id,
-            address: server.address,
-            request_id: "",
-            needs_new: true,
-        }
+    pub(crate) fn of(server: &'a BackendServer) -> ServerTarget<'a> {
+        ServerTarget::without_request(&server.id, server.address)
+    }
+
+    /// Returns the server at an address, which no request needs.
+    pub(crate) fn without_request(server_id: &'a str, address: SocketAddr) -> ServerTarget<'a> {
+        ServerTarget { server_id, address, request_id: "", needs_new: true }
     }
 }
 
--- a/crates/godwit-gateway/src/forward/server_end.rs
+++ b/crates/godwit-gateway/src/forward/server_end.rs
@@ -86,7 +86,7 @@
 }
 
 async fn connect_once(site: &Site, server_id: &str, address: SocketAddr) -> ServerCheck {
-    let target = ServerTarget { server_id, address, request_id: "", needs_new: true };
+    let target = ServerTarget::without_request(server_id, address);
     let (error, is_confirmed, is_agreed) = match open_server(site, target).await {
         Ok(connection) => return settled_state(site, server_id, connection).await,
         Err(OpenError::Unreachable { error, is_confirmed, is_agreed }) => {
