Log losses that are in no report to other hosts

A request under which servers end is stopped only if hosts tell each other the losses.

The register counts the reports that each loss has been in. A host logs crash_reports when some have been in none for over a second, and when that ends; crash_report_backlog is the number. No decision uses it.

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -8,7 +8,7 @@
 use crate::SteadyMs;
 use crate::quarantine::crash_report::{
     CrashReport, LossReport, MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES, MAX_REPORTED_SUSPECTS,
-    ServerEndReport, SuspectReport,
+    ReportBacklog, ReportCount, ServerEndReport, SuspectReport,
 };
 use crate::quarantine::marks::MARK_LIFETIME_MS;
 use crate::quarantine::suspect::{
@@ -185,6 +185,7 @@
             request_fingerprint: lost.fingerprint,
             is_trial: lost.is_trial,
             heard_from: None,
+            reported: ReportCount::default(),
         }
     }
 
@@ -430,7 +431,8 @@
         let after_cursor = self.suspects.range(self.report_cursor..).map(|(key, _)| *key);
         let before_cursor = self.suspects.range(..self.report_cursor).map(|(key, _)| *key);
         let mut cursor = self.report_cursor;
-        for fingerprint in after_cursor.chain(before_cursor) {
+        let by_turns: Vec<u64> = after_cursor.chain(before_cursor).collect();
+        for fingerprint in by_turns {
             let is_reported =
                 || report.suspects.iter().any(|suspect| suspect.fingerprint == fingerprint);
             if !self.is_held(fingerprint, now) || is_reported() {
@@ -465,7 +467,7 @@
 
     /// Adds a request to a report if there is room for all its losses.
     fn add_to_report(
-        &self,
+        &mut self,
         report: &mut CrashReport,
         losses_left: &mut usize,
         fingerprint: u64,
@@ -477,9 +479,36 @@
         }
         *losses_left -= losses;
         report.suspects.push(self.suspect_report(fingerprint, now));
+        let suspect = self.suspects.get_mut(&fingerprint).into_iter();
+        let losses = suspect.flat_map(|suspect| suspect.losses.values_mut());
+        losses.for_each(|loss| loss.reported.record());
         true
     }
 
+    /// Returns the losses of the requests in the register that have been in no report so far.
+    ///
+    /// ```
+    /// use godwit_core::SteadyMs;
+    /// use godwit_core::quarantine::{CrashRegister, LostRun, ReportBacklog};
+    /// let mut register = CrashRegister::new(60_000);
+    /// let now = SteadyMs(5_000);
+    /// let lost =
+    ///     LostRun { fingerprint: 7, started_at: now, pieces: 0, request_id: "r-1", is_trial: false };
+    /// register.record_loss(lost, "s-1", now);
+    /// let backlog = ReportBacklog { losses: 1, oldest_ms: 200 };
+    /// assert_eq!(register.report_backlog(SteadyMs(5_200)), backlog);
+    /// register.next_report(SteadyMs(5_200));
+    /// assert_eq!(register.report_backlog(SteadyMs(5_200)), ReportBacklog::default());
+    /// ```
+    pub fn report_backlog(&self, now: SteadyMs) -> ReportBacklog {
+        let losses = self.suspects.values().flat_map(|suspect| suspect.losses.values());
+        let unreported = losses.filter(|loss| loss.reported.is_zero());
+        unreported.fold(ReportBacklog::default(), |backlog, loss| ReportBacklog {
+            losses: backlog.losses + 1,
+            oldest_ms: backlog.oldest_ms.max(now.since_ms(loss.ended_at)),
+        })
+    }
+
     /// Whether a request is in doubt, quarantined or on probation.
     fn is_held(&self, fingerprint: u64, now: SteadyMs) -> bool {
         self.is_in_doubt(fingerprint) || self.status(fingerprint, now) != CrashStatus::Clear
@@ -552,6 +581,7 @@
                     request_fingerprint: loss.request_fingerprint,
                     is_trial: loss.is_trial,
                     heard_from: Some(sender.to_string()),
+                    reported: ReportCount::default(),
                 };
                 self.record_end(&loss.server, heard.ended_at);
                 self.add_loss(suspect.fingerprint, suspect.is_part, &loss.server, heard, now);
--- a/crates/godwit-core/src/quarantine/crash_report.rs
+++ b/crates/godwit-core/src/quarantine/crash_report.rs
@@ -11,6 +11,24 @@
 /// Maximum number of server ends in a report to other hosts.
 pub const MAX_REPORTED_ENDS: usize = 64;
 
+/// How often something was reported to other hosts.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct ReportCount {
+    reports: u32,
+}
+
+impl ReportCount {
+    /// Whether it has been in no report.
+    pub(crate) fn is_zero(self) -> bool {
+        self.reports == 0
+    }
+
+    /// Counts a report.
+    pub(crate) fn record(&mut self) {
+        self.reports = self.reports.saturating_add(1);
+    }
+}
+
 /// Loss of a server under a request, as reported to other hosts.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LossReport {
@@ -54,6 +72,15 @@
     pub ended_ago_ms: u64,
 }
 
+/// Losses that a host knows and has told no other host.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ReportBacklog {
+    /// Number of losses.
+    pub losses: usize,
+    /// Time since the first of the servers ended, in milliseconds.
+    pub oldest_ms: u64,
+}
+
 /// What a host reports to other hosts.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReport {
--- a/crates/godwit-core/src/quarantine/mod.rs
+++ b/crates/godwit-core/src/quarantine/mod.rs
@@ -25,7 +25,7 @@
 };
 pub use crash_report::{
     CrashReport, LossReport, MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES, MAX_REPORTED_SUSPECTS,
-    ServerEndReport, SuspectReport,
+    ReportBacklog, ServerEndReport, SuspectReport,
 };
 pub use fingerprint::{fingerprint, part_fingerprint};
 pub use marks::MARK_LIFETIME_MS;
--- a/crates/godwit-core/src/quarantine/suspect.rs
+++ b/crates/godwit-core/src/quarantine/suspect.rs
@@ -4,6 +4,7 @@
 
 use crate::SteadyMs;
 use crate::quarantine::crash_register::CrashStatus;
+use crate::quarantine::crash_report::ReportCount;
 use crate::quarantine::marks::SAME_LOSS_WINDOW_MS;
 
 /// Number of pieces of a response up to which it has hardly begun.
@@ -92,6 +93,8 @@
     pub is_trial: bool,
     /// Host that reported the loss; none for this host.
     pub heard_from: Option<String>,
+    /// How often this host has reported the loss.
+    pub(crate) reported: ReportCount,
 }
 
 impl Loss {
--- a/crates/godwit-gateway/src/gossip.rs
+++ b/crates/godwit-gateway/src/gossip.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use godwit_core::quarantine::CrashReport;
+use godwit_core::quarantine::{CrashReport, ReportBacklog};
 use godwit_core::site::{
     AskAction, FindingReport, LimitReport, Load, LoadSource, PartitionReport, PeerLoadReport,
     PermitAsk, PermitGrant,
@@ -30,6 +30,9 @@
 /// Time between two rounds of a task beyond which the process did not run for a while, in milliseconds.
 const MAX_TASK_GAP_MS: u64 = 500;
 
+/// Time after the end of a server from which its losses should have been reported, in milliseconds.
+const MAX_BACKLOG_MS: u64 = 1_000;
+
 /// Largest message, in bytes; a larger one is not sent, because it must fit into one UDP datagram.
 const MAX_MESSAGE_BYTES: usize = 32 * 1024;
 
@@ -130,9 +133,11 @@
 
     /// Sends load reports for as long as the process runs, and drops expired state at each interval.
     pub(crate) async fn send_reports(self: Rc<Self>) {
+        let mut is_behind = false;
         loop {
             sleep(REPORT_INTERVAL).await;
             let now = self.site.now();
+            is_behind = self.log_backlog(is_behind);
             self.site.expire(now);
             let recipients = self.site.relay.borrow_mut().recipients(now);
             for host in recipients.contacts {
@@ -153,6 +158,18 @@
         }
     }
 
+    /// Logs when losses remain unreported for long, and when that ends. Returns whether they do.
+    fn log_backlog(&self, was_behind: bool) -> bool {
+        let backlog = self.site.crashes.borrow().report_backlog(self.site.now());
+        let ReportBacklog { losses, oldest_ms } = backlog;
+        metrics::gauge!("crash_report_backlog").set(losses as f64);
+        let is_behind = oldest_ms > MAX_BACKLOG_MS;
+        if is_behind != was_behind {
+            info!(event = "crash_reports", is_behind, losses, oldest_ms);
+        }
+        is_behind
+    }
+
     /// Asks other hosts for permits to send to servers that name a limit, for as long as the process runs.
     pub(crate) async fn ask_for_permits(self: Rc<Self>) {
         let mut last = (self.site.now(), self.site.clock.unix_now());
