--- a/crates/godwit-core/tests/crash_register.rs
+++ b/crates/godwit-core/tests/crash_register.rs
@@ -583,3 +583,47 @@
     register.expire(at(2 * 3_600_000));
     assert!(register.is_empty());
 }
+
+/// Losses that reports have no room for.
+mod unreported {
+    use super::*;
+
+    #[test]
+    fn next_report_has_new_losses_beside_requests_that_lost_more_servers() {
+        let mut here = register();
+        for request in 0..100 {
+            for server in 0..4 {
+                lose(&mut here, 1_000 + request, &format!("o-{server}"), 0, 2_000 + server);
+            }
+        }
+        for round in 0..40 {
+            here.next_report(at(2_100 + 200 * round));
+        }
+        lose(&mut here, GUILTY, "s-1", 0, 10_000);
+        let report = here.next_report(at(10_100));
+        assert!(report.suspects.iter().any(|suspect| suspect.fingerprint == GUILTY));
+    }
+
+    #[test]
+    fn next_report_comes_to_each_of_many_new_losses() {
+        let mut here = register();
+        for request in 0..400 {
+            lose(
+                &mut here,
+                1_000 + request,
+                &format!("s-{}", request % 20),
+                0,
+                2_000 + request % 20,
+            );
+        }
+        let mut there = register();
+        for round in 0..15 {
+            there.merge(
+                &here.next_report(at(2_200 + 200 * round)),
+                "here",
+                at(2_200 + 200 * round),
+            );
+        }
+        assert_eq!((1_000..1_400).filter(|request| there.is_suspect(*request)).count(), 400);
+    }
+}
--- a/crates/godwit-core/tests/crash_shapes.rs
+++ b/crates/godwit-core/tests/crash_shapes.rs
@@ -59,6 +59,17 @@
 /// Shapes of [`Domain::GuiltyCheckedSlowly`] that are broken if runs do not count while their servers are checked.
 const FOUND_CHECKED_SLOWLY: [u64; 4] = [106, 207, 383, 555];
 
+/// Number of other requests that lose servers, time between two such events, and servers that each of them loses.
+const MAX_LOST_REQUESTS: u64 = 60;
+const LOST_REQUESTS_INTERVAL_MS: u64 = 8_000;
+const LOST_SERVERS: u64 = 3;
+
+/// Shapes of [`Domain::GuiltyBesideLostRequests`] that are broken if reports have no room for new losses.
+const FOUND_BESIDE_LOST_REQUESTS: [u64; 6] = [61, 72, 105, 143, 224, 283];
+
+/// Divisor of the number of shapes with many other requests, which take long to play.
+const LOST_REQUESTS_SHAPE_DIVISOR: u64 = 10;
+
 /// Deadline of a request, as a multiple of its run.
 const DEADLINE_RUNS: u64 = 8;
 const MIN_DEADLINE_MS: u64 = 2_500;
@@ -83,6 +94,8 @@
     check_ms: u64,
     /// Whether a run counts as running while its server is checked.
     counts_checks: bool,
+    /// Number of other requests that lose servers of another service again and again, and do not complete.
+    lost_requests: u64,
 }
 
 /// Which shapes to draw.
@@ -93,6 +106,8 @@
     GuiltyReturningTogether,
     /// As before, while hosts take long to find out that a server has ended.
     GuiltyCheckedSlowly,
+    /// Servers return together, while many other requests have lost servers shortly before.
+    GuiltyBesideLostRequests,
     /// Between two crashes a request has the time to complete.
     Sound,
     /// Servers crash faster than the request completes, again and again.
@@ -109,9 +124,14 @@
         let found: &[u64] = match self {
             Domain::GuiltyReturningTogether => &FOUND_RETURNING_TOGETHER,
             Domain::GuiltyCheckedSlowly => &FOUND_CHECKED_SLOWLY,
+            Domain::GuiltyBesideLostRequests => &FOUND_BESIDE_LOST_REQUESTS,
             _ => &[],
         };
-        let count = shape_count();
+        let divisor = match self {
+            Domain::GuiltyBesideLostRequests => LOST_REQUESTS_SHAPE_DIVISOR,
+            _ => 1,
+        };
+        let count = shape_count() / divisor;
         (0..count).chain(found.iter().copied().filter(move |seed| *seed >= count))
     }
 }
@@ -135,20 +155,29 @@
             hosts: random.random_range(1..=9),
             run_ms,
             crash_interval_ms: match domain {
-                Domain::Guilty | Domain::GuiltyReturningTogether | Domain::GuiltyCheckedSlowly => 0,
+                Domain::Guilty
+                | Domain::GuiltyReturningTogether
+                | Domain::GuiltyCheckedSlowly
+                | Domain::GuiltyBesideLostRequests => 0,
                 Domain::Sound => crash_interval_ms.max(2 * MAX_RESTART_MS + 2 * run_ms),
                 Domain::GuiltyBesideCrashes | Domain::SoundThatCannotComplete => crash_interval_ms,
             },
             crash_share,
             returns_together: matches!(
                 domain,
-                Domain::GuiltyReturningTogether | Domain::GuiltyCheckedSlowly
+                Domain::GuiltyReturningTogether
+                    | Domain::GuiltyCheckedSlowly
+                    | Domain::GuiltyBesideLostRequests
             ),
             check_ms: match domain {
                 Domain::GuiltyCheckedSlowly => random.random_range(MIN_CHECK_MS..MAX_CHECK_MS),
                 _ => 0,
             },
             counts_checks: true,
+            lost_requests: match domain {
+                Domain::GuiltyBesideLostRequests => MAX_LOST_REQUESTS,
+                _ => 0,
+            },
         }
     }
 
@@ -342,6 +371,24 @@
         chosen.into_iter().for_each(|server| self.end_server(server));
     }
 
+    /// Loses servers of another service under other requests, each at one host.
+    fn lose_others(&mut self) {
+        for request in 0..self.shape.lost_requests {
+            let host = self.random.random_range(0..self.shape.hosts);
+            for server in 0..LOST_SERVERS {
+                let lost = LostRun {
+                    fingerprint: self.now_ms + request,
+                    started_at: self.now(),
+                    pieces: 0,
+                    request_id: "r-other",
+                    is_trial: false,
+                };
+                let server = format!("o-{server}/{}", self.now_ms);
+                self.registers[host].record_loss(lost, &server, SteadyMs(self.now_ms));
+            }
+        }
+    }
+
     fn handle_notices(&mut self) {
         let now = self.now();
         let (due, later): (Vec<_>, Vec<_>) =
@@ -480,6 +527,9 @@
             if interval_ms > 0 && since_start_ms % interval_ms < TICK_MS {
                 self.crash_servers();
             }
+            if since_start_ms % LOST_REQUESTS_INTERVAL_MS == TICK_MS {
+                self.lose_others();
+            }
             self.handle_notices();
             self.send_reports();
             (0..self.callers.len()).for_each(|caller| self.advance_caller(caller));
@@ -579,3 +629,13 @@
         assert_eq!(broken_shapes(Domain::SoundThatCannotComplete, true), []);
     }
 }
+
+/// Losses that reports have no room for.
+mod unreported {
+    use super::*;
+
+    #[test]
+    fn guilty_request_is_stopped_beside_requests_that_lost_servers_before() {
+        assert_eq!(broken_shapes(Domain::GuiltyBesideLostRequests, true), []);
+    }
+}
--- a/crates/godwit-core/tests/crash_spread.rs
+++ b/crates/godwit-core/tests/crash_spread.rs
@@ -16,6 +16,8 @@
 const TICK_MS: u64 = 5;
 const MESSAGE_LOSS: f64 = 0.05;
 const GUILTY: u64 = 7;
+/// First fingerprint of requests that lose servers without being to blame.
+const FIRST_OTHER: u64 = 1_000;
 const LIMITS: RelayLimits = RelayLimits { silence_timeout_ms: 700, skip_ms: 4_000 };
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -158,6 +160,31 @@
         }
     }
 
+    /// Loses servers under requests that do not complete, each at one host.
+    fn lose_others(&mut self, requests: std::ops::Range<u64>, servers: &[String]) {
+        for request in requests {
+            let host = self.random.random_range(0..HOSTS);
+            let now = self.now_at(host);
+            for server in servers {
+                let lost = LostRun {
+                    fingerprint: FIRST_OTHER + request,
+                    started_at: now,
+                    pieces: 0,
+                    request_id: "r-other",
+                    is_trial: false,
+                };
+                self.hosts[host].register.record_loss(lost, server, now);
+            }
+        }
+    }
+
+    /// Returns the hosts that do not know of all three losses.
+    fn missing_losses(&self) -> Vec<String> {
+        let hosts = self.hosts.iter();
+        let missing = hosts.filter(|host| host.register.losses(GUILTY).count() < 3);
+        missing.map(|host| host.peer.name.clone()).collect()
+    }
+
     /// Returns the hosts that do not know of the quarantine.
     fn unaware(&self) -> Vec<String> {
         let is_unaware = |index: &usize| {
@@ -233,3 +260,45 @@
         assert_eq!(network.unaware(), cut_off, "seed {seed}");
     }
 }
+
+/// Losses that reports have no room for.
+mod unreported {
+    use super::*;
+
+    #[test]
+    fn new_losses_reach_79_hosts_beside_requests_that_lost_servers_before() {
+        for seed in 0..5 {
+            let mut network = Network::start(seed);
+            let servers = ["o-1", "o-2", "o-3", "o-4"].map(String::from);
+            for requests in [0..40, 40..80, 80..120] {
+                network.lose_others(requests, &servers);
+                network.run_for(1_000);
+            }
+            network.run_for(5_000);
+            network.lose_three();
+            network.run_for(CONTACT_WINDOW_MS);
+            assert_eq!(network.missing_losses(), [""; 0], "seed {seed}");
+        }
+    }
+
+    #[test]
+    fn new_losses_reach_79_hosts_while_servers_end_under_other_requests() {
+        const INTERVAL_MS: u64 = 150;
+        const REQUESTS_ON_SERVER: u64 = 22;
+        for seed in 0..5 {
+            let mut network = Network::start(seed);
+            for number in 0..54 {
+                let first = number * REQUESTS_ON_SERVER;
+                network.lose_others(first..first + REQUESTS_ON_SERVER, &[format!("o-{number}")]);
+                match number {
+                    30 => network.lose(5, "s-1"),
+                    32 => network.lose(40, "s-2"),
+                    34 => network.lose(78, "s-3"),
+                    _ => {}
+                }
+                network.run_for(INTERVAL_MS);
+            }
+            assert_eq!(network.missing_losses(), [""; 0], "seed {seed}");
+        }
+    }
+}
