Report new losses before those that were reported

Each host knew its own losses only.

Cause: a report had the requests with most losses of the last 30 s first, 24 at most, always in the same order. After a crash under many requests, 127 of them with several losses here, a new loss was in no report until it had company at the same host.

A host now selects once in 200 ms what it sends to all: losses that were in no report, then those that were in fewer than five, and a quarter of the room for the rest by turns, half of it for requests in doubt or quarantined. A request sends up to eight losses at a time, so that one with 32 does not take the room of others. As the selection is made for a round and not for a message, none of the 60 recipients of a collector misses what counts as reported; eight requests heard of meanwhile come on top.

next_report_is_bounded_and_comes_to_all_quarantined_requests asked for its 20 reports within 20 ms. They are now 200 ms apart, as reports to one host are; what it requires is the same.

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -7,10 +7,10 @@
 
 use crate::SteadyMs;
 use crate::quarantine::crash_report::{
-    CrashReport, LossReport, MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES, MAX_REPORTED_SUSPECTS,
-    ReportBacklog, ReportCount, ServerEndReport, SuspectReport,
+    CrashReport, LossReport, MAX_REPORTED_ENDS, MAX_REPORTED_SUSPECTS, SuspectReport,
 };
 use crate::quarantine::marks::MARK_LIFETIME_MS;
+use crate::quarantine::report_selection::{ReportCount, ReportSelection};
 use crate::quarantine::suspect::{
     Loss, LossWeight, LostRun, MAX_LOSSES, MIN_QUARANTINE_LOSSES, MIN_QUARANTINE_PART_REQUESTS,
     PASSED_FACTOR, PASSED_MARGIN_PIECES, QUARANTINE_WEIGHT, REPEATED_LOSSES, Round, SHARED_END_MS,
@@ -33,13 +33,6 @@
 /// Maximum number of server ends in the register.
 pub const MAX_SERVER_ENDS: usize = 1_024;
 
-/// Time for which a change is reported to other hosts, in milliseconds; the platform's contact window.
-const REPORT_MS: u64 = 3_000;
-
-/// Time for which a change is reported if the request has repeated losses, in milliseconds, so that it also reaches hosts
-/// that were cut off. Requests that are quarantined or on probation are reported all the time.
-const REPEATED_REPORT_MS: u64 = 30_000;
-
 /// Status of a request by the servers lost under it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CrashStatus {
@@ -115,8 +108,8 @@
     pub(super) explaining: BTreeSet<u64>,
     /// Time of the last response to a request with a part, by fingerprint of the part.
     pub(super) part_responses: BTreeMap<u64, SteadyMs>,
-    /// Fingerprint after which the next report of repeated losses continues.
-    report_cursor: u64,
+    /// What the reports of the current round have.
+    pub(super) selection: ReportSelection,
 }
 
 impl CrashRegister {
@@ -128,7 +121,7 @@
             suspects: BTreeMap::new(),
             explaining: BTreeSet::new(),
             part_responses: BTreeMap::new(),
-            report_cursor: 0,
+            selection: ReportSelection::default(),
         }
     }
 
@@ -413,104 +406,8 @@
         changes
     }
 
-    /// Returns the next report to other hosts. Recent changes come first; requests that are quarantined or on probation
-    /// fill the rest by turns.
-    pub fn next_report(&mut self, now: SteadyMs) -> CrashReport {
-        let mut ends: Vec<(&String, &SteadyMs)> = self.ends.iter().collect();
-        ends.retain(|(_, ended_at)| !ended_at.plus_ms(2 * REPORT_MS).is_past(now));
-        ends.sort_by_key(|(_, ended_at)| std::cmp::Reverse(**ended_at));
-        let ends = ends.into_iter().take(MAX_REPORTED_ENDS).map(|(server, ended_at)| {
-            ServerEndReport { server: server.clone(), ended_ago_ms: now.since_ms(*ended_at) }
-        });
-        let ends = ends.collect();
-        let mut report = CrashReport { ends, suspects: Vec::new() };
-        let mut losses_left = MAX_REPORTED_LOSSES;
-        for fingerprint in self.recent_changes(now) {
-            self.add_to_report(&mut report, &mut losses_left, fingerprint, now);
-        }
-        let after_cursor = self.suspects.range(self.report_cursor..).map(|(key, _)| *key);
-        let before_cursor = self.suspects.range(..self.report_cursor).map(|(key, _)| *key);
-        let mut cursor = self.report_cursor;
-        let by_turns: Vec<u64> = after_cursor.chain(before_cursor).collect();
-        for fingerprint in by_turns {
-            let is_reported =
-                || report.suspects.iter().any(|suspect| suspect.fingerprint == fingerprint);
-            if !self.is_held(fingerprint, now) || is_reported() {
-                continue;
-            }
-            if !self.add_to_report(&mut report, &mut losses_left, fingerprint, now) {
-                break;
-            }
-            cursor = fingerprint.wrapping_add(1);
-        }
-        self.report_cursor = cursor;
-        report
-    }
-
-    /// Returns the requests whose losses have changed recently, those with most losses first; as many as leave room for
-    /// others in a report.
-    fn recent_changes(&self, now: SteadyMs) -> Vec<u64> {
-        let is_recent = |suspect: &Suspect| {
-            let is_repeated = suspect.losses.len() >= REPEATED_LOSSES;
-            let report_ms = if is_repeated { REPEATED_REPORT_MS } else { REPORT_MS };
-            !suspect.changed_at.plus_ms(report_ms).is_past(now)
-        };
-        let mut recent: Vec<(&u64, &Suspect)> =
-            self.suspects.iter().filter(|(_, suspect)| is_recent(suspect)).collect();
-        recent.sort_by_key(|(key, suspect)| {
-            let is_doubted_part = suspect.is_part && self.explaining.contains(key);
-            std::cmp::Reverse((is_doubted_part, suspect.losses.len(), suspect.changed_at))
-        });
-        let recent = recent.into_iter().take(MAX_REPORTED_SUSPECTS / 2);
-        recent.map(|(fingerprint, _)| *fingerprint).collect()
-    }
-
-    /// Adds a request to a report if there is room for all its losses.
-    fn add_to_report(
-        &mut self,
-        report: &mut CrashReport,
-        losses_left: &mut usize,
-        fingerprint: u64,
-        now: SteadyMs,
-    ) -> bool {
-        let losses = self.suspects[&fingerprint].losses.len();
-        if losses > *losses_left || report.suspects.len() >= MAX_REPORTED_SUSPECTS {
-            return false;
-        }
-        *losses_left -= losses;
-        report.suspects.push(self.suspect_report(fingerprint, now));
-        let suspect = self.suspects.get_mut(&fingerprint).into_iter();
-        let losses = suspect.flat_map(|suspect| suspect.losses.values_mut());
-        losses.for_each(|loss| loss.reported.record());
-        true
-    }
-
-    /// Returns the losses of the requests in the register that have been in no report so far.
-    ///
-    /// ```
-    /// use godwit_core::SteadyMs;
-    /// use godwit_core::quarantine::{CrashRegister, LostRun, ReportBacklog};
-    /// let mut register = CrashRegister::new(60_000);
-    /// let now = SteadyMs(5_000);
-    /// let lost =
-    ///     LostRun { fingerprint: 7, started_at: now, pieces: 0, request_id: "r-1", is_trial: false };
-    /// register.record_loss(lost, "s-1", now);
-    /// let backlog = ReportBacklog { losses: 1, oldest_ms: 200 };
-    /// assert_eq!(register.report_backlog(SteadyMs(5_200)), backlog);
-    /// register.next_report(SteadyMs(5_200));
-    /// assert_eq!(register.report_backlog(SteadyMs(5_200)), ReportBacklog::default());
-    /// ```
-    pub fn report_backlog(&self, now: SteadyMs) -> ReportBacklog {
-        let losses = self.suspects.values().flat_map(|suspect| suspect.losses.values());
-        let unreported = losses.filter(|loss| loss.reported.is_zero());
-        unreported.fold(ReportBacklog::default(), |backlog, loss| ReportBacklog {
-            losses: backlog.losses + 1,
-            oldest_ms: backlog.oldest_ms.max(now.since_ms(loss.ended_at)),
-        })
-    }
-
     /// Whether a request is in doubt, quarantined or on probation.
-    fn is_held(&self, fingerprint: u64, now: SteadyMs) -> bool {
+    pub(super) fn is_held(&self, fingerprint: u64, now: SteadyMs) -> bool {
         self.is_in_doubt(fingerprint) || self.status(fingerprint, now) != CrashStatus::Clear
     }
 
@@ -533,26 +430,13 @@
         repeated.into_iter().map(|(_, fingerprint)| fingerprint).collect()
     }
 
-    /// Returns the report of one request to other hosts.
+    /// Returns the report of one request with all its losses.
     pub fn suspect_report(&self, fingerprint: u64, now: SteadyMs) -> SuspectReport {
-        let losses = self.losses(fingerprint).map(|(server, loss)| LossReport {
-            server: server.to_string(),
-            ended_ago_ms: now.since_ms(loss.ended_at),
-            ran_ms: loss.ran_ms,
-            pieces: loss.pieces,
-            request_id: loss.request_id.clone(),
-            request_fingerprint: loss.request_fingerprint,
-            is_trial: loss.is_trial,
-        });
-        let suspect = self.suspects.get(&fingerprint);
-        let cleared_at = suspect.and_then(|suspect| suspect.cleared_at);
-        let trial_at = suspect.and_then(|suspect| suspect.trial_at(now));
-        SuspectReport {
-            fingerprint,
-            is_part: suspect.is_some_and(|suspect| suspect.is_part),
-            losses: losses.collect(),
-            cleared_ago_ms: cleared_at.map(|cleared_at| now.since_ms(cleared_at)),
-            trial_ago_ms: trial_at.map(|trial_at| now.since_ms(trial_at)),
+        let losses = self.losses(fingerprint);
+        let losses = losses.map(|(server, loss)| LossReport::new(server, loss, now)).collect();
+        match self.suspects.get(&fingerprint) {
+            Some(suspect) => suspect.report(fingerprint, losses, now),
+            None => Suspect::default().report(fingerprint, losses, now),
         }
     }
 
--- a/crates/godwit-core/src/quarantine/crash_report.rs
+++ b/crates/godwit-core/src/quarantine/crash_report.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::SteadyMs;
+use crate::quarantine::suspect::Loss;
+
 /// Maximum number of requests in a report to other hosts.
 pub const MAX_REPORTED_SUSPECTS: usize = 48;
 
@@ -11,24 +14,6 @@
 /// Maximum number of server ends in a report to other hosts.
 pub const MAX_REPORTED_ENDS: usize = 64;
 
-/// How often something was reported to other hosts.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(crate) struct ReportCount {
-    reports: u32,
-}
-
-impl ReportCount {
-    /// Whether it has been in no report.
-    pub(crate) fn is_zero(self) -> bool {
-        self.reports == 0
-    }
-
-    /// Counts a report.
-    pub(crate) fn record(&mut self) {
-        self.reports = self.reports.saturating_add(1);
-    }
-}
-
 /// Loss of a server under a request, as reported to other hosts.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LossReport {
@@ -48,6 +33,20 @@
     pub is_trial: bool,
 }
 
+impl LossReport {
+    pub(crate) fn new(server: &str, loss: &Loss, now: SteadyMs) -> LossReport {
+        LossReport {
+            server: server.to_string(),
+            ended_ago_ms: now.since_ms(loss.ended_at),
+            ran_ms: loss.ran_ms,
+            pieces: loss.pieces,
+            request_id: loss.request_id.clone(),
+            request_fingerprint: loss.request_fingerprint,
+            is_trial: loss.is_trial,
+        }
+    }
+}
+
 /// Losses of one request, or of the requests that share a part of their prompts, as reported to other hosts.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SuspectReport {
@@ -55,7 +54,7 @@
     pub fingerprint: u64,
     /// Whether it is a part that several prompts share.
     pub is_part: bool,
-    /// Losses since it was last cleared.
+    /// Losses since it was last cleared; not all of them in each report.
     pub losses: Vec<LossReport>,
     /// Time since it was last cleared by a run, in milliseconds, if that is known.
     pub cleared_ago_ms: Option<u64>,
--- a/crates/godwit-core/src/quarantine/mod.rs
+++ b/crates/godwit-core/src/quarantine/mod.rs
@@ -16,6 +16,7 @@
 mod marks;
 mod prompt_part;
 mod register;
+mod report_selection;
 mod suspect;
 mod trial;
 
--- a/crates/godwit-core/src/quarantine/suspect.rs
+++ b/crates/godwit-core/src/quarantine/suspect.rs
@@ -4,8 +4,9 @@
 
 use crate::SteadyMs;
 use crate::quarantine::crash_register::CrashStatus;
-use crate::quarantine::crash_report::ReportCount;
+use crate::quarantine::crash_report::{LossReport, SuspectReport};
 use crate::quarantine::marks::SAME_LOSS_WINDOW_MS;
+use crate::quarantine::report_selection::ReportCount;
 
 /// Number of pieces of a response up to which it has hardly begun.
 pub(crate) const MAX_EARLY_PIECES: u64 = PASSED_MARGIN_PIECES;
@@ -168,6 +169,8 @@
     /// Losses by incarnation of the server.
     pub(crate) losses: BTreeMap<String, Loss>,
     pub(crate) cleared_at: Option<SteadyMs>,
+    /// How often this host has reported that it was cleared.
+    pub(crate) clearing_reported: ReportCount,
     pub(crate) changed_at: SteadyMs,
     /// Number of trial runs of the request that this host has under way.
     pub(crate) own_trials: u32,
@@ -247,6 +250,9 @@
                 known.request_fingerprint = loss.request_fingerprint;
             }
             known.is_trial |= loss.is_trial;
+            if is_changed {
+                known.reported = ReportCount::default();
+            }
             return is_changed;
         }
         self.losses.insert(server.to_string(), loss);
@@ -293,6 +299,23 @@
     pub(crate) fn clear(&mut self, at: SteadyMs) {
         self.losses.retain(|_, loss| loss.ended_at > at);
         self.cleared_at = self.cleared_at.max(Some(at));
+        self.clearing_reported = ReportCount::default();
+    }
+
+    /// Returns a report of this suspect with some of its losses.
+    pub(crate) fn report(
+        &self,
+        fingerprint: u64,
+        losses: Vec<LossReport>,
+        now: SteadyMs,
+    ) -> SuspectReport {
+        SuspectReport {
+            fingerprint,
+            is_part: self.is_part,
+            losses,
+            cleared_ago_ms: self.cleared_at.map(|cleared_at| now.since_ms(cleared_at)),
+            trial_ago_ms: self.trial_at(now).map(|trial_at| now.since_ms(trial_at)),
+        }
     }
 }
 
--- a/crates/godwit-core/tests/crash_register.rs
+++ b/crates/godwit-core/tests/crash_register.rs
@@ -3,7 +3,8 @@
 use godwit_core::SteadyMs;
 use godwit_core::quarantine::{
     CrashAdmission, CrashRegister, CrashStatus, LostRun, MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES,
-    MAX_REPORTED_SUSPECTS, MAX_SERVER_ENDS, MAX_SUSPECTS, ProbationTurn, TrialAdmission,
+    MAX_REPORTED_SUSPECTS, MAX_SERVER_ENDS, MAX_SUSPECTS, ProbationTurn, SuspectReport,
+    TrialAdmission,
 };
 
 const QUARANTINE_MS: u64 = 300_000;
@@ -538,11 +539,12 @@
     let now_ms = 700_000;
     let mut started = register();
     for round in 0..20 {
-        let report = here.next_report(at(now_ms + round));
+        let now_ms = now_ms + 200 * round;
+        let report = here.next_report(at(now_ms));
         let losses: usize = report.suspects.iter().map(|suspect| suspect.losses.len()).sum();
         assert!(report.suspects.len() <= MAX_REPORTED_SUSPECTS);
         assert!(losses <= MAX_REPORTED_LOSSES && report.ends.len() <= MAX_REPORTED_ENDS);
-        started.merge(&report, "here", at(now_ms + round));
+        started.merge(&report, "here", at(now_ms));
     }
     let is_known = |fingerprint: &u64| started.is_suspect(*fingerprint);
     assert_eq!((0..200).filter(is_known).count(), 200);
@@ -626,4 +628,32 @@
         }
         assert_eq!((1_000..1_400).filter(|request| there.is_suspect(*request)).count(), 400);
     }
+
+    /// Reports of one round go to different hosts.
+    #[test]
+    fn next_report_has_the_same_in_a_round_beside_later_losses() {
+        let mut here = register();
+        for request in 0..40 {
+            lose(&mut here, 1_000 + request, &format!("s-{request}"), 0, 2_000);
+        }
+        let first = here.next_report(at(2_200));
+        for request in 100..160 {
+            lose(&mut here, 1_000 + request, &format!("s-{request}"), 0, 2_250);
+        }
+        lose(&mut here, GUILTY, "s-next", 0, 2_260);
+        lose(&mut here, GUILTY, "s-last", 0, 2_270);
+        let second = here.next_report(at(2_300));
+        let missing =
+            first.suspects.iter().filter(|suspect| !second.suspects.contains(&aged(suspect)));
+        assert_eq!((first.suspects.len(), missing.count()), (40, 0));
+        assert!(second.suspects.iter().any(|suspect| suspect.fingerprint == GUILTY));
+        assert!(second.suspects.len() <= MAX_REPORTED_SUSPECTS);
+    }
+
+    /// Returns a report as it is 100 ms later.
+    fn aged(suspect: &SuspectReport) -> SuspectReport {
+        let mut aged = suspect.clone();
+        aged.losses.iter_mut().for_each(|loss| loss.ended_ago_ms += 100);
+        aged
+    }
 }
