--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -78,6 +78,8 @@
     StrayResponseFirst,
     /// A response without a length, whose connection ends after a pause, closed or reset.
     UntilClose { pause: Duration, is_reset: bool },
+    /// The connection closes after this number of bytes of the head of a response; before its last one in any case.
+    CutHead { framing: BodyFraming, bytes: usize },
     /// The connection closes before the body has its announced length.
     TruncateBody,
     /// A stream up to the event numbered `events`; if not complete, the connection closes in the middle of this event.
@@ -599,6 +601,19 @@
             }
             false
         }
+        Behavior::CutHead { framing, bytes } => {
+            let framing = match framing {
+                BodyFraming::Length => "content-length: 15",
+                BodyFraming::Chunked => "transfer-encoding: chunked",
+                BodyFraming::UntilClose => "connection: close",
+            };
+            let head = format!(
+                "HTTP/1.1 200 OK\r\ngodwitdeal-request-id: {id}\r\n\
+                 godwitdeal-response-stamp: {name}\r\n{framing}\r\n\r\n"
+            );
+            let _ = stream.write_all(&head.as_bytes()[..bytes.min(head.len() - 1)]);
+            false
+        }
         Behavior::TruncateBody => {
             let head = format!(
                 "HTTP/1.1 200 OK\r\ncontent-length: 100\r\ngodwitdeal-request-id: {id}\r\n\
