Take no retry from the budget after a connection that failed

Cause: each host has a small part of the retry budget, about one retry for ten first sends at 295 hosts. An attempt whose connection was refused took one, although the request had reached no server; the next attempt is then the first that arrives. With it gone, the next request that met an ended server was refused.

An attempt that reached no server now takes nothing; a stream keeps the retry that it has taken until an attempt arrives. What arrives beyond the first of each request is bounded as before, and so are the four dispatches of a request.

The test failed before (two of six calls refused); its twin, that a request refused by a server is sent once without a budget, passed before and after.

--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -157,7 +157,8 @@
 enum AttemptOutcome {
     /// The response to the caller.
     Final(Response<ResponseBody>),
-    /// The request can be sent again. `needs_budget` is false if the retry was already taken from the retry budget.
+    /// The request can be sent again. `needs_budget` is false if the retry was already taken from the retry budget, or
+    /// if the request has reached no server so far in this attempt.
     Retry { execution: Execution, code: Code, avoided: Option<String>, needs_budget: bool },
 }
 
@@ -313,7 +314,7 @@
     .await;
     let response = match sent {
         Ok(response) => response,
-        Err(AttemptError::NotRun { proof, cause, faulty_server, is_overloaded }) => {
+        Err(AttemptError::NotRun { proof, cause, faulty_server, is_overloaded, has_arrived }) => {
             log_attempt_failed(admitted, destination, &cause, true);
             if let Some(id) = &faulty_server {
                 record_failure(site, destination, id, &cause);
@@ -324,7 +325,7 @@
             };
             let avoided = faulty_server.or_else(|| Some(destination.server_id.clone()));
             let code = if is_overloaded { Code::Overloaded } else { Code::ServersRefused };
-            return AttemptOutcome::Retry { execution, code, avoided, needs_budget: true };
+            return AttemptOutcome::Retry { execution, code, avoided, needs_budget: has_arrived };
         }
         Err(AttemptError::Unknown { error, run }) => {
             return handle_broken_attempt(site, &run, &error).await;
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -471,13 +471,16 @@
     ) -> Result<StreamAttempt, IncompleteBody> {
         let mut failed_server = self.attempt.destination.server_id.clone();
         let mut has_begun = true;
+        let mut is_reserved = false;
         loop {
             let broken = has_begun.then_some(&self.attempt);
             self.log_stream_broken(&failed_server, &cause, broken);
             self.avoided.insert(failed_server);
             let asked_at = self.site.now();
             self.await_admission(asked_at).await?;
-            if !self.try_reserve_resume() {
+            is_reserved = self.may_resume()
+                && (is_reserved || self.site.try_retry(&self.admitted.policy.service));
+            if !is_reserved {
                 return Err(IncompleteBody);
             }
             let destination = self.next_destination(is_stalled).await?;
@@ -492,6 +495,7 @@
                 self.admitted.policy.response_deadline,
             )
             .await;
+            is_reserved = matches!(&sent, Err(AttemptError::NotRun { has_arrived: false, .. }));
             match sent {
                 Ok(response) if self.is_continuation(&response.head) => {
                     self.runs += 1;
@@ -562,11 +566,10 @@
         }
     }
 
-    /// Whether the stream may be resumed on another server. If so, takes a retry from the retry budget.
-    fn try_reserve_resume(&self) -> bool {
+    /// Whether the stream may be resumed on another server, as far as the retry budget has room.
+    fn may_resume(&self) -> bool {
         self.admitted.policy.work.may_run_again()
             && self.runs < self.admitted.policy.max_attempts
             && !self.admitted.policy.response_deadline.is_past(self.site.now())
-            && self.site.try_retry(&self.admitted.policy.service)
     }
 }
--- a/tests/gateway/calls.rs
+++ b/tests/gateway/calls.rs
@@ -76,6 +76,38 @@
     }
 }
 
+/// A refused connection brings no request to a server, so that it takes no retry from the budget.
+#[test]
+fn call_is_served_without_retry_budget_when_servers_have_ended() {
+    let ended = ["s-1", "s-2"].map(|id| FakeServer::start(id, &[Behavior::Respond]));
+    let running = FakeServer::start("s-3", &[Behavior::Respond]);
+    let store = FakeStore::start();
+    store.put("config", "main", configuration(1));
+    for server in ended.iter().chain([&running]) {
+        store.put("servers", &server.id, server.entry("api", None));
+    }
+    for server in &ended {
+        server.end();
+    }
+    let host = Host::start_without_extra_retries(store);
+    host.wait_until_ready();
+    let texts: Vec<String> =
+        (0..6).map(|_| host.call("POST", "/order/1", b"").expect("answered").text()).collect();
+    assert_eq!(texts, ["s-3"; 6]);
+}
+
+#[test]
+fn call_without_retry_budget_is_sent_once() {
+    let full = ["s-1", "s-2"].map(|id| FakeServer::start(id, &[Behavior::RejectNotRun]));
+    let store = FakeStore::start();
+    store.put("config", "main", configuration(1));
+    full.iter().for_each(|server| store.put("servers", &server.id, server.entry("api", None)));
+    let host = Host::start_without_extra_retries(store);
+    host.wait_until_ready();
+    assert_eq!(host.call("POST", "/order/1", b"").expect("answered").status(), 503);
+    assert_eq!(full.iter().map(|server| server.requests().len()).sum::<usize>(), 1);
+}
+
 #[test]
 fn call_refused_by_all_servers_is_not_run() {
     let full = FakeServer::start("s-1", &[Behavior::RejectNotRun]);
--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -200,18 +200,36 @@
         Host::start_with(store, store_address, host_name, FAILURE_DOMAIN, arguments)
     }
 
+    /// Starts a gateway that may retry requests only as a share of first sends.
+    pub(crate) fn start_without_extra_retries(store: FakeStore) -> Host {
+        let (address, name) = (store.address, "front-hall-a-1");
+        let settings = settings(unused_loopback_address(), address, name, FAILURE_DOMAIN);
+        let settings = settings.replace("BudgetExtraRetries = 200", "BudgetExtraRetries = 0");
+        Host::start_with_settings(store, address, name, &settings, &[])
+    }
+
     fn start_with(
         store: FakeStore,
         store_address: SocketAddr,
         host_name: &str,
         failure_domain: &str,
         arguments: &[&str],
+    ) -> Host {
+        let settings =
+            settings(unused_loopback_address(), store_address, host_name, failure_domain);
+        Host::start_with_settings(store, store_address, host_name, &settings, arguments)
+    }
+
+    fn start_with_settings(
+        store: FakeStore,
+        store_address: SocketAddr,
+        host_name: &str,
+        settings: &str,
+        arguments: &[&str],
     ) -> Host {
         let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
         let file_name = format!("godwit-gateway-{}-{number}.toml", std::process::id());
         let settings_path = std::env::temp_dir().join(file_name);
-        let settings =
-            settings(unused_loopback_address(), store_address, host_name, failure_domain);
         std::fs::write(&settings_path, settings).expect("the temporary directory is writable");
         let mut child = Command::new(env!("CARGO_BIN_EXE_godwitdeal"))
             .arg("gateway")
