Write framing headers and lost runs of the tests in one place

The test of cut heads wrote the headers of the three framings again, and that of the spread of losses built the lost run of other requests as it does that of the guilty one. Both use one function now; what is sent, recorded and asserted is the same, but for the id of the other requests' runs, which no check reads.

--- a/crates/godwit-core/tests/crash_spread.rs
+++ b/crates/godwit-core/tests/crash_spread.rs
@@ -139,16 +139,15 @@
         }
     }
 
-    /// Records the loss of a server at a host.
+    /// Records the loss of a server under the guilty request at a host.
     fn lose(&mut self, host: usize, server: &str) {
+        self.lose_under(GUILTY, host, server);
+    }
+
+    fn lose_under(&mut self, fingerprint: u64, host: usize, server: &str) {
         let now = self.now_at(host);
-        let lost = LostRun {
-            fingerprint: GUILTY,
-            started_at: now,
-            pieces: 0,
-            request_id: "r-1",
-            is_trial: false,
-        };
+        let lost =
+            LostRun { fingerprint, started_at: now, pieces: 0, request_id: "r-1", is_trial: false };
         self.hosts[host].register.record_loss(lost, server, now);
     }
 
@@ -164,16 +163,8 @@
     fn lose_others(&mut self, requests: std::ops::Range<u64>, servers: &[String]) {
         for request in requests {
             let host = self.random.random_range(0..HOSTS);
-            let now = self.now_at(host);
             for server in servers {
-                let lost = LostRun {
-                    fingerprint: FIRST_OTHER + request,
-                    started_at: now,
-                    pieces: 0,
-                    request_id: "r-other",
-                    is_trial: false,
-                };
-                self.hosts[host].register.record_loss(lost, server, now);
+                self.lose_under(FIRST_OTHER + request, host, server);
             }
         }
     }
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -103,6 +103,17 @@
     UntilClose,
 }
 
+impl BodyFraming {
+    /// Returns the header line that tells the framing of a body.
+    fn header_line(self, length_bytes: usize) -> String {
+        match self {
+            BodyFraming::Length => format!("content-length: {length_bytes}\r\n"),
+            BodyFraming::Chunked => "transfer-encoding: chunked\r\n".to_string(),
+            BodyFraming::UntilClose => "connection: close\r\n".to_string(),
+        }
+    }
+}
+
 /// A response with status 200 that is complete by its framing.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Script {
@@ -146,13 +157,7 @@
         pieces.push(self.text.to_string());
         pieces.retain(|piece| !piece.is_empty());
         let content_type = self.content_type.map(|value| format!("content-type: {value}\r\n"));
-        let framing = match self.framing {
-            BodyFraming::Length => {
-                format!("content-length: {}\r\n", pieces.iter().map(String::len).sum::<usize>())
-            }
-            BodyFraming::Chunked => "transfer-encoding: chunked\r\n".to_string(),
-            BodyFraming::UntilClose => "connection: close\r\n".to_string(),
-        };
+        let framing = self.framing.header_line(pieces.iter().map(String::len).sum());
         if self.framing == BodyFraming::Chunked {
             pieces =
                 pieces.iter().map(|piece| format!("{:x}\r\n{piece}\r\n", piece.len())).collect();
@@ -203,6 +208,9 @@
     SlowEvent,
 }
 
+/// Length of the body that a head of [`Behavior::CutHead`] announces, in bytes.
+const CUT_BODY_BYTES: usize = 15;
+
 /// Pause between two bytes of [`EndlessBytes::SlowEvent`].
 const SLOW_BYTE_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -602,14 +610,10 @@
             false
         }
         Behavior::CutHead { framing, bytes } => {
-            let framing = match framing {
-                BodyFraming::Length => "content-length: 15",
-                BodyFraming::Chunked => "transfer-encoding: chunked",
-                BodyFraming::UntilClose => "connection: close",
-            };
+            let framing = framing.header_line(CUT_BODY_BYTES);
             let head = format!(
                 "HTTP/1.1 200 OK\r\ngodwitdeal-request-id: {id}\r\n\
-                 godwitdeal-response-stamp: {name}\r\n{framing}\r\n\r\n"
+                 godwitdeal-response-stamp: {name}\r\n{framing}\r\n"
             );
             let _ = stream.write_all(&head.as_bytes()[..bytes.min(head.len() - 1)]);
             false
