Leave a server that breaks off its answers over a detour

What callers saw: at a host that has lost its own links, 39 of 40 orders got 502 while a sound server of the service stood beside the one that failed.

Cause: failures of a server to which the own link is lost were not counted, as the link may be the reason. A request over a detour does not use that link. A server that closes its connection within an answer, or sends what is no answer, has no observed latency and looks the fastest, so that it got every order.

The end of a connection as the server made it, and bytes that are no answer, now count over a detour and eject the server at this host. The other host tells how the server's connection ended, so that its own end is not taken for that. Resets and silence are still not counted there: the other host's link may be the cause.

The test failed before with 39 of 40 orders.

--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -67,7 +67,12 @@
         has_arrived: bool,
     },
     /// The server may have run the request.
-    Unknown { error: WireError, run: Rc<Run> },
+    Unknown {
+        error: WireError,
+        run: Rc<Run>,
+        /// Whether the request was sent over the own link to the server.
+        is_direct: bool,
+    },
 }
 
 fn time_left_ms(site: &Site, admitted: &AdmittedRequest) -> u64 {
@@ -352,7 +357,7 @@
             if !matches!(error, WireError::TimedOut) {
                 drop(awaited.into_parts());
             }
-            return Err(AttemptError::Unknown { error, run });
+            return Err(AttemptError::Unknown { error, run, is_direct });
         }
     };
     let (mut connection, in_flight) = awaited.into_parts();
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -327,8 +327,8 @@
             let code = if is_overloaded { Code::Overloaded } else { Code::ServersRefused };
             return AttemptOutcome::Retry { execution, code, avoided, needs_budget: has_arrived };
         }
-        Err(AttemptError::Unknown { error, run }) => {
-            return handle_broken_attempt(site, &run, &error).await;
+        Err(AttemptError::Unknown { error, run, is_direct }) => {
+            return handle_broken_attempt(site, &run, &error, is_direct).await;
         }
     };
     let latency_ms = site.now().since_ms(sent_at);
@@ -405,10 +405,11 @@
         }
         Err(error) => {
             let run = response.in_flight.run().clone();
+            let is_direct = response.connection.is_direct();
             if matches!(error, WireError::TimedOut) {
                 watch_failed_run(response);
             }
-            handle_broken_attempt(site, &run, &error).await
+            handle_broken_attempt(site, &run, &error, is_direct).await
         }
     }
 }
@@ -419,12 +420,14 @@
     site: &Rc<Site>,
     run: &Rc<Run>,
     error: &WireError,
+    is_direct: bool,
 ) -> AttemptOutcome {
     let Run { admitted, destination, .. } = run.as_ref();
     let cause = error.to_string();
     log_attempt_failed(admitted, destination, &cause, false);
     check_broken_run(site, run, error).await;
-    let is_explained = site.has_lost_link(&destination.server_id);
+    let is_explained = site.has_lost_link(&destination.server_id)
+        && (is_direct || !error.shows_fault_over_detour());
     if destination.hops.is_empty() && !is_explained {
         match error {
             WireError::TimedOut => {
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -521,7 +521,7 @@
                     }
                     cause = reason;
                 }
-                Err(AttemptError::Unknown { error, run }) => {
+                Err(AttemptError::Unknown { error, run, .. }) => {
                     self.runs += 1;
                     check_broken_run(&self.site, &run, &error).await;
                     cause = error.to_string();
--- a/crates/godwit-gateway/src/wire/error.rs
+++ b/crates/godwit-gateway/src/wire/error.rs
@@ -42,3 +42,11 @@
     #[error("no response before the deadline")]
     TimedOut,
 }
+
+impl WireError {
+    /// Whether an error over a connection of another host is a fault of the server. Breaks and silence may be due to the
+    /// other host or to its link; that the server has closed the connection, and what it has sent, is passed on.
+    pub(crate) fn shows_fault_over_detour(&self) -> bool {
+        matches!(self, WireError::Ended | WireError::NotHttp)
+    }
+}
--- a/tests/gateway/detours.rs
+++ b/tests/gateway/detours.rs
@@ -13,7 +13,7 @@
 use crate::links::LinkState;
 use crate::lost_links::Site;
 use crate::notices::{HOLD_OFF, LEAVING, MAX_HELD_OFF, WORK_LATER, held_off_requests};
-use crate::server::{Behavior, FakeServer};
+use crate::server::{Behavior, BodyFraming, FakeServer};
 
 /// Time for which a server works on a request while something happens.
 const WORK_TIME: Duration = Duration::from_millis(800);
@@ -220,6 +220,32 @@
     assert_eq!(site.servers[0].requests().len(), 1);
 }
 
+/// Number of orders, and of those that a server that fails all of them may get before it is left.
+const ORDERS: usize = 40;
+const MAX_FAILED_ORDERS: usize = 4;
+
+/// Sends orders to a host without links before a sound server and one that fails all, and checks that the latter is left.
+fn check_failing_server_is_left(failure: Behavior) {
+    let servers = vec![
+        FakeServer::start("api-0", &[failure]),
+        FakeServer::start("api-1", &[Behavior::Respond]),
+    ];
+    let site = start_site(servers, 1);
+    let is_served =
+        |_: &usize| site.hosts[0].call("POST", "/order/1", b"").is_ok_and(|it| it.status() == 200);
+    let failed = ORDERS - (0..ORDERS).filter(is_served).count();
+    assert!(failed <= MAX_FAILED_ORDERS, "{failure:?}: {failed} of {ORDERS} orders failed");
+    site.check_orders_ran_once();
+}
+
+#[test]
+fn server_that_breaks_off_its_answers_over_detour_is_left() {
+    let framing = BodyFraming::Length;
+    check_failing_server_is_left(Behavior::CloseWithoutResponse);
+    check_failing_server_is_left(Behavior::CutHead { framing, bytes: 20 });
+    check_failing_server_is_left(Behavior::TruncateBody);
+}
+
 /// Links that work again are used again, without other hosts.
 #[test]
 fn host_uses_its_own_links_again_after_they_return() {
