--- a/crates/godwit-host/tests/dispatch/broken.rs
+++ b/crates/godwit-host/tests/dispatch/broken.rs
@@ -71,6 +71,19 @@
     );
 }
 
+#[test]
+fn generate_after_head_that_is_cut_is_no_answer() {
+    for head in [CHUNKED, NO_LENGTH] {
+        for bytes in 0..head.len() {
+            let engine = scripted_engine(head[..bytes].to_string());
+            let (run, tokens) = run(&DispatchFixture::new(), &ListSource::new(&[("s0", &engine)]));
+            let is_answered = matches!(run.outcome, Outcome::Answered { .. });
+            assert!(!is_answered, "{:?}: {:?}", &head[..bytes], run.outcome);
+            assert!(tokens.is_empty(), "{:?}: {tokens:?}", &head[..bytes]);
+        }
+    }
+}
+
 #[test]
 fn generate_resumes_after_body_without_length_that_ends_between_events() {
     assert_completed_after("no length", &[format!("{NO_LENGTH}{}", lines(1, 0, SENT))]);
