Stop a host that drains although callers go on sending

What callers and operators saw: on the own interface a host that was told to stop went on for 2 to 38 s beside one stream of 1.2 s, as long as callers sent over connections that they kept. The platform would have killed it, and a request that had been read would have had no answer.

Cause: the host waits until no call is in progress. A call that is refused because the host drains counted as one, so that eight busy callers left a moment without any call only by chance.

The host now waits for the calls that began before the drain. All later ones are refused, and refusing them promises that they have not run.

The test of the count needs the new function.

Connections that are opened at once showed another fault: one of nine was not read while the others were in use.

--- a/crates/godwit-caller/src/server.rs
+++ b/crates/godwit-caller/src/server.rs
@@ -67,6 +67,9 @@
     id_prefix: String,
     next_id: AtomicUsize,
     live_calls: AtomicUsize,
+    /// Number of the live calls that began before the drain.
+    calls_to_finish: AtomicUsize,
+    is_draining: AtomicBool,
     is_stopping: AtomicBool,
 }
 
@@ -97,6 +100,8 @@
             id_prefix: settings.id_prefix,
             next_id: AtomicUsize::new(1),
             live_calls: AtomicUsize::new(0),
+            calls_to_finish: AtomicUsize::new(0),
+            is_draining: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
         });
         let (accept_server, accept_shared) = (server.clone(), shared.clone());
@@ -116,6 +121,16 @@
     pub fn live_calls(&self) -> usize {
         self.shared.live_calls.load(Ordering::SeqCst)
     }
+
+    /// Begins a drain: calls that begin from now on need not be finished, as the handler refuses them.
+    pub fn drain(&self) {
+        self.shared.is_draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Number of calls in progress that began before the drain.
+    pub fn calls_to_finish(&self) -> usize {
+        self.shared.calls_to_finish.load(Ordering::SeqCst)
+    }
 }
 
 impl Drop for CallerServer {
@@ -145,18 +160,30 @@
 }
 
 /// Counts a call as live until dropped.
-struct LiveCall(Arc<Shared>);
+struct LiveCall {
+    shared: Arc<Shared>,
+    is_to_finish: bool,
+}
 
 impl LiveCall {
     fn start(shared: &Arc<Shared>) -> (LiveCall, usize) {
         let before = shared.live_calls.fetch_add(1, Ordering::SeqCst);
-        (LiveCall(shared.clone()), before)
+        shared.calls_to_finish.fetch_add(1, Ordering::SeqCst);
+        // Counted before the check, so that a drain that begins meanwhile does not miss the call.
+        let is_to_finish = !shared.is_draining.load(Ordering::SeqCst);
+        if !is_to_finish {
+            shared.calls_to_finish.fetch_sub(1, Ordering::SeqCst);
+        }
+        (LiveCall { shared: shared.clone(), is_to_finish }, before)
     }
 }
 
 impl Drop for LiveCall {
     fn drop(&mut self) {
-        self.0.live_calls.fetch_sub(1, Ordering::SeqCst);
+        self.shared.live_calls.fetch_sub(1, Ordering::SeqCst);
+        if self.is_to_finish {
+            self.shared.calls_to_finish.fetch_sub(1, Ordering::SeqCst);
+        }
     }
 }
 
--- a/crates/godwit-caller/tests/responses.rs
+++ b/crates/godwit-caller/tests/responses.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use godwit_caller::{Call, CallerServer, CallerSettings, Finish, Handler, Limits, Responder};
@@ -40,6 +41,23 @@
     responder.finish(&finish).unwrap();
 }
 
+/// Whether the calls of [`finish_when_released`] may finish.
+static IS_RELEASED: AtomicBool = AtomicBool::new(false);
+
+fn finish_when_released(responder: Responder) {
+    while !IS_RELEASED.load(Ordering::SeqCst) {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    finish_whole(responder);
+}
+
+/// Waits until a server has a number of calls in progress.
+fn wait_for_live_calls(server: &CallerServer, count: usize) {
+    while server.live_calls() != count {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// Sends one request and returns the whole response as text.
 fn exchange(server: &CallerServer, body: &str) -> String {
     let mut stream = TcpStream::connect(server.address()).unwrap();
@@ -85,3 +103,21 @@
     let response = exchange(&server, stream_request());
     assert!(response.contains("data: [DONE]\n\n"), "{response}");
 }
+
+#[test]
+fn drain_waits_for_calls_that_began_before_it_only() {
+    let server = start(finish_when_released);
+    std::thread::scope(|scope| {
+        let before = scope.spawn(|| exchange(&server, stream_request()));
+        wait_for_live_calls(&server, 1);
+        server.drain();
+        assert_eq!(server.calls_to_finish(), 1);
+        scope.spawn(|| exchange(&server, stream_request()));
+        wait_for_live_calls(&server, 2);
+        assert_eq!(server.calls_to_finish(), 1);
+        IS_RELEASED.store(true, Ordering::SeqCst);
+        assert!(before.join().unwrap().contains("data: [DONE]\n\n"));
+    });
+    wait_for_live_calls(&server, 0);
+    assert_eq!(server.calls_to_finish(), 0);
+}
--- a/crates/godwit-host/src/node/start.rs
+++ b/crates/godwit-host/src/node/start.rs
@@ -311,13 +311,15 @@
     /// Stops accepting requests and announces the shutdown to the other hosts; requests in progress continue.
     pub fn drain(&self) {
         self.components.pipeline.drain();
+        self.caller.drain();
         self.components.membership.leave();
         tracing::info!(event = "draining", host = %self.components.settings.host);
     }
 
-    /// Waits until no request is in progress, then waits a limited time for all answers to be recorded.
+    /// Waits until no request that began before the drain is in progress, then waits a limited time for all answers to be
+    /// recorded.
     pub fn wait_until_idle(&self) {
-        while self.caller.live_calls() > 0 {
+        while self.caller.calls_to_finish() > 0 {
             std::thread::sleep(IDLE_CHECK_INTERVAL);
         }
         let deadline = self.components.clock.now().plus_ms(FLUSH_TIMEOUT_MS);
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -4,7 +4,7 @@
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
@@ -192,6 +192,13 @@
     site
 }
 
+/// Time within which a host stops that has one stream of a second; the platform's grace period.
+const GRACE_PERIOD: Duration = Duration::from_secs(8);
+
+/// Callers that send orders during a stop, and the time from their first order to the stop.
+const ORDER_CALLERS: usize = 8;
+const TIME_BEFORE_STOP: Duration = Duration::from_millis(400);
+
 #[test]
 fn processes_serve_each_kind() {
     let site = start_site();
@@ -232,3 +239,87 @@
     assert!(response.contains("data: [DONE]"), "{events} events but no end of the stream");
     assert!(host.child.wait().expect("the host exits").success());
 }
+
+fn order_request(key: &str, connection: &str) -> String {
+    format!(
+        "POST /services/orders/confirmations HTTP/1.1\r\nHost: host\r\n{connection}Authorization: Bearer {API_KEY}\r\n\
+         Godwit-Kind: confirmation\r\nGodwit-Event: friday\r\nIdempotency-Key: {key}\r\nContent-Length: 2\r\n\r\n{{}}"
+    )
+}
+
+/// Sends a request on a connection and returns whether a whole response follows.
+fn is_answered(stream: &mut BufReader<TcpStream>, request: &str) -> bool {
+    if stream.get_mut().write_all(request.as_bytes()).is_err() {
+        return false;
+    }
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        match stream.read_line(&mut line) {
+            Ok(count) if count > 0 => {}
+            _ => return false,
+        }
+        if line == "\r\n" {
+            break;
+        }
+        let header = line.split_once(':');
+        if let Some((_, value)) =
+            header.filter(|(name, _)| name.eq_ignore_ascii_case("content-length"))
+        {
+            length = value.trim().parse().expect("a length");
+        }
+    }
+    stream.read_exact(&mut vec![0; length]).is_ok()
+}
+
+/// Opens a connection and sends the first order of a caller, which is answered.
+fn connect_with_order(address: &str, caller: usize) -> BufReader<TcpStream> {
+    let stream = TcpStream::connect(address).expect("the host listens");
+    stream.set_read_timeout(Some(STEP_TIMEOUT)).expect("the timeout is set");
+    let mut stream = BufReader::new(stream);
+    assert!(is_answered(&mut stream, &order_request(&format!("first-{caller}"), "")));
+    stream
+}
+
+/// Sends orders until the connection ends. Returns the number of those that were answered, and the key of the one that was
+/// not.
+fn send_orders(stream: &mut BufReader<TcpStream>, caller: usize) -> (usize, String) {
+    let key = |number: usize| format!("order-{caller}-{number}");
+    let mut numbers = 0..;
+    let cut = numbers.find(|number| !is_answered(stream, &order_request(&key(*number), "")));
+    let answered = cut.expect("the connection ends");
+    (answered, key(answered))
+}
+
+#[test]
+fn processes_answer_orders_that_ran_during_stop() {
+    let mut site = start_site();
+    let mut host = site.hosts.remove(0);
+    let address = host.address("caller_address");
+    let mut stream = TcpStream::connect(&address).expect("the host listens");
+    stream.set_read_timeout(Some(STEP_TIMEOUT)).expect("the timeout is set");
+    stream.write_all(streamed_note_request(60).as_bytes()).expect("the request is sent");
+    stream.read_exact(&mut [0]).expect("the response begins");
+    // One after the other: of connections that are opened at once, one may wait until another has ended.
+    let connections: Vec<_> =
+        (0..ORDER_CALLERS).map(|caller| connect_with_order(&address, caller)).collect();
+    let orders: Vec<_> = std::thread::scope(|scope| {
+        let callers = connections.into_iter().enumerate().map(|(caller, mut connection)| {
+            scope.spawn(move || send_orders(&mut connection, caller))
+        });
+        let callers: Vec<_> = callers.collect();
+        std::thread::sleep(TIME_BEFORE_STOP);
+        kill_process(host.pid(), Signal::TERM).expect("the host can be signalled");
+        let stopped_at = Instant::now();
+        assert!(host.child.wait().expect("the host exits").success());
+        assert!(stopped_at.elapsed() < GRACE_PERIOD, "{:?}", stopped_at.elapsed());
+        callers.into_iter().map(|caller| caller.join().expect("no panic")).collect()
+    });
+    let other = site.hosts[0].address("caller_address");
+    for (answered, cut) in orders {
+        println!("{answered} answered, then {cut} was cut");
+        assert!(answered > 0);
+        let answer = exchange(&other, &order_request(&cut, "Connection: close\r\n"));
+        assert!(answer.contains("Godwit-Code: 1000"), "{cut} has run before: {answer}");
+    }
+}
