List connections of the own interface that wait for others to end

Seen first in the test of stops, where one of eight callers had no answer until the host ended. By reading, the pool of threads of the HTTP library counts a thread as idle for a second connection although a first has it.

--- a/crates/godwit-caller/tests/responses.rs
+++ b/crates/godwit-caller/tests/responses.rs
@@ -121,3 +121,43 @@
     wait_for_live_calls(&server, 0);
     assert_eq!(server.calls_to_finish(), 0);
 }
+
+mod connections {
+    use super::*;
+
+    /// Connections that are opened at once, and the number of times.
+    const CONNECTIONS: usize = 9;
+    const ROUNDS: usize = 20;
+
+    /// Time within which a connection is read although the others stay open.
+    const READ_TIMEOUT: Duration = Duration::from_secs(3);
+
+    fn send_keeping_open(server: &CallerServer) -> std::io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(server.address())?;
+        stream.set_read_timeout(Some(READ_TIMEOUT))?;
+        let body = stream_request();
+        let length = body.len();
+        let request = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n{body}"
+        );
+        stream.write_all(request.as_bytes())?;
+        stream.read_exact(&mut [0])?;
+        Ok(stream)
+    }
+
+    #[test]
+    fn opened_at_once_are_all_read() {
+        let mut unread = 0;
+        for _ in 0..ROUNDS {
+            let server = start(finish_whole);
+            std::thread::scope(|scope| {
+                let callers: Vec<_> =
+                    (0..CONNECTIONS).map(|_| scope.spawn(|| send_keeping_open(&server))).collect();
+                let streams: Vec<_> =
+                    callers.into_iter().map(|caller| caller.join().unwrap()).collect();
+                unread += streams.iter().filter(|stream| stream.is_err()).count();
+            });
+        }
+        assert_eq!(unread, 0, "of {}", ROUNDS * CONNECTIONS);
+    }
+}
