--- a/crates/godwit-caller/src/server.rs
+++ b/crates/godwit-caller/src/server.rs
@@ -123,11 +123,34 @@
     }
 
     /// Begins a drain: calls that begin from now on need not be finished, as the handler refuses them.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    ///
+    /// use godwit_caller::{Call, CallerServer, CallerSettings, Handler, Limits, Responder};
+    /// use godwit_core::UnixMs;
+    ///
+    /// struct Refusing;
+    ///
+    /// impl Handler for Refusing {
+    ///     fn serve(&self, _: &Call, _: Responder) {}
+    ///
+    ///     fn now(&self) -> UnixMs {
+    ///         UnixMs(1_000)
+    ///     }
+    /// }
+    ///
+    /// let bind = "127.0.0.1:0".parse().unwrap();
+    /// let settings = CallerSettings { bind, limits: Limits::default(), id_prefix: "a".to_string() };
+    /// let server = CallerServer::start(settings, Arc::new(Refusing)).unwrap();
+    /// server.drain();
+    /// assert_eq!(server.calls_to_finish(), 0);
+    /// ```
     pub fn drain(&self) {
         self.shared.is_draining.store(true, Ordering::SeqCst);
     }
 
-    /// Number of calls in progress that began before the drain.
+    /// Number of calls in progress that began before the drain; of all calls in progress while there is none.
     pub fn calls_to_finish(&self) -> usize {
         self.shared.calls_to_finish.load(Ordering::SeqCst)
     }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -153,6 +153,16 @@
     post_request("/v1/completions", "Godwit-Kind: note\r\n", &body)
 }
 
+/// Requests a stream of more than a second. Returns the connection and the beginning of the response.
+fn begin_streamed_note(address: &str) -> (TcpStream, Vec<u8>) {
+    let mut stream = TcpStream::connect(address).expect("the host listens");
+    stream.set_read_timeout(Some(STEP_TIMEOUT)).expect("the timeout is set");
+    stream.write_all(streamed_note_request(60).as_bytes()).expect("the request is sent");
+    let mut response = vec![0; 1];
+    stream.read_exact(&mut response).expect("the response begins");
+    (stream, response)
+}
+
 /// A running site: two hosts, and stand-ins of an engine, a service and the platform.
 struct Site {
     _engine: Process,
@@ -220,11 +230,7 @@
     let mut site = start_site();
     let mut host = site.hosts.remove(0);
     let address = host.address("caller_address");
-    let mut stream = TcpStream::connect(&address).expect("the host listens");
-    stream.set_read_timeout(Some(STEP_TIMEOUT)).expect("the timeout is set");
-    stream.write_all(streamed_note_request(60).as_bytes()).expect("the request is sent");
-    let mut response = vec![0; 1];
-    stream.read_exact(&mut response).expect("the response begins");
+    let (mut stream, mut response) = begin_streamed_note(&address);
     kill_process(host.pid(), Signal::TERM).expect("the host can be signalled");
     stream.read_to_end(&mut response).expect("the response is complete");
     let response = String::from_utf8(response).expect("the response is UTF-8");
@@ -296,10 +302,7 @@
     let mut site = start_site();
     let mut host = site.hosts.remove(0);
     let address = host.address("caller_address");
-    let mut stream = TcpStream::connect(&address).expect("the host listens");
-    stream.set_read_timeout(Some(STEP_TIMEOUT)).expect("the timeout is set");
-    stream.write_all(streamed_note_request(60).as_bytes()).expect("the request is sent");
-    stream.read_exact(&mut [0]).expect("the response begins");
+    let _stream = begin_streamed_note(&address);
     // One after the other: of connections that are opened at once, one may wait until another has ended.
     let connections: Vec<_> =
         (0..ORDER_CALLERS).map(|caller| connect_with_order(&address, caller)).collect();
