Let the proof that nothing ran tell whether the request arrived

AttemptError::NotRun had a field for it, set in three places, each beside the proof that already tells a connection that failed from a refusal. The proof has it now, for both interfaces.

The selection of reports asked twice whether a trial is under way, and three places wrote "two or more losses" for themselves; each is asked once. No behaviour changed.

--- a/crates/godwit-core/src/lifecycle.rs
+++ b/crates/godwit-core/src/lifecycle.rs
@@ -48,17 +48,31 @@
 
 /// Proof that a backend server executed nothing of a dispatch. Created by the clients of the servers.
 #[derive(Debug, Eq, PartialEq)]
-pub struct NotExecutedProof(());
+pub struct NotExecutedProof {
+    has_arrived: bool,
+}
 
 impl NotExecutedProof {
     /// Proof for a connection that was refused or could not be opened.
     pub fn connect_failed() -> NotExecutedProof {
-        NotExecutedProof(())
+        NotExecutedProof { has_arrived: false }
     }
 
     /// Proof for a request that the server refused without having run any of it.
     pub fn refused_by_server() -> NotExecutedProof {
-        NotExecutedProof(())
+        NotExecutedProof { has_arrived: true }
+    }
+
+    /// Whether the request has reached a server.
+    ///
+    /// ```
+    /// use godwit_core::NotExecutedProof;
+    ///
+    /// assert!(NotExecutedProof::refused_by_server().has_arrived());
+    /// assert!(!NotExecutedProof::connect_failed().has_arrived());
+    /// ```
+    pub fn has_arrived(&self) -> bool {
+        self.has_arrived
     }
 }
 
--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -13,8 +13,8 @@
 use crate::quarantine::report_selection::{ReportCount, ReportSelection};
 use crate::quarantine::suspect::{
     Loss, LossWeight, LostRun, MAX_LOSSES, MIN_QUARANTINE_LOSSES, MIN_QUARANTINE_PART_REQUESTS,
-    PASSED_FACTOR, PASSED_MARGIN_PIECES, QUARANTINE_WEIGHT, REPEATED_LOSSES, Round, SHARED_END_MS,
-    Suspect, count_requests, truncated,
+    PASSED_FACTOR, PASSED_MARGIN_PIECES, QUARANTINE_WEIGHT, Round, SHARED_END_MS, Suspect,
+    count_requests, truncated,
 };
 use crate::quarantine::trial::TRIAL_EVENT_MS;
 
@@ -383,8 +383,7 @@
                 let cleared_at = suspect.cleared_at.unwrap_or_default();
                 return !cleared_at.plus_ms(MARK_LIFETIME_MS).is_past(now);
             }
-            let is_repeated = suspect.losses.len() >= REPEATED_LOSSES;
-            let kept_ms = if is_repeated { kept_ms } else { MARK_LIFETIME_MS };
+            let kept_ms = if suspect.has_repeated_losses() { kept_ms } else { MARK_LIFETIME_MS };
             !suspect.last_loss_at().plus_ms(kept_ms).is_past(now)
         });
         self.retain_explaining();
--- a/crates/godwit-core/src/quarantine/report_selection.rs
+++ b/crates/godwit-core/src/quarantine/report_selection.rs
@@ -9,7 +9,7 @@
     CrashReport, LossReport, MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES, MAX_REPORTED_SUSPECTS,
     ReportBacklog, ServerEndReport,
 };
-use crate::quarantine::suspect::{REPEATED_LOSSES, Suspect};
+use crate::quarantine::suspect::Suspect;
 
 /// Maximum number of losses of one request in a report. Further reports have the rest.
 const MAX_LOSSES_OF_SUSPECT: usize = 8;
@@ -96,7 +96,7 @@
 impl Suspect {
     /// Returns the order of the change that was reported least.
     fn report_order(&self) -> ReportOrder {
-        let is_repeated = self.losses.len() >= REPEATED_LOSSES;
+        let is_repeated = self.has_repeated_losses();
         let losses = self.losses.values().map(|loss| loss.reported);
         let clearing = self.cleared_at.map(|_| self.clearing_reported);
         let orders = losses.chain(clearing).map(|count| count.order(is_repeated));
@@ -113,8 +113,7 @@
 
     /// Whether a change is to be reported after it was in enough rounds, to hosts that were cut off meanwhile.
     fn has_recent_change(&self, now: SteadyMs) -> bool {
-        let is_repeated = self.losses.len() >= REPEATED_LOSSES;
-        let report_ms = if is_repeated { REPEATED_REPORT_MS } else { REPORT_MS };
+        let report_ms = if self.has_repeated_losses() { REPEATED_REPORT_MS } else { REPORT_MS };
         !self.changed_at.plus_ms(report_ms).is_past(now)
     }
 }
@@ -171,9 +170,10 @@
         let (mut new, mut held, mut recent) = (Vec::new(), Vec::new(), Vec::new());
         for (fingerprint, suspect) in &self.suspects {
             let order = suspect.report_order();
+            let is_tried = suspect.trial_at(now).is_some();
             let weight = Reverse(self.report_weight(*fingerprint, suspect));
-            let entry = ((suspect.trial_at(now).is_none(), order, weight), *fingerprint);
-            if !matches!(order, ReportOrder::ByTurns { .. }) || suspect.trial_at(now).is_some() {
+            let entry = ((!is_tried, order, weight), *fingerprint);
+            if is_tried || !matches!(order, ReportOrder::ByTurns { .. }) {
                 new.push(entry);
             } else if self.is_held(*fingerprint, now) {
                 held.push(entry);
--- a/crates/godwit-core/src/quarantine/suspect.rs
+++ b/crates/godwit-core/src/quarantine/suspect.rs
@@ -226,9 +226,14 @@
         !self.is_established() && (other.is_established() || early(self) >= early(other))
     }
 
+    /// Whether more than one server was lost, also if one run lost them all.
+    pub(crate) fn has_repeated_losses(&self) -> bool {
+        self.losses.len() >= REPEATED_LOSSES
+    }
+
     /// Whether more than one run has lost servers.
     pub(crate) fn is_repeated(&self) -> bool {
-        self.losses.len() >= REPEATED_LOSSES && self.lost_runs() >= REPEATED_LOSSES
+        self.has_repeated_losses() && self.lost_runs() >= REPEATED_LOSSES
     }
 
     /// Adds a loss or merges another report of it, and returns whether that changed anything.
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -63,8 +63,6 @@
         faulty_server: Option<String>,
         /// Whether the request was refused without a faulty server, which counts as a lack of capacity.
         is_overloaded: bool,
-        /// Whether the request has reached a server, so that another attempt takes from the retry budget.
-        has_arrived: bool,
     },
     /// The server may have run the request.
     Unknown {
@@ -120,7 +118,6 @@
         cause: error.to_string(),
         faulty_server: is_at_fault.then(|| server_id.clone()),
         is_overloaded: false,
-        has_arrived: false,
     }
 }
 
@@ -348,7 +345,6 @@
                 cause: WireError::NotIdle.to_string(),
                 faulty_server: None,
                 is_overloaded: false,
-                has_arrived: false,
             });
         }
         Err(error) => {
@@ -378,14 +374,7 @@
         let is_overloaded = faulty_server.is_none();
         drain_response(site, destination, connection, &head).await;
         let proof = NotExecutedProof::refused_by_server();
-        let has_arrived = true;
-        return Err(AttemptError::NotRun {
-            proof,
-            cause,
-            faulty_server,
-            is_overloaded,
-            has_arrived,
-        });
+        return Err(AttemptError::NotRun { proof, cause, faulty_server, is_overloaded });
     }
     Ok(StartedResponse { head, connection, in_flight })
 }
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -314,18 +314,20 @@
     .await;
     let response = match sent {
         Ok(response) => response,
-        Err(AttemptError::NotRun { proof, cause, faulty_server, is_overloaded, has_arrived }) => {
+        Err(AttemptError::NotRun { proof, cause, faulty_server, is_overloaded }) => {
             log_attempt_failed(admitted, destination, &cause, true);
             if let Some(id) = &faulty_server {
                 record_failure(site, destination, id, &cause);
             }
+            // What has reached no server takes nothing from the retry budget.
+            let needs_budget = proof.has_arrived();
             let execution = match dispatched {
                 Some(lifecycle) => Execution::NotRun(lifecycle.not_executed(proof)),
                 None => Execution::MayHaveRun,
             };
             let avoided = faulty_server.or_else(|| Some(destination.server_id.clone()));
             let code = if is_overloaded { Code::Overloaded } else { Code::ServersRefused };
-            return AttemptOutcome::Retry { execution, code, avoided, needs_budget: has_arrived };
+            return AttemptOutcome::Retry { execution, code, avoided, needs_budget };
         }
         Err(AttemptError::Unknown { error, run, is_direct }) => {
             return handle_broken_attempt(site, &run, &error, is_direct).await;
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -495,7 +495,8 @@
                 self.admitted.policy.response_deadline,
             )
             .await;
-            is_reserved = matches!(&sent, Err(AttemptError::NotRun { has_arrived: false, .. }));
+            is_reserved =
+                matches!(&sent, Err(AttemptError::NotRun { proof, .. }) if !proof.has_arrived());
             match sent {
                 Ok(response) if self.is_continuation(&response.head) => {
                     self.runs += 1;
