Build the requests and scripted servers of the tests in one place

The tests of processes and of the caller server wrote the same request twice, with and without Connection: close, and the test of cut answers of services had a server of its own beside that of scripted engines. What is sent and asserted is the same.

--- a/crates/godwit-caller/tests/responses.rs
+++ b/crates/godwit-caller/tests/responses.rs
@@ -58,14 +58,18 @@
     }
 }
 
+fn post_request(headers: &str, body: &str) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
 /// Sends one request and returns the whole response as text.
 fn exchange(server: &CallerServer, body: &str) -> String {
     let mut stream = TcpStream::connect(server.address()).unwrap();
     stream.set_read_timeout(Some(TIMEOUT)).unwrap();
-    let request = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
+    let request = post_request("Connection: close\r\n", body);
     stream.write_all(request.as_bytes()).unwrap();
     let mut response = String::new();
     stream.read_to_string(&mut response).unwrap();
@@ -135,12 +139,7 @@
     fn send_keeping_open(server: &CallerServer) -> std::io::Result<TcpStream> {
         let mut stream = TcpStream::connect(server.address())?;
         stream.set_read_timeout(Some(READ_TIMEOUT))?;
-        let body = stream_request();
-        let length = body.len();
-        let request = format!(
-            "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n{body}"
-        );
-        stream.write_all(request.as_bytes())?;
+        stream.write_all(post_request("", stream_request()).as_bytes())?;
         stream.read_exact(&mut [0])?;
         Ok(stream)
     }
--- a/crates/godwit-host/tests/dispatch/scripted.rs
+++ b/crates/godwit-host/tests/dispatch/scripted.rs
@@ -16,16 +16,24 @@
 
 /// Starts an engine that answers probes, and generate calls by `respond`, and closes each connection. Returns its address.
 pub(crate) fn responding_engine(respond: impl Fn(&str) -> String + Send + 'static) -> String {
+    responding_server(move |request| {
+        if request.starts_with("GET /v1/load ") {
+            return Some(load_report());
+        }
+        request.starts_with("POST /v1/generate ").then(|| respond(request))
+    })
+}
+
+/// Starts a server that answers requests by `respond`, and closes each connection. Returns its address.
+pub(crate) fn responding_server(
+    respond: impl Fn(&str) -> Option<String> + Send + 'static,
+) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     thread::spawn(move || {
         for stream in listener.incoming() {
             let mut stream = stream.unwrap();
-            let answer = match read_request(&mut stream) {
-                request if request.starts_with("POST /v1/generate ") => respond(&request),
-                request if request.starts_with("GET /v1/load ") => load_report(),
-                _ => continue,
-            };
+            let Some(answer) = respond(&read_request(&mut stream)) else { continue };
             // The host may have closed its end.
             let _ = stream.write_all(answer.as_bytes());
         }
--- a/crates/godwit-host/tests/dispatch/service.rs
+++ b/crates/godwit-host/tests/dispatch/service.rs
@@ -3,7 +3,7 @@
 //! They guard against a non-idempotent call that runs twice, and against a result that claims more than the host knows
 //! after a lost connection, a hanging server or a late answer.
 
-use std::io::{Read, Write};
+use std::io::Read;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread;
@@ -17,6 +17,7 @@
 use godwit_service::ServiceReply;
 use godwit_standin::{ServiceSettings, ServiceStandin};
 
+use crate::scripted::responding_server;
 use crate::support::{
     CLOSED_ADDRESS, DispatchFixture, ListSource, claimed_request, claimed_request_until,
 };
@@ -140,28 +141,6 @@
     assert_eq!(call_count(&second), 0);
 }
 
-/// Starts a server that reads each request and sends a text as its answer. Returns its address.
-fn start_answering_server(answer: String) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.unwrap();
-            let mut request = Vec::new();
-            while !request.ends_with(JOB.body) {
-                let mut byte = [0];
-                if stream.read(&mut byte).unwrap_or(0) == 0 {
-                    break;
-                }
-                request.push(byte[0]);
-            }
-            // The host may have closed its end.
-            let _ = stream.write_all(answer.as_bytes());
-        }
-    });
-    address
-}
-
 #[test]
 fn service_answer_that_is_cut_is_unknown() {
     let framings = [
@@ -169,7 +148,8 @@
         ("Transfer-Encoding: chunked\r\n\r\n", "2\r\nok\r\n0\r\n\r\n"),
     ];
     let code = |answer: &str| {
-        let address = start_answering_server(answer.to_string());
+        let answer = answer.to_string();
+        let address = responding_server(move |_| Some(answer.clone()));
         run_call(&[("o1", &address)], true).outcome.code()
     };
     for (framing, body) in framings {
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -138,9 +138,12 @@
     panic!("timed out waiting for the host to become ready");
 }
 
+/// Header of a request after which the host closes the connection.
+const CLOSE: &str = "Connection: close\r\n";
+
 fn post_request(path: &str, headers: &str, body: &str) -> String {
     format!(
-        "POST {path} HTTP/1.1\r\nHost: host\r\nConnection: close\r\nAuthorization: Bearer {API_KEY}\r\n{headers}\
+        "POST {path} HTTP/1.1\r\nHost: host\r\nAuthorization: Bearer {API_KEY}\r\n{headers}\
          Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
@@ -150,7 +153,15 @@
     let body = format!(
         r#"{{"model": "assistant", "prompt": "the weekly note", "stream": true, "max_tokens": {max_tokens}}}"#
     );
-    post_request("/v1/completions", "Godwit-Kind: note\r\n", &body)
+    post_request("/v1/completions", &format!("{CLOSE}Godwit-Kind: note\r\n"), &body)
+}
+
+/// Returns the request for an order with a key and a further header, if it is not empty.
+fn order_request(key: &str, header: &str) -> String {
+    let headers = format!(
+        "{header}Godwit-Kind: confirmation\r\nGodwit-Event: friday\r\nIdempotency-Key: {key}\r\n"
+    );
+    post_request("/services/orders/confirmations", &headers, "{}")
 }
 
 /// Requests a stream of more than a second. Returns the connection and the beginning of the response.
@@ -216,11 +227,7 @@
     let streamed = exchange(&caller_address(0), &streamed_note_request(6));
     assert!(streamed.contains("Godwit-Code: 1002"), "{streamed}");
     assert!(streamed.contains("data: [DONE]"), "{streamed}");
-    let order = post_request(
-        "/services/orders/confirmations",
-        "Godwit-Kind: confirmation\r\nGodwit-Event: friday\r\nIdempotency-Key: order-1\r\n",
-        "{}",
-    );
+    let order = order_request("order-1", CLOSE);
     assert!(exchange(&caller_address(0), &order).contains("Godwit-Code: 1000"));
     assert!(exchange(&caller_address(1), &order).contains("Godwit-Code: 1001"));
 }
@@ -246,13 +253,6 @@
     assert!(host.child.wait().expect("the host exits").success());
 }
 
-fn order_request(key: &str, connection: &str) -> String {
-    format!(
-        "POST /services/orders/confirmations HTTP/1.1\r\nHost: host\r\n{connection}Authorization: Bearer {API_KEY}\r\n\
-         Godwit-Kind: confirmation\r\nGodwit-Event: friday\r\nIdempotency-Key: {key}\r\nContent-Length: 2\r\n\r\n{{}}"
-    )
-}
-
 /// Sends a request on a connection and returns whether a whole response follows.
 fn is_answered(stream: &mut BufReader<TcpStream>, request: &str) -> bool {
     if stream.get_mut().write_all(request.as_bytes()).is_err() {
@@ -322,7 +322,7 @@
     for (answered, cut) in orders {
         println!("{answered} answered, then {cut} was cut");
         assert!(answered > 0);
-        let answer = exchange(&other, &order_request(&cut, "Connection: close\r\n"));
+        let answer = exchange(&other, &order_request(&cut, CLOSE));
         assert!(answer.contains("Godwit-Code: 1000"), "{cut} has run before: {answer}");
     }
 }
