Log the version in force and its age with each refusal

A refusal with unknown_path had neither the version of the configuration nor the age of what the host knows of it, so that the log could not tell a host that was behind from a route that was never there. The line "refused" now has both; the age is that of the last call that told of the newest version, and is absent on hosts that follow others.

--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -23,6 +23,7 @@
 use super::stall_detection::record_failure;
 use super::stream::relay_stream;
 use super::wait::{CounterGuard, wait_for_configuration, wait_for_destination};
+use crate::replica::ObjectKind;
 use crate::site::Site;
 use crate::wire::WireError;
 
@@ -136,7 +137,15 @@
 
 fn log_refusal(site: &Site, request_id: &str, service: &str, code: Code, received: SteadyMs) {
     let after_ms = site.now().since_ms(received);
-    info!(event = "refused", request = request_id, service, code = code.name(), after_ms);
+    info!(
+        event = "refused",
+        request = request_id,
+        service,
+        code = code.name(),
+        after_ms,
+        version = site.configuration().map(|configuration| configuration.version()),
+        confirmed_ms_ago = site.confirmed_ms_ago(ObjectKind::Configuration),
+    );
     metrics::counter!("refused_total", "code" => code.name()).increment(1);
 }
 
--- a/crates/godwit-gateway/src/replica/state.rs
+++ b/crates/godwit-gateway/src/replica/state.rs
@@ -22,6 +22,13 @@
         self.confirmed_at.borrow_mut().insert(kind, call_started_at);
     }
 
+    /// Returns how long ago the last call began that told of all objects of a kind, in milliseconds; none if this host has
+    /// made no such call.
+    pub(crate) fn confirmed_ms_ago(&self, kind: ObjectKind) -> Option<u64> {
+        let confirmed_at = self.confirmed_at.borrow().get(&kind).copied();
+        confirmed_at.map(|at| self.now().since_ms(at))
+    }
+
     /// Whether the objects of a kind are known as of a time or later. If not, a call to the store is made soon.
     pub(crate) fn is_confirmed_since(&self, kind: ObjectKind, at: SteadyMs) -> bool {
         let is_confirmed = self.confirmed_at.borrow().get(&kind).is_some_and(|known| *known >= at);
