Show that hosts use old objects when the watches of all readers are lost

The fake store loses the waiting watches of both readers of a failure domain: their connections stay open and nothing comes back. The next configuration is not in force at any of six hosts after 2 s, and none of them uses the only server that is left: "host 0 does not use version 3", 0 of 6.

--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -216,6 +216,40 @@
     cluster.assert_change_is_used(20, 0..4);
 }
 
+/// Makes the watches of a kind hang that the readers begin after a change.
+fn lose_watches(cluster: &Cluster, kind: &str, change: impl FnOnce()) {
+    cluster.store.hang_next_watches(kind, READERS);
+    change();
+    let is_lost = || cluster.store.remaining_hanging_watches(kind) == 0;
+    cluster.hosts[0].wait_for("the lost watches", is_lost);
+}
+
+#[test]
+fn change_is_used_in_time_when_the_watches_of_all_readers_are_lost() {
+    let cluster = Cluster::start(6);
+    lose_watches(&cluster, "config", || cluster.assert_change_is_used(2, 0..6));
+    cluster.assert_change_is_used(3, 0..6);
+    cluster.assert_change_is_used(4, 0..6);
+}
+
+#[test]
+fn new_server_is_used_in_time_when_the_watches_of_all_readers_are_lost() {
+    let cluster = Cluster::start(6);
+    let servers = ["s-2", "s-3"].map(|id| FakeServer::start(id, &[Behavior::Respond]));
+    lose_watches(&cluster, "servers", || {
+        cluster.store.put("servers", "s-2", servers[0].entry("api", None));
+    });
+    cluster.store.put("servers", "s-3", servers[1].entry("api", None));
+    cluster.store.remove("servers", "s-1");
+    cluster.store.remove("servers", "s-2");
+    std::thread::sleep(CONFIG_APPLY_TIME);
+    let before = servers[1].requests().len();
+    for host in &cluster.hosts {
+        assert_eq!(status(host, "/read/1"), 200);
+    }
+    assert_eq!(servers[1].requests().len(), before + cluster.hosts.len());
+}
+
 /// A host that restarts takes what it follows from a host whose watch hangs since before a key was withdrawn.
 #[test]
 fn withdrawn_key_is_refused_after_a_restart_beside_a_reader_that_hangs() {
