Read a configuration entry by entry

Cause: one route, service or workspace that could not be read made the whole version unreadable. It was dropped for ever: configuration_unreadable, 404 for the routes that it added, and the old service for those that it moved.

Change: entries are decoded one by one. Those that cannot be read become godwit_core::site::UnreadableEntry with the host, prefix or name that can. Configuration::match_request decides about a request: 503 with the new code 3018 configuration_unreadable where such an entry may decide on it, and 404 or 401 only where none could allow it. No request goes to a service by guess, and only Limits are taken from the version before. One error for each version in force names the entries, the gauge configuration_entries_unreadable counts them, and a line before the refusal of a request names the one that it needs.

A version whose Version, Routes or Services cannot be read still leaves the one in force, as does a text that no JSON parser reads.

Ruled out: taking what cannot be read from the version before, which would go on with a key that was withdrawn or a service that the route no longer names.

--- a/crates/godwit-core/src/site/configuration.rs
+++ b/crates/godwit-core/src/site/configuration.rs
@@ -1,6 +1,7 @@
 //! The active configuration: routes, services, workspaces with their keys, and limits for callers.
 
 use std::collections::BTreeMap;
+use std::fmt::{Display, Formatter};
 
 /// Type of the requests on a route, which determines whether a request may run more than once.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -156,6 +157,16 @@
     pub idle_timeout_ms: u64,
 }
 
+impl CallerLimits {
+    /// Limits while none have been read.
+    pub const DEFAULT: CallerLimits = CallerLimits {
+        header_bytes: 16 << 10,
+        body_bytes: 4 << 20,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+    };
+}
+
 /// A workspace with the keys of its callers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Workspace {
@@ -167,20 +178,110 @@
     pub priority: Option<u32>,
 }
 
+/// An entry of a configuration that cannot be read, with what can be read of it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum UnreadableEntry {
+    /// A route.
+    Route {
+        /// Name of the route.
+        name: Option<String>,
+        /// Host name that its requests carry.
+        host_name: Option<String>,
+        /// Path prefix that its requests have.
+        path_prefix: Option<String>,
+    },
+    /// A service.
+    Service {
+        /// Name of the service.
+        name: Option<String>,
+    },
+    /// A workspace, or some of its keys.
+    Workspace {
+        /// Name of the workspace.
+        name: Option<String>,
+    },
+    /// The limits on the requests of callers.
+    Limits,
+}
+
+impl Display for UnreadableEntry {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        fn known(text: &Option<String>) -> &str {
+            text.as_deref().unwrap_or("?")
+        }
+        match self {
+            UnreadableEntry::Route { name, host_name, path_prefix } => {
+                let (name, host_name) = (known(name), known(host_name));
+                write!(formatter, "route:{name}@{host_name}:{}", known(path_prefix))
+            }
+            UnreadableEntry::Service { name } => write!(formatter, "service:{}", known(name)),
+            UnreadableEntry::Workspace { name } => write!(formatter, "workspace:{}", known(name)),
+            UnreadableEntry::Limits => formatter.write_str("limits"),
+        }
+    }
+}
+
+/// What the configuration has for a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RequestMatch<'a> {
+    /// The route of the request.
+    pub route: &'a Route,
+    /// Name of the service that handles the request.
+    pub service: &'a str,
+    /// The workspace of the request's key; none on a public route for a request without a known key.
+    pub workspace: Option<&'a Workspace>,
+}
+
+/// Reason why the configuration has nothing for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mismatch<'a> {
+    /// No route matches.
+    UnknownPath,
+    /// No workspace has the key.
+    UnknownKey,
+    /// Whether the request is allowed, or what handles it, depends on an entry that cannot be read.
+    Unreadable(&'a UnreadableEntry),
+}
+
+/// Position of an entry for a path prefix.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Placed {
+    Route(usize),
+    Unreadable(usize),
+}
+
+/// Positions of the entries that cannot be read, by what is known of them.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct UnreadableIndex {
+    /// Routes of which only the path prefix is known.
+    route_by_prefix: BTreeMap<String, usize>,
+    /// Routes of which only the host name is known.
+    route_by_host: BTreeMap<String, usize>,
+    /// A route of which neither is known.
+    unplaced_route: Option<usize>,
+    service_by_name: BTreeMap<String, usize>,
+    nameless_service: Option<usize>,
+    workspace: Option<usize>,
+    limits: Option<usize>,
+}
+
 /// One version of the configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Configuration {
     version: u64,
     routes: Vec<Route>,
-    routes_by_host: BTreeMap<String, BTreeMap<String, usize>>,
+    routes_by_host: BTreeMap<String, BTreeMap<String, Placed>>,
     services: BTreeMap<String, Service>,
     limits: CallerLimits,
     workspaces: Vec<Workspace>,
     workspace_by_key: BTreeMap<String, usize>,
+    unreadable: Vec<UnreadableEntry>,
+    unreadable_index: UnreadableIndex,
 }
 
 impl Configuration {
-    /// Creates a configuration and its lookup tables.
+    /// Creates a configuration all of whose entries can be read, and its lookup tables. Of routes with the same host name
+    /// and path prefix the last one counts, of workspaces with the same key too.
     pub fn new(
         version: u64,
         routes: Vec<Route>,
@@ -188,10 +289,10 @@
         limits: CallerLimits,
         workspaces: Vec<Workspace>,
     ) -> Configuration {
-        let mut routes_by_host: BTreeMap<String, BTreeMap<String, usize>> = BTreeMap::new();
+        let mut routes_by_host: BTreeMap<String, BTreeMap<String, Placed>> = BTreeMap::new();
         for (index, route) in routes.iter().enumerate() {
-            let prefixes = routes_by_host.entry(route.host_name.to_ascii_lowercase()).or_default();
-            prefixes.insert(route.path_prefix.clone(), index);
+            let prefixes = routes_by_host.entry(bare_host(&route.host_name)).or_default();
+            prefixes.insert(route.path_prefix.clone(), Placed::Route(index));
         }
         let keys = workspaces.iter().enumerate();
         let workspace_by_key = keys
@@ -207,7 +308,72 @@
             limits,
             workspaces,
             workspace_by_key,
+            unreadable: Vec::new(),
+            unreadable_index: UnreadableIndex::default(),
+        }
+    }
+
+    /// Sets the entries that cannot be read. One of them counts for more than an entry for the same requests, or of the
+    /// same service, that can be read.
+    ///
+    /// ```
+    /// use std::collections::BTreeMap;
+    /// use godwit_core::site::{CallerLimits, Configuration, Mismatch, UnreadableEntry};
+    /// let entry = UnreadableEntry::Route {
+    ///     name: None,
+    ///     host_name: Some("shop.example".to_string()),
+    ///     path_prefix: Some("/new/".to_string()),
+    /// };
+    /// let configuration =
+    ///     Configuration::new(3, Vec::new(), BTreeMap::new(), CallerLimits::DEFAULT, Vec::new())
+    ///         .with_unreadable(vec![entry.clone()]);
+    /// let matched = configuration.match_request("shop.example", "/new/1", None, 0);
+    /// assert_eq!(matched, Err(Mismatch::Unreadable(&entry)));
+    /// let matched = configuration.match_request("shop.example", "/other/1", None, 0);
+    /// assert_eq!(matched, Err(Mismatch::UnknownPath));
+    /// ```
+    pub fn with_unreadable(mut self, entries: Vec<UnreadableEntry>) -> Configuration {
+        for (position, entry) in entries.iter().enumerate() {
+            self.place_unreadable(position, entry);
         }
+        self.unreadable = entries;
+        self
+    }
+
+    fn place_unreadable(&mut self, position: usize, entry: &UnreadableEntry) {
+        let index = &mut self.unreadable_index;
+        match entry {
+            UnreadableEntry::Route { host_name, path_prefix, .. } => {
+                match (host_name.as_deref().map(bare_host), path_prefix.clone()) {
+                    (Some(host_name), Some(path_prefix)) => {
+                        let prefixes = self.routes_by_host.entry(host_name).or_default();
+                        prefixes.insert(path_prefix, Placed::Unreadable(position));
+                    }
+                    (Some(host_name), None) => {
+                        index.route_by_host.insert(host_name, position);
+                    }
+                    (None, Some(path_prefix)) => {
+                        index.route_by_prefix.insert(path_prefix, position);
+                    }
+                    (None, None) => index.unplaced_route = Some(position),
+                }
+            }
+            UnreadableEntry::Service { name: Some(name) } => {
+                self.services.remove(name);
+                index.service_by_name.insert(name.clone(), position);
+            }
+            UnreadableEntry::Service { name: None } => index.nameless_service = Some(position),
+            UnreadableEntry::Workspace { .. } => index.workspace = Some(position),
+            UnreadableEntry::Limits => index.limits = Some(position),
+        }
+    }
+
+    /// Replaces limits that cannot be read by those of the version before.
+    pub fn following(mut self, previous: Option<&Configuration>) -> Configuration {
+        if let (Some(previous), Some(_)) = (previous, self.unreadable_index.limits) {
+            self.limits = previous.limits;
+        }
+        self
     }
 
     /// Returns the version number; a newer configuration has a higher one.
@@ -215,14 +381,83 @@
         self.version
     }
 
-    /// Finds the route of a request: the one with the longest matching path prefix for the host name.
+    /// Returns the entries that cannot be read.
+    pub fn unreadable(&self) -> &[UnreadableEntry] {
+        &self.unreadable
+    }
+
+    /// Finds the route, the service and the workspace of a request. `key` is the key that the request carries, `draw` a
+    /// uniformly distributed number.
+    ///
+    /// # Errors
+    /// When the configuration does not allow the request, or an entry that cannot be read may decide on it.
+    pub fn match_request(
+        &self,
+        host_name: &str,
+        path: &str,
+        key: Option<&str>,
+        draw: u64,
+    ) -> Result<RequestMatch<'_>, Mismatch<'_>> {
+        let route = self.matching_route(host_name, path)?;
+        let workspace = self.workspace_for(route, key)?;
+        let service = route.service_for(draw);
+        self.check_service(service)?;
+        Ok(RequestMatch { route, service, workspace })
+    }
+
+    /// Finds the route of a request: the one with the longest matching path prefix for the host name. None if no route
+    /// matches, or an entry that cannot be read may match.
     pub fn route(&self, host_name: &str, path: &str) -> Option<&Route> {
-        let bare_host = host_name.split(':').next().unwrap_or(host_name).to_ascii_lowercase();
-        let prefixes = self.routes_by_host.get(&bare_host)?;
+        self.matching_route(host_name, path).ok()
+    }
+
+    fn matching_route(&self, host_name: &str, path: &str) -> Result<&Route, Mismatch<'_>> {
+        let host_name = bare_host(host_name);
         let path = path.split('?').next().unwrap_or(path);
-        let slashes = path.rmatch_indices('/').map(|(at, _)| &path[..=at]);
-        let index = slashes.filter_map(|prefix| prefixes.get(prefix)).next()?;
-        self.routes.get(*index)
+        let prefixes = self.routes_by_host.get(&host_name);
+        let index = &self.unreadable_index;
+        let placed = path.rmatch_indices('/').find_map(|(at, _)| {
+            let prefix = &path[..=at];
+            let of_host = prefixes.and_then(|prefixes| prefixes.get(prefix)).copied();
+            let of_any_host = || index.route_by_prefix.get(prefix).copied().map(Placed::Unreadable);
+            of_host.or_else(of_any_host)
+        });
+        let unplaced = || index.route_by_host.get(&host_name).copied().or(index.unplaced_route);
+        match placed.or_else(|| unplaced().map(Placed::Unreadable)) {
+            Some(Placed::Route(position)) => Ok(&self.routes[position]),
+            Some(Placed::Unreadable(position)) => Err(self.unreadable_at(position)),
+            None => Err(Mismatch::UnknownPath),
+        }
+    }
+
+    fn unreadable_at(&self, position: usize) -> Mismatch<'_> {
+        Mismatch::Unreadable(&self.unreadable[position])
+    }
+
+    fn workspace_for(
+        &self,
+        route: &Route,
+        key: Option<&str>,
+    ) -> Result<Option<&Workspace>, Mismatch<'_>> {
+        let workspace = key.and_then(|key| self.workspace_of_key(key));
+        if workspace.is_some() || !self.has_workspaces() || (route.is_public && key.is_none()) {
+            return Ok(workspace);
+        }
+        match self.unreadable_index.workspace {
+            Some(position) => Err(self.unreadable_at(position)),
+            None if route.is_public => Ok(None),
+            None => Err(Mismatch::UnknownKey),
+        }
+    }
+
+    /// Checks that no entry that cannot be read may define a service.
+    fn check_service(&self, service: &str) -> Result<(), Mismatch<'_>> {
+        let index = &self.unreadable_index;
+        let position = index.service_by_name.get(service).copied().or(index.nameless_service);
+        match position.filter(|_| !self.services.contains_key(service)) {
+            Some(position) => Err(self.unreadable_at(position)),
+            None => Ok(()),
+        }
     }
 
     /// Finds the workspace that a key belongs to.
@@ -232,7 +467,7 @@
 
     /// Whether any workspace is configured. If so, requests on routes that are not public need a key.
     pub fn has_workspaces(&self) -> bool {
-        !self.workspaces.is_empty()
+        !self.workspaces.is_empty() || self.unreadable_index.workspace.is_some()
     }
 
     /// Finds a service by name.
@@ -250,3 +485,8 @@
         self.limits
     }
 }
+
+/// Returns a host name in lower case and without its port.
+fn bare_host(host_name: &str) -> String {
+    host_name.split(':').next().unwrap_or(host_name).to_ascii_lowercase()
+}
--- a/crates/godwit-core/src/site/mod.rs
+++ b/crates/godwit-core/src/site/mod.rs
@@ -24,8 +24,8 @@
 mod stall_threshold;
 
 pub use configuration::{
-    AcceleratorSpec, CallerLimits, Configuration, ModelSpec, Route, Service, WeightedService, Work,
-    Workspace,
+    AcceleratorSpec, CallerLimits, Configuration, Mismatch, ModelSpec, RequestMatch, Route,
+    Service, UnreadableEntry, WeightedService, Work, Workspace,
 };
 pub use detour_hosts::DetourHosts;
 pub use event_stream::{
--- a/crates/godwit-core/tests/site/configuration.rs
+++ b/crates/godwit-core/tests/site/configuration.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use godwit_core::site::{CallerLimits, Configuration, Route, WeightedService, Work, Workspace};
+use godwit_core::site::{
+    CallerLimits, Configuration, Mismatch, Route, Service, UnreadableEntry, WeightedService, Work,
+    Workspace,
+};
 
 const LIMITS: CallerLimits = CallerLimits {
     header_bytes: 16_384,
@@ -85,3 +88,109 @@
     assert_eq!(workspace, Some("bakery"));
     assert!(configuration.workspace_of_key("other").is_none());
 }
+
+fn lost_route(host_name: Option<&str>, path_prefix: Option<&str>) -> UnreadableEntry {
+    UnreadableEntry::Route {
+        name: None,
+        host_name: host_name.map(str::to_string),
+        path_prefix: path_prefix.map(str::to_string),
+    }
+}
+
+/// Returns the name of a request's route, or what is refused, where some entries cannot be read.
+fn found(unreadable: &[UnreadableEntry], host: &str, path: &str) -> String {
+    let configuration = configuration().with_unreadable(unreadable.to_vec());
+    match configuration.match_request(host, path, Some("k"), 0) {
+        Ok(matched) => matched.route.name.clone(),
+        Err(Mismatch::Unreadable(entry)) => entry.to_string(),
+        Err(mismatch) => format!("{mismatch:?}"),
+    }
+}
+
+#[test]
+fn route_that_cannot_be_read_takes_its_own_requests_only() {
+    let lost = [lost_route(Some("Shop.example:80"), Some("/a/c/"))];
+    assert_eq!(found(&lost, "shop.example", "/a/c/1"), "route:?@Shop.example:80:/a/c/");
+    assert_eq!(found(&lost, "shop.example", "/a/b/1"), "long");
+    assert_eq!(found(&lost, "shop.example", "/a/1"), "short");
+    assert_eq!(found(&lost, "other.example", "/a/c/1"), "UnknownPath");
+}
+
+#[test]
+fn route_that_cannot_be_read_goes_before_one_for_the_same_requests() {
+    let lost = [lost_route(Some("shop.example"), Some("/a/"))];
+    assert_eq!(found(&lost, "shop.example", "/a/1"), "route:?@shop.example:/a/");
+    assert_eq!(found(&lost, "shop.example", "/a/b/1"), "long");
+}
+
+/// The requests below a longer prefix may be those of a service that is not known.
+#[test]
+fn route_without_a_host_takes_what_matches_only_shorter_prefixes() {
+    let lost = [lost_route(None, Some("/a/b/c/")), lost_route(None, Some("/a/"))];
+    assert_eq!(found(&lost, "shop.example", "/a/b/c/1"), "route:?@?:/a/b/c/");
+    assert_eq!(found(&lost, "shop.example", "/a/b/1"), "long");
+    assert_eq!(found(&lost, "shop.example", "/a/1"), "short", "the same prefix");
+    assert_eq!(found(&lost, "other.example", "/a/1"), "route:?@?:/a/");
+    assert_eq!(found(&lost, "other.example", "/b/1"), "UnknownPath");
+}
+
+#[test]
+fn route_without_a_prefix_takes_what_matches_no_other() {
+    let lost = [lost_route(Some("other.example"), None)];
+    assert_eq!(found(&lost, "other.example:80", "/a/1"), "route:?@other.example:?");
+    assert_eq!(found(&lost, "third.example", "/a/1"), "UnknownPath");
+    let lost = [lost_route(Some("shop.example"), None), lost_route(None, None)];
+    assert_eq!(found(&lost, "shop.example", "/a/b/1"), "long");
+    assert_eq!(found(&lost, "third.example", "/a/1"), "route:?@?:?");
+}
+
+#[test]
+fn route_of_the_same_requests_is_the_last_one() {
+    let routes = vec![route("first", "/a/", &[("s", 1)]), route("last", "/a/", &[("s", 1)])];
+    let configuration = Configuration::new(3, routes, BTreeMap::new(), LIMITS, Vec::new());
+    let route = configuration.route("shop.example", "/a/1");
+    assert_eq!(route.map(|route| route.name.as_str()), Some("last"));
+}
+
+#[test]
+fn workspace_of_the_same_key_is_the_last_one() {
+    let workspace = |name: &str| Workspace {
+        name: name.to_string(),
+        keys: vec!["k".to_string()],
+        priority: None,
+    };
+    let workspaces = vec![workspace("first"), workspace("last")];
+    let configuration = Configuration::new(3, Vec::new(), BTreeMap::new(), LIMITS, workspaces);
+    let workspace = configuration.workspace_of_key("k");
+    assert_eq!(workspace.map(|workspace| workspace.name.as_str()), Some("last"));
+}
+
+#[test]
+fn service_that_cannot_be_read_goes_before_one_of_the_same_name() {
+    let service = Service { health_path: String::new(), max_connections: 1, model: None };
+    let services = BTreeMap::from([("s".to_string(), service)]);
+    let routes = vec![route("all", "/", &[("s", 1)])];
+    let configuration = Configuration::new(3, routes, services, LIMITS, Vec::new());
+    let matched = |configuration: &Configuration| {
+        configuration.match_request("shop.example", "/1", None, 0).is_ok()
+    };
+    assert!(matched(&configuration));
+    let other = UnreadableEntry::Service { name: Some("t".to_string()) };
+    let nameless = UnreadableEntry::Service { name: None };
+    assert!(matched(&configuration.clone().with_unreadable(vec![other, nameless])));
+    let same = UnreadableEntry::Service { name: Some("s".to_string()) };
+    assert!(!matched(&configuration.with_unreadable(vec![same])));
+}
+
+/// Guards against a comparison of each segment of the path with each entry.
+#[test]
+fn route_beside_many_entries_that_cannot_be_read_is_found_in_time() {
+    let lost: Vec<UnreadableEntry> =
+        (0..100_000).map(|number| lost_route(None, Some(&format!("/{number}/x/")))).collect();
+    let configuration = configuration().with_unreadable(lost);
+    let path = "/".repeat(16_384);
+    let started = std::time::Instant::now();
+    let route = configuration.route("shop.example", &path);
+    assert_eq!(route.map(|route| route.name.as_str()), Some("all"));
+    assert!(started.elapsed() < std::time::Duration::from_secs(20), "{:?}", started.elapsed());
+}
--- a/crates/godwit-gateway/src/forward/admit.rs
+++ b/crates/godwit-gateway/src/forward/admit.rs
@@ -7,11 +7,13 @@
 use bytes::Bytes;
 use godwit_adapter::{CallerHead, decode_caller_head};
 use godwit_core::quarantine::{fingerprint, part_fingerprint};
-use godwit_core::site::{Configuration, Work};
+use godwit_core::site::{Configuration, Mismatch, RequestMatch, UnreadableEntry, Work};
 use godwit_core::{Admission, Code, SteadyMs, Target};
 use http::request::Parts;
+use tracing::info;
 
 use crate::site::Site;
+use crate::store::bounded_text;
 
 /// Deadline of a request whose caller sets none, in milliseconds after its arrival.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
@@ -149,6 +151,12 @@
     }
 }
 
+/// Logs that a request is refused since an entry of the configuration cannot be read.
+fn log_unreadable_entry(incoming: &IncomingRequest, version: u64, entry: &UnreadableEntry) {
+    let request = &incoming.head.request_id;
+    info!(event = "entry_unreadable", request, version, entry = bounded_text(entry));
+}
+
 /// Applies the active configuration to a request.
 ///
 /// # Errors
@@ -156,18 +164,22 @@
 pub(crate) fn admit(site: &Site, incoming: &IncomingRequest) -> Result<RequestPolicy, Code> {
     let configuration = site.configuration().ok_or(Code::NotConfigured)?;
     let host_name = incoming.host_name().ok_or(Code::UnknownPath)?;
-    let route =
-        configuration.route(host_name, incoming.parts.uri.path()).ok_or(Code::UnknownPath)?;
-    let workspace =
-        incoming.head.key.as_deref().and_then(|key| configuration.workspace_of_key(key));
-    if workspace.is_none() && configuration.has_workspaces() && !route.is_public {
-        return Err(Code::UnknownKey);
-    }
     let seed: u64 = rand::random();
+    let (path, key) = (incoming.parts.uri.path(), incoming.head.key.as_deref());
+    let matched = configuration.match_request(host_name, path, key, seed >> 16);
+    let RequestMatch { route, service, workspace } =
+        matched.map_err(|mismatch| match mismatch {
+            Mismatch::UnknownPath => Code::UnknownPath,
+            Mismatch::UnknownKey => Code::UnknownKey,
+            Mismatch::Unreadable(entry) => {
+                log_unreadable_entry(incoming, configuration.version(), entry);
+                Code::ConfigurationUnreadable
+            }
+        })?;
     let wait_ms = incoming.head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     Ok(RequestPolicy {
         work: route.work,
-        service: route.service_for(seed >> 16).to_string(),
+        service: service.to_string(),
         workspace: workspace.map(|workspace| workspace.name.clone()),
         priority: workspace.and_then(|workspace| workspace.priority).unwrap_or(route.priority),
         max_attempts: route.max_attempts,
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -27,9 +27,6 @@
 use crate::site::Site;
 use crate::wire::WireError;
 
-/// Maximum size of a request body while there is no configuration with a limit, in bytes.
-const DEFAULT_MAX_BODY_BYTES: usize = 1 << 20;
-
 /// Timeout of a response head as a multiple of the route's latency target, for calls that may be retried on another
 /// server.
 const HEAD_TIMEOUT_FACTOR: u64 = 3;
@@ -52,8 +49,7 @@
     let received = site.now();
     let (parts, body) = request.into_parts();
     let incoming = IncomingRequest::new(parts, received);
-    let limits = site.configuration().map(|configuration| configuration.limits());
-    let max_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.body_bytes);
+    let max_bytes = site.caller_limits().body_bytes;
     let body = match Limited::new(body, max_bytes).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
--- a/crates/godwit-gateway/src/listeners.rs
+++ b/crates/godwit-gateway/src/listeners.rs
@@ -33,10 +33,6 @@
 /// Delay after a failed accept, which prevents a busy loop while the file descriptor table is full.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Time that a caller may take to send a request head, including the idle time before it, while no configuration is
-/// active.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(15_000);
-
 /// Largest buffer of a caller's connection, in bytes, which limits the size of a request head.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -84,9 +80,7 @@
 }
 
 async fn serve_caller(site: Rc<Site>, stream: TcpStream, mut stopping: watch::Receiver<bool>) {
-    let limits = site.configuration().map(|configuration| configuration.limits());
-    let idle_timeout =
-        limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| Duration::from_millis(limits.idle_timeout_ms));
+    let idle_timeout = Duration::from_millis(site.caller_limits().idle_timeout_ms);
     let service = service_fn(move |request: Request<Incoming>| serve(site.clone(), request));
     let mut builder = http1::Builder::new();
     builder
--- a/crates/godwit-gateway/src/replica/apply.rs
+++ b/crates/godwit-gateway/src/replica/apply.rs
@@ -99,7 +99,7 @@
             return;
         };
         match decode_configuration(&specification) {
-            Ok(configuration) => self.set_configuration(configuration),
+            Ok(decoded) => self.set_configuration(decoded),
             Err(error) => {
                 let cause = bounded_text(&error);
                 error!(event = "configuration_unreadable", revision = object.version, cause);
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -4,23 +4,24 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use godwit_adapter::PlatformSettings;
+use godwit_adapter::{DecodedConfiguration, PlatformSettings};
 use godwit_core::SteadyMs;
 use godwit_core::quarantine::CrashRegister;
 use godwit_core::replica::{ObjectReplica, ReaderLimits, ReaderSelection, SkipLimits};
 use godwit_core::site::{
-    Configuration, DetourHosts, Findings, FreshnessTracker, HealthLimits, HoldOffs, HostCensus,
-    LoadTable, PeerHost, RegistryLimits, Relay, RelayLimits, RetryBudget, RetryLimits,
+    CallerLimits, Configuration, DetourHosts, Findings, FreshnessTracker, HealthLimits, HoldOffs,
+    HostCensus, LoadTable, PeerHost, RegistryLimits, Relay, RelayLimits, RetryBudget, RetryLimits,
     ServerHealth, ServerLimits, ServerLinks, ServerRegistry,
 };
 use tokio::sync::{Notify, OnceCell, watch};
-use tracing::info;
+use tracing::{error, info};
 
 use crate::clock::Clock;
 use crate::detour::IdleChannel;
 use crate::forward::{Runs, ServerCheck, log_status_changes};
 use crate::pool::ConnectionPool;
 use crate::replica::ObjectKind;
+use crate::store::{MAX_NAMES, bounded_text};
 
 /// Time for which a missing server entry is kept after a store outage, in milliseconds. Servers are listed
 /// again within about two seconds.
@@ -55,6 +56,17 @@
     incarnation.rsplit_once('/').map_or(incarnation, |(id, _)| id)
 }
 
+/// Logs and counts the entries of a configuration that cannot be read.
+fn log_unreadable_entries(decoded: &DecodedConfiguration) {
+    let (version, entries) = (decoded.configuration.version(), decoded.configuration.unreadable());
+    metrics::gauge!("configuration_entries_unreadable").set(entries.len() as f64);
+    if let Some(cause) = &decoded.cause {
+        let names: Vec<String> = entries.iter().take(MAX_NAMES).map(bounded_text).collect();
+        let (count, cause) = (entries.len(), bounded_text(cause));
+        error!(event = "configuration_entries_unreadable", version, count, ?names, cause);
+    }
+}
+
 /// State of a host.
 pub(crate) struct Site {
     pub(crate) settings: PlatformSettings,
@@ -196,15 +208,22 @@
         self.configuration.borrow().clone()
     }
 
+    /// Returns the limits on the requests of callers.
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        let configuration = self.configuration.borrow();
+        configuration.as_ref().map_or(CallerLimits::DEFAULT, |active| active.limits())
+    }
+
     /// Activates a configuration if its version is newer than the current one.
-    pub(crate) fn set_configuration(&self, configuration: Configuration) {
+    pub(crate) fn set_configuration(&self, decoded: DecodedConfiguration) {
         let mut current = self.configuration.borrow_mut();
-        let version = configuration.version();
+        let version = decoded.configuration.version();
         let old_version = current.as_ref().map(|known| known.version());
         let is_newer = old_version.is_none_or(|old| version > old);
         info!(event = "configuration", version, ?old_version, in_force = is_newer);
         if is_newer {
-            *current = Some(Rc::new(configuration));
+            log_unreadable_entries(&decoded);
+            *current = Some(Rc::new(decoded.configuration.following(current.as_deref())));
         }
     }
 
--- a/crates/godwit-gateway/src/store/mod.rs
+++ b/crates/godwit-gateway/src/store/mod.rs
@@ -10,4 +10,4 @@
 pub(crate) use hosts::maintain_host_record;
 pub(crate) use list_watch::list_and_watch;
 pub(crate) use quarantines::{StoredQuarantine, restore_quarantines};
-pub(crate) use unreadable::{NameSample, bounded_text};
+pub(crate) use unreadable::{MAX_NAMES, NameSample, bounded_text};
--- a/crates/godwit-gateway/src/store/unreadable.rs
+++ b/crates/godwit-gateway/src/store/unreadable.rs
@@ -8,7 +8,7 @@
 use crate::site::Site;
 
 /// Names in one line of the log.
-const MAX_NAMES: usize = 5;
+pub(crate) const MAX_NAMES: usize = 5;
 
 /// Characters of a name or a cause in the log.
 const MAX_TEXT_CHARS: usize = 120;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod broken_answers;
 mod broken_exchanges;
 mod calls;
+mod configurations;
 mod crashes;
 mod cut_heads;
 mod detours;
