Show how late hosts notice that the network lost their connections

The tests' proxies could hold bytes, which all arrive in the end, or reset connections, which hosts notice at once. In the incident with old configurations neither seems to have happened: connections stayed open and nothing came back.

A proxy now loses, from a moment on, all bytes in both directions of the connections that are open, and of those opened within a given time after that. They stay open, the kernel answers keepalive probes, and later connections work. An end of the store's side is not passed on either.

Six tests with six hosts: a new configuration, or a server in place of the only one, which has ended, 3 s after the loss, with new connections that work at once, or are silent for 1 s or 4 s. All hosts must use it 2 s after the change or the end of the silence, whichever is later. They go on measuring for 30 s, so that a failure tells the time.

--- a/tests/gateway/links.rs
+++ b/tests/gateway/links.rs
@@ -8,7 +8,7 @@
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 
 use crate::host::unused_loopback_address;
-use crate::soak::{ProxyMode, proxy_connection};
+use crate::soak::{ProxyMode, ProxyState, proxy_connection};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(3);
 
@@ -129,7 +129,7 @@
     sound: TcpListener,
     states: &Mutex<LinkStates>,
 ) {
-    let mode = Arc::new(Mutex::new(ProxyMode::Forward));
+    let state: Arc<ProxyState> = Arc::default();
     let mut applied = LinkState::Sound;
     let mut listener = Some(sound);
     let mut filling = Vec::new();
@@ -143,7 +143,7 @@
         };
         if wanted != applied {
             applied = wanted;
-            *mode.lock().expect("no panic") = wanted.connection_mode();
+            state.set(wanted.connection_mode());
             drop(listener.take());
             filling.clear();
             listener = match wanted {
@@ -166,7 +166,7 @@
                 // The server may have ended.
                 let server = *server.lock().expect("no panic");
                 if let Ok(upstream) = TcpStream::connect(server) {
-                    proxy_connection(client, upstream, &mode);
+                    proxy_connection(client, upstream, &state);
                 }
             }
             Some(Err(error)) if error.kind() != ErrorKind::WouldBlock => {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod readers;
 mod repeated_answers;
 mod server;
+mod silences;
 mod soak;
 mod store;
 mod streams;
--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -16,7 +16,7 @@
 use crate::store::FakeStore;
 
 /// Time within which hosts use a new configuration: the `ConfigApplyMs` of the smallest sites.
-const CONFIG_APPLY_TIME: Duration = Duration::from_millis(2_000);
+pub(crate) const CONFIG_APPLY_TIME: Duration = Duration::from_millis(2_000);
 
 /// Number of hosts of each failure domain that read the store.
 const READERS: usize = 2;
@@ -39,7 +39,7 @@
 /// Time after which the roles of the hosts no longer change: a host follows after the list of hosts is complete.
 const SETTLE_TIME: Duration = Duration::from_millis(4_000);
 
-fn status(host: &Host, path: &str) -> u16 {
+pub(crate) fn status(host: &Host, path: &str) -> u16 {
     host.call("GET", path, b"").map_or(0, |response| response.status())
 }
 
@@ -47,22 +47,22 @@
     host.metrics().lines().any(|line| line == "reads_store 1")
 }
 
-struct Cluster {
-    store: FakeStore,
-    _server: FakeServer,
-    hosts: Vec<Host>,
+pub(crate) struct Cluster {
+    pub(crate) store: FakeStore,
+    /// The server `s-1`.
+    pub(crate) server: FakeServer,
+    pub(crate) hosts: Vec<Host>,
     /// The way of each host to the store.
-    proxies: Vec<Proxy>,
+    pub(crate) proxies: Vec<Proxy>,
 }
 
 impl Cluster {
-    fn start(count: usize) -> Cluster {
+    pub(crate) fn start(count: usize) -> Cluster {
         let server = FakeServer::start("s-1", &[Behavior::Respond]);
         let store = FakeStore::start();
         store.put("config", "main", configuration(1));
         store.put("servers", "s-1", server.entry("api", None));
-        let mut cluster =
-            Cluster { store, _server: server, hosts: Vec::new(), proxies: Vec::new() };
+        let mut cluster = Cluster { store, server, hosts: Vec::new(), proxies: Vec::new() };
         for index in 0..count {
             let proxy = Proxy::start(cluster.store.address);
             let name = format!("front-hall-a-{index}");
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -26,7 +26,7 @@
 use invariants::{MAX_RUN_TO_END, Runs, find_held_off_sends, find_late_sends, find_violations};
 use limits::{find_excess, name_limits};
 use odd_entries::OddEntry;
-pub(crate) use proxy::{Proxy, ProxyMode, proxy_connection};
+pub(crate) use proxy::{Proxy, ProxyMode, ProxyState, proxy_connection};
 
 use crate::host::{delete_logs, keep_logs};
 use crate::server::{
