Show that hosts take a store from an older copy for old

In a drill the users' store goes away and comes back from a copy some seconds old. Its revisions go back and are given out again; hosts hold everything up to the newest revision that they have seen, and take what the store lists and sends from then on for old.

The fake store names its era in `Store-Era`, can go away and come back from a copy of an earlier moment, cuts the watches that wait, and answers 410 to a watch from a revision that it does not have.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod cut_heads;
 mod detours;
+mod drills;
 mod endless;
 mod fleet;
 mod host;
--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -47,6 +47,7 @@
     host.metrics().lines().any(|line| line == "reads_store 1")
 }
 
+/// Hosts of one failure domain before a store.
 pub(crate) struct Cluster {
     pub(crate) store: FakeStore,
     /// The server `s-1`.
@@ -58,8 +59,12 @@
 
 impl Cluster {
     pub(crate) fn start(count: usize) -> Cluster {
+        Cluster::start_with_store(FakeStore::start(), count)
+    }
+
+    /// Starts hosts before an empty store.
+    pub(crate) fn start_with_store(store: FakeStore, count: usize) -> Cluster {
         let server = FakeServer::start("s-1", &[Behavior::Respond]);
-        let store = FakeStore::start();
         store.put("config", "main", configuration(1));
         store.put("servers", "s-1", server.entry("api", None));
         let mut cluster = Cluster { store, server, hosts: Vec::new(), proxies: Vec::new() };
@@ -76,14 +81,14 @@
     }
 
     /// Starts a host again, whose process must have ended or is killed.
-    fn restart(&mut self, index: usize) {
+    pub(crate) fn restart(&mut self, index: usize) {
         let address = self.proxies[index].address;
         let name = format!("front-hall-a-{index}");
         self.hosts[index] = Host::start_with_store_address(self.store.clone(), address, &name);
     }
 
     /// Returns the indices of the hosts that read the store.
-    fn readers(&self) -> Vec<usize> {
+    pub(crate) fn readers(&self) -> Vec<usize> {
         let all = 0..self.hosts.len();
         all.filter(|index| reads_store(&self.hosts[*index])).collect()
     }
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -1,8 +1,8 @@
 //! A fake of the users' store: objects by kind, with revisions, watches and conditional writes.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::{Arc, Condvar, Mutex};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -18,11 +18,33 @@
 /// Size from which a page of a list is complete, in bytes, as on the users' platform.
 const PAGE_BYTES: usize = 1 << 20;
 
-#[derive(Default)]
-struct Objects {
+/// Header that names the era of the store in its answers.
+const ERA_HEADER: &str = "Store-Era";
+
+/// How the answers of the store name its era.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum EraHeader {
+    #[default]
+    Sent,
+    Absent,
+    Unreadable,
+}
+
+/// What the store holds, and returns to if it comes back from an older copy.
+#[derive(Clone, Default)]
+pub(crate) struct StoreCopy {
     revision: u64,
     by_key: BTreeMap<(String, String), Value>,
     changes: Vec<(u64, String, Value)>,
+}
+
+#[derive(Default)]
+struct Objects {
+    held: StoreCopy,
+    era: u64,
+    era_header: EraHeader,
+    /// Whether connections end without an answer.
+    is_away: bool,
     /// Number of watches that will hang, by kind.
     hanging_watches: BTreeMap<String, usize>,
     /// Number of calls so far.
@@ -41,6 +63,22 @@
 /// Addresses at which one host reaches the servers, by their ids.
 pub(crate) type ServerAddresses = Arc<Mutex<BTreeMap<String, SocketAddr>>>;
 
+/// Answer of the store, with the text of its era header.
+struct Answer {
+    status: u16,
+    body: Value,
+    era: Option<String>,
+}
+
+impl Answer {
+    /// Sends the answer, and returns whether the connection is kept.
+    fn send(&self, objects: &(Mutex<Objects>, Condvar), stream: &mut TcpStream) -> bool {
+        let headers: Vec<(&str, &str)> =
+            self.era.iter().map(|era| (ERA_HEADER, era.as_str())).collect();
+        write_response(stream, self.status, &headers, &encode(objects, &self.body))
+    }
+}
+
 /// The fake store; clones share its objects.
 #[derive(Clone)]
 pub(crate) struct FakeStore {
@@ -53,8 +91,7 @@
         let objects: Arc<(Mutex<Objects>, Condvar)> = Arc::default();
         let shared = objects.clone();
         let address = serve_connections(move |request, stream| {
-            let (status, body) = handle_request(&shared, request);
-            write_response(stream, status, &[], &encode(&shared, &body))
+            handle_request(&shared, request).is_some_and(|answer| answer.send(&shared, stream))
         });
         FakeStore { address, objects }
     }
@@ -64,12 +101,44 @@
         let addresses = addresses.clone();
         let objects = self.objects.clone();
         serve_connections(move |request, stream| {
-            let (status, mut body) = handle_request(&objects, request);
-            replace_addresses(&mut body, &addresses.lock().expect("no panic"));
-            write_response(stream, status, &[], &encode(&objects, &body))
+            let Some(mut answer) = handle_request(&objects, request) else { return false };
+            replace_addresses(&mut answer.body, &addresses.lock().expect("no panic"));
+            answer.send(&objects, stream)
         })
     }
 
+    /// Sets how the answers name the era.
+    pub(crate) fn set_era_header(&self, era_header: EraHeader) {
+        self.objects.0.lock().expect("no panic").era_header = era_header;
+    }
+
+    /// Sets the era, before any host knows it.
+    pub(crate) fn set_era(&self, era: u64) {
+        self.objects.0.lock().expect("no panic").era = era;
+    }
+
+    /// Returns a copy of what the store holds.
+    pub(crate) fn copy(&self) -> StoreCopy {
+        self.objects.0.lock().expect("no panic").held.clone()
+    }
+
+    /// Ends all connections with a call, and from now on each call, without an answer.
+    pub(crate) fn go_away(&self) {
+        let (objects, changed) = &*self.objects;
+        objects.lock().expect("no panic").is_away = true;
+        changed.notify_all();
+    }
+
+    /// Comes back from a copy, in the next era. Watches that wait are cut.
+    pub(crate) fn return_from(&self, copy: StoreCopy) {
+        let (objects, changed) = &*self.objects;
+        let mut objects = objects.lock().expect("no panic");
+        objects.held = copy;
+        objects.era += 1;
+        objects.is_away = false;
+        changed.notify_all();
+    }
+
     pub(crate) fn put(&self, kind: &str, name: &str, specification: Value) {
         let (objects, changed) = &*self.objects;
         objects.lock().expect("no panic").write(kind, name, specification);
@@ -105,7 +174,7 @@
     /// Returns the content of an object.
     pub(crate) fn specification(&self, kind: &str, name: &str) -> Option<Value> {
         let objects = self.objects.0.lock().expect("no panic");
-        let object = objects.by_key.get(&(kind.to_string(), name.to_string()))?;
+        let object = objects.held.by_key.get(&(kind.to_string(), name.to_string()))?;
         object.get("Specification").cloned()
     }
 
@@ -118,13 +187,14 @@
     /// Returns the revision of the last change of an object.
     pub(crate) fn revision(&self, kind: &str, name: &str) -> Option<u64> {
         let objects = self.objects.0.lock().expect("no panic");
-        let object = objects.by_key.get(&(kind.to_string(), name.to_string()))?;
+        let object = objects.held.by_key.get(&(kind.to_string(), name.to_string()))?;
         object.pointer("/Metadata/Revision")?.as_u64()
     }
 
     pub(crate) fn remove(&self, kind: &str, name: &str) {
         let (objects, changed) = &*self.objects;
         let mut objects = objects.lock().expect("no panic");
+        let objects = &mut objects.held;
         objects.revision += 1;
         let removed = objects.by_key.remove(&(kind.to_string(), name.to_string()));
         let event = json!({"Removed": true, "Object": removed.expect("the object exists")});
@@ -154,14 +224,24 @@
 
     /// Stores an object under a new revision and records the change for watches.
     fn write(&mut self, kind: &str, name: &str, specification: Value) -> Value {
-        self.revision += 1;
-        let metadata = json!({"Name": name, "Revision": self.revision, "Finalizers": []});
+        let held = &mut self.held;
+        held.revision += 1;
+        let metadata = json!({"Name": name, "Revision": held.revision, "Finalizers": []});
         let object = json!({"Metadata": metadata, "Specification": specification, "Status": null});
-        self.by_key.insert((kind.to_string(), name.to_string()), object.clone());
+        held.by_key.insert((kind.to_string(), name.to_string()), object.clone());
         let event = json!({"Removed": false, "Object": object});
-        self.changes.push((self.revision, kind.to_string(), event));
+        held.changes.push((held.revision, kind.to_string(), event));
         object
     }
+
+    fn answer(&self, status: u16, body: Value) -> Option<Answer> {
+        let era = match self.era_header {
+            EraHeader::Sent => Some(self.era.to_string()),
+            EraHeader::Absent => None,
+            EraHeader::Unreadable => Some("next".to_string()),
+        };
+        Some(Answer { status, body, era })
+    }
 }
 
 /// Returns the numeric query parameter `name` of a request target.
@@ -210,33 +290,42 @@
     found.min_by_key(|(_, at, _)| *at)
 }
 
-/// Handles a call and returns the status and body of its response.
-fn handle_request(objects: &(Mutex<Objects>, Condvar), request: &Message) -> (u16, Value) {
-    objects.0.lock().expect("no panic").calls += 1;
+/// Handles a call and returns the answer; none if the connection ends without one.
+fn handle_request(shared: &(Mutex<Objects>, Condvar), request: &Message) -> Option<Answer> {
+    let mut objects = shared.0.lock().expect("no panic");
+    if objects.is_away {
+        return None;
+    }
+    objects.calls += 1;
     let target = request.start_line_part(1);
     let path = target.split('?').next().unwrap_or_default();
     let mut parts = path.trim_start_matches("/api/objects/").split('/');
     let kind = parts.next().unwrap_or_default();
     match (request.start_line_part(0), parts.next()) {
         ("GET", None) => match query_number(target, "Watch") {
-            Some(revision) => (200, watch(objects, kind, revision, query_number(target, "WaitMs"))),
+            Some(revision) => {
+                watch(objects, &shared.1, kind, revision, query_number(target, "WaitMs"))
+            }
             None => {
-                let mut objects = objects.0.lock().expect("no panic");
                 let page = list(&objects, kind, after_name(target));
                 if page["HasMore"] == true {
                     objects.write_after_first_page(kind);
                 }
-                (200, page)
+                objects.answer(200, page)
             }
         },
-        (method, Some(name)) => write(objects, method, kind, name, &request.body),
-        _ => (400, Value::Null),
+        (method, Some(name)) => {
+            let (status, body) = write(&mut objects, method, kind, name, &request.body);
+            shared.1.notify_all();
+            objects.answer(status, body)
+        }
+        _ => objects.answer(400, Value::Null),
     }
 }
 
 /// Lists the objects of a kind after a name, up to the size of a page.
 fn list(objects: &Objects, kind: &str, after: &str) -> Value {
-    let of_kind = objects.by_key.iter();
+    let of_kind = objects.held.by_key.iter();
     let of_kind = of_kind
         .filter(|((object_kind, name), _)| object_kind == kind && name.as_str() > after)
         .map(|(_, object)| object);
@@ -247,7 +336,7 @@
         bytes += objects.raw_content(object).map_or(0, Vec::len) + object.to_string().len();
         items.push(object);
     }
-    json!({"Items": items, "HasMore": rest.peek().is_some(), "At": objects.revision})
+    json!({"Items": items, "HasMore": rest.peek().is_some(), "At": objects.held.revision})
 }
 
 /// Returns the name after which a list is to start; empty if it starts with the first object.
@@ -256,46 +345,49 @@
     parameters.split('&').find_map(|pair| pair.strip_prefix("After=")).unwrap_or_default()
 }
 
-/// Waits until objects of a kind have changed since `revision`, and returns the changes.
+/// Waits until objects of a kind have changed since `revision`, and returns the changes. A watch from a revision that the
+/// store does not have is answered 410; one that waits is cut when the store goes away or comes back from a copy.
 fn watch(
-    (objects, changed): &(Mutex<Objects>, Condvar),
+    mut objects: MutexGuard<'_, Objects>,
+    changed: &Condvar,
     kind: &str,
     revision: u64,
     wait_ms: Option<u64>,
-) -> Value {
+) -> Option<Answer> {
     let wait = Duration::from_millis(wait_ms.unwrap_or(0)).min(MAX_WATCH_WAIT);
-    let has_no_changes = |objects: &mut Objects| {
-        !objects.changes.iter().any(|(at, changed_kind, _)| *at > revision && changed_kind == kind)
-    };
-    let mut guard = objects.lock().expect("no panic");
-    if let Some(remaining) = guard.hanging_watches.get_mut(kind).filter(|remaining| **remaining > 0)
+    if let Some(remaining) =
+        objects.hanging_watches.get_mut(kind).filter(|remaining| **remaining > 0)
     {
         *remaining -= 1;
-        drop(guard);
+        let answer = objects.answer(200, json!({"events": [], "At": revision}));
+        drop(objects);
         std::thread::sleep(HANG_DURATION);
-        return json!({"events": [], "At": revision});
+        return answer;
     }
-    let (objects, _) = changed.wait_timeout_while(guard, wait, has_no_changes).expect("no panic");
-    let events = objects
-        .changes
-        .iter()
-        .filter(|(at, changed_kind, _)| *at > revision && changed_kind == kind);
+    if revision > objects.held.revision {
+        return objects.answer(410, Value::Null);
+    }
+    let era = objects.era;
+    let is_cut = |objects: &Objects| objects.is_away || objects.era != era;
+    let has_no_changes = |objects: &mut Objects| {
+        let is_newer = |(at, of_kind, _): &(u64, String, Value)| *at > revision && of_kind == kind;
+        !is_cut(objects) && !objects.held.changes.iter().any(is_newer)
+    };
+    let (objects, _) = changed.wait_timeout_while(objects, wait, has_no_changes).expect("no panic");
+    if is_cut(&objects) {
+        return None;
+    }
+    let events = objects.held.changes.iter();
+    let events = events.filter(|(at, of_kind, _)| *at > revision && of_kind == kind);
     let events: Vec<&Value> = events.map(|(_, _, event)| event).collect();
-    json!({"events": events, "At": objects.revision})
+    objects.answer(200, json!({"events": events, "At": objects.held.revision}))
 }
 
 /// Handles a request for one object. A `POST` conflicts with an existing object; another write conflicts if its body
 /// names a revision other than the current one.
-fn write(
-    (objects, changed): &(Mutex<Objects>, Condvar),
-    method: &str,
-    kind: &str,
-    name: &str,
-    body: &[u8],
-) -> (u16, Value) {
-    let mut objects = objects.lock().expect("no panic");
+fn write(objects: &mut Objects, method: &str, kind: &str, name: &str, body: &[u8]) -> (u16, Value) {
     let key = (kind.to_string(), name.to_string());
-    let existing = objects.by_key.get(&key).cloned();
+    let existing = objects.held.by_key.get(&key).cloned();
     if method == "GET" {
         return existing.map_or((404, Value::Null), |object| (200, object));
     }
@@ -309,7 +401,5 @@
             return (409, object);
         }
     }
-    let object = objects.write(kind, name, body["Specification"].clone());
-    changed.notify_all();
-    (200, object)
+    (200, objects.write(kind, name, body["Specification"].clone()))
 }
