Let followers know how old what they hold is

Cause: only readers knew as of when the store had confirmed their copies, so that a refusal of any other host could not tell whether that host was behind, and a follower stayed with a reader whatever the age of what it sent.

The status of a reader now carries, after the changes that they cover, the times as of which its copies were confirmed, and its own time. A reader that says that it can read the store, but whose confirmations are 3 s old, is left. Hosts of the former frame format are not followed. Each host has the gauges configuration_age_ms and confirmation_age_ms{kind}, and logs when a confirmation becomes older than 2 s and when it no longer is.

The false reader of readers_that_stop_are_left sends the status in its new form.

--- a/crates/godwit-core/src/replica/confirmations.rs
+++ b/crates/godwit-core/src/replica/confirmations.rs
@@ -35,6 +35,17 @@
     }
 }
 
+/// The confirmation of a kind has passed a bound, or is within it again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OverdueChange<K> {
+    /// Kind of objects.
+    pub kind: K,
+    /// Whether the confirmation is older than the bound now.
+    pub is_overdue: bool,
+    /// Age of the confirmation in milliseconds.
+    pub age_ms: u64,
+}
+
 /// No change acknowledged before `as_of` is later than `revision`.
 #[derive(Clone, Copy, Debug)]
 struct Proof {
@@ -49,6 +60,7 @@
     confirmed_at: Option<SteadyMs>,
     /// Time as of which a starting host needs a confirmation, and since when one is wanted.
     wanted: Option<(SteadyMs, SteadyMs)>,
+    is_overdue: bool,
 }
 
 impl KindState {
@@ -175,4 +187,20 @@
         let held = states.filter(|state| state.complete_revision > 0);
         held.map(|state| state.due_at(limits, self.asked_at)).min().unwrap_or(SteadyMs::NEVER)
     }
+
+    /// Returns the kinds whose confirmation has become older than `bound_ms`, or younger again, since the last call. A
+    /// kind that was never confirmed is not among them.
+    pub fn take_overdue_changes(&mut self, bound_ms: u64, now: SteadyMs) -> Vec<OverdueChange<K>> {
+        let mut changes = Vec::new();
+        for (kind, state) in &mut self.kinds {
+            let Some(confirmed_at) = state.confirmed_at else { continue };
+            let age_ms = now.since_ms(confirmed_at);
+            let is_overdue = age_ms > bound_ms;
+            if is_overdue != state.is_overdue {
+                state.is_overdue = is_overdue;
+                changes.push(OverdueChange { kind: *kind, is_overdue, age_ms });
+            }
+        }
+        changes
+    }
 }
--- a/crates/godwit-core/tests/replica_confirmations.rs
+++ b/crates/godwit-core/tests/replica_confirmations.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use godwit_core::SteadyMs;
-use godwit_core::replica::{ConfirmationLimits, Confirmations, StoreCall};
+use godwit_core::replica::{ConfirmationLimits, Confirmations, OverdueChange, StoreCall};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -106,6 +106,20 @@
     assert_eq!(confirmations.due_at(KINDS, LIMITS), SteadyMs(330));
 }
 
+#[test]
+fn take_overdue_changes_tells_each_change_once() {
+    let mut confirmations = held([9, 0]);
+    assert_eq!(confirmations.take_overdue_changes(2_000, SteadyMs(9_000)), [], "never confirmed");
+    answer(&mut confirmations, 100, 9);
+    assert_eq!(confirmations.take_overdue_changes(2_000, SteadyMs(2_100)), []);
+    let lost = OverdueChange { kind: "config", is_overdue: true, age_ms: 2_001 };
+    assert_eq!(confirmations.take_overdue_changes(2_000, SteadyMs(2_101)), [lost]);
+    assert_eq!(confirmations.take_overdue_changes(2_000, SteadyMs(2_900)), []);
+    confirmations.record_confirmed("config", SteadyMs(2_500));
+    let regained = OverdueChange { kind: "config", is_overdue: false, age_ms: 450 };
+    assert_eq!(confirmations.take_overdue_changes(2_000, SteadyMs(2_950)), [regained]);
+}
+
 /// One step of a schedule. `pick`, modulo the number of calls under way, selects a call.
 #[derive(Clone, Debug)]
 enum Step {
--- a/crates/godwit-gateway/src/gossip.rs
+++ b/crates/godwit-gateway/src/gossip.rs
@@ -139,6 +139,7 @@
             let now = self.site.now();
             is_behind = self.log_backlog(is_behind);
             self.site.expire(now);
+            self.site.report_confirmation_ages(now);
             let recipients = self.site.relay.borrow_mut().recipients(now);
             for host in recipients.contacts {
                 self.send_report(host.address, Scope::Contact, BTreeMap::new(), 0).await;
--- a/crates/godwit-gateway/src/replica/feed.rs
+++ b/crates/godwit-gateway/src/replica/feed.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use godwit_core::SteadyMs;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
@@ -48,6 +49,13 @@
     }
 }
 
+/// A copy of all objects of a kind, as of when it is confirmed.
+struct ConfirmedCopy {
+    kind: ObjectKind,
+    revision: u64,
+    confirmed_at: SteadyMs,
+}
+
 struct Feed {
     site: Rc<Site>,
     encoded: RefCell<EncodedChanges>,
@@ -89,12 +97,13 @@
             |kind| request.accepts_unconfirmed || self.site.is_confirmed_since(kind, requested_at);
         let mut known: BTreeMap<ObjectKind, u64> = request.known_revisions.into_iter().collect();
         let mut changed = self.site.replicas_changed.subscribe();
+        let mut received_beats = 1;
+        // A follower that is to leave need not wait for the changes.
+        let first_status = self.status(received_beats, requested_at, Vec::new());
+        write_frame(&mut stream, &encode_frame(&first_status)?, WRITE_TIMEOUT).await?;
         loop {
-            let status = FeedMessage::Status {
-                can_read_store: self.site.readers.borrow().can_read_store(),
-                is_stopping: self.site.is_stopping.get(),
-            };
-            write_frame(&mut stream, &encode_frame(&status)?, WRITE_TIMEOUT).await?;
+            // The changes that a confirmation covers go first.
+            let (now, held) = (self.site.now(), self.confirmed_copies());
             for kind in ObjectKind::ALL {
                 let revision = known.entry(kind).or_default();
                 // What a host knows before it starts is lost, so that it could go back to objects of long ago.
@@ -106,15 +115,48 @@
                     *revision = to_revision;
                 }
             }
-            let mut byte = [0];
+            let is_sent = |copy: &&ConfirmedCopy| known[&copy.kind] >= copy.revision;
+            let sent = held.iter().filter(is_sent).map(|copy| (copy.kind, copy.confirmed_at.0));
+            let status = self.status(received_beats, now, sent.collect());
+            write_frame(&mut stream, &encode_frame(&status)?, WRITE_TIMEOUT).await?;
+            let mut beat = [0];
             tokio::select! {
-                // A follower sends nothing after its request, so that any result means that it leaves.
-                _ = stream.read(&mut byte) => return Ok(()),
+                read = stream.read(&mut beat) => {
+                    if read? == 0 {
+                        return Ok(());
+                    }
+                    received_beats += 1;
+                    sleep(CHANGE_DELAY).await;
+                }
                 _ = timeout(STATUS_INTERVAL, changed.changed()) => sleep(CHANGE_DELAY).await,
             }
         }
     }
 
+    fn status(
+        &self,
+        received_beats: u32,
+        now: SteadyMs,
+        confirmed_steady_ms: Vec<(ObjectKind, u64)>,
+    ) -> FeedMessage {
+        FeedMessage::Status {
+            can_read_store: self.site.readers.borrow().can_read_store(),
+            is_stopping: self.site.is_stopping.get(),
+            received_beats,
+            steady_ms: now.0,
+            confirmed_steady_ms,
+        }
+    }
+
+    fn confirmed_copies(&self) -> Vec<ConfirmedCopy> {
+        let replicas = self.site.replicas.borrow();
+        let copies = replicas.iter().filter_map(|(kind, replica)| {
+            let confirmed_at = self.site.confirmed_at(*kind)?;
+            Some(ConfirmedCopy { kind: *kind, revision: replica.complete_revision(), confirmed_at })
+        });
+        copies.collect()
+    }
+
     /// Returns the frame with the changes of a kind since a revision, and the revision up to which it goes; none if there
     /// are none.
     fn encoded_changes(
--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use godwit_core::replica::{ReadPlan, Trouble};
+use godwit_core::SteadyMs;
+use godwit_core::replica::{FollowedClock, ReadPlan, Trouble};
 use godwit_core::site::PeerHost;
 use rand::Rng;
 use tokio::net::TcpStream;
@@ -43,6 +44,13 @@
 /// Interval at which the plan is checked while no host is followed.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Age of a confirmation at which a host that can read the store, by its own account, is left, in milliseconds. Longer
+/// than such a host takes to find that it cannot.
+const MAX_CONFIRMATION_AGE_MS: u64 = 3_000;
+
+/// Byte that a follower sends to compare clocks. Its content says nothing.
+const BEAT: u8 = 0;
+
 /// Why a host is no longer followed.
 #[derive(Debug, thiserror::Error)]
 enum FollowEnd {
@@ -52,6 +60,8 @@
     Connection(#[from] io::Error),
     #[error("it cannot read the store")]
     CannotRead,
+    #[error("the store has not confirmed its objects for too long")]
+    Unconfirmed,
     #[error("it stops")]
     Stopping,
     #[error("other hosts know newer objects")]
@@ -74,9 +84,10 @@
                 _ => Some(Trouble::Unresponsive),
             },
             FollowEnd::Stopping => Some(Trouble::Stopped),
-            FollowEnd::CannotRead | FollowEnd::Behind | FollowEnd::NothingSent => {
-                Some(Trouble::Unable)
-            }
+            FollowEnd::CannotRead
+            | FollowEnd::Unconfirmed
+            | FollowEnd::Behind
+            | FollowEnd::NothingSent => Some(Trouble::Unable),
             FollowEnd::Diverged | FollowEnd::Replaced => None,
         }
     }
@@ -121,6 +132,7 @@
     let connected = connect.unwrap_or_else(|elapsed| Err(elapsed.into()));
     let mut stream = connected.map_err(FollowEnd::NotConnected)?;
     configure_stream(&stream)?;
+    let mut clock = FollowedClock::new(site.now());
     let request = FollowRequest {
         format: FRAME_FORMAT,
         host: site.settings.host.clone(),
@@ -133,14 +145,33 @@
     loop {
         match read_frame(&mut stream, MAX_MESSAGE_BYTES, SILENCE_TIMEOUT).await? {
             FeedMessage::Status { is_stopping: true, .. } => return Err(FollowEnd::Stopping),
-            FeedMessage::Status { can_read_store, .. } => {
+            FeedMessage::Status {
+                can_read_store,
+                received_beats,
+                steady_ms,
+                confirmed_steady_ms,
+                ..
+            } => {
+                clock.record_status(received_beats, SteadyMs(steady_ms));
                 site.record_store_state(can_read_store);
-                if !can_read_store && !site.must_follow(&host.name) {
-                    return Err(FollowEnd::CannotRead);
+                let is_old = |(_, ms): &(ObjectKind, u64)| {
+                    SteadyMs(steady_ms).since_ms(SteadyMs(*ms)) > MAX_CONFIRMATION_AGE_MS
+                };
+                let is_unconfirmed = confirmed_steady_ms.iter().any(is_old);
+                site.record_confirmations(&clock, &confirmed_steady_ms);
+                let is_able = can_read_store && !is_unconfirmed;
+                if !is_able && !site.must_follow(&host.name) {
+                    return Err(match can_read_store {
+                        true => FollowEnd::Unconfirmed,
+                        false => FollowEnd::CannotRead,
+                    });
                 }
-                if can_read_store {
+                if is_able {
                     site.readers.borrow_mut().record_success(&host.name);
                 }
+                if clock.begin_beat(site.now()) {
+                    write_frame(&mut stream, &[BEAT], SILENCE_TIMEOUT).await?;
+                }
             }
             FeedMessage::Changes(kind, changes) => match site.apply_changes(kind, &changes) {
                 Ok(applied) if applied.is_diverged => return Err(FollowEnd::Diverged),
@@ -186,6 +217,22 @@
         next.is_some_and(|next| next.name == name)
     }
 
+    /// Takes over as of when a followed host has found that this host now holds everything.
+    fn record_confirmations(
+        &self,
+        clock: &FollowedClock,
+        confirmed_steady_ms: &[(ObjectKind, u64)],
+    ) {
+        let mut confirmations = self.confirmations.borrow_mut();
+        for (kind, ms) in confirmed_steady_ms {
+            if let Some(as_of) = clock.own_time(SteadyMs(*ms)) {
+                confirmations.record_confirmed(*kind, as_of);
+            }
+        }
+        drop(confirmations);
+        self.confirmations_changed.send_replace(());
+    }
+
     fn known_revisions(&self) -> Vec<(ObjectKind, u64)> {
         let replicas = self.replicas.borrow();
         replicas.iter().map(|(kind, replica)| (*kind, replica.next_from_revision())).collect()
--- a/crates/godwit-gateway/src/replica/frames.rs
+++ b/crates/godwit-gateway/src/replica/frames.rs
@@ -16,7 +16,7 @@
 use crate::replica::ObjectKind;
 
 /// Format of the frames. A host does not follow one that uses another format.
-pub(super) const FRAME_FORMAT: u8 = 1;
+pub(super) const FRAME_FORMAT: u8 = 2;
 
 /// Largest message, in bytes, compressed or not; thousands of servers with their layers.
 pub(super) const MAX_MESSAGE_BYTES: usize = 16 << 20;
@@ -63,6 +63,12 @@
         can_read_store: bool,
         /// Whether the sender stops soon.
         is_stopping: bool,
+        /// Number of beats of the follower that have arrived; its request counts as one.
+        received_beats: u32,
+        /// The time on the sender's monotonic clock when all this was so.
+        steady_ms: u64,
+        /// The times on that clock as of which the receiver now holds everything, by kind.
+        confirmed_steady_ms: Vec<(ObjectKind, u64)>,
     },
     /// Changes of one kind.
     Changes(ObjectKind, ReplicaChanges),
--- a/crates/godwit-gateway/src/replica/state.rs
+++ b/crates/godwit-gateway/src/replica/state.rs
@@ -1,7 +1,7 @@
 //! What this host knows of its copies: how complete they are, when the store confirmed them, and what others know.
 
 use godwit_core::SteadyMs;
-use godwit_core::replica::{ConfirmationLimits, ObjectReplica, StoreCall};
+use godwit_core::replica::{ConfirmationLimits, ObjectReplica, OverdueChange, StoreCall};
 use tracing::warn;
 
 use crate::replica::ObjectKind;
@@ -11,6 +11,10 @@
 const CONFIRMATION_LIMITS: ConfirmationLimits =
     ConfirmationLimits { interval_ms: 1_000, gather_ms: 30 };
 
+/// Age of a confirmation from which on it is overdue, in milliseconds; within this time the smallest sites use a new
+/// configuration.
+const CONFIRMATION_BOUND_MS: u64 = 2_000;
+
 impl Site {
     /// Returns the revision after which changes of a kind are needed; 0 if a listing is.
     pub(crate) fn next_from_revision(&self, kind: ObjectKind) -> u64 {
@@ -54,6 +58,28 @@
         self.confirmed_at(kind).map(|at| self.now().since_ms(at))
     }
 
+    /// Reports how old the confirmations are, and logs which have become too old, or no longer are.
+    pub(crate) fn report_confirmation_ages(&self, now: SteadyMs) {
+        for kind in ObjectKind::ALL {
+            let Some(age_ms) = self.confirmed_at(kind).map(|at| now.since_ms(at)) else { continue };
+            metrics::gauge!("confirmation_age_ms", "kind" => kind.name()).set(age_ms as f64);
+            if kind == ObjectKind::Configuration {
+                metrics::gauge!("configuration_age_ms").set(age_ms as f64);
+            }
+        }
+        let changes =
+            self.confirmations.borrow_mut().take_overdue_changes(CONFIRMATION_BOUND_MS, now);
+        for OverdueChange { kind, is_overdue, age_ms } in changes {
+            let kind = kind.name();
+            if is_overdue {
+                warn!(event = "confirmation_overdue", kind, age_ms);
+                metrics::counter!("confirmations_overdue_total", "kind" => kind).increment(1);
+            } else {
+                warn!(event = "confirmation_regained", kind, age_ms);
+            }
+        }
+    }
+
     /// Whether the objects of a kind are known as of a time or later. If not, a call to the store is made soon.
     pub(crate) fn is_confirmed_since(&self, kind: ObjectKind, at: SteadyMs) -> bool {
         let is_confirmed = self.confirmed_at(kind) >= Some(at);
--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -295,6 +295,53 @@
     }
 }
 
+/// Age of the oldest confirmation of a host from which on it is logged.
+const CONFIRMATION_BOUND_MS: f64 = 2_000.0;
+
+fn oldest_confirmation_ms(host: &Host) -> f64 {
+    let metrics = host.metrics();
+    let ages = metrics.lines().filter_map(|line| line.strip_prefix("confirmation_age_ms{"));
+    let ages = ages.filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok());
+    let ages: Vec<f64> = ages.collect();
+    assert_eq!(ages.len(), KINDS, "{metrics}");
+    ages.into_iter().fold(0.0, f64::max)
+}
+
+/// Hosts that follow others once did not know how old what they held was.
+#[test]
+fn age_of_confirmations_stays_within_its_bound_and_grows_in_an_outage() {
+    const OBSERVED: Duration = Duration::from_secs(5);
+    const OUTAGE: Duration = Duration::from_millis(5_000);
+    let cluster = Cluster::start(6);
+    assert_eq!(cluster.readers().len(), READERS);
+    let until = Instant::now() + OBSERVED;
+    let mut oldest_ms: f64 = 0.0;
+    while Instant::now() < until {
+        cluster
+            .hosts
+            .iter()
+            .for_each(|host| oldest_ms = oldest_ms.max(oldest_confirmation_ms(host)));
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    println!("oldest confirmation {oldest_ms} ms");
+    assert!(oldest_ms <= CONFIRMATION_BOUND_MS, "{oldest_ms} ms");
+    let overdue = |host: &Host| host.metric_sum("confirmations_overdue_total");
+    assert_eq!(cluster.hosts.iter().map(overdue).sum::<f64>(), 0.0);
+    cluster.proxies.iter().for_each(|proxy| proxy.set(ProxyMode::HoldAll));
+    std::thread::sleep(OUTAGE);
+    for host in &cluster.hosts {
+        let age_ms = oldest_confirmation_ms(host);
+        assert!(age_ms >= OUTAGE.as_millis() as f64 - CONFIRMATION_BOUND_MS, "{age_ms} ms");
+        assert_eq!(overdue(host), KINDS as f64);
+    }
+    cluster.proxies.iter().for_each(|proxy| proxy.set(ProxyMode::Forward));
+    std::thread::sleep(CONFIG_APPLY_TIME);
+    for host in &cluster.hosts {
+        let age_ms = host.metric_sum("configuration_age_ms");
+        assert!(age_ms <= CONFIRMATION_BOUND_MS, "{age_ms} ms");
+    }
+}
+
 #[test]
 fn new_server_is_used_in_time_when_the_watches_of_all_readers_are_lost() {
     let cluster = Cluster::start(6);
@@ -383,7 +430,7 @@
 }
 
 /// Content of a frame with the status of a reader that can read the store and stops.
-const STOPPING_STATUS: [u8; 4] = [0, 0, 1, 1];
+const STOPPING_STATUS: [u8; 7] = [0, 0, 1, 1, 1, 0, 0];
 
 /// Number of connections to false readers that stop.
 static STOPPING_CONNECTIONS: AtomicUsize = AtomicUsize::new(0);
