Read the store until a followed host has sent something

A host that read the store and learned of larger hosts stopped reading as soon as it had chosen one to follow, before that one had sent a byte. While nothing came from it (800 ms of silence, 8 s if bytes of a frame trickle in), nobody read, and a change of the configuration was not used. What other hosts know is only looked at after a frame.

That is what false_readers_are_left failed of. In the log of one failure the starting host left the false reader after 1.7 s, read the store and was ready, while the other host had stopped reading 2.3 s earlier and was within the frame of the same false reader, for which it waits up to 8 s; the test wrote version 2 at that moment.

The plan of a host that reads, and can read, stays to read until the host that it follows has sent a status. Hosts that do not read do not begin to, so that their number does not grow.

The clock of the test: each refused request in the failing logs has version=1 and confirmed_ms_ago=6055 and more.

The message of a host that is late now has the last status, and false readers count their connections one by one.

--- a/crates/godwit-core/src/replica/readers.rs
+++ b/crates/godwit-core/src/replica/readers.rs
@@ -61,6 +61,15 @@
     times: u32,
 }
 
+/// The host that another one follows.
+#[derive(Clone, Debug)]
+struct Followed {
+    name: String,
+    since: SteadyMs,
+    /// Whether it has passed on what it reads from the store.
+    passes_on: bool,
+}
+
 /// What a host does to learn of changes.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ReadPlan {
@@ -102,8 +111,9 @@
     skips: BTreeMap<String, Skip>,
     /// Kinds of objects that this host cannot read from the store.
     lost_kinds: BTreeSet<String>,
-    /// Host that is followed, and since when.
-    current: Option<(String, SteadyMs)>,
+    current: Option<Followed>,
+    /// Whether the last plan was to read the store.
+    reads_store: bool,
     /// Time until which no other host is tried, because many cannot read the store.
     tries_again_at: SteadyMs,
 }
@@ -136,6 +146,7 @@
             skips: BTreeMap::new(),
             lost_kinds: BTreeSet::new(),
             current: None,
+            reads_store: false,
             tries_again_at: SteadyMs(0),
         }
     }
@@ -203,9 +214,13 @@
     /// Records that a host passes on what it reads from the store.
     pub fn record_success(&mut self, name: &str) {
         self.skips.remove(name);
+        if let Some(current) = self.current.as_mut().filter(|current| current.name == name) {
+            current.passes_on = true;
+        }
     }
 
-    /// Returns what to do at `now`, while `followers` hosts follow this one.
+    /// Returns what to do at `now`, while `followers` hosts follow this one. A host that reads the store goes on until the
+    /// host that it follows passes on what that one reads.
     pub fn plan(&mut self, followers: usize, now: SteadyMs) -> ReadPlan {
         let own_domain = self.own_domain.clone();
         let designated = self.designated(&own_domain, self.limits.readers_per_domain, now);
@@ -213,16 +228,22 @@
         let reads_store = followers > 0 || is_designated;
         if reads_store && self.can_read_store() {
             self.current = None;
+            self.reads_store = true;
             return ReadPlan { reads_store, follows: None };
         }
         let follows = self.choose(designated, now);
-        let followed = follows.as_ref().map(|host| host.name.clone());
         let known = self.current.take();
-        self.current = followed.map(|name| match known {
-            Some((known, since)) if known == name => (name, since),
-            _ => (name, now),
+        self.current = follows.as_ref().map(|host| {
+            known.filter(|known| known.name == host.name).unwrap_or_else(|| Followed {
+                name: host.name.clone(),
+                since: now,
+                passes_on: false,
+            })
         });
-        ReadPlan { reads_store: reads_store || follows.is_none(), follows }
+        let is_informed = self.current.as_ref().is_some_and(|current| current.passes_on);
+        let goes_on = self.reads_store && self.can_read_store() && !is_informed;
+        self.reads_store = reads_store || follows.is_none() || goes_on;
+        ReadPlan { reads_store: self.reads_store, follows }
     }
 
     /// Whether a host is skipped because of trouble.
@@ -259,14 +280,15 @@
     fn choose(&self, designated: Vec<PeerHost>, now: SteadyMs) -> Option<PeerHost> {
         let all = || self.ranked.values().flatten().filter(|host| host.name != self.own_name);
         let current = self.current.as_ref();
-        let kept = current.filter(|(name, since)| {
-            !self.is_skipped(name, now) && !since.plus_ms(self.limits.reselect_ms).is_past(now)
+        let kept = current.filter(|current| {
+            let reselects_at = current.since.plus_ms(self.limits.reselect_ms);
+            !self.is_skipped(&current.name, now) && !reselects_at.is_past(now)
         });
-        let kept = kept.and_then(|(name, _)| all().find(|host| host.name == *name));
+        let kept = kept.and_then(|current| all().find(|host| host.name == current.name));
         if kept.is_some() {
             return kept.cloned();
         }
-        let is_current = |host: &&PeerHost| current.is_some_and(|(name, _)| *name == host.name);
+        let is_current = |host: &&PeerHost| current.is_some_and(|known| known.name == host.name);
         let responds = |host: &&PeerHost| {
             self.skips.get(&host.name).is_some_and(|skip| skip.trouble == Trouble::Unable)
         };
--- a/crates/godwit-core/tests/replica_readers.rs
+++ b/crates/godwit-core/tests/replica_readers.rs
@@ -70,6 +70,24 @@
     assert!(plan.reads_store && plan.follows.is_none(), "{plan:?}");
 }
 
+/// A host that has just been added may be one that never sends anything.
+#[test]
+fn plan_of_a_reader_reads_the_store_until_the_followed_host_passes_on() {
+    let mut selection = ReaderSelection::new("a-4", "a", 20, LIMITS);
+    assert!(selection.plan(0, SteadyMs(0)).reads_store);
+    selection.set_hosts(hosts());
+    let plan = selection.plan(0, SteadyMs(100));
+    let first = plan.follows.expect("a reader").name;
+    assert!(plan.reads_store, "{first} has sent nothing yet");
+    selection.record_trouble(&first, Trouble::Unresponsive, SteadyMs(900));
+    let plan = selection.plan(0, SteadyMs(900));
+    let second = plan.follows.expect("another reader").name;
+    assert!(first != second && plan.reads_store, "{second} has sent nothing yet");
+    selection.record_success(&second);
+    let plan = selection.plan(0, SteadyMs(910));
+    assert!(!plan.reads_store && plan.follows.is_some(), "{plan:?}");
+}
+
 #[test]
 fn plan_replaces_an_unresponsive_reader_at_once() {
     let mut selection = selection("a-4");
--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
@@ -116,8 +117,13 @@
         self.store.put("config", "main", configuration_with_prefix(version, &prefix));
         let path = format!("{prefix}1");
         for index in hosts {
-            while status(&self.hosts[index], &path) != 200 {
-                assert!(Instant::now() < deadline, "host {index} does not use version {version}");
+            loop {
+                let last = status(&self.hosts[index], &path);
+                if last == 200 {
+                    break;
+                }
+                let is_late = Instant::now() >= deadline;
+                assert!(!is_late, "host {index} does not use version {version}: status {last}");
                 std::thread::sleep(POLL_INTERVAL);
             }
         }
@@ -432,10 +438,15 @@
 /// Content of a frame with the status of a reader that can read the store and stops.
 const STOPPING_STATUS: [u8; 7] = [0, 0, 1, 1, 1, 0, 0];
 
-/// Number of connections to false readers that stop.
-static STOPPING_CONNECTIONS: AtomicUsize = AtomicUsize::new(0);
+/// Puts the record of a host that misbehaves as a reader. Returns the number of connections to it, which grows.
+fn add_false_reader(store: &FakeStore, name: &str, kind: FalseReader) -> Arc<AtomicUsize> {
+    let connections: Arc<AtomicUsize> = Arc::default();
+    let address = start_false_reader(kind, connections.clone());
+    store.put("godwit-hosts", name, false_record(address));
+    connections
+}
 
-fn start_false_reader(kind: FalseReader) -> SocketAddr {
+fn start_false_reader(kind: FalseReader, connections: Arc<AtomicUsize>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("a bound listener has an address");
     let send = move |mut stream: TcpStream| -> std::io::Result<()> {
@@ -459,7 +470,6 @@
                 std::thread::sleep(CONFIG_APPLY_TIME * 10);
             }
             FalseReader::Stopping => {
-                STOPPING_CONNECTIONS.fetch_add(1, Ordering::Relaxed);
                 stream.write_all(&(STOPPING_STATUS.len() as u32).to_be_bytes())?;
                 stream.write_all(&STOPPING_STATUS)?;
                 std::thread::sleep(CONFIG_APPLY_TIME);
@@ -476,6 +486,7 @@
     };
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
+            connections.fetch_add(1, Ordering::Relaxed);
             std::thread::spawn(move || send(stream));
         }
     });
@@ -493,14 +504,16 @@
 #[test]
 fn readers_that_stop_are_left() {
     let cluster = Cluster::start(1);
-    for index in 0..STOPPING_READERS {
-        let record = false_record(start_false_reader(FalseReader::Stopping));
-        cluster.store.put("godwit-hosts", &format!("stopping-{index}"), record);
-    }
+    let readers: Vec<_> = (0..STOPPING_READERS)
+        .map(|index| {
+            let name = format!("stopping-{index}");
+            add_false_reader(&cluster.store, &name, FalseReader::Stopping)
+        })
+        .collect();
     let host = Host::start_with_name(cluster.store.clone(), "front-hall-a-9");
     host.wait_for("readiness", || host.readiness_status() == 200);
     std::thread::sleep(CONFIG_APPLY_TIME);
-    let connections = STOPPING_CONNECTIONS.load(Ordering::Relaxed);
+    let connections: usize = readers.iter().map(|count| count.load(Ordering::Relaxed)).sum();
     println!("{connections} connections");
     assert!(connections <= 10 * STOPPING_READERS, "{connections} connections");
 }
@@ -512,8 +525,7 @@
     for kinds in [[Nothing, OtherBytes], [EndlessFrame, OneByteAtTimes], [HugeMessage, Nothing]] {
         let cluster = Cluster::start(1);
         for (index, kind) in kinds.into_iter().enumerate() {
-            let record = false_record(start_false_reader(kind));
-            cluster.store.put("godwit-hosts", &format!("false-{index}"), record);
+            add_false_reader(&cluster.store, &format!("false-{index}"), kind);
         }
         let host = Host::start_with_name(cluster.store.clone(), "front-hall-a-9");
         // Two frames may take their longest time each, 8 s, before the host reads the store.
@@ -523,3 +535,18 @@
         host.wait_for("the second version", || status(&host, "/version-2/1") == 200);
     }
 }
+
+/// A host once read the store no longer as soon as it had chosen a host to follow, which then sent nothing for 8 s.
+#[test]
+fn change_is_used_by_a_reader_that_begins_to_follow_a_false_one() {
+    use FalseReader::{EndlessFrame, Nothing, OneByteAtTimes};
+    for kind in [Nothing, EndlessFrame, OneByteAtTimes] {
+        let cluster = Cluster::start(1);
+        assert_eq!(cluster.readers(), [0]);
+        let readers =
+            ["false-0", "false-1"].map(|name| add_false_reader(&cluster.store, name, kind));
+        let is_followed = || readers.iter().any(|count| count.load(Ordering::Relaxed) > 0);
+        cluster.hosts[0].wait_for("a host that follows", is_followed);
+        cluster.assert_change_is_used(2, 0..1);
+    }
+}
