Leave a host whose first status does not come as a whole in 800 ms

The first frame that a follower gets is a status of a few bytes, but it was read like a listing of 16 MB: up to 8 s as long as a byte came every 800 ms. A starting host waited that long for a host that sent an endless frame, or one byte at a time.

The first frame has at most 32 bytes and 800 ms in all.

--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -27,6 +27,9 @@
 /// Time without a byte after which a followed host counts as unresponsive; three of its status messages are missing.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Largest first frame of a followed host, in bytes: a status without confirmations.
+const MAX_STATUS_BYTES: usize = 32;
+
 /// Time for which other hosts may know a newer revision before another host is followed, in milliseconds. Longer than
 /// the pause of a reader between two watches.
 const MAX_LAG_MS: u64 = 800;
@@ -142,8 +145,10 @@
     write_frame(&mut stream, &encode_frame(&request)?, SILENCE_TIMEOUT).await?;
     let first_changes_by = site.now().plus_ms(FIRST_CHANGES_TIMEOUT_MS);
     site.restart_lag();
+    let first_frame = read_frame(&mut stream, MAX_STATUS_BYTES, SILENCE_TIMEOUT);
+    let mut message = timeout(SILENCE_TIMEOUT, first_frame).await.map_err(io::Error::from)??;
     loop {
-        match read_frame(&mut stream, MAX_MESSAGE_BYTES, SILENCE_TIMEOUT).await? {
+        match message {
             FeedMessage::Status { is_stopping: true, .. } => return Err(FollowEnd::Stopping),
             FeedMessage::Status {
                 can_read_store,
@@ -191,6 +196,7 @@
         if site.plan_reading().follows.as_ref().is_none_or(|next| next.name != host.name) {
             return Err(FollowEnd::Replaced);
         }
+        message = read_frame(&mut stream, MAX_MESSAGE_BYTES, SILENCE_TIMEOUT).await?;
     }
 }
 
--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -528,7 +528,6 @@
             add_false_reader(&cluster.store, &format!("false-{index}"), kind);
         }
         let host = Host::start_with_name(cluster.store.clone(), "front-hall-a-9");
-        // Two frames may take their longest time each, 8 s, before the host reads the store.
         host.wait_for("readiness", || host.readiness_status() == 200);
         assert!(host.memory_kib() < MEMORY_LIMIT_KIB, "{} KiB", host.memory_kib());
         cluster.assert_change_is_used(2, 0..1);
@@ -550,3 +549,20 @@
         cluster.assert_change_is_used(2, 0..1);
     }
 }
+
+/// A host once waited 8 s for each false reader before it read the store.
+#[test]
+fn starting_host_leaves_readers_whose_first_frame_does_not_end() {
+    use FalseReader::{EndlessFrame, OneByteAtTimes};
+    const START_TIME: Duration = Duration::from_millis(5_000);
+    for kind in [EndlessFrame, OneByteAtTimes] {
+        let cluster = Cluster::start(0);
+        for name in ["false-0", "false-1"] {
+            add_false_reader(&cluster.store, name, kind);
+        }
+        let started = Instant::now();
+        let host = Host::start_with_name(cluster.store.clone(), "front-hall-a-9");
+        host.wait_for("readiness", || host.readiness_status() == 200);
+        assert!(started.elapsed() < START_TIME, "{:?}", started.elapsed());
+    }
+}
