Refuse no unknown key for good where the prefix of a route is lost

Cause: of a route whose prefix cannot be read the requests go to a route of the host with a shorter prefix. If that one needs a key and the lost one is public, a request without a known key got 401, though the configuration allows it.

Change: on a host with such a route, or while a route is lost altogether, an unknown key gets 503 configuration_unreadable.

Left as it is: a request below a lost prefix may run by a public route with a shorter one although the lost one needs a key. Refusing it would refuse all requests of the host.

--- a/crates/godwit-core/src/site/configuration.rs
+++ b/crates/godwit-core/src/site/configuration.rs
@@ -399,7 +399,11 @@
         draw: u64,
     ) -> Result<RequestMatch<'_>, Mismatch<'_>> {
         let route = self.matching_route(host_name, path)?;
-        let workspace = self.workspace_for(route, key)?;
+        let workspace = self.workspace_for(route, key).map_err(|mismatch| match mismatch {
+            // The request may be that of a public route whose prefix is lost.
+            Mismatch::UnknownKey => self.unplaced_route(&bare_host(host_name)).unwrap_or(mismatch),
+            other => other,
+        })?;
         let service = route.service_for(draw);
         self.check_service(service)?;
         Ok(RequestMatch { route, service, workspace })
@@ -422,14 +426,20 @@
             let of_any_host = || index.route_by_prefix.get(prefix).copied().map(Placed::Unreadable);
             of_host.or_else(of_any_host)
         });
-        let unplaced = || index.route_by_host.get(&host_name).copied().or(index.unplaced_route);
-        match placed.or_else(|| unplaced().map(Placed::Unreadable)) {
+        match placed {
             Some(Placed::Route(position)) => Ok(&self.routes[position]),
             Some(Placed::Unreadable(position)) => Err(self.unreadable_at(position)),
-            None => Err(Mismatch::UnknownPath),
+            None => Err(self.unplaced_route(&host_name).unwrap_or(Mismatch::UnknownPath)),
         }
     }
 
+    /// Returns the mismatch with a route that may be of a host and whose prefix is not known.
+    fn unplaced_route(&self, bare_host: &str) -> Option<Mismatch<'_>> {
+        let index = &self.unreadable_index;
+        let position = index.route_by_host.get(bare_host).copied().or(index.unplaced_route);
+        position.map(|position| self.unreadable_at(position))
+    }
+
     fn unreadable_at(&self, position: usize) -> Mismatch<'_> {
         Mismatch::Unreadable(&self.unreadable[position])
     }
--- a/crates/godwit-core/tests/site/configuration.rs
+++ b/crates/godwit-core/tests/site/configuration.rs
@@ -144,6 +144,20 @@
     assert_eq!(found(&lost, "third.example", "/a/1"), "route:?@?:?");
 }
 
+/// The route whose prefix is lost may be public.
+#[test]
+fn key_is_not_unknown_where_the_prefix_of_a_route_is_lost() {
+    for lost in [lost_route(Some("shop.example"), None), lost_route(None, None)] {
+        let configuration = configuration().with_unreadable(vec![lost.clone()]);
+        let found = configuration.match_request("shop.example:80", "/a/1", Some("other"), 0);
+        assert_eq!(found, Err(Mismatch::Unreadable(&lost)));
+    }
+    let elsewhere = vec![lost_route(Some("other.example"), None)];
+    let configuration = configuration().with_unreadable(elsewhere);
+    let found = configuration.match_request("shop.example", "/a/1", Some("other"), 0);
+    assert_eq!(found, Err(Mismatch::UnknownKey));
+}
+
 #[test]
 fn route_of_the_same_requests_is_the_last_one() {
     let routes = vec![route("first", "/a/", &[("s", 1)]), route("last", "/a/", &[("s", 1)])];
