Let the fake store leave watches, lose answers and give them late

The fake store of the tests could let later watches hang, at any host. It could not do what is suspected in the incident with old configurations: leave watches unanswered that already wait.

Each host of the readers' tests now has an address of the store of its own. At some or all of these, for a time, the store leaves watches of a kind unanswered, waiting ones too; loses answers, after which their connections return nothing more; or gives changes and listings of a kind late. It can also forget its history, so that watches end and readers fetch listings.

--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -72,6 +72,8 @@
     pub(crate) hosts: Vec<Host>,
     /// The way of each host to the store.
     pub(crate) proxies: Vec<Proxy>,
+    /// The address of the store behind each of these.
+    pub(crate) store_addresses: Vec<SocketAddr>,
 }
 
 impl Cluster {
@@ -84,9 +86,17 @@
         let server = FakeServer::start("s-1", &[Behavior::Respond]);
         store.put("config", "main", configuration(1));
         store.put("servers", "s-1", server.entry("api", None));
-        let mut cluster = Cluster { store, server, hosts: Vec::new(), proxies: Vec::new() };
+        let mut cluster = Cluster {
+            store,
+            server,
+            hosts: Vec::new(),
+            proxies: Vec::new(),
+            store_addresses: Vec::new(),
+        };
         for index in 0..count {
-            let proxy = Proxy::start(cluster.store.address);
+            let store_address = cluster.store.another_address();
+            cluster.store_addresses.push(store_address);
+            let proxy = Proxy::start(store_address);
             let name = format!("front-hall-a-{index}");
             let host = Host::start_with_store_address(cluster.store.clone(), proxy.address, &name);
             cluster.hosts.push(host);
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -1,9 +1,10 @@
 //! A fake of the users' store: objects by kind, with revisions, watches and conditional writes.
 
 use std::collections::BTreeMap;
+use std::io::Read;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -18,6 +19,8 @@
 /// Longest wait of a watch that asks only for what has changed.
 const QUICK_WATCH_WAIT: Duration = Duration::from_millis(1);
 
+const STATUS_OK: u16 = 200;
+
 /// Size from which a page of a list is complete, in bytes, as on the users' platform.
 const PAGE_BYTES: usize = 1 << 20;
 
@@ -39,6 +42,26 @@
     revision: u64,
     by_key: BTreeMap<(String, String), Value>,
     changes: Vec<(u64, String, Value)>,
+    /// Watches from revisions before this one are refused.
+    history_from: u64,
+}
+
+/// What happens for a time to answers that the store gives at an address.
+#[derive(Clone, Debug)]
+pub(crate) enum AnswerFault {
+    /// Watches of a kind that wait or begin in this time are never answered.
+    HangWatches(&'static str),
+    /// Answers due in this time are lost, and so is all that follows on their connections.
+    Lose,
+    /// Changes and listings of a kind that are due in this time are given later by a duration.
+    Delay(&'static str, Duration),
+}
+
+/// What becomes of an answer.
+enum Fate {
+    Given,
+    Delayed(Duration),
+    Lost,
 }
 
 #[derive(Default)]
@@ -56,6 +79,10 @@
     after_first_page: Vec<(String, String, Value)>,
     /// Contents that are sent byte for byte, each in place of its [`raw_mark`].
     raw: Vec<Vec<u8>>,
+    /// The addresses of faults, and when the faults end.
+    faults: Vec<(SocketAddr, AnswerFault, Instant)>,
+    /// Number of answers that faults have lost or delayed.
+    faulty_answers: usize,
 }
 
 /// Stands in an object for the content of this number.
@@ -74,8 +101,29 @@
 }
 
 impl Answer {
-    /// Sends the answer, and returns whether the connection is kept.
-    fn send(&self, objects: &(Mutex<Objects>, Condvar), stream: &mut TcpStream) -> bool {
+    /// Sends the answer to a call that began at a time, unless it is lost. Returns whether the connection is kept.
+    fn send(
+        &self,
+        objects: &(Mutex<Objects>, Condvar),
+        request: &Message,
+        began_at: Instant,
+        stream: &mut TcpStream,
+    ) -> bool {
+        let address = stream.local_addr().expect("a connected socket has an address");
+        let fate = {
+            let mut objects = objects.0.lock().expect("no panic");
+            let fate = objects.fate(address, request, began_at, self.status);
+            objects.faulty_answers += usize::from(!matches!(fate, Fate::Given));
+            fate
+        };
+        match fate {
+            Fate::Given => {}
+            Fate::Delayed(delay) => std::thread::sleep(delay),
+            Fate::Lost => {
+                while stream.read(&mut [0; 1024]).is_ok_and(|count| count > 0) {}
+                return false;
+            }
+        }
         let headers: Vec<(&str, &str)> =
             self.era.iter().map(|era| (ERA_HEADER, era.as_str())).collect();
         write_response(stream, self.status, &headers, &encode(objects, &self.body))
@@ -94,22 +142,56 @@
         let objects: Arc<(Mutex<Objects>, Condvar)> = Arc::default();
         let shared = objects.clone();
         let address = serve_connections(move |request, stream| {
-            handle_request(&shared, request).is_some_and(|answer| answer.send(&shared, stream))
+            let began_at = Instant::now();
+            handle_request(&shared, request)
+                .is_some_and(|answer| answer.send(&shared, request, began_at, stream))
         });
         FakeStore { address, objects }
     }
 
+    /// Returns another address of the store, such as that of one host.
+    pub(crate) fn another_address(&self) -> SocketAddr {
+        self.with_server_addresses(&ServerAddresses::default())
+    }
+
     /// Returns another address of the store, at which the entries of the servers have the given addresses.
     pub(crate) fn with_server_addresses(&self, addresses: &ServerAddresses) -> SocketAddr {
         let addresses = addresses.clone();
         let objects = self.objects.clone();
         serve_connections(move |request, stream| {
+            let began_at = Instant::now();
             let Some(mut answer) = handle_request(&objects, request) else { return false };
             replace_addresses(&mut answer.body, &addresses.lock().expect("no panic"));
-            answer.send(&objects, stream)
+            answer.send(&objects, request, began_at, stream)
         })
     }
 
+    /// Lets answers at some addresses fail for a time.
+    pub(crate) fn disturb(
+        &self,
+        addresses: &[SocketAddr],
+        fault: &AnswerFault,
+        for_time: Duration,
+    ) {
+        let until = Instant::now() + for_time;
+        let faults = addresses.iter().map(|address| (*address, fault.clone(), until));
+        self.objects.0.lock().expect("no panic").faults.extend(faults);
+    }
+
+    /// Returns the number of answers that were lost or late so far.
+    pub(crate) fn faulty_answers(&self) -> usize {
+        self.objects.0.lock().expect("no panic").faulty_answers
+    }
+
+    /// Forgets all changes so far, also for watches that wait.
+    pub(crate) fn forget_history(&self) {
+        let (objects, changed) = &*self.objects;
+        let held = &mut objects.lock().expect("no panic").held;
+        held.revision += 1;
+        held.history_from = held.revision;
+        changed.notify_all();
+    }
+
     /// Sets how the answers name the era.
     pub(crate) fn set_era_header(&self, era_header: EraHeader) {
         self.objects.0.lock().expect("no panic").era_header = era_header;
@@ -208,6 +290,31 @@
 }
 
 impl Objects {
+    /// Returns what becomes of the answer to a call that began at a time and is due now.
+    fn fate(&self, address: SocketAddr, request: &Message, began_at: Instant, status: u16) -> Fate {
+        let now = Instant::now();
+        let target = request.start_line_part(1);
+        let path = target.split('?').next().unwrap_or_default();
+        let is_of = |kind: &str| path.strip_prefix("/api/objects/") == Some(kind);
+        let is_watch = query_number(target, "Watch").is_some();
+        let is_given = status == STATUS_OK;
+        let mut fate = Fate::Given;
+        for (_, fault, until) in self.faults.iter().filter(|(at, _, _)| *at == address) {
+            let (had_begun, is_on) = (began_at < *until, now < *until);
+            match fault {
+                AnswerFault::HangWatches(kind) if had_begun && is_watch && is_of(kind) => {
+                    return Fate::Lost;
+                }
+                AnswerFault::Lose if is_on => return Fate::Lost,
+                AnswerFault::Delay(kind, delay) if is_on && is_given && is_of(kind) => {
+                    fate = Fate::Delayed(*delay);
+                }
+                _ => {}
+            }
+        }
+        fate
+    }
+
     fn write_after_first_page(&mut self, kind: &str) {
         let (due, later) = std::mem::take(&mut self.after_first_page)
             .into_iter()
@@ -371,14 +478,18 @@
     }
     let era = objects.era;
     let is_cut = |objects: &Objects| objects.is_away || objects.era != era;
+    let is_gone = |objects: &Objects| revision < objects.held.history_from;
     let has_no_changes = |objects: &mut Objects| {
         let is_newer = |(at, of_kind, _): &(u64, String, Value)| *at > revision && of_kind == kind;
-        !is_cut(objects) && !objects.held.changes.iter().any(is_newer)
+        !is_cut(objects) && !is_gone(objects) && !objects.held.changes.iter().any(is_newer)
     };
     let (objects, _) = changed.wait_timeout_while(objects, wait, has_no_changes).expect("no panic");
     if is_cut(&objects) {
         return None;
     }
+    if is_gone(&objects) {
+        return objects.answer(410, Value::Null);
+    }
     let events = objects.held.changes.iter();
     let events = events.filter(|(at, of_kind, _)| *at > revision && of_kind == kind);
     let events: Vec<&Value> = events.map(|(_, _, event)| event).collect();
