--- a/crates/godwit-core/src/replica/mod.rs
+++ b/crates/godwit-core/src/replica/mod.rs
@@ -4,10 +4,12 @@
 mod confirmations;
 mod followed_clock;
 mod objects;
+mod position;
 mod readers;
 
 pub use changes::{AppliedChanges, ReplicaChanges, ReplicaGap, WatchEvent, changes_of_watch};
 pub use confirmations::{ConfirmationLimits, Confirmations, OverdueChange, StoreCall};
 pub use followed_clock::FollowedClock;
 pub use objects::{AcceptOutcome, ObjectReplica, ReplicaDigest, StoredObject};
+pub use position::{StorePosition, fencing_number};
 pub use readers::{ReadPlan, ReaderLimits, ReaderSelection, SkipLimits, Trouble, sort_readers};
--- a/crates/godwit-core/src/site/registry.rs
+++ b/crates/godwit-core/src/site/registry.rs
@@ -27,6 +27,8 @@
     server: BackendServer,
     /// Time until which an entry that was removed from the list, but may only have expired, is kept.
     missing_until: Option<SteadyMs>,
+    /// Time until which a ready server that was known to be gone, and is listed by an older copy, counts as draining.
+    doubted_until: Option<SteadyMs>,
 }
 
 /// Known servers by identity.
@@ -48,6 +50,8 @@
     /// Time at which the server was first seen to leave.
     at: SteadyMs,
     born_unix_ms: u64,
+    /// Whether the server was draining, so that this incarnation never takes new work again.
+    is_planned: bool,
 }
 
 impl ServerRegistry {
@@ -83,6 +87,51 @@
         }
     }
 
+    /// Records that the store came back from an older copy, which lacks the servers that registered since. Starts the grace
+    /// period for missing entries.
+    pub fn mark_store_returned(&mut self, now: SteadyMs) {
+        self.grace_ends_at = now.plus_ms(self.limits.lapse_grace_ms);
+    }
+
+    /// Adds or updates an entry that a store lists after it came back from an older copy. What is known of a later time goes
+    /// on: a server that drains, or drained before it was gone, takes no new work in this incarnation; one that was gone without
+    /// that takes none until the grace period ends, in case its removal is written again; a later incarnation stays as if
+    /// its entry were missing.
+    ///
+    /// Follows a call of [`ServerRegistry::mark_store_returned`].
+    pub fn restore(&mut self, server: BackendServer, now: SteadyMs) {
+        let id = server.id.clone();
+        let departure = self.departures.get(&id).copied();
+        let departure = departure.filter(|known| known.born_unix_ms == server.born_unix_ms);
+        if self.get(&id).is_some_and(|known| server.is_earlier_than(known)) {
+            self.remove(&id, now);
+            return;
+        }
+        let known = self.entries.get(&id);
+        let is_doubted = match known {
+            Some(known) => known.doubted_until.is_some(),
+            None => departure.is_some(),
+        };
+        let drains = known.is_some_and(|known| {
+            !is_doubted
+                && known.server.state == ServerState::Draining
+                && known.server.born_unix_ms == server.born_unix_ms
+        });
+        if drains || departure.is_some_and(|known| known.is_planned) {
+            let at = departure.map_or(now, |known| known.at);
+            let born_unix_ms = server.born_unix_ms;
+            let departure = Departure { at, born_unix_ms, is_planned: true };
+            self.announced.entry(id.clone()).or_insert(departure);
+        }
+        self.update(server, now);
+        if let Some(entry) = self.entries.get_mut(&id).filter(|_| is_doubted)
+            && entry.server.state == ServerState::Ready
+        {
+            entry.server.state = ServerState::Draining;
+            entry.doubted_until = Some(self.grace_ends_at);
+        }
+    }
+
     /// Replaces the entries by a complete list of the servers.
     pub fn replace(&mut self, servers: Vec<BackendServer>, now: SteadyMs) {
         let listed: BTreeMap<String, BackendServer> =
@@ -111,7 +160,7 @@
         let was_ready = entry.server.state == ServerState::Ready;
         entry.server.state = ServerState::Draining;
         let server = entry.server.clone();
-        let departure = Departure { at: now, born_unix_ms: server.born_unix_ms };
+        let departure = Departure { at: now, born_unix_ms: server.born_unix_ms, is_planned: true };
         self.announced.entry(server.id.clone()).or_insert(departure);
         self.record_departure(&server, now);
         was_ready
@@ -133,7 +182,8 @@
             ServerState::Draining => self.record_departure(&server, now),
             ServerState::Ready => drop(self.departures.remove(&server.id)),
         }
-        self.entries.insert(server.id.clone(), Entry { server, missing_until: None });
+        self.entries
+            .insert(server.id.clone(), Entry { server, missing_until: None, doubted_until: None });
     }
 
     /// Removes an entry. Within the grace period after a store outage, a ready server is kept until the period ends; a
@@ -157,6 +207,12 @@
         self.departures.retain(|_, departure| is_recent(departure));
         let entries = &self.entries;
         self.announced.retain(|id, departure| entries.contains_key(id) || is_recent(departure));
+        for entry in self.entries.values_mut() {
+            if entry.doubted_until.is_some_and(|until| until.is_past(now)) {
+                entry.doubted_until = None;
+                entry.server.state = ServerState::Ready;
+            }
+        }
         let has_expired =
             |entry: &Entry| entry.missing_until.is_some_and(|until| until.is_past(now));
         let expired: Vec<String> = self
@@ -172,8 +228,10 @@
     }
 
     fn record_departure(&mut self, server: &BackendServer, now: SteadyMs) {
-        let departure = Departure { at: now, born_unix_ms: server.born_unix_ms };
-        self.departures.entry(server.id.clone()).or_insert(departure);
+        let is_planned = server.state == ServerState::Draining;
+        let departure = Departure { at: now, born_unix_ms: server.born_unix_ms, is_planned };
+        let known = self.departures.entry(server.id.clone()).or_insert(departure);
+        known.is_planned |= is_planned && known.born_unix_ms == server.born_unix_ms;
     }
 
     /// Returns the start of the incarnation of a server that is listed, or was until recently.
--- a/crates/godwit-core/src/site/server.rs
+++ b/crates/godwit-core/src/site/server.rs
@@ -58,6 +58,11 @@
 }
 
 impl BackendServer {
+    /// Whether `other` is a different incarnation that began later than `self`.
+    pub fn is_earlier_than(&self, other: &BackendServer) -> bool {
+        self.born_unix_ms < other.born_unix_ms
+    }
+
     /// Whether `newer` is a different incarnation of the server in `self`.
     pub fn was_restarted_as(&self, newer: &BackendServer) -> bool {
         let has_new_start_time = self.born_unix_ms != newer.born_unix_ms;
--- a/crates/godwit-core/tests/site/registry.rs
+++ b/crates/godwit-core/tests/site/registry.rs
@@ -2,7 +2,7 @@
 //! and against removed or draining servers that are kept.
 
 use godwit_core::SteadyMs;
-use godwit_core::site::{RegistryLimits, ServerRegistry, ServerState};
+use godwit_core::site::{BackendServer, RegistryLimits, ServerRegistry, ServerState};
 
 use crate::support::server;
 
@@ -132,3 +132,85 @@
     registry.remove("s-1", SteadyMs(10_100));
     assert_eq!(ids(&registry), ["s-2"]);
 }
+
+fn born(id: &str, born_unix_ms: u64) -> BackendServer {
+    BackendServer { born_unix_ms, ..server(id, "a", "", None) }
+}
+
+fn state(registry: &ServerRegistry, id: &str) -> Option<ServerState> {
+    registry.get(id).map(|server| server.state)
+}
+
+#[test]
+fn registry_keeps_a_server_that_an_older_copy_lacks_for_the_grace_period() {
+    let mut registry = registry();
+    registry.mark_store_returned(SteadyMs(10_000));
+    registry.restore(server("s-2", "a", "", None), SteadyMs(10_000));
+    registry.remove("s-1", SteadyMs(10_000));
+    assert!(registry.expire(SteadyMs(11_999)).is_empty());
+    assert_eq!(ids(&registry), ["s-1", "s-2"]);
+    assert_eq!(registry.expire(SteadyMs(12_000)), ["s-1"]);
+}
+
+#[test]
+fn registry_keeps_draining_what_an_older_copy_lists_as_ready() {
+    let mut registry = registry();
+    registry
+        .update(BackendServer { state: ServerState::Draining, ..born("s-3", 7) }, SteadyMs(1_000));
+    registry.mark_store_returned(SteadyMs(200_000));
+    registry.expire(SteadyMs(200_000));
+    registry.restore(born("s-3", 7), SteadyMs(200_000));
+    assert_eq!(state(&registry, "s-3"), Some(ServerState::Draining));
+    registry.update(born("s-3", 7), SteadyMs(205_000));
+    assert_eq!(state(&registry, "s-3"), Some(ServerState::Draining));
+    registry.update(born("s-3", 8), SteadyMs(206_000));
+    assert_eq!(state(&registry, "s-3"), Some(ServerState::Ready));
+}
+
+#[test]
+fn registry_keeps_draining_what_drained_before_it_was_gone() {
+    let mut registry = registry();
+    registry.update(born("s-3", 7), SteadyMs(1_000));
+    registry.announce_departure("s-3", SteadyMs(2_000));
+    registry.remove("s-3", SteadyMs(4_000));
+    registry.mark_store_returned(SteadyMs(5_000));
+    registry.restore(born("s-3", 7), SteadyMs(5_000));
+    registry.expire(SteadyMs(9_000));
+    assert_eq!(state(&registry, "s-3"), Some(ServerState::Draining));
+}
+
+#[test]
+fn registry_uses_a_server_that_was_gone_after_the_grace_period() {
+    let mut registry = registry();
+    registry.remove("s-1", SteadyMs(9_000));
+    for returned_at in [SteadyMs(10_000), SteadyMs(11_000)] {
+        registry.mark_store_returned(returned_at);
+        registry.restore(server("s-1", "a", "", None), returned_at);
+        assert_eq!(state(&registry, "s-1"), Some(ServerState::Draining));
+    }
+    registry.expire(SteadyMs(12_999));
+    assert_eq!(state(&registry, "s-1"), Some(ServerState::Draining));
+    registry.expire(SteadyMs(13_000));
+    assert_eq!(state(&registry, "s-1"), Some(ServerState::Ready));
+}
+
+#[test]
+fn registry_uses_a_server_that_was_gone_once_its_entry_is_written_again() {
+    let mut registry = registry();
+    registry.remove("s-1", SteadyMs(9_000));
+    registry.mark_store_returned(SteadyMs(10_000));
+    registry.restore(server("s-1", "a", "", None), SteadyMs(10_000));
+    registry.update(server("s-1", "a", "", None), SteadyMs(10_500));
+    assert_eq!(state(&registry, "s-1"), Some(ServerState::Ready));
+}
+
+#[test]
+fn registry_keeps_a_later_incarnation_than_an_older_copy_lists() {
+    let mut registry = registry();
+    registry.update(born("s-3", 8), SteadyMs(1_000));
+    registry.mark_store_returned(SteadyMs(5_000));
+    registry.restore(born("s-3", 7), SteadyMs(5_000));
+    assert_eq!(registry.born_unix_ms("s-3"), Some(8));
+    assert_eq!(state(&registry, "s-3"), Some(ServerState::Ready));
+    assert_eq!(registry.expire(SteadyMs(7_000)), ["s-3"]);
+}
--- a/crates/godwit-gateway/src/coordinator.rs
+++ b/crates/godwit-gateway/src/coordinator.rs
@@ -1,5 +1,5 @@
 //! Reconciliation of the layer layout: orders that tell each server of a split model which layers to hold. Only the
-//! leader sends orders. The revision of the leader object in the store is its fencing number. A host whose conditional
+//! leader sends orders. The revision of the leader object in the store, in the era of the store, is its fencing number. A host whose conditional
 //! update of the object fails, or whose order a server rejects as fenced, sends no more orders until it has written the
 //! object again.
 
@@ -9,10 +9,11 @@
 
 use bytes::Bytes;
 use godwit_adapter::{
-    NewObject, ORDER_PATH, Order, OrderReply, ServerReport, decode_object, decode_order_reply,
-    encode_object, encode_order, object_path,
+    NewObject, ORDER_PATH, Object, Order, OrderReply, ServerReport, decode_object,
+    decode_order_reply, encode_object, encode_order, object_path,
 };
 use godwit_core::SteadyMs;
+use godwit_core::replica::fencing_number;
 use godwit_core::site::{
     BackendServer, LayerAssignment, ModelSpec, missing_layers, plan_layout, plan_moves,
 };
@@ -77,14 +78,18 @@
     Unknown,
     /// Another host wrote the object, which was last read at `read` with this revision.
     Other { revision: u64, read: SteadyMs },
-    /// This host wrote the object, last at `confirmed`; `fence` is the revision and the fencing number.
-    Own { fence: u64, confirmed: SteadyMs },
+    /// This host wrote the object, last at `confirmed`, with this revision.
+    Own { revision: u64, confirmed: SteadyMs },
 }
 
 struct Coordinator {
     site: Rc<Site>,
     store: StoreClient,
     leadership: Leadership,
+    /// Era of the store to which the revision of the leadership belongs.
+    leadership_era: u64,
+    /// Whether this host was the leader when the store came back from an older copy, and may be by the copy.
+    reclaims: bool,
     /// Servers that get no further order until the given time.
     pending: BTreeMap<String, SteadyMs>,
     /// Number of orders that each server incarnation has accepted; an absent entry counts as 0.
@@ -100,11 +105,13 @@
 
 /// Reconciles the layout whenever this host reads the store, for as long as the process runs.
 pub(crate) async fn coordinate(site: Rc<Site>) {
-    let store = StoreClient::new(site.settings.store_address);
+    let store = StoreClient::new(site.settings.store_address, site.store_era.clone());
     let mut coordinator = Coordinator {
         site,
         store,
         leadership: Leadership::Unknown,
+        leadership_era: 0,
+        reclaims: false,
         pending: BTreeMap::new(),
         accepted_orders: BTreeMap::new(),
         empty_since: BTreeMap::new(),
@@ -228,14 +235,22 @@
 
     /// Returns the fencing number if this host is the leader. Renews the leadership or takes it over where needed.
     async fn acquire_leadership(&mut self, now: SteadyMs) -> Option<u64> {
+        let era = self.site.store_era.get();
+        if self.leadership_era < era {
+            // The revision belongs to another object in the copy, if to any.
+            self.reclaims |= matches!(self.leadership, Leadership::Own { .. });
+            self.leadership = Leadership::Unknown;
+            self.leadership_era = era;
+        }
         let expected_revision = match self.leadership {
-            Leadership::Own { fence, confirmed }
+            Leadership::Own { revision, confirmed }
                 if !confirmed.plus_ms(LEADERSHIP_CONFIRM_MS).is_past(now) =>
             {
-                return Some(fence);
+                return Some(fencing_number(era, revision));
             }
-            Leadership::Own { fence, .. } => Some(fence),
+            Leadership::Own { revision, .. } => Some(revision),
             Leadership::Unknown => None,
+            Leadership::Other { revision, .. } if self.reclaims => Some(revision),
             Leadership::Other { revision, read } => {
                 let waited_ms = self.oldest_work_age_ms(now).min(now.since_ms(read));
                 if waited_ms < TAKEOVER_DELAY_MS + self.takeover_jitter_ms {
@@ -263,18 +278,31 @@
                 return None;
             }
         };
+        if reply.is_outdated {
+            return None;
+        }
+        self.leadership_era = reply.era;
+        let was_reclaiming = std::mem::take(&mut self.reclaims);
         let object = decode_object(&reply.body);
         self.leadership = match (reply.status, object) {
-            (200 | 201, Ok(object)) => Leadership::Own { fence: object.revision, confirmed: now },
-            (409, Ok(object)) => Leadership::Other { revision: object.revision, read: now },
+            (200 | 201, Ok(Object { revision, .. })) => {
+                Leadership::Own { revision, confirmed: now }
+            }
+            (409, Ok(Object { revision, specification, .. })) => {
+                let holder =
+                    specification.and_then(|holder| LeaderRecord::deserialize(holder).ok());
+                self.reclaims =
+                    was_reclaiming && holder.is_some_and(|holder| holder.host == record.host);
+                Leadership::Other { revision, read: now }
+            }
             (status, _) => {
                 warn!(event = "holder_not_written", status);
                 Leadership::Unknown
             }
         };
-        info!(event = "holder", right = ?self.leadership);
+        info!(event = "holder", right = ?self.leadership, era = reply.era);
         match self.leadership {
-            Leadership::Own { fence, .. } => Some(fence),
+            Leadership::Own { revision, .. } => Some(fencing_number(reply.era, revision)),
             Leadership::Other { .. } | Leadership::Unknown => None,
         }
     }
--- a/crates/godwit-gateway/src/gossip.rs
+++ b/crates/godwit-gateway/src/gossip.rs
@@ -76,7 +76,7 @@
     crashes: CrashReport,
     /// Number of hosts that the sender knows of, including itself.
     host_count: Option<u32>,
-    /// Newest revision of an object of each kind that the sender knows of.
+    /// Ordinal of the newest store position of an object of each kind that the sender knows of.
     newest_revisions: Vec<(ObjectKind, u64)>,
 }
 
--- a/crates/godwit-gateway/src/replica/apply.rs
+++ b/crates/godwit-gateway/src/replica/apply.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 
 use godwit_adapter::{CONFIGURATION_NAME, decode_configuration, decode_server};
+use godwit_core::SteadyMs;
 use godwit_core::replica::{
-    AppliedChanges, ObjectReplica, ReplicaChanges, ReplicaGap, StoredObject,
+    AppliedChanges, ObjectReplica, ReplicaChanges, ReplicaGap, StorePosition, StoredObject,
 };
 use godwit_core::site::{BackendServer, PeerHost};
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,10 @@
 /// Number of deletions of each kind that are remembered for followers. One that misses more gets a listing.
 const MAX_DELETIONS: usize = 256;
 
+/// Time for which a host that is not listed any more after the store came back from an older copy is kept, in milliseconds;
+/// longer than hosts take to write their records again.
+const UNLISTED_HOST_GRACE_MS: u64 = 4_000;
+
 /// Content of a host's object.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct HostRecord {
@@ -47,6 +52,16 @@
     }
 }
 
+/// Where entries of servers come from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ServerListing {
+    /// The first listing of a store that came back from an older copy.
+    OfOlderCopy,
+    Complete,
+    /// Not a listing.
+    Changes,
+}
+
 fn specification(object: &StoredObject) -> Option<Value> {
     serde_json::from_str(object.text.as_ref()?).ok()
 }
@@ -61,12 +76,20 @@
         kind: ObjectKind,
         changes: &ReplicaChanges,
     ) -> Result<AppliedChanges, ReplicaGap> {
-        let (applied, changed) = {
+        let era = StorePosition::from_ordinal(changes.to_revision).era();
+        // A host that follows another learns of a new era with its first listing.
+        if era > self.store_era.get() {
+            self.store_era.record(era);
+        }
+        let known_era = self.listed_era(kind);
+        let (applied, changed, is_returned) = {
             let mut replicas = self.replicas.borrow_mut();
             let replica = replicas.entry(kind).or_default();
             let is_first = replica.complete_revision() == 0;
-            let applied = replica.apply(changes);
-            let applied = match applied {
+            let is_returned = !is_first && era > known_era;
+            let hosts = is_returned && kind == ObjectKind::Hosts;
+            let before: Vec<StoredObject> = replica.iter().filter(|_| hosts).cloned().collect();
+            let applied = match replica.apply(changes) {
                 Ok(applied) => applied,
                 Err(gap) => {
                     drop(replicas);
@@ -74,19 +97,27 @@
                     return Err(gap);
                 }
             };
+            self.keep_unlisted_hosts(before, replica);
             replica.forget_deletions(MAX_DELETIONS);
             if kind == ObjectKind::Hosts && (is_first || !applied.changed.is_empty()) {
                 self.apply_hosts(replica, is_first, &applied.changed);
             }
             let changed = applied.changed.iter().filter_map(|name| replica.get(name).cloned());
             let changed: Vec<StoredObject> = changed.collect();
-            (applied, changed)
+            (applied, changed, is_returned)
         };
         match kind {
             ObjectKind::Configuration => {
                 changed.iter().for_each(|object| self.apply_configuration(object));
             }
-            ObjectKind::Servers => self.apply_servers(&changed, changes.from_revision == 0),
+            ObjectKind::Servers => {
+                let listing = match changes.from_revision {
+                    0 if is_returned => ServerListing::OfOlderCopy,
+                    0 => ServerListing::Complete,
+                    _ => ServerListing::Changes,
+                };
+                self.apply_servers(&changed, listing);
+            }
             ObjectKind::Hosts => {}
         }
         let mut freshness = self.freshness.borrow_mut();
@@ -104,21 +135,26 @@
             return;
         }
         let Some(specification) = specification(object) else {
-            warn!(event = "configuration_removed", revision = object.version);
+            let revision = StorePosition::from_ordinal(object.version);
+            warn!(event = "configuration_removed", %revision);
             return;
         };
         match decode_configuration(&specification) {
             Ok(decoded) => self.set_configuration(decoded),
             Err(error) => {
                 let cause = bounded_text(&error);
-                error!(event = "configuration_unreadable", revision = object.version, cause);
+                let revision = StorePosition::from_ordinal(object.version);
+                error!(event = "configuration_unreadable", %revision, cause);
             }
         }
     }
 
-    fn apply_servers(&self, changed: &[StoredObject], is_listing: bool) {
-        if is_listing {
-            info!(event = "servers_listed", changed = changed.len());
+    fn apply_servers(&self, changed: &[StoredObject], listing: ServerListing) {
+        if listing != ServerListing::Changes {
+            info!(event = "servers_listed", changed = changed.len(), ?listing);
+        }
+        if listing == ServerListing::OfOlderCopy {
+            self.registry.borrow_mut().mark_store_returned(self.now());
         }
         let mut unreadable = NameSample::default();
         for object in changed {
@@ -128,17 +164,20 @@
                     .ok()
             });
             match server {
-                Some(server) => self.update_server(server, is_listing),
+                Some(server) => self.update_server(server, listing),
                 None => self.remove_server(&object.name),
             }
         }
         unreadable.warn("servers_unreadable");
     }
 
-    fn update_server(&self, server: BackendServer, is_listing: bool) {
+    fn update_server(&self, server: BackendServer, listing: ServerListing) {
         let mut registry = self.registry.borrow_mut();
         let known = registry.get(&server.id);
-        let is_restarted = known.is_some_and(|known| known.was_restarted_as(&server));
+        let is_restarted = known.is_some_and(|known| match listing {
+            ServerListing::OfOlderCopy => known.is_earlier_than(&server),
+            ServerListing::Complete | ServerListing::Changes => known.was_restarted_as(&server),
+        });
         let is_added = known.is_none() || is_restarted;
         if is_restarted {
             self.forget_server(&server.id);
@@ -148,7 +187,7 @@
         }
         let layers =
             server.layers.map_or_else(String::new, |range| format!("{}-{}", range.from, range.to));
-        if !is_listing {
+        if listing == ServerListing::Changes {
             info!(
                 event = "server",
                 server = server.id,
@@ -162,7 +201,12 @@
                 restarted = is_restarted,
             );
         }
-        registry.update(server, self.now());
+        match listing {
+            ServerListing::OfOlderCopy => registry.restore(server, self.now()),
+            ServerListing::Complete | ServerListing::Changes => {
+                registry.update(server, self.now());
+            }
+        }
     }
 
     fn remove_server(&self, id: &str) {
@@ -173,13 +217,47 @@
         }
     }
 
+    /// Keeps the hosts that are not listed any more for a time, in which they write their records again. Otherwise all hosts
+    /// would take other roles when a copy lacks them.
+    fn keep_unlisted_hosts(&self, before: Vec<StoredObject>, replica: &ObjectReplica) {
+        let until = self.now().plus_ms(UNLISTED_HOST_GRACE_MS);
+        let is_deleted = |name: &str| replica.get(name).is_none_or(|held| held.text.is_none());
+        let missing = before.into_iter().filter(|it| it.text.is_some() && is_deleted(&it.name));
+        let missing = missing.map(|object| (object.name.clone(), (object, until)));
+        self.unlisted_hosts.borrow_mut().extend(missing);
+    }
+
+    /// Drops the hosts that have not been listed again in time after the store came back from an older copy.
+    pub(crate) fn expire_unlisted_hosts(&self, now: SteadyMs) {
+        let mut unlisted = self.unlisted_hosts.borrow_mut();
+        let count = unlisted.len();
+        unlisted.retain(|_, (_, until)| !until.is_past(now));
+        let is_changed = unlisted.len() < count;
+        drop(unlisted);
+        if let Some(replica) = self.replicas.borrow().get(&ObjectKind::Hosts).filter(|_| is_changed)
+        {
+            self.apply_hosts(replica, false, &[]);
+        }
+    }
+
+    /// Returns the record of a host as it is listed.
+    pub(crate) fn listed_record(&self, host: &str) -> Option<HostRecord> {
+        let replicas = self.replicas.borrow();
+        let record = replicas.get(&ObjectKind::Hosts)?.get(host)?;
+        HostRecord::deserialize(specification(record)?).ok()
+    }
+
     /// Replaces the list of hosts. With `restores`, takes over the quarantines that the hosts store.
     fn apply_hosts(&self, replica: &ObjectReplica, restores: bool, changed: &[String]) {
         let mut unreadable = NameSample::default();
         let mut peers = Vec::new();
         let mut to_follow = Vec::new();
         let mut detour_hosts = Vec::new();
-        for object in replica.iter().filter(|object| object.text.is_some()) {
+        let is_active = |object: &&StoredObject| object.text.is_some();
+        let mut unlisted = self.unlisted_hosts.borrow_mut();
+        unlisted.retain(|name, _| replica.get(name).as_ref().is_none_or(|it| !is_active(it)));
+        let unlisted = unlisted.values().map(|(object, _)| object);
+        for object in replica.iter().filter(is_active).chain(unlisted) {
             let text = object.text.as_deref().unwrap_or_default();
             match serde_json::from_str::<HostRecord>(text) {
                 Ok(record) => {
--- a/crates/godwit-gateway/src/replica/frames.rs
+++ b/crates/godwit-gateway/src/replica/frames.rs
@@ -50,7 +50,7 @@
     pub(super) host: String,
     /// Whether the follower takes objects that may be old, because it knows no host that can read the store.
     pub(super) accepts_unconfirmed: bool,
-    /// Revision up to which the follower misses nothing, for each kind.
+    /// Ordinal of the store position up to which the follower misses nothing, for each kind.
     pub(super) known_revisions: Vec<(ObjectKind, u64)>,
 }
 
--- a/crates/godwit-gateway/src/replica/state.rs
+++ b/crates/godwit-gateway/src/replica/state.rs
@@ -1,7 +1,9 @@
 //! What this host knows of its copies: how complete they are, when the store confirmed them, and what others know.
 
 use godwit_core::SteadyMs;
-use godwit_core::replica::{ConfirmationLimits, ObjectReplica, OverdueChange, StoreCall};
+use godwit_core::replica::{
+    ConfirmationLimits, ObjectReplica, OverdueChange, StoreCall, StorePosition,
+};
 use tracing::warn;
 
 use crate::replica::ObjectKind;
@@ -16,9 +18,25 @@
 const CONFIRMATION_BOUND_MS: u64 = 2_000;
 
 impl Site {
-    /// Returns the revision after which changes of a kind are needed; 0 if a listing is.
-    pub(crate) fn next_from_revision(&self, kind: ObjectKind) -> u64 {
-        self.replicas.borrow().get(&kind).map_or(0, ObjectReplica::next_from_revision)
+    /// Whether the objects of a kind have been received, so that only changes are needed.
+    pub(crate) fn is_listed(&self, kind: ObjectKind) -> bool {
+        self.replicas.borrow().get(&kind).is_some_and(|replica| replica.next_from_revision() > 0)
+    }
+
+    /// Returns the position after which changes of a kind are needed; none if a listing is, as in each new era of the
+    /// store.
+    pub(crate) fn next_position(&self, kind: ObjectKind) -> Option<StorePosition> {
+        let ordinal =
+            self.replicas.borrow().get(&kind).map_or(0, ObjectReplica::next_from_revision);
+        let position = StorePosition::from_ordinal(ordinal);
+        (ordinal > 0 && position.era() == self.store_era.get()).then_some(position)
+    }
+
+    /// Returns the era in which all objects of a kind were last listed.
+    pub(crate) fn listed_era(&self, kind: ObjectKind) -> u64 {
+        let replicas = self.replicas.borrow();
+        let ordinal = replicas.get(&kind).map_or(0, ObjectReplica::complete_revision);
+        StorePosition::from_ordinal(ordinal).era()
     }
 
     /// Records that the store has no changes since the known revision of a kind.
@@ -29,7 +47,8 @@
 
     /// Records how complete the copy of a kind is now, which earlier answers of the store may confirm.
     pub(crate) fn record_complete(&self, kind: ObjectKind) {
-        let revision = self.next_from_revision(kind);
+        let replicas = self.replicas.borrow();
+        let revision = replicas.get(&kind).map_or(0, ObjectReplica::next_from_revision);
         self.confirmations.borrow_mut().record_complete(kind, revision);
         self.confirmations_changed.send_replace(());
     }
@@ -42,7 +61,8 @@
     /// Records the store's revision in the answer to a call that asked for the newest state.
     pub(crate) fn record_answer(&self, call: StoreCall, revision: u64) {
         if !self.confirmations.borrow_mut().record_answer(call, revision) {
-            warn!(event = "revision_went_back", revision);
+            let revision = StorePosition::from_ordinal(revision);
+            warn!(event = "revision_went_back", %revision);
         }
         self.confirmations_changed.send_replace(());
     }
@@ -95,7 +115,7 @@
         let readers = self.readers.borrow();
         let kinds = ObjectKind::ALL.into_iter();
         let kinds = kinds.filter(|kind| !readers.is_kind_lost(kind.name()));
-        kinds.filter(|kind| self.next_from_revision(*kind) > 0).collect()
+        kinds.filter(|kind| self.next_position(*kind).is_some()).collect()
     }
 
     /// Returns when the store is to be asked for a confirmation. A kind that cannot be read is asked for anyway.
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -8,7 +8,7 @@
 use godwit_core::SteadyMs;
 use godwit_core::quarantine::CrashRegister;
 use godwit_core::replica::{
-    Confirmations, ObjectReplica, ReaderLimits, ReaderSelection, SkipLimits,
+    Confirmations, ObjectReplica, ReaderLimits, ReaderSelection, SkipLimits, StoredObject,
 };
 use godwit_core::site::{
     CallerLimits, Configuration, DetourHosts, Findings, FreshnessTracker, HealthLimits, HoldOffs,
@@ -23,7 +23,7 @@
 use crate::forward::{Runs, ServerCheck, log_status_changes};
 use crate::pool::ConnectionPool;
 use crate::replica::ObjectKind;
-use crate::store::{MAX_NAMES, PendingWatches, bounded_text};
+use crate::store::{KnownEra, MAX_NAMES, PendingWatches, bounded_text};
 
 /// Time for which a missing server entry is kept after a store outage, in milliseconds. Servers are listed
 /// again within about two seconds.
@@ -79,8 +79,11 @@
     pub(crate) relay: RefCell<Relay>,
     pub(crate) health: RefCell<ServerHealth>,
     pub(crate) findings: RefCell<Findings>,
-    /// This host's copies of the objects in the store.
+    pub(crate) store_era: Rc<KnownEra>,
+    /// This host's copies of the objects in the store, whose versions are ordinals of store positions.
     pub(crate) replicas: RefCell<BTreeMap<ObjectKind, ObjectReplica>>,
+    /// Records of hosts that an older copy of the store lacks, each with the time until which it is kept.
+    pub(crate) unlisted_hosts: RefCell<BTreeMap<String, (StoredObject, SteadyMs)>>,
     /// Notified when a copy has changed.
     pub(crate) replicas_changed: watch::Sender<()>,
     /// As of when the store has confirmed these copies.
@@ -169,7 +172,9 @@
             loads: RefCell::new(LoadTable::new(PEER_EXPIRY_MS)),
             health: RefCell::new(ServerHealth::new(health)),
             findings: RefCell::new(Findings::new()),
+            store_era: Rc::new(KnownEra::new()),
             replicas: RefCell::default(),
+            unlisted_hosts: RefCell::default(),
             replicas_changed: watch::Sender::new(()),
             confirmations: RefCell::default(),
             confirmations_changed: watch::Sender::new(()),
@@ -252,6 +257,7 @@
         self.links.borrow_mut().expire(now);
         let expired = self.registry.borrow_mut().expire(now);
         expired.iter().for_each(|id| self.record_server_removal(id));
+        self.expire_unlisted_hosts(now);
         self.expire_limits(now);
     }
 
--- a/crates/godwit-gateway/src/store/client.rs
+++ b/crates/godwit-gateway/src/store/client.rs
@@ -1,11 +1,14 @@
 //! Client of the platform's store.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use godwit_adapter::decode_store_era;
 use tokio::time::timeout;
 
+use crate::store::era::KnownEra;
 use crate::wire::{Connection, OutgoingRequest, WireError};
 
 /// Timeout for opening a connection to the store.
@@ -18,6 +21,10 @@
 pub(crate) struct StoreReply {
     pub(crate) status: u16,
     pub(crate) body: Bytes,
+    /// Era of the store in which it answered.
+    pub(crate) era: u64,
+    /// Whether the store has come back from an older copy since.
+    pub(crate) is_outdated: bool,
     /// Whether the body is larger than [`MAX_RESPONSE_BYTES`], and therefore left out.
     pub(crate) is_too_large: bool,
 }
@@ -35,11 +42,17 @@
 pub(crate) struct StoreClient {
     address: SocketAddr,
     connection: Option<Connection>,
+    known_era: Rc<KnownEra>,
 }
 
 impl StoreClient {
-    pub(crate) fn new(address: SocketAddr) -> StoreClient {
-        StoreClient { address, connection: None }
+    pub(crate) fn new(address: SocketAddr, known_era: Rc<KnownEra>) -> StoreClient {
+        StoreClient { address, connection: None, known_era }
+    }
+
+    /// Returns the newest era of the store that is known.
+    pub(crate) fn known_era(&self) -> u64 {
+        self.known_era.get()
     }
 
     /// Sends one request and reads its response.
@@ -91,13 +104,17 @@
             headers.push(("content-type", b"application/json"));
         }
         let request = OutgoingRequest { method, target, headers, body: body.into() };
+        let known_era = &self.known_era;
+        let era_at_call = known_era.get();
         let response = async {
             let head = timeout(timeouts.head, connection.exchange(&request)).await;
             let head = head.map_err(|_| WireError::TimedOut)??;
+            let era = known_era.of_answer(&decode_store_era(head.header_pairs()), era_at_call);
             let body = connection.read_body_within(MAX_RESPONSE_BYTES).await?;
             let is_too_large = body.is_none();
             let body = body.unwrap_or_default();
-            Ok(StoreReply { status: head.status, body, is_too_large })
+            let is_outdated = era < known_era.get();
+            Ok(StoreReply { status: head.status, body, era, is_outdated, is_too_large })
         };
         let reply =
             timeout(timeouts.response, response).await.map_err(|_| WireError::TimedOut)??;
--- a/crates/godwit-gateway/src/store/confirm.rs
+++ b/crates/godwit-gateway/src/store/confirm.rs
@@ -68,6 +68,7 @@
 /// Asks the store about the first kind, and about the others that its revision shows to have changed.
 async fn ask(site: &Site) {
     let started_at = site.now();
+    let era = site.store_era.get();
     site.confirmations.borrow_mut().record_asked(started_at);
     let mut kinds = site.confirmable_kinds().into_iter();
     let Some(first) = kinds.next() else { return };
@@ -85,6 +86,8 @@
             let brought: Vec<Brought> = brought.into_iter().flatten().collect();
             end_lost_watches(site, &brought).await;
         }
+        // Listings in the new era confirm what they return.
+        Err(_) if site.store_era.get() > era => {}
         Err(error) => {
             let error: StepError = error;
             for kind in ObjectKind::ALL {
@@ -148,8 +151,8 @@
     kind: ObjectKind,
     call: WatchCall,
 ) -> Result<ReplicaChanges, StepError> {
-    let revision = site.next_from_revision(kind);
-    StoreReader::new(site).read_changes(site, kind, revision, call).await
+    let position = site.next_position(kind).ok_or(StepError::NewEra)?;
+    StoreReader::new(site).read_changes(site, kind, position, call).await
 }
 
 /// Reads the changes of a kind, and applies them as those as of the start of the call.
--- a/crates/godwit-gateway/src/store/hosts.rs
+++ b/crates/godwit-gateway/src/store/hosts.rs
@@ -6,7 +6,7 @@
 use godwit_adapter::{
     NewObject, decode_listing, decode_object, encode_object, list_path, object_path,
 };
-use godwit_core::replica::ReplicaChanges;
+use godwit_core::replica::{ReplicaChanges, StorePosition};
 use serde::Deserialize;
 use tokio::time::sleep;
 use tracing::{info, warn};
@@ -97,36 +97,48 @@
     let path = list_path(ObjectKind::Hosts.name(), None, true);
     let reply = client.call("GET", &path, Vec::new(), CALL_TIMEOUT).await;
     let reply = reply.map_err(|error| error.to_string())?;
-    if reply.status != STATUS_OK {
-        return Err(format!("status {}", reply.status));
+    if reply.status != STATUS_OK || reply.is_outdated {
+        return Err(format!("status {}, era {}", reply.status, reply.era));
     }
     let listing = decode_listing(&reply.body).map_err(|error| error.to_string())?;
     let mut unreadable = NameSample::default();
     unreadable.add_nameless(listing.without_metadata);
     let objects = listing.objects.into_iter();
-    let objects = objects.map(|object| stored_object(ObjectKind::Hosts, object, &mut unreadable));
+    let objects = objects
+        .filter_map(|object| stored_object(ObjectKind::Hosts, reply.era, object, &mut unreadable));
     let objects = objects.collect();
-    site.record_unreadable(ObjectKind::Hosts, listing.revision, &unreadable);
-    let changes = ReplicaChanges::listing(listing.revision, objects);
+    let position = StorePosition::new(reply.era, listing.revision);
+    let revision = position.ok_or("the revision is out of range")?.ordinal();
+    site.record_unreadable(ObjectKind::Hosts, revision, &unreadable);
+    let changes = ReplicaChanges::listing(revision, objects);
     site.apply_changes(ObjectKind::Hosts, &changes).map_err(|gap| gap.to_string())?;
     Ok(())
 }
 
 /// Reads the list of hosts once, and keeps this host's object in the store up to date for as long as the process runs.
 pub(crate) async fn maintain_host_record(site: Rc<Site>) {
-    let mut client = StoreClient::new(site.settings.store_address);
+    let mut client = StoreClient::new(site.settings.store_address, site.store_era.clone());
     let mut written: Option<HostRecord> = None;
+    let mut written_in_era = 0;
+    let mut has_restored = false;
     let mut is_list_due = !site.settings.is_first_start;
     loop {
         if is_list_due
-            && site.next_from_revision(ObjectKind::Hosts) == 0
+            && !site.is_listed(ObjectKind::Hosts)
             && let Err(cause) = list_hosts(&site, &mut client).await
         {
             warn!(event = "hosts_not_read", cause);
         }
+        let listed_era = site.listed_era(ObjectKind::Hosts);
+        if listed_era > written_in_era && written.is_some() {
+            written = site.listed_record(&site.settings.host);
+            written_in_era = listed_era;
+        }
         if written.as_ref().is_none_or(|written| !written.is_same(&HostRecord::current(&site))) {
-            match write_own_record(&site, &mut client, written.is_none()).await {
+            written_in_era = site.store_era.get();
+            match write_own_record(&site, &mut client, !has_restored).await {
                 Ok(record) => {
+                    has_restored = true;
                     let quarantines = record.quarantines.len();
                     info!(event = "host_registered", host = site.settings.host, quarantines);
                     written = Some(record);
--- a/crates/godwit-gateway/src/store/list_watch.rs
+++ b/crates/godwit-gateway/src/store/list_watch.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use godwit_adapter::{Change, Object, decode_changes, decode_listing, list_path, watch_path};
-use godwit_core::replica::{ReplicaChanges, StoreCall, StoredObject, WatchEvent, changes_of_watch};
+use godwit_core::replica::{
+    ReplicaChanges, StoreCall, StorePosition, StoredObject, WatchEvent, changes_of_watch,
+};
 use rand::Rng;
 use serde_json::Value;
 use tokio::time::{Instant, sleep, timeout};
@@ -46,6 +48,10 @@
 /// Duration below which a watch counts as quick: changes then follow each other, and the next watch is delayed.
 const QUICK_WATCH_THRESHOLD: Duration = Duration::from_millis(600);
 
+/// Upper bound of the delay of the first call in a new era of the store, so that not all kinds of all readers are listed
+/// at the same moment, in milliseconds.
+const MAX_NEW_ERA_DELAY_MS: u64 = 100;
+
 const STATUS_OK: u16 = 200;
 const STATUS_GONE: u16 = 410;
 
@@ -61,6 +67,11 @@
     }
 }
 
+async fn pause_in_new_era() {
+    let delay_ms = rand::rng().random_range(0..MAX_NEW_ERA_DELAY_MS);
+    sleep(Duration::from_millis(delay_ms)).await;
+}
+
 /// Why a list or a watch failed.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum StepError {
@@ -73,6 +84,9 @@
     /// A later call on another connection brought changes that the watch has not.
     #[error("the watch is lost")]
     WatchLost,
+    /// The store has come back from an older copy, so that the known revisions mean nothing to it.
+    #[error("the store is in a new era")]
+    NewEra,
     /// The response has more than a host can hold.
     #[error("the response is too large")]
     TooLarge,
@@ -127,73 +141,108 @@
 
 impl StoreReader {
     pub(super) fn new(site: &Site) -> StoreReader {
-        StoreReader(StoreClient::new(site.settings.store_address))
+        StoreReader(StoreClient::new(site.settings.store_address, site.store_era.clone()))
     }
 
-    async fn get(&mut self, path: &str, timeouts: CallTimeouts) -> Result<bytes::Bytes, StepError> {
+    /// Returns the body of a response, and the era of the store to which it belongs.
+    async fn get(
+        &mut self,
+        path: &str,
+        timeouts: CallTimeouts,
+    ) -> Result<(bytes::Bytes, u64), StepError> {
+        let known_era = self.0.known_era();
         let reply = self.0.get(path, timeouts).await;
         let reply = reply.map_err(|error| StepError::Call(error.to_string()))?;
+        if reply.era < known_era {
+            return Err(StepError::Call(format!("answer of the earlier era {}", reply.era)));
+        }
+        if reply.is_outdated {
+            return Err(StepError::NewEra);
+        }
         match reply.status {
             STATUS_OK if reply.is_too_large => Err(StepError::TooLarge),
-            STATUS_OK => Ok(reply.body),
+            STATUS_OK => Ok((reply.body, reply.era)),
             STATUS_GONE => Err(StepError::HistoryGone),
             status => Err(StepError::Call(format!("status {status}"))),
         }
     }
 
-    /// Sends a watch, and returns the changes after a revision.
+    /// Sends a watch, and returns the changes after a position.
     pub(super) async fn read_changes(
         &mut self,
         site: &Site,
         kind: ObjectKind,
-        revision: u64,
+        position: StorePosition,
         call: WatchCall,
     ) -> Result<ReplicaChanges, StepError> {
+        let era = site.store_era.get();
+        let revision = position.revision_in(era).ok_or(StepError::NewEra)?;
         let path = watch_path(kind.name(), revision, call.wait_ms, call.may_be_stale);
-        let body = match self.get(&path, call.timeouts).await {
+        let (body, answer_era) = match self.get(&path, call.timeouts).await {
             Err(StepError::TooLarge) => {
                 warn!(event = "changes_too_large", kind = kind.name(), revision);
                 // A list comes in pages.
                 return Err(StepError::HistoryGone);
             }
-            body => body?,
+            answer => answer?,
         };
+        if answer_era != era {
+            return Err(StepError::NewEra);
+        }
         let (changes, to_revision) =
             decode_changes(&body).map_err(|error| StepError::Call(error.to_string()))?;
+        let to_revision = ordinal(era, to_revision)?;
         let mut unreadable = NameSample::default();
         let events = changes
             .into_iter()
-            .filter_map(|change| watch_event(kind, change, &mut unreadable))
+            .filter_map(|change| watch_event(kind, era, change, &mut unreadable))
             .collect();
         site.record_unreadable(kind, to_revision, &unreadable);
-        Ok(changes_of_watch(revision, to_revision, events))
+        Ok(changes_of_watch(position.ordinal(), to_revision, events))
     }
 }
 
+fn ordinal(era: u64, revision: u64) -> Result<u64, StepError> {
+    let position = StorePosition::new(era, revision);
+    let position =
+        position.ok_or_else(|| StepError::Call("the revision is out of range".into()))?;
+    Ok(position.ordinal())
+}
+
 /// Converts an object of the store into the form in which hosts hold it. Content that cannot be read, or is larger than that
 /// of any server or host, is held as null, which names nothing to use; the object still has its name and version, as all
-/// hosts must agree on them.
+/// hosts must agree on them. None if its revision is out of range.
 pub(super) fn stored_object(
     kind: ObjectKind,
+    era: u64,
     object: Object,
     unreadable: &mut NameSample,
-) -> StoredObject {
+) -> Option<StoredObject> {
+    let Some(position) = StorePosition::new(era, object.revision) else {
+        unreadable.add(&object.name);
+        return None;
+    };
     let text = object.specification.map(|specification| specification.to_string());
     let text = text.filter(|text| text.len() <= kind.max_content_bytes());
     let text = text.unwrap_or_else(|| {
         unreadable.add(&object.name);
         Value::Null.to_string()
     });
-    StoredObject { name: object.name, version: object.revision, text: Some(text) }
+    Some(StoredObject { name: object.name, version: position.ordinal(), text: Some(text) })
 }
 
 fn watch_event(
     kind: ObjectKind,
+    era: u64,
     change: Change,
     unreadable: &mut NameSample,
 ) -> Option<WatchEvent> {
     match change {
-        Change::Put(object) => Some(WatchEvent::Written(stored_object(kind, object, unreadable))),
+        Change::Put(object) => {
+            let name = object.name.clone();
+            let stored = stored_object(kind, era, object, unreadable);
+            Some(stored.map_or(WatchEvent::Removed { name }, WatchEvent::Written))
+        }
         Change::Removed { name } => Some(WatchEvent::Removed { name }),
         Change::PutUnreadable { name } => {
             unreadable.add(&name);
@@ -224,21 +273,26 @@
         let mut objects = Vec::new();
         let mut unreadable = NameSample::default();
         let mut after: Option<String> = None;
-        let mut first_revision: Option<u64> = None;
+        let mut first_position: Option<(u64, u64)> = None;
         let timeouts = CallTimeouts { head: LIST_TIMEOUT, response: LIST_TIMEOUT };
         loop {
             let path = list_path(self.kind.name(), after.as_deref(), false);
-            let body = self.client.get(&path, timeouts).await?;
+            let (body, page_era) = self.client.get(&path, timeouts).await?;
             let listing =
                 decode_listing(&body).map_err(|error| StepError::Call(error.to_string()))?;
             // Changes of the first page that happen while the next ones are read come after its revision.
-            let revision = *first_revision.get_or_insert(listing.revision);
+            let (era, revision) = *first_position.get_or_insert((page_era, listing.revision));
+            if page_era != era {
+                return Err(StepError::NewEra);
+            }
             unreadable.add_nameless(listing.without_metadata);
             let stored = listing.objects.into_iter();
-            let stored = stored.map(|object| stored_object(self.kind, object, &mut unreadable));
+            let stored =
+                stored.filter_map(|object| stored_object(self.kind, era, object, &mut unreadable));
             objects.extend(stored);
             let last = listing.last_name;
             if !listing.has_more || last.is_none() || last == after {
+                let revision = ordinal(era, revision)?;
                 self.record_response(site);
                 site.record_unreadable(self.kind, revision, &unreadable);
                 return Ok(ReplicaChanges::listing(revision, objects));
@@ -247,17 +301,23 @@
         }
     }
 
-    async fn watch(&mut self, site: &Site, revision: u64) -> Result<ReplicaChanges, StepError> {
+    async fn watch(
+        &mut self,
+        site: &Site,
+        position: StorePosition,
+    ) -> Result<ReplicaChanges, StepError> {
         let is_lost = site.readers.borrow().is_kind_lost(self.kind.name());
         let call = if is_lost { WatchCall::QUICK } else { WatchCall::WAITING };
         site.record_call(self.kind);
         let kind = self.kind;
-        let _pending = site.pending_watches.begin(kind, revision, site.now());
+        let _pending = site.pending_watches.begin(kind, position.ordinal(), site.now());
         // A watch that was sent while the store was unreachable may hang for its whole wait time after the store has
         // recovered.
         let changes = tokio::select! {
             biased;
-            changes = self.client.read_changes(site, kind, revision, call) => changes,
+            changes = self.client.read_changes(site, kind, position, call) => changes,
+            // The store may keep a watch that waits, and tell another call of the new era.
+            () = site.store_era.raised_above(position.era()) => Err(StepError::NewEra),
             interruption = site.pending_watches.interrupted(kind) => Err(interruption.into()),
             () = wait_until_behind(site, kind) => Err(StepError::Behind),
         }?;
@@ -286,7 +346,12 @@
         let delay_ms = (INITIAL_BACKOFF_MS << doublings).min(longest_ms);
         // Jitter, so that hosts do not retry at the same time.
         let jittered_ms = rand::rng().random_range(delay_ms / 2..=delay_ms);
-        sleep(Duration::from_millis(jittered_ms)).await;
+        let era = site.store_era.get();
+        tokio::select! {
+            () = sleep(Duration::from_millis(jittered_ms)) => {}
+            // Another call was answered by the store that came back.
+            () = site.store_era.raised_above(era) => return pause_in_new_era().await,
+        }
         let other_kind_regained = async {
             while site.readers.borrow().is_other_kind_lost(self.kind.name()) {
                 sleep(OTHER_KIND_POLL_INTERVAL).await;
@@ -299,9 +364,9 @@
     async fn step(&mut self, site: &Site) {
         let started = Instant::now();
         let call = site.begin_call();
-        let step = match site.next_from_revision(self.kind) {
-            0 => self.list(site).await,
-            revision => self.watch(site, revision).await,
+        let step = match site.next_position(self.kind) {
+            None => self.list(site).await,
+            Some(position) => self.watch(site, position).await,
         };
         match step {
             Ok(changes) => {
@@ -315,6 +380,7 @@
                 info!(event = "history_gone", kind = self.kind.name());
                 site.require_listing(self.kind);
             }
+            Err(StepError::NewEra) => pause_in_new_era().await,
             Err(StepError::Behind) => {
                 warn!(event = "watch_hangs", kind = self.kind.name());
                 if self.has_hung {
--- a/crates/godwit-gateway/src/store/mod.rs
+++ b/crates/godwit-gateway/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod confirm;
+mod era;
 mod hosts;
 mod list_watch;
 mod pending;
@@ -10,6 +11,7 @@
 
 pub(crate) use client::StoreClient;
 pub(crate) use confirm::keep_confirmed;
+pub(crate) use era::KnownEra;
 pub(crate) use hosts::maintain_host_record;
 pub(crate) use list_watch::list_and_watch;
 pub(crate) use pending::PendingWatches;
--- a/tests/gateway/drills.rs
+++ b/tests/gateway/drills.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 use crate::host::{API_KEY, Host, configuration, configuration_with_prefix};
-use crate::readers::{CONFIG_APPLY_TIME, Cluster, status};
+use crate::readers::{CONFIG_APPLY_TIME, Cluster, lose_watches, status};
 use crate::server::{Behavior, FakeServer};
 use crate::store::{EraHeader, FakeStore, StoreCopy};
 
@@ -44,8 +44,10 @@
 }
 
 fn drill(store: &FakeStore, copy: &StoreCopy, away: Duration) -> Instant {
-    store.go_away();
-    std::thread::sleep(away);
+    if away > Duration::ZERO {
+        store.go_away();
+        std::thread::sleep(away);
+    }
     store.return_from(copy.clone());
     Instant::now()
 }
@@ -72,11 +74,11 @@
 
 fn assert_changes_are_used(cluster: &Cluster, copy: &StoreCopy, away: Duration) {
     let returned_at = drill(&cluster.store, copy, away);
-    put_version(&cluster.store, 2);
     put_version(&cluster.store, 3);
-    assert_used_by(&cluster.hosts, 3, returned_at + CONFIG_APPLY_TIME);
     put_version(&cluster.store, 4);
-    assert_used_by(&cluster.hosts, 4, Instant::now() + CONFIG_APPLY_TIME);
+    assert_used_by(&cluster.hosts, 4, returned_at + CONFIG_APPLY_TIME);
+    put_version(&cluster.store, 5);
+    assert_used_by(&cluster.hosts, 5, Instant::now() + CONFIG_APPLY_TIME);
 }
 
 #[test]
@@ -86,7 +88,7 @@
 }
 
 #[test]
-fn configuration_is_used_when_only_the_waiting_watches_are_cut() {
+fn configuration_is_used_when_the_store_is_back_at_once() {
     let (cluster, copy) = cluster_with_copy(FakeStore::start());
     assert_changes_are_used(&cluster, &copy, Duration::ZERO);
 }
@@ -99,6 +101,24 @@
     assert_changes_are_used(&cluster, &copy, AWAY_TIME);
 }
 
+/// The watches of the other kinds tell of the return.
+#[test]
+fn configuration_is_used_when_its_watches_hang_during_a_drill() {
+    let (cluster, copy) = cluster_with_copy(FakeStore::start());
+    lose_watches(&cluster, "config", || put_version(&cluster.store, 3));
+    assert_changes_are_used(&cluster, &copy, AWAY_TIME);
+}
+
+/// No watch tells of the return.
+#[test]
+fn configuration_is_used_when_all_watches_hang_during_a_drill() {
+    let (cluster, copy) = cluster_with_copy(FakeStore::start());
+    lose_watches(&cluster, "config", || put_version(&cluster.store, 3));
+    lose_watches(&cluster, "servers", || write_much(&cluster.store));
+    lose_watches(&cluster, "godwit-hosts", || cluster.store.put("godwit-hosts", "none", json!({})));
+    assert_changes_are_used(&cluster, &copy, Duration::ZERO);
+}
+
 /// The counter has passed the revision that hosts know before they ask again, so that their watches are answered.
 #[test]
 fn configuration_is_used_when_lost_revisions_are_given_out_again() {
@@ -247,26 +267,22 @@
     }
 }
 
+/// Hosts that all know of no other would all read the store.
 #[test]
-fn record_of_a_host_that_the_copy_lacks_is_written_again() {
-    let server = FakeServer::start("s-1", &[Behavior::Respond]);
-    let store = FakeStore::start();
-    store.put("config", "main", configuration(1));
-    store.put("servers", "s-1", server.entry("api", None));
-    let copy = store.copy();
-    let hosts = [1, 2, 3].map(|index| {
-        let host = Host::start_with_name(store.clone(), &format!("front-hall-a-{index}"));
-        host.wait_until_ready();
-        host
-    });
-    let returned_at = drill(&store, &copy, AWAY_TIME);
-    let is_registered = |index: usize| {
-        store.specification("godwit-hosts", &format!("front-hall-a-{index}")).is_some()
-    };
-    while !(1..=hosts.len()).all(is_registered) {
+fn records_of_hosts_that_the_copy_lacks_are_written_again() {
+    let cluster = Cluster::start(HOSTS);
+    let readers = cluster.readers();
+    let copy = cluster.store.copy().without("godwit-hosts");
+    let returned_at = drill(&cluster.store, &copy, Duration::ZERO);
+    let is_registered =
+        |index| cluster.store.specification("godwit-hosts", &format!("front-hall-a-{index}"));
+    while !(0..HOSTS).all(|index| is_registered(index).is_some()) {
         assert!(returned_at.elapsed() < CONFIG_APPLY_TIME * 2, "a host is not registered");
+        assert_eq!(cluster.readers(), readers);
         std::thread::sleep(POLL_INTERVAL);
     }
+    std::thread::sleep(CONFIG_APPLY_TIME);
+    assert_eq!(cluster.readers(), readers);
 }
 
 #[test]
@@ -290,6 +306,24 @@
     assert!(fence(&second.orders()[0]) > fence(&orders[orders.len() - 1]));
 }
 
+/// As of a replica of the store that has not followed the return.
+#[test]
+fn answers_of_an_earlier_era_have_no_effect() {
+    let store = FakeStore::start();
+    store.set_era(7);
+    let cluster = Cluster::start_with_store(store, 3);
+    cluster.store.set_era(6);
+    put_version(&cluster.store, 2);
+    let changed_at = Instant::now();
+    while changed_at.elapsed() < CONFIG_APPLY_TIME {
+        assert!(cluster.hosts.iter().all(|host| status(host, "/version-2/1") == 404));
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    cluster.store.set_era(7);
+    // Hosts call again after 2 s at most.
+    assert_used_by(&cluster.hosts, 2, Instant::now() + CONFIG_APPLY_TIME * 2);
+}
+
 #[test]
 fn era_that_is_absent_or_unreadable_changes_nothing() {
     for era_header in [EraHeader::Absent, EraHeader::Unreadable] {
--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -259,7 +259,7 @@
 }
 
 /// Makes the watches of a kind hang that the readers begin after a change.
-fn lose_watches(cluster: &Cluster, kind: &str, change: impl FnOnce()) {
+pub(crate) fn lose_watches(cluster: &Cluster, kind: &str, change: impl FnOnce()) {
     cluster.store.hang_next_watches(kind, READERS);
     change();
     let is_lost = || cluster.store.remaining_hanging_watches(kind) == 0;
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -64,6 +64,16 @@
     Lost,
 }
 
+impl StoreCopy {
+    /// Returns the copy as if no object of a kind had ever been written, nor anything after the last object of another kind.
+    pub(crate) fn without(mut self, kind: &str) -> StoreCopy {
+        self.by_key.retain(|(of_kind, _), _| of_kind != kind);
+        self.changes.retain(|(_, of_kind, _)| of_kind != kind);
+        self.revision = self.changes.last().map_or(0, |(revision, _, _)| *revision);
+        self
+    }
+}
+
 #[derive(Default)]
 struct Objects {
     held: StoreCopy,
@@ -197,7 +207,7 @@
         self.objects.0.lock().expect("no panic").era_header = era_header;
     }
 
-    /// Sets the era, before any host knows it.
+    /// Sets the era that answers name from now on.
     pub(crate) fn set_era(&self, era: u64) {
         self.objects.0.lock().expect("no panic").era = era;
     }
@@ -214,7 +224,7 @@
         changed.notify_all();
     }
 
-    /// Comes back from a copy, in the next era. Watches that wait are cut.
+    /// Comes back from a copy, in the next era.
     pub(crate) fn return_from(&self, copy: StoreCopy) {
         let (objects, changed) = &*self.objects;
         let mut objects = objects.lock().expect("no panic");
@@ -456,7 +466,8 @@
 }
 
 /// Waits until objects of a kind have changed since `revision`, and returns the changes. A watch from a revision that the
-/// store does not have is answered 410; one that waits is cut when the store goes away or comes back from a copy.
+/// store does not have is answered 410, also if it waits when the store comes back from a copy; others that wait are cut then,
+/// or when the store goes away.
 fn watch(
     mut objects: MutexGuard<'_, Objects>,
     changed: &Condvar,
@@ -485,7 +496,8 @@
     };
     let (objects, _) = changed.wait_timeout_while(objects, wait, has_no_changes).expect("no panic");
     if is_cut(&objects) {
-        return None;
+        let has_passed = objects.is_away || revision <= objects.held.revision;
+        return if has_passed { None } else { objects.answer(410, Value::Null) };
     }
     if is_gone(&objects) {
         return objects.answer(410, Value::Null);
