Play older copies of the store in the model of replicas

The store loses up to 7 revisions at a time and gives them out again in the next era, in any order with writes, lists, watches that arrive late, messages between hosts and restarts. Each host holds at any time what the store held at its position, and after one complete listing in the newest era and one exchange all hosts hold what the store holds; the reader's own copy is checked in the end too.

--- a/crates/godwit-core/tests/replica_model/main.rs
+++ b/crates/godwit-core/tests/replica_model/main.rs
@@ -1,4 +1,5 @@
-//! Model test of replicas against a host that misses a change, returns to an older object or restores a deleted one.
+//! Model test of replicas against a host that misses a change, returns to an older object, restores a deleted one, or takes
+//! a store that came back from an older copy for old.
 //!
 //! Hosts list and watch a store, and take changes from each other, in any order and however old these are when they
 //! arrive. `PROPTEST_CASES=20000 cargo test -p godwit-core --release --test replica_model` runs more cases.
@@ -13,6 +14,8 @@
 const HOSTS: usize = 4;
 const OBJECTS: usize = 3;
 const DEFAULT_CASES: u32 = 512;
+/// Revisions (exclusive) that a store loses at a time.
+const MAX_LOST: usize = 8;
 const MAX_STEPS: usize = 80;
 
 /// One step of a schedule. `pick`, modulo the number of messages in flight, selects a message.
@@ -26,6 +29,8 @@
     Watch { host: usize },
     /// The store forgets its history.
     ForgetHistory,
+    /// The store comes back from a copy of some revisions before.
+    Drill { lost: usize },
     /// A host sends another one what it lacks, which arrives later.
     Send { from: usize, to: usize },
     /// A message arrives.
@@ -45,6 +50,7 @@
         2 => host.clone().prop_map(|host| Step::List { host }),
         4 => host.clone().prop_map(|host| Step::Watch { host }),
         1 => Just(Step::ForgetHistory),
+        1 => (1..MAX_LOST).prop_map(|lost| Step::Drill { lost }),
         4 => (host.clone(), host.clone()).prop_map(|(from, to)| Step::Send { from, to }),
         8 => any::<usize>().prop_map(|pick| Step::Deliver { pick }),
         1 => any::<usize>().prop_map(|pick| Step::Lose { pick }),
@@ -95,3 +101,9 @@
     let error = run(InjectedFault::OlderListingsApplied).unwrap_err();
     assert!(error.contains("went back"), "{error}");
 }
+
+#[test]
+fn replica_model_detects_revisions_compared_without_their_era() {
+    let error = run(InjectedFault::ErasIgnored).unwrap_err();
+    assert!(error.contains("differs") || error.contains("does not catch up"), "{error}");
+}
