Answer 503 where a newer configuration may allow what the known one does not

Callers do not come back after 404 or 401.

A host for which it has not been confirmed for 2 s, or never, that it holds the newest configuration now refuses such requests with 503 and Retry-After, code 3019 configuration_unconfirmed: they have not run, and the caller may return or find a host that knows more. Requests that the known version allows are served as before.

--- a/crates/godwit-core/src/code.rs
+++ b/crates/godwit-core/src/code.rs
@@ -149,6 +149,8 @@
         "The servers that could run the request want none before the time in `Retry-After`."
     ConfigurationUnreadable 3018 "configuration_unreadable" NotRun 503 true
         "An entry of the configuration that the request needs cannot be read."
+    ConfigurationUnconfirmed 3019 "configuration_unconfirmed" NotRun 503 true
+        "The configuration in force does not allow the request, but a newer one may."
     OutcomeUnknown 4000 "outcome_unknown" Unknown 502 false
         "The connection to the server was lost; whether the request ran is not known."
     StartedElsewhere 4001 "started_elsewhere" Unknown 409 true
--- a/crates/godwit-gateway/src/forward/admit.rs
+++ b/crates/godwit-gateway/src/forward/admit.rs
@@ -12,6 +12,7 @@
 use http::request::Parts;
 use tracing::info;
 
+use crate::replica::ObjectKind;
 use crate::site::Site;
 use crate::store::bounded_text;
 
@@ -169,6 +170,12 @@
     let matched = configuration.match_request(host_name, path, key, seed >> 16);
     let RequestMatch { route, service, workspace } =
         matched.map_err(|mismatch| match mismatch {
+            // Callers do not come back after 404 or 401, which is wrong if a newer version allows the request.
+            Mismatch::UnknownPath | Mismatch::UnknownKey
+                if site.is_confirmation_overdue(ObjectKind::Configuration) =>
+            {
+                Code::ConfigurationUnconfirmed
+            }
             Mismatch::UnknownPath => Code::UnknownPath,
             Mismatch::UnknownKey => Code::UnknownKey,
             Mismatch::Unreadable(entry) => {
--- a/crates/godwit-gateway/src/replica/state.rs
+++ b/crates/godwit-gateway/src/replica/state.rs
@@ -72,6 +72,11 @@
         self.confirmations.borrow().confirmed_at(kind)
     }
 
+    /// Whether it has not been confirmed for too long, or never, that this host holds all objects of a kind.
+    pub(crate) fn is_confirmation_overdue(&self, kind: ObjectKind) -> bool {
+        self.confirmed_ms_ago(kind).is_none_or(|age_ms| age_ms > CONFIRMATION_BOUND_MS)
+    }
+
     /// Returns for how long it has not been confirmed that this host holds all objects of a kind, in milliseconds; none
     /// if it never was.
     pub(crate) fn confirmed_ms_ago(&self, kind: ObjectKind) -> Option<u64> {
--- a/tests/gateway/silences.rs
+++ b/tests/gateway/silences.rs
@@ -6,10 +6,14 @@
 use crate::host::{Host, configuration_with_prefix};
 use crate::readers::{CONFIG_APPLY_TIME, Cluster, status};
 use crate::server::{Behavior, FakeServer};
+use crate::soak::ProxyMode;
 use crate::store::AnswerFault;
 
 const HOSTS: usize = 6;
 
+/// Age of a confirmation after which a host does not rely on it.
+const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(2_000);
+
 /// Time between the loss of the connections and the next change.
 const CHANGE_DELAY: Duration = Duration::from_millis(3_000);
 
@@ -242,3 +246,26 @@
 fn newer_version_stays_when_an_older_listing_comes_late_to_all_hosts() {
     assert_late_listing_undoes_nothing(|cluster| cluster.store_addresses.clone());
 }
+
+/// Callers do not come back after 404 or 401, though a version that the host cannot know may allow their requests.
+#[test]
+fn requests_that_a_newer_version_may_allow_are_not_refused_for_good() {
+    let cluster = Cluster::start(2);
+    let statuses = |host: &Host| {
+        let unknown_key = host.call_with("GET", "/read/1", &[("authorization", "Bearer k")], b"");
+        (status(host, "/new/1"), unknown_key.map_or(0, |response| response.status()))
+    };
+    for host in &cluster.hosts {
+        assert_eq!(statuses(host), (404, 401));
+    }
+    cluster.proxies.iter().for_each(|proxy| proxy.set(ProxyMode::HoldAll));
+    std::thread::sleep(MAX_CONFIRMATION_AGE + CONFIG_APPLY_TIME);
+    for host in &cluster.hosts {
+        assert_eq!(statuses(host), (503, 503));
+        assert_eq!(status(host, "/read/1"), 200);
+    }
+    cluster.proxies.iter().for_each(|proxy| proxy.set(ProxyMode::Forward));
+    for host in &cluster.hosts {
+        host.wait_for("a confirmation", || statuses(host) == (404, 401));
+    }
+}
