Let the store and its network go silent in the soak

The soak never played what users met: hosts refused requests to a route long in force, since their watches were lost while connections stayed open.

Versions are written more often, each in one of five spellings (numbers as fractions, null for absent fields, a route of an unknown kind, a split by weights below 1), and keep the paths of the seven before. After the last fault comes a silence of all hosts, and then 8 s of versions without faults. A silence excuses no failed request.

Each request to a path of a version is judged by what may be in force: no version older than the newest that was acknowledged more than 2 s before, if the host was not disturbed in the 3 s before the request (7 s while the store hangs watches of other hosts), and none older than the process has shown. A path must not be served if none of these versions has it, nor refused if all have it. A host that is stopped counts as disturbed until its process ends, not for the whole grace period, also for the limits, hold-offs and late sends.

--- a/tests/gateway/soak/callers.rs
+++ b/tests/gateway/soak/callers.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+use super::cluster::version_prefix;
 use crate::host::{API_KEY, caller_headers};
 use crate::http::{Message, read_body, read_head, write_request};
 use crate::server::{DEADLY_PART, PROMPT_PARTS_HEADER};
@@ -20,8 +21,8 @@
     Stream,
     /// A read with a key that no configuration has.
     UnknownKey,
-    /// A read of a path that only one version of the configuration has.
-    Version(String),
+    /// A read of the path that a version of the configuration adds.
+    Version(u64),
     /// A read that ends each server on which it runs, before or after its response.
     EndServer(&'static str),
     /// A stream that ends each server on which it runs, before or after its first events.
@@ -39,7 +40,7 @@
             RequestKind::Read | RequestKind::UnknownKey => "/read/1".to_string(),
             RequestKind::Order => "/order/1".to_string(),
             RequestKind::Stream | RequestKind::DeadlyPart => "/chat/1".to_string(),
-            RequestKind::Version(path) => path.clone(),
+            RequestKind::Version(version) => version_prefix(*version),
             RequestKind::EndServer(segment) => format!("/read/{segment}"),
             RequestKind::EndStage(segment) => format!("/chat/{segment}"),
         }
--- a/tests/gateway/soak/cluster.rs
+++ b/tests/gateway/soak/cluster.rs
@@ -14,6 +14,8 @@
 use super::invariants::EVENT_COUNT;
 use super::odd_entries::OddEntry;
 use super::proxy::Proxy;
+use super::spellings::respelled;
+use super::versions::WrittenVersion;
 use crate::broken_answers::BrokenAnswer;
 use crate::host::{Host, configuration};
 use crate::links::{Link, LinkState};
@@ -49,16 +51,26 @@
 const REFUSALS_PER_HOLD_OFF: usize = 4;
 pub(super) const HOLD_OFF_S: u64 = 2;
 
-/// Returns the path prefix that only one version of the configuration has.
+/// Number of versions that have the path that the first of them adds, if stores and networks go silent.
+const VERSIONS_PER_PATH: u64 = 8;
+
+/// Returns the path prefix that a version of the configuration adds.
 pub(super) fn version_prefix(version: u64) -> String {
     format!("/version-{version}/")
 }
 
-fn versioned_configuration(version: u64) -> Value {
+/// Returns a configuration with its own path and those of the versions before, up to a number of paths.
+fn versioned_configuration(version: u64, paths: u64) -> Value {
     let mut configuration = configuration(version);
-    configuration["Routes"][2]["PathPrefix"] = json!(version_prefix(version));
-    configuration["Routes"][2]["Kind"] = json!("idempotent");
-    configuration["Routes"][2]["TimeoutMs"] = json!(3_000);
+    let routes = configuration["Routes"].as_array_mut().expect("routes");
+    let mut route = routes.remove(2);
+    route["Kind"] = json!("idempotent");
+    route["TimeoutMs"] = json!(3_000);
+    for with_path in (version + 1).saturating_sub(paths).max(1)..=version {
+        route["Name"] = json!(format!("/slow-{}/", with_path % paths));
+        route["PathPrefix"] = json!(version_prefix(with_path));
+        routes.insert(2, route.clone());
+    }
     configuration
 }
 
@@ -66,9 +78,9 @@
 pub(super) struct ClusterHost {
     name: &'static str,
     pub(super) store_proxy: Proxy,
+    /// The address of the store behind that.
+    pub(super) store_address: SocketAddr,
     pub(super) host: Option<Host>,
-    /// Number of starts of the process so far.
-    pub(super) incarnation: u64,
     /// Times of the starts.
     pub(super) started_at: Vec<Instant>,
     failure_domain: &'static str,
@@ -98,12 +110,13 @@
 
 /// Everything except the callers.
 pub(super) struct Cluster {
-    store: FakeStore,
+    pub(super) store: FakeStore,
     pub(super) hosts: Vec<ClusterHost>,
     pub(super) servers: Vec<ClusterServer>,
     /// All servers ever started, including drained ones, with the requests that they handled.
     pub(super) all_servers: Vec<FakeServer>,
     pub(super) version: u64,
+    pub(super) written_versions: Vec<WrittenVersion>,
     /// Whether servers draw faulty behaviors.
     has_faulty_servers: bool,
     addition: Addition,
@@ -113,8 +126,8 @@
     has_links: bool,
 }
 
-/// Address and incarnation of each host, none while it is down.
-pub(super) type HostDirectory = Mutex<Vec<Option<(SocketAddr, u64)>>>;
+/// Address of each host, none while it is down.
+pub(super) type HostDirectory = Mutex<Vec<Option<SocketAddr>>>;
 
 /// Draws the behaviors of a server: `regular`, or with probability `share` one of `faulty`.
 fn draw_behaviors(
@@ -144,31 +157,31 @@
         addition: Addition,
     ) -> Cluster {
         let has_links = addition == Addition::LinkCuts;
-        let store = FakeStore::start();
-        store.put("config", "main", versioned_configuration(1));
         let mut cluster = Cluster {
-            store,
+            store: FakeStore::start(),
             hosts: Vec::new(),
             servers: Vec::new(),
             all_servers: Vec::new(),
-            version: 1,
+            version: 0,
+            written_versions: Vec::new(),
             has_faulty_servers: injects_faults || addition == Addition::BrokenAnswers,
             addition,
             are_servers_robust: false,
             has_links: false,
         };
+        cluster.change_configuration();
         for (index, name) in HOSTS.into_iter().enumerate() {
             let addresses = ServerAddresses::default();
             let (store_address, failure_domain) = if has_links {
                 (cluster.store.with_server_addresses(&addresses), LINKED_DOMAINS[index])
             } else {
-                (cluster.store.address, SHARED_DOMAIN)
+                (cluster.store.another_address(), SHARED_DOMAIN)
             };
             cluster.hosts.push(ClusterHost {
                 name,
                 store_proxy: Proxy::start(store_address),
+                store_address,
                 host: None,
-                incarnation: 0,
                 started_at: Vec::new(),
                 failure_domain,
                 links: BTreeMap::new(),
@@ -186,7 +199,6 @@
     pub(super) fn start_host(&mut self, index: usize) {
         let host = &mut self.hosts[index];
         let address = host.store_proxy.address;
-        host.incarnation += 1;
         host.started_at.push(Instant::now());
         let store = self.store.clone();
         host.host = Some(Host::start_in_domain(store, address, host.name, host.failure_domain));
@@ -209,10 +221,8 @@
         ports.collect::<Vec<_>>().join(" ")
     }
 
-    pub(super) fn directory(&self) -> Vec<Option<(SocketAddr, u64)>> {
-        let caller_address = |entry: &ClusterHost| {
-            entry.host.as_ref().map(|host| (host.caller_address(), entry.incarnation))
-        };
+    pub(super) fn directory(&self) -> Vec<Option<SocketAddr>> {
+        let caller_address = |entry: &ClusterHost| entry.host.as_ref().map(Host::caller_address);
         self.hosts.iter().map(caller_address).collect()
     }
 
@@ -323,8 +333,18 @@
         self.store.put_raw("servers", ODD_ENTRY, odd.content());
     }
 
+    pub(super) fn versions_per_path(&self) -> u64 {
+        if self.addition == Addition::Silences { VERSIONS_PER_PATH } else { 1 }
+    }
+
     pub(super) fn change_configuration(&mut self) {
         self.version += 1;
-        self.store.put("config", "main", versioned_configuration(self.version));
+        let mut configuration = versioned_configuration(self.version, self.versions_per_path());
+        if self.addition == Addition::Silences {
+            configuration = respelled(configuration, self.version);
+        }
+        let begun_at = Instant::now();
+        self.store.put("config", "main", configuration);
+        self.written_versions.push(WrittenVersion { begun_at, acknowledged_at: Instant::now() });
     }
 }
--- a/tests/gateway/soak/faults.rs
+++ b/tests/gateway/soak/faults.rs
@@ -1,6 +1,7 @@
 //! Draws planned operations and faults at random, applies them, and ends the faults again.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use rand::Rng;
@@ -12,6 +13,7 @@
 use super::proxy::{Proxy, ProxyMode};
 use crate::fleet::{LAPSE_DELAY, RESTART_DELAY};
 use crate::links::LinkState;
+use crate::store::AnswerFault;
 
 /// Maximum time between SIGTERM and the exit of a host; `GracePeriodS` of its settings.
 const STOP_GRACE: Duration = Duration::from_secs(8);
@@ -19,6 +21,13 @@
 /// Range of the duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..1_500;
 
+/// Ranges of the duration of a silence, and of the delay of late answers, in milliseconds.
+const SILENCE_MS: std::ops::Range<u64> = 50..2_000;
+const LATE_MS: std::ops::Range<u64> = 100..2_400;
+
+/// Kinds whose answers hang or are late.
+const SILENT_KINDS: [&str; 3] = ["config", "servers", "godwit-hosts"];
+
 /// Longest duration of a fault.
 const MAX_FAULT_DURATION: Duration = Duration::from_millis(FAULT_DURATION_MS.end);
 
@@ -44,6 +53,8 @@
     pub(super) faults: FaultWindows,
     /// Times in which a host is disturbed itself or cut off from the store.
     pub(super) disturbed_hosts: Vec<(usize, Instant, Instant)>,
+    /// Times in which the store lets watches of some hosts hang.
+    pub(super) unstable_store: Vec<(Instant, Instant)>,
     /// Violations by host processes: an exit without a stop, a failed exit or one that took too long.
     pub(super) violations: Vec<String>,
 }
@@ -57,6 +68,7 @@
             unavailable_hosts: BTreeSet::new(),
             faults,
             disturbed_hosts: Vec::new(),
+            unstable_store: Vec::new(),
             violations: Vec::new(),
         }
     }
@@ -157,6 +169,55 @@
         }
     }
 
+    /// Lets the store, or the network before it, go silent for some hosts while their connections stay open. Requests of
+    /// callers must not notice.
+    pub(super) fn silence_some(&mut self, cluster: &Cluster) {
+        let count = self.random.random_range(1..=cluster.hosts.len());
+        let first = self.random.random_range(0..cluster.hosts.len());
+        let hosts = (first..first + count).map(|index| index % cluster.hosts.len());
+        self.silence(cluster, &hosts.collect::<Vec<usize>>());
+    }
+
+    /// Does the same for all hosts.
+    pub(super) fn silence_all(&mut self, cluster: &Cluster) {
+        let hosts: Vec<usize> = (0..cluster.hosts.len()).collect();
+        self.silence(cluster, &hosts);
+    }
+
+    fn silence(&mut self, cluster: &Cluster, hosts: &[usize]) {
+        let all_hosts: Vec<usize> = (0..cluster.hosts.len()).collect();
+        let kind = SILENT_KINDS[self.random.random_range(0..SILENT_KINDS.len())];
+        let duration = Duration::from_millis(self.random.random_range(SILENCE_MS));
+        let fault = match self.random.random_range(0..6) {
+            0 | 1 => {
+                let loses_new = self.random.random_bool(0.5);
+                let silence = if loses_new { duration } else { Duration::ZERO };
+                for index in hosts {
+                    cluster.hosts[*index].store_proxy.lose_connections(silence);
+                    self.record_disturbed_host(*index, silence);
+                }
+                return;
+            }
+            2 | 3 => AnswerFault::HangWatches(kind),
+            4 => AnswerFault::Lose,
+            _ => AnswerFault::Delay(kind, Duration::from_millis(self.random.random_range(LATE_MS))),
+        };
+        // Losses and delays of answers disturb the store for all.
+        let (disturbed, lasts_for) = match fault {
+            AnswerFault::HangWatches(_) => (hosts.to_vec(), duration),
+            AnswerFault::Lose => (all_hosts, duration),
+            AnswerFault::Delay(_, late_by) => (all_hosts, duration + late_by),
+        };
+        let now = Instant::now();
+        self.unstable_store.push((now, now + duration));
+        for index in disturbed {
+            self.record_disturbed_host(index, lasts_for);
+        }
+        let addresses: Vec<SocketAddr> =
+            hosts.iter().map(|index| cluster.hosts[*index].store_address).collect();
+        cluster.store.disturb(&addresses, &fault, duration);
+    }
+
     /// Injects a random unplanned fault.
     pub(super) fn inject_fault(&mut self, cluster: &mut Cluster) {
         let mode = self.random_mode();
@@ -264,6 +325,12 @@
                 .push(format!("host {index} exited without a stop or with a failure: {status}"));
         }
         self.unavailable_hosts.remove(&index);
+        let is_stop = |(host, from, until): &&mut (usize, Instant, Instant)| {
+            *host == index && *until == *from + STOP_GRACE
+        };
+        if let Some((_, _, until)) = self.disturbed_hosts.iter_mut().rev().find(is_stop) {
+            *until = Instant::now();
+        }
         self.pending.retain(|(_, action)| {
             !matches!(action, PendingAction::CheckHostExited(checked) if *checked == index)
         });
--- a/tests/gateway/soak/invariants.rs
+++ b/tests/gateway/soak/invariants.rs
@@ -112,7 +112,7 @@
         expect(runs.is_empty(), "a refused request did not run");
     }
     let may_be_absent = matches!(record.kind, RequestKind::Version(_)) && record.status() == 404;
-    let is_rejected = matches!(record.status(), 401 | 404) && !may_be_absent;
+    let is_rejected = matches!(record.status(), 401 | 403 | 404) && !may_be_absent;
     expect(!is_rejected, "a known key or route is not rejected");
     let is_success = record.status() == 200 && record.is_complete;
     let text = record.text();
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -11,6 +11,8 @@
 mod limits;
 mod odd_entries;
 mod proxy;
+mod spellings;
+mod versions;
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
@@ -21,12 +23,13 @@
 use rand::{Rng, SeedableRng};
 
 use callers::{Caller, LONG_PATIENCE, RequestKind, RequestRecord};
-use cluster::{Cluster, HOSTS, HostDirectory, version_prefix};
+use cluster::{Cluster, HOSTS, HostDirectory};
 use faults::FaultSchedule;
 use invariants::{MAX_RUN_TO_END, Runs, find_held_off_sends, find_late_sends, find_violations};
 use limits::{find_excess, name_limits};
 use odd_entries::OddEntry;
 pub(crate) use proxy::{Proxy, ProxyMode, ProxyState, proxy_connection};
+use versions::VersionHistory;
 
 use crate::host::{delete_logs, keep_logs};
 use crate::server::{
@@ -41,11 +44,20 @@
     // of another seed took over the port of one that had ended (1031); servers that ended after the last fault were not
     // replaced (2015).
     4, 22, 1031, 2015,
+    // Hosts refused what versions up to 10 s old allow, after the store or the network before it had gone silent (40000, 40003).
+    40_000, 40_003,
 ];
 
 /// Share of cuts among the events, if hosts lose their links to servers.
 const CUT_SHARE: f64 = 0.4;
 
+/// Shares of silences and of new versions among the events, if stores and networks go silent.
+const SILENCE_SHARE: f64 = 0.2;
+const VERSION_SHARE: f64 = 0.3;
+
+/// How long versions are written after the last fault has ended, if stores and networks go silent.
+const CALM_TIME: Duration = Duration::from_secs(8);
+
 /// Share of requests that end servers if their callers leave early, the share of these callers that leaves, and the longest
 /// time for which they wait, in milliseconds.
 const IMPATIENT_KIND_SHARE: f64 = 0.1;
@@ -110,6 +122,8 @@
     ImpatientCallers,
     /// Servers end streams inside of events and repeat refusals, and the list of servers has an odd entry.
     BrokenAnswers,
+    /// The store and the network before it go silent, and versions keep the paths of those before.
+    Silences,
 }
 
 impl Addition {
@@ -118,7 +132,8 @@
             0..10_000 => Addition::None,
             10_000..20_000 => Addition::LinkCuts,
             20_000..30_000 => Addition::ImpatientCallers,
-            _ => Addition::BrokenAnswers,
+            30_000..40_000 => Addition::BrokenAnswers,
+            _ => Addition::Silences,
         }
     }
 }
@@ -128,9 +143,10 @@
     seed: u64,
     directory: HostDirectory,
     records: Mutex<Vec<RequestRecord>>,
-    violations: Mutex<Vec<String>>,
     /// Newest version of the configuration in the store.
     version: AtomicU64,
+    /// Number of versions that have the path that the first of them adds.
+    versions_per_path: u64,
     /// Whether no more requests that end servers may be sent, as servers are soon no longer replaced.
     spares_servers: AtomicBool,
     is_finished: AtomicBool,
@@ -149,7 +165,7 @@
 fn draw_request_kind(random: &mut SmallRng, seed: u64) -> RequestKind {
     let injects_faults = Scenario::of(seed) != Scenario::Planned;
     let share = match Addition::of(seed) {
-        Addition::None | Addition::LinkCuts => END_SERVER_SHARE,
+        Addition::None | Addition::LinkCuts | Addition::Silences => END_SERVER_SHARE,
         Addition::ImpatientCallers => IMPATIENT_KIND_SHARE,
         // Servers end by their own answers.
         Addition::BrokenAnswers => 0.0,
@@ -186,7 +202,7 @@
         if random.random_bool(0.1) {
             host = random.random_range(0..HOSTS.len());
         }
-        let Some((address, _)) = traffic.directory.lock().expect("no panic")[host] else {
+        let Some(address) = traffic.directory.lock().expect("no panic")[host] else {
             host = (host + 1) % HOSTS.len();
             continue;
         };
@@ -214,29 +230,17 @@
     }
 }
 
-/// Repeatedly requests paths of one host that exist in only one version of the configuration each. Once a path of a
-/// newer version was served, none of an older version may be, until the host restarts.
+/// Repeatedly requests the paths of a host that the newest versions of the configuration have added or removed.
 fn probe_versions(traffic: &TrafficState, host: usize) {
-    let mut newest_seen = (0, 0);
     while !traffic.is_finished.load(Ordering::Relaxed) {
         std::thread::sleep(REQUEST_PAUSE);
-        let Some((address, incarnation)) = traffic.directory.lock().expect("no panic")[host] else {
+        let Some(address) = traffic.directory.lock().expect("no panic")[host] else {
             continue;
         };
-        if newest_seen.0 != incarnation {
-            newest_seen = (incarnation, 0);
-        }
         let newest = traffic.version.load(Ordering::Relaxed);
-        for version in newest.saturating_sub(2)..=newest {
-            if !serves_version(traffic, address, host, version) {
-                continue;
-            }
-            if version < newest_seen.1 {
-                let message =
-                    format!("host {host} went back from version {} to {version}", newest_seen.1);
-                traffic.violations.lock().expect("no panic").push(message);
-            }
-            newest_seen.1 = newest_seen.1.max(version);
+        let oldest = newest.saturating_sub(traffic.versions_per_path + 1).max(1);
+        for version in oldest..=newest {
+            serves_version(traffic, address, host, version);
         }
     }
 }
@@ -256,7 +260,7 @@
     static NEXT: AtomicU64 = AtomicU64::new(0);
     let id =
         format!("{}{}", probe_prefix(traffic.seed, host), NEXT.fetch_add(1, Ordering::Relaxed));
-    let kind = RequestKind::Version(version_prefix(version));
+    let kind = RequestKind::Version(version);
     let record = Caller::default().send(host, address, id, kind, LONG_PATIENCE);
     let is_served = record.status() == 200;
     traffic.records.lock().expect("no panic").push(record);
@@ -269,7 +273,7 @@
     let mut remaining: Vec<usize> = (0..cluster.hosts.len()).collect();
     while !remaining.is_empty() && Instant::now() < deadline {
         remaining.retain(|host| {
-            let Some((address, _)) = cluster.directory()[*host] else { return true };
+            let Some(address) = cluster.directory()[*host] else { return true };
             !serves_version(traffic, address, *host, cluster.version)
         });
         std::thread::sleep(REQUEST_PAUSE);
@@ -321,6 +325,12 @@
             _ if addition == Addition::LinkCuts && random.random_bool(CUT_SHARE) => {
                 schedule.cut_links(cluster);
             }
+            _ if addition == Addition::Silences && random.random_bool(SILENCE_SHARE) => {
+                schedule.silence_some(cluster);
+            }
+            _ if addition == Addition::Silences && random.random_bool(VERSION_SHARE) => {
+                cluster.change_configuration();
+            }
             Scenario::Planned => schedule.apply_planned_operation(cluster),
             Scenario::Faults => schedule.inject_fault(cluster),
             Scenario::Both if random.random_bool(0.5) => schedule.apply_planned_operation(cluster),
@@ -346,6 +356,17 @@
     *traffic.directory.lock().expect("no panic") = cluster.directory();
 }
 
+/// Writes versions for [`CALM_TIME`], in which hosts are in touch again and must use them in time.
+fn write_versions_in_calm(cluster: &mut Cluster, traffic: &TrafficState) {
+    let mut random = SmallRng::seed_from_u64(traffic.seed);
+    let end_at = Instant::now() + CALM_TIME;
+    while Instant::now() < end_at {
+        cluster.change_configuration();
+        traffic.version.store(cluster.version, Ordering::Relaxed);
+        std::thread::sleep(Duration::from_millis(random.random_range(50..MAX_EVENT_INTERVAL_MS)));
+    }
+}
+
 /// Prints the number of responses by request kind and status. Returns a violation if less than a quarter of all
 /// requests were served.
 fn check_served_share(seed: u64, records: &[RequestRecord]) -> Option<String> {
@@ -372,8 +393,8 @@
         seed,
         directory: Mutex::new(cluster.directory()),
         records: Mutex::default(),
-        violations: Mutex::default(),
         version: AtomicU64::new(cluster.version),
+        versions_per_path: cluster.versions_per_path(),
         spares_servers: AtomicBool::new(false),
         is_finished: AtomicBool::new(false),
     };
@@ -385,6 +406,10 @@
         (0..CALLER_COUNT).for_each(|number| drop(scope.spawn(move || run_caller(traffic, number))));
         (0..HOSTS.len()).for_each(|host| drop(scope.spawn(move || probe_versions(traffic, host))));
         run_schedule(&mut cluster, &mut schedule, traffic, duration);
+        if Addition::of(seed) == Addition::Silences {
+            schedule.silence_all(&cluster);
+            write_versions_in_calm(&mut cluster, traffic);
+        }
         violations.extend(wait_until_all_serve(&cluster, traffic));
         if Addition::of(seed) == Addition::BrokenAnswers {
             violations.extend(wait_until_all_use_new_server(&mut cluster, traffic));
@@ -396,13 +421,20 @@
     std::thread::sleep(LATE_RUN_WAIT);
     let records = traffic.records.into_inner().expect("no panic");
     violations.extend(check_served_share(seed, &records));
-    violations.extend(traffic.violations.into_inner().expect("no panic"));
     violations.extend(schedule.violations);
     violations.extend(find_violations(&records, &Runs::of(&cluster.all_servers), &schedule.faults));
     let mut disturbed_hosts = schedule.disturbed_hosts;
     for (index, host) in cluster.hosts.iter().enumerate() {
         disturbed_hosts.extend(host.started_at.iter().map(|at| (index, *at, *at)));
     }
+    let history = VersionHistory {
+        written: &cluster.written_versions,
+        versions_per_path: cluster.versions_per_path(),
+        starts: cluster.hosts.iter().map(|host| host.started_at.as_slice()).collect(),
+        disturbed_hosts: &disturbed_hosts,
+        unstable_store: &schedule.unstable_store,
+    };
+    violations.extend(history.find_violations(&records));
     violations.extend(find_excess(&limited, &records, &disturbed_hosts));
     violations.extend(find_late_sends(&records, &cluster.all_servers, &disturbed_hosts));
     violations.extend(find_held_off_sends(&records, &cluster.all_servers, &disturbed_hosts));
