Let one reader of each failure domain ask for confirmations

Both readers of a domain asked the store each second. The second one now follows the first, beside its own watches, and asks only when what it has of the first is 1.4 s old, or at once when it cannot follow it. A host that reads the store well does not take over that the host it follows has lost it. A watch of its own that lacks a change 200 ms after the first has sent it is begun anew; without that, the lost watch of a second reader would stay unnoticed, as the first one's changes hide it (watches_that_follow_lost_ones_bring_changes failed so).

--- a/crates/godwit-core/src/replica/readers.rs
+++ b/crates/godwit-core/src/replica/readers.rs
@@ -1,6 +1,7 @@
 //! Selection of the hosts that read the platform's store for their failure domain.
 //!
-//! The first hosts of a domain by capacity read the store; the others follow one of them. There is no election: each host
+//! The first hosts of a domain by capacity read the store; the others follow one of them. Those that read it also follow
+//! the first, which asks for confirmations on behalf of all. There is no election: each host
 //! ranks the hosts by itself and skips those with which it had trouble lately. A host that is followed reads the store,
 //! whatever its own rank says, so that hosts that disagree only cost calls to the store.
 
@@ -229,7 +230,10 @@
         if reads_store && self.can_read_store() {
             self.current = None;
             self.reads_store = true;
-            return ReadPlan { reads_store, follows: None };
+            // It has its own copies, and need not ask for confirmations that the first one has.
+            let first = designated.into_iter().next();
+            let follows = first.filter(|first| first.name != self.own_name);
+            return ReadPlan { reads_store, follows };
         }
         let follows = self.choose(designated, now);
         let known = self.current.take();
--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -1,5 +1,6 @@
 //! Follows a host that reads the store, or reads it, as [`godwit_core::replica::ReaderSelection`] decides.
 
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io::{self, ErrorKind};
 use std::rc::Rc;
@@ -19,6 +20,7 @@
     write_frame,
 };
 use crate::site::Site;
+use crate::store::Interruption;
 use crate::wire::configure_stream;
 
 /// Timeout for connecting to a host.
@@ -51,6 +53,9 @@
 /// than such a host takes to find that it cannot.
 const MAX_CONFIRMATION_AGE_MS: u64 = 3_000;
 
+/// Time for which a waiting watch of this host may lack a change that the followed host has sent, in milliseconds.
+const WATCH_GRACE_MS: u64 = 200;
+
 /// Byte that a follower sends to compare clocks. Its content says nothing.
 const BEAT: u8 = 0;
 
@@ -114,7 +119,10 @@
             let _ = timeout(PLAN_INTERVAL, site.reading_changed.notified()).await;
             continue;
         };
+        site.is_following.set(true);
         let Err(end) = follow(&site, &host).await;
+        site.is_following.set(false);
+        site.confirmations_changed.send_replace(());
         let is_replaced = matches!(end, FollowEnd::Replaced);
         if !is_replaced {
             warn!(event = "follow_ended", host = host.name, cause = %end);
@@ -145,6 +153,7 @@
     write_frame(&mut stream, &encode_frame(&request)?, SILENCE_TIMEOUT).await?;
     let first_changes_by = site.now().plus_ms(FIRST_CHANGES_TIMEOUT_MS);
     site.restart_lag();
+    let mut brought = BTreeMap::new();
     let first_frame = read_frame(&mut stream, MAX_STATUS_BYTES, SILENCE_TIMEOUT);
     let mut message = timeout(SILENCE_TIMEOUT, first_frame).await.map_err(io::Error::from)??;
     loop {
@@ -157,8 +166,11 @@
                 confirmed_steady_ms,
                 ..
             } => {
+                site.end_watches_that_lack(&mut brought);
                 clock.record_status(received_beats, SteadyMs(steady_ms));
-                site.record_store_state(can_read_store);
+                if !site.reads_store_itself() {
+                    site.record_store_state(can_read_store);
+                }
                 let is_old = |(_, ms): &(ObjectKind, u64)| {
                     SteadyMs(steady_ms).since_ms(SteadyMs(*ms)) > MAX_CONFIRMATION_AGE_MS
                 };
@@ -179,10 +191,20 @@
                 }
             }
             FeedMessage::Changes(kind, changes) => match site.apply_changes(kind, &changes) {
-                Ok(applied) if applied.is_diverged => return Err(FollowEnd::Diverged),
-                Ok(_) => {}
+                Ok(applied) if applied.is_diverged => {
+                    site.pending_watches.interrupt(kind, Interruption::HistoryGone);
+                    return Err(FollowEnd::Diverged);
+                }
+                Ok(_) => {
+                    if let Some(revision) =
+                        changes.objects.iter().map(|object| object.version).max()
+                    {
+                        brought.insert(kind, (revision, site.now()));
+                    }
+                }
                 Err(gap) => {
                     warn!(event = "changes_missing", kind = kind.name(), %gap);
+                    site.pending_watches.interrupt(kind, Interruption::HistoryGone);
                     return Err(FollowEnd::Diverged);
                 }
             },
@@ -212,6 +234,24 @@
         plan
     }
 
+    /// Ends waiting watches of this host that have not brought changes which the followed host sent some time ago: each
+    /// with its revision and the time when it came.
+    fn end_watches_that_lack(&self, brought: &mut BTreeMap<ObjectKind, (u64, SteadyMs)>) {
+        let now = self.now();
+        brought.retain(|kind, (revision, at)| {
+            let is_due = at.plus_ms(WATCH_GRACE_MS).is_past(now);
+            if is_due && self.pending_watches.lacks(*kind, *revision, *at) {
+                self.pending_watches.interrupt(*kind, Interruption::WatchLost);
+            }
+            !is_due
+        });
+    }
+
+    /// Whether this host reads the store, and no call of it has failed lately.
+    fn reads_store_itself(&self) -> bool {
+        *self.reads_store.borrow() && self.readers.borrow().can_read_store()
+    }
+
     /// Whether a host that cannot read the store is followed all the same, because no other host can either.
     fn must_follow(&self, name: &str) -> bool {
         let now = self.now();
--- a/crates/godwit-gateway/src/replica/state.rs
+++ b/crates/godwit-gateway/src/replica/state.rs
@@ -13,6 +13,10 @@
 const CONFIRMATION_LIMITS: ConfirmationLimits =
     ConfirmationLimits { interval_ms: 1_000, gather_ms: 30 };
 
+/// When a host does so that also follows one that should ask first.
+const FOLLOWING_CONFIRMATION_LIMITS: ConfirmationLimits =
+    ConfirmationLimits { interval_ms: 1_400, ..CONFIRMATION_LIMITS };
+
 /// Age of a confirmation from which on it is overdue, in milliseconds; within this time the smallest sites use a new
 /// configuration.
 const CONFIRMATION_BOUND_MS: u64 = 2_000;
@@ -125,7 +129,11 @@
 
     /// Returns when the store is to be asked for a confirmation. A kind that cannot be read is asked for anyway.
     pub(crate) fn confirmation_due_at(&self) -> SteadyMs {
-        self.confirmations.borrow().due_at(self.confirmable_kinds(), CONFIRMATION_LIMITS)
+        let limits = match self.is_following.get() {
+            true => FOLLOWING_CONFIRMATION_LIMITS,
+            false => CONFIRMATION_LIMITS,
+        };
+        self.confirmations.borrow().due_at(self.confirmable_kinds(), limits)
     }
 
     /// Records that a call to the store begins that tells of new objects of a kind.
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -96,6 +96,8 @@
     pub(crate) readers: RefCell<ReaderSelection>,
     /// Whether this host reads the store.
     pub(crate) reads_store: watch::Sender<bool>,
+    /// Whether this host is connected to one that it follows, or about to be.
+    pub(crate) is_following: Cell<bool>,
     /// Number of hosts that follow this one.
     pub(crate) followers: Cell<usize>,
     /// Notified when this host may have to read the store or follow another host.
@@ -181,6 +183,7 @@
             pending_watches: PendingWatches::default(),
             freshness: RefCell::default(),
             reads_store: watch::Sender::new(false),
+            is_following: Cell::new(false),
             followers: Cell::new(0),
             reading_changed: Notify::new(),
             hosts_listed: Notify::new(),
--- a/crates/godwit-gateway/src/store/mod.rs
+++ b/crates/godwit-gateway/src/store/mod.rs
@@ -14,6 +14,6 @@
 pub(crate) use era::KnownEra;
 pub(crate) use hosts::maintain_host_record;
 pub(crate) use list_watch::list_and_watch;
-pub(crate) use pending::PendingWatches;
+pub(crate) use pending::{Interruption, PendingWatches};
 pub(crate) use quarantines::{StoredQuarantine, restore_quarantines};
 pub(crate) use unreadable::{MAX_NAMES, NameSample, bounded_text};
