Spread requests evenly over servers that score alike

Servers that answer within 1 ms have the same score, and what broke the tie, the seed times the sum of the id's bytes modulo 16, has no more than 16 values, of which the first in the order of ids wins when equal. Of 3 servers s-1 to s-3 one got 561 of 3,000 requests and one 1,311; of 16 servers seven got none of 16,000 and one got 4,000.

A hash of seed and id, SipHash as in the rendezvous, takes the place of that, and of the other hash for the jitter of paths. The range of 0.016 stays below what one more request adds to a score.

--- a/crates/godwit-core/src/rendezvous.rs
+++ b/crates/godwit-core/src/rendezvous.rs
@@ -51,3 +51,17 @@
     weighted.sort_unstable_by(|a, b| b.cmp(a));
     weighted.into_iter().take(count).map(|(_, node)| node).collect()
 }
+
+/// Returns a number from 0 up to 1 for a node and a seed, uniformly distributed over either of them.
+///
+/// ```
+/// use godwit_core::rendezvous::uniform_number;
+/// assert!((0.0..1.0).contains(&uniform_number(7, "s-1")));
+/// assert_ne!(uniform_number(7, "s-1"), uniform_number(7, "s-2"));
+/// ```
+pub fn uniform_number(seed: u64, node: &str) -> f64 {
+    let mut hasher = SipHasher13::new_with_keys(seed, 0);
+    hasher.write(node.as_bytes());
+    // The fraction of a floating point number has 53 bits.
+    (hasher.finish() >> 11) as f64 / (1_u64 << 53) as f64
+}
--- a/crates/godwit-core/src/site/path.rs
+++ b/crates/godwit-core/src/site/path.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use crate::rendezvous::uniform_number;
 use crate::site::configuration::{AcceleratorSpec, ModelSpec};
 use crate::site::layout::kv_capacity_tokens;
 use crate::site::load::{Load, LoadTable};
@@ -163,13 +164,7 @@
 
 /// Returns a uniformly distributed factor around 1 for a server and a request.
 fn jitter(server_id: &str, seed: u64) -> f64 {
-    let mut hash = seed ^ 0x9e37_79b9_7f4a_7c15;
-    for byte in server_id.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    }
-    hash ^= hash >> 29;
-    let unit = (hash % 1_000) as f64 / 1e3;
-    1.0 + JITTER_RANGE * (unit - 0.5)
+    1.0 + JITTER_RANGE * (uniform_number(seed, server_id) - 0.5)
 }
 
 /// A path from the first boundary to a later one, given by its last stage. Field `from` is the boundary and the failure
--- a/crates/godwit-core/src/site/server_choice.rs
+++ b/crates/godwit-core/src/site/server_choice.rs
@@ -2,12 +2,16 @@
 
 use std::collections::BTreeSet;
 
+use crate::rendezvous::uniform_number;
 use crate::site::load::LoadTable;
 use crate::site::server::{BackendServer, ServerState};
 
 /// Maximum number of requests that wait at a server for each of its slots. More would miss the latency target.
 const MAX_WAITING_PER_SLOT: u32 = 1;
 
+/// Difference of scores up to which two servers are alike; less than what one more request makes.
+const TIE_BREAK_RANGE: f64 = 0.016;
+
 /// Selects the ready server with the lowest score, which grows with the observed latency and the load from all hosts.
 /// Servers outside the failure domain of the host get a penalty.
 ///
@@ -41,9 +45,8 @@
         let used = f64::from(loads.total(&server.id).requests) + 1.0;
         let occupancy = (used / f64::from(server.slots.max(1))).max(1.0);
         let domain_factor = if server.failure_domain == home_domain { 1.0 } else { 1.15 };
-        let tie_break = seed.wrapping_mul(server.id.bytes().map(u64::from).sum()) % 16;
         latency_ms(&server.id).max(1.0) * (occupancy + 0.05 * used) * domain_factor
-            + tie_break as f64 * 1e-3
+            + TIE_BREAK_RANGE * uniform_number(seed, &server.id)
     };
     usable.min_by(|left, right| score(left).total_cmp(&score(right)))
 }
