Answer 503 while the newest configuration cannot be read

A version that cannot be read at all, since no parser reads its text, or Version, Routes or Services are lost, leaves the one before in force. Hosts answered 404 and 401 by that one for good, also for routes and keys that the lost version has; the age did not help, as its object is held and confirmed.

Until a version can be read, what the version in force does not allow is refused with 503 (configuration_unreadable). The rest is served as before.

configuration_ignores_older_and_unreadable_versions asserted the 404 beside an unreadable version. It now checks 404 after the older version, and 503 from the unreadable one on; that neither comes into force is checked as before.

--- a/crates/godwit-gateway/src/forward/admit.rs
+++ b/crates/godwit-gateway/src/forward/admit.rs
@@ -176,6 +176,11 @@
             {
                 Code::ConfigurationUnconfirmed
             }
+            Mismatch::UnknownPath | Mismatch::UnknownKey
+                if site.is_newest_configuration_unreadable() =>
+            {
+                Code::ConfigurationUnreadable
+            }
             Mismatch::UnknownPath => Code::UnknownPath,
             Mismatch::UnknownKey => Code::UnknownKey,
             Mismatch::Unreadable(entry) => {
--- a/crates/godwit-gateway/src/replica/apply.rs
+++ b/crates/godwit-gateway/src/replica/apply.rs
@@ -145,6 +145,7 @@
                 let cause = bounded_text(&error);
                 let revision = StorePosition::from_ordinal(object.version);
                 error!(event = "configuration_unreadable", %revision, cause);
+                self.record_unreadable_configuration();
             }
         }
     }
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -139,6 +139,8 @@
     pub(crate) requests_in_progress: Cell<usize>,
     pub(crate) requests_queued: Cell<usize>,
     configuration: RefCell<Option<Rc<Configuration>>>,
+    /// Whether the newest configuration in the store cannot be read, so that an older one is in force.
+    is_newest_configuration_unreadable: Cell<bool>,
     budgets: RefCell<BTreeMap<String, RetryBudget>>,
 }
 
@@ -204,6 +206,7 @@
             requests_in_progress: Cell::new(0),
             requests_queued: Cell::new(0),
             configuration: RefCell::new(None),
+            is_newest_configuration_unreadable: Cell::new(false),
             budgets: RefCell::new(BTreeMap::new()),
         }
     }
@@ -225,6 +228,7 @@
 
     /// Activates a configuration if its version is newer than the current one.
     pub(crate) fn set_configuration(&self, decoded: DecodedConfiguration) {
+        self.is_newest_configuration_unreadable.set(false);
         let mut current = self.configuration.borrow_mut();
         let version = decoded.configuration.version();
         let old_version = current.as_ref().map(|known| known.version());
@@ -236,6 +240,16 @@
         }
     }
 
+    /// Records that the newest configuration in the store cannot be read at all.
+    pub(crate) fn record_unreadable_configuration(&self) {
+        self.is_newest_configuration_unreadable.set(true);
+    }
+
+    /// Whether the newest configuration in the store cannot be read at all, so that an older one is in force.
+    pub(crate) fn is_newest_configuration_unreadable(&self) -> bool {
+        self.is_newest_configuration_unreadable.get()
+    }
+
     /// Whether the host can serve callers: it is not stopping, has a configuration, and at least one server is
     /// registered.
     pub(crate) fn is_ready(&self) -> bool {
--- a/tests/gateway/calls.rs
+++ b/tests/gateway/calls.rs
@@ -233,11 +233,16 @@
     host.wait_for("the new version", || {
         host.call("GET", "/moved/1", b"").expect("answered").status() == 200
     });
+    let status = |path: &str| host.call("GET", path, b"").expect("answered").status();
     host.store.put("config", "main", configuration(4));
+    for _ in 0..20 {
+        assert_eq!((status("/moved/1"), status("/read/1")), (200, 404));
+    }
     host.store.put("config", "main", json!({"Version": 6, "Routes": "unreadable"}));
+    // The version that cannot be read may have the route.
+    host.wait_for("the unreadable version", || status("/read/1") == 503);
     for _ in 0..20 {
-        assert_eq!(host.call("GET", "/moved/1", b"").expect("answered").status(), 200);
-        assert_eq!(host.call("GET", "/read/1", b"").expect("answered").status(), 404);
+        assert_eq!((status("/moved/1"), status("/read/1")), (200, 503));
     }
 }
 
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -146,6 +146,26 @@
     assert!(!host.metrics().contains("store_lost_total"), "the store was never lost");
 }
 
+/// Callers do not come back after 404 or 401, though the version that cannot be read may allow their requests.
+#[test]
+fn requests_that_an_unreadable_version_may_allow_are_not_refused_for_good() {
+    let server = FakeServer::start("s-1", &[Behavior::Respond]);
+    let host = Host::start(&[("s-1", server.entry("api", None))]);
+    let statuses = || {
+        let unknown_key = host.call_with("GET", "/read/1", &[("authorization", "Bearer k")], b"");
+        let unknown_path = host.call("GET", "/new/1", b"");
+        [unknown_path, unknown_key].map(|response| response.map_or(0, |response| response.status()))
+    };
+    for (name, content) in odd_contents() {
+        assert_eq!(statuses(), [404, 401], "before {name}");
+        host.store.put_raw("config", "main", content);
+        host.wait_for(name, || statuses() == [503, 503]);
+        assert!(is_served(&host, "/read/1"), "{name}");
+        host.store.put("config", "main", configuration(1));
+        host.wait_for("a version that can be read", || statuses() == [404, 401]);
+    }
+}
+
 #[test]
 fn hosts_that_follow_others_hold_what_these_read_beside_odd_objects() {
     let servers = ["s-1", "s-2"].map(|name| FakeServer::start(name, &[Behavior::Respond]));
