Keep a doubted server from counting as one that drains

After the store came back from an older copy, a server that was known to be gone and is listed counts as draining until the grace period ends. If it was removed meanwhile, its departure was recorded as planned, so that after the next return from an older copy it stayed draining in that incarnation, although its entry had been written again.

A departure of a doubted server is not a planned one. The new test removes such a server after each of two returns; before, it is Draining in the end.

--- a/crates/godwit-core/src/site/registry.rs
+++ b/crates/godwit-core/src/site/registry.rs
@@ -189,7 +189,12 @@
     /// Removes an entry. Within the grace period after a store outage, a ready server is kept until the period ends; a
     /// draining one is removed at once.
     pub fn remove(&mut self, id: &str, now: SteadyMs) {
-        if let Some(server) = self.entries.get(id).map(|entry| entry.server.clone()) {
+        if let Some(entry) = self.entries.get(id) {
+            let mut server = entry.server.clone();
+            if entry.doubted_until.is_some() {
+                // It counts as draining only because of the doubt.
+                server.state = ServerState::Ready;
+            }
             self.record_departure(&server, now);
         }
         let may_have_expired = !self.grace_ends_at.is_past(now);
--- a/crates/godwit-core/tests/site/registry.rs
+++ b/crates/godwit-core/tests/site/registry.rs
@@ -214,3 +214,18 @@
     assert_eq!(state(&registry, "s-3"), Some(ServerState::Ready));
     assert_eq!(registry.expire(SteadyMs(7_000)), ["s-3"]);
 }
+
+/// A server that was gone, listed again by an older copy and gone again once counted as one that drains.
+#[test]
+fn registry_uses_a_doubted_server_that_is_removed_and_written_again() {
+    let mut registry = registry();
+    registry.remove("s-1", SteadyMs(9_000));
+    for at in [SteadyMs(10_000), SteadyMs(11_000)] {
+        registry.mark_store_returned(at);
+        registry.restore(server("s-1", "a", "", None), at);
+        assert_eq!(state(&registry, "s-1"), Some(ServerState::Draining));
+        registry.remove("s-1", at.plus_ms(500));
+    }
+    registry.update(server("s-1", "a", "", None), SteadyMs(12_000));
+    assert_eq!(state(&registry, "s-1"), Some(ServerState::Ready));
+}
