Take confirmations of another host only for what is held, and not of a later time

By reading, two confirmations over the feed proved too much. The steady clock of a follower stands still while its machine is suspended, so that a moment of the followed host could be dated after now, and its age stayed 0 until then. And a kind of which a listing is needed, or that is held in an earlier era than the followed host's, was confirmed all the same.

A time after now counts as now, and a kind that needs a listing, also for a new era, is not confirmed. Two core tests state both cases; processes were not suspended.

--- a/crates/godwit-core/src/replica/confirmations.rs
+++ b/crates/godwit-core/src/replica/confirmations.rs
@@ -152,10 +152,13 @@
         true
     }
 
-    /// Records that a kind is confirmed as of a time, as another host has proved.
-    pub fn record_confirmed(&mut self, kind: K, as_of: SteadyMs) {
-        let state = self.kinds.entry(kind).or_default();
-        state.confirmed_at = state.confirmed_at.max(Some(as_of));
+    /// Records that a kind is confirmed as of a time, as another host has proved. Has no effect if a listing of the kind is
+    /// needed. A time after `now` counts as `now`: a clock stands still while its machine is suspended.
+    pub fn record_confirmed(&mut self, kind: K, as_of: SteadyMs, now: SteadyMs) {
+        let held = self.kinds.get_mut(&kind).filter(|state| state.complete_revision > 0);
+        if let Some(state) = held {
+            state.confirmed_at = state.confirmed_at.max(Some(as_of.min(now)));
+        }
     }
 
     /// Returns the time as of which all objects of a kind are held.
--- a/crates/godwit-core/tests/replica_confirmations.rs
+++ b/crates/godwit-core/tests/replica_confirmations.rs
@@ -67,17 +67,32 @@
 #[test]
 fn confirmation_of_another_host_never_goes_back() {
     let mut confirmations = held([9, 9]);
-    confirmations.record_confirmed("config", SteadyMs(300));
-    confirmations.record_confirmed("config", SteadyMs(200));
+    confirmations.record_confirmed("config", SteadyMs(300), SteadyMs(300));
+    confirmations.record_confirmed("config", SteadyMs(200), SteadyMs(200));
     assert_eq!(confirmations.confirmed_at("config"), Some(SteadyMs(300)));
 }
 
+/// The clock of this host stood still while its machine was suspended, the other host's did not.
+#[test]
+fn confirmation_of_another_host_is_never_of_a_later_time() {
+    let mut confirmations = held([9, 9]);
+    confirmations.record_confirmed("config", SteadyMs(60_000), SteadyMs(300));
+    assert_eq!(confirmations.confirmed_at("config"), Some(SteadyMs(300)));
+}
+
+#[test]
+fn confirmation_of_another_host_does_not_replace_a_listing() {
+    let mut confirmations = held([9, 0]);
+    confirmations.record_confirmed("servers", SteadyMs(300), SteadyMs(300));
+    assert_eq!(confirmations.confirmed_at("servers"), None);
+}
+
 #[test]
 fn due_at_is_an_interval_after_the_oldest_confirmation() {
     let mut confirmations = held([9, 9]);
     assert_eq!(confirmations.due_at(KINDS, LIMITS), SteadyMs(0));
     answer(&mut confirmations, 100, 9);
-    confirmations.record_confirmed("config", SteadyMs(700));
+    confirmations.record_confirmed("config", SteadyMs(700), SteadyMs(700));
     assert_eq!(confirmations.due_at(KINDS, LIMITS), SteadyMs(1_100));
     assert_eq!(confirmations.due_at(["config"], LIMITS), SteadyMs(1_700));
 }
@@ -115,7 +130,7 @@
     let lost = OverdueChange { kind: "config", is_overdue: true, age_ms: 2_001 };
     assert_eq!(confirmations.take_overdue_changes(2_000, SteadyMs(2_101)), [lost]);
     assert_eq!(confirmations.take_overdue_changes(2_000, SteadyMs(2_900)), []);
-    confirmations.record_confirmed("config", SteadyMs(2_500));
+    confirmations.record_confirmed("config", SteadyMs(2_500), SteadyMs(2_500));
     let regained = OverdueChange { kind: "config", is_overdue: false, age_ms: 450 };
     assert_eq!(confirmations.take_overdue_changes(2_000, SteadyMs(2_950)), [regained]);
 }
--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -269,10 +269,14 @@
         clock: &FollowedClock,
         confirmed_steady_ms: &[(ObjectKind, u64)],
     ) {
+        let now = self.now();
         let mut confirmations = self.confirmations.borrow_mut();
-        for (kind, ms) in confirmed_steady_ms {
+        // What this host holds may be of an earlier era than that of the followed host.
+        let held =
+            confirmed_steady_ms.iter().filter(|(kind, _)| self.next_position(*kind).is_some());
+        for (kind, ms) in held {
             if let Some(as_of) = clock.own_time(SteadyMs(*ms)) {
-                confirmations.record_confirmed(*kind, as_of);
+                confirmations.record_confirmed(*kind, as_of, now);
             }
         }
         drop(confirmations);
