Leave a reader that confirms nothing

A followed host whose status says that it can read the store, but that names no confirmation, counted as healthy: it was followed without end, and a host that read the store stopped doing so. A connection that lives and brings no news was thus still taken for no news.

--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -152,6 +152,7 @@
     };
     write_frame(&mut stream, &encode_frame(&request)?, SILENCE_TIMEOUT).await?;
     let first_changes_by = site.now().plus_ms(FIRST_CHANGES_TIMEOUT_MS);
+    let first_confirmations_by = site.now().plus_ms(MAX_CONFIRMATION_AGE_MS);
     site.restart_lag();
     let mut brought = BTreeMap::new();
     let first_frame = read_frame(&mut stream, MAX_STATUS_BYTES, SILENCE_TIMEOUT);
@@ -174,7 +175,11 @@
                 let is_old = |(_, ms): &(ObjectKind, u64)| {
                     SteadyMs(steady_ms).since_ms(SteadyMs(*ms)) > MAX_CONFIRMATION_AGE_MS
                 };
-                let is_unconfirmed = confirmed_steady_ms.iter().any(is_old);
+                let is_complete = ObjectKind::ALL
+                    .iter()
+                    .all(|kind| confirmed_steady_ms.iter().any(|(confirmed, _)| confirmed == kind));
+                let is_unconfirmed = confirmed_steady_ms.iter().any(is_old)
+                    || (!is_complete && first_confirmations_by.is_past(site.now()));
                 site.record_confirmations(&clock, &confirmed_steady_ms);
                 let is_able = can_read_store && !is_unconfirmed;
                 if !is_able && !site.must_follow(&host.name) {
@@ -183,7 +188,7 @@
                         false => FollowEnd::CannotRead,
                     });
                 }
-                if is_able {
+                if is_able && is_complete {
                     site.readers.borrow_mut().record_success(&host.name);
                 }
                 if clock.begin_beat(site.now()) {
--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -473,11 +473,16 @@
     HugeMessage,
     /// A status that says that the reader stops.
     Stopping,
+    /// Statuses that say that the reader can read the store, without a confirmation.
+    Unconfirmed,
 }
 
 /// Content of a frame with the status of a reader that can read the store and stops.
 const STOPPING_STATUS: [u8; 7] = [0, 0, 1, 1, 1, 0, 0];
 
+/// Content of a frame with the status of a reader that can read the store, and confirms nothing.
+const UNCONFIRMED_STATUS: [u8; 7] = [0, 0, 1, 0, 1, 0, 0];
+
 /// Puts the record of a host that misbehaves as a reader. Returns the number of connections to it, which grows.
 fn add_false_reader(store: &FakeStore, name: &str, kind: FalseReader) -> Arc<AtomicUsize> {
     let connections: Arc<AtomicUsize> = Arc::default();
@@ -514,6 +519,11 @@
                 stream.write_all(&STOPPING_STATUS)?;
                 std::thread::sleep(CONFIG_APPLY_TIME);
             }
+            FalseReader::Unconfirmed => loop {
+                stream.write_all(&(UNCONFIRMED_STATUS.len() as u32).to_be_bytes())?;
+                stream.write_all(&UNCONFIRMED_STATUS)?;
+                std::thread::sleep(Duration::from_millis(250));
+            },
             FalseReader::OneByteAtTimes => {
                 stream.write_all(&4096_u32.to_be_bytes())?;
                 loop {
@@ -578,8 +588,8 @@
 /// A host once read the store no longer as soon as it had chosen a host to follow, which then sent nothing for 8 s.
 #[test]
 fn change_is_used_by_a_reader_that_begins_to_follow_a_false_one() {
-    use FalseReader::{EndlessFrame, Nothing, OneByteAtTimes};
-    for kind in [Nothing, EndlessFrame, OneByteAtTimes] {
+    use FalseReader::{EndlessFrame, Nothing, OneByteAtTimes, Unconfirmed};
+    for kind in [Nothing, EndlessFrame, OneByteAtTimes, Unconfirmed] {
         let cluster = Cluster::start(1);
         assert_eq!(cluster.readers(), [0]);
         let readers =
