Pause between listings of a store that goes back without an era

A listing that ends below what a host holds has no effect, so that another one was needed at once. A store that came back from an older copy and names no era was therefore listed again and again by each reader, for each kind: 3,369 calls of three hosts in 3 s. Without the header such a store cannot be told from old answers.

--- a/crates/godwit-gateway/src/store/list_watch.rs
+++ b/crates/godwit-gateway/src/store/list_watch.rs
@@ -371,6 +371,10 @@
         match step {
             Ok(changes) => {
                 apply_answer(site, self.kind, &changes, call);
+                let is_listing = changes.from_revision == 0;
+                if is_listing && site.next_position(self.kind).is_none() {
+                    self.back_off(site, "the listing is older than what is held", started).await;
+                }
                 // Also without changes, so that a store that ends each watch at once is not called all the time.
                 if changes.from_revision > 0 && started.elapsed() < QUICK_WATCH_THRESHOLD {
                     sleep(self.kind.batch_delay()).await;
--- a/tests/gateway/drills.rs
+++ b/tests/gateway/drills.rs
@@ -324,6 +324,27 @@
     assert_used_by(&cluster.hosts, 2, Instant::now() + CONFIG_APPLY_TIME * 2);
 }
 
+/// Revisions that go back without a new era cannot be told from old answers.
+#[test]
+fn store_that_goes_back_without_an_era_is_not_listed_without_a_pause() {
+    const OBSERVED: Duration = Duration::from_secs(3);
+    /// Calls of a reader in this time: for each kind one in 200 ms at most, while it cannot be read.
+    const MAX_CALLS: usize = 2 * 3 * 15;
+    let store = FakeStore::start();
+    store.set_era_header(EraHeader::Absent);
+    let cluster = Cluster::start_with_store(store, 3);
+    let copy = cluster.store.copy();
+    write_much(&cluster.store);
+    put_version(&cluster.store, 2);
+    assert_used_by(&cluster.hosts, 2, Instant::now() + CONFIG_APPLY_TIME);
+    drill(&cluster.store, &copy, AWAY_TIME);
+    let before = cluster.store.calls();
+    std::thread::sleep(OBSERVED);
+    let calls = cluster.store.calls() - before;
+    println!("{calls} calls");
+    assert!(calls <= MAX_CALLS, "{calls} calls in {OBSERVED:?}");
+}
+
 #[test]
 fn era_that_is_absent_or_unreadable_changes_nothing() {
     for era_header in [EraHeader::Absent, EraHeader::Unreadable] {
