Give a slow store 1.2 s to confirm

A call for a confirmation was given up 600 ms after its connection opened, although it is waited for while a second call runs, and the calls that wait for the return of a lost store waited no longer either. A store that took longer than that counted as lost for as long as it was slow, and hosts used changes late.

Confirmations now wait 1.2 s for an answer to begin, and the calls to a lost store 600 ms and 1.2 s in turn.

--- a/crates/godwit-gateway/src/store/confirm.rs
+++ b/crates/godwit-gateway/src/store/confirm.rs
@@ -158,7 +158,7 @@
 /// Reads the changes of a kind, and applies them as those as of the start of the call.
 async fn read_newest(site: &Site, kind: ObjectKind) -> Result<Option<Brought>, StepError> {
     let call = site.begin_call();
-    match read_once(site, kind, WatchCall::QUICK).await {
+    match read_once(site, kind, WatchCall::PATIENT).await {
         Ok(changes) => {
             apply_answer(site, kind, &changes, call);
             Ok(brought(kind, &changes, call.started_at()))
--- a/crates/godwit-gateway/src/store/list_watch.rs
+++ b/crates/godwit-gateway/src/store/list_watch.rs
@@ -29,6 +29,9 @@
 /// Time that a watch whose response is needed at once may take until its response begins.
 const QUICK_WATCH_PATIENCE: Duration = Duration::from_millis(600);
 
+/// The same for a store that is slow to answer.
+const SLOW_STORE_PATIENCE: Duration = Duration::from_millis(1_200);
+
 /// Time that a watch may take beyond its wait time.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
 
@@ -132,6 +135,12 @@
         timeouts: CallTimeouts { head: QUICK_WATCH_PATIENCE, response: WATCH_TIMEOUT_MARGIN },
     };
 
+    /// Quick watch that a slow store has time to answer.
+    pub(super) const PATIENT: WatchCall = WatchCall {
+        timeouts: CallTimeouts { head: SLOW_STORE_PATIENCE, response: WATCH_TIMEOUT_MARGIN },
+        ..WatchCall::QUICK
+    };
+
     /// Quick watch that costs less, and whose response may be seconds old.
     pub(super) const CHEAP: WatchCall = WatchCall { may_be_stale: true, ..WatchCall::QUICK };
 }
@@ -307,7 +316,12 @@
         position: StorePosition,
     ) -> Result<ReplicaChanges, StepError> {
         let is_lost = site.readers.borrow().is_kind_lost(self.kind.name());
-        let call = if is_lost { WatchCall::QUICK } else { WatchCall::WAITING };
+        let call = match (is_lost, self.consecutive_failures % 2) {
+            (false, _) => WatchCall::WAITING,
+            // In turn, as a call on a dead connection ends late, and a slow store needs time.
+            (true, 0) => WatchCall::PATIENT,
+            (true, _) => WatchCall::QUICK,
+        };
         site.record_call(self.kind);
         let kind = self.kind;
         let _pending = site.pending_watches.begin(kind, position.ordinal(), site.now());
--- a/tests/gateway/silences.rs
+++ b/tests/gateway/silences.rs
@@ -269,3 +269,16 @@
         host.wait_for("a confirmation", || statuses(host) == (404, 401));
     }
 }
+
+#[test]
+fn store_that_answers_after_700_ms_is_not_lost() {
+    const DELAY_EACH_WAY: Duration = Duration::from_millis(350);
+    const OBSERVED: Duration = Duration::from_secs(5);
+    let cluster = Cluster::start(4);
+    cluster.proxies.iter().for_each(|proxy| proxy.set(ProxyMode::Delay(DELAY_EACH_WAY)));
+    std::thread::sleep(OBSERVED);
+    put_version(&cluster, 2);
+    assert_version_is_used(&cluster, 2, Instant::now());
+    let lost: f64 = cluster.hosts.iter().map(|host| host.metric_sum("store_lost_total")).sum();
+    assert_eq!(lost, 0.0);
+}
