Tidy the comments of what reads the store and gives orders

Two module comments were wrapped in the middle of lines, one was not true since a first call is waited for while the second runs, and a type was named by a binding of its own. No behaviour changed.

--- a/crates/godwit-core/src/replica/readers.rs
+++ b/crates/godwit-core/src/replica/readers.rs
@@ -1,9 +1,9 @@
 //! Selection of the hosts that read the platform's store for their failure domain.
 //!
 //! The first hosts of a domain by capacity read the store; the others follow one of them. Those that read it also follow
-//! the first, which asks for confirmations on behalf of all. There is no election: each host
-//! ranks the hosts by itself and skips those with which it had trouble lately. A host that is followed reads the store,
-//! whatever its own rank says, so that hosts that disagree only cost calls to the store.
+//! the first, which asks for confirmations on behalf of all. There is no election: each host ranks the hosts by itself and
+//! skips those with which it had trouble lately. A host that is followed reads the store, whatever its own rank says, so
+//! that hosts that disagree only cost calls to the store.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/godwit-gateway/src/coordinator.rs
+++ b/crates/godwit-gateway/src/coordinator.rs
@@ -1,7 +1,7 @@
 //! Reconciliation of the layer layout: orders that tell each server of a split model which layers to hold. Only the
-//! leader sends orders. The revision of the leader object in the store, in the era of the store, is its fencing number. A host whose conditional
-//! update of the object fails, or whose order a server rejects as fenced, sends no more orders until it has written the
-//! object again.
+//! leader sends orders. Its fencing number is that of the revision of the leader object in the era of the store. A host
+//! whose conditional update of the object fails, or whose order a server rejects as fenced, sends no more orders until it
+//! has written the object again.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
--- a/crates/godwit-gateway/src/store/confirm.rs
+++ b/crates/godwit-gateway/src/store/confirm.rs
@@ -14,7 +14,7 @@
 use crate::store::list_watch::{StepError, StoreReader, WatchCall, apply_answer, apply_read};
 use crate::store::pending::Interruption;
 
-/// Time after which a call without an answer is repeated on another connection. The first one is waited for as long.
+/// Time after which a call without an answer is repeated on another connection. Both are then waited for as long again.
 const PATIENCE: Duration = Duration::from_millis(600);
 
 /// Delay after a call that failed, before it is repeated.
@@ -72,16 +72,16 @@
     site.confirmations.borrow_mut().record_asked(started_at);
     let mut kinds = site.confirmable_kinds().into_iter();
     let Some(first) = kinds.next() else { return };
-    let rest = async {
+    let asked = async {
         let brought = ask_newest(site, first).await?;
         let (one, other) = (kinds.next(), kinds.next());
         let (one, other) = tokio::try_join!(
             ask_unless_confirmed(site, one, started_at),
             ask_unless_confirmed(site, other, started_at),
         )?;
-        Ok([brought, one, other])
+        Ok::<_, StepError>([brought, one, other])
     };
-    match rest.await {
+    match asked.await {
         Ok(brought) => {
             let brought: Vec<Brought> = brought.into_iter().flatten().collect();
             end_lost_watches(site, &brought).await;
@@ -89,7 +89,6 @@
         // Listings in the new era confirm what they return.
         Err(_) if site.store_era.get() > era => {}
         Err(error) => {
-            let error: StepError = error;
             for kind in ObjectKind::ALL {
                 site.pending_watches.interrupt(kind, Interruption::Unreachable(error.to_string()));
             }
--- a/tests/gateway/drills.rs
+++ b/tests/gateway/drills.rs
@@ -1,4 +1,4 @@
-//! Hosts before a store that was away and comes back from an older copy.
+//! Hosts before a store that was away and comes back from an older copy, which its operators play as a drill.
 
 use std::time::{Duration, Instant};
 
