Gossip no positions to hosts that may know no eras

Hosts of the build before read the newest revisions in gossip as plain numbers. Beside a store that names eras from 1 on, the position of any object would be larger than every revision that they can read, so that they would take each of their watches for hanging, again and again, while both builds run.

Only revisions of a store without eras, or in era 0, are gossiped now. In later eras hosts learn that they are behind by their confirmations, each second.

--- a/crates/godwit-gateway/src/replica/state.rs
+++ b/crates/godwit-gateway/src/replica/state.rs
@@ -148,10 +148,15 @@
         self.freshness.borrow().get(&kind).is_some_and(|freshness| freshness.is_behind(now))
     }
 
-    /// Returns the newest revision of an object of each kind that this host knows of, for its messages to other hosts.
+    /// Returns the newest revision of an object of each kind that this host knows of, for its messages to other hosts. None
+    /// in the eras of a store that names them: hosts that know no eras would take positions for revisions that they lack.
     pub(crate) fn newest_revisions(&self) -> Vec<(ObjectKind, u64)> {
         let freshness = self.freshness.borrow();
-        freshness.iter().map(|(kind, freshness)| (*kind, freshness.newest_known())).collect()
+        let newest = freshness.iter().filter_map(|(kind, freshness)| {
+            let position = StorePosition::from_ordinal(freshness.newest_known());
+            Some((*kind, position.revision_in(0)?))
+        });
+        newest.collect()
     }
 
     /// Records whether this host could read the objects of a kind from the store. Returns whether that has changed.
