End a lost watch in one place

The confirmations of a reader and the changes that a followed host sends both asked whether a waiting watch lacks a change, and then ended it. PendingWatches does both now.

--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -245,8 +245,8 @@
         let now = self.now();
         brought.retain(|kind, (revision, at)| {
             let is_due = at.plus_ms(WATCH_GRACE_MS).is_past(now);
-            if is_due && self.pending_watches.lacks(*kind, *revision, *at) {
-                self.pending_watches.interrupt(*kind, Interruption::WatchLost);
+            if is_due {
+                self.pending_watches.end_if_lost(*kind, *revision, *at);
             }
             !is_due
         });
--- a/crates/godwit-gateway/src/store/confirm.rs
+++ b/crates/godwit-gateway/src/store/confirm.rs
@@ -102,9 +102,7 @@
     }
     sleep(WATCH_GRACE).await;
     for change in brought {
-        if site.pending_watches.lacks(change.kind, change.revision, change.call_started_at) {
-            site.pending_watches.interrupt(change.kind, Interruption::WatchLost);
-        }
+        site.pending_watches.end_if_lost(change.kind, change.revision, change.call_started_at);
     }
 }
 
--- a/crates/godwit-gateway/src/store/pending.rs
+++ b/crates/godwit-gateway/src/store/pending.rs
@@ -74,8 +74,14 @@
         }
     }
 
-    /// Whether a watch of a kind that began before a time still waits for a change of a revision.
-    pub(crate) fn lacks(&self, kind: ObjectKind, revision: u64, before: SteadyMs) -> bool {
+    /// Ends the watch of a kind if it began before a time and still waits for a change of a revision, and so is lost.
+    pub(crate) fn end_if_lost(&self, kind: ObjectKind, revision: u64, before: SteadyMs) {
+        if self.lacks(kind, revision, before) {
+            self.interrupt(kind, Interruption::WatchLost);
+        }
+    }
+
+    fn lacks(&self, kind: ObjectKind, revision: u64, before: SteadyMs) -> bool {
         let pending = self.0.borrow();
         let pending = pending.get(&kind);
         pending.is_some_and(|watch| watch.from_revision < revision && watch.began_at < before)
