Review, case 5: a deadly part that lets a server write a few events is taken for sound

Cause: after more than MAX_EARLY_PIECES (4) pieces a loss of a part is left out and the part is taken for sound.

--- a/review/lib/deadly.py
+++ b/review/lib/deadly.py
@@ -23,7 +23,8 @@
 class Fleet:
     """Starts a server in place of each that has crashed, and lets its entry lapse after three heartbeats."""
 
-    def __init__(self, site, services):
+    def __init__(self, site, services, **settings):
+        self.settings = settings
         self.site, self.servers, self.number, self.is_over = site, [], 0, False
         for service in services:
             for zone in (site.zones * SERVERS_OF_A_SERVICE)[:SERVERS_OF_A_SERVICE]:
@@ -35,7 +36,7 @@
         self.number += 1
         part = DEADLY if TROUBLE else None
         server = Server(self.site, "i-%03d" % self.number, service, zone, streams=True, kind="a100", event_s=0.02,
-                        deadly_part=part)
+                        deadly_part=part, **self.settings)
         server.ended_at = None
         self.servers.append(server)
 
@@ -64,12 +65,12 @@
         self.thread.join()
 
 
-def play(site, services, configuration, prompt, sound_from_s=-4.0, load_s=LOAD_S, during=None):
+def play(site, services, configuration, prompt, sound_from_s=-4.0, load_s=LOAD_S, **settings):
     """Plays the load. `prompt` returns the headers of a request with the deadly part or of a sound one; sound requests come
-    from `sound_from_s` after the first deadly one. Returns 1 if the rule was broken."""
+    from `sound_from_s` after the first deadly one. `settings` are those of the servers. Returns 1 if the rule was broken."""
     site.store.put("config", "main", configuration)
     hosts = [Host(site, "front-%s-1" % zone, zone) for zone in site.zones]
-    fleet = Fleet(site, services)
+    fleet = Fleet(site, services, **settings)
     for host in hosts:
         site.wait_until("readiness", host.is_ready)
     site.wait_until("the layers", lambda: all(server.layers for server in fleet.servers))
@@ -90,8 +91,6 @@
     threads += [threading.Thread(target=client, args=(deadly, True, host, began, 0.8)) for host in hosts]
     for thread in threads:
         thread.start()
-    if during:
-        during(began)
     time.sleep(max(0.0, began + load_s - time.time()))
     is_over.set()
     for thread in threads:
@@ -101,8 +100,7 @@
     ids = {answer.request_id for answer in deadly}
     runs = [event for event in fleet.events("runs") if event["request"] in ids]
     crashes = fleet.events("crash")
-    site.record.write("sound requests: %d, of them %d answered with 200" % (
-        len(sound), sum(answer.status == 200 for answer in sound)))
+    site.record.write("sound requests: %d, of them %d begun" % (len(sound), sum(map(is_begun, sound))))
     site.record.write("requests with the part: %d, of them at servers: %d, crashes: %d" % (
         len(deadly), len(runs), len(crashes)))
     if not TROUBLE:
@@ -111,6 +109,10 @@
         return 0
     if len(crashes) < 5:
         return 0
+    calm = [is_begun(answer) for answer in sound if answer.sent_at < began]
+    bound = [is_begun(answer) for answer in sound if answer.sent_at > crashes[4]["at"] + 2 * CONTACT_WINDOW_S]
+    site.record.write("sound requests begun at the first attempt: %d of %d before, %d of %d later than %.0f s after the "
+                      "fifth crash" % (sum(calm), len(calm), sum(bound), len(bound), 2 * CONTACT_WINDOW_S))
     late = [event for event in runs if event["at"] > crashes[4]["at"] + CONTACT_WINDOW_S]
     for event in late:
         site.record.write("%s reaches %s %.1f s after the fifth crash" % (
@@ -122,6 +124,10 @@
     return 1 if len(late) > 3 else 0
 
 
+def is_begun(answer):
+    return answer.status == 200
+
+
 def headers_of(parts):
     """Headers of a request with these shared parts, and a last part of its own."""
     parts = ["%s:40" % part for part in parts] + ["%08x:60" % random.getrandbits(32)]
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -207,7 +207,8 @@
         """One client attempt, on a new connection unless one is given."""
         request_id = request_id or self.next_request_id()
         answer = Answer()
-        answer.request_id, began = request_id, time.time()
+        answer.request_id = request_id
+        answer.sent_at = began = time.time()
         lines = ["%s %s HTTP/1.1" % (method, path), "Host: " + HOST_NAME, "Godwitdeal-Request-Id: " + request_id,
                  "Godwitdeal-Deadline-Ms: %d" % deadline_ms, "Authorization: Bearer " + key]
         lines += ["%s: %s" % pair for pair in (headers or {}).items()]
--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -77,7 +77,12 @@
          json.dumps(answer).encode())
 
 
-def stream(sock, headers, request_id):
+def crash(request_id):
+    note(event="crash", request=request_id)
+    os._exit(9)
+
+
+def stream(sock, headers, request_id, crashes_after):
     """Sends whole events, each in one write, up to the last one of the request."""
     total = int(headers.get("godwitdeal-token-counts", "0,90").split(",")[1]) // 3
     first = int(headers.get("last-event-id", "0")) + 1
@@ -94,6 +99,8 @@
         event = ("id: %d\ndata: piece %d of %d\n\n" % (number, number, total)).encode()
         sock.sendall(b"%x\r\n%s\r\n" % (len(event), event) if is_chunked else event)
         time.sleep(SETTINGS.get("event_s", 0.05))
+        if crashes_after is not None and number - first + 1 == crashes_after:
+            crash(request_id)
     if is_chunked:
         sock.sendall(b"0\r\n\r\n")
     note(event="finished", request=request_id, last=total)
@@ -135,15 +142,17 @@
     note(event="runs", request=request_id, target=target, tenant=headers.get("godwitdeal-tenant"),
          hops=headers.get("godwitdeal-hop-count"), last=headers.get("last-event-id"))
     parts = [part.split(":")[0] for part in headers.get("godwitdeal-prompt-prefix", "").split(",")]
+    crashes_after = None
     if SETTINGS.get("deadly_part") in parts[:-1]:
-        # The server crashes as it begins to write the answer.
-        time.sleep(SETTINGS.get("deadly_after_s", 0.05))
-        note(event="crash", request=request_id)
-        os._exit(9)
+        # The server crashes as it begins to write the answer, or after its first events.
+        crashes_after = SETTINGS.get("deadly_after_events", 0)
+        if crashes_after == 0:
+            time.sleep(0.05)
+            crash(request_id)
     STATE["running"] += 1
     try:
         if SETTINGS["streams"]:
-            return stream(sock, headers, request_id)
+            return stream(sock, headers, request_id, crashes_after)
         return call(sock, request_id)
     finally:
         STATE["running"] -= 1
