--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -161,7 +161,8 @@
 
     def next_address(self):
         self.last_address += 1
-        return "127.%d.%d.%d" % (*self.octets, self.last_address)
+        high, low = divmod(self.last_address, 250)
+        return "127.%d.%d.%d" % (self.octets[0], self.octets[1] + high, low + 1)
 
     def settings(self, host, is_first_start):
         zones = "\n".join('%s = "gauteng"' % zone for zone in self.zones)
