Review: hosts whose connections to servers are reset do not serve (entry); cases in the order of their gravity

Cause: an open connection is taken for the proof that a link works. Ruled out: new connections that are refused.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,25 +1,21 @@
-"""A deadly part behind sixteen other shared parts, as in a prompt that holds a long conversation."""
+"""A deadly part that lets a server write the first events of an answer."""
 
 import os
 
 import deadly
 from deployment import run_case
 
-# Shared parts before the deadly one, and after it.
-BEFORE = int(os.environ.get("BEFORE", "18"))
-AFTER = 3
+# Number of events that a server writes before it crashes.
+EVENTS = int(os.environ.get("EVENTS", "6"))
 
 
 def prompt(is_deadly):
-    """Sound requests share all parts but the deadly one, and the last one, which is each request's own."""
-    parts = ["5c1e%04x" % number for number in range(BEFORE + AFTER)]
-    if is_deadly:
-        parts.insert(BEFORE, deadly.DEADLY)
-    return deadly.headers_of(parts)
+    """Sound requests share the first part; the last one is each request's own."""
+    return deadly.headers_of(["5c1e07a2", deadly.DEADLY] if is_deadly else ["5c1e07a2"])
 
 
 def main(site):
-    return deadly.play(site, ["pool"], site.configuration(1), prompt)
+    return deadly.play(site, ["pool"], site.configuration(1), prompt, deadly_after_events=EVENTS)
 
 
 if __name__ == "__main__":
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,22 +1,25 @@
-"""A deadly part beside one other shared part, while no sound request has come with that one for a minute."""
+"""A deadly part behind sixteen other shared parts, as in a prompt that holds a long conversation."""
 
 import os
 
 import deadly
 from deployment import run_case
 
-# Sound requests come this long after the first one with the deadly part.
-SOUND_FROM_S = 20.0
-FIRST_PART = os.environ.get("FIRST_PART", "5c1e0000")
+# Shared parts before the deadly one, and after it.
+BEFORE = int(os.environ.get("BEFORE", "18"))
+AFTER = 3
 
 
 def prompt(is_deadly):
-    """Sound requests share the first part; the last one is each request's own."""
-    return deadly.headers_of([FIRST_PART, deadly.DEADLY] if is_deadly else [FIRST_PART])
+    """Sound requests share all parts but the deadly one, and the last one, which is each request's own."""
+    parts = ["5c1e%04x" % number for number in range(BEFORE + AFTER)]
+    if is_deadly:
+        parts.insert(BEFORE, deadly.DEADLY)
+    return deadly.headers_of(parts)
 
 
 def main(site):
-    return deadly.play(site, ["pool"], site.configuration(1), prompt, sound_from_s=SOUND_FROM_S, load_s=28.0)
+    return deadly.play(site, ["pool"], site.configuration(1), prompt)
 
 
 if __name__ == "__main__":
--- a/review/lib/proxy.py
+++ b/review/lib/proxy.py
@@ -19,6 +19,7 @@
     def __init__(self, host, target):
         self.host, self.target = host, net.split_address(target)
         self.pairs, self.lock = [], threading.Lock()
+        self.resets_new = False
         self.listener = net.listen(host)
         self.port = self.listener.getsockname()[1]
         self.address = "%s:%d" % (host, self.port)
@@ -28,6 +29,9 @@
         while True:
             try:
                 sock, _ = listener.accept()
+                if self.resets_new:
+                    reset(sock)
+                    continue
                 other = net.connect(self.target, 5)
             except OSError:
                 return
@@ -53,6 +57,18 @@
             except OSError:
                 pass
 
+    def reset_all(self):
+        """Resets all connections, and new ones as soon as they are open."""
+        self.resets_new = True
+        with self.lock:
+            pairs, self.pairs = self.pairs, []
+        for sock, other in pairs:
+            reset(sock)
+            reset(other)
+
+    def reset_none(self):
+        self.resets_new = False
+
     def cut(self):
         """Resets all connections and refuses new ones."""
         listener, self.listener = self.listener, None
--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -142,6 +142,10 @@
     note(event="runs", request=request_id, target=target, tenant=headers.get("godwitdeal-tenant"),
          hops=headers.get("godwitdeal-hop-count"), last=headers.get("last-event-id"))
     parts = [part.split(":")[0] for part in headers.get("godwitdeal-prompt-prefix", "").split(",")]
+    if SETTINGS.get("deadly_path") == target:
+        # The server goes on with what it has begun, though its caller may have left, and crashes under it.
+        time.sleep(SETTINGS["deadly_after_s"])
+        crash(request_id)
     crashes_after = None
     if SETTINGS.get("deadly_part") in parts[:-1]:
         # The server crashes as it begins to write the answer, or after its first events.
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -15,31 +15,33 @@
         self.revision = 10
         self.objects = {}
         self.events = []
-        # Called with (peer host, listed object); returns the object as that peer is to see it.
-        self.view = lambda peer, obj: obj
-        # Called with (peer host, method, path); returns False if the connection is to end without an answer.
-        self.admits = lambda peer, method, path: True
         self.listener = net.listen(host)
         self.address = "%s:%d" % self.listener.getsockname()
-        threading.Thread(target=self._accept, daemon=True).start()
+        threading.Thread(target=self._accept, args=(self.listener, None), daemon=True).start()
 
-    def _accept(self):
+    def another_address(self, host, view):
+        """Listens at another address as well, at which `view` replaces each object in an answer, as for a host that
+        reaches the servers by other ways."""
+        listener = net.listen(host)
+        threading.Thread(target=self._accept, args=(listener, view), daemon=True).start()
+        return "%s:%d" % listener.getsockname()
+
+    def _accept(self, listener, view):
         while True:
-            sock, peer = self.listener.accept()
+            sock, _ = listener.accept()
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            threading.Thread(target=self._serve, args=(sock, peer[0]), daemon=True).start()
+            threading.Thread(target=self._serve, args=(sock, view), daemon=True).start()
 
-    def _serve(self, sock, peer):
+    def _serve(self, sock, view):
         reader = net.Reader(sock)
         try:
             while True:
                 first, headers = net.read_head(reader)
                 body = net.read_body(reader, headers)
                 method, target, _ = first.split(" ", 2)
-                if not self.admits(peer, method, target):
-                    return
                 status, answer = self._handle(method, target, body)
-                answer = self._as_seen(peer, answer)
+                if view:
+                    answer = self._as_seen(view, answer)
                 data = json.dumps(answer).encode()
                 head = "HTTP/1.1 %d X\r\ncontent-type: application/json\r\ncontent-length: %d\r\n\r\n"
                 sock.sendall((head % (status, len(data))).encode() + data)
@@ -48,13 +50,13 @@
         finally:
             sock.close()
 
-    def _as_seen(self, peer, answer):
+    def _as_seen(self, view, answer):
         if isinstance(answer, dict):
             if "Metadata" in answer:
-                return self.view(peer, answer)
-            return {key: self._as_seen(peer, value) for key, value in answer.items()}
+                return view(answer)
+            return {key: self._as_seen(view, value) for key, value in answer.items()}
         if isinstance(answer, list):
-            return [self._as_seen(peer, item) for item in answer]
+            return [self._as_seen(view, item) for item in answer]
         return answer
 
     def _handle(self, method, target, body):
