--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -204,7 +204,7 @@
             return "%08x%08x" % (random.getrandbits(32), self.counter)
 
     def request(self, host, method, path, body=b"", deadline_ms=20000, headers=None, request_id=None, key=KEY,
-                sock=None, leaves_after_s=None):
+                sock=None):
         """One client attempt, on a new connection unless one is given."""
         request_id = request_id or self.next_request_id()
         answer = Answer()
@@ -222,8 +222,6 @@
                 sock = net.connect(host.front, 1.0)
             sock.settimeout(deadline_ms / 1000 + 1)
             sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-            if leaves_after_s:
-                sock.settimeout(leaves_after_s)
             reader = net.Reader(sock)
             first, answer.headers = net.read_head(reader)
             answer.status = int(first.split(" ")[1])
--- a/review/lib/net.py
+++ b/review/lib/net.py
@@ -32,13 +32,6 @@
         taken, self.buffer = self.buffer[:count], self.buffer[count:]
         return taken
 
-    def rest_piece(self):
-        """Returns some bytes; none at the end of the connection."""
-        if self.buffer:
-            taken, self.buffer = self.buffer, b""
-            return taken
-        return self.sock.recv(65536)
-
 
 def read_head(reader):
     """Returns the first line and the headers, names in lower case."""
--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -26,12 +26,6 @@
         SETTINGS.update(json.loads(line))
 
 
-def reset(sock):
-    """Ends a connection so that the peer sees a reset."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
-    sock.close()
-
-
 def common(request_id):
     headers = {"Godwitdeal-Response-Stamp": "s.%s.%s" % (SETTINGS["id"], request_id),
                "Godwitdeal-Request-Id": request_id,
@@ -132,20 +126,9 @@
     if target == SETTINGS.get("health", "/health"):
         send(sock, 200, {"Godwitdeal-Instance-Id": SETTINGS["id"]})
         return True
-    if SETTINGS.get("refuse"):
-        answer = dict(common(request_id), **{"Godwitdeal-Not-Executed": "1"})
-        if SETTINGS.get("retry_after"):
-            answer["Retry-After"] = str(SETTINGS["retry_after"])
-        note(event="refused", request=request_id, target=target)
-        send(sock, 503, answer)
-        return True
     note(event="runs", request=request_id, target=target, tenant=headers.get("godwitdeal-tenant"),
          hops=headers.get("godwitdeal-hop-count"), last=headers.get("last-event-id"))
     parts = [part.split(":")[0] for part in headers.get("godwitdeal-prompt-prefix", "").split(",")]
-    if SETTINGS.get("deadly_path") == target:
-        # The server goes on with what it has begun, though its caller may have left, and crashes under it.
-        time.sleep(SETTINGS["deadly_after_s"])
-        crash(request_id)
     crashes_after = None
     if SETTINGS.get("deadly_part") in parts[:-1]:
         # The server crashes as it begins to write the answer, or after its first events.
