--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -10,11 +10,11 @@
     CrashReport, LossReport, MAX_REPORTED_ENDS, MAX_REPORTED_SUSPECTS, SuspectReport,
 };
 use crate::quarantine::marks::MARK_LIFETIME_MS;
+use crate::quarantine::prompt_part::Survivals;
 use crate::quarantine::report_selection::{ReportCount, ReportSelection};
 use crate::quarantine::suspect::{
     Loss, LossWeight, LostRun, MAX_LOSSES, MIN_QUARANTINE_LOSSES, MIN_QUARANTINE_PART_REQUESTS,
-    PASSED_FACTOR, PASSED_MARGIN_PIECES, QUARANTINE_WEIGHT, Round, SHARED_END_MS, Suspect,
-    count_requests, truncated,
+    QUARANTINE_WEIGHT, Round, SHARED_END_MS, Suspect, count_requests, has_passed, truncated,
 };
 use crate::quarantine::trial::TRIAL_EVENT_MS;
 
@@ -106,8 +106,8 @@
     pub(super) suspects: BTreeMap<u64, Suspect>,
     /// Suspects that may explain the losses of others.
     pub(super) explaining: BTreeSet<u64>,
-    /// Time of the last response to a request with a part, by fingerprint of the part.
-    pub(super) part_responses: BTreeMap<u64, SteadyMs>,
+    /// What whole answers to requests with a part show of it.
+    pub(super) survivals: Survivals,
     /// What the reports of the current round have.
     pub(super) selection: ReportSelection,
 }
@@ -120,7 +120,7 @@
             ends: BTreeMap::new(),
             suspects: BTreeMap::new(),
             explaining: BTreeSet::new(),
-            part_responses: BTreeMap::new(),
+            survivals: Survivals::default(),
             selection: ReportSelection::default(),
         }
     }
@@ -190,12 +190,14 @@
         loss: Loss,
         now: SteadyMs,
     ) -> bool {
-        let responded_at = self.part_responses.get(&fingerprint).copied();
+        let survived_at = self.survivals.get(fingerprint);
+        let survived_at = survived_at.filter(|it| it.is_established).map(|it| it.at);
         let suspect = self.suspects.entry(fingerprint).or_default();
         suspect.is_part = is_part;
         if suspect.losses.is_empty() {
-            suspect.cleared_at = suspect.cleared_at.max(responded_at);
+            suspect.cleared_at = suspect.cleared_at.max(survived_at);
             suspect.changed_at = now;
+            suspect.whole_answers = 0;
         }
         let is_changed = suspect.add(server, loss);
         if is_changed {
@@ -230,7 +232,7 @@
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return false };
         let earlier = suspect.losses.values().filter(|loss| loss.ended_at <= started_at);
         let Some(lost_pieces) = earlier.map(|loss| loss.pieces).max() else { return false };
-        if pieces <= PASSED_FACTOR * lost_pieces + PASSED_MARGIN_PIECES {
+        if !has_passed(pieces, lost_pieces) {
             return false;
         }
         suspect.clear(started_at);
@@ -320,7 +322,7 @@
             }
         }
         let rounds = suspect.rounds(|server, loss| {
-            let is_explained = if loss.is_early() {
+            let is_explained = if suspect.is_part || loss.is_early() {
                 self.is_due_to_part(fingerprint, suspect, server)
             } else {
                 self.is_explained(fingerprint, server)
@@ -360,7 +362,7 @@
     }
 
     /// Removes the request with the fewest and oldest losses if there are too many, but not the one just added.
-    fn evict_excess(&mut self, added: u64) {
+    pub(super) fn evict_excess(&mut self, added: u64) {
         if self.suspects.len() <= MAX_SUSPECTS {
             return;
         }
@@ -387,7 +389,7 @@
             !suspect.last_loss_at().plus_ms(kept_ms).is_past(now)
         });
         self.retain_explaining();
-        self.expire_part_responses(now);
+        self.survivals.expire(now);
     }
 
     /// Returns the changes of status since the last call.
@@ -443,16 +445,18 @@
     pub fn merge(&mut self, report: &CrashReport, sender: &str, now: SteadyMs) -> Vec<String> {
         let time = |ago_ms: u64| SteadyMs(now.0.saturating_sub(ago_ms));
         let mut new_ends = Vec::new();
+        for survival in report.survivals.iter().take(MAX_REPORTED_SUSPECTS) {
+            let at = time(survival.ago_ms);
+            self.record_survival(survival.part, survival.answer(), at, now);
+        }
         for end in report.ends.iter().take(MAX_REPORTED_ENDS) {
             if self.record_end(&end.server, time(end.ended_ago_ms)) {
                 new_ends.push(end.server.clone());
             }
         }
         for suspect in report.suspects.iter().take(MAX_REPORTED_SUSPECTS) {
-            if let Some(ago_ms) = suspect.cleared_ago_ms {
-                if suspect.is_part {
-                    self.note_part_response(suspect.fingerprint, time(ago_ms));
-                }
+            let cleared_ago_ms = suspect.cleared_ago_ms.filter(|_| !suspect.is_part);
+            if let Some(ago_ms) = cleared_ago_ms {
                 self.merge_clearing(suspect.fingerprint, time(ago_ms), now);
             }
             for loss in suspect.losses.iter().take(MAX_LOSSES) {
@@ -467,7 +471,11 @@
                     reported: ReportCount::default(),
                 };
                 self.record_end(&loss.server, heard.ended_at);
-                self.add_loss(suspect.fingerprint, suspect.is_part, &loss.server, heard, now);
+                if suspect.is_part {
+                    self.add_part_loss(suspect.fingerprint, &loss.server, heard, now);
+                } else {
+                    self.add_loss(suspect.fingerprint, false, &loss.server, heard, now);
+                }
             }
             if let Some(ago_ms) = suspect.trial_ago_ms {
                 self.record_other_trial(suspect.fingerprint, time(ago_ms));
--- a/crates/godwit-core/src/quarantine/crash_report.rs
+++ b/crates/godwit-core/src/quarantine/crash_report.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::SteadyMs;
+use crate::quarantine::prompt_part::WholeAnswer;
 use crate::quarantine::suspect::Loss;
 
 /// Maximum number of requests in a report to other hosts.
@@ -80,6 +81,25 @@
     pub oldest_ms: u64,
 }
 
+/// Whole answers to requests with a part, as reported to other hosts.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SurvivalReport {
+    /// Fingerprint of the part.
+    pub part: u64,
+    /// Largest number of pieces that a server wrote.
+    pub pieces: u64,
+    /// Whether all answers were only the rest of one.
+    pub is_rest: bool,
+    /// Time since the last whole answer, in milliseconds.
+    pub ago_ms: u64,
+}
+
+impl SurvivalReport {
+    pub(crate) fn answer(&self) -> WholeAnswer {
+        WholeAnswer { pieces: self.pieces, is_rest: self.is_rest }
+    }
+}
+
 /// What a host reports to other hosts.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReport {
@@ -87,4 +107,7 @@
     pub ends: Vec<ServerEndReport>,
     /// Requests that ran on them.
     pub suspects: Vec<SuspectReport>,
+    /// What proves reported parts sound. Hosts of releases without it read the rest, so that it is encoded apart.
+    #[serde(skip)]
+    pub survivals: Vec<SurvivalReport>,
 }
--- a/crates/godwit-core/src/quarantine/explanation.rs
+++ b/crates/godwit-core/src/quarantine/explanation.rs
@@ -9,14 +9,14 @@
 
 impl CrashRegister {
     /// Whether several runs of a request, or with a part, have lost their servers, but none proves its guilt. A part that
-    /// may be the cause puts neither the requests with it in doubt nor parts that had responses shortly before.
+    /// may be the cause puts neither the requests with it in doubt nor parts that had whole answers shortly before.
     pub fn is_in_doubt(&self, fingerprint: u64) -> bool {
         let Some(suspect) = self.suspects.get(&fingerprint) else { return false };
         if suspect.losses.len() < MIN_QUARANTINE_LOSSES {
             return false;
         }
         let losses: Vec<&Loss> = if suspect.is_part && !suspect.is_established() {
-            suspect.losses.values().collect()
+            suspect.consistent_losses().collect()
         } else {
             self.unexplained_losses(fingerprint, suspect).collect()
         };
@@ -53,9 +53,11 @@
     /// Whether another request with repeated losses, or a part in doubt, was running on a server when it ended.
     pub(super) fn is_explained(&self, except: u64, server: &str) -> bool {
         let others = self.explaining.iter().filter(|fingerprint| **fingerprint != except);
-        let losses =
-            others.filter_map(|fingerprint| self.suspects.get(fingerprint)?.losses.get(server));
-        losses.into_iter().any(Loss::is_early)
+        let mut suspects = others.filter_map(|fingerprint| self.suspects.get(fingerprint));
+        suspects.any(|suspect| {
+            let loss = suspect.losses.get(server);
+            loss.is_some_and(|loss| suspect.is_part || loss.is_early())
+        })
     }
 
     /// Number of other servers that ended at about the same time, without those that a request with repeated losses
--- a/crates/godwit-core/src/quarantine/mod.rs
+++ b/crates/godwit-core/src/quarantine/mod.rs
@@ -26,11 +26,11 @@
 };
 pub use crash_report::{
     CrashReport, LossReport, MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES, MAX_REPORTED_SUSPECTS,
-    ReportBacklog, ServerEndReport, SuspectReport,
+    ReportBacklog, ServerEndReport, SurvivalReport, SuspectReport,
 };
 pub use fingerprint::{fingerprint, part_fingerprint};
 pub use marks::MARK_LIFETIME_MS;
-pub use prompt_part::{MAX_PART_RESPONSES, is_past_beginning};
+pub use prompt_part::{MAX_SURVIVING_PARTS, WholeAnswer};
 pub use register::{Quarantine, QuarantineStatus, StartDecision};
 pub use suspect::{Loss, LostRun};
 pub use trial::TrialAdmission;
--- a/crates/godwit-core/src/quarantine/report_selection.rs
+++ b/crates/godwit-core/src/quarantine/report_selection.rs
@@ -7,7 +7,7 @@
 use crate::quarantine::crash_register::CrashRegister;
 use crate::quarantine::crash_report::{
     CrashReport, LossReport, MAX_REPORTED_ENDS, MAX_REPORTED_LOSSES, MAX_REPORTED_SUSPECTS,
-    ReportBacklog, ServerEndReport,
+    ReportBacklog, ServerEndReport, SurvivalReport,
 };
 use crate::quarantine::suspect::Suspect;
 
@@ -126,7 +126,7 @@
         if self.selection.round != Some(round) {
             self.select_for_round(round, now);
         }
-        let mut report = CrashReport { ends: self.recent_ends(now), suspects: Vec::new() };
+        let mut report = CrashReport { ends: self.recent_ends(now), ..CrashReport::default() };
         for (fingerprint, servers) in &self.selection.suspects {
             self.add_to_report(&mut report, *fingerprint, servers, now);
         }
@@ -151,6 +151,13 @@
         let losses = servers.iter().filter_map(|server| suspect.losses.get_key_value(server));
         let losses = losses.map(|(server, loss)| LossReport::new(server, loss, now)).collect();
         report.suspects.push(suspect.report(fingerprint, losses, now));
+        let survival = self.survivals.get(fingerprint).filter(|_| suspect.is_part);
+        report.survivals.extend(survival.map(|survival| SurvivalReport {
+            part: fingerprint,
+            pieces: survival.pieces,
+            is_rest: !survival.is_established,
+            ago_ms: now.since_ms(survival.at),
+        }));
     }
 
     /// Returns the latest ends of servers.
--- a/crates/godwit-core/src/quarantine/suspect.rs
+++ b/crates/godwit-core/src/quarantine/suspect.rs
@@ -34,11 +34,11 @@
 pub(crate) const MIN_DOUBTED_PART_REQUESTS: usize = 2;
 pub(crate) const MIN_QUARANTINE_PART_REQUESTS: usize = 3;
 
-/// Time after a response to a request with a part in which the part is unlikely to be at fault, in milliseconds.
+/// Time after a whole answer to a request with a part in which the part is unlikely to be at fault, in milliseconds.
 pub(crate) const ESTABLISHED_MS: u64 = 60_000;
 
-/// Number of rounds of losses after which a part is in doubt in spite of a response shortly before.
-const MIN_ESTABLISHED_ROUNDS: usize = 3;
+/// Number of rounds of losses after which a part is in doubt in spite of a whole answer shortly before.
+pub(crate) const MIN_ESTABLISHED_ROUNDS: usize = 3;
 
 /// Time within which servers that end count as one event, in milliseconds. The end of a later stage of a path shows
 /// only when the first stage reports that it waits.
@@ -46,15 +46,15 @@
 
 /// Largest number of other servers that end in the same event for which a request may still be to blame. More are the
 /// doing of a rack, a failure domain or an operator.
-const MAX_SHARED_ENDS: u64 = 3;
+pub(crate) const MAX_SHARED_ENDS: u64 = 3;
 
 /// Number of rounds that lost a server when the response had hardly begun, from which a request is a likelier cause of a
 /// server's end than an event that ended other servers too.
 pub(crate) const REPEATED_LOSSES: usize = 2;
 
 /// Factor on the pieces of a lost run, and margin on top, beyond which a later run has passed the point of the loss.
-pub(crate) const PASSED_FACTOR: u64 = 2;
-pub(crate) const PASSED_MARGIN_PIECES: u64 = 4;
+const PASSED_FACTOR: u64 = 2;
+const PASSED_MARGIN_PIECES: u64 = 4;
 
 /// Maximum number of losses kept for a request; the latest are kept.
 pub(crate) const MAX_LOSSES: usize = 32;
@@ -172,6 +172,8 @@
     /// How often this host has reported that it was cleared.
     pub(crate) clearing_reported: ReportCount,
     pub(crate) changed_at: SteadyMs,
+    /// Number of whole answers at this host since the first loss, for a part.
+    pub(crate) whole_answers: u32,
     /// Number of trial runs of the request that this host has under way.
     pub(crate) own_trials: u32,
     /// Latest time at which another host had a trial run under way, as far as known.
@@ -201,17 +203,22 @@
     }
 
     /// Whether losses of this suspect may explain those of others: servers ended under it repeatedly. For a part, several
-    /// requests with it must have ended them, and none may have had a response shortly before the first loss.
+    /// requests with it must have ended them, and none may have had a whole answer shortly before the first loss.
     pub(crate) fn may_explain(&self) -> bool {
         if !self.is_part {
             return self.early_losses() >= REPEATED_LOSSES;
         }
-        self.losses.len() >= MIN_QUARANTINE_LOSSES
-            && count_requests(self.losses.values()) >= MIN_DOUBTED_PART_REQUESTS
-            && (!self.is_established() || self.early_losses() >= MIN_ESTABLISHED_ROUNDS)
+        self.consistent_losses().count() >= MIN_QUARANTINE_LOSSES
+            && count_requests(self.consistent_losses()) >= MIN_DOUBTED_PART_REQUESTS
+            && (!self.is_established() || self.loss_rounds() >= MIN_ESTABLISHED_ROUNDS)
     }
 
-    /// Whether a request with this part had a response shortly before the first loss.
+    /// Number of rounds that lost a server.
+    fn loss_rounds(&self) -> usize {
+        self.rounds(|_, loss| LossWeight::new(loss, 0)).len()
+    }
+
+    /// Whether a request with this part had a whole answer shortly before the first loss.
     pub(crate) fn is_established(&self) -> bool {
         let first_loss = self.losses.values().map(|loss| loss.ended_at).min();
         let survived_at = self.cleared_at.filter(|_| self.is_part);
@@ -220,10 +227,22 @@
             .is_some_and(|(lost_at, survived_at)| lost_at.since_ms(survived_at) <= ESTABLISHED_MS)
     }
 
+    /// Returns the losses that this suspect may have caused all: those of a part well beyond which no other run with it came.
+    pub(crate) fn consistent_losses(&self) -> impl Iterator<Item = &Loss> {
+        let most_pieces = self.losses.values().map(|loss| loss.pieces).max().unwrap_or_default();
+        let losses = self.losses.values();
+        losses.filter(move |loss| !self.is_part || !has_passed(most_pieces, loss.pieces))
+    }
+
     /// Whether this part is at least as likely a cause as another suspect of the servers that were lost under both.
     pub(crate) fn is_as_likely_as(&self, other: &Suspect) -> bool {
-        let early = |suspect: &Suspect| suspect.losses.values().filter(|it| it.is_early()).count();
-        !self.is_established() && (other.is_established() || early(self) >= early(other))
+        let other_losses = if other.is_part {
+            other.consistent_losses().count()
+        } else {
+            other.losses.values().filter(|loss| loss.is_early()).count()
+        };
+        !self.is_established()
+            && (other.is_established() || self.consistent_losses().count() >= other_losses)
     }
 
     /// Whether more than one server was lost, also if one run lost them all.
@@ -238,7 +257,9 @@
 
     /// Adds a loss or merges another report of it, and returns whether that changed anything.
     pub(crate) fn add(&mut self, server: &str, loss: Loss) -> bool {
-        if self.cleared_at.is_some_and(|cleared_at| loss.ended_at <= cleared_at) {
+        // What whole answers to requests with a part refute is decided by how far the run had come.
+        let is_cleared = self.cleared_at.is_some_and(|cleared_at| loss.ended_at <= cleared_at);
+        if is_cleared && !self.is_part {
             return false;
         }
         if let Some(known) = self.losses.get_mut(server) {
@@ -324,6 +345,11 @@
     }
 }
 
+/// Whether a run with so many pieces has come well past the point at which another lost its server.
+pub(crate) fn has_passed(pieces: u64, lost_pieces: u64) -> bool {
+    pieces > PASSED_FACTOR * lost_pieces + PASSED_MARGIN_PIECES
+}
+
 /// Returns the number of runs of which losses are.
 pub(crate) fn count_runs<'a>(losses: impl Iterator<Item = &'a Loss>) -> usize {
     losses.map(|loss| (&loss.request_id, loss.started_at())).collect::<BTreeSet<_>>().len()
--- a/crates/godwit-core/src/quarantine/trial.rs
+++ b/crates/godwit-core/src/quarantine/trial.rs
@@ -4,10 +4,12 @@
 //! its requests along; what was seen does not tell which. So the request runs once, alone, on a server that has just
 //! accepted a connection while no other server ends. If that server ends too, the request is to blame.
 
+use std::collections::BTreeSet;
+
 use crate::SteadyMs;
 use crate::quarantine::crash_register::{CrashRegister, CrashStatus, ProbationTurn};
 use crate::quarantine::marks::SAME_LOSS_WINDOW_MS;
-use crate::quarantine::suspect::{Loss, Suspect};
+use crate::quarantine::suspect::{Loss, Suspect, has_passed};
 
 /// Time without the end of any server before a trial run, in milliseconds.
 const QUIET_MS: u64 = SAME_LOSS_WINDOW_MS;
@@ -56,13 +58,18 @@
 
 impl Suspect {
     /// Whether the loss of a trial run proves guilt, provided that no other server ended with it: the run was about as
-    /// long as those that lost their servers before. Runs that share only a part of their prompts differ in length.
+    /// long as those that lost their servers before. Runs that share only a part of their prompts differ in length; one
+    /// that has come well past the point of all earlier losses has not lost its server to the part.
     pub(super) fn is_conclusive(&self, loss: &Loss) -> bool {
-        if !loss.is_trial || self.is_part {
-            return loss.is_trial;
+        if !loss.is_trial {
+            return false;
         }
-        let earlier = self.losses.values().filter(|it| it.ended_at <= loss.started_at());
-        let ran_ms: Vec<u64> = earlier.map(|it| it.ran_ms).collect();
+        let earlier = || self.losses.values().filter(|it| it.ended_at <= loss.started_at());
+        if self.is_part {
+            let lost_pieces = earlier().map(|it| it.pieces).max();
+            return lost_pieces.is_none_or(|pieces| !has_passed(loss.pieces, pieces));
+        }
+        let ran_ms: Vec<u64> = earlier().map(|it| it.ran_ms).collect();
         let is_within = |short_ms: u64, long_ms: u64| {
             long_ms <= RUN_LENGTH_FACTOR * short_ms + RUN_LENGTH_MARGIN_MS
         };
@@ -101,20 +108,50 @@
         is_running: bool,
         now: SteadyMs,
     ) -> TrialAdmission {
-        let is_in_doubt = |_: &&Suspect| self.is_in_doubt(fingerprint);
-        let Some(suspect) = self.suspects.get(&fingerprint).filter(is_in_doubt) else {
-            return TrialAdmission::NotInDoubt;
-        };
+        self.admit_trial_of(&[fingerprint], |_| turn, |_| is_running, now)
+    }
+
+    /// Whether a request may be sent to a server now that is, or has the parts, with some fingerprints. One run tries all
+    /// that are in doubt, in the turn of the first of them, as their turns may never coincide. `is_running` tells whether this
+    /// host runs another request with a fingerprint.
+    ///
+    /// ```
+    /// use godwit_core::SteadyMs;
+    /// use godwit_core::quarantine::{CrashRegister, ProbationTurn, TrialAdmission};
+    /// let register = CrashRegister::new(60_000);
+    /// let turn = |_| ProbationTurn { rank: 0, hosts: 3 };
+    /// let admission = register.admit_trial_of(&[7, 9], turn, |_| false, SteadyMs(5_000));
+    /// assert_eq!(admission, TrialAdmission::NotInDoubt);
+    /// ```
+    pub fn admit_trial_of(
+        &self,
+        fingerprints: &[u64],
+        turn: impl Fn(u64) -> ProbationTurn,
+        is_running: impl Fn(u64) -> bool,
+        now: SteadyMs,
+    ) -> TrialAdmission {
+        let in_doubt = fingerprints.iter().copied().filter(|it| self.is_in_doubt(*it));
+        let in_doubt: BTreeSet<u64> = in_doubt.collect();
+        let Some(first) = in_doubt.first().copied() else { return TrialAdmission::NotInDoubt };
+        let is_turn =
+            self.suspects.get(&first).is_some_and(|it| it.is_trial_turn(turn(first), now));
+        let may_begin = |it: &u64| self.may_begin_trial(*it, is_running(*it), now);
+        if is_turn && in_doubt.iter().all(may_begin) {
+            TrialAdmission::Trial
+        } else {
+            TrialAdmission::Deferred
+        }
+    }
+
+    /// Whether nothing is under way that a trial run would have to wait for, but the turns of hosts.
+    fn may_begin_trial(&self, fingerprint: u64, is_running: bool, now: SteadyMs) -> bool {
+        let Some(suspect) = self.suspects.get(&fingerprint) else { return true };
         let last_end = self.ends.values().max().copied().unwrap_or_default();
         let last_trial = suspect.losses.values().filter(|loss| loss.is_trial);
         let last_trial = last_trial.map(|loss| loss.ended_at).max().unwrap_or_default();
         let is_quiet =
             last_end.plus_ms(QUIET_MS).is_past(now) && last_trial.plus_ms(TURN_MS).is_past(now);
-        let is_tried = is_running || suspect.trial_at(now).is_some();
-        if !is_quiet || is_tried || !suspect.is_trial_turn(turn, now) {
-            return TrialAdmission::Deferred;
-        }
-        TrialAdmission::Trial
+        is_quiet && !is_running && suspect.trial_at(now).is_none()
     }
 
     /// Records that a run begins at this host. Returns whether it is a trial run.
--- a/crates/godwit-core/src/site/event_stream.rs
+++ b/crates/godwit-core/src/site/event_stream.rs
@@ -119,6 +119,8 @@
 pub struct Pushed {
     /// Whole events for the caller, also those ahead of a break.
     pub events: Vec<u8>,
+    /// Number of these events. Comments between events count as well.
+    pub event_count: u64,
     /// The stream after the piece.
     pub next: Result<OpenStream, EventStream<Broken>>,
 }
@@ -269,7 +271,7 @@
         };
         unfinished.extend_from_slice(piece);
         progress.bytes_without_event += piece.len();
-        let mut events = Vec::new();
+        let (mut events, mut event_count) = (Vec::new(), 0);
         let mut from = 0;
         let mut searched = searched;
         while let Some(end) = event_end(&unfinished, from, searched) {
@@ -277,12 +279,13 @@
             match progress.accept(event) {
                 Ok(true) => {
                     events.extend_from_slice(event);
+                    event_count += 1;
                     progress.bytes_without_event = unfinished.len() - end;
                 }
                 Ok(false) => {}
                 Err(cause) => {
                     let next = Err(EventStream::new(progress, cause, &unfinished[from..]));
-                    return Pushed { events, next };
+                    return Pushed { events, event_count, next };
                 }
             }
             from = end;
@@ -291,7 +294,7 @@
         unfinished.drain(..from);
         if progress.bytes_without_event > MAX_BYTES_WITHOUT_EVENT {
             let next = Err(EventStream::new(progress, StreamBreak::TooLong, &unfinished));
-            return Pushed { events, next };
+            return Pushed { events, event_count, next };
         }
         let next = if unfinished.is_empty() {
             OpenStream::BetweenEvents(EventStream { progress, state: BetweenEvents(()) })
@@ -299,7 +302,7 @@
             let searched = unfinished.len();
             OpenStream::InEvent(EventStream { progress, state: InEvent { unfinished, searched } })
         };
-        Pushed { events, next: Ok(next) }
+        Pushed { events, event_count, next: Ok(next) }
     }
 
     /// Ends the body of the run.
--- a/crates/godwit-core/tests/part_shapes.rs
+++ b/crates/godwit-core/tests/part_shapes.rs
@@ -1,13 +1,14 @@
 //! Blame of a part that several prompts share, over many shapes of a service. Each server runs many requests at a time; a
 //! crash takes all of them along, and they move to the servers that are left. All prompts begin with the same part; then
-//! comes one that the requests of a session share, or the deadly part, which ends each server that begins to write.
+//! comes one that the requests of a session share, or the deadly part, which ends each server that writes, at once or after any
+//! number of pieces.
 
 use std::collections::BTreeSet;
 
 use godwit_core::SteadyMs;
 use godwit_core::quarantine::{
     CrashAdmission, CrashRegister, CrashReport, CrashStatus, LostRun, ProbationTurn,
-    TrialAdmission, is_past_beginning,
+    TrialAdmission, WholeAnswer,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -62,11 +63,22 @@
     crash_interval_ms: u64,
     crash_share: f64,
     min_restart_ms: u64,
+    /// Number of pieces that a server writes of a response to a request with the deadly part.
+    deadly_pieces: u64,
+}
+
+/// What the shapes of a test have beside sound requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct Trouble {
+    has_deadly_part: bool,
+    has_crashes: bool,
+    lets_pieces_out: bool,
 }
 
 impl Shape {
-    fn draw(seed: u64, has_deadly_part: bool, has_crashes: bool) -> Shape {
+    fn draw(seed: u64, trouble: Trouble) -> Shape {
         let mut random = SmallRng::seed_from_u64(seed);
+        let Trouble { has_deadly_part, has_crashes, lets_pieces_out } = trouble;
         let mut one_of = |values: &[u64]| values[random.random_range(0..values.len())];
         Shape {
             seed,
@@ -79,6 +91,7 @@
             crash_interval_ms: one_of(&[2_500, 4_000, 6_000]) * u64::from(has_crashes),
             crash_share: one_of(&[15, 34, 100]) as f64 / 100.0,
             min_restart_ms: one_of(&[1_800, 3_200]),
+            deadly_pieces: if lets_pieces_out { one_of(&[1, 3, 5, 6, 9, 20, 59]) } else { 0 },
         }
     }
 }
@@ -93,7 +106,7 @@
 struct Request {
     host: usize,
     fingerprint: u64,
-    parts: [u64; 2],
+    parts: Vec<u64>,
     asked_at_ms: u64,
     runs: u32,
     run: Option<Run>,
@@ -115,11 +128,11 @@
 
 impl Request {
     fn is_deadly(&self) -> bool {
-        self.parts[1] == DEADLY_PART
+        self.parts.contains(&DEADLY_PART)
     }
 
-    fn fingerprints(&self) -> [u64; 3] {
-        [self.parts[0], self.parts[1], self.fingerprint]
+    fn fingerprints(&self) -> Vec<u64> {
+        self.parts.iter().copied().chain([self.fingerprint]).collect()
     }
 }
 
@@ -189,8 +202,8 @@
                 request_id: &request_id,
                 is_trial: run.trial_of.contains(&fingerprint),
             };
-            for part in request.parts {
-                register.record_part_loss(part, lost(part), &name, now);
+            for part in &request.parts {
+                register.record_part_loss(*part, lost(*part), &name, now);
             }
             register.record_loss(lost(request.fingerprint), &name, now);
             run.trial_of.iter().for_each(|fingerprint| register.end_trial(*fingerprint));
@@ -219,18 +232,19 @@
         let chance = TICK_MS as f64 / self.shape.sound_interval_ms as f64;
         let mut arrivals = Vec::new();
         if self.random.random_bool(chance) {
-            arrivals.push(FIRST_SESSION_PART + self.next_fingerprint / REQUESTS_IN_SESSION);
+            let session = FIRST_SESSION_PART + self.next_fingerprint / REQUESTS_IN_SESSION;
+            arrivals.push(vec![COMMON_PART, session]);
         }
         let since_ms = self.now_ms - START_MS;
         let interval_ms = self.shape.deadly_interval_ms;
         if interval_ms > 0 && since_ms >= DEADLY_FROM_MS && since_ms % interval_ms < TICK_MS {
-            arrivals.push(DEADLY_PART);
+            arrivals.push(vec![COMMON_PART, DEADLY_PART]);
         }
-        for part in arrivals {
+        for parts in arrivals {
             let request = Request {
                 host: self.random.random_range(0..self.shape.hosts),
                 fingerprint: self.next_fingerprint,
-                parts: [COMMON_PART, part],
+                parts,
                 asked_at_ms: self.now_ms,
                 runs: 0,
                 run: None,
@@ -244,21 +258,21 @@
     fn admit(&self, request: &Request) -> Result<bool, ()> {
         let register = &self.registers[request.host];
         let turn = ProbationTurn { rank: request.host, hosts: self.shape.hosts };
-        for fingerprint in request.fingerprints() {
+        let is_running = |fingerprint: u64| {
             let others = self.requests.iter().filter(|it| it.host == request.host);
             let mut others = others.filter(|it| it.fingerprint != request.fingerprint);
-            let is_running =
-                others.any(|it| it.run.is_some() && it.fingerprints().contains(&fingerprint));
-            let admission = register.admit(fingerprint, turn, is_running, self.now());
+            others.any(|it| it.run.is_some() && it.fingerprints().contains(&fingerprint))
+        };
+        let fingerprints = request.fingerprints();
+        for fingerprint in &fingerprints {
+            let admission =
+                register.admit(*fingerprint, turn, is_running(*fingerprint), self.now());
             if matches!(admission, CrashAdmission::Refused { .. }) {
                 return Err(());
             }
-            let trial = register.admit_trial(fingerprint, turn, is_running, self.now());
-            if trial == TrialAdmission::Deferred {
-                return Ok(false);
-            }
         }
-        Ok(true)
+        let trial = register.admit_trial_of(&fingerprints, |_| turn, is_running, self.now());
+        Ok(trial != TrialAdmission::Deferred)
     }
 
     /// Advances a request and returns whether it goes on.
@@ -267,23 +281,21 @@
         let request = self.requests[index].clone();
         if let Some(run) = &request.run {
             let pieces = run.pieces(self.now_ms);
-            if request.is_deadly() && run.writes_at_ms <= self.now_ms {
+            let has_written = run.writes_at_ms <= self.now_ms && pieces >= self.shape.deadly_pieces;
+            if request.is_deadly() && has_written {
                 self.ends_ms.push(self.now_ms);
                 self.outcome.ended += 1;
                 self.end_server(run.server);
                 return request.runs < self.shape.attempts;
             }
             let register = &mut self.registers[request.host];
-            let was_past_beginning =
-                is_past_beginning(run.pieces(self.now_ms.saturating_sub(TICK_MS)));
-            if is_past_beginning(pieces) && !was_past_beginning {
-                for part in request.parts {
-                    register.record_part_response(part, now);
-                }
-            }
             if pieces < PIECES {
                 return true;
             }
+            let answer = WholeAnswer { pieces, is_rest: request.runs > 1 };
+            for part in &request.parts {
+                register.record_part_answer(*part, answer, now);
+            }
             register.record_completion(request.fingerprint, now);
             run.trial_of.iter().for_each(|fingerprint| register.end_trial(*fingerprint));
             return false;
@@ -393,18 +405,18 @@
     }
 }
 
-fn play(has_deadly_part: bool, has_crashes: bool) -> Vec<(Shape, Outcome)> {
+fn play(trouble: Trouble) -> Vec<(Shape, Outcome)> {
     let count = std::env::var("PART_SHAPES").ok().and_then(|text| text.parse().ok());
     let seeds = 0..count.unwrap_or(DEFAULT_SHAPES);
     let played: Vec<_> = seeds
         .map(|seed| {
-            let shape = Shape::draw(seed, has_deadly_part, has_crashes);
+            let shape = Shape::draw(seed, trouble);
             (shape, World::new(shape).run())
         })
         .collect();
     let sum = |count: fn(&Outcome) -> usize| played.iter().map(|it| count(&it.1)).sum::<usize>();
     println!(
-        "deadly {has_deadly_part}, crashes {has_crashes}: {} ended, {} late sends, sound {} late and {} refused, {} refused in all, {} sound parts quarantined",
+        "{trouble:?}: {} ended, {} late sends, sound {} late and {} refused, {} refused in all, {} sound parts quarantined",
         sum(|it| it.ended),
         sum(|it| it.late_sends),
         sum(|it| it.late_sound),
@@ -425,17 +437,26 @@
     played.into_iter().filter(|(_, outcome)| is_broken(outcome)).collect()
 }
 
+const DEADLY: Trouble =
+    Trouble { has_deadly_part: true, has_crashes: false, lets_pieces_out: false };
+
 #[test]
 fn deadly_part_is_stopped_and_no_other() {
-    assert_eq!(broken(play(true, false)), []);
+    assert_eq!(broken(play(DEADLY)), []);
 }
 
 #[test]
 fn deadly_part_is_stopped_beside_crashes_of_others() {
-    assert_eq!(broken(play(true, true)), []);
+    assert_eq!(broken(play(Trouble { has_crashes: true, ..DEADLY })), []);
+}
+
+/// Servers wrote so much of their responses before they ended that the part was taken for sound.
+#[test]
+fn deadly_part_is_stopped_that_lets_pieces_out() {
+    assert_eq!(broken(play(Trouble { lets_pieces_out: true, ..DEADLY })), []);
 }
 
 #[test]
 fn no_part_is_blamed_for_crashes() {
-    assert_eq!(broken(play(false, true)), []);
+    assert_eq!(broken(play(Trouble { has_crashes: true, ..Trouble::default() })), []);
 }
--- a/crates/godwit-gateway/src/forward/abandoned.rs
+++ b/crates/godwit-gateway/src/forward/abandoned.rs
@@ -11,7 +11,7 @@
 
 use super::attempt::{StartedResponse, release_connection};
 use super::in_flight::{InFlightGuard, Run};
-use super::quarantine::{is_suspect, record_completion, record_piece};
+use super::quarantine::{is_suspect, record_completion, record_pieces};
 use super::server_end::{check_broken_run, is_cut_by_server_end};
 use crate::site::Site;
 use crate::wire::{Connection, WireError};
@@ -76,7 +76,7 @@
     let (site, run) = (in_flight.site().clone(), in_flight.run().clone());
     let ended = timeout(WATCH_TIMEOUT, async {
         while connection.next_piece().await?.is_some() {
-            record_piece(&site, &run);
+            record_pieces(&site, &run, 1);
         }
         Ok(())
     });
@@ -111,7 +111,7 @@
         drop(in_flight);
         match answer? {
             Answer::Complete if is_cut_by_server_end(&site, &run, &connection).await => {}
-            Answer::Complete => record_completion(&site, &run.admitted),
+            Answer::Complete => record_completion(&site, &run),
             Answer::Failed => return Err(connection.closed().await),
             Answer::Other => {}
         }
--- a/crates/godwit-gateway/src/forward/admit.rs
+++ b/crates/godwit-gateway/src/forward/admit.rs
@@ -1,6 +1,6 @@
 //! Admission of requests by the configuration that is active when they arrive.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
@@ -55,7 +55,9 @@
     /// Identifies the same request in other attempts of callers and at other hosts.
     pub(crate) fingerprint: Fingerprint,
     /// Identifies the parts of the prompt that other requests may share.
-    pub(crate) part_fingerprints: Vec<Fingerprint>,
+    pub(crate) part_fingerprints: Vec<u64>,
+    /// Whether a server has ended under the request.
+    pub(crate) has_lost_server: Cell<bool>,
     /// Ids of the servers to which the request was sent.
     sent_to: RefCell<BTreeSet<String>>,
 }
@@ -70,10 +72,19 @@
         let method = incoming.parts.method.as_str();
         let fingerprint = Fingerprint(fingerprint(workspace, method, incoming.target(), &body));
         let parts = shared_parts(&incoming.head);
-        let part = |id: &String| Fingerprint(part_fingerprint(&policy.service, id));
+        let part = |id: &String| part_fingerprint(&policy.service, id);
         let part_fingerprints = parts.iter().map(part).collect();
         let sent_to = RefCell::default();
-        AdmittedRequest { incoming, body, policy, fingerprint, part_fingerprints, sent_to }
+        let has_lost_server = Cell::new(false);
+        AdmittedRequest {
+            incoming,
+            body,
+            policy,
+            fingerprint,
+            part_fingerprints,
+            has_lost_server,
+            sent_to,
+        }
     }
 
     /// Records that the request is sent to a server, and returns whether that is the first time.
@@ -83,7 +94,8 @@
 
     /// Returns all that may end the servers of this request: itself, and the parts of its prompt that others may share.
     pub(crate) fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
-        std::iter::once(self.fingerprint).chain(self.part_fingerprints.iter().copied())
+        let parts = self.part_fingerprints.iter().copied().map(Fingerprint);
+        std::iter::once(self.fingerprint).chain(parts)
     }
 
     /// Whether this is the request, or has the part, with a fingerprint.
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -404,9 +404,9 @@
             if response.head.is_server_error() {
                 watch_failed_run(response);
             } else {
-                let StartedResponse { head, connection, .. } = response;
+                let StartedResponse { head, connection, in_flight } = response;
                 release_connection(site, destination, connection, &head);
-                record_completion(site, admitted);
+                record_completion(site, in_flight.run());
             }
             AttemptOutcome::Final(answer)
         }
--- a/crates/godwit-gateway/src/forward/in_flight.rs
+++ b/crates/godwit-gateway/src/forward/in_flight.rs
@@ -21,7 +21,7 @@
     pub(crate) trial_of: Vec<Fingerprint>,
     /// Other servers that were running when a trial run was sent.
     witnesses: RefCell<Vec<BackendServer>>,
-    /// Number of pieces of the response that have arrived.
+    /// Number of pieces of the response that have arrived: events of a stream.
     pieces: Cell<u64>,
 }
 
@@ -54,8 +54,8 @@
         self.pieces.get()
     }
 
-    pub(crate) fn record_piece(&self) {
-        self.pieces.set(self.pieces.get() + 1);
+    pub(crate) fn record_pieces(&self, count: u64) {
+        self.pieces.set(self.pieces.get() + count);
     }
 }
 
--- a/crates/godwit-gateway/src/forward/quarantine.rs
+++ b/crates/godwit-gateway/src/forward/quarantine.rs
@@ -5,8 +5,7 @@
 
 use godwit_core::SteadyMs;
 use godwit_core::quarantine::{
-    CrashAdmission, CrashRegister, CrashStatus, LostRun, ProbationTurn, TrialAdmission,
-    is_past_beginning,
+    CrashAdmission, CrashRegister, CrashStatus, LostRun, ProbationTurn, TrialAdmission, WholeAnswer,
 };
 use godwit_core::rendezvous::ranked;
 use tokio::time::sleep;
@@ -53,14 +52,16 @@
         request_id: run.request_id(),
         is_trial: run.trial_of.contains(&of),
     };
+    run.admitted.has_lost_server.set(true);
     let parts = run.admitted.part_fingerprints.iter().zip(run.admitted.shared_parts());
     for (part, part_id) in parts {
+        let part = Fingerprint(*part);
         let was_in_doubt = site.crashes.borrow().is_in_doubt(part.0);
-        record_loss(site, *part, |crashes| {
-            crashes.record_part_loss(part.0, lost(*part), incarnation, broke_at)
+        record_loss(site, part, |crashes| {
+            crashes.record_part_loss(part.0, lost(part), incarnation, broke_at)
         });
         if !was_in_doubt && site.crashes.borrow().is_in_doubt(part.0) {
-            let losses = losses_text(site, *part, site.now());
+            let losses = losses_text(site, part, site.now());
             info!(event = "part_in_doubt", part = part_id, fingerprint = %part, losses);
             metrics::counter!("parts_in_doubt_total").increment(1);
         }
@@ -112,9 +113,11 @@
     }
 }
 
-/// Records that a request completed, so that the losses before are not its doing.
-pub(super) fn record_completion(site: &Site, admitted: &AdmittedRequest) {
-    record_response(site, admitted);
+/// Records that a request completed, so that the losses before are not its doing. `run` is the one that wrote the end of the
+/// response.
+pub(super) fn record_completion(site: &Site, run: &Run) {
+    let admitted = &run.admitted;
+    record_whole_answer(site, run);
     let fingerprint = admitted.fingerprint;
     if !site.crashes.borrow().is_suspect(fingerprint.0) {
         return;
@@ -125,24 +128,25 @@
     site.crashes.borrow_mut().record_completion(fingerprint.0, site.now());
 }
 
-/// Records that a response is past its beginning, so that the losses before are not the doing of a part of the prompt.
-fn record_response(site: &Site, admitted: &AdmittedRequest) {
+/// Records a whole answer, which shows for each part of the prompt that it lets servers write so much.
+fn record_whole_answer(site: &Site, run: &Run) {
+    let admitted = &run.admitted;
+    let is_stream = admitted.policy.work.is_stream();
+    let answer = WholeAnswer {
+        pieces: if is_stream { run.pieces() } else { u64::MAX },
+        is_rest: admitted.has_lost_server.get(),
+    };
     for part in &admitted.part_fingerprints {
-        let losses = losses_text(site, *part, site.now());
-        if site.crashes.borrow_mut().record_part_response(part.0, site.now()) {
-            let request = &admitted.incoming.head.request_id;
-            debug!(event = "part_marks_cleared", request, fingerprint = %part, losses);
+        if site.crashes.borrow_mut().record_part_answer(*part, answer, site.now()) {
+            let (request, part) = (run.request_id(), Fingerprint(*part));
+            debug!(event = "part_marks_cleared", request, fingerprint = %part, pieces = answer.pieces);
         }
     }
 }
 
-/// Records a piece of a run's response. A run that has come well past the point of earlier losses clears the request.
-pub(super) fn record_piece(site: &Site, run: &Run) {
-    let was_past_beginning = is_past_beginning(run.pieces());
-    run.record_piece();
-    if !was_past_beginning && is_past_beginning(run.pieces()) {
-        record_response(site, &run.admitted);
-    }
+/// Records pieces of a run's response. A run that has come well past the point of earlier losses clears the request.
+pub(super) fn record_pieces(site: &Site, run: &Run, count: u64) {
+    run.record_pieces(count);
     let fingerprint = run.admitted.fingerprint;
     if !site.crashes.borrow().is_suspect(fingerprint.0) {
         return;
@@ -178,7 +182,8 @@
         }
         let turn = probation_turn(site, fingerprint);
         let is_running = site.runs.is_running(fingerprint);
-        match site.crashes.borrow().admit(fingerprint.0, turn, is_running, site.now()) {
+        let crashes = site.crashes.borrow();
+        match crashes.admit(fingerprint.0, turn, is_running, site.now()) {
             CrashAdmission::Allowed => {}
             CrashAdmission::OnProbation => on_probation = true,
             CrashAdmission::Refused { retry_at } => {
@@ -241,20 +246,13 @@
     admitted: &AdmittedRequest,
     turn: impl Fn(Fingerprint) -> ProbationTurn,
 ) -> TrialAdmission {
-    let mut admission = TrialAdmission::NotInDoubt;
-    for fingerprint in admitted.fingerprints() {
-        if !site.crashes.borrow().is_suspect(fingerprint.0) {
-            continue;
-        }
-        let is_running = site.runs.is_running_elsewhere(fingerprint, admitted);
-        let turn = turn(fingerprint);
-        match site.crashes.borrow().admit_trial(fingerprint.0, turn, is_running, site.now()) {
-            TrialAdmission::NotInDoubt => {}
-            TrialAdmission::Trial => admission = TrialAdmission::Trial,
-            TrialAdmission::Deferred => return TrialAdmission::Deferred,
-        }
-    }
-    admission
+    let crashes = site.crashes.borrow();
+    let suspects = admitted.fingerprints().map(|it| it.0).filter(|it| crashes.is_suspect(*it));
+    let suspects: Vec<u64> = suspects.collect();
+    let turn = |fingerprint| turn(Fingerprint(fingerprint));
+    let is_running =
+        |fingerprint| site.runs.is_running_elsewhere(Fingerprint(fingerprint), admitted);
+    crashes.admit_trial_of(&suspects, turn, is_running, site.now())
 }
 
 pub(super) fn log_trial(
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -8,7 +8,9 @@
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use godwit_core::SteadyMs;
-use godwit_core::site::{Broken, Complete, EventStream, OpenStream, event_gap_stall_threshold_ms};
+use godwit_core::site::{
+    Broken, Complete, EventStream, OpenStream, Pushed, event_gap_stall_threshold_ms,
+};
 use http::Response;
 use hyper::body::Frame;
 use tokio::task::spawn_local;
@@ -23,7 +25,7 @@
 use super::in_flight::InFlightGuard;
 use super::quarantine::{
     Withheld, await_admission, is_quarantined, log_quarantined, may_move, record_completion,
-    record_piece,
+    record_pieces,
 };
 use super::repath::repath;
 use super::response::{IncompleteBody, ResponseBody, media_type, server_response, streamed_body};
@@ -192,7 +194,7 @@
                 Ok(open) => match relay.read_piece(open.can_resume()).await {
                     Ok(Some(piece)) => {
                         let pushed = open.push(&piece);
-                        relay.record_run(&pushed.next);
+                        relay.record_run(&pushed);
                         run = pushed.next;
                         if pushed.events.is_empty() {
                             continue;
@@ -240,14 +242,14 @@
         }
         let Some(piece) = self.next_piece(can_resume).await? else { return Ok(None) };
         self.attempt.timing.record_piece(self.site.now());
-        if let Some(in_flight) = &self.attempt.in_flight {
-            record_piece(&self.site, in_flight.run());
-        }
         Ok(Some(piece))
     }
 
-    fn record_run(&mut self, run: &Result<OpenStream, EventStream<Broken>>) {
-        let (last_event_id, first_event_id, unfinished_bytes) = match run {
+    fn record_run(&mut self, pushed: &Pushed) {
+        if let Some(in_flight) = &self.attempt.in_flight {
+            record_pieces(&self.site, in_flight.run(), pushed.event_count);
+        }
+        let (last_event_id, first_event_id, unfinished_bytes) = match &pushed.next {
             Ok(open) => (open.last_event_id(), open.first_event_id(), open.unfinished_bytes()),
             Err(broken) => {
                 (broken.last_event_id(), broken.first_event_id(), broken.unfinished_bytes())
@@ -393,8 +395,9 @@
             );
         }
         self.log_stream_ended();
-        record_completion(&self.site, &self.admitted);
-        self.attempt.in_flight = None;
+        if let Some(in_flight) = self.attempt.in_flight.take() {
+            record_completion(&self.site, in_flight.run());
+        }
         self.examine_if_slow();
     }
 
--- a/crates/godwit-gateway/src/gossip.rs
+++ b/crates/godwit-gateway/src/gossip.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use godwit_core::quarantine::{CrashReport, ReportBacklog};
+use godwit_core::quarantine::{CrashReport, ReportBacklog, SurvivalReport};
 use godwit_core::site::{
     AskAction, FindingReport, LimitReport, Load, LoadSource, PartitionReport, PeerLoadReport,
     PermitAsk, PermitGrant,
@@ -80,6 +80,12 @@
     newest_revisions: Vec<(ObjectKind, u64)>,
 }
 
+/// What follows a message. Hosts of releases without it pass over it, and send none.
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct Supplement {
+    survivals: Vec<SurvivalReport>,
+}
+
 #[derive(Debug, Deserialize, Serialize)]
 struct ServerLoad {
     server_id: String,
@@ -118,6 +124,17 @@
     }
 }
 
+fn encode(message: &Message, supplement: &Supplement) -> postcard::Result<Vec<u8>> {
+    postcard::to_extend(supplement, postcard::to_stdvec(message)?)
+}
+
+fn decode(bytes: &[u8]) -> postcard::Result<(Message, Supplement)> {
+    let (message, rest) = postcard::take_from_bytes(bytes)?;
+    let supplement =
+        if rest.is_empty() { Supplement::default() } else { postcard::from_bytes(rest)? };
+    Ok((message, supplement))
+}
+
 /// Exchange of loads and findings with the other hosts over UDP.
 pub(crate) struct Gossip {
     site: Rc<Site>,
@@ -218,6 +235,8 @@
         let findings = self.site.findings.borrow().finding_reports(now);
         let partitions = self.site.findings.borrow().partition_reports(now).into_iter();
         let host_count = self.site.relay.borrow().host_count();
+        let mut crashes = self.site.crashes.borrow_mut().next_report(now);
+        let supplement = Supplement { survivals: std::mem::take(&mut crashes.survivals) };
         let message = LoadMessage {
             host: self.site.settings.host.clone(),
             failure_domain: self.site.settings.failure_domain.clone(),
@@ -228,18 +247,22 @@
             hosts_included: u32::try_from(hosts_included).unwrap_or(u32::MAX),
             limits: self.site.limits.borrow().reports(now),
             findings: findings.into_iter().map(ServerFinding::from).collect(),
-            crashes: self.site.crashes.borrow_mut().next_report(now),
+            crashes,
             host_count: host_count.and_then(|count| u32::try_from(count).ok()),
             newest_revisions: self.site.newest_revisions(),
             partitions: partitions
                 .map(|PartitionReport { domains, for_ms }| DomainPartition { domains, for_ms })
                 .collect(),
         };
-        self.send(peer, &Message::Load(Box::new(message))).await;
+        self.send_with(peer, &Message::Load(Box::new(message)), &supplement).await;
     }
 
     async fn send(&self, peer: SocketAddr, message: &Message) {
-        let bytes = match postcard::to_stdvec(message) {
+        self.send_with(peer, message, &Supplement::default()).await;
+    }
+
+    async fn send_with(&self, peer: SocketAddr, message: &Message, supplement: &Supplement) {
+        let bytes = match encode(message, supplement) {
             Ok(bytes) => bytes,
             Err(error) => {
                 warn!(event = "gossip_not_encoded", %error);
@@ -267,9 +290,12 @@
                     continue;
                 }
             };
-            match postcard::from_bytes::<Message>(&buffer[..count]) {
-                Ok(Message::Load(message)) => self.handle_report(*message, sender).await,
-                Ok(Message::PermitAsk(ask)) => match self.site.handle_permit_ask(&ask) {
+            match decode(&buffer[..count]) {
+                Ok((Message::Load(mut message), supplement)) => {
+                    message.crashes.survivals = supplement.survivals;
+                    self.handle_report(*message, sender).await;
+                }
+                Ok((Message::PermitAsk(ask), _)) => match self.site.handle_permit_ask(&ask) {
                     AskAction::Answer(grant) => {
                         self.send(sender, &Message::PermitGrant(grant)).await;
                     }
@@ -277,7 +303,7 @@
                         self.send_to(&keeper, &Message::PermitAsk(ask)).await;
                     }
                 },
-                Ok(Message::PermitGrant(grant)) => {
+                Ok((Message::PermitGrant(grant), _)) => {
                     if !self.site.record_permits(&grant) {
                         let asker = grant.asker.clone();
                         self.send_to(&asker, &Message::PermitGrant(grant)).await;
--- a/crates/godwit-gateway/src/store/quarantines.rs
+++ b/crates/godwit-gateway/src/store/quarantines.rs
@@ -116,6 +116,6 @@
         return;
     }
     tracing::info!(event = "quarantines_restored", from = host, count = suspects.len());
-    let report = CrashReport { ends: Vec::new(), suspects };
+    let report = CrashReport { suspects, ..CrashReport::default() };
     site.crashes.borrow_mut().merge(&report, host, site.now());
 }
--- a/tests/gateway/prompt_parts.rs
+++ b/tests/gateway/prompt_parts.rs
@@ -7,7 +7,7 @@
 use crate::crashes::{CONTACT_WINDOW, MAX_LATE_SENDS, Site, model_fleet};
 use crate::fleet::FleetPlan;
 use crate::host::{API_KEY, Host};
-use crate::server::{DEADLY_PART, PROMPT_PARTS_HEADER};
+use crate::server::{DEADLY_AT_RANDOM, DEADLY_PART, PROMPT_PARTS_HEADER};
 
 /// Number of servers that requests with one part may end before they must be stopped.
 pub(crate) const MAX_ENDED_SERVERS: usize = 5;
@@ -27,12 +27,27 @@
 
 static NEXT_PROMPT: AtomicUsize = AtomicUsize::new(0);
 
+/// Prompts of the requests with a deadly part, and of the sound ones.
+#[derive(Clone, Copy, Debug, Default)]
+struct Prompts {
+    /// What follows [`DEADLY_PART`] in the id of the deadly part.
+    deadly_digits: &'static str,
+}
+
+impl Prompts {
+    /// Returns the parts of a prompt with a part of its kind of request, and a last part that no other prompt has.
+    fn parts(&self, kind_part: &str) -> String {
+        let own = NEXT_PROMPT.fetch_add(1, Ordering::Relaxed);
+        let ends = [format!("{kind_part}:400"), format!("{own:x}:100")];
+        [format!("{COMMON_PART}:40")].into_iter().chain(ends).collect::<Vec<_>>().join(",")
+    }
+}
+
 /// Sends a stream of which no other has the same body and last part. Returns whether it is complete.
-fn stream(host: &Host, shared_part: &str) -> bool {
+fn stream(host: &Host, parts: &str) -> bool {
     let own = NEXT_PROMPT.fetch_add(1, Ordering::Relaxed);
-    let parts = format!("{COMMON_PART}:40,{shared_part}:400,{own:x}:100");
     let key = format!("Bearer {API_KEY}");
-    let headers = [("authorization", key.as_str()), (PROMPT_PARTS_HEADER, parts.as_str())];
+    let headers = [("authorization", key.as_str()), (PROMPT_PARTS_HEADER, parts)];
     let response = host.call_with("POST", "/chat/1", &headers, own.to_string().as_bytes());
     response.is_ok_and(|it| it.status() == 200 && it.text().ends_with("data: piece 20\n\n"))
 }
@@ -44,9 +59,10 @@
 }
 
 /// Sends requests with a deadly part and sound ones until [`LENGTH`] has passed, and returns the sound ones.
-fn send_requests(site: &Site) -> Vec<SoundRequest> {
+fn send_requests(site: &Site, prompts: Prompts) -> Vec<SoundRequest> {
     let is_finished = AtomicBool::new(false);
     let is_finished = &is_finished;
+    let start = Instant::now();
     std::thread::scope(|scope| {
         let callers: Vec<_> = (0..SOUND_CALLERS)
             .map(|caller| {
@@ -56,7 +72,9 @@
                     while !is_finished.load(Ordering::Relaxed) {
                         let session = requests.len() / REQUESTS_IN_SESSION;
                         let sent_at = Instant::now();
-                        let is_served = stream(host, &format!("5e55{caller:x}{session:04x}"));
+                        let session_part = format!("5e55{caller:x}{session:04x}");
+                        let parts = prompts.parts(&session_part);
+                        let is_served = stream(host, &parts);
                         requests.push(SoundRequest { sent_at, is_served });
                         std::thread::sleep(SOUND_PAUSE);
                     }
@@ -64,13 +82,14 @@
                 })
             })
             .collect();
-        let start = Instant::now();
         for number in 0.. {
             if start.elapsed() > LENGTH {
                 break;
             }
             let host = &site.hosts[number % site.hosts.len()];
-            scope.spawn(move || stream(host, DEADLY_PART));
+            let deadly_part = format!("{DEADLY_PART}{}", prompts.deadly_digits);
+            let parts = prompts.parts(&deadly_part);
+            scope.spawn(move || stream(host, &parts));
             std::thread::sleep(DEADLY_INTERVAL);
         }
         is_finished.store(true, Ordering::Relaxed);
@@ -87,9 +106,9 @@
     deadly.filter(|handled| handled.received_at > fifth_end + CONTACT_WINDOW).count()
 }
 
-fn check_deadly_part(plan: &FleetPlan) {
+fn check_deadly_part(plan: &FleetPlan, prompts: Prompts) {
     let site = Site::start_with_third_host(plan);
-    let sound = send_requests(&site);
+    let sound = send_requests(&site, prompts);
     let ends = site.fleet.end_times();
     assert!(ends.len() >= MAX_ENDED_SERVERS, "the part ended only {} servers", ends.len());
     let fifth_end = ends[MAX_ENDED_SERVERS - 1];
@@ -104,11 +123,27 @@
 
 #[test]
 fn requests_with_a_part_that_ends_five_servers_are_not_sent_on() {
-    check_deadly_part(&model_fleet());
+    check_deadly_part(&model_fleet(), Prompts::default());
 }
 
 /// The servers of a small service end together, again and again.
 #[test]
 fn requests_with_a_part_that_ends_a_whole_service_are_not_sent_on() {
-    check_deadly_part(&FleetPlan { layers: vec![Some((0, 16)); 5], ..model_fleet() });
+    let plan = FleetPlan { layers: vec![Some((0, 16)); 5], ..model_fleet() };
+    check_deadly_part(&plan, Prompts::default());
+}
+
+/// The events that servers wrote before they ended were taken as proof that the part is sound.
+#[test]
+fn requests_with_a_part_that_ends_servers_after_some_events_are_not_sent_on() {
+    for deadly_digits in ["6", "19", "20"] {
+        check_deadly_part(&model_fleet(), Prompts { deadly_digits });
+    }
+}
+
+/// Some servers wrote more events than others had at their ends.
+#[test]
+fn requests_with_a_part_that_ends_servers_after_any_number_of_events_are_not_sent_on() {
+    let prompts = Prompts { deadly_digits: DEADLY_AT_RANDOM };
+    check_deadly_part(&model_fleet(), prompts);
 }
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -40,9 +40,15 @@
 /// Last segment of the path of a stream that ends each server that becomes the second stage of its path.
 pub(crate) const END_SECOND_STAGE: &str = "end-second-stage";
 
-/// Part of a prompt with which a stream ends each server that begins to write its response.
+/// Part of a prompt with which a stream ends each server that begins to write its response. Digits after it are the number
+/// of events that the server writes before its end, or [`DEADLY_AT_RANDOM`].
 pub(crate) const DEADLY_PART: &str = "dead0";
 
+/// Digits after [`DEADLY_PART`] for a number of events that is drawn for each stream, below [`MAX_DEADLY_EVENTS`].
+pub(crate) const DEADLY_AT_RANDOM: &str = "ff";
+
+const MAX_DEADLY_EVENTS: u64 = 18;
+
 /// Header with the parts of a prompt.
 pub(crate) const PROMPT_PARTS_HEADER: &str = "godwitdeal-prompt-prefix";
 
@@ -365,8 +371,20 @@
         handled.push(HandledRequest { request: request.clone(), behavior, received_at });
         drop(handled);
         let parts = request.header(PROMPT_PARTS_HEADER).unwrap_or_default();
-        if parts.contains(DEADLY_PART) && !self.is_robust.load(Ordering::Relaxed) {
-            return self.end_after_head(request, stream);
+        let mut parts = parts.split([',', ':']);
+        let deadly = parts.find_map(|part| part.strip_prefix(DEADLY_PART));
+        if let Some(digits) = deadly.filter(|_| !self.is_robust.load(Ordering::Relaxed)) {
+            let events = match digits {
+                DEADLY_AT_RANDOM => rand::random_range(0..MAX_DEADLY_EVENTS),
+                digits => digits.parse().unwrap_or_default(),
+            };
+            return match (events, behavior) {
+                (0, _) => self.end_after_head(request, stream),
+                (_, Behavior::Stream { events: all, .. }) => {
+                    self.end_after_events(events, all, request, stream)
+                }
+                _ => self.end(),
+            };
         }
         if let Behavior::Broken(answer) = behavior {
             let stays_open = answer.send(&self.id, request, stream);
@@ -453,6 +471,24 @@
         })
     }
 
+    /// Writes a whole stream of `all` events, but ends after the given number of them, if there are as many left to write.
+    fn end_after_events(
+        &self,
+        events: u64,
+        all: u64,
+        request: &Message,
+        stream: &mut TcpStream,
+    ) -> bool {
+        let end_before = last_event_id(request) + events + 1;
+        // An end after the last event comes ahead of that of the response.
+        let last = all.max(end_before);
+        send_events(&self.id, &self.control, request, last, true, stream, |number| {
+            if number == end_before {
+                self.end();
+            }
+        })
+    }
+
     /// Answers with an error and ends [`RUN_BEFORE_END`] later.
     fn end_after_error(&self, request: &Message, stream: &mut TcpStream) -> bool {
         respond(&self.id, Behavior::Status(504), &self.control, request, stream);
