Let no part of a prompt excuse another that is as likely at fault

Cause: a part with as many losses explained those of the other, in both directions. One of the two is at fault, so that ties must not excuse. Blaming both would refuse sound requests with the other part, though.

A part excuses another now only if it is the likelier cause: no whole answer lately, then more losses, then losses closer to one point of the responses. A lost trial run accuses all parts that it tried; a request is refused only if it has all parts that may be to blame for the lost trials. One that lacks some of them runs as a trial, in turn: a whole answer clears its parts and leaves the blame with the rest. This holds for any number of parts that come together.

--- a/crates/godwit-core/src/quarantine/explanation.rs
+++ b/crates/godwit-core/src/quarantine/explanation.rs
@@ -42,12 +42,12 @@
             .map(|(_, loss)| loss)
     }
 
-    /// Whether requests with a part that is as likely a cause were running on a server when it ended.
+    /// Whether requests with a part that is the likelier cause were running on a server when it ended.
     pub(super) fn is_due_to_part(&self, except: u64, suspect: &Suspect, server: &str) -> bool {
         let others = self.explaining.iter().filter(|fingerprint| **fingerprint != except);
         let mut parts =
             others.filter_map(|fingerprint| self.suspects.get(fingerprint)).filter(|it| it.is_part);
-        parts.any(|part| part.losses.contains_key(server) && part.is_as_likely_as(suspect))
+        parts.any(|part| part.losses.contains_key(server) && part.is_likelier_than(suspect))
     }
 
     /// Whether another request with repeated losses, or a part in doubt, was running on a server when it ended.
--- a/crates/godwit-core/src/quarantine/prompt_part.rs
+++ b/crates/godwit-core/src/quarantine/prompt_part.rs
@@ -249,4 +249,37 @@
         }
         is_changed
     }
+
+    /// Whether the trial runs that accuse a part may have been lost to another part, which a request with `parts` does not
+    /// have. The request may run then, which shows whose doing they were.
+    ///
+    /// ```
+    /// use godwit_core::SteadyMs;
+    /// use godwit_core::quarantine::{CrashRegister, LostRun};
+    /// let mut register = CrashRegister::new(60_000);
+    /// let (one, other) = (8, 9);
+    /// for request in 1..=4 {
+    ///     let (server, now) = (format!("s-{request}"), SteadyMs(2_000 * request));
+    ///     let lost = LostRun {
+    ///         fingerprint: request, started_at: now, pieces: 0, request_id: "r", is_trial: request == 4,
+    ///     };
+    ///     register.record_part_loss(one, lost, &server, now);
+    ///     register.record_part_loss(other, lost, &server, now);
+    /// }
+    /// assert!(!register.is_blame_shared(one, &[one, other]));
+    /// assert!(register.is_blame_shared(one, &[one]));
+    /// ```
+    pub fn is_blame_shared(&self, part: u64, parts: &[u64]) -> bool {
+        let Some(suspect) = self.suspects.get(&part).filter(|suspect| suspect.is_part) else {
+            return false;
+        };
+        let absent = self.explaining.iter().filter(|key| **key != part && !parts.contains(key));
+        let absent: Vec<&Suspect> =
+            absent.filter_map(|key| self.suspects.get(key)).filter(|it| it.is_part).collect();
+        let mut trials = suspect.losses.iter().filter(|(_, loss)| loss.is_trial);
+        !absent.is_empty()
+            && trials.all(|(server, _)| {
+                absent.iter().any(|it| it.losses.get(server).is_some_and(|loss| loss.is_trial))
+            })
+    }
 }
--- a/crates/godwit-core/src/quarantine/suspect.rs
+++ b/crates/godwit-core/src/quarantine/suspect.rs
@@ -1,5 +1,6 @@
 //! Losses of one request, and what they weigh.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::SteadyMs;
@@ -234,15 +235,24 @@
         losses.filter(move |loss| !self.is_part || !has_passed(most_pieces, loss.pieces))
     }
 
-    /// Whether this part is at least as likely a cause as another suspect of the servers that were lost under both.
-    pub(crate) fn is_as_likely_as(&self, other: &Suspect) -> bool {
-        let other_losses = if other.is_part {
-            other.consistent_losses().count()
-        } else {
-            other.losses.values().filter(|loss| loss.is_early()).count()
-        };
-        !self.is_established()
-            && (other.is_established() || self.consistent_losses().count() >= other_losses)
+    /// Difference between the most and the fewest pieces that servers had written at their ends.
+    fn piece_spread(&self) -> u64 {
+        let pieces = || self.losses.values().map(|loss| loss.pieces);
+        pieces().max().unwrap_or_default() - pieces().min().unwrap_or_default()
+    }
+
+    /// Whether this part is the likelier cause of the servers that were lost under it and another suspect. A part ends its
+    /// servers at about the same point of their responses. Of two parts that are equally likely neither excuses the other,
+    /// since one of them is at fault.
+    pub(crate) fn is_likelier_than(&self, other: &Suspect) -> bool {
+        if other.is_part {
+            let likelihood = |it: &Suspect| {
+                (!it.is_established(), it.consistent_losses().count(), Reverse(it.piece_spread()))
+            };
+            return likelihood(self) > likelihood(other);
+        }
+        let early_losses = other.losses.values().filter(|loss| loss.is_early()).count();
+        !self.is_established() && self.losses.len() >= early_losses
     }
 
     /// Whether more than one server was lost, also if one run lost them all.
--- a/crates/godwit-core/src/quarantine/trial.rs
+++ b/crates/godwit-core/src/quarantine/trial.rs
@@ -154,9 +154,12 @@
         is_quiet && !is_running && suspect.trial_at(now).is_none()
     }
 
-    /// Records that a run begins at this host. Returns whether it is a trial run.
-    pub fn begin_run(&mut self, fingerprint: u64, now: SteadyMs) -> bool {
-        if !self.is_in_doubt(fingerprint) || self.status(fingerprint, now) != CrashStatus::Clear {
+    /// Records that a run begins at this host, of a request with `parts`. Returns whether it is a trial run.
+    pub fn begin_run(&mut self, fingerprint: u64, parts: &[u64], now: SteadyMs) -> bool {
+        let is_in_doubt = self.is_in_doubt(fingerprint)
+            && (self.status(fingerprint, now) == CrashStatus::Clear
+                || self.is_blame_shared(fingerprint, parts));
+        if !is_in_doubt {
             return false;
         }
         let suspect = self.suspects.get_mut(&fingerprint);
--- a/crates/godwit-core/tests/crash_register.rs
+++ b/crates/godwit-core/tests/crash_register.rs
@@ -150,7 +150,7 @@
     assert_eq!(register.status(GUILTY, at(1_100)), CrashStatus::Clear);
     assert_eq!(admit_trial(&register, 1_300, false), TrialAdmission::Deferred);
     assert_eq!(admit_trial(&register, 1_310, false), TrialAdmission::Trial);
-    assert!(register.begin_run(GUILTY, at(1_310)));
+    assert!(register.begin_run(GUILTY, &[], at(1_310)));
     lose_trial(&mut register, "s-next", 1_311, 1);
     assert!(is_quarantined(&register, GUILTY, 1_911));
 }
@@ -210,7 +210,7 @@
         "servers just ended"
     );
     assert_eq!(admit_trial(&register, 2_800, false), TrialAdmission::Trial);
-    assert!(register.begin_run(GUILTY, at(2_800)));
+    assert!(register.begin_run(GUILTY, &[], at(2_800)));
     assert_eq!(admit_trial(&register, 2_801, true), TrialAdmission::Deferred, "one runs");
     lose_trial(&mut register, "s-1-0", 2_803, 3);
     assert_eq!(admit_trial(&register, 2_804, false), TrialAdmission::Deferred, "undecided");
@@ -225,7 +225,7 @@
         lose_after(&mut register, SOUND, &format!("s-0-{number}"), 0, 1_000 + number, 30);
         lose_after(&mut register, GUILTY, &format!("s-0-{number}"), 0, 1_000 + number, 30);
     }
-    assert!(register.begin_run(GUILTY, at(2_800)));
+    assert!(register.begin_run(GUILTY, &[], at(2_800)));
     lose_trial(&mut register, "s-1-0", 2_830, 30);
     register.record_end("s-1-1", at(2_870));
     assert_eq!(register.status(GUILTY, at(4_000)), CrashStatus::Clear);
@@ -239,7 +239,7 @@
         lose_after(&mut register, GUILTY, &format!("s-0-{number}"), 0, 1_000 + number, 30);
         register.record_end(&format!("s-1-{number}"), at(2_800));
     }
-    assert!(register.begin_run(GUILTY, at(3_270)));
+    assert!(register.begin_run(GUILTY, &[], at(3_270)));
     lose_trial(&mut register, "s-2-0", 3_300, 30);
     assert_eq!(register.status(GUILTY, at(3_310)), CrashStatus::Clear, "undecided");
     assert!(is_quarantined(&register, GUILTY, 3_950));
@@ -252,7 +252,7 @@
     for number in 0..10 {
         lose_after(&mut register, GUILTY, &format!("s-0-{number}"), 0, 1_000 + number, 30);
     }
-    assert!(register.begin_run(GUILTY, at(2_800)));
+    assert!(register.begin_run(GUILTY, &[], at(2_800)));
     lose_trial(&mut register, "s-1-0", 5_800, 3_000);
     assert_eq!(register.status(GUILTY, at(7_000)), CrashStatus::Clear);
 }
@@ -266,7 +266,7 @@
     let mut there = register();
     there.merge(&here.next_report(at(1_100)), "here", at(1_110));
     assert_eq!(admit_trial(&there, 2_000, false), TrialAdmission::Trial);
-    assert!(here.begin_run(GUILTY, at(2_000)));
+    assert!(here.begin_run(GUILTY, &[], at(2_000)));
     there.merge(&here.next_report(at(2_100)), "here", at(2_110));
     assert_eq!(admit_trial(&there, 2_200, false), TrialAdmission::Deferred);
     here.end_trial(GUILTY);
@@ -299,7 +299,7 @@
     for number in 0..3 {
         lose_after(&mut register, GUILTY, &format!("s-{number}"), 0, 1_000 + 10 * number, 5);
     }
-    assert!(register.begin_run(GUILTY, at(3_000)));
+    assert!(register.begin_run(GUILTY, &[], at(3_000)));
     lose_trial(&mut register, "s-3", 3_005, 5);
     register.record_end("s-4", at(3_010));
     let turns = (1..6).map(|number| hosts_that_may_try(&register, 3_005 + 900 * number));
--- a/crates/godwit-core/tests/crash_shapes.rs
+++ b/crates/godwit-core/tests/crash_shapes.rs
@@ -506,7 +506,8 @@
             return self.finish(index);
         }
         let server = up[self.random.random_range(0..up.len())];
-        let is_trial = self.shape.uses_trials && self.registers[host].begin_run(FINGERPRINT, now);
+        let is_trial =
+            self.shape.uses_trials && self.registers[host].begin_run(FINGERPRINT, &[], now);
         self.outcome.sends += 1;
         let third_end_ms = self.ends_ms.get(MAX_ENDED_SERVERS - 1);
         if third_end_ms.is_some_and(|third| self.now_ms > third + CONTACT_WINDOW_MS) {
--- a/crates/godwit-core/tests/part_shapes.rs
+++ b/crates/godwit-core/tests/part_shapes.rs
@@ -1,7 +1,7 @@
 //! Blame of a part that several prompts share, over many shapes of a service. Each server runs many requests at a time; a
 //! crash takes all of them along, and they move to the servers that are left. All prompts begin with the same part; then
 //! comes one that the requests of a session share, or the deadly part, which ends each server that writes, at once or after any
-//! number of pieces.
+//! number of pieces. It may come with a companion, a sound part that hardly any other request has.
 
 use std::collections::BTreeSet;
 
@@ -15,6 +15,7 @@
 
 const COMMON_PART: u64 = 1;
 const DEADLY_PART: u64 = 2;
+const COMPANION_PART: u64 = 3;
 const FIRST_SESSION_PART: u64 = 1_000;
 const FIRST_FINGERPRINT: u64 = 1_000_000;
 
@@ -44,6 +45,9 @@
 
 const REQUESTS_IN_SESSION: u64 = 4;
 
+/// Share of the sound requests that have the companion of the deadly part.
+const COMPANION_SHARE: f64 = 0.02;
+
 /// Number of shapes of each kind; `PART_SHAPES` sets another one.
 const DEFAULT_SHAPES: u64 = 15;
 
@@ -65,6 +69,7 @@
     min_restart_ms: u64,
     /// Number of pieces that a server writes of a response to a request with the deadly part.
     deadly_pieces: u64,
+    has_companion: bool,
 }
 
 /// What the shapes of a test have beside sound requests.
@@ -73,12 +78,13 @@
     has_deadly_part: bool,
     has_crashes: bool,
     lets_pieces_out: bool,
+    has_companion: bool,
 }
 
 impl Shape {
     fn draw(seed: u64, trouble: Trouble) -> Shape {
         let mut random = SmallRng::seed_from_u64(seed);
-        let Trouble { has_deadly_part, has_crashes, lets_pieces_out } = trouble;
+        let Trouble { has_deadly_part, has_crashes, lets_pieces_out, has_companion } = trouble;
         let mut one_of = |values: &[u64]| values[random.random_range(0..values.len())];
         Shape {
             seed,
@@ -92,6 +98,7 @@
             crash_share: one_of(&[15, 34, 100]) as f64 / 100.0,
             min_restart_ms: one_of(&[1_800, 3_200]),
             deadly_pieces: if lets_pieces_out { one_of(&[1, 3, 5, 6, 9, 20, 59]) } else { 0 },
+            has_companion,
         }
     }
 }
@@ -232,13 +239,19 @@
         let chance = TICK_MS as f64 / self.shape.sound_interval_ms as f64;
         let mut arrivals = Vec::new();
         if self.random.random_bool(chance) {
-            let session = FIRST_SESSION_PART + self.next_fingerprint / REQUESTS_IN_SESSION;
-            arrivals.push(vec![COMMON_PART, session]);
+            let mut parts = vec![COMMON_PART];
+            if self.shape.has_companion && self.random.random_bool(COMPANION_SHARE) {
+                parts.push(COMPANION_PART);
+            }
+            parts.push(FIRST_SESSION_PART + self.next_fingerprint / REQUESTS_IN_SESSION);
+            arrivals.push(parts);
         }
         let since_ms = self.now_ms - START_MS;
         let interval_ms = self.shape.deadly_interval_ms;
         if interval_ms > 0 && since_ms >= DEADLY_FROM_MS && since_ms % interval_ms < TICK_MS {
-            arrivals.push(vec![COMMON_PART, DEADLY_PART]);
+            let companion = self.shape.has_companion.then_some(COMPANION_PART);
+            arrivals
+                .push([COMMON_PART].into_iter().chain(companion).chain([DEADLY_PART]).collect());
         }
         for parts in arrivals {
             let request = Request {
@@ -267,7 +280,9 @@
         for fingerprint in &fingerprints {
             let admission =
                 register.admit(*fingerprint, turn, is_running(*fingerprint), self.now());
-            if matches!(admission, CrashAdmission::Refused { .. }) {
+            if matches!(admission, CrashAdmission::Refused { .. })
+                && !register.is_blame_shared(*fingerprint, &request.parts)
+            {
                 return Err(());
             }
         }
@@ -326,7 +341,8 @@
         }
         let register = &mut self.registers[request.host];
         let trial_of = request.fingerprints().into_iter();
-        let trial_of = trial_of.filter(|fingerprint| register.begin_run(*fingerprint, now));
+        let trial_of =
+            trial_of.filter(|fingerprint| register.begin_run(*fingerprint, &request.parts, now));
         let run = Run {
             trial_of: trial_of.collect(),
             server: up[self.random.random_range(0..up.len())],
@@ -363,7 +379,10 @@
             }
             self.registers[host].expire(now);
             for change in self.registers[host].status_changes(now) {
-                let is_quarantined = matches!(change.status, CrashStatus::Quarantined { .. });
+                let is_refused = !self.registers[host]
+                    .is_blame_shared(change.fingerprint, &[COMMON_PART, change.fingerprint]);
+                let is_quarantined =
+                    is_refused && matches!(change.status, CrashStatus::Quarantined { .. });
                 if is_quarantined && change.fingerprint < FIRST_FINGERPRINT {
                     self.blamed_parts.insert(change.fingerprint);
                 }
@@ -437,8 +456,12 @@
     played.into_iter().filter(|(_, outcome)| is_broken(outcome)).collect()
 }
 
-const DEADLY: Trouble =
-    Trouble { has_deadly_part: true, has_crashes: false, lets_pieces_out: false };
+const DEADLY: Trouble = Trouble {
+    has_deadly_part: true,
+    has_crashes: false,
+    lets_pieces_out: false,
+    has_companion: false,
+};
 
 #[test]
 fn deadly_part_is_stopped_and_no_other() {
@@ -456,6 +479,18 @@
     assert_eq!(broken(play(Trouble { lets_pieces_out: true, ..DEADLY })), []);
 }
 
+/// Two parts that came together excused each other.
+#[test]
+fn deadly_part_is_stopped_beside_its_companion() {
+    assert_eq!(broken(play(Trouble { has_companion: true, ..DEADLY })), []);
+}
+
+#[test]
+fn deadly_part_is_stopped_that_lets_pieces_out_beside_its_companion() {
+    let trouble = Trouble { lets_pieces_out: true, has_companion: true, ..DEADLY };
+    assert_eq!(broken(play(trouble)), []);
+}
+
 #[test]
 fn no_part_is_blamed_for_crashes() {
     assert_eq!(broken(play(Trouble { has_crashes: true, ..Trouble::default() })), []);
--- a/crates/godwit-gateway/src/forward/in_flight.rs
+++ b/crates/godwit-gateway/src/forward/in_flight.rs
@@ -139,9 +139,10 @@
         admitted: &Rc<AdmittedRequest>,
         destination: &Destination,
     ) -> InFlightGuard {
-        let trial_of = admitted
-            .fingerprints()
-            .filter(|fingerprint| site.crashes.borrow_mut().begin_run(fingerprint.0, site.now()));
+        let parts = &admitted.part_fingerprints;
+        let trial_of = admitted.fingerprints().filter(|fingerprint| {
+            site.crashes.borrow_mut().begin_run(fingerprint.0, parts, site.now())
+        });
         let run = Rc::new(Run {
             trial_of: trial_of.collect(),
             admitted: admitted.clone(),
--- a/crates/godwit-gateway/src/forward/quarantine.rs
+++ b/crates/godwit-gateway/src/forward/quarantine.rs
@@ -185,6 +185,8 @@
         let crashes = site.crashes.borrow();
         match crashes.admit(fingerprint.0, turn, is_running, site.now()) {
             CrashAdmission::Allowed => {}
+            // Another part may be at fault, which this request does not have.
+            _ if crashes.is_blame_shared(fingerprint.0, &admitted.part_fingerprints) => {}
             CrashAdmission::OnProbation => on_probation = true,
             CrashAdmission::Refused { retry_at } => {
                 refused_until = refused_until.max(Some(retry_at));
--- a/tests/gateway/prompt_parts.rs
+++ b/tests/gateway/prompt_parts.rs
@@ -25,6 +25,11 @@
 /// Number of requests of a sound caller that share a part of their prompts.
 const REQUESTS_IN_SESSION: usize = 4;
 
+/// Part that all requests with the deadly part have, and sound ones only after [`COMPANION_DELAY`].
+const COMPANION_PART: &str = "c0de";
+
+const COMPANION_DELAY: Duration = Duration::from_secs(9);
+
 static NEXT_PROMPT: AtomicUsize = AtomicUsize::new(0);
 
 /// Prompts of the requests with a deadly part, and of the sound ones.
@@ -32,14 +37,19 @@
 struct Prompts {
     /// What follows [`DEADLY_PART`] in the id of the deadly part.
     deadly_digits: &'static str,
+    has_companion: bool,
 }
 
 impl Prompts {
     /// Returns the parts of a prompt with a part of its kind of request, and a last part that no other prompt has.
-    fn parts(&self, kind_part: &str) -> String {
+    fn parts(&self, kind_part: &str, since_start: Duration) -> String {
         let own = NEXT_PROMPT.fetch_add(1, Ordering::Relaxed);
+        let is_due = kind_part.starts_with(DEADLY_PART) || since_start > COMPANION_DELAY;
+        let has_companion = self.has_companion && is_due;
+        let companion = has_companion.then(|| format!("{COMPANION_PART}:30"));
         let ends = [format!("{kind_part}:400"), format!("{own:x}:100")];
-        [format!("{COMMON_PART}:40")].into_iter().chain(ends).collect::<Vec<_>>().join(",")
+        let parts = [format!("{COMMON_PART}:40")].into_iter();
+        parts.chain(companion).chain(ends).collect::<Vec<_>>().join(",")
     }
 }
 
@@ -73,7 +83,7 @@
                         let session = requests.len() / REQUESTS_IN_SESSION;
                         let sent_at = Instant::now();
                         let session_part = format!("5e55{caller:x}{session:04x}");
-                        let parts = prompts.parts(&session_part);
+                        let parts = prompts.parts(&session_part, start.elapsed());
                         let is_served = stream(host, &parts);
                         requests.push(SoundRequest { sent_at, is_served });
                         std::thread::sleep(SOUND_PAUSE);
@@ -88,7 +98,7 @@
             }
             let host = &site.hosts[number % site.hosts.len()];
             let deadly_part = format!("{DEADLY_PART}{}", prompts.deadly_digits);
-            let parts = prompts.parts(&deadly_part);
+            let parts = prompts.parts(&deadly_part, start.elapsed());
             scope.spawn(move || stream(host, &parts));
             std::thread::sleep(DEADLY_INTERVAL);
         }
@@ -137,13 +147,19 @@
 #[test]
 fn requests_with_a_part_that_ends_servers_after_some_events_are_not_sent_on() {
     for deadly_digits in ["6", "19", "20"] {
-        check_deadly_part(&model_fleet(), Prompts { deadly_digits });
+        check_deadly_part(&model_fleet(), Prompts { deadly_digits, ..Prompts::default() });
     }
 }
 
 /// Some servers wrote more events than others had at their ends.
 #[test]
 fn requests_with_a_part_that_ends_servers_after_any_number_of_events_are_not_sent_on() {
-    let prompts = Prompts { deadly_digits: DEADLY_AT_RANDOM };
+    let prompts = Prompts { deadly_digits: DEADLY_AT_RANDOM, ..Prompts::default() };
     check_deadly_part(&model_fleet(), prompts);
 }
+
+/// The deadly part and another one that no sound request had so far excused each other.
+#[test]
+fn requests_with_a_deadly_part_and_a_companion_are_not_sent_on() {
+    check_deadly_part(&model_fleet(), Prompts { has_companion: true, ..Prompts::default() });
+}
