Tell all shared parts of a prompt apart

Cause: only the first sixteen shared parts of a prompt were looked at, to bound memory and work for each loss. Nothing else was blamed in its place, as all other parts had answers.

All parts count now. What bounds memory is the evidence: parts that whole answers prove sound leave no losses, so that those of a long conversation cost a look-up each; the register keeps its 4,096 entries, from which those with the fewest and oldest losses leave. What leaves next is found for 512 at a time, since one prompt may bring a thousand parts and each was compared with all others.

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -30,9 +30,15 @@
 /// Maximum number of requests in the register.
 pub const MAX_SUSPECTS: usize = 4_096;
 
+/// Maximum number of requests that are found at a time to leave a full register.
+const MAX_QUEUED_EVICTIONS: usize = MAX_SUSPECTS / 8;
+
 /// Maximum number of server ends in the register.
 pub const MAX_SERVER_ENDS: usize = 1_024;
 
+/// Number of losses and time of the last one, by which requests leave a full register.
+type EvictionOrder = (usize, SteadyMs);
+
 /// Status of a request by the servers lost under it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CrashStatus {
@@ -108,6 +114,8 @@
     pub(super) explaining: BTreeSet<u64>,
     /// What whole answers to requests with a part show of it.
     pub(super) survivals: Survivals,
+    /// Requests that leave next if there are too many, the first one last.
+    eviction_queue: Vec<(EvictionOrder, u64)>,
     /// What the reports of the current round have.
     pub(super) selection: ReportSelection,
 }
@@ -121,6 +129,7 @@
             suspects: BTreeMap::new(),
             explaining: BTreeSet::new(),
             survivals: Survivals::default(),
+            eviction_queue: Vec::new(),
             selection: ReportSelection::default(),
         }
     }
@@ -363,17 +372,30 @@
 
     /// Removes the request with the fewest and oldest losses if there are too many, but not the one just added.
     pub(super) fn evict_excess(&mut self, added: u64) {
-        if self.suspects.len() <= MAX_SUSPECTS {
-            return;
+        while self.suspects.len() > MAX_SUSPECTS {
+            if self.eviction_queue.is_empty() {
+                self.fill_eviction_queue(added);
+            }
+            let Some((order, fingerprint)) = self.eviction_queue.pop() else { return };
+            let suspect = self.suspects.get(&fingerprint);
+            let is_unchanged = suspect.is_some_and(|suspect| suspect.eviction_order() == order);
+            if is_unchanged && fingerprint != added {
+                self.suspects.remove(&fingerprint);
+                self.explaining.remove(&fingerprint);
+            }
         }
+    }
+
+    /// Finds the requests that leave a full register next. One prompt may bring so many parts that each cannot be compared
+    /// with all others.
+    fn fill_eviction_queue(&mut self, added: u64) {
         let others = self.suspects.iter().filter(|(fingerprint, _)| **fingerprint != added);
-        let least = others
-            .min_by_key(|(_, suspect)| (suspect.losses.len(), suspect.last_loss_at()))
-            .map(|(fingerprint, _)| *fingerprint);
-        if let Some(fingerprint) = least {
-            self.suspects.remove(&fingerprint);
-            self.explaining.remove(&fingerprint);
-        }
+        let mut queue: Vec<(EvictionOrder, u64)> =
+            others.map(|(fingerprint, suspect)| (suspect.eviction_order(), *fingerprint)).collect();
+        queue.sort_unstable();
+        queue.truncate(MAX_QUEUED_EVICTIONS);
+        queue.reverse();
+        self.eviction_queue = queue;
     }
 
     /// Removes what is too old to matter.
--- a/crates/godwit-core/src/quarantine/suspect.rs
+++ b/crates/godwit-core/src/quarantine/suspect.rs
@@ -188,6 +188,11 @@
         self.losses.values().map(|loss| loss.ended_at).max().unwrap_or_default()
     }
 
+    /// Number of losses and time of the last one, by which suspects leave a full register.
+    pub(crate) fn eviction_order(&self) -> (usize, SteadyMs) {
+        (self.losses.len(), self.last_loss_at())
+    }
+
     /// Number of rounds that lost a server when the response had hardly begun.
     pub(crate) fn early_losses(&self) -> usize {
         let is_early = |_: &str, loss: &Loss| LossWeight {
--- a/crates/godwit-gateway/src/forward/admit.rs
+++ b/crates/godwit-gateway/src/forward/admit.rs
@@ -19,9 +19,6 @@
 /// Deadline of a request whose caller sets none, in milliseconds after its arrival.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
-/// Maximum number of parts of a prompt that are told apart; further ones are not.
-const MAX_SHARED_PARTS: usize = 16;
-
 /// Fingerprint of a request, shown as hexadecimal digits.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Fingerprint(pub(crate) u64);
@@ -132,11 +129,10 @@
     }
 }
 
-/// Returns the parts of a prompt that other requests may share, at most [`MAX_SHARED_PARTS`].
+/// Returns the parts of a prompt that other requests may share.
 fn shared_parts(head: &CallerHead) -> &[String] {
     let parts = head.prompt_parts.as_slice();
-    let shared = parts.split_last().map_or(parts, |(_, shared)| shared);
-    &shared[..shared.len().min(MAX_SHARED_PARTS)]
+    parts.split_last().map_or(parts, |(_, shared)| shared)
 }
 
 /// A request as received, without its body.
--- a/tests/gateway/prompt_parts.rs
+++ b/tests/gateway/prompt_parts.rs
@@ -37,6 +37,10 @@
 struct Prompts {
     /// What follows [`DEADLY_PART`] in the id of the deadly part.
     deadly_digits: &'static str,
+    /// Number of further parts that all prompts share, ahead of the deadly one.
+    shared_parts: usize,
+    /// Number of further parts that no other prompt has, ahead of the deadly one.
+    own_parts: usize,
     has_companion: bool,
 }
 
@@ -44,11 +48,13 @@
     /// Returns the parts of a prompt with a part of its kind of request, and a last part that no other prompt has.
     fn parts(&self, kind_part: &str, since_start: Duration) -> String {
         let own = NEXT_PROMPT.fetch_add(1, Ordering::Relaxed);
+        let shared = (0..self.shared_parts).map(|number| format!("f1{number:04x}:20"));
+        let unshared = (0..self.own_parts).map(|number| format!("f2{own:x}{number:04x}:20"));
         let is_due = kind_part.starts_with(DEADLY_PART) || since_start > COMPANION_DELAY;
         let has_companion = self.has_companion && is_due;
         let companion = has_companion.then(|| format!("{COMPANION_PART}:30"));
         let ends = [format!("{kind_part}:400"), format!("{own:x}:100")];
-        let parts = [format!("{COMMON_PART}:40")].into_iter();
+        let parts = [format!("{COMMON_PART}:40")].into_iter().chain(shared).chain(unshared);
         parts.chain(companion).chain(ends).collect::<Vec<_>>().join(",")
     }
 }
@@ -158,6 +164,18 @@
     check_deadly_part(&model_fleet(), prompts);
 }
 
+/// Only the first parts of a prompt were told apart.
+#[test]
+fn requests_with_a_deadly_part_behind_many_others_are_not_sent_on() {
+    check_deadly_part(&model_fleet(), Prompts { shared_parts: 300, ..Prompts::default() });
+}
+
+/// Parts that come once leave room for the one that comes again.
+#[test]
+fn requests_with_a_deadly_part_behind_many_of_their_own_are_not_sent_on() {
+    check_deadly_part(&model_fleet(), Prompts { own_parts: 60, ..Prompts::default() });
+}
+
 /// The deadly part and another one that no sound request had so far excused each other.
 #[test]
 fn requests_with_a_deadly_part_and_a_companion_are_not_sent_on() {
