Take the store for away only by what it has confirmed

Cause: a host kept a flag "the store is unreachable", and took it over from the status of the host that it followed. The next answer of the store, often the one with the removal, ended the flag and began the grace period for expired entries, so that the removal was held back. That one host cannot reach the store says nothing of the entries, whose servers renew them with the store itself. By reading, two related paths failed the other way: answers to confirmations and changes of a followed host did not begin the grace period at all, so that after a real outage expired entries were dropped at once.

A host now believes what the store has confirmed, to it or to a host that it follows: if all entries were held as of less than two heartbeat intervals before an answer, no entry can have expired for want of the store in between, whoever could not reach it. Otherwise the grace period begins with that answer, ahead of what it says of servers, whichever way it comes. This is the same for each change of reader: cut off, refused, frozen or killed readers, and for hosts that begin to read themselves. Of the other kinds nothing is concluded from a change of reader: configurations go by their confirmations, records of hosts by eras.

The tests and the model of the registry now give the age of the last confirmation in place of the flag.

--- a/crates/godwit-core/src/site/registry.rs
+++ b/crates/godwit-core/src/site/registry.rs
@@ -1,7 +1,8 @@
 //! Registry of the servers listed by the platform.
 //!
 //! After a store outage, missing entries are kept for a grace period, because they may only have expired while the store
-//! was unreachable.
+//! was away. An outage is a time in which the store confirmed nothing to any host that this one heard of. That one host cannot
+//! reach the store says nothing of the entries.
 
 use std::collections::BTreeMap;
 
@@ -20,6 +21,8 @@
 pub struct RegistryLimits {
     /// Time after a store outage for which a missing entry is kept in case it is listed again, in milliseconds.
     pub lapse_grace_ms: u64,
+    /// Shortest store outage in which an entry can expire, in milliseconds.
+    pub min_outage_ms: u64,
 }
 
 #[derive(Debug)]
@@ -36,7 +39,6 @@
 pub struct ServerRegistry {
     limits: RegistryLimits,
     entries: BTreeMap<String, Entry>,
-    is_store_unreachable: bool,
     /// End of the grace period after the last store outage.
     grace_ends_at: SteadyMs,
     /// Servers that drain or are no longer listed.
@@ -59,7 +61,7 @@
     ///
     /// ```
     /// use godwit_core::site::{ServerRegistry, RegistryLimits};
-    /// let registry = ServerRegistry::new(RegistryLimits { lapse_grace_ms: 2_000 });
+    /// let registry = ServerRegistry::new(RegistryLimits { lapse_grace_ms: 2_000, min_outage_ms: 2_400 });
     /// assert_eq!(registry.servers().count(), 0);
     /// ```
     pub fn new(limits: RegistryLimits) -> ServerRegistry {
@@ -67,26 +69,37 @@
         ServerRegistry {
             limits,
             entries,
-            is_store_unreachable: false,
             grace_ends_at: SteadyMs(0),
             departures: BTreeMap::new(),
             announced: BTreeMap::new(),
         }
     }
 
-    /// Records that a call to the store failed.
-    pub fn mark_store_unreachable(&mut self) {
-        self.is_store_unreachable = true;
-    }
-
-    /// Records that the store answers. After an outage, starts the grace period for removed entries.
-    pub fn mark_store_reachable(&mut self, now: SteadyMs) {
-        if self.is_store_unreachable {
-            self.is_store_unreachable = false;
+    /// Records an answer of the store, to this host or one that it follows, before what it says of servers. `confirmed_at` is the
+    /// time as of which all entries were held before it. After an outage, starts the grace period for removed entries.
+    ///
+    /// ```
+    /// use godwit_core::SteadyMs;
+    /// use godwit_core::site::{RegistryLimits, ServerRegistry};
+    /// let limits = RegistryLimits { lapse_grace_ms: 2_000, min_outage_ms: 2_400 };
+    /// let mut registry = ServerRegistry::new(limits);
+    /// registry.record_store_answer(Some(SteadyMs(5_000)), SteadyMs(6_000));
+    /// assert!(!registry.is_in_grace(SteadyMs(6_000)));
+    /// registry.record_store_answer(Some(SteadyMs(6_000)), SteadyMs(9_000));
+    /// assert!(registry.is_in_grace(SteadyMs(9_000)));
+    /// ```
+    pub fn record_store_answer(&mut self, confirmed_at: Option<SteadyMs>, now: SteadyMs) {
+        let outage_ms = confirmed_at.map_or(0, |confirmed_at| now.since_ms(confirmed_at));
+        if outage_ms >= self.limits.min_outage_ms {
             self.grace_ends_at = now.plus_ms(self.limits.lapse_grace_ms);
         }
     }
 
+    /// Whether removed entries may have expired in an outage.
+    pub fn is_in_grace(&self, now: SteadyMs) -> bool {
+        !self.grace_ends_at.is_past(now)
+    }
+
     /// Records that the store came back from an older copy, which lacks the servers that registered since. Starts the grace
     /// period for missing entries.
     pub fn mark_store_returned(&mut self, now: SteadyMs) {
@@ -152,7 +165,7 @@
     /// ```
     /// use godwit_core::SteadyMs;
     /// use godwit_core::site::{RegistryLimits, ServerRegistry};
-    /// let mut registry = ServerRegistry::new(RegistryLimits { lapse_grace_ms: 2_000 });
+    /// let mut registry = ServerRegistry::new(RegistryLimits { lapse_grace_ms: 2_000, min_outage_ms: 2_400 });
     /// assert!(!registry.announce_departure("unknown", SteadyMs(0)));
     /// ```
     pub fn announce_departure(&mut self, id: &str, now: SteadyMs) -> bool {
@@ -197,7 +210,7 @@
             }
             self.record_departure(&server, now);
         }
-        let may_have_expired = !self.grace_ends_at.is_past(now);
+        let may_have_expired = self.is_in_grace(now);
         let Some(entry) = self.entries.get_mut(id) else { return };
         if may_have_expired && entry.server.state == ServerState::Ready {
             entry.missing_until = Some(self.grace_ends_at);
--- a/crates/godwit-core/tests/site/registry.rs
+++ b/crates/godwit-core/tests/site/registry.rs
@@ -7,7 +7,8 @@
 use crate::support::server;
 
 fn registry() -> ServerRegistry {
-    let mut registry = ServerRegistry::new(RegistryLimits { lapse_grace_ms: 2_000 });
+    let mut registry =
+        ServerRegistry::new(RegistryLimits { lapse_grace_ms: 2_000, min_outage_ms: 2_400 });
     registry.replace(vec![server("s-1", "a", "", None), server("s-2", "a", "", None)], SteadyMs(0));
     registry
 }
@@ -26,8 +27,7 @@
 #[test]
 fn registry_keeps_an_entry_that_may_have_lapsed_for_the_grace_period() {
     let mut registry = registry();
-    registry.mark_store_unreachable();
-    registry.mark_store_reachable(SteadyMs(10_000));
+    registry.record_store_answer(Some(SteadyMs(7_600)), SteadyMs(10_000));
     registry.remove("s-1", SteadyMs(10_100));
     assert_eq!(ids(&registry), ["s-1", "s-2"]);
     assert!(registry.expire(SteadyMs(11_999)).is_empty());
@@ -38,8 +38,7 @@
 #[test]
 fn registry_keeps_an_entry_that_is_listed_again() {
     let mut registry = registry();
-    registry.mark_store_unreachable();
-    registry.mark_store_reachable(SteadyMs(10_000));
+    registry.record_store_answer(Some(SteadyMs(7_600)), SteadyMs(10_000));
     registry.replace(vec![server("s-2", "a", "", None)], SteadyMs(10_000));
     registry.update(server("s-1", "a", "", None), SteadyMs(10_100));
     assert!(registry.expire(SteadyMs(20_000)).is_empty());
@@ -52,8 +51,7 @@
     let mut draining = server("s-1", "a", "", None);
     draining.state = ServerState::Draining;
     registry.update(draining, SteadyMs(9_000));
-    registry.mark_store_unreachable();
-    registry.mark_store_reachable(SteadyMs(10_000));
+    registry.record_store_answer(Some(SteadyMs(7_600)), SteadyMs(10_000));
     registry.remove("s-1", SteadyMs(10_001));
     assert_eq!(ids(&registry), ["s-2"]);
 }
@@ -61,7 +59,7 @@
 #[test]
 fn registry_without_an_outage_has_no_grace_period() {
     let mut registry = registry();
-    registry.mark_store_reachable(SteadyMs(10_000));
+    registry.record_store_answer(Some(SteadyMs(7_601)), SteadyMs(10_000));
     registry.remove("s-1", SteadyMs(10_001));
     assert_eq!(ids(&registry), ["s-2"]);
 }
@@ -127,8 +125,7 @@
 fn announced_departure_ends_the_grace_period() {
     let mut registry = registry();
     assert!(registry.announce_departure("s-1", SteadyMs(10)));
-    registry.mark_store_unreachable();
-    registry.mark_store_reachable(SteadyMs(10_000));
+    registry.record_store_answer(Some(SteadyMs(7_600)), SteadyMs(10_000));
     registry.remove("s-1", SteadyMs(10_100));
     assert_eq!(ids(&registry), ["s-2"]);
 }
--- a/crates/godwit-core/tests/site_model/registry.rs
+++ b/crates/godwit-core/tests/site_model/registry.rs
@@ -1,4 +1,4 @@
-//! Servers that are listed, drain, are removed or lapse, and a store that becomes unreachable and reachable again.
+//! Servers that are listed, drain, are removed or lapse, and a store that answers after outages of any length.
 //! Guards against entries that are dropped although they may be listed again, and against entries that are kept for too
 //! long.
 
@@ -13,6 +13,7 @@
 use crate::{Fuzzed, Model, fixed_cases};
 
 const GRACE_MS: u64 = 2_000;
+const MIN_OUTAGE_MS: u64 = 2_400;
 const SERVERS: u8 = 4;
 
 #[derive(Clone, Debug)]
@@ -22,8 +23,8 @@
     Removed(u8),
     /// A complete list, with these servers as ready.
     Listed(Vec<u8>),
-    StoreUnreachable,
-    StoreReachable,
+    /// The store answers, this time after it last confirmed the entries.
+    StoreAnswers(u64),
     Wait(u64),
 }
 
@@ -65,7 +66,6 @@
     registry: ServerRegistry,
     now: SteadyMs,
     expected: BTreeMap<String, Expected>,
-    is_store_unreachable: bool,
     grace_end: SteadyMs,
     fault: PhantomData<F>,
 }
@@ -117,8 +117,7 @@
             1 => (0..SERVERS).prop_map(Step::Draining),
             3 => (0..SERVERS).prop_map(Step::Removed),
             1 => prop::collection::vec(0..SERVERS, 0..4).prop_map(Step::Listed),
-            1 => Just(Step::StoreUnreachable),
-            2 => Just(Step::StoreReachable),
+            2 => (0..2 * MIN_OUTAGE_MS).prop_map(Step::StoreAnswers),
             3 => (0..2_500_u64).prop_map(Step::Wait),
         ]
         .boxed()
@@ -126,10 +125,12 @@
 
     fn start() -> Harness<F> {
         Harness {
-            registry: ServerRegistry::new(RegistryLimits { lapse_grace_ms: F::GRACE_MS }),
+            registry: ServerRegistry::new(RegistryLimits {
+                lapse_grace_ms: F::GRACE_MS,
+                min_outage_ms: MIN_OUTAGE_MS,
+            }),
             now: SteadyMs(10_000),
             expected: BTreeMap::new(),
-            is_store_unreachable: false,
             grace_end: SteadyMs(0),
             fault: PhantomData,
         }
@@ -157,16 +158,12 @@
                     self.expected.insert(id(number), Expected::Listed(ServerState::Ready));
                 }
             }
-            Step::StoreUnreachable => {
-                self.registry.mark_store_unreachable();
-                self.is_store_unreachable = true;
-            }
-            Step::StoreReachable => {
-                self.registry.mark_store_reachable(self.now);
-                if self.is_store_unreachable {
+            Step::StoreAnswers(outage_ms) => {
+                let confirmed_at = SteadyMs(self.now.0 - outage_ms);
+                self.registry.record_store_answer(Some(confirmed_at), self.now);
+                if outage_ms >= MIN_OUTAGE_MS {
                     self.grace_end = self.now.plus_ms(GRACE_MS);
                 }
-                self.is_store_unreachable = false;
             }
             Step::Wait(ms) => self.now = self.now.plus_ms(ms),
         }
--- a/crates/godwit-gateway/src/replica/apply.rs
+++ b/crates/godwit-gateway/src/replica/apply.rs
@@ -76,6 +76,9 @@
         kind: ObjectKind,
         changes: &ReplicaChanges,
     ) -> Result<AppliedChanges, ReplicaGap> {
+        if kind == ObjectKind::Servers {
+            self.record_store_answer();
+        }
         let era = StorePosition::from_ordinal(changes.to_revision).era();
         // A host that follows another learns of a new era with its first listing.
         if era > self.store_era.get() {
--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -169,9 +169,6 @@
             } => {
                 site.end_watches_that_lack(&mut brought);
                 clock.record_status(received_beats, SteadyMs(steady_ms));
-                if !site.reads_store_itself() {
-                    site.record_store_state(can_read_store);
-                }
                 let is_old = |(_, ms): &(ObjectKind, u64)| {
                     SteadyMs(steady_ms).since_ms(SteadyMs(*ms)) > MAX_CONFIRMATION_AGE_MS
                 };
@@ -252,11 +249,6 @@
         });
     }
 
-    /// Whether this host reads the store, and no call of it has failed lately.
-    fn reads_store_itself(&self) -> bool {
-        *self.reads_store.borrow() && self.readers.borrow().can_read_store()
-    }
-
     /// Whether a host that cannot read the store is followed all the same, because no other host can either.
     fn must_follow(&self, name: &str) -> bool {
         let now = self.now();
@@ -274,6 +266,7 @@
         clock: &FollowedClock,
         confirmed_steady_ms: &[(ObjectKind, u64)],
     ) {
+        self.record_store_answer();
         let now = self.now();
         let mut confirmations = self.confirmations.borrow_mut();
         // What this host holds may be of an earlier era than that of the followed host.
--- a/crates/godwit-gateway/src/replica/state.rs
+++ b/crates/godwit-gateway/src/replica/state.rs
@@ -4,7 +4,7 @@
 use godwit_core::replica::{
     ConfirmationLimits, ObjectReplica, OverdueChange, StoreCall, StorePosition,
 };
-use tracing::warn;
+use tracing::{info, warn};
 
 use crate::replica::ObjectKind;
 use crate::site::Site;
@@ -64,6 +64,7 @@
 
     /// Records the store's revision in the answer to a call that asked for the newest state.
     pub(crate) fn record_answer(&self, call: StoreCall, revision: u64) {
+        self.record_store_answer();
         if !self.confirmations.borrow_mut().record_answer(call, revision) {
             let revision = StorePosition::from_ordinal(revision);
             warn!(event = "revision_went_back", %revision);
@@ -162,22 +163,21 @@
     /// Records whether this host could read the objects of a kind from the store. Returns whether that has changed.
     pub(crate) fn record_read(&self, kind: ObjectKind, is_readable: bool) -> bool {
         let is_changed = self.readers.borrow_mut().record_store(kind.name(), is_readable);
-        // After its first failed call, this host may follow another one that can read the store.
-        if kind == ObjectKind::Servers && (is_readable || is_changed) {
-            self.record_store_state(is_readable);
-        }
         self.reading_changed.notify_one();
         self.confirmations_changed.send_replace(());
         is_changed
     }
 
-    /// Records whether the entries of servers can be read, by this host or the one that it follows.
-    pub(crate) fn record_store_state(&self, is_readable: bool) {
+    /// Records that the store has answered this host or one that it follows, before anything is taken over from the answer.
+    pub(crate) fn record_store_answer(&self) {
+        let confirmed_at = self.confirmed_at(ObjectKind::Servers);
+        let now = self.now();
         let mut registry = self.registry.borrow_mut();
-        if is_readable {
-            registry.mark_store_reachable(self.now());
-        } else {
-            registry.mark_store_unreachable();
+        let was_in_grace = registry.is_in_grace(now);
+        registry.record_store_answer(confirmed_at, now);
+        if !was_in_grace && registry.is_in_grace(now) {
+            let outage_ms = confirmed_at.map_or(0, |confirmed_at| now.since_ms(confirmed_at));
+            info!(event = "store_was_away", outage_ms);
         }
     }
 }
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -29,6 +29,10 @@
 /// again within about two seconds.
 const LAPSE_GRACE_MS: u64 = 2_000;
 
+/// Shortest store outage in which the entry of a server can expire, in heartbeat intervals: an entry expires after three, the
+/// first of which may have passed when the outage began.
+const MIN_OUTAGE_HEARTBEATS: u64 = 2;
+
 /// Age at which a load report of another host expires, in milliseconds.
 const PEER_EXPIRY_MS: u64 = 1_500;
 
@@ -148,6 +152,7 @@
     pub(crate) fn new(settings: PlatformSettings, clock: Clock, quarantine_ms: u64) -> Site {
         let health =
             HealthLimits { first_ejection_ms: FIRST_EJECTION_MS, max_ejection_ms: MAX_EJECTION_MS };
+        let min_outage_ms = MIN_OUTAGE_HEARTBEATS * settings.server_heartbeat_ms;
         let relay = RelayLimits { silence_timeout_ms: PEER_SILENCE_MS, skip_ms: PEER_SKIP_MS };
         Site {
             limits: RefCell::new(ServerLimits::new(&settings.host, clock.now())),
@@ -172,6 +177,7 @@
             started_at: clock.now(),
             registry: RefCell::new(ServerRegistry::new(RegistryLimits {
                 lapse_grace_ms: LAPSE_GRACE_MS,
+                min_outage_ms,
             })),
             loads: RefCell::new(LoadTable::new(PEER_EXPIRY_MS)),
             health: RefCell::new(ServerHealth::new(health)),
--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -55,6 +55,12 @@
     confirmations(time) + KINDS - 1
 }
 
+/// Time from the loss of a reader to the removal of a server's entry; the hosts have found others to follow.
+const LOSS_BEFORE_REMOVAL: Duration = Duration::from_secs(4);
+
+/// Time after which no host uses a server whose entry was removed, well below the time for which it still serves.
+const REMOVAL_TIME: Duration = Duration::from_millis(1_200);
+
 fn confirmations(time: Duration) -> usize {
     time.as_millis().div_ceil(CONFIRMATION_INTERVAL.as_millis()) as usize
 }
@@ -406,6 +412,97 @@
     assert_eq!(servers[1].requests().len(), before + cluster.hosts.len());
 }
 
+/// What becomes of a host that others follow.
+#[derive(Clone, Copy, Debug)]
+enum ReaderLoss {
+    StoreRefused,
+    StoreSilent,
+    Killed,
+    Frozen,
+}
+
+impl ReaderLoss {
+    const ALL: [ReaderLoss; 4] =
+        [ReaderLoss::StoreRefused, ReaderLoss::StoreSilent, ReaderLoss::Frozen, ReaderLoss::Killed];
+
+    fn begin(self, cluster: &Cluster, reader: usize) {
+        match self {
+            ReaderLoss::StoreRefused => cluster.proxies[reader].set(ProxyMode::Reset),
+            ReaderLoss::StoreSilent => cluster.proxies[reader].set(ProxyMode::HoldAll),
+            ReaderLoss::Killed => cluster.hosts[reader].signal(Signal::KILL),
+            ReaderLoss::Frozen => cluster.hosts[reader].signal(Signal::STOP),
+        }
+    }
+
+    fn end(self, cluster: &Cluster, reader: usize) {
+        match self {
+            ReaderLoss::StoreRefused | ReaderLoss::StoreSilent => {
+                cluster.proxies[reader].set(ProxyMode::Forward);
+            }
+            ReaderLoss::Killed => {}
+            ReaderLoss::Frozen => cluster.hosts[reader].signal(Signal::CONT),
+        }
+    }
+}
+
+/// Followers of a reader that lost the store took the store to have been away, and kept the entries of servers that were
+/// removed.
+#[test]
+fn removed_server_is_not_used_by_hosts_that_have_changed_readers() {
+    let cluster = Cluster::start(6);
+    for (round, loss) in ReaderLoss::ALL.into_iter().enumerate() {
+        let id = format!("s-removed-{round}");
+        let server = FakeServer::start(&id, &[Behavior::Respond]);
+        cluster.store.put("servers", &id, server.entry("api", None));
+        let all = 0..cluster.hosts.len();
+        // The first reader asks for confirmations on behalf of all.
+        for reader in cluster.readers().into_iter().take(2) {
+            cluster.store.put("servers", &id, server.entry("api", None));
+            std::thread::sleep(CONFIG_APPLY_TIME);
+            loss.begin(&cluster, reader);
+            std::thread::sleep(LOSS_BEFORE_REMOVAL);
+            cluster.store.remove("servers", &id);
+            std::thread::sleep(REMOVAL_TIME);
+            let before = server.requests().len();
+            for index in all.clone().filter(|index| *index != reader) {
+                for _ in 0..8 {
+                    status(&cluster.hosts[index], "/read/1");
+                }
+            }
+            let late = server.requests().len() - before;
+            loss.end(&cluster, reader);
+            assert_eq!(late, 0, "{loss:?} of reader {reader}: requests to a removed server");
+            if matches!(loss, ReaderLoss::Killed) {
+                return;
+            }
+            std::thread::sleep(SETTLE_TIME);
+        }
+    }
+}
+
+/// Guards the time for which servers write their entries again after an outage in which these expired.
+#[test]
+fn server_whose_entry_expired_while_the_store_was_away_is_used_on() {
+    let cluster = Cluster::start(3);
+    cluster.proxies.iter().for_each(|proxy| proxy.set(ProxyMode::Reset));
+    std::thread::sleep(LOSS_BEFORE_REMOVAL);
+    let entry = cluster.store.specification("servers", "s-1").expect("it is listed");
+    cluster.store.remove("servers", "s-1");
+    cluster.proxies.iter().for_each(|proxy| proxy.set(ProxyMode::Forward));
+    let returned_at = Instant::now();
+    while returned_at.elapsed() < REMOVAL_TIME {
+        for host in &cluster.hosts {
+            assert_eq!(status(host, "/read/1"), 200, "{:?}", returned_at.elapsed());
+        }
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    cluster.store.put("servers", "s-1", entry);
+    std::thread::sleep(SETTLE_TIME);
+    for host in &cluster.hosts {
+        assert_eq!(status(host, "/read/1"), 200);
+    }
+}
+
 /// A host that restarts takes what it follows from a host whose watch hangs since before a key was withdrawn.
 #[test]
 fn withdrawn_key_is_refused_after_a_restart_beside_a_reader_that_hangs() {
