Bound what a host keeps of requests and answers for all together

Callers saw, by the report of other operators: bytes without end from a faulty server took all memory of a host, and the requests of others ended with it.

What a host kept without a common bound: bodies of answers while they arrive, and for as long as a caller does not read them; bodies of requests (MaxBodyBytes for each caller, also of one that never sends the rest); unfinished events of streams. Buffers that grew by doubling took up to three times their content.

All of these now take their memory from one budget, a fifth of MemoryMb, by the capacity of their buffers. One holder may have a quarter of what is free: holders that grow without end stop each other while as much is left for others, whatever their number. An answer that is refused memory ends like one that is no answer; a request is refused as not run (503). Bodies that are only skipped are not kept. A complete body goes to its caller's connection 16 KB at a time, and a caller that reads nothing for 10 s (1 s while more than half of the budget is taken) loses its connection. Buffers of callers' connections are at most 32 KB, those of the platform's and of scrapers' connections 16 KB. Responses of the store keep their own bound of 8 MB, as there are few at a time.

--- /dev/null
+++ b/crates/godwit-core/src/site/content_budget.rs
@@ -0,0 +1,54 @@
+//! Memory for the content of requests and responses, shared by all that a host holds at a time.
+
+/// Divisor of the free memory, for the most that one holder may hold. Holders that grow without end stop each other long before
+/// nothing is left: with `n` of them, each has `1 / (n + SHARE_DIVISOR)` of the memory, and as much is free for others.
+const SHARE_DIVISOR: u64 = 4;
+
+/// Memory that is held and free.
+///
+/// ```
+/// use godwit_core::site::ContentBudget;
+/// let mut budget = ContentBudget::new(1_000);
+/// assert!(budget.try_grow(0, 200));
+/// assert!(!budget.try_grow(200, 100), "a quarter of what is free");
+/// assert!(budget.try_grow(0, 100), "another holder");
+/// budget.shrink(200);
+/// assert_eq!(budget.held_bytes(), 100);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct ContentBudget {
+    limit_bytes: u64,
+    held_bytes: u64,
+}
+
+impl ContentBudget {
+    /// Creates a budget of which nothing is held.
+    pub fn new(limit_bytes: u64) -> ContentBudget {
+        ContentBudget { limit_bytes, held_bytes: 0 }
+    }
+
+    /// Takes more memory for a holder that has `own_bytes`. Returns false, and takes nothing, if that is more than its share.
+    pub fn try_grow(&mut self, own_bytes: u64, more_bytes: u64) -> bool {
+        let free_bytes = self.limit_bytes.saturating_sub(self.held_bytes);
+        let is_within = own_bytes.saturating_add(more_bytes) <= free_bytes / SHARE_DIVISOR;
+        if is_within {
+            self.held_bytes += more_bytes;
+        }
+        is_within
+    }
+
+    /// Returns memory.
+    pub fn shrink(&mut self, bytes: u64) {
+        self.held_bytes = self.held_bytes.saturating_sub(bytes);
+    }
+
+    /// Number of bytes that are held.
+    pub fn held_bytes(&self) -> u64 {
+        self.held_bytes
+    }
+
+    /// Whether so much is held that those who hold it without need should go.
+    pub fn is_short(&self) -> bool {
+        self.held_bytes > self.limit_bytes / 2
+    }
+}
--- a/crates/godwit-core/src/site/mod.rs
+++ b/crates/godwit-core/src/site/mod.rs
@@ -2,6 +2,7 @@
 //! the selection of servers for each request.
 
 mod configuration;
+mod content_budget;
 mod detour_hosts;
 mod event_stream;
 mod findings;
@@ -27,6 +28,7 @@
     AcceleratorSpec, CallerLimits, Configuration, Mismatch, ModelSpec, RequestMatch, Route,
     Service, UnreadableEntry, WeightedService, Work, Workspace,
 };
+pub use content_budget::ContentBudget;
 pub use detour_hosts::DetourHosts;
 pub use event_stream::{
     BetweenEvents, Broken, Complete, EventStream, InEvent, MAX_BYTES_WITHOUT_EVENT, OpenStream,
--- a/crates/godwit-gateway/src/forward/abandoned.rs
+++ b/crates/godwit-gateway/src/forward/abandoned.rs
@@ -145,7 +145,7 @@
     if server.is_not_executed || !is_failure && (run.admitted.policy.work.is_stream() || !is_own) {
         return Ok(Answer::Other);
     }
-    connection.read_body(MAX_RESPONSE_BYTES).await?;
+    connection.skip_body(MAX_RESPONSE_BYTES).await?;
     if !is_failure {
         return Ok(Answer::Complete);
     }
@@ -162,7 +162,7 @@
     drop(in_flight);
     spawn_local(async move {
         let closed = timeout(WATCH_TIMEOUT, async {
-            match connection.read_body(MAX_RESPONSE_BYTES).await {
+            match connection.skip_body(MAX_RESPONSE_BYTES).await {
                 Ok(_) => connection.closed().await,
                 Err(error) => error,
             }
--- a/crates/godwit-gateway/src/forward/admit.rs
+++ b/crates/godwit-gateway/src/forward/admit.rs
@@ -12,6 +12,7 @@
 use http::request::Parts;
 use tracing::info;
 
+use crate::memory::{HeldBytes, Reservation};
 use crate::replica::ObjectKind;
 use crate::site::Site;
 use crate::store::bounded_text;
@@ -48,6 +49,7 @@
 pub(crate) struct AdmittedRequest {
     pub(crate) incoming: IncomingRequest,
     pub(crate) body: Bytes,
+    _body_memory: Reservation,
     pub(crate) policy: RequestPolicy,
     /// Identifies the same request in other attempts of callers and at other hosts.
     pub(crate) fingerprint: Fingerprint,
@@ -62,9 +64,10 @@
 impl AdmittedRequest {
     pub(crate) fn new(
         incoming: IncomingRequest,
-        body: Bytes,
+        body: HeldBytes,
         policy: RequestPolicy,
     ) -> AdmittedRequest {
+        let (body, body_memory) = body.into_parts();
         let workspace = policy.workspace.as_deref().unwrap_or_default();
         let method = incoming.parts.method.as_str();
         let fingerprint = Fingerprint(fingerprint(workspace, method, incoming.target(), &body));
@@ -76,6 +79,7 @@
         AdmittedRequest {
             incoming,
             body,
+            _body_memory: body_memory,
             policy,
             fingerprint,
             part_fingerprints,
--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use godwit_adapter::{
     ForwardHeaders, ServerHead, decode_server_head, encode_forward_headers, is_replaced_header,
     may_lack_request_id,
@@ -24,6 +23,7 @@
 use super::server_end::find_witnesses;
 use super::stall_detection::detect_stall;
 use crate::detour::{OpenError, ServerTarget, check_link, open_server};
+use crate::memory::HeldBytes;
 use crate::site::Site;
 use crate::wire::{Connection, OutgoingRequest, ReplyHead, WireError, is_connection_header};
 
@@ -169,7 +169,7 @@
         }
         metrics::counter!("stray_answers_total").increment(1);
         let next_head = async {
-            connection.read_body(MAX_BUFFERED_RESPONSE_BYTES).await?;
+            connection.skip_body(MAX_BUFFERED_RESPONSE_BYTES).await?;
             connection.next_head(request.method == "HEAD").await
         };
         head = if is_named {
@@ -386,7 +386,7 @@
     mut connection: Connection,
     head: &ReplyHead,
 ) {
-    let rest = timeout(DRAIN_TIMEOUT, connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)).await;
+    let rest = timeout(DRAIN_TIMEOUT, connection.skip_body(MAX_BUFFERED_RESPONSE_BYTES)).await;
     if matches!(rest, Ok(Ok(_))) {
         release_connection(site, destination, connection, head);
     }
@@ -407,7 +407,7 @@
     site: &Site,
     response: &mut StartedResponse,
     deadline: SteadyMs,
-) -> Result<Bytes, WireError> {
-    let body = response.connection.read_body(MAX_BUFFERED_RESPONSE_BYTES);
+) -> Result<HeldBytes, WireError> {
+    let body = response.connection.read_body(MAX_BUFFERED_RESPONSE_BYTES, &site.memory);
     timeout_at(site.clock.instant(deadline), body).await.map_err(|_| WireError::TimedOut)?
 }
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -1,6 +1,7 @@
 //! Handles a request from its head to the start of its final response.
 
 use std::collections::BTreeSet;
+use std::pin::pin;
 use std::rc::Rc;
 
 use godwit_core::site::Work;
@@ -23,6 +24,7 @@
 use super::stall_detection::record_failure;
 use super::stream::relay_stream;
 use super::wait::{CounterGuard, wait_for_configuration, wait_for_destination};
+use crate::memory::{HeldBuffer, HeldBytes};
 use crate::replica::ObjectKind;
 use crate::site::Site;
 use crate::wire::WireError;
@@ -49,14 +51,9 @@
     let received = site.now();
     let (parts, body) = request.into_parts();
     let incoming = IncomingRequest::new(parts, received);
-    let max_bytes = site.caller_limits().body_bytes;
-    let body = match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            let is_too_long = error.downcast_ref::<LengthLimitError>().is_some();
-            let code = if is_too_long { Code::BodyTooLong } else { Code::BadFraming };
-            return Ok(refuse(&site, &incoming.head.request_id, "", code, received));
-        }
+    let body = match read_request_body(&site, body).await {
+        Ok(body) => body,
+        Err(code) => return Ok(refuse(&site, &incoming.head.request_id, "", code, received)),
     };
     wait_for_configuration(&site).await;
     match admit(&site, &incoming) {
@@ -74,6 +71,27 @@
     }
 }
 
+/// Reads the body of a request, as far as there is memory for it.
+///
+/// # Errors
+/// The code with which the request must be refused.
+async fn read_request_body(site: &Site, body: Incoming) -> Result<HeldBytes, Code> {
+    let max_bytes = site.caller_limits().body_bytes;
+    let mut limited = pin!(Limited::new(body, max_bytes));
+    let mut content = HeldBuffer::new(site.memory.reserve());
+    while let Some(frame) = limited.frame().await {
+        let frame = frame.map_err(|error| {
+            let is_too_long = error.downcast_ref::<LengthLimitError>().is_some();
+            if is_too_long { Code::BodyTooLong } else { Code::BadFraming }
+        })?;
+        let is_held = frame.data_ref().is_none_or(|piece| content.push(piece));
+        if !is_held {
+            return Err(Code::Overloaded);
+        }
+    }
+    Ok(content.freeze())
+}
+
 /// Logs a caller that disconnected before its response began.
 struct DisconnectGuard<'a> {
     site: &'a Site,
--- a/crates/godwit-gateway/src/forward/response.rs
+++ b/crates/godwit-gateway/src/forward/response.rs
@@ -1,16 +1,20 @@
 //! Responses to callers.
 
-use std::convert::Infallible;
 use std::pin::Pin;
+use std::task::Poll;
 
 use bytes::Bytes;
 use godwit_core::Code;
 use http::{HeaderName, HeaderValue, Response, StatusCode};
-use http_body_util::{Full, StreamBody};
-use hyper::body::Frame;
+use http_body_util::StreamBody;
+use hyper::body::{Frame, SizeHint};
 
+use crate::memory::{HeldBytes, Reservation};
 use crate::wire::{ReplyHead, is_connection_header};
 
+/// Largest part of a complete body that is handed to a caller's connection at a time, in bytes.
+const MAX_FRAME_BYTES: usize = 16 * 1024;
+
 /// Error that ends a response body early, so that the caller can detect that the body is incomplete.
 #[derive(Debug, thiserror::Error)]
 #[error("the response body could not be completed")]
@@ -20,10 +24,25 @@
 pub(crate) type FrameStream =
     Pin<Box<dyn futures_util::Stream<Item = Result<Frame<Bytes>, IncompleteBody>>>>;
 
+/// Content of a complete body that was not handed to the caller's connection yet.
+pub(crate) struct BufferedBody {
+    unsent: Bytes,
+    /// The memory of a server's response; none for what the host itself says.
+    _reservation: Option<Reservation>,
+}
+
+impl BufferedBody {
+    /// Returns the next part. A caller that does not read holds no more than its connection takes.
+    fn next_frame(&mut self) -> Option<Frame<Bytes>> {
+        let count = self.unsent.len().min(MAX_FRAME_BYTES);
+        (count > 0).then(|| Frame::data(self.unsent.split_to(count)))
+    }
+}
+
 /// Body of a response to a caller. Not `Send`: it is used only on the thread of the event loop.
 pub(crate) enum ResponseBody {
     /// A complete body.
-    Buffered(Full<Bytes>),
+    Buffered(BufferedBody),
     /// A body that is sent while it arrives.
     Streamed(StreamBody<FrameStream>),
 }
@@ -35,25 +54,23 @@
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
         match self.get_mut() {
-            ResponseBody::Buffered(body) => {
-                Pin::new(body).poll_frame(context).map_err(|never: Infallible| match never {})
-            }
+            ResponseBody::Buffered(body) => Poll::Ready(body.next_frame().map(Ok)),
             ResponseBody::Streamed(body) => Pin::new(body).poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            ResponseBody::Buffered(body) => body.is_end_stream(),
+            ResponseBody::Buffered(body) => body.unsent.is_empty(),
             ResponseBody::Streamed(body) => body.is_end_stream(),
         }
     }
 
-    fn size_hint(&self) -> hyper::body::SizeHint {
+    fn size_hint(&self) -> SizeHint {
         match self {
-            ResponseBody::Buffered(body) => body.size_hint(),
+            ResponseBody::Buffered(body) => SizeHint::with_exact(body.unsent.len() as u64),
             ResponseBody::Streamed(body) => body.size_hint(),
         }
     }
@@ -63,7 +80,10 @@
 pub(crate) fn local_response(code: Code, retry_after_ms: Option<u64>) -> Response<ResponseBody> {
     let status = StatusCode::from_u16(code.http_status());
     let body = format!("{{\"code\":{},\"type\":\"{}\"}}", code.number(), code.name());
-    let mut response = Response::new(ResponseBody::Buffered(Full::new(Bytes::from(body))));
+    let mut response = Response::new(ResponseBody::Buffered(BufferedBody {
+        unsent: Bytes::from(body),
+        _reservation: None,
+    }));
     *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
     headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -107,8 +127,9 @@
 }
 
 /// Returns a body whose content is complete.
-pub(crate) fn buffered_body(body: Bytes) -> ResponseBody {
-    ResponseBody::Buffered(Full::new(body))
+pub(crate) fn buffered_body(body: HeldBytes) -> ResponseBody {
+    let (unsent, reservation) = body.into_parts();
+    ResponseBody::Buffered(BufferedBody { unsent, _reservation: Some(reservation) })
 }
 
 /// Returns a body that is sent while its frames arrive.
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -32,6 +32,7 @@
 use super::server_end::{check_broken_run, is_cut_by_server_end};
 use super::stall_detection::{detect_stall, examine_path, record_failure};
 use super::wait::CounterGuard;
+use crate::memory::Reservation;
 use crate::site::Site;
 use crate::wire::{Connection, ReplyHead, WireError};
 
@@ -130,6 +131,8 @@
     /// Number of attempts that may have run the request.
     runs: u32,
     avoided: BTreeSet<String>,
+    /// Memory of an event that is not finished.
+    unfinished: Reservation,
     /// Whether the response has ended, complete or not.
     is_finished: bool,
     _counter_guard: Option<CounterGuard>,
@@ -165,6 +168,7 @@
         last_event_id: admitted.incoming.head.last_event_id,
         runs,
         avoided: BTreeSet::new(),
+        unfinished: site.memory.reserve(),
         is_finished: false,
         _counter_guard: counter_guard,
     };
@@ -195,7 +199,7 @@
                     Ok(Some(piece)) => {
                         let pushed = open.push(&piece);
                         relay.record_run(&pushed);
-                        run = pushed.next;
+                        run = relay.hold_unfinished(pushed.next);
                         if pushed.events.is_empty() {
                             continue;
                         }
@@ -260,6 +264,19 @@
         self.attempt.unfinished_bytes = unfinished_bytes;
     }
 
+    /// Takes memory for an event that is not finished. Breaks the run if there is none.
+    fn hold_unfinished(
+        &mut self,
+        run: Result<OpenStream, EventStream<Broken>>,
+    ) -> Result<OpenStream, EventStream<Broken>> {
+        let open = run?;
+        if self.unfinished.resize(open.unfinished_bytes()) {
+            Ok(open)
+        } else {
+            Err(open.break_off())
+        }
+    }
+
     fn ends_with_body(&self) -> bool {
         self.attempt.connection.as_ref().is_some_and(Connection::ends_with_body)
     }
--- a/crates/godwit-gateway/src/gossip.rs
+++ b/crates/godwit-gateway/src/gossip.rs
@@ -156,6 +156,7 @@
             let now = self.site.now();
             is_behind = self.log_backlog(is_behind);
             self.site.expire(now);
+            metrics::gauge!("content_held_bytes").set(self.site.memory.held_bytes() as f64);
             self.site.report_confirmation_ages(now);
             let recipients = self.site.relay.borrow_mut().recipients(now);
             for host in recipients.contacts {
--- a/crates/godwit-gateway/src/lib.rs
+++ b/crates/godwit-gateway/src/lib.rs
@@ -7,6 +7,8 @@
 mod forward;
 mod gossip;
 mod listeners;
+mod memory;
+mod patient_stream;
 mod pool;
 mod replica;
 mod run;
--- a/crates/godwit-gateway/src/listeners.rs
+++ b/crates/godwit-gateway/src/listeners.rs
@@ -25,6 +25,7 @@
 use tracing::{debug, warn};
 
 use crate::forward::serve;
+use crate::patient_stream::PatientStream;
 use crate::site::Site;
 
 /// Connections that the kernel queues for a listener until they are accepted.
@@ -34,7 +35,10 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Largest buffer of a caller's connection, in bytes, which limits the size of a request head.
-const MAX_BUFFER_BYTES: usize = 64 * 1024;
+const MAX_BUFFER_BYTES: usize = 32 * 1024;
+
+/// The same for a connection of the platform or of a scraper.
+const MAX_OWN_BUFFER_BYTES: usize = 16 * 1024;
 
 /// Listens on an address. Reuses the address, so that a restarted process can listen at once.
 pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
@@ -81,6 +85,7 @@
 
 async fn serve_caller(site: Rc<Site>, stream: TcpStream, mut stopping: watch::Receiver<bool>) {
     let idle_timeout = Duration::from_millis(site.caller_limits().idle_timeout_ms);
+    let stream = PatientStream::new(stream, site.memory.clone());
     let service = service_fn(move |request: Request<Incoming>| serve(site.clone(), request));
     let mut builder = http1::Builder::new();
     builder
@@ -113,7 +118,9 @@
         let respond = respond.clone();
         spawn_local(async move {
             let service = service_fn(respond);
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let mut builder = http1::Builder::new();
+            builder.max_buf_size(MAX_OWN_BUFFER_BYTES);
+            let served = builder.serve_connection(TokioIo::new(stream), service);
             if let Err(error) = served.await {
                 debug!(event = "own_connection_ended", %error);
             }
--- a/crates/godwit-gateway/src/server_call.rs
+++ b/crates/godwit-gateway/src/server_call.rs
@@ -82,8 +82,8 @@
     let head = connection.exchange(&request).await?;
     let server_head = decode_server_head(head.header_pairs());
     site.record_notices(&server.id, head.status, &server_head, &mut connection);
-    let body = connection.read_body(MAX_RESPONSE_BYTES).await?;
-    Ok((head.status, body))
+    let body = connection.read_body(MAX_RESPONSE_BYTES, &site.memory).await?;
+    Ok((head.status, Bytes::clone(&body)))
 }
 
 /// Reads a server's report of itself, for which it waits up to `wait` once the connection is open.
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::detour::IdleChannel;
 use crate::forward::{Runs, ServerCheck, log_status_changes};
+use crate::memory::Memory;
 use crate::pool::ConnectionPool;
 use crate::replica::ObjectKind;
 use crate::store::{KnownEra, MAX_NAMES, PendingWatches, bounded_text};
@@ -29,6 +30,9 @@
 /// again within about two seconds.
 const LAPSE_GRACE_MS: u64 = 2_000;
 
+/// Divisor of a host's memory for the content of requests and responses. As much again may be in buffers of connections.
+const CONTENT_MEMORY_DIVISOR: u64 = 5;
+
 /// Shortest store outage in which the entry of a server can expire, in heartbeat intervals: an entry expires after three, the
 /// first of which may have passed when the outage began.
 const MIN_OUTAGE_HEARTBEATS: u64 = 2;
@@ -77,6 +81,8 @@
 pub(crate) struct Site {
     pub(crate) settings: PlatformSettings,
     pub(crate) clock: Clock,
+    /// Memory for the content of requests and responses.
+    pub(crate) memory: Memory,
     started_at: SteadyMs,
     pub(crate) registry: RefCell<ServerRegistry>,
     pub(crate) loads: RefCell<LoadTable>,
@@ -172,6 +178,7 @@
                 settings.link_mbps,
                 READER_LIMITS,
             )),
+            memory: Memory::new(settings.memory_bytes / CONTENT_MEMORY_DIVISOR),
             settings,
             clock,
             started_at: clock.now(),
--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -16,6 +16,7 @@
 use super::frames::FrameKind;
 use super::reply::{Framing, ReplyHead, take_head};
 use super::transport::Transport;
+use crate::memory::{HeldBuffer, HeldBytes, Memory};
 
 /// Length above which a line of the chunked coding without an end is rejected, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 1024;
@@ -316,12 +317,38 @@
         }
     }
 
-    /// Reads the rest of the body. Fails if it exceeds `max_bytes`.
-    pub(crate) async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, WireError> {
-        self.read_body_within(max_bytes).await?.ok_or(WireError::NotHttp)
+    /// Reads the rest of the body, as far as there is memory for it. Fails if it exceeds `max_bytes`.
+    pub(crate) async fn read_body(
+        &mut self,
+        max_bytes: usize,
+        memory: &Memory,
+    ) -> Result<HeldBytes, WireError> {
+        let mut body = HeldBuffer::new(memory.reserve());
+        while let Some(piece) = self.next_piece().await? {
+            if body.len() + piece.len() > max_bytes {
+                return Err(WireError::NotHttp);
+            }
+            if !body.push(&piece) {
+                return Err(WireError::NoMemory);
+            }
+        }
+        Ok(body.freeze())
+    }
+
+    /// Reads the rest of the body without keeping it. Fails if it exceeds `max_bytes`.
+    pub(crate) async fn skip_body(&mut self, max_bytes: usize) -> Result<(), WireError> {
+        let mut skipped_bytes = 0;
+        while let Some(piece) = self.next_piece().await? {
+            skipped_bytes += piece.len();
+            if skipped_bytes > max_bytes {
+                return Err(WireError::NotHttp);
+            }
+        }
+        Ok(())
     }
 
-    /// Reads the rest of the body. Returns none if it exceeds `max_bytes`; the connection cannot be used any more then.
+    /// Reads the rest of the body of a response of the store, of which there are few at a time. Returns none if it exceeds
+    /// `max_bytes`; the connection cannot be used any more then.
     pub(crate) async fn read_body_within(
         &mut self,
         max_bytes: usize,
--- a/crates/godwit-gateway/src/wire/error.rs
+++ b/crates/godwit-gateway/src/wire/error.rs
@@ -23,6 +23,9 @@
     /// the request.
     #[error("invalid HTTP response")]
     NotHttp,
+    /// The response is larger than what this host can hold beside others.
+    #[error("no memory for the response")]
+    NoMemory,
     /// A response that does not name its request may be the answer or one to an earlier request.
     #[error("a response that may belong to another request")]
     Ambiguous,
@@ -47,6 +50,6 @@
     /// Whether an error over a connection of another host is a fault of the server. Breaks and silence may be due to the
     /// other host or to its link; that the server has closed the connection, and what it has sent, is passed on.
     pub(crate) fn shows_fault_over_detour(&self) -> bool {
-        matches!(self, WireError::Ended | WireError::NotHttp)
+        matches!(self, WireError::Ended | WireError::NotHttp | WireError::NoMemory)
     }
 }
--- a/tests/gateway/host.rs
+++ b/tests/gateway/host.rs
@@ -99,7 +99,7 @@
         "NodeName = \"{host_name}\"\nZone = \"{failure_domain}\"\nIpAddress = \"{ip_address}\"\nInternalPorts = [0, 0]\n\
          FirstStart = true\nHeartbeatIntervalMs = 1200\n\
          [ListenAddresses]\nFront = \"{ip_address}:0\"\nReady = \"{ip_address}:0\"\n\
-         [Limits]\nFileDescriptors = 4100\n\
+         [Limits]\nFileDescriptors = 4100\nMemoryMb = 260\n\
          [Bounds]\nDrainTimeoutMs = 2000\nGracePeriodS = 8\nRetryBudgetRatio = 0.2\nBudgetWindowS = 10\n\
          BudgetExtraRetries = 200\nstall_ms = 3000\n\
          [Platform]\nAddress = \"{store_address}\"\n"
@@ -352,9 +352,18 @@
 
     /// Returns the resident memory of the process in KiB.
     pub(crate) fn memory_kib(&self) -> u64 {
+        self.status_kib("VmRSS:")
+    }
+
+    /// Returns the largest resident memory that the process has had, in KiB.
+    pub(crate) fn peak_memory_kib(&self) -> u64 {
+        self.status_kib("VmHWM:")
+    }
+
+    fn status_kib(&self, name: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.expect("the process runs");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("its memory");
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).expect("its memory");
         line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod links;
 mod lost_links;
+mod memory;
 mod notices;
 mod odd_entries;
 mod orders;
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -212,6 +212,8 @@
     SameEvent,
     /// An event of which a byte is sent now and then.
     SlowEvent,
+    /// A body without a length, of which many connections have a part at the same time.
+    PacedBody,
 }
 
 /// Length of the body that a head of [`Behavior::CutHead`] announces, in bytes.
@@ -220,6 +222,10 @@
 /// Pause between two bytes of [`EndlessBytes::SlowEvent`].
 const SLOW_BYTE_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Pause between two pieces of [`EndlessBytes::PacedBody`], and their size.
+const PACED_PIECE_INTERVAL: Duration = Duration::from_millis(20);
+const PACED_PIECE_BYTES: usize = 64 << 10;
+
 /// Sends endless bytes until the connection is closed.
 fn send_endless(kind: EndlessBytes, id: &str, name: &str, stream: &mut TcpStream) -> bool {
     let head = format!(
@@ -251,13 +257,18 @@
         EndlessBytes::Event => (format!("{chunked}{event_chunk}"), data_chunk),
         EndlessBytes::SameEvent => (chunked, event_chunk),
         EndlessBytes::SlowEvent => (format!("{chunked}{event_chunk}"), "1\r\nx\r\n".to_string()),
+        EndlessBytes::PacedBody => {
+            (format!("{head}connection: close\r\n\r\n"), "z".repeat(PACED_PIECE_BYTES))
+        }
     };
     if stream.write_all(start.as_bytes()).is_err() {
         return false;
     }
     while stream.write_all(repeated.as_bytes()).is_ok() {
-        if kind == EndlessBytes::SlowEvent {
-            std::thread::sleep(SLOW_BYTE_INTERVAL);
+        match kind {
+            EndlessBytes::SlowEvent => std::thread::sleep(SLOW_BYTE_INTERVAL),
+            EndlessBytes::PacedBody => std::thread::sleep(PACED_PIECE_INTERVAL),
+            _ => {}
         }
     }
     false
