Take only successes, and many of them, for proof of a sound part

By reading, before any caller saw it: an error status of a server cleared the parts of a prompt as a whole answer does, and four short answers at a host that had lost nothing itself cleared a part of all losses that other hosts had reported. Both could hide a part whose answers are often shorter than the point at which it ends its servers.

A whole answer is a success now, and answers of any length clear a part if there are 4 + 4 for each of its losses, wherever they were seen. What is known only from the rest of an answer is not told to other hosts as if the part were established.

--- a/crates/godwit-core/src/quarantine/prompt_part.rs
+++ b/crates/godwit-core/src/quarantine/prompt_part.rs
@@ -17,8 +17,8 @@
 /// Maximum number of parts of which whole answers are remembered in one generation; there are two.
 pub const MAX_SURVIVING_PARTS: usize = 65_536;
 
-/// Factor on the losses of a part that a host has seen, and margin on top, beyond which as many whole answers of any
-/// length prove the part sound.
+/// Factor on the losses of a part, and margin on top, beyond which as many whole answers of any length at one host prove
+/// the part sound.
 const WHOLE_ANSWER_FACTOR: u32 = 4;
 const WHOLE_ANSWER_MARGIN: u32 = 4;
 
@@ -135,9 +135,8 @@
     /// Counts a whole answer at this host. Returns whether there are too many for a part that ends its servers.
     fn count_whole_answer(&mut self) -> bool {
         self.whole_answers += 1;
-        let own_losses =
-            self.losses.values().filter(|loss| loss.heard_from.is_none()).count() as u32;
-        self.whole_answers >= WHOLE_ANSWER_MARGIN + WHOLE_ANSWER_FACTOR * own_losses
+        let losses = self.losses.len() as u32;
+        self.whole_answers >= WHOLE_ANSWER_MARGIN + WHOLE_ANSWER_FACTOR * losses
     }
 }
 
@@ -197,7 +196,7 @@
             let is_contradicted =
                 known.is_some_and(|known| known.record_contrary(loss.ended_at, has_ended_many));
             if !is_contradicted {
-                if loss.heard_from.is_some() {
+                if loss.heard_from.is_some() && survival.is_established {
                     self.answer_with_survival(part, &survival, now);
                 }
                 return false;
@@ -219,8 +218,8 @@
         self.evict_excess(part);
     }
 
-    /// Records a whole answer to a request with a part, which refutes the losses of servers that had written no more. As many
-    /// answers of any length as a part at fault would hardly have refute all of them. Returns whether there were any.
+    /// Records a whole answer to a request with a part, which refutes the losses of servers that had written no more. Enough
+    /// answers of any length refute all losses, as a part at fault would not have them. Returns whether there were any.
     pub fn record_part_answer(&mut self, part: u64, answer: WholeAnswer, now: SteadyMs) -> bool {
         let suspect = self.suspects.get_mut(&part).filter(|suspect| !suspect.losses.is_empty());
         let has_enough =
--- a/crates/godwit-gateway/src/forward/abandoned.rs
+++ b/crates/godwit-gateway/src/forward/abandoned.rs
@@ -111,7 +111,7 @@
         drop(in_flight);
         match answer? {
             Answer::Complete if is_cut_by_server_end(&site, &run, &connection).await => {}
-            Answer::Complete => record_completion(&site, &run),
+            Answer::Complete => record_completion(&site, &run.admitted),
             Answer::Failed => return Err(connection.closed().await),
             Answer::Other => {}
         }
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -16,7 +16,9 @@
 use super::attempt::{AttemptError, StartedResponse, read_body, release_connection, send};
 use super::destination::Destination;
 use super::in_flight::Run;
-use super::quarantine::{Withheld, await_admission, log_quarantined, record_completion};
+use super::quarantine::{
+    Withheld, await_admission, log_quarantined, record_completion, record_whole_answer,
+};
 use super::response::{
     ResponseBody, buffered_body, is_event_stream, local_response, server_response,
 };
@@ -424,7 +426,10 @@
             } else {
                 let StartedResponse { head, connection, in_flight } = response;
                 release_connection(site, destination, connection, &head);
-                record_completion(site, in_flight.run());
+                if (200..300).contains(&head.status) {
+                    record_whole_answer(site, in_flight.run());
+                }
+                record_completion(site, admitted);
             }
             AttemptOutcome::Final(answer)
         }
--- a/crates/godwit-gateway/src/forward/quarantine.rs
+++ b/crates/godwit-gateway/src/forward/quarantine.rs
@@ -113,11 +113,8 @@
     }
 }
 
-/// Records that a request completed, so that the losses before are not its doing. `run` is the one that wrote the end of the
-/// response.
-pub(super) fn record_completion(site: &Site, run: &Run) {
-    let admitted = &run.admitted;
-    record_whole_answer(site, run);
+/// Records that a request completed, so that the losses before are not its doing.
+pub(super) fn record_completion(site: &Site, admitted: &AdmittedRequest) {
     let fingerprint = admitted.fingerprint;
     if !site.crashes.borrow().is_suspect(fingerprint.0) {
         return;
@@ -128,8 +125,9 @@
     site.crashes.borrow_mut().record_completion(fingerprint.0, site.now());
 }
 
-/// Records a whole answer, which shows for each part of the prompt that it lets servers write so much.
-fn record_whole_answer(site: &Site, run: &Run) {
+/// Records a success that is whole, which shows for each part of the prompt that it lets servers write so much. `run` is
+/// the one that wrote the end of it.
+pub(super) fn record_whole_answer(site: &Site, run: &Run) {
     let admitted = &run.admitted;
     let is_stream = admitted.policy.work.is_stream();
     let answer = WholeAnswer {
--- a/crates/godwit-gateway/src/forward/stream.rs
+++ b/crates/godwit-gateway/src/forward/stream.rs
@@ -25,7 +25,7 @@
 use super::in_flight::InFlightGuard;
 use super::quarantine::{
     Withheld, await_admission, is_quarantined, log_quarantined, may_move, record_completion,
-    record_pieces,
+    record_pieces, record_whole_answer,
 };
 use super::repath::repath;
 use super::response::{IncompleteBody, ResponseBody, media_type, server_response, streamed_body};
@@ -413,8 +413,9 @@
         }
         self.log_stream_ended();
         if let Some(in_flight) = self.attempt.in_flight.take() {
-            record_completion(&self.site, in_flight.run());
+            record_whole_answer(&self.site, in_flight.run());
         }
+        record_completion(&self.site, &self.admitted);
         self.examine_if_slow();
     }
 
