Let one request body take half of the content memory

Cause: the share of one holder was smaller than a body that MaxBodyBytes may allow. One holder may now have as much as it leaves free, half of the budget if it is alone; of n that grow without end each has 1/(n + 1). Buffers grow by a sixteenth and, where that is refused, by what is needed. The body of a request is written in parts of 256 KB in place of two further copies of the whole, which no budget had counted.

--- a/crates/godwit-core/src/site/content_budget.rs
+++ b/crates/godwit-core/src/site/content_budget.rs
@@ -1,19 +1,17 @@
 //! Memory for the content of requests and responses, shared by all that a host holds at a time.
 
-/// Divisor of the free memory, for the most that one holder may hold. Holders that grow without end stop each other long before
-/// nothing is left: with `n` of them, each has `1 / (n + SHARE_DIVISOR)` of the memory, and as much is free for others.
-const SHARE_DIVISOR: u64 = 4;
-
-/// Memory that is held and free.
+/// Memory that is held and free. One holder may hold as much as it leaves free, half of all if there is no other. Holders that
+/// grow without end stop each other long before nothing is left: of `n` each has `1 / (n + 1)`, and as much is free.
 ///
 /// ```
 /// use godwit_core::site::ContentBudget;
 /// let mut budget = ContentBudget::new(1_000);
-/// assert!(budget.try_grow(0, 200));
-/// assert!(!budget.try_grow(200, 100), "a quarter of what is free");
-/// assert!(budget.try_grow(0, 100), "another holder");
-/// budget.shrink(200);
-/// assert_eq!(budget.held_bytes(), 100);
+/// assert!(budget.try_grow(0, 500));
+/// assert!(!budget.try_grow(500, 100), "more than is left free");
+/// assert!(budget.try_grow(0, 250), "another holder");
+/// assert!(!budget.try_grow(250, 100));
+/// budget.shrink(500);
+/// assert_eq!(budget.held_bytes(), 250);
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct ContentBudget {
@@ -30,7 +28,8 @@
     /// Takes more memory for a holder that has `own_bytes`. Returns false, and takes nothing, if that is more than its share.
     pub fn try_grow(&mut self, own_bytes: u64, more_bytes: u64) -> bool {
         let free_bytes = self.limit_bytes.saturating_sub(self.held_bytes);
-        let is_within = own_bytes.saturating_add(more_bytes) <= free_bytes / SHARE_DIVISOR;
+        let left_bytes = free_bytes.checked_sub(more_bytes);
+        let is_within = left_bytes.is_some_and(|left| own_bytes + more_bytes <= left);
         if is_within {
             self.held_bytes += more_bytes;
         }
--- a/crates/godwit-gateway/src/memory.rs
+++ b/crates/godwit-gateway/src/memory.rs
@@ -10,6 +10,9 @@
 /// Smallest step in which a buffer grows, in bytes.
 const MIN_GROWTH_BYTES: usize = 4 * 1024;
 
+/// Divisor of the size of a buffer for a larger step. Steps are small, as memory is short before time is.
+const GROWTH_DIVISOR: usize = 16;
+
 /// Budget of a host, whose event loop has one thread.
 #[derive(Clone)]
 pub(crate) struct Memory(Rc<RefCell<ContentBudget>>);
@@ -86,11 +89,11 @@
     pub(crate) fn push(&mut self, piece: &[u8]) -> bool {
         let needed_bytes = self.bytes.len() + piece.len();
         if needed_bytes > self.bytes.capacity() {
-            let growth_bytes = piece.len().max(self.bytes.len() / 2).max(MIN_GROWTH_BYTES);
-            let capacity_bytes = self.bytes.len() + growth_bytes;
-            if !self.reservation.resize(capacity_bytes) {
-                return false;
-            }
+            let growth_bytes =
+                piece.len().max(self.bytes.len() / GROWTH_DIVISOR).max(MIN_GROWTH_BYTES);
+            let capacities = [self.bytes.len() + growth_bytes, needed_bytes];
+            let capacity_bytes = capacities.into_iter().find(|it| self.reservation.resize(*it));
+            let Some(capacity_bytes) = capacity_bytes else { return false };
             self.bytes.reserve_exact(capacity_bytes - self.bytes.len());
         }
         self.bytes.extend_from_slice(piece);
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -30,7 +30,8 @@
 /// again within about two seconds.
 const LAPSE_GRACE_MS: u64 = 2_000;
 
-/// Divisor of a host's memory for the content of requests and responses. As much again may be in buffers of connections.
+/// Divisor of a host's memory for the content of requests and responses. Half of the memory has room for it and for the buffers of
+/// connections.
 const CONTENT_MEMORY_DIVISOR: u64 = 5;
 
 /// Shortest store outage in which the entry of a server can expire, in heartbeat intervals: an entry expires after three, the
--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -24,6 +24,9 @@
 /// Size above which the trailers of a response are rejected, in bytes.
 const MAX_TRAILER_BYTES: usize = 16 * 1024;
 
+/// Largest part of a request body that is encoded at a time, in bytes.
+const MAX_PART_BYTES: usize = 256 * 1024;
+
 /// Idle time after which the kernel sends keepalive probes, in seconds; shorter than the platform's contact window.
 const KEEPALIVE_IDLE_S: u64 = 1;
 
@@ -178,16 +181,21 @@
         }
         self.has_carried = true;
         self.interim_responses = 0;
+        let mut unsent = request.body.clone();
         let mut bytes = request.head();
-        bytes.extend_from_slice(&request.body);
-        let bytes = self.transport.encode(bytes);
+        bytes.extend_from_slice(&take_part(&mut unsent));
+        let mut bytes = self.transport.encode(bytes);
         let is_head_request = request.method == "HEAD";
-        let (mut reader, mut writer) = self.transport.split();
         let mut written = 0;
         let head = loop {
             if written == bytes.len() {
-                break None;
+                if unsent.is_empty() {
+                    break None;
+                }
+                bytes = self.transport.encode(take_part(&mut unsent).to_vec());
+                written = 0;
             }
+            let (mut reader, mut writer) = self.transport.split();
             tokio::select! {
                 biased;
                 result = writer.write(&bytes[written..]) => match result {
@@ -404,6 +412,11 @@
     }
 }
 
+/// Takes the next part of a request body, so that there are no copies of the whole.
+fn take_part(unsent: &mut Bytes) -> Bytes {
+    unsent.split_to(unsent.len().min(MAX_PART_BYTES))
+}
+
 fn next_chunk_state(state: BodyState, line: &[u8]) -> Result<BodyState, WireError> {
     match state {
         BodyState::ChunkEnd if line.is_empty() => Ok(BodyState::ChunkSize),
