--- a/crates/godwit-core/src/quarantine/prompt_part.rs
+++ b/crates/godwit-core/src/quarantine/prompt_part.rs
@@ -150,7 +150,7 @@
     /// let mut register = CrashRegister::new(60_000);
     /// let part = 9;
     /// for request in 1..=3 {
-    ///     let (server, now) = (format!("s-{request}"), SteadyMs(100 * request));
+    ///     let (server, now) = (format!("s-{request}"), SteadyMs(2_000 * request));
     ///     let lost = LostRun {
     ///         fingerprint: request, started_at: now, pieces: 6, request_id: "r", is_trial: false,
     ///     };
@@ -158,10 +158,10 @@
     /// }
     /// assert!(register.is_in_doubt(part));
     /// let short = WholeAnswer { pieces: 3, is_rest: false };
-    /// register.record_part_answer(part, short, SteadyMs(400));
+    /// register.record_part_answer(part, short, SteadyMs(7_000));
     /// assert!(register.is_in_doubt(part), "the server might have ended at the sixth piece");
     /// let long = WholeAnswer { pieces: 6, is_rest: false };
-    /// register.record_part_answer(part, long, SteadyMs(500));
+    /// register.record_part_answer(part, long, SteadyMs(8_000));
     /// assert!(!register.is_in_doubt(part));
     /// ```
     pub fn record_part_loss(
