Do once what the last changes do twice

Read again as a whole; behaviour stays as it is.

- What whole answers show of a part was copied, with its list of rounds, for each part of each whole answer and of each loss.
It is borrowed now.
- Which servers ended at about a time was computed in two places; ends_near serves both.
- Three loops read a body up to a bound; read_pieces serves the body that is kept, the one that is skipped and that of the store.
- The head of a test's request was put together a second time; http.rs has it in one place.
A server of a test was listed twice.
- The bound of remembered parts is private, and a budget of memory can no longer be copied by accident.

--- a/crates/godwit-core/src/quarantine/crash_register.rs
+++ b/crates/godwit-core/src/quarantine/crash_register.rs
@@ -199,8 +199,8 @@
         loss: Loss,
         now: SteadyMs,
     ) -> bool {
-        let survived_at = self.survivals.get(fingerprint);
-        let survived_at = survived_at.filter(|it| it.is_established).map(|it| it.at);
+        let survival = self.survivals.get(fingerprint).filter(|it| it.is_established);
+        let survived_at = survival.map(|survival| survival.at);
         let suspect = self.suspects.entry(fingerprint).or_default();
         suspect.is_part = is_part;
         if suspect.losses.is_empty() {
--- a/crates/godwit-core/src/quarantine/explanation.rs
+++ b/crates/godwit-core/src/quarantine/explanation.rs
@@ -1,5 +1,7 @@
 //! What explains the end of a server: one of the requests that ran on it, or a part that several of their prompts share.
 
+use std::collections::BTreeMap;
+
 use crate::SteadyMs;
 use crate::quarantine::crash_register::CrashRegister;
 use crate::quarantine::suspect::{
@@ -69,15 +71,9 @@
         at: SteadyMs,
         within_ms: u64,
     ) -> u64 {
-        let is_shared =
-            |ended_at: SteadyMs| at.since_ms(ended_at).max(ended_at.since_ms(at)) <= within_ms;
-        let others = self
-            .ends
-            .iter()
-            .filter(|(server, ended_at)| {
-                is_shared(**ended_at) && !suspect.losses.contains_key(*server)
-            })
-            .filter(|(server, _)| !self.is_explained(fingerprint, server));
+        let others = ends_near(&self.ends, at, within_ms)
+            .filter(|server| !suspect.losses.contains_key(*server))
+            .filter(|server| !self.is_explained(fingerprint, server));
         others.count() as u64
     }
 
@@ -97,3 +93,14 @@
             .retain(|fingerprint| suspects.get(fingerprint).is_some_and(Suspect::may_explain));
     }
 }
+
+/// Returns the servers that ended at about a time.
+pub(super) fn ends_near(
+    ends: &BTreeMap<String, SteadyMs>,
+    at: SteadyMs,
+    within_ms: u64,
+) -> impl Iterator<Item = &String> {
+    let is_near =
+        move |ended_at: SteadyMs| at.since_ms(ended_at).max(ended_at.since_ms(at)) <= within_ms;
+    ends.iter().filter(move |(_, ended_at)| is_near(**ended_at)).map(|(server, _)| server)
+}
--- a/crates/godwit-core/src/quarantine/mod.rs
+++ b/crates/godwit-core/src/quarantine/mod.rs
@@ -30,7 +30,7 @@
 };
 pub use fingerprint::{fingerprint, part_fingerprint};
 pub use marks::MARK_LIFETIME_MS;
-pub use prompt_part::{MAX_SURVIVING_PARTS, WholeAnswer};
+pub use prompt_part::WholeAnswer;
 pub use register::{Quarantine, QuarantineStatus, StartDecision};
 pub use suspect::{Loss, LostRun};
 pub use trial::TrialAdmission;
--- a/crates/godwit-core/src/quarantine/prompt_part.rs
+++ b/crates/godwit-core/src/quarantine/prompt_part.rs
@@ -9,13 +9,14 @@
 
 use crate::SteadyMs;
 use crate::quarantine::crash_register::CrashRegister;
+use crate::quarantine::explanation::ends_near;
 use crate::quarantine::marks::SAME_LOSS_WINDOW_MS;
 use crate::quarantine::suspect::{
     ESTABLISHED_MS, Loss, LostRun, MAX_SHARED_ENDS, MIN_ESTABLISHED_ROUNDS, SHARED_END_MS, Suspect,
 };
 
 /// Maximum number of parts of which whole answers are remembered in one generation; there are two.
-pub const MAX_SURVIVING_PARTS: usize = 65_536;
+const MAX_SURVIVING_PARTS: usize = 65_536;
 
 /// Factor on the losses of a part, and margin on top, beyond which as many whole answers of any length at one host prove
 /// the part sound.
@@ -32,7 +33,7 @@
 }
 
 /// What whole answers show of a part.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Debug)]
 pub(super) struct Survival {
     /// Time of the last whole answer.
     pub(super) at: SteadyMs,
@@ -101,8 +102,8 @@
         self.began_at = at;
     }
 
-    pub(super) fn get(&self, part: u64) -> Option<Survival> {
-        self.newer.get(&part).or_else(|| self.older.get(&part)).cloned()
+    pub(super) fn get(&self, part: u64) -> Option<&Survival> {
+        self.newer.get(&part).or_else(|| self.older.get(&part))
     }
 
     fn get_mut(&mut self, part: u64) -> Option<&mut Survival> {
@@ -183,35 +184,32 @@
         loss: Loss,
         now: SteadyMs,
     ) -> bool {
-        if let Some(survival) = self.survivals.get(part).filter(|survival| survival.refutes(&loss))
-        {
-            let is_explained = self.is_explained(part, server);
-            let ends = &self.ends;
-            let has_ended_many = |at: SteadyMs| {
-                let near = |end: &&SteadyMs| at.since_ms(**end).max(end.since_ms(at));
-                let ends = ends.values().filter(|end| near(end) <= SHARED_END_MS);
-                ends.count() as u64 > 1 + MAX_SHARED_ENDS
-            };
-            let known = self.survivals.get_mut(part).filter(|_| !is_explained);
-            let is_contradicted =
-                known.is_some_and(|known| known.record_contrary(loss.ended_at, has_ended_many));
-            if !is_contradicted {
-                if loss.heard_from.is_some() && survival.is_established {
-                    self.answer_with_survival(part, &survival, now);
-                }
-                return false;
-            }
+        let is_refuted = self.survivals.get(part).is_some_and(|survival| survival.refutes(&loss));
+        let is_explained = is_refuted && self.is_explained(part, server);
+        let Some(survival) = self.survivals.get_mut(part).filter(|_| is_refuted) else {
+            return self.add_loss(part, true, server, loss, now);
+        };
+        let has_ended_many = |at: SteadyMs| {
+            let ended = ends_near(&self.ends, at, SHARED_END_MS).count() as u64;
+            ended > 1 + MAX_SHARED_ENDS
+        };
+        if !is_explained && survival.record_contrary(loss.ended_at, has_ended_many) {
             self.survivals.remove(part);
+            return self.add_loss(part, true, server, loss, now);
+        }
+        let survived_at = survival.at;
+        if loss.heard_from.is_some() && survival.is_established {
+            self.report_survival(part, survived_at, now);
         }
-        self.add_loss(part, true, server, loss, now)
+        false
     }
 
     /// Has the whole answers to requests with a part reported to other hosts.
-    fn answer_with_survival(&mut self, part: u64, survival: &Survival, now: SteadyMs) {
+    fn report_survival(&mut self, part: u64, survived_at: SteadyMs, now: SteadyMs) {
         let suspect = self.suspects.entry(part).or_default();
         suspect.is_part = true;
-        if suspect.cleared_at < Some(survival.at) {
-            suspect.cleared_at = Some(survival.at);
+        if suspect.cleared_at < Some(survived_at) {
+            suspect.cleared_at = Some(survived_at);
             suspect.clearing_reported = Default::default();
             suspect.changed_at = now;
         }
@@ -238,9 +236,8 @@
     ) -> bool {
         let survival = self.survivals.entry(part, at);
         survival.merge(at, answer);
-        let survival = survival.clone();
         let Some(suspect) = self.suspects.get_mut(&part) else { return false };
-        let is_changed = suspect.clear_survived(&survival);
+        let is_changed = suspect.clear_survived(survival);
         if is_changed {
             suspect.changed_at = now;
             suspect.clearing_reported = Default::default();
--- a/crates/godwit-core/src/site/content_budget.rs
+++ b/crates/godwit-core/src/site/content_budget.rs
@@ -13,7 +13,7 @@
 /// budget.shrink(500);
 /// assert_eq!(budget.held_bytes(), 250);
 /// ```
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub struct ContentBudget {
     limit_bytes: u64,
     held_bytes: u64,
--- a/crates/godwit-gateway/src/memory.rs
+++ b/crates/godwit-gateway/src/memory.rs
@@ -81,10 +81,6 @@
         HeldBuffer { bytes: Vec::new(), reservation }
     }
 
-    pub(crate) fn len(&self) -> usize {
-        self.bytes.len()
-    }
-
     /// Appends a piece. Returns false, and appends nothing, if the budget has no room for it.
     pub(crate) fn push(&mut self, piece: &[u8]) -> bool {
         let needed_bytes = self.bytes.len() + piece.len();
--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -81,6 +81,13 @@
     Done,
 }
 
+/// How the reading of a body has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum BodyEnd {
+    Whole,
+    TooLong,
+}
+
 /// Open connection.
 pub(crate) struct Connection {
     pub(super) transport: Transport,
@@ -332,27 +339,19 @@
         memory: &Memory,
     ) -> Result<HeldBytes, WireError> {
         let mut body = HeldBuffer::new(memory.reserve());
-        while let Some(piece) = self.next_piece().await? {
-            if body.len() + piece.len() > max_bytes {
-                return Err(WireError::NotHttp);
-            }
-            if !body.push(&piece) {
-                return Err(WireError::NoMemory);
-            }
+        let push = |piece: &[u8]| if body.push(piece) { Ok(()) } else { Err(WireError::NoMemory) };
+        match self.read_pieces(max_bytes, push).await? {
+            BodyEnd::Whole => Ok(body.freeze()),
+            BodyEnd::TooLong => Err(WireError::NotHttp),
         }
-        Ok(body.freeze())
     }
 
     /// Reads the rest of the body without keeping it. Fails if it exceeds `max_bytes`.
     pub(crate) async fn skip_body(&mut self, max_bytes: usize) -> Result<(), WireError> {
-        let mut skipped_bytes = 0;
-        while let Some(piece) = self.next_piece().await? {
-            skipped_bytes += piece.len();
-            if skipped_bytes > max_bytes {
-                return Err(WireError::NotHttp);
-            }
+        match self.read_pieces(max_bytes, |_| Ok(())).await? {
+            BodyEnd::Whole => Ok(()),
+            BodyEnd::TooLong => Err(WireError::NotHttp),
         }
-        Ok(())
     }
 
     /// Reads the rest of the body of a response of the store, of which there are few at a time. Returns none if it exceeds
@@ -362,13 +361,31 @@
         max_bytes: usize,
     ) -> Result<Option<Bytes>, WireError> {
         let mut body = BytesMut::new();
+        let push = |piece: &[u8]| {
+            body.extend_from_slice(piece);
+            Ok(())
+        };
+        match self.read_pieces(max_bytes, push).await? {
+            BodyEnd::Whole => Ok(Some(body.freeze())),
+            BodyEnd::TooLong => Ok(None),
+        }
+    }
+
+    /// Reads the rest of the body piece by piece, up to `max_bytes`.
+    async fn read_pieces(
+        &mut self,
+        max_bytes: usize,
+        mut take: impl FnMut(&[u8]) -> Result<(), WireError>,
+    ) -> Result<BodyEnd, WireError> {
+        let mut read_bytes = 0;
         while let Some(piece) = self.next_piece().await? {
-            if body.len() + piece.len() > max_bytes {
-                return Ok(None);
+            read_bytes += piece.len();
+            if read_bytes > max_bytes {
+                return Ok(BodyEnd::TooLong);
             }
-            body.extend_from_slice(&piece);
+            take(&piece)?;
         }
-        Ok(Some(body.freeze()))
+        Ok(BodyEnd::Whole)
     }
 
     /// Waits after the end of a response until the connection closes. Bytes that still arrive are dropped.
--- a/tests/gateway/http.rs
+++ b/tests/gateway/http.rs
@@ -102,6 +102,27 @@
     }
 }
 
+/// Returns the head of a message with a body of the given size.
+fn message_head(start_line: &str, headers: &[(&str, &str)], body_bytes: usize) -> String {
+    let mut head = format!("{start_line}\r\ncontent-length: {body_bytes}\r\n");
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head + "\r\n"
+}
+
+/// Writes the head of a request, whose body of the given size need not follow.
+pub(crate) fn write_request_head(
+    stream: &mut TcpStream,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body_bytes: usize,
+) -> std::io::Result<()> {
+    let head = message_head(&format!("{method} {path} HTTP/1.1"), headers, body_bytes);
+    stream.write_all(head.as_bytes())
+}
+
 /// Writes a message with a `content-length` header.
 fn write_message(
     stream: &mut TcpStream,
@@ -109,11 +130,8 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> std::io::Result<()> {
-    let mut head = format!("{start_line}\r\ncontent-length: {}\r\n", body.len());
-    for (name, value) in headers {
-        head.push_str(&format!("{name}: {value}\r\n"));
-    }
-    stream.write_all(&[format!("{head}\r\n").as_bytes(), body].concat())
+    let head = message_head(start_line, headers, body.len());
+    stream.write_all(&[head.as_bytes(), body].concat())
 }
 
 pub(crate) fn write_request(
--- a/tests/gateway/memory.rs
+++ b/tests/gateway/memory.rs
@@ -9,7 +9,7 @@
 use socket2::SockRef;
 
 use crate::host::{API_KEY, Host, caller_headers, configuration};
-use crate::http::STEP_TIMEOUT;
+use crate::http::{STEP_TIMEOUT, write_request_head};
 use crate::server::{Behavior, BodyFraming, EndlessBytes, FakeServer, Script};
 use crate::store::FakeStore;
 
@@ -44,12 +44,8 @@
     let _ = SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     stream.set_write_timeout(Some(STEP_TIMEOUT)).expect("a timeout");
     let key = format!("Bearer {API_KEY}");
-    let mut head = format!("POST {path} HTTP/1.1\r\ncontent-length: {body_bytes}\r\n");
-    for (name, value) in caller_headers(id, &[("authorization", &key)]) {
-        head.push_str(&format!("{name}: {value}\r\n"));
-    }
-    head.push_str("\r\n");
-    stream.write_all(head.as_bytes()).expect("the host reads");
+    let headers = caller_headers(id, &[("authorization", &key)]);
+    write_request_head(&mut stream, "POST", path, &headers, body_bytes).expect("the host reads");
     stream
 }
 
--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -453,7 +453,6 @@
     for (round, loss) in ReaderLoss::ALL.into_iter().enumerate() {
         let id = format!("s-removed-{round}");
         let server = FakeServer::start(&id, &[Behavior::Respond]);
-        cluster.store.put("servers", &id, server.entry("api", None));
         let all = 0..cluster.hosts.len();
         // The first reader asks for confirmations on behalf of all.
         for reader in cluster.readers().into_iter().take(2) {
