Tell what a host waits for while its confirmation is overdue

`dispatch` told the version but not its age, and `confirmation_overdue` neither what the host followed nor since when that was silent, so that silent hosts, readers without confirmations and slow changes looked alike.

--- a/crates/godwit-core/src/replica/readers.rs
+++ b/crates/godwit-core/src/replica/readers.rs
@@ -113,6 +113,8 @@
     /// Kinds of objects that this host cannot read from the store.
     lost_kinds: BTreeSet<String>,
     current: Option<Followed>,
+    /// Time of the last message of a followed host.
+    heard_at: Option<SteadyMs>,
     /// Whether the last plan was to read the store.
     reads_store: bool,
     /// Time until which no other host is tried, because many cannot read the store.
@@ -147,6 +149,7 @@
             skips: BTreeMap::new(),
             lost_kinds: BTreeSet::new(),
             current: None,
+            heard_at: None,
             reads_store: false,
             tries_again_at: SteadyMs(0),
         }
@@ -212,6 +215,21 @@
         }
     }
 
+    /// Records a message of the followed host, whatever it says.
+    pub fn record_message(&mut self, now: SteadyMs) {
+        self.heard_at = Some(now);
+    }
+
+    /// Returns when a followed host was last heard from.
+    pub fn heard_at(&self) -> Option<SteadyMs> {
+        self.heard_at
+    }
+
+    /// Returns the host that this one follows, by the last plan.
+    pub fn followed(&self) -> Option<&str> {
+        self.current.as_ref().map(|current| current.name.as_str())
+    }
+
     /// Records that a host passes on what it reads from the store.
     pub fn record_success(&mut self, name: &str) {
         self.skips.remove(name);
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -30,6 +30,7 @@
 use super::stream::relay_stream;
 use super::wait::{CounterGuard, wait_for_configuration, wait_for_destination};
 use crate::memory::{HeldBuffer, HeldContent};
+use crate::replica::ObjectKind;
 use crate::site::Site;
 use crate::wire::WireError;
 
@@ -199,6 +200,7 @@
             expected_gap_ms = destination.event_gap_ms.round(),
             left_ms = admitted.policy.response_deadline.since_ms(site.now()),
             version = admitted.policy.configuration.version(),
+            confirmed_ms_ago = site.confirmed_ms_ago(ObjectKind::Configuration),
             on_probation,
         );
         let earlier = EarlierAttempts { runs, avoided: &avoided };
--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -158,6 +158,7 @@
     let first_frame = read_frame(&mut stream, MAX_STATUS_BYTES, SILENCE_TIMEOUT);
     let mut message = timeout(SILENCE_TIMEOUT, first_frame).await.map_err(io::Error::from)??;
     loop {
+        site.readers.borrow_mut().record_message(site.now());
         match message {
             FeedMessage::Status { is_stopping: true, .. } => return Err(FollowEnd::Stopping),
             FeedMessage::Status {
--- a/crates/godwit-gateway/src/replica/state.rs
+++ b/crates/godwit-gateway/src/replica/state.rs
@@ -99,13 +99,16 @@
         }
         let changes =
             self.confirmations.borrow_mut().take_overdue_changes(CONFIRMATION_BOUND_MS, now);
+        let reads_store = *self.reads_store.borrow();
+        let readers = self.readers.borrow();
+        let follows = readers.followed();
+        let heard_ms_ago = readers.heard_at().map(|at| now.since_ms(at));
         for OverdueChange { kind, is_overdue, age_ms } in changes {
             let kind = kind.name();
+            let event = if is_overdue { "confirmation_overdue" } else { "confirmation_regained" };
+            warn!(event, kind, age_ms, reads_store, follows, heard_ms_ago);
             if is_overdue {
-                warn!(event = "confirmation_overdue", kind, age_ms);
                 metrics::counter!("confirmations_overdue_total", "kind" => kind).increment(1);
-            } else {
-                warn!(event = "confirmation_regained", kind, age_ms);
             }
         }
     }
