Add failing tests of changes beside silent hosts of the domain

The first N of 14 hosts, in the order in which they read the store, are frozen; then a change is written three times.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -32,6 +32,7 @@
 mod repeated_answers;
 mod server;
 mod silences;
+mod silent_readers;
 mod soak;
 mod store;
 mod streams;
--- a/tests/gateway/readers.rs
+++ b/tests/gateway/readers.rs
@@ -41,7 +41,7 @@
 const STOPPING_READERS: usize = 8;
 
 /// Time after which the roles of the hosts no longer change: a host follows after the list of hosts is complete.
-const SETTLE_TIME: Duration = Duration::from_millis(4_000);
+pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(4_000);
 
 /// Age of a confirmation at which the first reader of a domain asks the store anew.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(1_000);
