Ask the store while no followed host is relied on

Callers were served by versions older than the bound: a host that lost the one that it followed tried the next ones in turn, 800 ms each (400 ms without a connection), and did not ask the store meanwhile. A followed host without the store was left only after 3 s, and its followers then tried others that had no news either; beside nine such hosts of 14 the others stayed with them for good, as if the store were away.

The class: bounds in series, each of which was kept. A host now has one bound for what it knows, whatever it tries meanwhile. It asks the store itself 500 ms after the last message that confirmed all kinds, or when its copies are 1.45 s old. First calls are spread at random, with a density that doubles, and the first that succeeds offers its copies to the domain. In doubt of the store a host heeds how many others have called. Readers send a status as soon as their copies are confirmed, so that the age of followers stays near one second.

--- a/crates/godwit-core/src/replica/mod.rs
+++ b/crates/godwit-core/src/replica/mod.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod confirmations;
+mod fallback;
 mod followed_clock;
 mod objects;
 mod position;
@@ -9,7 +10,11 @@
 
 pub use changes::{AppliedChanges, ReplicaChanges, ReplicaGap, WatchEvent, changes_of_watch};
 pub use confirmations::{ConfirmationLimits, Confirmations, OverdueChange, StoreCall};
+pub use fallback::{Fallback, FallbackLimits, MAX_NOTIFIED_HOSTS};
 pub use followed_clock::FollowedClock;
 pub use objects::{AcceptOutcome, ObjectReplica, ReplicaDigest, StoredObject};
 pub use position::{StorePosition, fencing_number};
-pub use readers::{ReadPlan, ReaderLimits, ReaderSelection, SkipLimits, Trouble, sort_readers};
+pub use readers::{
+    FallbackCall, OfferReceipt, ReadPlan, ReaderLimits, ReaderSelection, SkipLimits, Trouble,
+    sort_readers,
+};
--- a/crates/godwit-core/src/replica/readers.rs
+++ b/crates/godwit-core/src/replica/readers.rs
@@ -3,7 +3,8 @@
 //! The first hosts of a domain by capacity read the store; the others follow one of them. Those that read it also follow
 //! the first, which asks for confirmations on behalf of all. There is no election: each host ranks the hosts by itself and
 //! skips those with which it had trouble lately. A host that is followed reads the store, whatever its own rank says, so
-//! that hosts that disagree only cost calls to the store.
+//! that hosts that disagree only cost calls to the store. A host that relies on none that it follows asks the store itself
+//! meanwhile, as [`Fallback`] decides.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,6 +12,7 @@
 
 use crate::SteadyMs;
 use crate::rendezvous::weight;
+use crate::replica::{Fallback, FallbackLimits};
 use crate::site::PeerHost;
 
 /// Number of hosts of a domain that cannot read the store after which no further host of the domain is tried: the store
@@ -20,6 +22,12 @@
 /// Number of hosts that cannot read the store after which others are tried one at a time.
 const MANY_UNABLE: usize = 6;
 
+/// Number of hosts that have responded lately and cannot read the store from which on it may be away for all.
+const DOUBTED_BY: usize = 2;
+
+/// Time for which such a response counts, in milliseconds.
+const DOUBT_MS: u64 = 4_000;
+
 /// Limits of a [`ReaderSelection`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReaderLimits {
@@ -33,6 +41,8 @@
     pub unable: SkipLimits,
     /// Time after which a host that follows another than its rank tells follows its rank again, in milliseconds.
     pub reselect_ms: u64,
+    /// When this host asks the store while it relies on none that it follows.
+    pub fallback: FallbackLimits,
 }
 
 /// Times for which a host is skipped after trouble.
@@ -58,6 +68,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Skip {
     trouble: Trouble,
+    at: SteadyMs,
     until: SteadyMs,
     times: u32,
 }
@@ -71,6 +82,22 @@
     passes_on: bool,
 }
 
+/// Call to the store of a host that relies on none that it follows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FallbackCall {
+    /// Whether other hosts respond but cannot read the store, so that it may be away.
+    pub doubts_store: bool,
+}
+
+/// What an offer of copies means to the host that receives it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OfferReceipt {
+    /// Whether no other offer came lately.
+    pub is_news: bool,
+    /// Whether this host has none to rely on, and may follow the one that offers.
+    pub is_wanted: bool,
+}
+
 /// What a host does to learn of changes.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ReadPlan {
@@ -115,6 +142,7 @@
     current: Option<Followed>,
     /// Time of the last message of a followed host.
     heard_at: Option<SteadyMs>,
+    fallback: Fallback,
     /// Whether the last plan was to read the store.
     reads_store: bool,
     /// Time until which no other host is tried, because many cannot read the store.
@@ -126,10 +154,13 @@
     ///
     /// ```
     /// use godwit_core::SteadyMs;
-    /// use godwit_core::replica::{ReaderLimits, ReaderSelection, SkipLimits};
+    /// use godwit_core::replica::{FallbackLimits, ReaderLimits, ReaderSelection, SkipLimits};
     /// let skip = SkipLimits { first_ms: 2_000, max_ms: 8_000 };
+    /// let fallback = FallbackLimits {
+    ///     silence_ms: 500, max_age_ms: 1_450, spread_ms: 250, offer_ms: 150, interval_ms: 1_000, max_doubtful_calls: 8,
+    /// };
     /// let limits = ReaderLimits {
-    ///     readers_per_domain: 2, stopped: skip, unresponsive: skip, unable: skip, reselect_ms: 30_000,
+    ///     readers_per_domain: 2, stopped: skip, unresponsive: skip, unable: skip, reselect_ms: 30_000, fallback,
     /// };
     /// let mut selection = ReaderSelection::new("h-1", "a", 20, limits);
     /// assert!(selection.plan(0, SteadyMs(0)).reads_store);
@@ -150,6 +181,7 @@
             lost_kinds: BTreeSet::new(),
             current: None,
             heard_at: None,
+            fallback: Fallback::new(limits.fallback),
             reads_store: false,
             tries_again_at: SteadyMs(0),
         }
@@ -208,7 +240,7 @@
         };
         let skip_ms = (limits.first_ms << times.min(8)).min(limits.max_ms);
         let until = now.plus_ms(skip_ms);
-        self.skips.insert(name.to_string(), Skip { trouble, until, times });
+        self.skips.insert(name.to_string(), Skip { trouble, at: now, until, times });
         let is_unable = |skip: &&Skip| skip.trouble == Trouble::Unable;
         if self.skips.values().filter(is_unable).count() >= MANY_UNABLE {
             self.tries_again_at = now.plus_ms(self.limits.unable.first_ms);
@@ -231,8 +263,9 @@
     }
 
     /// Records that a host passes on what it reads from the store.
-    pub fn record_success(&mut self, name: &str) {
+    pub fn record_success(&mut self, name: &str, now: SteadyMs) {
         self.skips.remove(name);
+        self.fallback.record_confirming_message(now);
         if let Some(current) = self.current.as_mut().filter(|current| current.name == name) {
             current.passes_on = true;
         }
@@ -246,6 +279,7 @@
         let is_designated = designated.iter().any(|host| host.name == self.own_name);
         let reads_store = followers > 0 || is_designated;
         if reads_store && self.can_read_store() {
+            self.fallback.end_gap();
             self.current = None;
             self.reads_store = true;
             // It has its own copies, and need not ask for confirmations that the first one has.
@@ -268,6 +302,95 @@
         ReadPlan { reads_store: self.reads_store, follows }
     }
 
+    /// Returns when this host is to ask the store itself, or when that is to be determined again. `confirmed_at` is the
+    /// time as of which all kinds are confirmed, `draw` a random number from 0 to 1.
+    pub fn fallback_call_at(
+        &mut self,
+        confirmed_at: Option<SteadyMs>,
+        draw: f64,
+        now: SteadyMs,
+    ) -> SteadyMs {
+        let later = now.plus_ms(self.limits.fallback.silence_ms);
+        if self.reads_store && self.can_read_store() {
+            self.fallback.end_gap();
+            return later;
+        }
+        let domain_hosts = self.domain_hosts();
+        let call_at = self.fallback.next_call_at(confirmed_at, domain_hosts, draw, now);
+        // A host that reads the store without success calls it anyway.
+        if self.reads_store { later } else { call_at }
+    }
+
+    /// Begins the call of this host to the store that is due. None if it is not to be made.
+    pub fn begin_fallback_call(&mut self, now: SteadyMs) -> Option<FallbackCall> {
+        let doubts_store = self.doubts_store(now);
+        let is_made = self.fallback.begin_call(doubts_store, self.domain_hosts(), now);
+        is_made.then_some(FallbackCall { doubts_store })
+    }
+
+    /// Records that a call of this host has failed.
+    pub fn record_fallback_failure(&mut self, call: FallbackCall, now: SteadyMs) {
+        self.fallback.record_failure(call.doubts_store, now);
+    }
+
+    /// Records that another host calls the store although it doubts that this can be read.
+    pub fn record_doubtful_call(&mut self, now: SteadyMs) {
+        self.fallback.record_doubtful_call(now);
+    }
+
+    /// Reads the store from now on, until a followed host passes on what it reads.
+    pub fn begin_reading(&mut self) {
+        self.reads_store = true;
+        if let Some(current) = &mut self.current {
+            current.passes_on = false;
+        }
+    }
+
+    /// Whether this host is to offer its copies after it has asked the store itself: once in each time without a host to
+    /// rely on.
+    pub fn begin_offer(&mut self) -> bool {
+        !self.reads_store && self.fallback.begin_offer()
+    }
+
+    fn domain_hosts(&self) -> usize {
+        self.ranked.get(&self.own_domain).map_or(1, Vec::len)
+    }
+
+    /// Returns the names of the other hosts of this host's domain.
+    pub fn domain_peers(&self) -> Vec<&str> {
+        let hosts = self.ranked.get(&self.own_domain).into_iter().flatten();
+        hosts.map(|host| host.name.as_str()).filter(|name| *name != self.own_name).collect()
+    }
+
+    /// Records that another host of this host's domain offers its copies. An offer of any other host has no effect.
+    pub fn record_offer(&mut self, host: &str, now: SteadyMs) -> OfferReceipt {
+        let is_known = self.domain_peers().contains(&host);
+        let is_news = is_known && self.fallback.record_offer(host, now);
+        if is_news {
+            // It runs and reads the store now, whatever was known of it.
+            self.skips.remove(host);
+        }
+        OfferReceipt { is_news, is_wanted: self.fallback.is_in_gap() }
+    }
+
+    /// Whether hosts have responded lately that cannot read the store, so that it may be away for all.
+    fn doubts_store(&self, now: SteadyMs) -> bool {
+        let is_recent = |skip: &&Skip| {
+            skip.trouble == Trouble::Unable && !skip.at.plus_ms(DOUBT_MS).is_past(now)
+        };
+        let others = self.ranked.values().map(Vec::len).sum::<usize>().saturating_sub(1);
+        let unable = self.skips.values().filter(is_recent).count();
+        unable > 0 && unable >= DOUBTED_BY.min(others)
+    }
+
+    /// Returns the host that offers its copies while this host relies on none.
+    fn offered(&self, now: SteadyMs) -> Option<PeerHost> {
+        let name = self.fallback.offered_host(now).filter(|_| self.fallback.is_in_gap())?;
+        let mut hosts = self.ranked.values().flatten();
+        let is_usable = name != self.own_name && !self.is_skipped(name, now);
+        hosts.find(|host| is_usable && host.name == name).cloned()
+    }
+
     /// Whether a host is skipped because of trouble.
     pub fn is_skipped(&self, name: &str, now: SteadyMs) -> bool {
         self.skipped_for(name, now).is_some()
@@ -297,9 +420,12 @@
         designated
     }
 
-    /// Returns the host to follow: the current one for some time, one that is designated in this host's domain, the first
-    /// of another domain, or one that could not read the store. None if no host responds.
+    /// Returns the host to follow: one that offers its copies, the current one for some time, one that is designated in this
+    /// host's domain, the first of another domain, or one that could not read the store. None if no host responds.
     fn choose(&self, designated: Vec<PeerHost>, now: SteadyMs) -> Option<PeerHost> {
+        if let Some(offered) = self.offered(now) {
+            return Some(offered);
+        }
         let all = || self.ranked.values().flatten().filter(|host| host.name != self.own_name);
         let current = self.current.as_ref();
         let kept = current.filter(|current| {
--- a/crates/godwit-gateway/src/gossip.rs
+++ b/crates/godwit-gateway/src/gossip.rs
@@ -57,6 +57,16 @@
     Load(Box<LoadMessage>),
     PermitAsk(PermitAsk),
     PermitGrant(PermitGrant),
+    /// Hosts of releases without it cannot read it, and follow others as before.
+    CopyOffer(CopyOffer),
+    /// The sender calls the store although it doubts that this can be read. As for older releases.
+    DoubtfulCall,
+}
+
+/// Tells that a host of the domain has read the store, and can be followed.
+#[derive(Debug, Deserialize, Serialize)]
+struct CopyOffer {
+    host: String,
 }
 
 /// A report of the load and of what else hosts tell each other.
@@ -236,6 +246,21 @@
         }
     }
 
+    /// Tells other hosts that one has read the store, and can be followed.
+    pub(crate) async fn send_offer(&self, host: &str, recipients: &[String]) {
+        let offer = Message::CopyOffer(CopyOffer { host: host.to_string() });
+        for recipient in recipients {
+            self.send_to(recipient, &offer).await;
+        }
+    }
+
+    /// Tells other hosts that this one calls the store although it doubts that this can be read.
+    pub(crate) async fn send_doubtful_call(&self, recipients: &[String]) {
+        for recipient in recipients {
+            self.send_to(recipient, &Message::DoubtfulCall).await;
+        }
+    }
+
     async fn send_report(
         &self,
         peer: SocketAddr,
@@ -336,6 +361,13 @@
                         self.send_to(&asker, &Message::PermitGrant(grant)).await;
                     }
                 }
+                Ok((Message::CopyOffer(offer), ..)) => {
+                    let others = self.site.record_offer(&offer.host);
+                    self.send_offer(&offer.host, &others).await;
+                }
+                Ok((Message::DoubtfulCall, ..)) => {
+                    self.site.readers.borrow_mut().record_doubtful_call(self.site.now());
+                }
                 Err(error) => warn!(event = "gossip_unreadable", %sender, %error),
             }
         }
--- a/crates/godwit-gateway/src/replica/feed.rs
+++ b/crates/godwit-gateway/src/replica/feed.rs
@@ -9,8 +9,9 @@
 use godwit_core::SteadyMs;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use tracing::{debug, info, warn};
 
 use crate::listeners::accept;
@@ -22,7 +23,7 @@
 use crate::site::Site;
 use crate::wire::configure_stream;
 
-/// Interval of status messages. A follower gives up after a multiple of it.
+/// Longest interval of status messages. A follower gives up after a multiple of it.
 const STATUS_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Delay after a change in which further ones are collected.
@@ -97,6 +98,7 @@
             |kind| request.accepts_unconfirmed || self.site.is_confirmed_since(kind, requested_at);
         let mut known: BTreeMap<ObjectKind, u64> = request.known_revisions.into_iter().collect();
         let mut changed = self.site.replicas_changed.subscribe();
+        let mut confirmed = self.site.confirmations_changed.subscribe();
         let mut received_beats = 1;
         // A follower that is to leave need not wait for the changes.
         let first_status = self.status(received_beats, requested_at, Vec::new());
@@ -119,6 +121,7 @@
             let sent = held.iter().filter(is_sent).map(|copy| (copy.kind, copy.confirmed_at.0));
             let status = self.status(received_beats, now, sent.collect());
             write_frame(&mut stream, &encode_frame(&status)?, WRITE_TIMEOUT).await?;
+            let confirmed_at = held.iter().map(|copy| copy.confirmed_at).min();
             let mut beat = [0];
             tokio::select! {
                 read = stream.read(&mut beat) => {
@@ -128,7 +131,25 @@
                     received_beats += 1;
                     sleep(CHANGE_DELAY).await;
                 }
-                _ = timeout(STATUS_INTERVAL, changed.changed()) => sleep(CHANGE_DELAY).await,
+                () = sleep(STATUS_INTERVAL) => {}
+                _ = changed.changed() => sleep(CHANGE_DELAY).await,
+                () = self.confirmed_later(&mut confirmed, confirmed_at) => {}
+            }
+        }
+    }
+
+    /// Waits until all copies are confirmed as of a later time.
+    async fn confirmed_later(
+        &self,
+        confirmed: &mut watch::Receiver<()>,
+        confirmed_at: Option<SteadyMs>,
+    ) {
+        let is_later = |copies: Vec<ConfirmedCopy>| {
+            copies.iter().map(|copy| copy.confirmed_at).min() > confirmed_at
+        };
+        while !is_later(self.confirmed_copies()) {
+            if confirmed.changed().await.is_err() {
+                std::future::pending().await
             }
         }
     }
--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io::{self, ErrorKind};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -50,8 +51,11 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Age of a confirmation at which a host that can read the store, by its own account, is left, in milliseconds. Longer
-/// than such a host takes to find that it cannot.
-const MAX_CONFIRMATION_AGE_MS: u64 = 3_000;
+/// than such a host takes to confirm what it holds.
+const MAX_CONFIRMATION_AGE_MS: u64 = 1_250;
+
+/// Time after which a followed host is left that has not confirmed all kinds, in milliseconds.
+const FIRST_CONFIRMATIONS_TIMEOUT_MS: u64 = 3_000;
 
 /// Time for which a waiting watch of this host may lack a change that the followed host has sent, in milliseconds.
 const WATCH_GRACE_MS: u64 = 200;
@@ -120,7 +124,7 @@
             continue;
         };
         site.is_following.set(true);
-        let Err(end) = follow(&site, &host).await;
+        let end = follow_until_replaced(&site, &host).await;
         site.is_following.set(false);
         site.confirmations_changed.send_replace(());
         let is_replaced = matches!(end, FollowEnd::Replaced);
@@ -137,6 +141,21 @@
     }
 }
 
+/// Follows a host until there is trouble, or another one is to be followed, which may be known while this one is silent.
+async fn follow_until_replaced(site: &Site, host: &PeerHost) -> FollowEnd {
+    let mut following = pin!(follow(site, host));
+    loop {
+        tokio::select! {
+            Err(end) = &mut following => return end,
+            () = site.reading_changed.notified() => {
+                if !site.plans_to_follow(host) {
+                    return FollowEnd::Replaced;
+                }
+            }
+        }
+    }
+}
+
 /// Follows a host until the plan changes or there is trouble.
 async fn follow(site: &Site, host: &PeerHost) -> Result<Infallible, FollowEnd> {
     let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(host.address)).await;
@@ -152,7 +171,7 @@
     };
     write_frame(&mut stream, &encode_frame(&request)?, SILENCE_TIMEOUT).await?;
     let first_changes_by = site.now().plus_ms(FIRST_CHANGES_TIMEOUT_MS);
-    let first_confirmations_by = site.now().plus_ms(MAX_CONFIRMATION_AGE_MS);
+    let first_confirmations_by = site.now().plus_ms(FIRST_CONFIRMATIONS_TIMEOUT_MS);
     site.restart_lag();
     let mut brought = BTreeMap::new();
     let first_frame = read_frame(&mut stream, MAX_STATUS_BYTES, SILENCE_TIMEOUT);
@@ -187,7 +206,7 @@
                     });
                 }
                 if is_able && is_complete {
-                    site.readers.borrow_mut().record_success(&host.name);
+                    site.readers.borrow_mut().record_success(&host.name, site.now());
                 }
                 if clock.begin_beat(site.now()) {
                     write_frame(&mut stream, &[BEAT], SILENCE_TIMEOUT).await?;
@@ -218,7 +237,7 @@
         if site.configuration().is_none() && first_changes_by.is_past(site.now()) {
             return Err(FollowEnd::NothingSent);
         }
-        if site.plan_reading().follows.as_ref().is_none_or(|next| next.name != host.name) {
+        if !site.plans_to_follow(host) {
             return Err(FollowEnd::Replaced);
         }
         message = read_frame(&mut stream, MAX_MESSAGE_BYTES, SILENCE_TIMEOUT).await?;
@@ -227,7 +246,7 @@
 
 impl Site {
     /// Decides anew whether this host reads the store and which host it follows.
-    fn plan_reading(&self) -> ReadPlan {
+    pub(super) fn plan_reading(&self) -> ReadPlan {
         let plan = self.readers.borrow_mut().plan(self.followers.get(), self.now());
         self.reads_store.send_if_modified(|reads| {
             let is_changed = *reads != plan.reads_store;
@@ -237,6 +256,10 @@
         plan
     }
 
+    fn plans_to_follow(&self, host: &PeerHost) -> bool {
+        self.plan_reading().follows.is_some_and(|next| next.name == host.name)
+    }
+
     /// Ends waiting watches of this host that have not brought changes which the followed host sent some time ago: each
     /// with its revision and the time when it came.
     fn end_watches_that_lack(&self, brought: &mut BTreeMap<ObjectKind, (u64, SteadyMs)>) {
--- a/crates/godwit-gateway/src/replica/mod.rs
+++ b/crates/godwit-gateway/src/replica/mod.rs
@@ -2,6 +2,7 @@
 //! others follow one of them over TCP.
 
 mod apply;
+mod fallback;
 mod feed;
 mod follow;
 mod frames;
@@ -9,6 +10,7 @@
 mod state;
 
 pub(crate) use apply::HostRecord;
+pub(crate) use fallback::ask_store_in_gaps;
 pub(crate) use feed::serve_followers;
 pub(crate) use follow::maintain_reading;
 pub(crate) use kind::ObjectKind;
--- a/crates/godwit-gateway/src/replica/state.rs
+++ b/crates/godwit-gateway/src/replica/state.rs
@@ -15,7 +15,7 @@
 
 /// When a host does so that also follows one that should ask first.
 const FOLLOWING_CONFIRMATION_LIMITS: ConfirmationLimits =
-    ConfirmationLimits { interval_ms: 1_400, ..CONFIRMATION_LIMITS };
+    ConfirmationLimits { interval_ms: 1_150, ..CONFIRMATION_LIMITS };
 
 /// Age of a confirmation from which on it is overdue, in milliseconds; within this time the smallest sites use a new
 /// configuration.
--- a/crates/godwit-gateway/src/run.rs
+++ b/crates/godwit-gateway/src/run.rs
@@ -20,7 +20,7 @@
 use crate::forward::serve_waiting;
 use crate::gossip::Gossip;
 use crate::listeners::{listen, serve_callers, serve_metrics, serve_readiness};
-use crate::replica::{ObjectKind, maintain_reading, serve_followers};
+use crate::replica::{ObjectKind, ask_store_in_gaps, maintain_reading, serve_followers};
 use crate::site::Site;
 use crate::store::{keep_confirmed, list_and_watch, maintain_host_record};
 use crate::telemetry;
@@ -129,6 +129,7 @@
     let gossip = Rc::new(Gossip::new(site.clone(), gossip_socket));
     spawn_local(gossip.clone().send_reports());
     spawn_local(gossip.clone().ask_for_permits());
+    spawn_local(ask_store_in_gaps(site.clone(), gossip.clone()));
     spawn_local(gossip.receive_messages());
     spawn_local(coordinate(site.clone()));
     spawn_local(serve_waiting(site.clone()));
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -8,7 +8,8 @@
 use godwit_core::SteadyMs;
 use godwit_core::quarantine::CrashRegister;
 use godwit_core::replica::{
-    Confirmations, ObjectReplica, ReaderLimits, ReaderSelection, SkipLimits, StoredObject,
+    Confirmations, FallbackLimits, ObjectReplica, ReaderLimits, ReaderSelection, SkipLimits,
+    StoredObject,
 };
 use godwit_core::site::{
     CallerLimits, Configuration, DetourHosts, FailingServers, Findings, FreshnessTracker,
@@ -62,6 +63,14 @@
     unresponsive: SkipLimits { first_ms: 2_000, max_ms: 30_000 },
     unable: SkipLimits { first_ms: 2_000, max_ms: 8_000 },
     reselect_ms: 30_000,
+    fallback: FallbackLimits {
+        silence_ms: 500,
+        max_age_ms: 1_450,
+        spread_ms: 250,
+        offer_ms: 150,
+        interval_ms: 1_000,
+        max_doubtful_calls: 8,
+    },
 };
 
 /// Returns the id of the server that an incarnation is named after; see [`Site::incarnation`].
--- a/crates/godwit-gateway/src/store/confirm.rs
+++ b/crates/godwit-gateway/src/store/confirm.rs
@@ -40,7 +40,8 @@
         let confirm = async {
             loop {
                 wait_until_due(&site).await;
-                ask(&site).await;
+                let brought = ask(&site, Tries::Two).await.unwrap_or_default();
+                end_lost_watches(&site, &brought).await;
             }
         };
         tokio::select! {
@@ -65,15 +66,31 @@
     }
 }
 
-/// Asks the store about the first kind, and about the others that its revision shows to have changed.
-async fn ask(site: &Site) {
+/// Number of calls until a missing answer counts as a failure.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Tries {
+    One,
+    Two,
+}
+
+/// Asks the store whether this host holds everything, without any watch. Returns whether it holds it now.
+pub(crate) async fn ask_store(site: &Site, tries: Tries) -> bool {
+    ask(site, tries).await.is_some()
+}
+
+/// Asks the store about the first kind, and about the others that its revision shows to have changed. Returns what the
+/// answers have brought; none if they are missing.
+async fn ask(site: &Site, tries: Tries) -> Option<Vec<Brought>> {
     let started_at = site.now();
     let era = site.store_era.get();
     site.confirmations.borrow_mut().record_asked(started_at);
     let mut kinds = site.confirmable_kinds().into_iter();
-    let Some(first) = kinds.next() else { return };
+    let first = kinds.next()?;
     let asked = async {
-        let brought = ask_newest(site, first).await?;
+        let brought = match tries {
+            Tries::One => within_patience(read_newest(site, first)).await?,
+            Tries::Two => ask_newest(site, first).await?,
+        };
         let (one, other) = (kinds.next(), kinds.next());
         let (one, other) = tokio::try_join!(
             ask_unless_confirmed(site, one, started_at),
@@ -82,16 +99,14 @@
         Ok::<_, StepError>([brought, one, other])
     };
     match asked.await {
-        Ok(brought) => {
-            let brought: Vec<Brought> = brought.into_iter().flatten().collect();
-            end_lost_watches(site, &brought).await;
-        }
+        Ok(brought) => Some(brought.into_iter().flatten().collect()),
         // Listings in the new era confirm what they return.
-        Err(_) if site.store_era.get() > era => {}
+        Err(_) if site.store_era.get() > era => None,
         Err(error) => {
             for kind in ObjectKind::ALL {
                 site.pending_watches.interrupt(kind, Interruption::Unreachable(error.to_string()));
             }
+            None
         }
     }
 }
--- a/crates/godwit-gateway/src/store/mod.rs
+++ b/crates/godwit-gateway/src/store/mod.rs
@@ -10,7 +10,7 @@
 mod unreadable;
 
 pub(crate) use client::StoreClient;
-pub(crate) use confirm::keep_confirmed;
+pub(crate) use confirm::{Tries, ask_store, keep_confirmed};
 pub(crate) use era::KnownEra;
 pub(crate) use hosts::maintain_host_record;
 pub(crate) use list_watch::list_and_watch;
--- a/tests/gateway/silent_readers.rs
+++ b/tests/gateway/silent_readers.rs
@@ -1,4 +1,4 @@
-//! Hosts beside others of their failure domain that accept connections and send nothing.
+//! Hosts beside others of their failure domain that accept connections and send nothing, or confirm nothing.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,6 +10,7 @@
 
 use crate::host::configuration_with_prefix;
 use crate::readers::{CONFIG_APPLY_TIME, Cluster, SETTLE_TIME, status};
+use crate::soak::ProxyMode;
 
 const HOSTS: usize = 14;
 
@@ -97,3 +98,33 @@
 fn changes_are_used_in_time_while_all_other_hosts_are_frozen() {
     assert_changes_are_used_while_first_are_frozen(HOSTS - 1);
 }
+
+/// A host that has just begun to lack the store does not know it, and passes nothing on.
+fn assert_changes_are_used_while_first_lack_the_store(count: usize) {
+    /// Steps of the time from the loss of the store to the change.
+    const PHASE_STEP: Duration = Duration::from_millis(350);
+    let cluster = Cluster::start(HOSTS);
+    let order = readers_in_order(&cluster);
+    let (cut, others) = order.split_at(count);
+    let mut slowest = Vec::new();
+    for round in 0..4 {
+        cut.iter().for_each(|index| cluster.proxies[*index].set(ProxyMode::HoldAll));
+        std::thread::sleep(PHASE_STEP * round);
+        let used_after = times_until_used(&cluster, others, 2 + u64::from(round));
+        slowest.push(used_after.into_iter().max().unwrap_or_default());
+        cut.iter().for_each(|index| cluster.proxies[*index].set(ProxyMode::Forward));
+        std::thread::sleep(SETTLE_TIME);
+    }
+    println!("{count} of {HOSTS} without the store: used after {slowest:?}");
+    assert!(slowest.iter().all(|after| *after <= CONFIG_APPLY_TIME), "used after {slowest:?}");
+}
+
+#[test]
+fn changes_are_used_in_time_while_the_readers_lack_the_store() {
+    assert_changes_are_used_while_first_lack_the_store(2);
+}
+
+#[test]
+fn changes_are_used_in_time_while_the_first_nine_hosts_lack_the_store() {
+    assert_changes_are_used_while_first_lack_the_store(9);
+}
