--- a/crates/godwit-core/tests/replica_fallback.rs
+++ b/crates/godwit-core/tests/replica_fallback.rs
@@ -53,7 +53,7 @@
 const FAULT_MS: u64 = 6_000;
 
 /// Numbers of hosts of sites, each with its number of failure domains.
-const SITES: [(usize, usize); 3] = [(79, 3), (295, 5), (1_000, 5)];
+const SITES: [(usize, usize); 4] = [(9, 3), (79, 3), (295, 5), (1_000, 5)];
 
 /// Calls to the store of a domain in which one host reads for the others, for each second: the calls of two readers, and of a
 /// host that asks until it follows one of them.
@@ -79,6 +79,9 @@
     Partitioned,
     /// The readers of a domain run, but cannot reach the store.
     ReadersWithoutStore,
+    /// The readers of a domain run, but cannot reach the store; of the others of the domain a share is frozen, and none reaches
+    /// another domain.
+    ReadersWithoutStoreOthersFrozen(f64),
     /// A share of the hosts of a domain cannot reach the store, and none of them another domain.
     ShareWithoutStore(f64),
 }
@@ -174,6 +177,13 @@
                 self.cut_from_store = self.order.iter().take(2).cloned().collect();
                 Vec::new()
             }
+            Fault::ReadersWithoutStoreOthersFrozen(share) => {
+                let (readers, others) = self.order.split_at(2);
+                self.cut_from_store = readers.iter().cloned().collect();
+                self.is_domain_cut_off = true;
+                let frozen = (others.len() as f64 * share) as usize;
+                others.iter().take(frozen).cloned().collect()
+            }
             Fault::ShareWithoutStore(share) => {
                 let mut names = self.order.clone();
                 names.shuffle(&mut self.rng);
@@ -441,6 +451,11 @@
     assert_bounds(|_| Fault::ShareWithoutStore(0.6), calls_with_reader);
 }
 
+#[test]
+fn change_is_used_in_time_while_the_readers_lack_the_store_and_others_are_frozen() {
+    assert_bounds(|_| Fault::ReadersWithoutStoreOthersFrozen(0.7), calls_with_reader);
+}
+
 /// A store that is away for all is not called by all.
 #[test]
 fn calls_to_a_store_that_is_away_do_not_grow_with_hosts() {
