Leave readers of a slow store only when their copies are older than usual

The age now follows what confirmations usually reach: the second highest of the last four and 15 in 100 more, 1.25 s at least and 3 s at most, as before. One late answer does not raise the age.

--- a/crates/godwit-core/src/replica/fallback.rs
+++ b/crates/godwit-core/src/replica/fallback.rs
@@ -21,8 +21,9 @@
 pub struct FallbackLimits {
     /// Time without a message that confirms all kinds after which the followed host is not relied on, in milliseconds.
     pub silence_ms: u64,
-    /// Age of the oldest confirmation at which it is not relied on either, in milliseconds.
-    pub max_age_ms: u64,
+    /// Time beyond the age at which a followed host is left, from which on the copies of this host are too old, in
+    /// milliseconds.
+    pub overdue_ms: u64,
     /// Time over which the first calls of the hosts of a domain are spread, in milliseconds.
     pub spread_ms: u64,
     /// Time for which a call is put off to follow a host that offers its copies, in milliseconds.
@@ -57,12 +58,12 @@
 /// use godwit_core::SteadyMs;
 /// use godwit_core::replica::{Fallback, FallbackLimits};
 /// let mut fallback = Fallback::new(FallbackLimits {
-///     silence_ms: 500, max_age_ms: 1_450, spread_ms: 250, offer_ms: 150, interval_ms: 1_000, max_doubtful_calls: 8,
+///     silence_ms: 500, overdue_ms: 200, spread_ms: 250, offer_ms: 150, interval_ms: 1_000, max_doubtful_calls: 8,
 /// });
 /// fallback.record_confirming_message(SteadyMs(1_000));
-/// let confirmed_at = Some(SteadyMs(900));
-/// assert_eq!(fallback.next_call_at(confirmed_at, 27, 1.0, SteadyMs(1_100)), SteadyMs(1_500));
-/// assert_eq!(fallback.next_call_at(confirmed_at, 27, 1.0, SteadyMs(1_500)), SteadyMs(1_750));
+/// let too_old_at = Some(SteadyMs(2_300));
+/// assert_eq!(fallback.next_call_at(too_old_at, 27, 1.0, SteadyMs(1_100)), SteadyMs(1_500));
+/// assert_eq!(fallback.next_call_at(too_old_at, 27, 1.0, SteadyMs(1_500)), SteadyMs(1_750));
 /// ```
 #[derive(Debug)]
 pub struct Fallback {
@@ -106,12 +107,12 @@
         self.gap = None;
     }
 
-    /// Returns when the next call to the store is due; until then, messages may put it off. `confirmed_at` is the time as of
-    /// which all kinds are confirmed, `domain_hosts` the number of hosts in the failure domain of this host, and `draw` a
-    /// random number from 0 to 1.
+    /// Returns when the next call to the store is due; until then, messages may put it off. `too_old_at` is the time
+    /// from which on the copies of this host are too old, `domain_hosts` the number of hosts in its failure domain, and
+    /// `draw` a random number from 0 to 1.
     pub fn next_call_at(
         &mut self,
-        confirmed_at: Option<SteadyMs>,
+        too_old_at: Option<SteadyMs>,
         domain_hosts: usize,
         draw: f64,
         now: SteadyMs,
@@ -120,8 +121,7 @@
             return gap.asks_at;
         }
         let silent = self.confirming_message_at.map(|at| at.plus_ms(self.limits.silence_ms));
-        let old = confirmed_at.map(|at| at.plus_ms(self.limits.max_age_ms));
-        let begins_at = silent.into_iter().chain(old).min().unwrap_or(SteadyMs::NEVER);
+        let begins_at = silent.into_iter().chain(too_old_at).min().unwrap_or(SteadyMs::NEVER);
         if !begins_at.is_past(now) {
             return begins_at;
         }
--- a/crates/godwit-core/src/replica/mod.rs
+++ b/crates/godwit-core/src/replica/mod.rs
@@ -1,6 +1,7 @@
 //! Copies of the objects of a store that a few hosts of each failure domain read from it and pass on to the others.
 
 mod changes;
+mod confirmation_pace;
 mod confirmations;
 mod fallback;
 mod followed_clock;
@@ -9,6 +10,7 @@
 mod readers;
 
 pub use changes::{AppliedChanges, ReplicaChanges, ReplicaGap, WatchEvent, changes_of_watch};
+pub use confirmation_pace::{AgeLimits, ConfirmationPace};
 pub use confirmations::{ConfirmationLimits, Confirmations, OverdueChange, StoreCall};
 pub use fallback::{Fallback, FallbackLimits, MAX_NOTIFIED_HOSTS};
 pub use followed_clock::FollowedClock;
--- a/crates/godwit-core/src/replica/readers.rs
+++ b/crates/godwit-core/src/replica/readers.rs
@@ -12,7 +12,7 @@
 
 use crate::SteadyMs;
 use crate::rendezvous::weight;
-use crate::replica::{Fallback, FallbackLimits};
+use crate::replica::{AgeLimits, ConfirmationPace, Fallback, FallbackLimits};
 use crate::site::PeerHost;
 
 /// Number of hosts of a domain that cannot read the store after which no further host of the domain is tried: the store
@@ -41,6 +41,8 @@
     pub unable: SkipLimits,
     /// Time after which a host that follows another than its rank tells follows its rank again, in milliseconds.
     pub reselect_ms: u64,
+    /// Age of the confirmations of a followed host at which it is left.
+    pub confirmation_age: AgeLimits,
     /// When this host asks the store while it relies on none that it follows.
     pub fallback: FallbackLimits,
 }
@@ -142,6 +144,7 @@
     current: Option<Followed>,
     /// Time of the last message of a followed host.
     heard_at: Option<SteadyMs>,
+    pace: ConfirmationPace,
     fallback: Fallback,
     /// Whether the last plan was to read the store.
     reads_store: bool,
@@ -154,13 +157,14 @@
     ///
     /// ```
     /// use godwit_core::SteadyMs;
-    /// use godwit_core::replica::{FallbackLimits, ReaderLimits, ReaderSelection, SkipLimits};
+    /// use godwit_core::replica::{AgeLimits, FallbackLimits, ReaderLimits, ReaderSelection, SkipLimits};
     /// let skip = SkipLimits { first_ms: 2_000, max_ms: 8_000 };
     /// let fallback = FallbackLimits {
-    ///     silence_ms: 500, max_age_ms: 1_450, spread_ms: 250, offer_ms: 150, interval_ms: 1_000, max_doubtful_calls: 8,
+    ///     silence_ms: 500, overdue_ms: 200, spread_ms: 250, offer_ms: 150, interval_ms: 1_000, max_doubtful_calls: 8,
     /// };
     /// let limits = ReaderLimits {
-    ///     readers_per_domain: 2, stopped: skip, unresponsive: skip, unable: skip, reselect_ms: 30_000, fallback,
+    ///     readers_per_domain: 2, stopped: skip, unresponsive: skip, unable: skip, reselect_ms: 30_000,
+    ///     confirmation_age: AgeLimits { min_ms: 1_250, max_ms: 3_000 }, fallback,
     /// };
     /// let mut selection = ReaderSelection::new("h-1", "a", 20, limits);
     /// assert!(selection.plan(0, SteadyMs(0)).reads_store);
@@ -181,6 +185,7 @@
             lost_kinds: BTreeSet::new(),
             current: None,
             heard_at: None,
+            pace: ConfirmationPace::new(limits.confirmation_age),
             fallback: Fallback::new(limits.fallback),
             reads_store: false,
             tries_again_at: SteadyMs(0),
@@ -252,6 +257,21 @@
         self.heard_at = Some(now);
     }
 
+    /// Records that the connection to another host to follow begins.
+    pub fn begin_follow(&mut self) {
+        self.pace.restart();
+    }
+
+    /// Records as of when the followed host holds all kinds at a time, both on its clock.
+    pub fn record_confirmations(&mut self, confirmed_at: SteadyMs, now_there: SteadyMs) {
+        self.pace.record_status(confirmed_at, now_there);
+    }
+
+    /// Returns the age of its confirmations from which on a followed host is left, in milliseconds.
+    pub fn max_confirmation_age_ms(&self) -> u64 {
+        self.pace.max_age_ms()
+    }
+
     /// Returns when a followed host was last heard from.
     pub fn heard_at(&self) -> Option<SteadyMs> {
         self.heard_at
@@ -316,7 +336,9 @@
             return later;
         }
         let domain_hosts = self.domain_hosts();
-        let call_at = self.fallback.next_call_at(confirmed_at, domain_hosts, draw, now);
+        let max_age_ms = self.max_confirmation_age_ms() + self.limits.fallback.overdue_ms;
+        let too_old_at = confirmed_at.map(|at| at.plus_ms(max_age_ms));
+        let call_at = self.fallback.next_call_at(too_old_at, domain_hosts, draw, now);
         // A host that reads the store without success calls it anyway.
         if self.reads_store { later } else { call_at }
     }
--- a/crates/godwit-core/tests/replica_fallback.rs
+++ b/crates/godwit-core/tests/replica_fallback.rs
@@ -5,8 +5,8 @@
 
 use godwit_core::SteadyMs;
 use godwit_core::replica::{
-    Fallback, FallbackLimits, MAX_NOTIFIED_HOSTS, ReaderLimits, ReaderSelection, SkipLimits,
-    Trouble, sort_readers,
+    AgeLimits, ConfirmationPace, Fallback, FallbackLimits, MAX_NOTIFIED_HOSTS, ReaderLimits,
+    ReaderSelection, SkipLimits, Trouble, sort_readers,
 };
 use godwit_core::site::PeerHost;
 use rand::rngs::SmallRng;
@@ -15,7 +15,7 @@
 
 const FALLBACK: FallbackLimits = FallbackLimits {
     silence_ms: 500,
-    max_age_ms: 1_450,
+    overdue_ms: 200,
     spread_ms: 250,
     offer_ms: 150,
     interval_ms: 1_000,
@@ -28,6 +28,7 @@
     unresponsive: SkipLimits { first_ms: 2_000, max_ms: 30_000 },
     unable: SkipLimits { first_ms: 2_000, max_ms: 8_000 },
     reselect_ms: 30_000,
+    confirmation_age: AgeLimits { min_ms: 1_250, max_ms: 3_000 },
     fallback: FALLBACK,
 };
 
@@ -40,9 +41,8 @@
 const MESSAGE_INTERVAL_MS: u64 = 250;
 /// Time without a message after which a followed host is left.
 const SILENCE_MS: u64 = 800;
-/// Age of confirmations at which a reader asks anew, and at which a follower leaves a host.
+/// Age of confirmations at which a reader asks anew.
 const CONFIRMATION_MS: u64 = 1_000;
-const MAX_CONFIRMATION_AGE_MS: u64 = 1_250;
 /// Time after which a reader gives up a call to the store.
 const GIVE_UP_MS: u64 = 1_200;
 /// Number of hosts to which a host of a larger domain passes an offer on.
@@ -254,6 +254,7 @@
         let plan = node.selection.plan(followers, now);
         let next = plan.follows.map(|host| host.name);
         if node.follow.as_ref().map(|follow| &follow.host) != next.as_ref() {
+            node.selection.begin_follow();
             node.follow = next.map(|host| Follow {
                 host,
                 heard_at_ms: now_ms,
@@ -320,7 +321,9 @@
                 follow.next_message_at_ms = now_ms + MESSAGE_INTERVAL_MS;
                 node.selection.record_message(now);
                 node.copy.version = node.copy.version.max(copy.version);
-                if now_ms - copy.confirmed_at_ms <= MAX_CONFIRMATION_AGE_MS {
+                node.selection.record_confirmations(SteadyMs(copy.confirmed_at_ms), now);
+                let max_age_ms = node.selection.max_confirmation_age_ms();
+                if now_ms - copy.confirmed_at_ms <= max_age_ms {
                     node.copy.confirmed_at_ms = node.copy.confirmed_at_ms.max(copy.confirmed_at_ms);
                     node.selection.record_success(&follow.host, now);
                 } else {
@@ -479,23 +482,18 @@
     for now_ms in (0..10_000).step_by(250) {
         let now = SteadyMs(now_ms);
         fallback.record_confirming_message(now);
-        let confirmed_at = Some(SteadyMs(now_ms.saturating_sub(300)));
-        assert!(!fallback.next_call_at(confirmed_at, 27, 0.0, now).is_past(now), "{now_ms}");
+        let too_old_at = Some(SteadyMs(now_ms + 1_000));
+        assert!(!fallback.next_call_at(too_old_at, 27, 0.0, now).is_past(now), "{now_ms}");
     }
 }
 
 #[test]
-fn next_call_at_heeds_the_age_of_confirmations() {
+fn next_call_at_heeds_the_age_of_copies() {
     let mut fallback = Fallback::new(FALLBACK);
     fallback.record_confirming_message(SteadyMs(2_000));
-    assert_eq!(
-        fallback.next_call_at(Some(SteadyMs(700)), 27, 0.0, SteadyMs(2_000)),
-        SteadyMs(2_150)
-    );
-    assert_eq!(
-        fallback.next_call_at(Some(SteadyMs(700)), 27, 0.0, SteadyMs(2_150)),
-        SteadyMs(2_150)
-    );
+    let too_old_at = Some(SteadyMs(2_150));
+    assert_eq!(fallback.next_call_at(too_old_at, 27, 0.0, SteadyMs(2_000)), SteadyMs(2_150));
+    assert_eq!(fallback.next_call_at(too_old_at, 27, 0.0, SteadyMs(2_150)), SteadyMs(2_150));
 }
 
 #[test]
@@ -505,9 +503,10 @@
     assert_eq!(fallback.next_call_at(None, 27, 0.0, SteadyMs(600)), SteadyMs(600));
     assert!(fallback.begin_call(false, 27, SteadyMs(600)));
     // The call has confirmed everything, but nothing else will.
-    assert_eq!(fallback.next_call_at(Some(SteadyMs(600)), 27, 0.0, SteadyMs(610)), SteadyMs(1_600));
+    let too_old_at = Some(SteadyMs(2_050));
+    assert_eq!(fallback.next_call_at(too_old_at, 27, 0.0, SteadyMs(610)), SteadyMs(1_600));
     fallback.record_confirming_message(SteadyMs(700));
-    assert_eq!(fallback.next_call_at(Some(SteadyMs(690)), 27, 0.0, SteadyMs(700)), SteadyMs(1_200));
+    assert_eq!(fallback.next_call_at(too_old_at, 27, 0.0, SteadyMs(700)), SteadyMs(1_200));
 }
 
 #[test]
@@ -561,3 +560,42 @@
     assert_eq!([next_ms(true), next_ms(true), next_ms(true)], [3_000, 5_000, 5_000]);
     assert_eq!(next_ms(false), 2_000);
 }
+
+/// Returns the age at which a followed host is left whose confirmations have become so old before the next ones.
+fn max_age_ms(ages_ms: &[u64]) -> u64 {
+    let mut pace = ConfirmationPace::new(LIMITS.confirmation_age);
+    let mut confirmed_at_ms = 0;
+    pace.record_status(SteadyMs(0), SteadyMs(0));
+    for age_ms in ages_ms {
+        let now = SteadyMs(confirmed_at_ms + age_ms);
+        confirmed_at_ms += age_ms - 10;
+        pace.record_status(SteadyMs(confirmed_at_ms), now);
+    }
+    pace.max_age_ms()
+}
+
+#[test]
+fn max_age_ms_follows_a_slow_store() {
+    assert_eq!(max_age_ms(&[]), 1_250);
+    assert_eq!(max_age_ms(&[1_010, 1_010, 1_010]), 1_250);
+    assert_eq!(max_age_ms(&[1_010, 1_600, 1_600]), 1_840);
+    assert_eq!(max_age_ms(&[1_600, 1_250, 1_600, 1_250]), 1_840);
+    assert_eq!(max_age_ms(&[4_000, 4_000]), 3_000);
+}
+
+#[test]
+fn max_age_ms_ignores_one_late_answer() {
+    assert_eq!(max_age_ms(&[1_010, 1_010, 2_500]), 1_250);
+    assert_eq!(max_age_ms(&[1_600, 1_600, 1_010, 1_010, 1_010]), 1_250);
+}
+
+/// Ages of different hosts on their clocks say nothing about one of them.
+#[test]
+fn max_age_ms_does_not_compare_hosts() {
+    let mut pace = ConfirmationPace::new(LIMITS.confirmation_age);
+    for round in 0..10 {
+        pace.restart();
+        pace.record_status(SteadyMs(90_000 * round), SteadyMs(90_000 * round + 10));
+    }
+    assert_eq!(pace.max_age_ms(), 1_250);
+}
--- a/crates/godwit-core/tests/replica_readers.rs
+++ b/crates/godwit-core/tests/replica_readers.rs
@@ -5,7 +5,7 @@
 
 use godwit_core::SteadyMs;
 use godwit_core::replica::{
-    FallbackLimits, ReaderLimits, ReaderSelection, SkipLimits, Trouble, sort_readers,
+    AgeLimits, FallbackLimits, ReaderLimits, ReaderSelection, SkipLimits, Trouble, sort_readers,
 };
 use godwit_core::site::PeerHost;
 
@@ -15,9 +15,10 @@
     unresponsive: SkipLimits { first_ms: 2_000, max_ms: 30_000 },
     unable: SkipLimits { first_ms: 2_000, max_ms: 8_000 },
     reselect_ms: 30_000,
+    confirmation_age: AgeLimits { min_ms: 1_250, max_ms: 3_000 },
     fallback: FallbackLimits {
         silence_ms: 500,
-        max_age_ms: 1_450,
+        overdue_ms: 200,
         spread_ms: 250,
         offer_ms: 150,
         interval_ms: 1_000,
--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -50,10 +50,6 @@
 /// Interval at which the plan is checked while no host is followed.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Age of a confirmation at which a host that can read the store, by its own account, is left, in milliseconds. Longer
-/// than such a host takes to confirm what it holds.
-const MAX_CONFIRMATION_AGE_MS: u64 = 1_250;
-
 /// Time after which a followed host is left that has not confirmed all kinds, in milliseconds.
 const FIRST_CONFIRMATIONS_TIMEOUT_MS: u64 = 3_000;
 
@@ -170,6 +166,7 @@
         known_revisions: site.known_revisions(),
     };
     write_frame(&mut stream, &encode_frame(&request)?, SILENCE_TIMEOUT).await?;
+    site.readers.borrow_mut().begin_follow();
     let first_changes_by = site.now().plus_ms(FIRST_CHANGES_TIMEOUT_MS);
     let first_confirmations_by = site.now().plus_ms(FIRST_CONFIRMATIONS_TIMEOUT_MS);
     site.restart_lag();
@@ -189,13 +186,12 @@
             } => {
                 site.end_watches_that_lack(&mut brought);
                 clock.record_status(received_beats, SteadyMs(steady_ms));
-                let is_old = |(_, ms): &(ObjectKind, u64)| {
-                    SteadyMs(steady_ms).since_ms(SteadyMs(*ms)) > MAX_CONFIRMATION_AGE_MS
-                };
                 let is_complete = ObjectKind::ALL
                     .iter()
                     .all(|kind| confirmed_steady_ms.iter().any(|(confirmed, _)| confirmed == kind));
-                let is_unconfirmed = confirmed_steady_ms.iter().any(is_old)
+                let oldest = confirmed_steady_ms.iter().map(|(_, ms)| SteadyMs(*ms)).min();
+                let oldest = oldest.unwrap_or(SteadyMs(steady_ms));
+                let is_unconfirmed = site.is_too_old(oldest, SteadyMs(steady_ms), is_complete)
                     || (!is_complete && first_confirmations_by.is_past(site.now()));
                 site.record_confirmations(&clock, &confirmed_steady_ms);
                 let is_able = can_read_store && !is_unconfirmed;
@@ -284,6 +280,15 @@
         next.is_some_and(|next| next.name == name)
     }
 
+    /// Whether a followed host has confirmed what it sent as of a time that is too long ago, both on its clock.
+    fn is_too_old(&self, confirmed_at: SteadyMs, now_there: SteadyMs, is_complete: bool) -> bool {
+        let mut readers = self.readers.borrow_mut();
+        if is_complete {
+            readers.record_confirmations(confirmed_at, now_there);
+        }
+        now_there.since_ms(confirmed_at) > readers.max_confirmation_age_ms()
+    }
+
     /// Takes over as of when a followed host has found that this host now holds everything.
     fn record_confirmations(
         &self,
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -8,8 +8,8 @@
 use godwit_core::SteadyMs;
 use godwit_core::quarantine::CrashRegister;
 use godwit_core::replica::{
-    Confirmations, FallbackLimits, ObjectReplica, ReaderLimits, ReaderSelection, SkipLimits,
-    StoredObject,
+    AgeLimits, Confirmations, FallbackLimits, ObjectReplica, ReaderLimits, ReaderSelection,
+    SkipLimits, StoredObject,
 };
 use godwit_core::site::{
     CallerLimits, Configuration, DetourHosts, FailingServers, Findings, FreshnessTracker,
@@ -63,9 +63,10 @@
     unresponsive: SkipLimits { first_ms: 2_000, max_ms: 30_000 },
     unable: SkipLimits { first_ms: 2_000, max_ms: 8_000 },
     reselect_ms: 30_000,
+    confirmation_age: AgeLimits { min_ms: 1_250, max_ms: 3_000 },
     fallback: FallbackLimits {
         silence_ms: 500,
-        max_age_ms: 1_450,
+        overdue_ms: 200,
         spread_ms: 250,
         offer_ms: 150,
         interval_ms: 1_000,
