Keep the limits of readers in one place

The gateway and two tests of the selection had a copy each, so that a test could have held for limits that no host uses. No change of behaviour.

--- a/crates/godwit-core/src/replica/readers.rs
+++ b/crates/godwit-core/src/replica/readers.rs
@@ -47,6 +47,26 @@
     pub fallback: FallbackLimits,
 }
 
+impl ReaderLimits {
+    /// Limits of hosts, at sites of any size.
+    pub const DEFAULT: ReaderLimits = ReaderLimits {
+        readers_per_domain: 2,
+        stopped: SkipLimits { first_ms: 250, max_ms: 30_000 },
+        unresponsive: SkipLimits { first_ms: 2_000, max_ms: 30_000 },
+        unable: SkipLimits { first_ms: 2_000, max_ms: 8_000 },
+        reselect_ms: 30_000,
+        confirmation_age: AgeLimits { min_ms: 1_250, max_ms: 3_000 },
+        fallback: FallbackLimits {
+            silence_ms: 500,
+            overdue_ms: 200,
+            spread_ms: 250,
+            offer_ms: 150,
+            interval_ms: 1_000,
+            max_doubtful_calls: 8,
+        },
+    };
+}
+
 /// Times for which a host is skipped after trouble.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SkipLimits {
@@ -157,16 +177,8 @@
     ///
     /// ```
     /// use godwit_core::SteadyMs;
-    /// use godwit_core::replica::{AgeLimits, FallbackLimits, ReaderLimits, ReaderSelection, SkipLimits};
-    /// let skip = SkipLimits { first_ms: 2_000, max_ms: 8_000 };
-    /// let fallback = FallbackLimits {
-    ///     silence_ms: 500, overdue_ms: 200, spread_ms: 250, offer_ms: 150, interval_ms: 1_000, max_doubtful_calls: 8,
-    /// };
-    /// let limits = ReaderLimits {
-    ///     readers_per_domain: 2, stopped: skip, unresponsive: skip, unable: skip, reselect_ms: 30_000,
-    ///     confirmation_age: AgeLimits { min_ms: 1_250, max_ms: 3_000 }, fallback,
-    /// };
-    /// let mut selection = ReaderSelection::new("h-1", "a", 20, limits);
+    /// use godwit_core::replica::{ReaderLimits, ReaderSelection};
+    /// let mut selection = ReaderSelection::new("h-1", "a", 20, ReaderLimits::DEFAULT);
     /// assert!(selection.plan(0, SteadyMs(0)).reads_store);
     /// ```
     pub fn new(
--- a/crates/godwit-core/tests/replica_fallback.rs
+++ b/crates/godwit-core/tests/replica_fallback.rs
@@ -5,32 +5,17 @@
 
 use godwit_core::SteadyMs;
 use godwit_core::replica::{
-    AgeLimits, ConfirmationPace, Fallback, FallbackLimits, MAX_NOTIFIED_HOSTS, ReaderLimits,
-    ReaderSelection, SkipLimits, Trouble, sort_readers,
+    ConfirmationPace, Fallback, FallbackLimits, MAX_NOTIFIED_HOSTS, ReaderLimits, ReaderSelection,
+    Trouble, sort_readers,
 };
 use godwit_core::site::PeerHost;
 use rand::rngs::SmallRng;
 use rand::seq::{IteratorRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 
-const FALLBACK: FallbackLimits = FallbackLimits {
-    silence_ms: 500,
-    overdue_ms: 200,
-    spread_ms: 250,
-    offer_ms: 150,
-    interval_ms: 1_000,
-    max_doubtful_calls: 8,
-};
+const FALLBACK: FallbackLimits = LIMITS.fallback;
 
-const LIMITS: ReaderLimits = ReaderLimits {
-    readers_per_domain: 2,
-    stopped: SkipLimits { first_ms: 250, max_ms: 30_000 },
-    unresponsive: SkipLimits { first_ms: 2_000, max_ms: 30_000 },
-    unable: SkipLimits { first_ms: 2_000, max_ms: 8_000 },
-    reselect_ms: 30_000,
-    confirmation_age: AgeLimits { min_ms: 1_250, max_ms: 3_000 },
-    fallback: FALLBACK,
-};
+const LIMITS: ReaderLimits = ReaderLimits::DEFAULT;
 
 /// Time within which hosts use a new configuration: the `ConfigApplyMs` of the smallest sites.
 const APPLY_MS: u64 = 2_000;
--- a/crates/godwit-core/tests/replica_readers.rs
+++ b/crates/godwit-core/tests/replica_readers.rs
@@ -4,27 +4,10 @@
 use std::net::SocketAddr;
 
 use godwit_core::SteadyMs;
-use godwit_core::replica::{
-    AgeLimits, FallbackLimits, ReaderLimits, ReaderSelection, SkipLimits, Trouble, sort_readers,
-};
+use godwit_core::replica::{ReaderLimits, ReaderSelection, Trouble, sort_readers};
 use godwit_core::site::PeerHost;
 
-const LIMITS: ReaderLimits = ReaderLimits {
-    readers_per_domain: 2,
-    stopped: SkipLimits { first_ms: 250, max_ms: 30_000 },
-    unresponsive: SkipLimits { first_ms: 2_000, max_ms: 30_000 },
-    unable: SkipLimits { first_ms: 2_000, max_ms: 8_000 },
-    reselect_ms: 30_000,
-    confirmation_age: AgeLimits { min_ms: 1_250, max_ms: 3_000 },
-    fallback: FallbackLimits {
-        silence_ms: 500,
-        overdue_ms: 200,
-        spread_ms: 250,
-        offer_ms: 150,
-        interval_ms: 1_000,
-        max_doubtful_calls: 8,
-    },
-};
+const LIMITS: ReaderLimits = ReaderLimits::DEFAULT;
 
 fn candidate(name: &str, capacity: u32) -> PeerHost {
     let failure_domain = name[..1].to_string();
--- a/crates/godwit-gateway/src/replica/follow.rs
+++ b/crates/godwit-gateway/src/replica/follow.rs
@@ -185,13 +185,18 @@
                 ..
             } => {
                 site.end_watches_that_lack(&mut brought);
-                clock.record_status(received_beats, SteadyMs(steady_ms));
                 let is_complete = ObjectKind::ALL
                     .iter()
                     .all(|kind| confirmed_steady_ms.iter().any(|(confirmed, _)| confirmed == kind));
+                let now_there = SteadyMs(steady_ms);
+                clock.record_status(received_beats, now_there);
                 let oldest = confirmed_steady_ms.iter().map(|(_, ms)| SteadyMs(*ms)).min();
-                let oldest = oldest.unwrap_or(SteadyMs(steady_ms));
-                let is_unconfirmed = site.is_too_old(oldest, SteadyMs(steady_ms), is_complete)
+                let confirmed_there = oldest.unwrap_or(now_there);
+                if is_complete {
+                    site.readers.borrow_mut().record_confirmations(confirmed_there, now_there);
+                }
+                let max_age_ms = site.readers.borrow().max_confirmation_age_ms();
+                let is_unconfirmed = now_there.since_ms(confirmed_there) > max_age_ms
                     || (!is_complete && first_confirmations_by.is_past(site.now()));
                 site.record_confirmations(&clock, &confirmed_steady_ms);
                 let is_able = can_read_store && !is_unconfirmed;
@@ -280,15 +285,6 @@
         next.is_some_and(|next| next.name == name)
     }
 
-    /// Whether a followed host has confirmed what it sent as of a time that is too long ago, both on its clock.
-    fn is_too_old(&self, confirmed_at: SteadyMs, now_there: SteadyMs, is_complete: bool) -> bool {
-        let mut readers = self.readers.borrow_mut();
-        if is_complete {
-            readers.record_confirmations(confirmed_at, now_there);
-        }
-        now_there.since_ms(confirmed_at) > readers.max_confirmation_age_ms()
-    }
-
     /// Takes over as of when a followed host has found that this host now holds everything.
     fn record_confirmations(
         &self,
--- a/crates/godwit-gateway/src/site.rs
+++ b/crates/godwit-gateway/src/site.rs
@@ -8,8 +8,7 @@
 use godwit_core::SteadyMs;
 use godwit_core::quarantine::CrashRegister;
 use godwit_core::replica::{
-    AgeLimits, Confirmations, FallbackLimits, ObjectReplica, ReaderLimits, ReaderSelection,
-    SkipLimits, StoredObject,
+    Confirmations, ObjectReplica, ReaderLimits, ReaderSelection, StoredObject,
 };
 use godwit_core::site::{
     CallerLimits, Configuration, DetourHosts, FailingServers, Findings, FreshnessTracker,
@@ -56,24 +55,6 @@
 /// Longest ejection time of a server, in milliseconds.
 const MAX_EJECTION_MS: u64 = 6_000;
 
-/// How hosts share the reading of the store.
-const READER_LIMITS: ReaderLimits = ReaderLimits {
-    readers_per_domain: 2,
-    stopped: SkipLimits { first_ms: 250, max_ms: 30_000 },
-    unresponsive: SkipLimits { first_ms: 2_000, max_ms: 30_000 },
-    unable: SkipLimits { first_ms: 2_000, max_ms: 8_000 },
-    reselect_ms: 30_000,
-    confirmation_age: AgeLimits { min_ms: 1_250, max_ms: 3_000 },
-    fallback: FallbackLimits {
-        silence_ms: 500,
-        overdue_ms: 200,
-        spread_ms: 250,
-        offer_ms: 150,
-        interval_ms: 1_000,
-        max_doubtful_calls: 8,
-    },
-};
-
 /// Returns the id of the server that an incarnation is named after; see [`Site::incarnation`].
 pub(crate) fn server_id_of(incarnation: &str) -> &str {
     incarnation.rsplit_once('/').map_or(incarnation, |(id, _)| id)
@@ -214,7 +195,7 @@
                 &settings.host,
                 &settings.failure_domain,
                 settings.link_mbps,
-                READER_LIMITS,
+                ReaderLimits::DEFAULT,
             )),
             memory: Memory::new(content_bytes),
             settings,
