--- a/crates/godwit-platform/src/http.rs
+++ b/crates/godwit-platform/src/http.rs
@@ -5,6 +5,11 @@
 use std::time::Duration;
 
 use minreq::{Error, Request, Response};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
+
+/// Bytes that are encoded in a path or query.
+const ENCODED_BYTES: &AsciiSet =
+    &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~').remove(b'/');
 
 const MS_PER_S: u64 = 1_000;
 
@@ -56,15 +61,6 @@
 }
 
 /// Percent-encodes a text for a path or query of a URL; `/` is left as it is.
-pub(crate) fn percent_encode(text: &str) -> String {
-    let mut encoded = String::with_capacity(text.len());
-    for byte in text.bytes() {
-        match byte {
-            b'A'..=b'Z' | b'a'..=b'z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' | b'/' => {
-                encoded.push(char::from(byte));
-            }
-            _ => encoded.push_str(&format!("%{byte:02X}")),
-        }
-    }
-    encoded
+pub(crate) fn percent_encode(text: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(text, ENCODED_BYTES)
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod memory;
 mod notices;
 mod odd_entries;
+mod odd_names;
 mod order;
 mod orders;
 mod overload;
--- /dev/null
+++ b/tests/gateway/odd_names.rs
@@ -0,0 +1,92 @@
+//! Objects that other writers left in the store under names that mean something else in a URL, in lists of several pages.
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use crate::host::{Host, configuration};
+use crate::server::{Behavior, FakeServer};
+use crate::store::FakeStore;
+
+/// Size of an entry that fills a page of a list.
+const PAGE_BYTES: usize = 1 << 20;
+
+/// Number of requests that must be served beside an entry.
+const REQUESTS: usize = 10;
+
+/// Time after its start within which a host serves.
+const START_TIME: Duration = Duration::from_secs(4);
+
+/// Names that come before those of the servers behind them.
+const ODD_NAMES: [&str; 22] = [
+    "k k",
+    "k#k",
+    "&",
+    "+",
+    "k&Watch=1",
+    "k?k",
+    "k%",
+    "k%20k",
+    "k%zz",
+    "%",
+    "k/k",
+    "/",
+    "k=k",
+    "k;k",
+    "k\"k",
+    "k\\k",
+    "k\r\nk",
+    "k\0k",
+    "k\u{7f}k",
+    " ",
+    "k\u{e9}k",
+    "k HTTP/1.1",
+];
+
+fn large_content(bytes: usize) -> Vec<u8> {
+    json!({"Note": "x".repeat(bytes)}).to_string().into_bytes()
+}
+
+fn serves(host: &Host) -> bool {
+    host.call("GET", "/read/1", b"").is_ok_and(|response| response.status() == 200)
+}
+
+fn requests(server: &FakeServer) -> usize {
+    server.requests().len()
+}
+
+/// Returns how many requests a new host serves after it had time to start, up to [`REQUESTS`], of which the servers must have
+/// had some each.
+fn served_after_start(store: &FakeStore, servers: &[FakeServer]) -> usize {
+    let host = Host::start_with_store(store.clone());
+    let deadline = Instant::now() + START_TIME;
+    while host.readiness_status() != 200 && Instant::now() < deadline {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let served = (0..REQUESTS).filter(|_| serves(&host)).count();
+    while !servers.iter().all(|server| requests(server) > 0) && Instant::now() < deadline {
+        serves(&host);
+    }
+    if servers.iter().all(|server| requests(server) > 0) { served } else { 0 }
+}
+
+/// Starts servers with names before and behind [`ODD_NAMES`], and lists them in a new store.
+fn start_servers(ids: [&str; 2]) -> (FakeStore, [FakeServer; 2]) {
+    let servers = ids.map(|id| FakeServer::start(id, &[Behavior::Respond]));
+    let store = FakeStore::start();
+    store.put("config", "main", configuration(1));
+    for server in &servers {
+        store.put("servers", &server.id, server.entry("api", None));
+    }
+    (store, servers)
+}
+
+#[test]
+fn requests_are_served_beside_an_entry_with_an_odd_name_at_the_end_of_a_page() {
+    for name in ODD_NAMES {
+        let (store, servers) = start_servers(["a-1", "s-1"]);
+        assert!(name < "s-1", "{name:?} is on an earlier page than the second server");
+        store.put_raw("servers", name, large_content(PAGE_BYTES));
+        assert_eq!(served_after_start(&store, &servers), REQUESTS, "{name:?}");
+    }
+}
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -410,6 +410,33 @@
     found.min_by_key(|(_, at, _)| *at)
 }
 
+/// Decodes a name in a query: a plus sign is a blank, and a percent sign stands before two hexadecimal digits of a byte.
+fn decode_form(text: &str) -> String {
+    let mut decoded = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((byte, next)) = rest.split_first() {
+        rest = next;
+        let digits = next.get(..2).and_then(|digits| std::str::from_utf8(digits).ok());
+        let value = digits.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        match (byte, value) {
+            (b'%', Some(value)) => {
+                decoded.push(value);
+                rest = &next[2..];
+            }
+            (b'+', _) => decoded.push(b' '),
+            _ => decoded.push(*byte),
+        }
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
+
+/// Returns the target of a request without its fragment; none if the request line is not made of three words.
+fn request_target(request: &Message) -> Option<&str> {
+    let words: Vec<&str> = request.start_line.split(' ').collect();
+    let [_, target, "HTTP/1.1"] = words[..] else { return None };
+    target.split('#').next()
+}
+
 /// Handles a call and returns the answer; none if the connection ends without one.
 fn handle_request(shared: &(Mutex<Objects>, Condvar), request: &Message) -> Option<Answer> {
     let mut objects = shared.0.lock().expect("no panic");
@@ -417,7 +444,7 @@
         return None;
     }
     objects.calls += 1;
-    let target = request.start_line_part(1);
+    let Some(target) = request_target(request) else { return objects.answer(400, Value::Null) };
     let path = target.split('?').next().unwrap_or_default();
     let mut parts = path.trim_start_matches("/api/objects/").split('/');
     let kind = parts.next().unwrap_or_default();
@@ -427,7 +454,8 @@
                 watch(objects, &shared.1, kind, revision, query_number(target, "WaitMs"))
             }
             None => {
-                let page = list(&objects, kind, after_name(target));
+                let after = decode_form(after_name(target));
+                let page = list(&objects, kind, &after);
                 if page["HasMore"] == true {
                     objects.write_after_first_page(kind);
                 }
@@ -435,7 +463,8 @@
             }
         },
         (method, Some(name)) => {
-            let (status, body) = write(&mut objects, method, kind, name, &request.body);
+            let name = decode_form(name);
+            let (status, body) = write(&mut objects, method, kind, &name, &request.body);
             shared.1.notify_all();
             objects.answer(status, body)
         }
