Read lists of the store on behind names that it reads differently

Callers saw servers vanish, or no request served after a restart, beside a store that takes an encoded name for another one: a page after which the next one had no new items, or no items at all, ended the list as if it were whole, and the servers behind it counted as removed.

Cause: the list ended when the last name was the one after which the page had begun, whatever HasMore said.

The next page now begins after the last name of a page that reads the same in every encoding, even if the page then repeats items, and after the very last name only if that brings nothing new. A list that still does not go on has failed: what is held stays in use, and the list is read again later. Until it can be read, a host that holds nothing yet does not serve.

--- /dev/null
+++ b/crates/godwit-core/src/replica/list_cursor.rs
@@ -0,0 +1,70 @@
+//! Position in a list of objects that comes in pages.
+
+use std::collections::BTreeSet;
+
+/// The list has more pages, but the next one cannot be reached.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the list does not go on after a page")]
+pub struct ListStalled;
+
+/// Whether all bytes of a name are unreserved in URLs, so that it reads the same however a store decodes queries.
+fn is_unreserved(name: &[u8]) -> bool {
+    let is_unreserved = |byte: &u8| byte.is_ascii_alphanumeric() || b"-._~".contains(byte);
+    name.iter().all(is_unreserved)
+}
+
+/// Name after which the next page of a list starts.
+///
+/// Other writers choose names that mean something else in a URL, and not every store decodes these as they were encoded.
+/// The next page therefore starts after the last unreserved name of a page, although it may repeat items then. If it has no
+/// new items, it is read again after the very last name.
+///
+/// ```
+/// use godwit_core::replica::{ListCursor, ListStalled};
+/// let mut cursor = ListCursor::default();
+/// assert_eq!(cursor.advance(["i-1", "k&k"].map(str::as_bytes)), Ok(()));
+/// assert_eq!(cursor.after(), Some(&b"i-1"[..]));
+/// assert_eq!(cursor.advance(["k&k"].map(str::as_bytes)), Ok(()));
+/// assert_eq!(cursor.after(), Some(&b"k&k"[..]));
+/// assert_eq!(cursor.advance(["k&k"].map(str::as_bytes)), Err(ListStalled));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct ListCursor {
+    seen: BTreeSet<Vec<u8>>,
+    after: Option<Vec<u8>>,
+    /// Last name of the last page that had new items.
+    last: Option<Vec<u8>>,
+}
+
+impl ListCursor {
+    /// Returns the name after which the next page starts; none for the first page.
+    pub fn after(&self) -> Option<&[u8]> {
+        self.after.as_deref()
+    }
+
+    /// Moves behind a page, after which the list goes on, with the names of its items in their order.
+    ///
+    /// # Errors
+    /// When the page has no new names, although it starts after the very last name known.
+    pub fn advance<'a>(
+        &mut self,
+        names: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Result<(), ListStalled> {
+        let (mut last, mut last_unreserved) = (None, None);
+        let mut has_new = false;
+        for name in names {
+            has_new |= self.seen.insert(name.to_vec());
+            last = Some(name);
+            last_unreserved = Some(name).filter(|name| is_unreserved(name)).or(last_unreserved);
+        }
+        if has_new {
+            self.last = last.map(<[u8]>::to_vec);
+            self.after = last_unreserved.or(last).map(<[u8]>::to_vec);
+        } else if self.after == self.last {
+            return Err(ListStalled);
+        } else {
+            self.after.clone_from(&self.last);
+        }
+        Ok(())
+    }
+}
--- a/crates/godwit-core/src/replica/mod.rs
+++ b/crates/godwit-core/src/replica/mod.rs
@@ -5,6 +5,7 @@
 mod confirmations;
 mod fallback;
 mod followed_clock;
+mod list_cursor;
 mod objects;
 mod position;
 mod readers;
@@ -14,6 +15,7 @@
 pub use confirmations::{ConfirmationLimits, Confirmations, OverdueChange, StoreCall};
 pub use fallback::{Fallback, FallbackLimits, MAX_NOTIFIED_HOSTS};
 pub use followed_clock::FollowedClock;
+pub use list_cursor::{ListCursor, ListStalled};
 pub use objects::{AcceptOutcome, ObjectReplica, ReplicaDigest, StoredObject};
 pub use position::{StorePosition, fencing_number};
 pub use readers::{
--- a/crates/godwit-gateway/src/store/list_watch.rs
+++ b/crates/godwit-gateway/src/store/list_watch.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use godwit_adapter::{Change, Object, decode_changes, decode_listing, list_path, watch_path};
+use godwit_adapter::{Change, Object, decode_changes, watch_path};
 use godwit_core::replica::{
     ReplicaChanges, StoreCall, StorePosition, StoredObject, WatchEvent, changes_of_watch,
 };
@@ -16,6 +16,7 @@
 use crate::replica::ObjectKind;
 use crate::site::Site;
 use crate::store::client::{CallTimeouts, StoreClient};
+use crate::store::paged_listing::PagedListing;
 use crate::store::pending::Interruption;
 use crate::store::unreadable::NameSample;
 
@@ -211,7 +212,8 @@
     }
 }
 
-fn ordinal(era: u64, revision: u64) -> Result<u64, StepError> {
+/// Returns the ordinal of a revision in an era of the store.
+pub(super) fn ordinal(era: u64, revision: u64) -> Result<u64, StepError> {
     let position = StorePosition::new(era, revision);
     let position =
         position.ok_or_else(|| StepError::Call("the revision is out of range".into()))?;
@@ -279,35 +281,17 @@
     }
 
     async fn list(&mut self, site: &Site) -> Result<ReplicaChanges, StepError> {
-        let mut objects = Vec::new();
-        let mut unreadable = NameSample::default();
-        let mut after: Option<String> = None;
-        let mut first_position: Option<(u64, u64)> = None;
+        let mut listing = PagedListing::new(self.kind);
         let timeouts = CallTimeouts { head: LIST_TIMEOUT, response: LIST_TIMEOUT };
         loop {
-            let path = list_path(self.kind.name(), after.as_deref(), false);
-            let (body, page_era) = self.client.get(&path, timeouts).await?;
-            let listing =
-                decode_listing(&body).map_err(|error| StepError::Call(error.to_string()))?;
-            // Changes of the first page that happen while the next ones are read come after its revision.
-            let (era, revision) = *first_position.get_or_insert((page_era, listing.revision));
-            if page_era != era {
-                return Err(StepError::NewEra);
-            }
-            unreadable.add_nameless(listing.without_metadata);
-            let stored = listing.objects.into_iter();
-            let stored =
-                stored.filter_map(|object| stored_object(self.kind, era, object, &mut unreadable));
-            objects.extend(stored);
-            let last = listing.last_name;
-            if !listing.has_more || last.is_none() || last == after {
-                let revision = ordinal(era, revision)?;
-                self.record_response(site);
-                site.record_unreadable(self.kind, revision, &unreadable);
-                return Ok(ReplicaChanges::listing(revision, objects));
+            let (body, era) = self.client.get(&listing.next_path(false), timeouts).await?;
+            if !listing.add_page(&body, era)? {
+                break;
             }
-            after = last;
         }
+        let changes = listing.finish(site)?;
+        self.record_response(site);
+        Ok(changes)
     }
 
     async fn watch(
--- a/crates/godwit-gateway/src/store/mod.rs
+++ b/crates/godwit-gateway/src/store/mod.rs
@@ -5,6 +5,7 @@
 mod era;
 mod hosts;
 mod list_watch;
+mod paged_listing;
 mod pending;
 mod quarantines;
 mod unreadable;
--- a/tests/gateway/odd_names.rs
+++ b/tests/gateway/odd_names.rs
@@ -5,17 +5,21 @@
 use serde_json::json;
 
 use crate::host::{Host, configuration};
+use crate::http::STEP_TIMEOUT;
 use crate::server::{Behavior, FakeServer};
-use crate::store::FakeStore;
+use crate::store::{FakeStore, NameDecoding};
 
 /// Size of an entry that fills a page of a list.
 const PAGE_BYTES: usize = 1 << 20;
 
+/// Size of an entry of which two fill a page.
+const HALF_PAGE_BYTES: usize = 600 << 10;
+
 /// Number of requests that must be served beside an entry.
 const REQUESTS: usize = 10;
 
-/// Time after its start within which a host serves.
-const START_TIME: Duration = Duration::from_secs(4);
+/// Time in which a host lists the servers several times if it fails to.
+const RELIST_TIME: Duration = Duration::from_secs(4);
 
 /// Names that come before those of the servers behind them.
 const ODD_NAMES: [&str; 22] = [
@@ -59,7 +63,7 @@
 /// had some each.
 fn served_after_start(store: &FakeStore, servers: &[FakeServer]) -> usize {
     let host = Host::start_with_store(store.clone());
-    let deadline = Instant::now() + START_TIME;
+    let deadline = Instant::now() + STEP_TIMEOUT;
     while host.readiness_status() != 200 && Instant::now() < deadline {
         std::thread::sleep(Duration::from_millis(20));
     }
@@ -90,3 +94,47 @@
         assert_eq!(served_after_start(&store, &servers), REQUESTS, "{name:?}");
     }
 }
+
+/// Whether a store decodes names in queries is not known in advance.
+#[test]
+fn requests_are_served_beside_odd_names_however_the_store_reads_them() {
+    for decoding in [NameDecoding::Form, NameDecoding::Literal] {
+        for name in ODD_NAMES {
+            let (store, servers) = start_servers(["a-1", "s-1"]);
+            store.set_name_decoding(decoding);
+            for (prefix, other) in [("b", "b-plain"), ("c", "c-plain")] {
+                store.put_raw("servers", other, large_content(HALF_PAGE_BYTES));
+                store.put_raw(
+                    "servers",
+                    &format!("{prefix}{name}"),
+                    large_content(HALF_PAGE_BYTES),
+                );
+            }
+            assert_eq!(served_after_start(&store, &servers), REQUESTS, "{decoding:?} {name:?}");
+        }
+    }
+}
+
+/// A store that takes `%26` for the name begins the next page with the same entry.
+#[test]
+fn servers_behind_a_page_that_does_not_go_on_stay_in_use() {
+    let (store, servers) = start_servers(["a-1", "s-1"]);
+    let host = Host::start_with_store(store.clone());
+    host.wait_until_ready();
+    host.wait_for("both servers", || serves(&host) && servers.iter().all(|it| requests(it) > 0));
+    store.set_name_decoding(NameDecoding::Literal);
+    store.put_raw("servers", "&", large_content(PAGE_BYTES));
+    store.forget_history();
+    let deadline = Instant::now() + RELIST_TIME;
+    while Instant::now() < deadline {
+        assert!(serves(&host));
+    }
+    for server in &servers {
+        let before = requests(server);
+        host.wait_for("each server", || serves(&host) && requests(server) > before);
+    }
+    let late = FakeServer::start("t-1", &[Behavior::Respond]);
+    store.remove("servers", "&");
+    store.put("servers", "t-1", late.entry("api", None));
+    host.wait_for("a server that is added", || serves(&host) && requests(&late) > 0);
+}
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -36,6 +36,25 @@
     Unreadable,
 }
 
+/// How the store reads names in paths and queries.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum NameDecoding {
+    /// As URLs and forms have it.
+    #[default]
+    Form,
+    /// Byte for byte.
+    Literal,
+}
+
+impl NameDecoding {
+    fn decode(self, text: &str) -> String {
+        match self {
+            NameDecoding::Form => decode_form(text),
+            NameDecoding::Literal => text.to_string(),
+        }
+    }
+}
+
 /// What the store holds, and returns to if it comes back from an older copy.
 #[derive(Clone, Default)]
 pub(crate) struct StoreCopy {
@@ -79,6 +98,7 @@
     held: StoreCopy,
     era: u64,
     era_header: EraHeader,
+    name_decoding: NameDecoding,
     /// Whether connections end without an answer.
     is_away: bool,
     /// Number of watches that will hang, by kind.
@@ -234,6 +254,11 @@
         changed.notify_all();
     }
 
+    /// Sets how names in paths and queries are read from now on.
+    pub(crate) fn set_name_decoding(&self, name_decoding: NameDecoding) {
+        self.objects.0.lock().expect("no panic").name_decoding = name_decoding;
+    }
+
     pub(crate) fn put(&self, kind: &str, name: &str, specification: Value) {
         let (objects, changed) = &*self.objects;
         objects.lock().expect("no panic").write(kind, name, specification);
@@ -454,7 +479,7 @@
                 watch(objects, &shared.1, kind, revision, query_number(target, "WaitMs"))
             }
             None => {
-                let after = decode_form(after_name(target));
+                let after = objects.name_decoding.decode(after_name(target));
                 let page = list(&objects, kind, &after);
                 if page["HasMore"] == true {
                     objects.write_after_first_page(kind);
@@ -463,7 +488,7 @@
             }
         },
         (method, Some(name)) => {
-            let name = decode_form(name);
+            let name = objects.name_decoding.decode(name);
             let (status, body) = write(&mut objects, method, kind, &name, &request.body);
             shared.1.notify_all();
             objects.answer(status, body)
