Read lists of the store on behind names that are no text

Callers were refused after a restart while an entry whose name no parser reads as text, such as "k\ud800", ended a page.

Cause: a page continues after the last name that can be read. The entry filled a page by itself, so that there was none.

Listing now has the bytes of all names, of which the lists need no more than to encode them in a path. Such an entry still names no server.

--- a/crates/godwit-gateway/src/store/paged_listing.rs
+++ b/crates/godwit-gateway/src/store/paged_listing.rs
@@ -56,7 +56,7 @@
             }
         }
         if listing.has_more {
-            let names = listing.names.iter().map(String::as_bytes);
+            let names = listing.names.iter().map(Vec::as_slice);
             self.cursor.advance(names).map_err(|error| StepError::Call(error.to_string()))?;
         }
         Ok(listing.has_more)
--- a/tests/gateway/odd_names.rs
+++ b/tests/gateway/odd_names.rs
@@ -115,6 +115,17 @@
     }
 }
 
+#[test]
+fn requests_are_served_beside_names_that_no_parser_reads_at_the_end_of_a_page() {
+    for name_text in [&br#""k\ud800""#[..], b"\"k\xff\xfe\"", b"\"k\x01\""] {
+        let (store, servers) = start_servers(["a-1", "s-1"]);
+        let note = json!({"Note": "x".repeat(PAGE_BYTES)});
+        store.put_with_name_text("servers", "k", name_text, note);
+        let shown = String::from_utf8_lossy(name_text);
+        assert_eq!(served_after_start(&store, &servers), REQUESTS, "{shown}");
+    }
+}
+
 /// A store that takes `%26` for the name begins the next page with the same entry.
 #[test]
 fn servers_behind_a_page_that_does_not_go_on_stay_in_use() {
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -275,6 +275,26 @@
         changed.notify_all();
     }
 
+    /// Stores an object whose name is sent as this JSON text in place of the name under which it is listed.
+    pub(crate) fn put_with_name_text(
+        &self,
+        kind: &str,
+        name: &str,
+        name_text: &[u8],
+        specification: Value,
+    ) {
+        let mut objects = self.objects.0.lock().expect("no panic");
+        objects.raw.push(name_text.to_vec());
+        let mark = raw_mark(objects.raw.len() - 1);
+        objects.write(kind, name, specification);
+        let held = &mut objects.held;
+        let object = held.by_key.get_mut(&(kind.to_string(), name.to_string()));
+        object.expect("it was written")["Metadata"]["Name"] = json!(mark);
+        let (_, _, event) = held.changes.last_mut().expect("it was written");
+        event["Object"]["Metadata"]["Name"] = json!(mark);
+        self.objects.1.notify_all();
+    }
+
     /// Stores an object as soon as the first page of a list of its kind, which must have several, was read.
     pub(crate) fn put_after_first_page(&self, kind: &str, name: &str, specification: Value) {
         let mut objects = self.objects.0.lock().expect("no panic");
