--- a/tests/gateway/odd_names.rs
+++ b/tests/gateway/odd_names.rs
@@ -171,3 +171,23 @@
     let readers = hosts.iter().chain([&late]).filter(|host| reads(host)).count();
     assert_eq!(readers, 2);
 }
+
+/// The id of a server is sent to it in a header.
+#[test]
+fn entry_whose_name_no_header_holds_names_no_server() {
+    let server = FakeServer::start("s-1", &[Behavior::Respond]);
+    for name in ["k\r\nx-added: 1", "k\nx-added: 1", "k\rk", "k\0", "k\u{7f}", "", " k", "k ", "\t"]
+    {
+        let store = FakeStore::start();
+        store.put("config", "main", configuration(1));
+        let odd = FakeServer::start("odd", &[Behavior::Respond]);
+        store.put("servers", name, odd.entry("api", None));
+        store.put("servers", "s-1", server.entry("api", None));
+        let host = Host::start_with_store(store);
+        host.wait_until_ready();
+        for _ in 0..2 * REQUESTS {
+            assert!(serves(&host), "{name:?}");
+        }
+        assert_eq!(requests(&odd), 0, "{name:?}");
+    }
+}
