Test answers whose head holds a line that is no field

Heads with lines that are no field, or with a blank or control byte in a name, are rejected already. The new test plays 20 of them, whole and in pieces, as answers to calls and streams, on new and kept connections, before a sound server that answers instead, and over detours. No caller gets one. Nothing else changes.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -35,6 +35,7 @@
 mod silences;
 mod silent_readers;
 mod soak;
+mod spoilt_answers;
 mod store;
 mod streams;
 mod watches;
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -1,5 +1,6 @@
 //! Fake backend servers whose responses a test chooses.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -13,6 +14,7 @@
 use crate::broken_answers::BrokenAnswer;
 use crate::http::{Listener, Message, write_response};
 use crate::pauses::Pauses;
+use crate::spoilt_answers::SpoiltAnswer;
 
 /// Time between two events of a stream, and between two checks of a stalled stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
@@ -98,6 +100,8 @@
     Endless(EndlessBytes),
     /// An answer that ends or comes again where a sound one would not.
     Broken(BrokenAnswer),
+    /// An answer with a fault in its head or framing.
+    Spoilt(SpoiltAnswer),
     /// A response whose framing, content and end the test chooses.
     Scripted(Script),
 }
@@ -295,6 +299,13 @@
     pub(crate) request: Message,
     pub(crate) behavior: Behavior,
     pub(crate) received_at: Instant,
+    /// Whether the connection had carried a request before.
+    pub(crate) is_on_kept_connection: bool,
+}
+
+thread_local! {
+    /// Whether a connection has carried a request. Each connection has its own thread.
+    static HAS_CARRIED: Cell<bool> = const { Cell::new(false) };
 }
 
 /// What a server does for a time in place of its behavior, to all requests or to those whose path ends with a segment.
@@ -410,7 +421,14 @@
         let behavior = fault.map(|fault| fault.behavior);
         let behavior = behavior.unwrap_or(behaviors[handled.len().min(behaviors.len() - 1)]);
         let received_at = Instant::now();
-        handled.push(HandledRequest { request: request.clone(), behavior, received_at });
+        let is_on_kept_connection = HAS_CARRIED.replace(true);
+        let request_copy = request.clone();
+        handled.push(HandledRequest {
+            request: request_copy,
+            behavior,
+            received_at,
+            is_on_kept_connection,
+        });
         drop(handled);
         if fault.is_none() {
             std::thread::sleep(Duration::from_millis(self.work_ms.load(Ordering::Relaxed)));
@@ -675,6 +693,7 @@
         Behavior::Endless(kind) => send_endless(kind, id, name, stream),
         Behavior::Scripted(script) => script.send(name, request, stream),
         Behavior::Broken(answer) => answer.send(name, request, stream),
+        Behavior::Spoilt(answer) => answer.send(name, id, stream),
         Behavior::StrayResponseFirst => {
             let stray_headers =
                 [("Godwitdeal-Request-Id", "other"), ("Godwitdeal-Response-Stamp", name)];
--- /dev/null
+++ b/tests/gateway/spoilt_answers.rs
@@ -0,0 +1,196 @@
+//! Answers of servers in trouble, with a fault in the head or where the length of the body is told.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use crate::host::Host;
+use crate::http::Message;
+use crate::links::LinkState;
+use crate::lost_links::Site;
+use crate::server::{Behavior, FakeServer};
+
+/// Body of the answers, a whole event of a stream.
+const BODY: &str = "id: 1\ndata: piece 1\n\n";
+
+/// Length of [`BODY`], and the header line that tells it.
+const LENGTH: &str = "content-length: 21\r\n";
+
+const OK: &str = "HTTP/1.1 200 OK";
+
+/// Maximum number of calls until each server has had one.
+const MAX_CALLS: usize = 3_000;
+
+/// Pause between the pieces of an answer.
+const PIECE_PAUSE: Duration = Duration::from_millis(1);
+
+/// Size of the pieces of an answer, in bytes.
+const PIECE_BYTES: usize = 7;
+
+/// Distance between the answers of servers behind a detour, as each needs a link for each host.
+const DETOUR_STEP: usize = 4;
+
+/// An answer whose id and stamp are those of a sound one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct SpoiltAnswer {
+    status_line: &'static str,
+    /// Header lines beside the id and the stamp.
+    lines: &'static [u8],
+    body: &'static [u8],
+    is_in_pieces: bool,
+}
+
+impl SpoiltAnswer {
+    const fn new(status_line: &'static str, lines: &'static [u8], body: &'static [u8]) -> Self {
+        SpoiltAnswer { status_line, lines, body, is_in_pieces: false }
+    }
+
+    /// Answer with a body of 21 bytes.
+    const fn with_lines(lines: &'static [u8]) -> Self {
+        SpoiltAnswer::new(OK, lines, BODY.as_bytes())
+    }
+
+    const fn with_status_line(status_line: &'static str) -> Self {
+        SpoiltAnswer::new(status_line, LENGTH.as_bytes(), BODY.as_bytes())
+    }
+
+    /// Sends the answer of the server called `name`, and returns whether the connection stays open.
+    pub(crate) fn send(self, name: &str, id: &str, stream: &mut TcpStream) -> bool {
+        let head = format!(
+            "{}\r\ngodwitdeal-request-id: {id}\r\ngodwitdeal-response-stamp: {name}\r\n",
+            self.status_line
+        );
+        let bytes = [head.as_bytes(), self.lines, b"\r\n", self.body].concat();
+        if !self.is_in_pieces {
+            return stream.write_all(&bytes).is_ok();
+        }
+        bytes.chunks(PIECE_BYTES).all(|piece| {
+            std::thread::sleep(PIECE_PAUSE);
+            stream.write_all(piece).is_ok()
+        })
+    }
+}
+
+const ODD_LINES: &[SpoiltAnswer] = &[
+    SpoiltAnswer::with_lines(b"no field\r\ncontent-length: 21\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 21\r\nno-field\r\n"),
+    SpoiltAnswer::with_lines(b": value\r\ncontent-length: 21\r\n"),
+    SpoiltAnswer::with_lines(b"content-length 21\r\n"),
+    SpoiltAnswer::with_lines(b"content-length : 21\r\n"),
+    SpoiltAnswer::with_lines(b"content length: 21\r\n"),
+    SpoiltAnswer::with_lines(b" content-length: 21\r\n"),
+    SpoiltAnswer::with_lines(b"\tcontent-length: 21\r\n"),
+    SpoiltAnswer::with_lines(b"content\tlength: 21\r\n"),
+    SpoiltAnswer::with_lines(b"content\x01length: 21\r\n"),
+    SpoiltAnswer::with_lines(b"content-length\x00: 21\r\n"),
+    SpoiltAnswer::with_lines(b"content-length\x7f: 21\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 2\x001\r\n"),
+    SpoiltAnswer::with_lines(b"x-odd: a\x01b\r\ncontent-length: 21\r\n"),
+    SpoiltAnswer::with_lines(b"x-odd: a\rb\r\ncontent-length: 21\r\n"),
+    SpoiltAnswer::with_lines(b"x-odd: a\r\n folded\r\ncontent-length: 21\r\n"),
+    SpoiltAnswer::with_lines(b"x(odd): a\r\ncontent-length: 21\r\n"),
+    SpoiltAnswer::with_lines(b"x-\xc3\xa9: a\r\ncontent-length: 21\r\n"),
+    SpoiltAnswer::with_lines(b"HTTP/1.1 200 OK\r\ncontent-length: 21\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 21\r\n\r\x01"),
+];
+
+/// Starts a server of a service for each answer.
+fn start_servers(service: &str, answers: &[SpoiltAnswer], is_in_pieces: bool) -> Vec<FakeServer> {
+    let start = |(index, answer): (usize, &SpoiltAnswer)| {
+        let behavior = Behavior::Spoilt(SpoiltAnswer { is_in_pieces, ..*answer });
+        FakeServer::start(&format!("{service}-{index}"), &[behavior])
+    };
+    answers.iter().enumerate().map(start).collect()
+}
+
+fn start_host(service: &str, servers: &[FakeServer]) -> Host {
+    let layers = (service == "chat").then_some((0, 16));
+    let entries: Vec<_> =
+        servers.iter().map(|server| (server.id.as_str(), server.entry(service, layers))).collect();
+    Host::start(&entries)
+}
+
+/// Checks that an answer is one of the host itself, and that it promises nothing if a server has the request.
+fn assert_is_no_answer(answer: &std::io::Result<Message>, servers: &[FakeServer]) {
+    // A stream that is broken off ends without its last chunk, which is an error here.
+    let Ok(answer) = answer else { return };
+    assert!(matches!(answer.status(), 502 | 503 | 504), "{answer:?}");
+    assert_eq!(answer.header("godwitdeal-response-stamp"), None, "{answer:?}");
+    assert!(!answer.text().contains("piece 1"), "{answer:?}");
+    let reached = servers.iter().map(|server| server.requests().len()).sum::<usize>();
+    assert!(answer.status() != 503 || reached > 0, "{answer:?}");
+}
+
+/// Calls until each server has had a request, and checks that no caller gets what it sent.
+fn check_calls(host: &Host, servers: &[FakeServer], path: &str) {
+    for _ in 0..MAX_CALLS {
+        assert_is_no_answer(&host.call("POST", path, b""), servers);
+        if servers.iter().all(|server| !server.requests().is_empty()) {
+            return;
+        }
+    }
+    let unused = servers.iter().filter(|server| server.requests().is_empty());
+    panic!("no request reached {:?}", unused.map(|server| &server.id).collect::<Vec<_>>());
+}
+
+/// Checks answers of calls and streams, sent whole and in pieces, on new and on kept connections, and over detours.
+fn check_answers(answers: &[SpoiltAnswer]) {
+    for is_in_pieces in [false, true] {
+        for (service, path) in [("api", "/order/1"), ("chat", "/chat/1")] {
+            let servers = start_servers(service, answers, is_in_pieces);
+            check_calls(&start_host(service, &servers), &servers, path);
+        }
+    }
+    check_on_kept_connections(answers);
+    check_is_retried(answers);
+    check_over_detours(answers);
+}
+
+fn check_on_kept_connections(answers: &[SpoiltAnswer]) {
+    for answer in answers {
+        let behaviors = [Behavior::Respond, Behavior::Spoilt(*answer)];
+        let server = FakeServer::start("s-1", &behaviors);
+        let host = Host::start(&[("s-1", server.entry("api", None))]);
+        let sound = host.call("POST", "/order/1", b"").expect("answered");
+        assert_eq!((sound.status(), sound.text().as_str()), (200, "s-1"));
+        let spoilt = host.call("POST", "/order/2", b"").expect("answered");
+        assert_eq!(spoilt.status(), 502, "{answer:?}");
+        assert_is_no_answer(&Ok(spoilt), &[]);
+        let handled = server.handled();
+        assert_eq!(handled.len(), 2, "an order is not repeated");
+        assert!(handled[1].is_on_kept_connection);
+    }
+}
+
+fn check_is_retried(answers: &[SpoiltAnswer]) {
+    for answer in answers {
+        let odd = FakeServer::start("s-1", &[Behavior::Spoilt(*answer)]);
+        let sound = FakeServer::start("s-2", &[Behavior::Respond]);
+        let host =
+            Host::start(&[("s-1", odd.entry("api", None)), ("s-2", sound.entry("api", None))]);
+        let is_reached = || !odd.requests().is_empty();
+        for _ in 0..MAX_CALLS {
+            let read = host.call("GET", "/read/1", b"").expect("answered");
+            assert_eq!((read.status(), read.text().as_str()), (200, "s-2"), "{answer:?}");
+            if is_reached() {
+                break;
+            }
+        }
+        assert!(is_reached(), "{answer:?}");
+    }
+}
+
+fn check_over_detours(answers: &[SpoiltAnswer]) {
+    for (service, path) in [("api", "/order/1"), ("chat", "/chat/1")] {
+        let some: Vec<SpoiltAnswer> = answers.iter().step_by(DETOUR_STEP).copied().collect();
+        let site = Site::start_with(start_servers(service, &some, true), 1);
+        site.set_links(&[0, 1], LinkState::Refusing);
+        check_calls(&site.hosts[0], &site.servers, path);
+        site.check_orders_ran_once();
+    }
+}
+
+#[test]
+fn line_that_is_no_field_is_no_answer() {
+    check_answers(ODD_LINES);
+}
