Reject answers whose status does not exist

A caller got an answer with status 000 to 099 as a 502 with the body and the stamp of the server, and the request was not retried; one with status 600 to 999 was passed on as it was.

Cause: any three digits were a status, and one that the response to the caller cannot have became 502 after all else had been copied from the answer.

Statuses other than 100 to 599 are no HTTP now, at the one place that reads heads, also for reports and the store: reads and streams go to another server, orders get a 502 of the host itself.

Before, the new test failed at status 020: 502 with the stamp api-2. Now none of 12 status lines passes, whole or in pieces, on new and kept connections and over detours, and reads beside a sound server are served.

--- a/crates/godwit-gateway/src/wire/reply.rs
+++ b/crates/godwit-gateway/src/wire/reply.rs
@@ -1,5 +1,7 @@
 //! Parser of response heads.
 
+use std::ops::Range;
+
 use bytes::{Buf, Bytes, BytesMut};
 
 use super::error::WireError;
@@ -13,6 +15,10 @@
 /// Largest number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: u32 = 32;
 
+/// Statuses of interim responses, and of those that end a request. Others do not exist.
+const INTERIM_STATUSES: Range<u16> = 100..200;
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Smallest status of an error of a server.
 const FIRST_SERVER_ERROR: u16 = 500;
 
@@ -131,13 +137,16 @@
             .map(|header| (header.name.to_string(), Bytes::copy_from_slice(header.value)))
             .collect();
         buffer.advance(head_bytes);
-        if (100..200).contains(&status) {
+        if INTERIM_STATUSES.contains(&status) {
             *interim_responses += 1;
             if *interim_responses > MAX_INTERIM_RESPONSES {
                 return Err(WireError::NotHttp);
             }
             continue;
         }
+        if !FINAL_STATUSES.contains(&status) {
+            return Err(WireError::NotHttp);
+        }
         let framing = framing(status, is_head_request, &headers)?;
         let lowercase_header = |header_name: &str| {
             let found = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case(header_name));
--- a/tests/gateway/spoilt_answers.rs
+++ b/tests/gateway/spoilt_answers.rs
@@ -71,6 +71,21 @@
     }
 }
 
+const ODD_STATUSES: &[SpoiltAnswer] = &[
+    SpoiltAnswer::with_status_line("HTTP/1.1 000 OK"),
+    SpoiltAnswer::with_status_line("HTTP/1.1 001 OK"),
+    SpoiltAnswer::with_status_line("HTTP/1.1 020 OK"),
+    SpoiltAnswer::with_status_line("HTTP/1.1 099 OK"),
+    SpoiltAnswer::with_status_line("HTTP/1.1 600 OK"),
+    SpoiltAnswer::with_status_line("HTTP/1.1 999 OK"),
+    SpoiltAnswer::with_status_line("HTTP/1.1 0200 OK"),
+    SpoiltAnswer::with_status_line("HTTP/1.1 +20 OK"),
+    SpoiltAnswer::with_status_line("HTTP/1.1 20 OK"),
+    SpoiltAnswer::with_status_line("HTTP/1.1"),
+    SpoiltAnswer::with_status_line("HTTP/1.1 OK"),
+    SpoiltAnswer::with_status_line("HTTP/9.1 200 OK"),
+];
+
 const ODD_LINES: &[SpoiltAnswer] = &[
     SpoiltAnswer::with_lines(b"no field\r\ncontent-length: 21\r\n"),
     SpoiltAnswer::with_lines(b"content-length: 21\r\nno-field\r\n"),
@@ -190,6 +205,11 @@
     }
 }
 
+#[test]
+fn status_that_is_none_is_no_answer() {
+    check_answers(ODD_STATUSES);
+}
+
 #[test]
 fn line_that_is_no_field_is_no_answer() {
     check_answers(ODD_LINES);
