Reject lengths of answers that are not made of digits

A caller got `Content-Length: +21` before a part of a body as a complete 200.

Cause: the length was read by parse, which takes a sign, after trim, which takes the blanks of Unicode. A length is now made of digits alone, between blanks and tabs.

Now none of 16 lengths passes.

--- a/crates/godwit-gateway/src/wire/reply.rs
+++ b/crates/godwit-gateway/src/wire/reply.rs
@@ -81,6 +81,11 @@
     timeout.trim().parse::<u64>().ok().map(|seconds| seconds * 1_000)
 }
 
+/// Returns the number that digits alone make up, without a sign or blanks; none for anything else, and if it is out of range.
+fn parse_digits(text: &str) -> Option<u64> {
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
+}
+
 fn framing(
     status: u16,
     is_head_request: bool,
@@ -92,9 +97,9 @@
     let mut length = None;
     let mut is_chunked = false;
     for (name, value) in headers {
-        let text = std::str::from_utf8(value).map_err(|_| WireError::NotHttp)?.trim();
+        let text = std::str::from_utf8(value.trim_ascii()).map_err(|_| WireError::NotHttp)?;
         if name.eq_ignore_ascii_case("content-length") {
-            let bytes: u64 = text.parse().map_err(|_| WireError::NotHttp)?;
+            let bytes = parse_digits(text).ok_or(WireError::NotHttp)?;
             if length.is_some_and(|known| known != bytes) {
                 return Err(WireError::NotHttp);
             }
--- a/tests/gateway/spoilt_answers.rs
+++ b/tests/gateway/spoilt_answers.rs
@@ -86,6 +86,26 @@
     SpoiltAnswer::with_status_line("HTTP/9.1 200 OK"),
 ];
 
+const ODD_LENGTHS: &[SpoiltAnswer] = &[
+    SpoiltAnswer::with_lines(b"content-length: +21\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: -21\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: \r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 0x15\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 2 1\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 21 bytes\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 21;\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 21, 22\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 21.0\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 18446744073709551616\r\n"),
+    // A no-break space, an ideographic space and Arabic digits.
+    SpoiltAnswer::with_lines(b"content-length: \xc2\xa021\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 21\xe3\x80\x80\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: \xd9\xa2\xd9\xa1\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 21\xff\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 21\r\ncontent-length: 22\r\n"),
+    SpoiltAnswer::with_lines(b"content-length: 21\r\ncontent-length: +21\r\n"),
+];
+
 const ODD_LINES: &[SpoiltAnswer] = &[
     SpoiltAnswer::with_lines(b"no field\r\ncontent-length: 21\r\n"),
     SpoiltAnswer::with_lines(b"content-length: 21\r\nno-field\r\n"),
@@ -210,6 +230,11 @@
     check_answers(ODD_STATUSES);
 }
 
+#[test]
+fn length_that_is_no_number_is_no_answer() {
+    check_answers(ODD_LENGTHS);
+}
+
 #[test]
 fn line_that_is_no_field_is_no_answer() {
     check_answers(ODD_LINES);
