Reject chunk sizes of answers that are not made of digits

A caller got an answer as complete whose last chunk had the size `+0`, `-0`, or a zero beside a blank of Unicode or a vertical tab. The cause and the fix are those of lengths; blanks and tabs may still follow a size, as some servers write it.

Before, the new test failed at a zero followed by a blank of Unicode: a 200 with the stamp api-10. Now none of 13 chunked bodies passes as complete.

--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -14,7 +14,7 @@
 use super::channel::Channel;
 use super::error::WireError;
 use super::frames::FrameKind;
-use super::reply::{Framing, ReplyHead, take_head};
+use super::reply::{Framing, ReplyHead, parse_digits, take_head};
 use super::transport::Transport;
 use crate::content::Content;
 use crate::memory::{HeldBuffer, HeldContent, Memory};
@@ -436,9 +436,10 @@
             Ok(if line.is_empty() { BodyState::Done } else { BodyState::Trailer })
         }
         _ => {
-            let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
-            let text = std::str::from_utf8(digits).map_err(|_| WireError::NotHttp)?.trim();
-            let bytes = u64::from_str_radix(text, 16).map_err(|_| WireError::NotHttp)?;
+            let size = line.split(|byte| *byte == b';').next().unwrap_or_default();
+            let size = std::str::from_utf8(size).map_err(|_| WireError::NotHttp)?;
+            let size = size.trim_end_matches([' ', '\t']);
+            let bytes = parse_digits(size, 16).ok_or(WireError::NotHttp)?;
             Ok(if bytes == 0 { BodyState::Trailer } else { BodyState::ChunkData(bytes) })
         }
     }
--- a/crates/godwit-gateway/src/wire/reply.rs
+++ b/crates/godwit-gateway/src/wire/reply.rs
@@ -82,8 +82,9 @@
 }
 
 /// Returns the number that digits alone make up, without a sign or blanks; none for anything else, and if it is out of range.
-fn parse_digits(text: &str) -> Option<u64> {
-    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
+pub(super) fn parse_digits(text: &str, radix: u32) -> Option<u64> {
+    let are_digits = text.chars().all(|letter| letter.is_digit(radix));
+    are_digits.then(|| u64::from_str_radix(text, radix).ok())?
 }
 
 fn framing(
@@ -99,7 +100,7 @@
     for (name, value) in headers {
         let text = std::str::from_utf8(value.trim_ascii()).map_err(|_| WireError::NotHttp)?;
         if name.eq_ignore_ascii_case("content-length") {
-            let bytes = parse_digits(text).ok_or(WireError::NotHttp)?;
+            let bytes = parse_digits(text, 10).ok_or(WireError::NotHttp)?;
             if length.is_some_and(|known| known != bytes) {
                 return Err(WireError::NotHttp);
             }
--- a/tests/gateway/spoilt_answers.rs
+++ b/tests/gateway/spoilt_answers.rs
@@ -16,6 +16,7 @@
 /// Length of [`BODY`], and the header line that tells it.
 const LENGTH: &str = "content-length: 21\r\n";
 
+const CHUNKED: &str = "transfer-encoding: chunked\r\n";
 const OK: &str = "HTTP/1.1 200 OK";
 
 /// Maximum number of calls until each server has had one.
@@ -54,6 +55,10 @@
         SpoiltAnswer::new(status_line, LENGTH.as_bytes(), BODY.as_bytes())
     }
 
+    const fn chunked(body: &'static [u8]) -> Self {
+        SpoiltAnswer::new(OK, CHUNKED.as_bytes(), body)
+    }
+
     /// Sends the answer of the server called `name`, and returns whether the connection stays open.
     pub(crate) fn send(self, name: &str, id: &str, stream: &mut TcpStream) -> bool {
         let head = format!(
@@ -106,6 +111,22 @@
     SpoiltAnswer::with_lines(b"content-length: 21\r\ncontent-length: +21\r\n"),
 ];
 
+const ODD_CHUNKS: &[SpoiltAnswer] = &[
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n+0\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n-0\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n\xc2\xa00\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n0\xe3\x80\x80\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n 0\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n\x0b0\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n0x0\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n;0\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n0 0\r\n\r\n"),
+    SpoiltAnswer::chunked(b"+15\r\nid: 1\ndata: piece 1\n\n\r\n0\r\n\r\n"),
+    SpoiltAnswer::chunked(b"10000000000000015\r\nid: 1\ndata: piece 1\n\n\r\n0\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n0\r\n\r\n"),
+];
+
 const ODD_LINES: &[SpoiltAnswer] = &[
     SpoiltAnswer::with_lines(b"no field\r\ncontent-length: 21\r\n"),
     SpoiltAnswer::with_lines(b"content-length: 21\r\nno-field\r\n"),
@@ -235,6 +256,11 @@
     check_answers(ODD_LENGTHS);
 }
 
+#[test]
+fn chunk_size_that_is_no_number_is_no_answer() {
+    check_answers(ODD_CHUNKS);
+}
+
 #[test]
 fn line_that_is_no_field_is_no_answer() {
     check_answers(ODD_LINES);
