Reject answers that name the chunked encoding twice

A caller got such an answer as if the encoding had been named once. What the server meant cannot be told: RFC 9112 forbids to apply the encoding twice, and a proxy that decodes it twice has another body.

Before, the new test failed with a 200; now none of nine such heads passes.

--- a/crates/godwit-gateway/src/wire/reply.rs
+++ b/crates/godwit-gateway/src/wire/reply.rs
@@ -106,7 +106,8 @@
             }
             length = Some(bytes);
         } else if name.eq_ignore_ascii_case("transfer-encoding") {
-            if !text.eq_ignore_ascii_case("chunked") {
+            // Chunks inside of chunks do not exist.
+            if is_chunked || !text.eq_ignore_ascii_case("chunked") {
                 return Err(WireError::NotHttp);
             }
             is_chunked = true;
--- a/tests/gateway/spoilt_answers.rs
+++ b/tests/gateway/spoilt_answers.rs
@@ -111,6 +111,28 @@
     SpoiltAnswer::with_lines(b"content-length: 21\r\ncontent-length: +21\r\n"),
 ];
 
+const ODD_ENCODINGS: &[SpoiltAnswer] = &[
+    SpoiltAnswer::new(
+        OK,
+        b"transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n",
+        CHUNKED_BODY,
+    ),
+    SpoiltAnswer::new(OK, b"transfer-encoding: chunked\r\ncontent-length: 21\r\n", CHUNKED_BODY),
+    SpoiltAnswer::new(OK, b"transfer-encoding: chunked, chunked\r\n", CHUNKED_BODY),
+    SpoiltAnswer::new(OK, b"transfer-encoding: chunked;\r\n", CHUNKED_BODY),
+    SpoiltAnswer::new(OK, b"transfer-encoding: \xc2\xa0chunked\r\n", CHUNKED_BODY),
+    SpoiltAnswer::new(OK, b"transfer-encoding: xchunked\r\n", CHUNKED_BODY),
+    SpoiltAnswer::new(OK, b"transfer-encoding: \r\n", CHUNKED_BODY),
+    SpoiltAnswer::new(OK, b"transfer-encoding: gzip\r\n", CHUNKED_BODY),
+    SpoiltAnswer::new(
+        OK,
+        b"transfer-encoding: identity\r\ncontent-length: 21\r\n",
+        BODY.as_bytes(),
+    ),
+];
+
+const CHUNKED_BODY: &[u8] = b"15\r\nid: 1\ndata: piece 1\n\n\r\n0\r\n\r\n";
+
 const ODD_CHUNKS: &[SpoiltAnswer] = &[
     SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n+0\r\n\r\n"),
     SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n-0\r\n\r\n"),
@@ -256,6 +278,11 @@
     check_answers(ODD_LENGTHS);
 }
 
+#[test]
+fn encoding_other_than_chunked_once_is_no_answer() {
+    check_answers(ODD_ENCODINGS);
+}
+
 #[test]
 fn chunk_size_that_is_no_number_is_no_answer() {
     check_answers(ODD_CHUNKS);
