Reject answers with a trailer that is no field

A caller got a chunked answer as complete whose trailer had a line that is no field, such as the status line of another answer: trailers were skipped up to the next empty line, so that what follows a spoilt end of a body counted as its end.

Each line of a trailer is now parsed as a field by the library that parses heads.

Before, the new test failed with a 200 with the stamp api-3; now none of eight trailers passes.

--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -14,7 +14,7 @@
 use super::channel::Channel;
 use super::error::WireError;
 use super::frames::FrameKind;
-use super::reply::{Framing, ReplyHead, parse_digits, take_head};
+use super::reply::{Framing, ReplyHead, is_field, parse_digits, take_head};
 use super::transport::Transport;
 use crate::content::Content;
 use crate::memory::{HeldBuffer, HeldContent, Memory};
@@ -432,9 +432,9 @@
     match state {
         BodyState::ChunkEnd if line.is_empty() => Ok(BodyState::ChunkSize),
         BodyState::ChunkEnd => Err(WireError::NotHttp),
-        BodyState::Trailer => {
-            Ok(if line.is_empty() { BodyState::Done } else { BodyState::Trailer })
-        }
+        BodyState::Trailer if line.is_empty() => Ok(BodyState::Done),
+        BodyState::Trailer if is_field(line) => Ok(BodyState::Trailer),
+        BodyState::Trailer => Err(WireError::NotHttp),
         _ => {
             let size = line.split(|byte| *byte == b';').next().unwrap_or_default();
             let size = std::str::from_utf8(size).map_err(|_| WireError::NotHttp)?;
--- a/crates/godwit-gateway/src/wire/reply.rs
+++ b/crates/godwit-gateway/src/wire/reply.rs
@@ -87,6 +87,14 @@
     are_digits.then(|| u64::from_str_radix(text, radix).ok())?
 }
 
+/// Whether a line, without its ending, is a field as heads have them.
+pub(super) fn is_field(line: &[u8]) -> bool {
+    let mut slots = [httparse::EMPTY_HEADER; 1];
+    let block = [line, b"\r\n\r\n"].concat();
+    let parsed = httparse::parse_headers(&block, &mut slots);
+    matches!(parsed, Ok(httparse::Status::Complete((_, [_]))))
+}
+
 fn framing(
     status: u16,
     is_head_request: bool,
--- a/tests/gateway/spoilt_answers.rs
+++ b/tests/gateway/spoilt_answers.rs
@@ -149,6 +149,17 @@
     SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n0\r\n\r\n"),
 ];
 
+const ODD_TRAILERS: &[SpoiltAnswer] = &[
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n0\r\nno field\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n0\r\nx y: z\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n0\r\n: z\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n0\r\nx\x01y: z\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n0\r\nx : z\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n0\r\nx: \x00\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n0\r\nx: y\r\n folded\r\n\r\n"),
+    SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n0\r\nHTTP/1.1 200 OK\r\n\r\n"),
+];
+
 const ODD_LINES: &[SpoiltAnswer] = &[
     SpoiltAnswer::with_lines(b"no field\r\ncontent-length: 21\r\n"),
     SpoiltAnswer::with_lines(b"content-length: 21\r\nno-field\r\n"),
@@ -288,6 +299,11 @@
     check_answers(ODD_CHUNKS);
 }
 
+#[test]
+fn trailer_that_is_no_field_is_no_answer() {
+    check_answers(ODD_TRAILERS);
+}
+
 #[test]
 fn line_that_is_no_field_is_no_answer() {
     check_answers(ODD_LINES);
