Reject a 204 that tells the length of a body

A caller got a 204 whose head was spoilt, or which a body followed, as a complete success without a body: of statuses that have no body the length was not read at all.

The headers that tell a length are now checked whatever the status, and a 204 may only tell a length of zero. Heads that answer HEAD, and a 304, may tell that of the body that they leave out.

Before, the new test failed with a 204; now none of three such answers passes.

--- a/crates/godwit-gateway/src/wire/reply.rs
+++ b/crates/godwit-gateway/src/wire/reply.rs
@@ -19,6 +19,9 @@
 const INTERIM_STATUSES: Range<u16> = 100..200;
 const FINAL_STATUSES: Range<u16> = 200..600;
 
+const STATUS_NO_CONTENT: u16 = 204;
+const STATUS_NOT_MODIFIED: u16 = 304;
+
 /// Smallest status of an error of a server.
 const FIRST_SERVER_ERROR: u16 = 500;
 
@@ -100,9 +103,6 @@
     is_head_request: bool,
     headers: &[(String, Bytes)],
 ) -> Result<Framing, WireError> {
-    if is_head_request || status == 204 || status == 304 {
-        return Ok(Framing::Length(0));
-    }
     let mut length = None;
     let mut is_chunked = false;
     for (name, value) in headers {
@@ -123,6 +123,10 @@
     }
     match (is_chunked, length) {
         (true, Some(_)) => Err(WireError::NotHttp),
+        // These may tell the length of what they leave out.
+        _ if is_head_request || status == STATUS_NOT_MODIFIED => Ok(Framing::Length(0)),
+        (false, None | Some(0)) if status == STATUS_NO_CONTENT => Ok(Framing::Length(0)),
+        _ if status == STATUS_NO_CONTENT => Err(WireError::NotHttp),
         (true, None) => Ok(Framing::Chunked),
         (false, Some(bytes)) => Ok(Framing::Length(bytes)),
         (false, None) => Ok(Framing::UntilClose),
--- a/tests/gateway/spoilt_answers.rs
+++ b/tests/gateway/spoilt_answers.rs
@@ -160,6 +160,13 @@
     SpoiltAnswer::chunked(b"15\r\nid: 1\ndata: piece 1\n\n\r\n0\r\nHTTP/1.1 200 OK\r\n\r\n"),
 ];
 
+/// A success without a body that tells the length of one.
+const LENGTHS_WITHOUT_BODY: &[SpoiltAnswer] = &[
+    SpoiltAnswer::new("HTTP/1.1 204 OK", b"content-length: 21\r\n", BODY.as_bytes()),
+    SpoiltAnswer::new("HTTP/1.1 204 OK", b"content-length: +0\r\n", b""),
+    SpoiltAnswer::new("HTTP/1.1 204 OK", CHUNKED.as_bytes(), CHUNKED_BODY),
+];
+
 const ODD_LINES: &[SpoiltAnswer] = &[
     SpoiltAnswer::with_lines(b"no field\r\ncontent-length: 21\r\n"),
     SpoiltAnswer::with_lines(b"content-length: 21\r\nno-field\r\n"),
@@ -304,6 +311,11 @@
     check_answers(ODD_TRAILERS);
 }
 
+#[test]
+fn success_without_body_that_tells_a_length_is_no_answer() {
+    check_answers(LENGTHS_WITHOUT_BODY);
+}
+
 #[test]
 fn line_that_is_no_field_is_no_answer() {
     check_answers(ODD_LINES);
