Read idle timeouts of any length

A build with overflow checks closed the caller's connection when a server announced `Keep-Alive: timeout=`, and one without them used a wrapped timeout. The new test failed with the end of the connection in place of an answer. The conversion to milliseconds saturates now, and the number is read as lengths are.

--- a/crates/godwit-gateway/src/wire/reply.rs
+++ b/crates/godwit-gateway/src/wire/reply.rs
@@ -19,6 +19,8 @@
 const INTERIM_STATUSES: Range<u16> = 100..200;
 const FINAL_STATUSES: Range<u16> = 200..600;
 
+const MS_PER_S: u64 = 1_000;
+
 const STATUS_NO_CONTENT: u16 = 204;
 const STATUS_NOT_MODIFIED: u16 = 304;
 
@@ -81,7 +83,7 @@
 
 fn keep_alive_ms(value: &str) -> Option<u64> {
     let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.trim().parse::<u64>().ok().map(|seconds| seconds * 1_000)
+    parse_digits(timeout.trim(), 10).map(|seconds| seconds.saturating_mul(MS_PER_S))
 }
 
 /// Returns the number that digits alone make up, without a sign or blanks; none for anything else, and if it is out of range.
--- a/tests/gateway/spoilt_answers.rs
+++ b/tests/gateway/spoilt_answers.rs
@@ -320,3 +320,14 @@
 fn line_that_is_no_field_is_no_answer() {
     check_answers(ODD_LINES);
 }
+
+#[test]
+fn answer_with_the_largest_keep_alive_is_delivered() {
+    let server = FakeServer::start("s-1", &[Behavior::Respond]);
+    server.add_notices(&[("keep-alive", "timeout=18446744073709551615")]);
+    let host = Host::start(&[("s-1", server.entry("api", None))]);
+    for _ in 0..3 {
+        let answer = host.call("POST", "/order/1", b"").expect("answered");
+        assert_eq!((answer.status(), answer.text().as_str()), (200, "s-1"));
+    }
+}
