Test spoilt answers of the store

The store's lists go through the same parser of heads. Now the servers stay in use beside nine spoilt heads, and the list is read again afterwards. Nothing else changes.

--- a/tests/gateway/spoilt_answers.rs
+++ b/tests/gateway/spoilt_answers.rs
@@ -2,13 +2,14 @@
 
 use std::io::Write;
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::host::Host;
 use crate::http::Message;
 use crate::links::LinkState;
 use crate::lost_links::Site;
 use crate::server::{Behavior, FakeServer};
+use crate::store::AnswerFault;
 
 /// Body of the answers, a whole event of a stream.
 const BODY: &str = "id: 1\ndata: piece 1\n\n";
@@ -331,3 +332,40 @@
         assert_eq!((answer.status(), answer.text().as_str()), (200, "s-1"));
     }
 }
+
+/// Heads of answers of the store.
+const ODD_STORE_HEADS: [&str; 9] = [
+    "HTTP/1.1 000 OK\r\ncontent-length: LENGTH\r\n\r\n",
+    "HTTP/1.1 600 OK\r\ncontent-length: LENGTH\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: +LENGTH\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: LENGTH\u{3000}\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: LENGTH\r\ncontent-length: 1\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: LENGTH\r\nno field\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: LENGTH\r\nx y: z\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: LENGTH\r\nx\u{1}y: z\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n",
+];
+
+/// Time in which the answers of the store are spoilt; a host lists the servers several times in it.
+const SPOILT_TIME: Duration = Duration::from_millis(1_200);
+
+#[test]
+fn spoilt_answer_of_the_store_takes_no_server_away() {
+    for head in ODD_STORE_HEADS {
+        let server = FakeServer::start("s-1", &[Behavior::Respond]);
+        let host = Host::start(&[("s-1", server.entry("api", None))]);
+        let is_served =
+            || host.call("GET", "/read/1", b"").is_ok_and(|answer| answer.status() == 200);
+        let fault = AnswerFault::SpoilServerLists(head);
+        host.store.disturb(&[host.store.address], &fault, SPOILT_TIME);
+        host.store.forget_history();
+        let deadline = Instant::now() + SPOILT_TIME;
+        while Instant::now() < deadline {
+            assert!(is_served(), "{head:?}");
+        }
+        assert!(host.store.faulty_answers() > 0, "{head:?}");
+        let late = FakeServer::start("s-2", &[Behavior::Respond]);
+        host.store.put("servers", "s-2", late.entry("api", None));
+        host.wait_for("a later server", || is_served() && !late.requests().is_empty());
+    }
+}
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -1,7 +1,7 @@
 //! A fake of the users' store: objects by kind, with revisions, watches and conditional writes.
 
 use std::collections::BTreeMap;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -74,6 +74,9 @@
     Lose,
     /// Changes and listings of a kind that are due in this time are given later by a duration.
     Delay(&'static str, Duration),
+    /// Lists of servers that are due in this time come empty behind this text, in which `LENGTH` stands for the length of the
+    /// body.
+    SpoilServerLists(&'static str),
 }
 
 /// What becomes of an answer.
@@ -81,6 +84,7 @@
     Given,
     Delayed(Duration),
     Lost,
+    Spoilt(&'static str),
 }
 
 impl StoreCopy {
@@ -153,6 +157,12 @@
                 while stream.read(&mut [0; 1024]).is_ok_and(|count| count > 0) {}
                 return false;
             }
+            Fate::Spoilt(head) => {
+                let body =
+                    json!({"Items": [], "HasMore": false, "At": self.body["At"]}).to_string();
+                let head = head.replace("LENGTH", &body.len().to_string());
+                return stream.write_all((head + &body).as_bytes()).is_ok();
+            }
         }
         let headers: Vec<(&str, &str)> =
             self.era.iter().map(|era| (ERA_HEADER, era.as_str())).collect();
@@ -361,6 +371,9 @@
                     return Fate::Lost;
                 }
                 AnswerFault::Lose if is_on => return Fate::Lost,
+                AnswerFault::SpoilServerLists(head) if is_on && !is_watch && is_of("servers") => {
+                    return Fate::Spoilt(head);
+                }
                 AnswerFault::Delay(kind, delay) if is_on && is_given && is_of(kind) => {
                     fate = Fate::Delayed(*delay);
                 }
