Test spoilt reports of servers

Reports go through the same parser of heads. Now nine spoilt heads change nothing. Nothing else changes.

--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -61,6 +61,9 @@
 /// Number of events that a stream sends before it ends its server.
 const EVENTS_BEFORE_END: u64 = 3;
 
+/// Number of accepted orders in reports that are spoilt.
+const FALSE_SEQUENCE: u64 = 7;
+
 /// Time after which a server cuts a stream that waits for a stage that has ended; `stall_ms` of the settings.
 const STALL_CUT: Duration = Duration::from_secs(3);
 
@@ -291,6 +294,8 @@
     limits: Vec<String>,
     /// Further headers of each response, also of the control interface.
     notices: Vec<(&'static str, &'static str)>,
+    /// Head of the reports in place of a sound one; `LENGTH` stands for the length of the body.
+    report_head: Option<&'static str>,
 }
 
 /// A request that a server received.
@@ -364,6 +369,7 @@
             orders: Vec::new(),
             limits: Vec::new(),
             notices: Vec::new(),
+            report_head: None,
         };
         let mut server = FakeServer {
             id: id.to_string(),
@@ -510,6 +516,11 @@
         self.control.lock().expect("no panic").notices = notices.to_vec();
     }
 
+    /// Sends reports behind another head from now on, which count orders that the server has not accepted.
+    pub(crate) fn spoil_reports(&self, head: &'static str) {
+        self.control.lock().expect("no panic").report_head = Some(head);
+    }
+
     /// Makes the server answer the requests that otherwise end it.
     pub(crate) fn make_robust(&self) {
         self.is_robust.store(true, Ordering::Relaxed);
@@ -653,7 +664,13 @@
     }
     let stalled = control.stalled.iter().map(|(id, address)| json!({"Id": id, "Address": address}));
     let stalled: Vec<Value> = stalled.collect();
-    let report = json!({"Sequence": 0, "Busy": false, "pace": 1.0, "Stalled": stalled});
+    let mut report = json!({"Sequence": 0, "Busy": false, "pace": 1.0, "Stalled": stalled});
+    if let Some(head) = control.report_head {
+        report["Sequence"] = json!(FALSE_SEQUENCE);
+        let body = report.to_string();
+        let head = head.replace("LENGTH", &body.len().to_string());
+        return stream.write_all((head + &body).as_bytes()).is_ok();
+    }
     write_response(stream, 200, &notices, report.to_string().as_bytes())
 }
 
--- a/tests/gateway/spoilt_answers.rs
+++ b/tests/gateway/spoilt_answers.rs
@@ -333,8 +333,8 @@
     }
 }
 
-/// Heads of answers of the store.
-const ODD_STORE_HEADS: [&str; 9] = [
+/// Heads of answers of the store and of reports of servers, in which `LENGTH` stands for the length of the body.
+const ODD_HEADS: [&str; 9] = [
     "HTTP/1.1 000 OK\r\ncontent-length: LENGTH\r\n\r\n",
     "HTTP/1.1 600 OK\r\ncontent-length: LENGTH\r\n\r\n",
     "HTTP/1.1 200 OK\r\ncontent-length: +LENGTH\r\n\r\n",
@@ -351,7 +351,7 @@
 
 #[test]
 fn spoilt_answer_of_the_store_takes_no_server_away() {
-    for head in ODD_STORE_HEADS {
+    for head in ODD_HEADS {
         let server = FakeServer::start("s-1", &[Behavior::Respond]);
         let host = Host::start(&[("s-1", server.entry("api", None))]);
         let is_served =
@@ -369,3 +369,26 @@
         host.wait_for("a later server", || is_served() && !late.requests().is_empty());
     }
 }
+
+/// Number of orders after which a count from a spoilt report would have been used.
+const ORDERS: usize = 3;
+
+/// An order names the number of orders that the server has accepted, which its report corrects after a conflict.
+#[test]
+fn spoilt_report_says_nothing_of_a_server() {
+    let start = |(index, head): (usize, &&'static str)| {
+        let server =
+            FakeServer::start_with_orders(&format!("s-{index}"), &[Behavior::Respond], 409);
+        server.spoil_reports(head);
+        server
+    };
+    let servers: Vec<FakeServer> = ODD_HEADS.iter().enumerate().map(start).collect();
+    let entries: Vec<_> =
+        servers.iter().map(|server| (server.id.as_str(), server.entry("chat", None))).collect();
+    let host = Host::start(&entries);
+    host.wait_for("orders", || servers.iter().all(|server| server.orders().len() >= ORDERS));
+    for (server, head) in servers.iter().zip(ODD_HEADS) {
+        let is_expected = |order: &serde_json::Value| order["Expect"] == 0;
+        assert!(server.orders().iter().all(is_expected), "{head:?}: {:?}", server.orders());
+    }
+}
