Take no report of a server from a failure

A report was read from the body of any answer, whatever its status, so that a 500 with a report behind it corrected the number of orders that a server has accepted. Reports come with status 200; others now count as no report, as unreadable ones do. The new case of the test failed before: the second order named 7 accepted orders, none had been.

--- a/crates/godwit-gateway/src/server_call.rs
+++ b/crates/godwit-gateway/src/server_call.rs
@@ -15,6 +15,8 @@
 use crate::site::Site;
 use crate::wire::{Connection, OutgoingRequest, WireError};
 
+const STATUS_OK: u16 = 200;
+
 /// Largest response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 256 * 1024;
 
@@ -26,6 +28,8 @@
     NotOpened(OpenError),
     #[error("{0}")]
     Failed(WireError),
+    #[error("the response has status {0}")]
+    Status(u16),
     #[error("the response is unreadable: {0}")]
     Unreadable(DecodeError),
 }
@@ -36,7 +40,7 @@
         match self {
             CallError::NotOpened(OpenError::Unreachable { is_confirmed, .. }) => *is_confirmed,
             CallError::NotOpened(OpenError::HoldsOff) => false,
-            CallError::Failed(_) | CallError::Unreadable(_) => true,
+            CallError::Failed(_) | CallError::Status(_) | CallError::Unreadable(_) => true,
         }
     }
 }
@@ -98,7 +102,10 @@
 ) -> Result<ServerReport, CallError> {
     metrics::counter!("reports_read_total").increment(1);
     let response = call_server(site, server, "GET", REPORT_PATH, Bytes::new(), wait).await;
-    let report = response.and_then(|(_, body)| decode_report(&body).map_err(CallError::Unreadable));
+    let report = response.and_then(|(status, body)| match status {
+        STATUS_OK => decode_report(&body).map_err(CallError::Unreadable),
+        status => Err(CallError::Status(status)),
+    });
     report.inspect_err(|error| {
         let is_server_fault = error.is_server_fault();
         warn!(event = "report_not_read", server = server.id, is_server_fault, %error);
--- a/tests/gateway/spoilt_answers.rs
+++ b/tests/gateway/spoilt_answers.rs
@@ -334,7 +334,8 @@
 }
 
 /// Heads of answers of the store and of reports of servers, in which `LENGTH` stands for the length of the body.
-const ODD_HEADS: [&str; 9] = [
+const ODD_HEADS: [&str; 10] = [
+    "HTTP/1.1 500 X\r\ncontent-length: LENGTH\r\n\r\n",
     "HTTP/1.1 000 OK\r\ncontent-length: LENGTH\r\n\r\n",
     "HTTP/1.1 600 OK\r\ncontent-length: LENGTH\r\n\r\n",
     "HTTP/1.1 200 OK\r\ncontent-length: +LENGTH\r\n\r\n",
