Read answers of plain services as strictly as those of backend servers

The own interface passed on an answer of a plain service with status 600 to 999, a 204 that tells a length, a chunked body that ends with `+0` or a zero beside blanks of Unicode, and one whose length or encoding has such blanks, as complete.

Cause: chunked_transfer reads sizes by parse after trim, statuses were not checked, and lengths were trimmed of the blanks of Unicode. What tells the end is now read by godwit-framing; trailers stay rejected.

Lines that are no field and trailers that are none were rejected already.

--- a/crates/godwit-service/src/reply.rs
+++ b/crates/godwit-service/src/reply.rs
@@ -1,8 +1,8 @@
 //! Reads one response, either completely or with an error.
 
-use std::io::{BufRead, BufReader, ErrorKind, Read};
+use std::io::{BufRead, BufReader, Read, Take};
 
-use chunked_transfer::Decoder;
+use godwit_framing::{Framing, FramingError, chunk_size, is_interim, response_framing};
 
 use crate::connection::{Connection, error_after_send};
 use crate::{Header, ServiceError, ServiceReply};
@@ -13,21 +13,14 @@
 const MAX_WIRE_BYTES_PER_BODY_BYTE: u64 = 8;
 /// Maximum number of headers in a response.
 const MAX_HEADERS: usize = 128;
-const STATUS_NO_CONTENT: u16 = 204;
-const STATUS_NOT_MODIFIED: u16 = 304;
-const FIRST_FINAL_STATUS: u16 = 200;
+/// Maximum length of a line of the chunked coding.
+const MAX_CHUNK_LINE_BYTES: u64 = 1024;
 
 struct Head {
     status: u16,
     headers: Vec<Header>,
 }
 
-enum Framing {
-    Empty,
-    Length(u64),
-    Chunked,
-}
-
 /// Reads the final response, skipping 1xx responses; `head_only` is set for the response to a `HEAD` request.
 pub(crate) fn read_reply(
     connection: Connection<'_>,
@@ -36,10 +29,16 @@
 ) -> Result<ServiceReply, ServiceError> {
     let mut reader = BufReader::new(connection);
     let head = read_final_head(&mut reader)?;
-    let body = match framing(&head, head_only)? {
-        Framing::Empty => Vec::new(),
+    let values = head.headers.iter().map(|header| (header.name.as_str(), header.value.as_bytes()));
+    let body = match response_framing(head.status, head_only, values).map_err(bad_framing)? {
         Framing::Length(length) => read_length(&mut reader, length, body_limit_bytes)?,
         Framing::Chunked => read_chunked(&mut reader, body_limit_bytes)?,
+        // The end of a body delimited by the end of the connection cannot be distinguished from truncation.
+        Framing::UntilClose => {
+            return Err(ServiceError::bad_answer(
+                "the response has neither Content-Length nor chunked encoding",
+            ));
+        }
     };
     let headers = crate::headers::forwarded(&head.headers).cloned().collect();
     Ok(ServiceReply { status: head.status, headers, body })
@@ -49,7 +48,7 @@
     loop {
         let bytes = read_head_bytes(reader)?;
         let head = parse_head(&bytes)?;
-        if head.status >= FIRST_FINAL_STATUS {
+        if !is_interim(head.status).map_err(bad_framing)? {
             return Ok(head);
         }
     }
@@ -94,34 +93,8 @@
     Ok(Head { status, headers })
 }
 
-fn framing(head: &Head, head_only: bool) -> Result<Framing, ServiceError> {
-    if head_only || matches!(head.status, STATUS_NO_CONTENT | STATUS_NOT_MODIFIED) {
-        return Ok(Framing::Empty);
-    }
-    let values = |name: &'static str| {
-        head.headers.iter().filter(move |header| header.is_named(name)).map(|header| &header.value)
-    };
-    let encodings: Vec<&String> = values("transfer-encoding").collect();
-    let lengths: Vec<&String> = values("content-length").collect();
-    match (encodings.as_slice(), lengths.as_slice()) {
-        ([encoding], []) if encoding.trim().eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
-        ([], [first, others @ ..]) if others.iter().all(|other| other == first) => {
-            parse_length(first).map(Framing::Length)
-        }
-        // The end of a body delimited by the end of the connection cannot be distinguished from truncation.
-        ([], []) => Err(ServiceError::bad_answer(
-            "the response has neither Content-Length nor chunked encoding",
-        )),
-        _ => Err(ServiceError::bad_answer("contradictory framing")),
-    }
-}
-
-fn parse_length(value: &str) -> Result<u64, ServiceError> {
-    let digits = value.trim();
-    if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
-        return Err(ServiceError::bad_answer("Content-Length is not a number"));
-    }
-    digits.parse().map_err(|_| ServiceError::bad_answer("Content-Length is too large"))
+fn bad_framing(error: FramingError) -> ServiceError {
+    ServiceError::bad_answer(&error.to_string())
 }
 
 fn read_length(
@@ -147,21 +120,41 @@
     let wire_limit_bytes = limit_bytes
         .saturating_mul(MAX_WIRE_BYTES_PER_BODY_BYTE)
         .saturating_add(MAX_HEAD_BYTES as u64);
-    let mut decoder = Decoder::new(reader.take(wire_limit_bytes));
+    let mut wire = reader.take(wire_limit_bytes);
     let mut body = Vec::new();
-    let read = decoder.by_ref().take(limit_bytes.saturating_add(1)).read_to_end(&mut body);
-    read.map_err(|error| match error.kind() {
-        ErrorKind::InvalidInput => truncated("a chunk is malformed"),
-        _ => error_after_send(&error),
-    })?;
-    if body.len() as u64 > limit_bytes {
-        return Err(too_long(limit_bytes));
-    }
-    // The decoder takes the end of the connection inside a chunk for the end of the body.
-    if decoder.remaining_chunks_size().is_some() {
-        return Err(truncated("a chunk is truncated"));
+    loop {
+        let size = chunk_size(&read_chunk_line(&mut wire)?);
+        let size = size.ok_or_else(|| ServiceError::bad_answer("a chunk size is not a number"))?;
+        let body_bytes = body.len() as u64;
+        if size > limit_bytes - body_bytes {
+            return Err(too_long(limit_bytes));
+        }
+        wire.by_ref()
+            .take(size)
+            .read_to_end(&mut body)
+            .map_err(|error| error_after_send(&error))?;
+        if body.len() as u64 - body_bytes < size {
+            return Err(truncated("a chunk is truncated"));
+        }
+        // Trailers are not supported.
+        if !read_chunk_line(&mut wire)?.is_empty() {
+            return Err(ServiceError::bad_answer("a chunk is malformed"));
+        }
+        if size == 0 {
+            return Ok(body);
+        }
     }
-    Ok(body)
+}
+
+/// Reads a line of the chunked coding, and returns it without its ending.
+fn read_chunk_line(
+    wire: &mut Take<&mut BufReader<Connection<'_>>>,
+) -> Result<Vec<u8>, ServiceError> {
+    let mut line = Vec::new();
+    let read = wire.by_ref().take(MAX_CHUNK_LINE_BYTES).read_until(b'\n', &mut line);
+    read.map_err(|error| error_after_send(&error))?;
+    let content = line.strip_suffix(b"\r\n").map(<[u8]>::to_vec);
+    content.ok_or_else(|| truncated("a line of the chunked coding is truncated or too long"))
 }
 
 fn truncated(message: &str) -> ServiceError {
--- a/crates/godwit-service/tests/calls/failure_points.rs
+++ b/crates/godwit-service/tests/calls/failure_points.rs
@@ -135,6 +135,82 @@
     ));
 }
 
+#[test]
+fn answer_with_status_that_does_not_exist_is_rejected() {
+    for status in ["000", "001", "099", "600", "999", "20", "+20", "2000"] {
+        let answer = format!("HTTP/1.1 {status} OK\r\nContent-Length: 2\r\n\r\nok");
+        assert_may_have_run(call_answered_with(answer.leak().as_bytes()));
+    }
+}
+
+#[test]
+fn answer_with_length_that_is_no_number_is_rejected() {
+    for length in ["+2", "-2", "", "0x2", "2 2", "2,3", "2;", "\u{a0}2", "2\u{3000}", "\u{662}"] {
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\nok");
+        assert_may_have_run(call_answered_with(answer.leak().as_bytes()));
+    }
+}
+
+#[test]
+fn answer_with_encoding_other_than_chunked_once_is_rejected() {
+    for encodings in [
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked, chunked",
+        "Transfer-Encoding: \u{a0}chunked",
+        "Transfer-Encoding: gzip",
+        "Transfer-Encoding:",
+    ] {
+        let answer = format!("HTTP/1.1 200 OK\r\n{encodings}\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+        assert_may_have_run(call_answered_with(answer.leak().as_bytes()));
+    }
+}
+
+#[test]
+fn answer_with_chunk_size_that_is_no_number_is_rejected() {
+    for size in ["+0", "-0", "", " 0", "0x0", "0 0", "\u{a0}0", "0\u{3000}", "\u{b}0", "\n0", ";0"]
+    {
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n{size}\r\n\r\n"
+        );
+        assert_may_have_run(call_answered_with(answer.leak().as_bytes()));
+    }
+}
+
+#[test]
+fn answer_with_trailer_that_is_no_field_is_rejected() {
+    for trailer in ["no field", "x y: z", ": z", "x\u{1}y: z", "HTTP/1.1 200 OK"] {
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n{trailer}\r\n\r\n"
+        );
+        assert_may_have_run(call_answered_with(answer.leak().as_bytes()));
+    }
+}
+
+#[test]
+fn answer_with_line_that_is_no_field_is_rejected() {
+    for line in [
+        "no field",
+        ": z",
+        "x y: z",
+        "x : z",
+        " x: z",
+        "x\u{1}y: z",
+        "x: \u{0}",
+        "Content-Length 2",
+    ] {
+        let answer = format!("HTTP/1.1 200 OK\r\n{line}\r\nContent-Length: 2\r\n\r\nok");
+        assert_may_have_run(call_answered_with(answer.leak().as_bytes()));
+    }
+}
+
+#[test]
+fn success_without_body_that_tells_a_length_is_rejected() {
+    for line in ["Content-Length: 2", "Content-Length: +0", "Transfer-Encoding: chunked"] {
+        let answer = format!("HTTP/1.1 204 OK\r\n{line}\r\n\r\nok");
+        assert_may_have_run(call_answered_with(answer.leak().as_bytes()));
+    }
+}
+
 #[test]
 fn answer_above_limit_is_rejected() {
     assert_may_have_run(call_answered_with(b"HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n"));
