Ask another server if bytes follow the length of an answer to a read

A read got the first part of a body as a complete 200 if the server told too small a length for it.

Of the length and the bytes behind it one is wrong, and nothing in the answer tells which. Where a request may run again, and another server can run it, that server is asked now, within the retry budget, and the run counts as failed. Elsewhere the length counts, as the protocol has it: a faulty server may send bytes after a complete answer, which belong to no request, and an order that was answered is better passed on than reported as unknown. Bytes that begin a response are an answer to another request, as before. Bytes that come later than the end of the body are not seen.

Before, the new test failed with "id" as the body of a 200, in place of the answer of the sound server.

--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -14,12 +14,12 @@
 use super::abandoned::watch_failed_run;
 use super::admit::{AdmittedRequest, IncomingRequest, admit};
 use super::attempt::{
-    AttemptError, EarlierAttempts, StartedResponse, read_body, release_connection,
+    AttemptError, EarlierAttempts, StartedResponse, can_fail_over, read_body, release_connection,
 };
 use super::destination::Destination;
 use super::hedge::{OtherCopies, Sent, send_with_hedge};
 use super::in_flight::Run;
-use super::outcome::{record_broken_run, record_served_run};
+use super::outcome::{record_broken_run, record_failed_run, record_served_run};
 use super::quarantine::{
     Withheld, await_admission, log_quarantined, record_completion, record_whole_answer,
 };
@@ -342,36 +342,41 @@
     }
     // A trial run decides by itself whether its server ends.
     let may_retry = !is_last && !response.in_flight.run().is_trial();
-    if may_retry && try_reserve_retry(site, admitted, response.head.status) {
+    let is_server_error = response.head.is_server_error();
+    if may_retry && is_server_error && try_reserve_retry(site, admitted) {
         let cause = format!("status {}", response.head.status);
         log_attempt_failed(admitted, destination, &cause, false);
-        let avoided = Some(destination.server_id.clone());
-        let code = Code::OutcomeUnknown;
         watch_failed_run(response);
-        return AttemptOutcome::Retry {
-            execution: Execution::MayHaveRun,
-            code,
-            avoided,
-            needs_budget: false,
-        };
+        return retry_reserved(destination);
     }
-    read_buffered_response(site, admitted, destination, response).await
+    let earlier = EarlierAttempts { runs: earlier.runs + copies.runs, ..earlier };
+    read_buffered_response(site, admitted, destination, response, earlier).await
 }
 
-/// Whether to retry a call on another server after an error status of 500 to 599. If so, takes the retry from the retry
+/// Whether a call may be retried on another server although this one has answered. If so, takes the retry from the retry
 /// budget.
-fn try_reserve_retry(site: &Site, admitted: &AdmittedRequest, status: u16) -> bool {
-    (500..600).contains(&status)
-        && admitted.policy.work == Work::IdempotentCall
+fn try_reserve_retry(site: &Site, admitted: &AdmittedRequest) -> bool {
+    admitted.policy.work == Work::IdempotentCall
         && !admitted.policy.response_deadline.is_past(site.now())
         && site.try_retry(&admitted.policy.service)
 }
 
+/// Returns the outcome of an attempt whose retry was taken from the retry budget.
+fn retry_reserved(destination: &Destination) -> AttemptOutcome {
+    AttemptOutcome::Retry {
+        execution: Execution::MayHaveRun,
+        code: Code::OutcomeUnknown,
+        avoided: Some(destination.server_id.clone()),
+        needs_budget: false,
+    }
+}
+
 async fn read_buffered_response(
     site: &Rc<Site>,
     admitted: &AdmittedRequest,
     destination: &Destination,
     mut response: StartedResponse,
+    earlier: EarlierAttempts<'_>,
 ) -> AttemptOutcome {
     let deadline = admitted.policy.response_deadline;
     let body = match read_body(site, &mut response, deadline).await {
@@ -383,6 +388,24 @@
         body => body,
     };
     match body {
+        // The length may be wrong as well as the bytes behind it, which another server settles.
+        Ok(_)
+            if response.connection.has_foreign_bytes()
+                && !response.in_flight.run().is_trial()
+                && can_fail_over(
+                    site,
+                    admitted,
+                    earlier.runs + 1,
+                    earlier.avoided,
+                    destination,
+                )
+                && try_reserve_retry(site, admitted) =>
+        {
+            let cause = "bytes behind the response";
+            log_attempt_failed(admitted, destination, cause, false);
+            record_failed_run(site, response.in_flight.run(), cause);
+            retry_reserved(destination)
+        }
         Ok(body) => {
             log_answered(site, admitted, destination, response.head.status);
             let answer = server_response(&response.head, buffered_body(body));
--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -26,6 +26,9 @@
 /// Size above which the trailers of a response are rejected, in bytes.
 const MAX_TRAILER_BYTES: usize = 16 * 1024;
 
+/// Bytes with which responses begin.
+const VERSION_PREFIX: &[u8] = b"HTTP/1.";
+
 /// Largest part of a request body that is encoded at a time, in bytes.
 const MAX_PART_BYTES: usize = 16 * 1024;
 
@@ -419,6 +422,12 @@
         Ok(Some(line))
     }
 
+    /// Whether bytes that begin no response have arrived behind the last one.
+    pub(crate) fn has_foreign_bytes(&self) -> bool {
+        let compared = self.buffer.len().min(VERSION_PREFIX.len());
+        self.body == BodyState::Done && self.buffer[..compared] != VERSION_PREFIX[..compared]
+    }
+
     /// Whether another request can be sent: the last response was complete, the connection is open and no further bytes
     /// have arrived.
     pub(crate) fn is_idle(&self) -> bool {
--- a/tests/gateway/spoilt_answers.rs
+++ b/tests/gateway/spoilt_answers.rs
@@ -317,6 +317,26 @@
     check_answers(LENGTHS_WITHOUT_BODY);
 }
 
+/// Of a length and the bytes behind it, one is wrong. Another server settles that where a request may run again; otherwise
+/// the length counts.
+#[test]
+fn read_whose_answer_is_longer_than_its_length_is_retried() {
+    let answers = [
+        SpoiltAnswer::with_lines(b"content-length: 2\r\n"),
+        SpoiltAnswer::with_lines(b"content-length: 20\r\n"),
+        SpoiltAnswer::with_lines(b"content-length: 0\r\n"),
+        SpoiltAnswer::chunked(b"2\r\nid\r\n0\r\n\r\n: 1\ndata: piece 1\n\n"),
+    ];
+    check_is_retried(&answers);
+    let server = FakeServer::start("s-1", &[Behavior::Spoilt(answers[0])]);
+    let host = Host::start(&[("s-1", server.entry("api", None))]);
+    for path in ["/order/1", "/read/1"] {
+        let answer = host.call("POST", path, b"").expect("answered");
+        assert_eq!(answer.status(), 200, "{path}");
+        assert_eq!(answer.text(), "id", "{path}");
+    }
+}
+
 #[test]
 fn line_that_is_no_field_is_no_answer() {
     check_answers(ODD_LINES);
