Reject successes with an encoded body

A caller got a success with `Content-Encoding` as it came. Callers ask for bodies without an encoding, and the protocol says that such a body is not the server's. The header was not read; a success that has it now counts as one without a stamp does: reads and streams go to another server, orders get a 502 of the host itself.

Before, the new test failed with a 200; now none of four such answers passes.

--- a/crates/godwit-gateway/src/forward/attempt.rs
+++ b/crates/godwit-gateway/src/forward/attempt.rs
@@ -151,8 +151,8 @@
 /// is awaited no longer than `doubt_timeout`.
 ///
 /// # Errors
-/// Besides errors of the connection, [`WireError::NotHttp`] for a success without a server's stamp or, if the request
-/// has an id, without a request id; [`WireError::Ambiguous`] if no other answer follows one without an id.
+/// Besides errors of the connection, [`WireError::NotHttp`] for a success without a server's stamp, with an encoded body or,
+/// if the request has an id, without a request id; [`WireError::Ambiguous`] if no other answer follows one without an id.
 async fn exchange_head(
     connection: &mut Connection,
     request: &OutgoingRequest<'_>,
@@ -166,7 +166,8 @@
         let (status, is_success) = (head.status, (200..300).contains(&head.status));
         let is_named = server.request_id.is_some();
         let is_answer = is_answer_to(request_id, status, &server, is_first);
-        if is_success && (is_answer && !server.is_stamped || !is_answer && !is_named) {
+        let is_of_server = server.is_stamped && !server.is_encoded;
+        if is_success && (is_answer && !is_of_server || !is_answer && !is_named) {
             return Err(WireError::NotHttp);
         }
         if !is_answer || !is_named {
--- a/tests/gateway/spoilt_answers.rs
+++ b/tests/gateway/spoilt_answers.rs
@@ -168,6 +168,18 @@
     SpoiltAnswer::new("HTTP/1.1 204 OK", CHUNKED.as_bytes(), CHUNKED_BODY),
 ];
 
+/// Callers ask for bodies without an encoding.
+const ENCODED_BODIES: &[SpoiltAnswer] = &[
+    SpoiltAnswer::with_lines(b"content-encoding: gzip\r\ncontent-length: 21\r\n"),
+    SpoiltAnswer::with_lines(b"Content-Encoding: br\r\ncontent-length: 21\r\n"),
+    SpoiltAnswer::new(
+        OK,
+        b"transfer-encoding: chunked\r\ncontent-encoding: gzip\r\n",
+        CHUNKED_BODY,
+    ),
+    SpoiltAnswer::new(OK, b"content-encoding: gzip\r\nconnection: close\r\n", BODY.as_bytes()),
+];
+
 const ODD_LINES: &[SpoiltAnswer] = &[
     SpoiltAnswer::with_lines(b"no field\r\ncontent-length: 21\r\n"),
     SpoiltAnswer::with_lines(b"content-length: 21\r\nno-field\r\n"),
@@ -317,6 +329,11 @@
     check_answers(LENGTHS_WITHOUT_BODY);
 }
 
+#[test]
+fn success_with_encoded_body_is_no_answer() {
+    check_answers(ENCODED_BODIES);
+}
+
 /// Of a length and the bytes behind it, one is wrong. Another server settles that where a request may run again; otherwise
 /// the length counts.
 #[test]
