Read lists of the store on behind names too long for a request

Callers were refused after a restart while a name that is longer than a request line, of bytes that need no encoding, ended a page: each call for the next page was answered 414.

The next page now starts after a short name of a page, if it has one.

A page whose only names are that long still leads nowhere.

--- a/crates/godwit-core/src/replica/list_cursor.rs
+++ b/crates/godwit-core/src/replica/list_cursor.rs
@@ -7,16 +7,21 @@
 #[error("the list does not go on after a page")]
 pub struct ListStalled;
 
-/// Whether all bytes of a name are unreserved in URLs, so that it reads the same however a store decodes queries.
-fn is_unreserved(name: &[u8]) -> bool {
+/// Length up to which a name leaves room in a request line, in bytes.
+const MAX_PLAIN_NAME_BYTES: usize = 256;
+
+/// Whether a name is short, and all its bytes are unreserved in URLs, so that it reads the same however a store decodes
+/// queries.
+fn is_plain(name: &[u8]) -> bool {
     let is_unreserved = |byte: &u8| byte.is_ascii_alphanumeric() || b"-._~".contains(byte);
-    name.iter().all(is_unreserved)
+    name.len() <= MAX_PLAIN_NAME_BYTES && name.iter().all(is_unreserved)
 }
 
 /// Name after which the next page of a list starts.
 ///
-/// Other writers choose names that mean something else in a URL, and not every store decodes these as they were encoded.
-/// The next page therefore starts after the last unreserved name of a page, although it may repeat items then. If it has no
+/// Other writers choose names that mean something else in a URL, and not every store decodes these as they were encoded, or
+/// names that are too long for one. The next page therefore starts after the last short name of a page whose bytes are all
+/// unreserved, although it may repeat items then. If it has no
 /// new items, it is read again after the very last name.
 ///
 /// ```
@@ -50,16 +55,16 @@
         &mut self,
         names: impl IntoIterator<Item = &'a [u8]>,
     ) -> Result<(), ListStalled> {
-        let (mut last, mut last_unreserved) = (None, None);
+        let (mut last, mut last_plain) = (None, None);
         let mut has_new = false;
         for name in names {
             has_new |= self.seen.insert(name.to_vec());
             last = Some(name);
-            last_unreserved = Some(name).filter(|name| is_unreserved(name)).or(last_unreserved);
+            last_plain = Some(name).filter(|name| is_plain(name)).or(last_plain);
         }
         if has_new {
             self.last = last.map(<[u8]>::to_vec);
-            self.after = last_unreserved.or(last).map(<[u8]>::to_vec);
+            self.after = last_plain.or(last).map(<[u8]>::to_vec);
         } else if self.after == self.last {
             return Err(ListStalled);
         } else {
--- a/crates/godwit-core/tests/list_cursor.rs
+++ b/crates/godwit-core/tests/list_cursor.rs
@@ -52,6 +52,16 @@
     assert_eq!(read_list(&names, cut_at_reserved), Ok(owned(&names)));
 }
 
+#[test]
+fn advance_behind_long_name_starts_after_a_short_one() {
+    let long = "k".repeat(300);
+    let mut cursor = ListCursor::default();
+    assert_eq!(cursor.advance(["i-1", &long].map(str::as_bytes)), Ok(()));
+    assert_eq!(cursor.after(), Some(&b"i-1"[..]));
+    assert_eq!(cursor.advance([long.as_bytes()]), Ok(()));
+    assert_eq!(cursor.after(), Some(long.as_bytes()));
+}
+
 #[test]
 fn advance_behind_page_that_is_repeated_stalls() {
     let names = BTreeSet::from(["a-1", "b&1", "b&2", "b&3", "b&4", "c-1"]);
--- a/tests/gateway/odd_names.rs
+++ b/tests/gateway/odd_names.rs
@@ -118,6 +118,15 @@
     }
 }
 
+#[test]
+fn requests_are_served_beside_a_name_that_is_too_long_for_a_request() {
+    let (store, servers) = start_servers(["a-1", "s-1"]);
+    for name in ["b".to_string(), "b".repeat(10_000), "c".to_string()] {
+        store.put_raw("servers", &name, large_content(HALF_PAGE_BYTES));
+    }
+    assert_eq!(served_after_start(&store, &servers), REQUESTS);
+}
+
 #[test]
 fn requests_are_served_beside_names_that_no_parser_reads_at_the_end_of_a_page() {
     for name_text in [&br#""k\ud800""#[..], b"\"k\xff\xfe\"", b"\"k\x01\""] {
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -24,6 +24,9 @@
 /// Size from which a page of a list is complete, in bytes, as on the users' platform.
 const PAGE_BYTES: usize = 1 << 20;
 
+/// Length above which the target of a request is rejected, in bytes.
+const MAX_TARGET_BYTES: usize = 8 << 10;
+
 /// Header that names the era of the store in its answers.
 const ERA_HEADER: &str = "Store-Era";
 
@@ -503,6 +506,9 @@
     }
     objects.calls += 1;
     let Some(target) = request_target(request) else { return objects.answer(400, Value::Null) };
+    if target.len() > MAX_TARGET_BYTES {
+        return objects.answer(414, Value::Null);
+    }
     let path = target.split('?').next().unwrap_or_default();
     let mut parts = path.trim_start_matches("/api/objects/").split('/');
     let kind = parts.next().unwrap_or_default();
