Name malformed answers as such, and pass over empty lines behind a response

The tests of spoilt answers are those of malformed ones now, as the field calls them. Line breaks behind a body, which some servers write, are no reason to ask another server.

--- a/crates/godwit-core/src/replica/list_cursor.rs
+++ b/crates/godwit-core/src/replica/list_cursor.rs
@@ -19,10 +19,9 @@
 
 /// Name after which the next page of a list starts.
 ///
-/// Other writers choose names that mean something else in a URL, and not every store decodes these as they were encoded, or
-/// names that are too long for one. The next page therefore starts after the last short name of a page whose bytes are all
-/// unreserved, although it may repeat items then. If it has no
-/// new items, it is read again after the very last name.
+/// Other writers choose names that are too long for a URL, or mean something else in one, and not every store decodes these as
+/// they were encoded. The next page therefore starts after the last plain name of a page, although it may repeat items then. If
+/// it has no new ones, it is read again after the very last name.
 ///
 /// ```
 /// use godwit_core::replica::{ListCursor, ListStalled};
--- a/crates/godwit-framing/src/lib.rs
+++ b/crates/godwit-framing/src/lib.rs
@@ -1,6 +1,6 @@
 //! How the end of an HTTP/1.1 response is told, read as strictly as RFC 9112 has it.
 //!
-//! A lenient reader takes a spoilt response for a complete one. Heads are parsed by `httparse`; this crate reads what they
+//! A lenient reader takes a malformed response for a complete one. Heads are parsed by `httparse`; this crate reads what they
 //! say of the body.
 
 use std::ops::Range;
--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -390,7 +390,7 @@
     match body {
         // The length may be wrong as well as the bytes behind it, which another server settles.
         Ok(_)
-            if response.connection.has_foreign_bytes()
+            if response.connection.has_excess_bytes()
                 && !response.in_flight.run().is_trial()
                 && can_fail_over(
                     site,
