--- a/crates/godwit-gateway/src/wire/connection.rs
+++ b/crates/godwit-gateway/src/wire/connection.rs
@@ -422,11 +422,10 @@
         Ok(Some(line))
     }
 
-    /// Whether bytes that begin no response have arrived behind the last one. Empty lines may precede a response.
+    /// Whether bytes that begin no response have arrived behind the last one.
     pub(crate) fn has_excess_bytes(&self) -> bool {
-        let excess = self.buffer.trim_ascii_start();
-        let compared = excess.len().min(VERSION_PREFIX.len());
-        self.body == BodyState::Done && excess[..compared] != VERSION_PREFIX[..compared]
+        let compared = self.buffer.len().min(VERSION_PREFIX.len());
+        self.body == BodyState::Done && self.buffer[..compared] != VERSION_PREFIX[..compared]
     }
 
     /// Whether another request can be sent: the last response was complete, the connection is open and no further bytes
