Read lists of the store on behind an empty name

Callers were refused after a restart while an entry without a name, of the size of a page, stood at the start of a list: an empty After begins the list again, so that it never went on.

The next page now starts after a blank, which is behind the empty name. What is between names no server, as no header holds such names.

Found while reading the change once more.

--- a/crates/godwit-core/src/replica/list_cursor.rs
+++ b/crates/godwit-core/src/replica/list_cursor.rs
@@ -10,11 +10,14 @@
 /// Length up to which a name leaves room in a request line, in bytes.
 const MAX_PLAIN_NAME_BYTES: usize = 256;
 
+/// What stands for an empty name, which begins a list again. Names up to it name nothing to use.
+const BEHIND_EMPTY_NAME: &[u8] = b" ";
+
 /// Whether a name is short, and all its bytes are unreserved in URLs, so that it reads the same however a store decodes
 /// queries.
 fn is_plain(name: &[u8]) -> bool {
     let is_unreserved = |byte: &u8| byte.is_ascii_alphanumeric() || b"-._~".contains(byte);
-    name.len() <= MAX_PLAIN_NAME_BYTES && name.iter().all(is_unreserved)
+    !name.is_empty() && name.len() <= MAX_PLAIN_NAME_BYTES && name.iter().all(is_unreserved)
 }
 
 /// Name after which the next page of a list starts.
@@ -58,7 +61,7 @@
         let mut has_new = false;
         for name in names {
             has_new |= self.seen.insert(name.to_vec());
-            last = Some(name);
+            last = Some(if name.is_empty() { BEHIND_EMPTY_NAME } else { name });
             last_plain = Some(name).filter(|name| is_plain(name)).or(last_plain);
         }
         if has_new {
--- a/crates/godwit-core/tests/list_cursor.rs
+++ b/crates/godwit-core/tests/list_cursor.rs
@@ -62,6 +62,15 @@
     assert_eq!(cursor.after(), Some(long.as_bytes()));
 }
 
+#[test]
+fn advance_behind_empty_name_does_not_begin_again() {
+    let mut cursor = ListCursor::default();
+    assert_eq!(cursor.advance([&b""[..]]), Ok(()));
+    assert_eq!(cursor.after(), Some(&b" "[..]));
+    assert_eq!(cursor.advance([&b"i-1"[..]]), Ok(()));
+    assert_eq!(cursor.after(), Some(&b"i-1"[..]));
+}
+
 #[test]
 fn advance_behind_page_that_is_repeated_stalls() {
     let names = BTreeSet::from(["a-1", "b&1", "b&2", "b&3", "b&4", "c-1"]);
--- a/tests/gateway/odd_names.rs
+++ b/tests/gateway/odd_names.rs
@@ -25,7 +25,9 @@
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
 /// Names that come before those of the servers behind them.
-const ODD_NAMES: [&str; 22] = [
+const ODD_NAMES: [&str; 24] = [
+    "",
+    "\u{1}",
     "k k",
     "k#k",
     "&",
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -540,7 +540,8 @@
 fn list(objects: &Objects, kind: &str, after: &str) -> Value {
     let of_kind = objects.held.by_key.iter();
     let of_kind = of_kind
-        .filter(|((object_kind, name), _)| object_kind == kind && name.as_str() > after)
+        .filter(|((object_kind, _), _)| object_kind == kind)
+        .filter(|((_, name), _)| after.is_empty() || name.as_str() > after)
         .map(|(_, object)| object);
     let mut bytes = 0;
     let mut items = Vec::new();
