Count the runs of an attempt in one place

try_once added the runs of copies to the earlier ones twice. No change in behaviour; the tests of calls, hedging and malformed answers pass as before.

--- a/crates/godwit-gateway/src/forward/handler.rs
+++ b/crates/godwit-gateway/src/forward/handler.rs
@@ -293,7 +293,8 @@
     let deadline = head_deadline(site, admitted, is_last);
     let sent = send_with_hedge(site, admitted, destination, earlier, deadline, copies).await;
     let Sent { ref destination, result } = sent;
-    let runs = earlier.runs + copies.runs + 1;
+    let earlier = EarlierAttempts { runs: earlier.runs + copies.runs, ..earlier };
+    let runs = earlier.runs + 1;
     let is_last = runs >= admitted.policy.max_attempts;
     let response = match result {
         Ok(response) => response,
@@ -349,7 +350,6 @@
         watch_failed_run(response);
         return retry_reserved(destination);
     }
-    let earlier = EarlierAttempts { runs: earlier.runs + copies.runs, ..earlier };
     read_buffered_response(site, admitted, destination, response, earlier).await
 }
 
