--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 
 use crate::http::{Message, serve_connections, write_response};
@@ -471,24 +472,9 @@
     found.min_by_key(|(_, at, _)| *at)
 }
 
-/// Decodes a name in a query: a plus sign is a blank, and a percent sign stands before two hexadecimal digits of a byte.
+/// Decodes a name in a query, in which a plus sign is a blank.
 fn decode_form(text: &str) -> String {
-    let mut decoded = Vec::new();
-    let mut rest = text.as_bytes();
-    while let Some((byte, next)) = rest.split_first() {
-        rest = next;
-        let digits = next.get(..2).and_then(|digits| std::str::from_utf8(digits).ok());
-        let value = digits.and_then(|digits| u8::from_str_radix(digits, 16).ok());
-        match (byte, value) {
-            (b'%', Some(value)) => {
-                decoded.push(value);
-                rest = &next[2..];
-            }
-            (b'+', _) => decoded.push(b' '),
-            _ => decoded.push(*byte),
-        }
-    }
-    String::from_utf8_lossy(&decoded).into_owned()
+    percent_decode_str(&text.replace('+', " ")).decode_utf8_lossy().into_owned()
 }
 
 /// Returns the target of a request without its fragment; none if the request line is not made of three words.
