--- a/review/lib-2/unframed.rs
+++ b/review/lib-2/unframed.rs
@@ -93,7 +93,10 @@
 
 impl Server {
     pub fn start(record: &Record, name: &str, slots: usize) -> Server {
-        let address = SocketAddr::from((own_ip(), 8080));
+        Server::start_at(record, name, slots, SocketAddr::from((own_ip(), 8080)))
+    }
+
+    pub fn start_at(record: &Record, name: &str, slots: usize, address: SocketAddr) -> Server {
         let mut child = start_own(&["server", name, &address.to_string(), &slots.to_string()]);
         let mut output = BufReader::new(child.stdout.take().unwrap()).lines().map_while(Result::ok);
         if output.next().as_deref() != Some("ready") {
