--- a/review/lib-2/harness.rs
+++ b/review/lib-2/harness.rs
@@ -101,10 +101,6 @@
         print!("{line}");
         let _ = self.file.lock().unwrap().write_all(line.as_bytes());
     }
-
-    pub fn seconds(&self) -> f64 {
-        self.start.elapsed().as_secs_f64()
-    }
 }
 
 /// Ends the case as one that could not run.
@@ -193,7 +189,7 @@
     Some(message)
 }
 
-/// Reads the body of an answer up to its end or that of the connection. `on_piece` gets each piece.
+/// Reads the body of an answer up to its end or that of the connection.
 pub fn read_answer_body(reader: &mut Reader, message: &mut Message) {
     if message.header("transfer-encoding").is_some() {
         loop {
@@ -263,8 +259,6 @@
     held: BTreeMap<(String, String), (u64, String)>,
     /// Revision, kind, name and content; none for a removal.
     changes: Vec<(u64, String, String, Option<String>)>,
-    /// Calls of the hosts that write.
-    writes: u64,
 }
 
 /// Stand-in of the platform's store, as PROTOCOL.md tells it: lists, watches, and conditional writes.
@@ -310,16 +304,6 @@
         self.0.1.notify_all();
     }
 
-    pub fn get(&self, kind: &str, name: &str) -> Option<String> {
-        let objects = self.0.0.lock().unwrap();
-        let held = objects.held.get(&(kind.to_string(), name.to_string()));
-        held.map(|(_, content)| content.clone())
-    }
-
-    pub fn count(&self, kind: &str) -> usize {
-        self.0.0.lock().unwrap().held.keys().filter(|(of, _)| of == kind).count()
-    }
-
     /// Serves the store at an address for one host, which reaches servers at the given addresses.
     pub fn serve_host(&self, addresses: &Addresses) -> SocketAddr {
         let (store, addresses) = (self.clone(), addresses.clone());
@@ -328,8 +312,9 @@
             let mut reader = BufReader::new(stream);
             while let Some(request) = read_request(&mut reader) {
                 let (status, body) = store.answer(&request, &addresses);
-                let head =
-                    format!("HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: 1\r\n");
+                let head = format!(
+                    "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
+                );
                 if !write_message(&mut writer, &head, body.as_bytes()) {
                     return;
                 }
@@ -348,7 +333,8 @@
         };
         let mut objects = self.0.0.lock().unwrap();
         let Some(name) = name else {
-            let Some(from) = query(&target, "Watch").and_then(|text| text.parse::<u64>().ok()) else {
+            let Some(from) = query(&target, "Watch").and_then(|text| text.parse::<u64>().ok())
+            else {
                 let items = objects.held.iter().filter(|((of, _), _)| *of == kind);
                 let items = items.map(|((_, name), (revision, content))| {
                     object_text(*revision, name, &resolve(name, content))
@@ -363,7 +349,9 @@
             }
             let wait_ms = query(&target, "WaitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
             let wait = Duration::from_millis(u64::min(wait_ms, 30_000));
-            let is_of = |change: &(u64, String, String, Option<String>)| change.0 > from && change.1 == kind;
+            let is_of = |change: &(u64, String, String, Option<String>)| {
+                change.0 > from && change.1 == kind
+            };
             objects = self
                 .0
                 .1
@@ -393,7 +381,8 @@
             }
             method => {
                 let body = String::from_utf8_lossy(&request.body).into_owned();
-                let (metadata, content) = body.split_once("\"Specification\":").unwrap_or(("", "null}"));
+                let (metadata, content) =
+                    body.split_once("\"Specification\":").unwrap_or(("", "null}"));
                 let content = content.strip_suffix('}').unwrap_or("null").to_string();
                 let expected = metadata.split_once("\"Revision\":").map(|(_, rest)| {
                     let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
@@ -404,7 +393,6 @@
                 {
                     return (409, known_text.unwrap_or_default());
                 }
-                objects.writes += 1;
                 drop(objects);
                 let revision = self.put(&kind, name, &content);
                 (200, object_text(revision, name, &content))
@@ -415,22 +403,16 @@
 
 // The configuration
 
-/// Returns a route. `service` is the name of a plain service or of a model.
+/// Returns a route of a plain service, whose streams may not be resumed.
 pub fn route(prefix: &str, kind: &str, service: &str, timeout_ms: u64, target_ms: u64) -> String {
     format!(
         "{{\"Name\":\"r-{}\",\"Host\":\"{HOST}\",\"PathPrefix\":\"{prefix}\",\"Kind\":\"{kind}\",\
          \"TimeoutMs\":{timeout_ms},\"TargetLatencyMs\":{target_ms},\"Priority\":1,\"Service\":\"{service}\",\
-         \"Attempts\":2,\"Public\":false,\"Resumable\":{},\"TargetGapMs\":200}}",
+         \"Attempts\":2,\"Public\":false,\"Resumable\":false,\"TargetGapMs\":200}}",
         prefix.replace('/', ""),
-        false,
     )
 }
 
-/// Returns the same route, whose streams may be resumed.
-pub fn resumable(route: String) -> String {
-    route.replace("\"Resumable\":false", "\"Resumable\":true")
-}
-
 /// Returns a configuration with plain services, as at a small site.
 pub fn configuration(version: u64, routes: &[String], services: &[&str]) -> String {
     let services: Vec<String> = services
@@ -475,7 +457,13 @@
         Gateway::start_at(name, zone, store, ip, true)
     }
 
-    pub fn start_at(name: &str, zone: &str, store: SocketAddr, ip: Ipv4Addr, is_first: bool) -> Gateway {
+    pub fn start_at(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        ip: Ipv4Addr,
+        is_first: bool,
+    ) -> Gateway {
         let settings = format!(
             "NodeName = \"{name}\"\nRole = \"gateway\"\nMachineClass = \"front\"\nServes = [\"front\"]\n\
              IpAddress = \"{ip}\"\nZone = \"{zone}\"\nRegion = \"ie-south\"\n\
@@ -492,7 +480,8 @@
         let folder = temporary_folder();
         let path = folder.join(format!("{name}.toml"));
         std::fs::write(&path, settings).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let log = File::options().create(true).append(true).open(folder.join(format!("{name}.log")));
+        let log =
+            File::options().create(true).append(true).open(folder.join(format!("{name}.log")));
         let log = log.unwrap_or_else(|e| cannot_run(&e.to_string()));
         let child = Command::new("target/release/godwitdeal")
             .arg("gateway")
@@ -501,7 +490,8 @@
             .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn();
-        let child = child.unwrap_or_else(|e| cannot_run(&format!("target/release/godwitdeal: {e}")));
+        let child =
+            child.unwrap_or_else(|e| cannot_run(&format!("target/release/godwitdeal: {e}")));
         STARTED.lock().unwrap().push(child.id());
         Gateway { name: name.to_string(), ip, child }
     }
@@ -510,10 +500,6 @@
         SocketAddr::from((self.ip, FRONT_PORT))
     }
 
-    pub fn detour(&self) -> SocketAddr {
-        SocketAddr::from((self.ip, INTERNAL_PORT + 2))
-    }
-
     pub fn signal(&self, number: i32) {
         signal(self.child.id(), number);
     }
@@ -556,7 +542,8 @@
 /// Starts this program once more as a stand-in of its own, which can be killed.
 pub fn start_own(arguments: &[&str]) -> Child {
     let program = std::env::current_exe().unwrap();
-    let child = Command::new(program).args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).spawn();
+    let child =
+        Command::new(program).args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).spawn();
     let child = child.unwrap_or_else(|e| cannot_run(&e.to_string()));
     STARTED.lock().unwrap().push(child.id());
     child
@@ -622,7 +609,8 @@
 
 impl Link {
     pub fn start(server: SocketAddr) -> Link {
-        let listener = TcpListener::bind((own_ip(), 0)).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let listener =
+            TcpListener::bind((own_ip(), 0)).unwrap_or_else(|e| cannot_run(&e.to_string()));
         let address = listener.local_addr().unwrap();
         let link = Link {
             address,
--- a/review/lib-2/unframed.rs
+++ b/review/lib-2/unframed.rs
@@ -41,7 +41,8 @@
         let mut writer = stream.try_clone().unwrap();
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
-            let (id, path) = (request.header("godwitdeal-request-id").unwrap_or(""), request.word(1));
+            let (id, path) =
+                (request.header("godwitdeal-request-id").unwrap_or(""), request.word(1));
             if path.starts_with("/api/") {
                 // A plain service has no such interface.
                 if !write_message(&mut writer, "HTTP/1.1 404 Not Found\r\n", b"") {
@@ -63,7 +64,8 @@
             }
             println!("runs {id} {path}");
             let [first, second] = parts(path);
-            let kind = if path.starts_with("/note/") { "text/event-stream" } else { "application/json" };
+            let kind =
+                if path.starts_with("/note/") { "text/event-stream" } else { "application/json" };
             let head = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\nConnection: close\r\nGodwitdeal-Request-Id: {id}\r\n\
                  Godwitdeal-Response-Stamp: {name}.1\r\n\r\n{first}"
